--- /dev/null
+++ b/galenahold/src/main.rs
@@ -0,0 +1,3 @@
+//! The galenahold binary.
+
+fn main() {}
--- /dev/null
+++ b/galenahold_instance/src/lib.rs
@@ -0,0 +1,1 @@
+//! galenahold instance.
--- /dev/null
+++ b/galenahold_report/src/lib.rs
@@ -0,0 +1,1 @@
+//! galenahold report.
