Add stand-ins for backend servers and a fault proxy

Cause: the product's promises have to be checked against what backend servers really received, and there was nothing to run it against.

Change: galenahold_testkit holds a model engine, a plain service and a weight store, in process (builders) and as the binary galenahold-standin, each with a ledger and controls, and a TCP proxy that cuts, delays, limits, stalls, resets and refuses. docs/INTERFACES.md describes what they speak.

Ruled out: dropping bytes in a cut (TCP would send them again, so a cut holds them), and a clock step for each request in place of one for each batch (it does not scale to 100,000 tokens a second).

Before: no tests.

--- /dev/null
+++ b/galenahold_testkit/src/engine/mod.rs
@@ -0,0 +1,27 @@
+//! A stand-in for a model engine.
+
+mod answer_text;
+mod batch_loop;
+mod cache_publisher;
+mod engine_builder;
+mod engine_core;
+mod engine_face;
+mod engine_process;
+mod engine_settings;
+mod engine_timings;
+mod event_body;
+mod fencing_number;
+mod generation_body;
+mod load_order;
+mod model_table;
+mod placement_runner;
+mod prefix_cache;
+mod sequence_queue;
+
+pub use answer_text::AnswerText;
+pub use engine_builder::EngineBuilder;
+pub use engine_process::EngineProcess;
+pub use engine_settings::{EngineSettings, InitialModel};
+pub use engine_timings::EngineTimings;
+pub use fencing_number::FencingNumber;
+pub use prefix_cache::block_hashes;
--- a/galenahold_testkit/src/lib.rs
+++ b/galenahold_testkit/src/lib.rs
@@ -1,1 +1,19 @@
-//! galenahold testkit.
+//! Stand-ins for the systems around galenahold, a fault proxy, a process harness and a load tool.
+//!
+//! The stand-ins speak the published protocols only and keep ledgers of what really ran. The crate is
+//! never a dependency of the product, and it shares no types with it, so that a check cannot agree
+//! with a mistake of the product.
+
+pub mod announce;
+pub mod control;
+pub mod engine;
+mod host;
+mod http;
+pub mod ledger;
+pub mod proxy;
+pub mod service;
+mod state_lock;
+pub mod store;
+mod testkit_error;
+
+pub use testkit_error::TestkitError;
--- /dev/null
+++ b/galenahold_testkit/src/proxy/fault_link.rs
@@ -0,0 +1,175 @@
+//! One proxied address.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::link_pump::{DirectionState, LinkPump};
+use super::{LinkDirection, LinkFault};
+use crate::host;
+use crate::http;
+use crate::testkit_error::TestkitError;
+
+/// Pause after a failed accept or bind.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+#[derive(Debug)]
+struct LinkState {
+    to_server: sync::Arc<DirectionState>,
+    to_client: sync::Arc<DirectionState>,
+    refusing: watch::Sender<bool>,
+    resets: watch::Sender<u64>,
+    connections: atomic::AtomicU64,
+    target: net::SocketAddr,
+}
+
+/// Stands between the clients of one address and its server.
+#[derive(Debug, Clone)]
+pub struct FaultLink {
+    address: net::SocketAddr,
+    state: sync::Arc<LinkState>,
+}
+
+impl FaultLink {
+    /// Opens a link on tasks of `scope`.
+    pub(crate) fn open(
+        scope: &host::TaskScope,
+        target: net::SocketAddr,
+    ) -> Result<Self, TestkitError> {
+        let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let (listener, address) = http::HttpServer::bind(any_port)?.into_listener(scope)?;
+        let state = sync::Arc::new(LinkState {
+            to_server: sync::Arc::default(),
+            to_client: sync::Arc::default(),
+            refusing: watch::Sender::new(false),
+            resets: watch::Sender::new(0),
+            connections: atomic::AtomicU64::new(0),
+            target,
+        });
+        let connections = scope.clone();
+        let accepted = sync::Arc::clone(&state);
+        scope.spawn(accept_connections(connections, listener, address, accepted));
+        Ok(Self { address, state })
+    }
+
+    /// Returns the address that clients connect to.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Sets the fault of one direction, for open connections too.
+    pub fn set(&self, direction: LinkDirection, fault: LinkFault) {
+        match direction {
+            LinkDirection::ToServer => self.state.to_server.set(fault),
+            LinkDirection::ToClient => self.state.to_client.set(fault),
+        }
+    }
+
+    /// Sets the fault of both directions.
+    pub fn set_both(&self, fault: LinkFault) {
+        self.state.to_server.set(fault);
+        self.state.to_client.set(fault);
+    }
+
+    /// Passes all bytes again and listens again.
+    pub fn heal(&self) {
+        self.set_both(LinkFault::pass());
+        self.refuse(false);
+    }
+
+    /// Refuses new connections, or no longer does; open ones go on.
+    pub fn refuse(&self, on: bool) {
+        self.state.refusing.send_replace(on);
+    }
+
+    /// Resets all open connections.
+    pub fn reset_connections(&self) {
+        self.state.resets.send_modify(|resets| *resets += 1);
+    }
+
+    /// Returns the connections accepted so far.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.state.connections.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns the bytes that passed in one direction.
+    #[must_use]
+    pub fn passed_bytes(&self, direction: LinkDirection) -> u64 {
+        match direction {
+            LinkDirection::ToServer => self.state.to_server.passed_bytes(),
+            LinkDirection::ToClient => self.state.to_client.passed_bytes(),
+        }
+    }
+}
+
+/// Accepts connections for as long as the scope lives; refuses by not listening.
+async fn accept_connections(
+    scope: host::TaskScope,
+    listener: TcpListener,
+    address: net::SocketAddr,
+    state: sync::Arc<LinkState>,
+) {
+    let mut refusing = state.refusing.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        if *refusing.borrow_and_update() {
+            listener = None;
+            // The sender lives as long as the state.
+            let _ = refusing.changed().await;
+            continue;
+        }
+        let Some(open) = &listener else {
+            listener = TcpListener::bind(address).await.ok();
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        tokio::select! {
+            accepted = open.accept() => match accepted {
+                Ok((client, _)) => scope.spawn(run_connection(client, sync::Arc::clone(&state))),
+                Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            },
+            _ = refusing.changed() => {}
+        }
+    }
+}
+
+/// Passes one connection on, and ends it with a reset when either side or a fault does.
+async fn run_connection(mut client: TcpStream, state: sync::Arc<LinkState>) {
+    state.connections.fetch_add(1, atomic::Ordering::Relaxed);
+    let mut resets = state.resets.subscribe();
+    let ended = tokio::select! {
+        ended = pass_both(&mut client, &state) => ended,
+        _ = resets.changed() => Err(std::io::ErrorKind::ConnectionReset.into()),
+    };
+    if ended.is_err() {
+        reset_on_close(&client);
+    }
+}
+
+/// Passes both directions until both have ended.
+async fn pass_both(client: &mut TcpStream, state: &LinkState) -> std::io::Result<()> {
+    state.to_server.wait_open().await;
+    let mut server = TcpStream::connect(state.target).await?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    // A connection that is given up must not look whole to the server.
+    reset_on_close(&server);
+    let (client_reader, client_writer) = client.split();
+    let (server_reader, server_writer) = server.split();
+    let to_server = LinkPump::new(sync::Arc::clone(&state.to_server), server_writer);
+    let to_client = LinkPump::new(sync::Arc::clone(&state.to_client), client_writer);
+    tokio::try_join!(to_server.run(client_reader), to_client.run(server_reader))?;
+    Ok(())
+}
+
+/// Lets the next close of a socket send a reset.
+fn reset_on_close(stream: &TcpStream) {
+    // A failure leaves a normal close, which the peer also sees as the end.
+    let _ = socket2::SockRef::from(stream).set_linger(Some(time::Duration::ZERO));
+}
--- /dev/null
+++ b/galenahold_testkit/src/proxy/link_pump.rs
@@ -0,0 +1,181 @@
+//! One direction of one connection.
+
+use std::io;
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use rand::RngExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp;
+use tokio::sync::{mpsc, watch};
+
+use super::LinkFault;
+
+/// Bytes of the largest piece.
+const PIECE_BYTES: usize = 16 * 1_024;
+/// Pieces between reading and writing; with more the sender is held back.
+const PIECES_IN_FLIGHT: usize = 64;
+
+/// The fault of a direction and the count from which its limits run.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ActiveFault {
+    /// The fault.
+    pub(crate) fault: LinkFault,
+    /// Bytes that had passed when it was set.
+    pub(crate) base_bytes: u64,
+}
+
+/// The present fault and the count of one direction of a link.
+#[derive(Debug)]
+pub(crate) struct DirectionState {
+    fault: watch::Sender<ActiveFault>,
+    passed_bytes: atomic::AtomicU64,
+}
+
+impl Default for DirectionState {
+    fn default() -> Self {
+        Self {
+            fault: watch::Sender::new(ActiveFault::default()),
+            passed_bytes: atomic::AtomicU64::new(0),
+        }
+    }
+}
+
+impl DirectionState {
+    /// Sets the fault from now on.
+    pub(crate) fn set(&self, fault: LinkFault) {
+        let base_bytes = self.passed_bytes();
+        self.fault.send_replace(ActiveFault { fault, base_bytes });
+    }
+
+    /// Returns the bytes that passed so far.
+    pub(crate) fn passed_bytes(&self) -> u64 {
+        self.passed_bytes.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Waits until the direction is not cut.
+    pub(crate) async fn wait_open(&self) {
+        let mut changes = self.fault.subscribe();
+        // The sender lives as long as this state.
+        let _ = changes.wait_for(|active| !active.fault.cut).await;
+    }
+}
+
+struct TimedPiece {
+    read_at: time::Instant,
+    bytes: Vec<u8>,
+}
+
+/// Passes bytes from one socket to another under the direction's fault.
+pub(crate) struct LinkPump<'a> {
+    state: sync::Arc<DirectionState>,
+    faults: watch::Receiver<ActiveFault>,
+    writer: tcp::WriteHalf<'a>,
+    due: time::Instant,
+}
+
+impl<'a> LinkPump<'a> {
+    /// Makes the pump into `writer`.
+    pub(crate) fn new(state: sync::Arc<DirectionState>, writer: tcp::WriteHalf<'a>) -> Self {
+        let faults = state.fault.subscribe();
+        Self {
+            state,
+            faults,
+            writer,
+            due: time::Instant::now(),
+        }
+    }
+
+    /// Passes all bytes of `reader`, then its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when either socket fails or the fault resets the connection.
+    pub(crate) async fn run(mut self, reader: tcp::ReadHalf<'_>) -> io::Result<()> {
+        let (sender, mut pieces) = mpsc::channel(PIECES_IN_FLIGHT);
+        let write_all = async {
+            while let Some(piece) = pieces.recv().await {
+                self.pass_piece(piece).await?;
+            }
+            self.state.wait_open().await;
+            self.writer.shutdown().await
+        };
+        tokio::try_join!(read_pieces(reader, sender), write_all)?;
+        Ok(())
+    }
+
+    async fn pass_piece(&mut self, piece: TimedPiece) -> io::Result<()> {
+        let fault = self.faults.borrow().fault;
+        self.due = self.due.max(piece.read_at + fault.delay + jitter_of(fault));
+        tokio::time::sleep_until(self.due.into()).await;
+        if let Some(rate) = fault.bytes_per_second {
+            let micros = piece.bytes.len() as u64 * 1_000_000 / rate;
+            self.due = time::Instant::now() + time::Duration::from_micros(micros);
+        }
+        let mut rest = piece.bytes.as_slice();
+        while !rest.is_empty() {
+            let allowed = self.wait_allowed().await?;
+            let count = rest.len().min(allowed);
+            self.writer.write_all(&rest[..count]).await?;
+            let passed = &self.state.passed_bytes;
+            passed.fetch_add(count as u64, atomic::Ordering::Relaxed);
+            rest = &rest[count..];
+        }
+        Ok(())
+    }
+
+    /// Waits until some bytes may pass and returns how many.
+    async fn wait_allowed(&mut self) -> io::Result<usize> {
+        loop {
+            let active = *self.faults.borrow_and_update();
+            let passed = self.state.passed_bytes() - active.base_bytes;
+            let left = |limit: Option<u64>| {
+                limit.map_or(usize::MAX, |limit| {
+                    usize::try_from(limit.saturating_sub(passed)).unwrap_or(usize::MAX)
+                })
+            };
+            let before_reset = left(active.fault.reset_after);
+            if before_reset == 0 {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            let allowed = before_reset.min(left(active.fault.stall_after));
+            if allowed > 0 && !active.fault.cut {
+                return Ok(allowed);
+            }
+            if self.faults.changed().await.is_err() {
+                return Err(io::ErrorKind::ConnectionAborted.into());
+            }
+        }
+    }
+}
+
+/// Reads pieces until the end of the connection.
+async fn read_pieces(
+    mut reader: tcp::ReadHalf<'_>,
+    pieces: mpsc::Sender<TimedPiece>,
+) -> io::Result<()> {
+    loop {
+        let mut bytes = vec![0; PIECE_BYTES];
+        let count = reader.read(&mut bytes).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        bytes.truncate(count);
+        let piece = TimedPiece {
+            read_at: time::Instant::now(),
+            bytes,
+        };
+        if pieces.send(piece).await.is_err() {
+            return Ok(());
+        }
+    }
+}
+
+/// Draws the further delay of one piece.
+fn jitter_of(fault: LinkFault) -> time::Duration {
+    if fault.jitter.is_zero() {
+        return time::Duration::ZERO;
+    }
+    rand::rng().random_range(time::Duration::ZERO..=fault.jitter)
+}
--- /dev/null
+++ b/galenahold_testkit/src/testkit_error.rs
@@ -0,0 +1,84 @@
+//! The error of the crate.
+
+use std::io;
+use std::net;
+use std::path;
+
+use snafu::Snafu;
+
+/// Says what the testkit attempted, on what, and what to do.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+#[non_exhaustive]
+pub enum TestkitError {
+    /// A listening socket could not be had.
+    #[snafu(display("cannot listen on {address}; choose a free address or port 0"))]
+    Listen {
+        /// The address asked for.
+        address: net::SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// The asynchronous runtime could not start.
+    #[snafu(display("cannot start the runtime; check the limit on threads"))]
+    Runtime {
+        /// The cause.
+        source: io::Error,
+    },
+    /// A TCP connection failed.
+    #[snafu(display("cannot connect to {address}; check that the server runs"))]
+    Connect {
+        /// The address asked for.
+        address: net::SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// An HTTP exchange failed.
+    #[snafu(display("HTTP exchange with {address} failed; check the server's log"))]
+    Exchange {
+        /// The server's address.
+        address: net::SocketAddr,
+        /// The cause.
+        source: hyper::Error,
+    },
+    /// An HTTP request could not be built.
+    #[snafu(display("cannot build the request {path:?}; check its characters"))]
+    BuildRequest {
+        /// The path asked for.
+        path: String,
+        /// The cause.
+        source: http::Error,
+    },
+    /// An exchange did not end in time.
+    #[snafu(display("no answer from {address} in time; check that the server is not stalled"))]
+    Timeout {
+        /// The server's address.
+        address: net::SocketAddr,
+    },
+    /// A server answered with an unexpected status.
+    #[snafu(display("{address} answered {status} to {path}; read the body in its log"))]
+    Status {
+        /// The server's address.
+        address: net::SocketAddr,
+        /// The path asked for.
+        path: String,
+        /// The status received.
+        status: u16,
+    },
+    /// A JSON text did not have the expected form.
+    #[snafu(display("cannot read {what} as JSON; compare it with docs/INTERFACES.md"))]
+    Json {
+        /// What was read.
+        what: String,
+        /// The cause.
+        source: serde_json::Error,
+    },
+    /// A file could not be read or written.
+    #[snafu(display("cannot access {}; check the path and its permissions", path.display()))]
+    File {
+        /// The path.
+        path: path::PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/galenahold_testkit/tests/engine/main.rs
@@ -0,0 +1,8 @@
+//! Promises of the engine stand-in.
+
+mod batching;
+mod caller;
+mod fencing;
+mod memory;
+mod store_limits;
+mod streams;
