Define the domain's value types and control commands

Cause: crates need shared types before they can be built side by side. Ruled out: messages made of strings and maps (untyped). Change: names, amounts, intent, announcements, orders, reservations, control commands.

--- /dev/null
+++ b/galenahold_domain/src/amount/mod.rs
@@ -0,0 +1,15 @@
+//! Amounts with their units.
+
+mod byte_count;
+mod fencing_number;
+mod incarnation_number;
+mod revision_number;
+mod token_count;
+mod tokens_per_second;
+
+pub use byte_count::ByteCount;
+pub use fencing_number::FencingNumber;
+pub use incarnation_number::IncarnationNumber;
+pub use revision_number::RevisionNumber;
+pub use token_count::TokenCount;
+pub use tokens_per_second::TokensPerSecond;
--- /dev/null
+++ b/galenahold_domain/src/intent/store_limits.rs
@@ -0,0 +1,29 @@
+//! What the weight store bears.
+
+use serde::{Deserialize, Serialize};
+
+const DEFAULT_LOADS_PER_SECOND: u32 = 4;
+const DEFAULT_LOADS_IN_FLIGHT: u32 = 4;
+const DEFAULT_ADAPTERS_IN_FLIGHT: u32 = 30;
+
+/// What the weight store bears, fleet-wide.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct StoreLimits {
+    /// Loads of models that may start in one second.
+    pub loads_per_second: u32,
+    /// Loads of models in flight that still run at full speed.
+    pub loads_in_flight: u32,
+    /// Loads of adapters in flight that still run at full speed.
+    pub adapters_in_flight: u32,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self {
+            loads_per_second: DEFAULT_LOADS_PER_SECOND,
+            loads_in_flight: DEFAULT_LOADS_IN_FLIGHT,
+            adapters_in_flight: DEFAULT_ADAPTERS_IN_FLIGHT,
+        }
+    }
+}
--- a/galenahold_domain/src/lib.rs
+++ b/galenahold_domain/src/lib.rs
@@ -1,1 +1,14 @@
-//! galenahold domain.
+//! Aggregates, value types and decisions of galenahold that need no threads, sockets, clocks or files.
+//!
+//! Time and randomness come in as arguments. Everything here is deterministic, so the replicated
+//! control state can be rebuilt from its log on each voter.
+
+pub mod amount;
+pub mod control;
+pub mod intent;
+pub mod key;
+pub mod name;
+pub mod order;
+pub mod placement;
+pub mod server;
+pub mod verdict;
--- /dev/null
+++ b/galenahold_domain/src/placement/reservation_id.rs
@@ -0,0 +1,8 @@
+//! Numbers a reservation.
+
+use serde::{Deserialize, Serialize};
+
+/// Numbers a reservation by the log index of its commit; it is the `order` of the load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ReservationId(pub u64);
--- /dev/null
+++ b/galenahold_domain/src/verdict/mod.rs
@@ -0,0 +1,5 @@
+//! Whether a request may have run.
+
+mod request_verdict;
+
+pub use request_verdict::RequestVerdict;
