Read instance settings and report all problems at once

Cause: each instance needs typed settings, and an operator who mends a file wants all of its problems in one go, each with line, column, path and what is allowed. Serde stops at the first error and knows no ranges.

Ruled out: serde with positions (first error only); a schema crate (none gives positions in JSON with comments). jsonc-parser's syntax tree is walked along static descriptions of the fields instead. The same descriptions make the reference page, so it cannot drift from the reader.

Change: InstanceSettings with a typed group each; accessors give durations and byte counts; contradictions between valid values (roles and data folder, relay and control, undialable peer addresses, times) are found after the walk. A list with a bad element is kept from these checks, so that one slip is told once.

Conclusion: the instance can be built against these types.

--- /dev/null
+++ b/galenahold_settings/src/description/mod.rs
@@ -0,0 +1,17 @@
+//! Descriptions of the settings: what the reader checks and the reference page prints.
+
+mod default_value;
+mod field_description;
+mod field_need;
+mod group_description;
+mod number_unit;
+mod reference_page;
+mod value_kind;
+
+pub(crate) use default_value::DefaultValue;
+pub(crate) use field_description::FieldDescription;
+pub(crate) use field_need::FieldNeed;
+pub(crate) use group_description::GroupDescription;
+pub(crate) use number_unit::NumberUnit;
+pub use reference_page::ReferencePage;
+pub(crate) use value_kind::ValueKind;
--- /dev/null
+++ b/galenahold_settings/src/description/reference_page.rs
@@ -0,0 +1,118 @@
+//! The reference page of the settings.
+
+use std::fmt;
+
+use crate::description;
+use crate::group;
+
+const PREFACE: &str = "\
+# Settings of an instance
+
+An instance reads one file in JSON with comments (`galenahold serve --settings FILE`). `galenahold check
+--settings FILE` reports all problems of a file at once, each with line and column, and starts nothing.
+Addresses are IP numbers with a port; host names are not looked up. This page is generated from the
+descriptions that the reader checks files against; `docs/settings.example.jsonc` shows every field.
+";
+
+/// The reference page of the settings, in Markdown.
+///
+/// # Examples
+///
+/// ```
+/// let page = galenahold_settings::ReferencePage::new().to_string();
+/// assert!(page.contains("`timing.election_timeout_ms`"));
+/// ```
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ReferencePage;
+
+impl ReferencePage {
+    /// Prepares the page.
+    #[must_use]
+    pub fn new() -> Self {
+        Self
+    }
+
+    /// Returns the path of each field that the reader knows, such as `listen.callers` or `peers[].name`.
+    #[must_use]
+    pub fn field_paths(&self) -> Vec<String> {
+        let mut paths = Vec::new();
+        collect_paths(&group::InstanceSettings::DESCRIPTION, "", &mut paths);
+        paths
+    }
+}
+
+impl fmt::Display for ReferencePage {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(PREFACE)?;
+        write_group(
+            formatter,
+            "The file",
+            "",
+            &group::InstanceSettings::DESCRIPTION,
+        )
+    }
+}
+
+fn collect_paths(group: &description::GroupDescription, prefix: &str, paths: &mut Vec<String>) {
+    for field in group.fields {
+        let path = format!("{prefix}{}", field.name);
+        paths.push(path.clone());
+        if let Some((inner, mark)) = inner_group(field.kind) {
+            collect_paths(inner, &format!("{path}{mark}."), paths);
+        }
+    }
+}
+
+/// Returns the group that a field holds and the mark that its path takes.
+fn inner_group(
+    kind: description::ValueKind,
+) -> Option<(&'static description::GroupDescription, &'static str)> {
+    match kind {
+        description::ValueKind::Group(group) => Some((group, "")),
+        description::ValueKind::List(description::ValueKind::Group(group)) => Some((group, "[]")),
+        _ => None,
+    }
+}
+
+fn write_group(
+    formatter: &mut fmt::Formatter<'_>,
+    title: &str,
+    prefix: &str,
+    group: &description::GroupDescription,
+) -> fmt::Result {
+    write!(formatter, "\n## {title}\n\n")?;
+    formatter.write_str("| field | value | if left out | meaning |\n|---|---|---|---|\n")?;
+    for field in group.fields {
+        write_field(formatter, prefix, field)?;
+    }
+    for field in group.fields {
+        if let Some((inner, mark)) = inner_group(field.kind) {
+            let path = format!("{prefix}{}{mark}", field.name);
+            write_group(formatter, &format!("`{path}`"), &format!("{path}."), inner)?;
+        }
+    }
+    Ok(())
+}
+
+fn write_field(
+    formatter: &mut fmt::Formatter<'_>,
+    prefix: &str,
+    field: &description::FieldDescription,
+) -> fmt::Result {
+    let value = match inner_group(field.kind) {
+        Some((_, "")) => String::from("an object, below"),
+        Some(_) => String::from("a list of objects, below"),
+        None => field.kind.to_string(),
+    };
+    let absent = match field.need {
+        description::FieldNeed::Required => String::from("an error"),
+        description::FieldNeed::Optional => String::from("no value"),
+        description::FieldNeed::Default(value) => format!("`{value}`"),
+    };
+    let summary = field.summary.trim();
+    writeln!(
+        formatter,
+        "| `{prefix}{}` | {value} | {absent} | {summary} |",
+        field.name
+    )
+}
--- /dev/null
+++ b/galenahold_settings/src/group/instance_identity.rs
@@ -0,0 +1,85 @@
+//! Who an instance is.
+
+use galenahold_domain::name;
+
+use crate::description;
+use crate::group;
+use crate::reader;
+
+const NAME: description::FieldDescription = description::FieldDescription::required(
+    "name",
+    description::ValueKind::Name,
+    "The instance's name, unique in the cluster and never used again after its data folder is lost.",
+);
+
+const DATA_CENTRE: description::FieldDescription = description::FieldDescription::required(
+    "data_centre",
+    description::ValueKind::Name,
+    "The data centre that the instance runs in.",
+);
+
+const REGION: description::FieldDescription = description::FieldDescription::required(
+    "region",
+    description::ValueKind::Name,
+    "The region that the data centre is in.",
+);
+
+pub(crate) const ROLES: description::FieldDescription = description::FieldDescription::required(
+    "roles",
+    description::ValueKind::List(&description::ValueKind::Word(group::InstanceRole::WORDS)),
+    "What the instance does: `entry` takes callers' requests, `control` votes in the control group.",
+);
+
+/// Who an instance is: its name, its place and its roles.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct InstanceIdentity {
+    /// The instance's name.
+    pub name: name::InstanceName,
+    /// The data centre that it runs in.
+    pub data_centre: name::DataCentreName,
+    /// The region that the data centre is in.
+    pub region: name::RegionName,
+    /// What the instance does; at least one role.
+    pub roles: Vec<group::InstanceRole>,
+}
+
+impl InstanceIdentity {
+    pub(crate) const DESCRIPTION: description::GroupDescription = description::GroupDescription {
+        fields: &[NAME, DATA_CENTRE, REGION, ROLES],
+    };
+
+    pub(crate) fn from_group(group: &reader::ReadGroup) -> Option<Self> {
+        Some(Self {
+            name: group.text(&NAME)?.into(),
+            data_centre: group.text(&DATA_CENTRE)?.into(),
+            region: group.text(&REGION)?.into(),
+            roles: roles_of(group),
+        })
+    }
+
+    /// Tells whether the instance takes callers' requests.
+    #[must_use]
+    pub fn is_entry(&self) -> bool {
+        self.roles.contains(&group::InstanceRole::Entry)
+    }
+
+    /// Tells whether the instance votes in the control group.
+    #[must_use]
+    pub fn is_control(&self) -> bool {
+        self.roles.contains(&group::InstanceRole::Control)
+    }
+}
+
+/// Returns the valid roles of an identity group.
+pub(crate) fn roles_of(group: &reader::ReadGroup) -> Vec<group::InstanceRole> {
+    group
+        .list(&ROLES)
+        .iter()
+        .filter_map(|element| group::InstanceRole::from_word(element.as_text()?))
+        .collect()
+}
+
+/// Returns the valid name of an identity group.
+pub(crate) fn name_of(group: &reader::ReadGroup) -> Option<&str> {
+    group.text(&NAME)
+}
--- /dev/null
+++ b/galenahold_settings/src/group/operator_settings.rs
@@ -0,0 +1,41 @@
+//! An operator who may use the operators' face.
+
+use galenahold_domain::name;
+
+use crate::description;
+use crate::reader;
+
+pub(crate) const NAME: description::FieldDescription = description::FieldDescription::required(
+    "name",
+    description::ValueKind::Name,
+    "The operator's name, as others see it beside a change.",
+);
+
+pub(crate) const CREDENTIAL_SHA256: description::FieldDescription =
+    description::FieldDescription::required(
+        "credential_sha256",
+        description::ValueKind::Digest,
+        "SHA-256 of the operator's bearer credential, which itself never stands in a settings file.",
+    );
+
+/// An operator who may use the operators' face.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// The operator's name.
+    pub name: name::OperatorName,
+    /// SHA-256 of the bearer credential, in lower-case hexadecimal.
+    pub credential_sha256: String,
+}
+
+impl OperatorSettings {
+    pub(crate) const DESCRIPTION: description::GroupDescription = description::GroupDescription {
+        fields: &[NAME, CREDENTIAL_SHA256],
+    };
+
+    pub(crate) fn from_group(group: &reader::ReadGroup) -> Option<Self> {
+        Some(Self {
+            name: group.text(&NAME)?.into(),
+            credential_sha256: group.text(&CREDENTIAL_SHA256)?.to_ascii_lowercase(),
+        })
+    }
+}
--- /dev/null
+++ b/galenahold_settings/src/reader/nearest_name.rs
@@ -0,0 +1,30 @@
+//! Finds the known name that is nearest to an unknown one.
+
+/// Finds the known name that is nearest to `name` by edit distance, if any is near enough.
+pub(super) fn nearest_name(
+    name: &str,
+    known: impl Iterator<Item = &'static str>,
+) -> Option<&'static str> {
+    let allowed = name.chars().count().div_ceil(3);
+    known
+        .map(|candidate| (edit_distance(name, candidate), candidate))
+        .filter(|(distance, _)| *distance <= allowed)
+        .min()
+        .map(|(_, candidate)| candidate)
+}
+
+/// Counts the insertions, deletions and substitutions between two names (Levenshtein).
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (index, left_char) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = index + 1;
+        for (column, right_char) in right.iter().enumerate() {
+            let substitution = diagonal + usize::from(left_char != *right_char);
+            diagonal = row[column + 1];
+            row[column + 1] = substitution.min(diagonal + 1).min(row[column] + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/galenahold_settings/src/reader/read_group.rs
@@ -0,0 +1,93 @@
+//! An object that was read: its valid fields and the defaults of those left out.
+
+use std::collections;
+use std::net;
+
+use crate::description;
+use crate::error;
+use crate::reader;
+
+/// An object that was read: its valid fields and the defaults of those left out.
+#[derive(Debug, PartialEq)]
+pub(crate) struct ReadGroup {
+    /// Where the object starts.
+    pub(crate) position: error::TextPosition,
+    present: collections::BTreeSet<&'static str>,
+    fields: collections::BTreeMap<&'static str, reader::ReadField>,
+}
+
+impl ReadGroup {
+    /// Creates a group without fields.
+    pub(crate) fn new(position: error::TextPosition) -> Self {
+        Self {
+            position,
+            present: collections::BTreeSet::new(),
+            fields: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Notes that the file holds a field, valid or not; returns whether it did not before.
+    pub(crate) fn note_present(&mut self, name: &'static str) -> bool {
+        self.present.insert(name)
+    }
+
+    /// Tells whether the file holds a field, valid or not.
+    pub(crate) fn is_present(&self, field: &description::FieldDescription) -> bool {
+        self.present.contains(field.name)
+    }
+
+    /// Adds a field that has a valid value.
+    pub(crate) fn insert(&mut self, name: &'static str, field: reader::ReadField) {
+        self.fields.insert(name, field);
+    }
+
+    /// Returns a field if it has a valid value.
+    pub(crate) fn field(
+        &self,
+        field: &description::FieldDescription,
+    ) -> Option<&reader::ReadField> {
+        self.fields.get(field.name)
+    }
+
+    /// Returns the value of a name, path, word or digest field.
+    pub(crate) fn text(&self, field: &description::FieldDescription) -> Option<&str> {
+        self.field(field)?.as_text()
+    }
+
+    /// Returns the value of a Boolean field.
+    pub(crate) fn boolean(&self, field: &description::FieldDescription) -> Option<bool> {
+        match self.field(field)?.value {
+            reader::ReadValue::Boolean(value) => Some(value),
+            _ => None,
+        }
+    }
+
+    /// Returns the value of a number field.
+    pub(crate) fn number(&self, field: &description::FieldDescription) -> Option<u64> {
+        match self.field(field)?.value {
+            reader::ReadValue::Number(number) => Some(number),
+            _ => None,
+        }
+    }
+
+    /// Returns the value of an address field.
+    pub(crate) fn address(&self, field: &description::FieldDescription) -> Option<net::SocketAddr> {
+        match self.field(field)?.value {
+            reader::ReadValue::Address(address) => Some(address),
+            _ => None,
+        }
+    }
+
+    /// Returns the value of a group field.
+    pub(crate) fn group(&self, field: &description::FieldDescription) -> Option<&Self> {
+        self.field(field)?.as_group()
+    }
+
+    /// Returns the elements of a list field; none where it was left out.
+    pub(crate) fn list(&self, field: &description::FieldDescription) -> &[reader::ReadField] {
+        match self.field(field).map(|field| &field.value) {
+            Some(reader::ReadValue::List(elements)) => elements,
+            _ => &[],
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_settings/src/reader/read_value.rs
@@ -0,0 +1,22 @@
+//! A value that was read and fits its field's description.
+
+use std::net;
+
+use crate::reader;
+
+/// A value that was read and fits its field's description.
+#[derive(Debug, PartialEq)]
+pub(crate) enum ReadValue {
+    /// A name, a path, a word or a digest.
+    Text(String),
+    /// `true` or `false`.
+    Boolean(bool),
+    /// A whole number.
+    Number(u64),
+    /// An IP address and a port.
+    Address(net::SocketAddr),
+    /// A list.
+    List(Vec<reader::ReadField>),
+    /// An object.
+    Group(reader::ReadGroup),
+}
