Define the messages and the tarpc service between instances

Cause: instances need typed calls to each other. Ruled out: positional binary codecs (an older instance could not read a newer one's message). Change: one tarpc service, MessagePack with named fields. Conclusion: additive changes to messages are safe while instances are replaced one by one.

--- /dev/null
+++ b/galenahold_wire/src/message/control_call.rs
@@ -0,0 +1,20 @@
+//! A call to the control group's leader.
+
+use galenahold_domain::control;
+use serde::{Deserialize, Serialize};
+
+use crate::message;
+
+/// A call to the control group's leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ControlCall {
+    /// Asks for and returns token grants.
+    Grant(message::GrantExchange),
+    /// Reports demand.
+    Demand(message::DemandReport),
+    /// Puts a command into the replicated log. Instances only do so for orders.
+    Command(control::ControlCommand),
+    /// A call of an operator, already authenticated.
+    Operator(message::OperatorCall),
+}
--- /dev/null
+++ b/galenahold_wire/src/message/mod.rs
@@ -0,0 +1,31 @@
+//! Messages between instances.
+
+mod burn_reply;
+mod configuration_update;
+mod consensus_batch;
+mod control_call;
+mod control_reply;
+mod demand_report;
+mod drain_list;
+mod grant_exchange;
+mod instance_card;
+mod operator_call;
+mod operator_reply;
+mod spread_batch;
+mod watch_reply;
+mod watch_request;
+
+pub use burn_reply::{BurnReply, BurnRequest};
+pub use configuration_update::ConfigurationUpdate;
+pub use consensus_batch::{ConsensusBatch, ConsensusReceipt};
+pub use control_call::ControlCall;
+pub use control_reply::ControlReply;
+pub use demand_report::{DemandReport, TargetDemand, TeamDemand};
+pub use drain_list::{DrainList, DrainingReplica};
+pub use grant_exchange::{GrantExchange, GrantReply, ReturnedGrant, TeamGrant, TeamNeed};
+pub use instance_card::InstanceCard;
+pub use operator_call::OperatorCall;
+pub use operator_reply::{OperatorError, OperatorErrorKind, OperatorReply};
+pub use spread_batch::{AgedAnnouncement, SpreadBatch, SpreadReceipt};
+pub use watch_reply::WatchReply;
+pub use watch_request::WatchRequest;
--- /dev/null
+++ b/galenahold_wire/src/message/spread_batch.rs
@@ -0,0 +1,37 @@
+//! Announcements that one instance passes on to another.
+
+use galenahold_domain::server;
+use serde::{Deserialize, Serialize};
+
+use crate::message;
+
+/// Announcements and cache events that one instance passes on to another.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SpreadBatch {
+    /// Who passes them on.
+    pub card: message::InstanceCard,
+    /// Other instances that the sender has heard of lately.
+    #[serde(default)]
+    pub known: Vec<message::InstanceCard>,
+    /// The announcements.
+    pub announcements: Vec<AgedAnnouncement>,
+    /// The cache events.
+    #[serde(default)]
+    pub events: Vec<server::CacheEvent>,
+}
+
+/// An announcement with its age, which grows hop by hop.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AgedAnnouncement {
+    /// How long ago the backend server sent it, in milliseconds.
+    pub age_ms: u64,
+    /// The announcement.
+    pub announcement: server::ServerAnnouncement,
+}
+
+/// Says that a batch was taken.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SpreadReceipt {
+    /// Who took it.
+    pub card: message::InstanceCard,
+}
--- /dev/null
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -0,0 +1,33 @@
+//! The answer to a wait for the configuration.
+
+use galenahold_domain::amount;
+use galenahold_domain::name;
+use serde::{Deserialize, Serialize};
+
+use crate::message;
+
+/// The answer to a wait for the configuration.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WatchReply {
+    /// The configuration as far as the answering instance knows it.
+    Current {
+        /// How long ago a quorum confirmed it, in milliseconds, at the moment of the answer.
+        age_ms: u64,
+        /// How long the answer was held back, in milliseconds.
+        held_ms: u64,
+        /// The revision that the age is about.
+        revision: amount::RevisionNumber,
+        /// What is new to the one who waits.
+        update: message::ConfigurationUpdate,
+        /// The drain list, if it is newer than the one known.
+        drains: Option<message::DrainList>,
+        /// The name of the leader, for calls to it.
+        leader: Option<name::InstanceName>,
+    },
+    /// The answering instance has no confirmed configuration.
+    Unavailable {
+        /// Who leads, as far as it knows.
+        leader: Option<name::InstanceName>,
+    },
+}
--- /dev/null
+++ b/galenahold_wire/src/message/watch_request.rs
@@ -0,0 +1,19 @@
+//! A wait for the configuration to move on.
+
+use galenahold_domain::amount;
+use serde::{Deserialize, Serialize};
+
+use crate::message;
+
+/// A wait for the configuration to move on, or for the hold time to pass.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WatchRequest {
+    /// Who waits.
+    pub card: message::InstanceCard,
+    /// The revision that it has in force; zero for none.
+    pub have: amount::RevisionNumber,
+    /// The version of the drain list that it has; zero for none.
+    pub drain_version: u64,
+    /// How long the answer may be held back, in milliseconds.
+    pub hold_ms: u64,
+}
--- /dev/null
+++ b/galenahold_wire/src/rpc/mod.rs
@@ -0,0 +1,9 @@
+//! The tarpc service that each instance offers the others.
+
+mod instance_rpc;
+mod peer_transport;
+
+pub use instance_rpc::{
+    InstanceRpc, InstanceRpcClient, InstanceRpcRequest, InstanceRpcResponse, ServeInstanceRpc,
+};
+pub use peer_transport::{MAX_FRAME_BYTES, PeerTransport, frame_transport};
