Add the load tool, the process harness and the deployment files

Cause: the promises need real instances behind links that fail, and open-loop load whose answers are checked, at the users' sizes of today.

An answer with a wrong request id now has another text too.

Ruled out: hyper-util's pooling client (it may send a request again on a stale connection), and retrying lost ports alone: a child that is being started holds the sockets of other threads for a moment, so starts are kept apart from held ports.

Each of these broken variants failed its test: text not compared, cut stream taken as whole, no straight route, processes not reaped, rate never exceeded.

Conclusion: the product's tests and experiments can be written on this.

--- a/galenahold_testkit/src/bin/standin/command_line.rs
+++ b/galenahold_testkit/src/bin/standin/command_line.rs
@@ -22,6 +22,8 @@
                     "Listens for fetches at this address",
                 )),
         )
+        .subcommand(fleet())
+        .subcommand(Command::new("serve").hide(true).arg(settings_flag()))
 }
 
 /// Replaces the announce settings that flags name.
@@ -35,11 +37,25 @@
     if let Some(data_centre) = flags.get_one::<String>("data-centre") {
         settings.data_centre.clone_from(data_centre);
     }
-    if let Some(instances) = flags.get_many("instance") {
-        settings.instances = instances.copied().collect();
+    let instances = addresses(flags, "instance");
+    if !instances.is_empty() {
+        settings.instances = instances;
     }
 }
 
+/// Returns the addresses that a flag names.
+pub(crate) fn addresses(flags: &clap::ArgMatches, flag: &str) -> Vec<net::SocketAddr> {
+    let given = flags.get_many(flag);
+    given.map_or_else(Vec::new, |given| given.copied().collect())
+}
+
+/// Returns a required path.
+pub(crate) fn path_of<'a>(flags: &'a clap::ArgMatches, flag: &str) -> &'a path::Path {
+    flags
+        .get_one::<path::PathBuf>(flag)
+        .map_or(path::Path::new(""), |path| path.as_path())
+}
+
 /// Replaces an address that a flag names.
 pub(crate) fn override_address(
     flags: &clap::ArgMatches,
@@ -58,13 +74,7 @@
         .arg(settings_flag())
         .arg(text_flag("name", "Announces itself under this name"))
         .arg(text_flag("data-centre", "Announces this data centre"))
-        .arg(
-            address_flag(
-                "instance",
-                "Announces itself to this address; may be repeated",
-            )
-            .action(ArgAction::Append),
-        )
+        .arg(instance_flag())
         .arg(address_flag(
             "listen",
             "Listens for requests at this address",
@@ -75,6 +85,31 @@
         ))
 }
 
+/// Builds the command of a whole deployment.
+fn fleet() -> Command {
+    Command::new("fleet")
+        .about("Runs all stand-ins of a deployment")
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(path::PathBuf))
+                .help("Reads this deployment file"),
+        )
+        .arg(instance_flag())
+        .arg(
+            Arg::new("preload")
+                .long("preload")
+                .action(ArgAction::SetTrue)
+                .help("Has models ready at the start, as far as memory goes"),
+        )
+}
+
+fn instance_flag() -> Arg {
+    address_flag("instance", "Announces to this address; may be repeated").action(ArgAction::Append)
+}
+
 fn settings_flag() -> Arg {
     Arg::new("settings")
         .long("settings")
--- a/galenahold_testkit/src/bin/standin/main.rs
+++ b/galenahold_testkit/src/bin/standin/main.rs
@@ -7,8 +7,9 @@
 use std::path;
 use std::process;
 use std::sync;
+use std::thread;
 
-use galenahold_testkit::{TestkitError, engine, service, store};
+use galenahold_testkit::{TestkitError, deployment, engine, service, store};
 use serde::de;
 
 use ready_line::ReadyLine;
@@ -23,6 +24,8 @@
         Some(("engine", flags)) => run_engine(flags),
         Some(("service", flags)) => run_service(flags),
         Some(("store", flags)) => run_store(flags),
+        Some(("fleet", flags)) => run_fleet(flags),
+        Some(("serve", flags)) => run_instance(flags),
         _ => Ok(()),
     };
     match ended {
@@ -77,6 +80,42 @@
     Ok(())
 }
 
+/// Runs all stand-ins of a deployment.
+fn run_fleet(flags: &clap::ArgMatches) -> Result<(), TestkitError> {
+    let path = command_line::path_of(flags, "deployment");
+    let deployment = deployment::FleetDeployment::read(path)?;
+    let instances = command_line::addresses(flags, "instance");
+    let preload = flags.get_flag("preload");
+    let fleet = deployment::StandInFleet::start(&deployment, &instances, preload)?;
+    for engine in fleet.engines() {
+        ReadyLine::new(engine.address(), Some(engine.admin())).print();
+    }
+    for service in fleet.services() {
+        ReadyLine::new(service.address(), Some(service.admin())).print();
+    }
+    loop {
+        thread::park();
+    }
+}
+
+/// Answers as ready where an instance's settings say; for tests of the process harness.
+fn run_instance(flags: &clap::ArgMatches) -> Result<(), TestkitError> {
+    let instance: serde_json::Value = read_settings(flags)?;
+    let platform = &instance["listen"]["platform"];
+    let listen = serde_json::from_value(platform.clone());
+    let settings = service::ServiceSettings {
+        listen: listen.map_err(|source| TestkitError::Json {
+            what: "listen.platform".to_owned(),
+            source,
+        })?,
+        ..service::ServiceSettings::default()
+    };
+    let service = service::ServiceBuilder::from_settings(settings).start()?;
+    eprintln!("stands in for {}", instance["instance"]["name"]);
+    service.wait_crashed();
+    Ok(())
+}
+
 /// Reads the settings file named by the flags, or takes the defaults.
 fn read_settings<S: de::DeserializeOwned + Default>(
     flags: &clap::ArgMatches,
--- a/galenahold_testkit/src/control/server_control.rs
+++ b/galenahold_testkit/src/control/server_control.rs
@@ -21,7 +21,7 @@
     },
     /// Announces that the server leaves; it keeps answering.
     Leave,
-    /// Echoes another request id in the next answers.
+    /// Gives the next answers another request id, and at engines another text.
     WrongRequestId {
         /// The answers to spoil.
         count: u64,
--- /dev/null
+++ b/galenahold_testkit/src/deployment/deployed_model.rs
@@ -0,0 +1,30 @@
+//! A model of a deployment.
+
+use serde::{Deserialize, Serialize};
+
+/// An adapter on a model.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DeployedAdapter {
+    /// Its name.
+    pub name: String,
+    /// Memory it takes.
+    pub bytes: u64,
+}
+
+/// A model with its adapters.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DeployedModel {
+    /// Its name.
+    pub name: String,
+    /// Its version.
+    pub version: String,
+    /// Memory it takes.
+    pub bytes: u64,
+    /// Its share of requests, relative to the other models.
+    pub popularity: f64,
+    /// The most replicas wanted.
+    pub max_replicas: u32,
+    /// Its adapters; they share the model's requests with it.
+    #[serde(default)]
+    pub adapters: Vec<DeployedAdapter>,
+}
--- /dev/null
+++ b/galenahold_testkit/src/deployment/standin_fleet.rs
@@ -0,0 +1,142 @@
+//! All stand-ins of a deployment in one process.
+
+use std::net;
+use std::sync;
+
+use super::FleetDeployment;
+use crate::announce;
+use crate::engine;
+use crate::service;
+use crate::store;
+use crate::testkit_error::TestkitError;
+
+/// Runs the engines, plain services and weight store of a deployment until it is dropped.
+#[derive(Debug)]
+pub struct StandInFleet {
+    engines: Vec<engine::EngineProcess>,
+    services: Vec<service::ServiceProcess>,
+    store: sync::Arc<store::WeightStore>,
+}
+
+impl StandInFleet {
+    /// Starts all stand-ins; they announce themselves to `instances`.
+    ///
+    /// With `preload` the models are ready at the start, each on one engine, as far as memory goes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address or a runtime cannot be had.
+    pub fn start(
+        deployment: &FleetDeployment,
+        instances: &[net::SocketAddr],
+        preload: bool,
+    ) -> Result<Self, TestkitError> {
+        let store = sync::Arc::new(store::WeightStore::new(deployment.store.clone()));
+        let mut settings: Vec<_> = (0..deployment.engines.count)
+            .map(|index| engine_settings(deployment, index, instances))
+            .collect();
+        if preload {
+            preload_models(deployment, &mut settings);
+        }
+        let engines = settings
+            .into_iter()
+            .map(|settings| {
+                let target = store::StoreTarget::Shared(sync::Arc::clone(&store));
+                let builder = engine::EngineBuilder::from_settings(settings);
+                builder.store(target).start()
+            })
+            .collect::<Result<_, _>>()?;
+        let services = deployment
+            .services
+            .iter()
+            .flat_map(|deployed| (0..deployed.count).map(move |index| (deployed, index)))
+            .map(|(deployed, index)| {
+                let settings = service::ServiceSettings {
+                    announce: announce_settings(deployment, &deployed.name, index, instances),
+                    service: deployed.name.clone(),
+                    call_us: deployed.call_us,
+                    ..service::ServiceSettings::default()
+                };
+                service::ServiceBuilder::from_settings(settings).start()
+            })
+            .collect::<Result<_, _>>()?;
+        Ok(Self {
+            engines,
+            services,
+            store,
+        })
+    }
+
+    /// Returns the engines.
+    #[must_use]
+    pub fn engines(&self) -> &[engine::EngineProcess] {
+        &self.engines
+    }
+
+    /// Returns the plain services.
+    #[must_use]
+    pub fn services(&self) -> &[service::ServiceProcess] {
+        &self.services
+    }
+
+    /// Returns the weight store.
+    #[must_use]
+    pub fn store(&self) -> &store::WeightStore {
+        &self.store
+    }
+}
+
+fn announce_settings(
+    deployment: &FleetDeployment,
+    service: &str,
+    index: usize,
+    instances: &[net::SocketAddr],
+) -> announce::AnnounceSettings {
+    // Each server begins with another instance.
+    let first = index % instances.len().max(1);
+    let (head, tail) = instances.split_at(first);
+    announce::AnnounceSettings {
+        name: format!("{service}-{}", index + 1),
+        data_centre: deployment.data_centre(index).to_owned(),
+        instances: [tail, head].concat(),
+        ..announce::AnnounceSettings::default()
+    }
+}
+
+fn engine_settings(
+    deployment: &FleetDeployment,
+    index: usize,
+    instances: &[net::SocketAddr],
+) -> engine::EngineSettings {
+    let engines = &deployment.engines;
+    engine::EngineSettings {
+        announce: announce_settings(deployment, &engines.service, index, instances),
+        checks_fencing: index < engines.checking_fencing,
+        memory_bytes: engines.memory_bytes,
+        max_batch: engines.max_batch,
+        timings: engines.timings.clone(),
+        ..engine::EngineSettings::default()
+    }
+}
+
+/// Gives each model to the engine with the most free memory, as long as one has room.
+fn preload_models(deployment: &FleetDeployment, settings: &mut [engine::EngineSettings]) {
+    for model in &deployment.models {
+        let roomiest = settings
+            .iter_mut()
+            .max_by_key(|settings| free_bytes(settings));
+        let Some(settings) = roomiest.filter(|settings| free_bytes(settings) >= model.bytes) else {
+            continue;
+        };
+        settings.models.push(engine::InitialModel {
+            model: model.name.clone(),
+            version: model.version.clone(),
+            bytes: model.bytes,
+        });
+    }
+}
+
+fn free_bytes(settings: &engine::EngineSettings) -> u64 {
+    let held: u64 = settings.models.iter().map(|model| model.bytes).sum();
+    settings.memory_bytes.saturating_sub(held)
+}
--- a/galenahold_testkit/src/engine/answer_text.rs
+++ b/galenahold_testkit/src/engine/answer_text.rs
@@ -23,6 +23,9 @@
 }
 
 impl AnswerText {
+    /// Bytes of each output token.
+    pub const TOKEN_BYTES: usize = 7;
+
     /// Makes the answer of `model`, or of an adapter, to `prompt`.
     #[must_use]
     pub fn new(model: &str, prompt: &str) -> Self {
@@ -41,7 +44,7 @@
     /// Returns the output token at `index`: a space and six hexadecimal digits.
     #[must_use]
     pub fn token(self, index: u64) -> String {
-        let mut token = String::with_capacity(7);
+        let mut token = String::with_capacity(Self::TOKEN_BYTES);
         self.write_token(index, &mut token);
         token
     }
--- a/galenahold_testkit/src/engine/engine_face.rs
+++ b/galenahold_testkit/src/engine/engine_face.rs
@@ -30,6 +30,12 @@
 type WholeAnswer = http::Response<Full<Bytes>>;
 type Refusal = Box<WholeAnswer>;
 
+/// The text of an answer and the request that it names.
+struct AnswerIdentity {
+    text: AnswerText,
+    echoed_id: String,
+}
+
 /// Serves completions, orders and the inventory.
 #[derive(Debug)]
 pub(crate) struct EngineFace {
@@ -52,7 +58,11 @@
         let record = ledger::RequestRecord::arrived(parts, ledger::unix_micros());
         let request_id = record.request_id.clone();
         let key = self.core.ledger.arrived(record);
-        let answer = match self.begin(parts, body, chat, key, &request_id).await {
+        let begun = self.begin(parts, body, chat, key, &request_id).await;
+        let echoed_id = begun
+            .as_ref()
+            .map_or(request_id, |stream| stream.format.echoed_id.clone());
+        let answer = match begun {
             Ok(stream) if stream.format.wants_events => stream_answer(stream),
             Ok(stream) => self.whole_answer(stream).await,
             Err(refusal) => {
@@ -60,7 +70,7 @@
                 (*refusal).map(EventBody::Whole)
             }
         };
-        self.echo_id(answer, &request_id)
+        echo_id(answer, &echoed_id)
     }
 
     /// Queues a completion and returns its stream.
@@ -79,7 +89,8 @@
         self.core.controls.wait_unpaused().await;
         let prompt = body.prompt_text();
         let prompt_tokens = AnswerText::prompt_tokens(&prompt);
-        let text = AnswerText::new(&body.model, &prompt);
+        let identity = self.identify(&body.model, &prompt, request_id);
+        let text = identity.text;
         let max_tokens = body.max_tokens();
         let end = text.token_count(max_tokens, self.core.settings.natural_limit);
         let next = resume_offset(&parts.headers).min(end);
@@ -109,6 +120,7 @@
         let stream = EventStream {
             format: EventFormat {
                 id: format!("{}-{request_id}", if chat { "chatcmpl" } else { "cmpl" }),
+                echoed_id: identity.echoed_id,
                 wants_events: body.stream,
                 includes_usage: body.includes_usage(),
                 model: body.model,
@@ -161,22 +173,18 @@
         json_answer(StatusCode::OK, &value).map(EventBody::Whole)
     }
 
-    /// Sets the echoed request id, or another one on purpose.
-    fn echo_id(
-        &self,
-        mut answer: http::Response<EventBody>,
-        request_id: &str,
-    ) -> http::Response<EventBody> {
-        let wrong = self.core.controls.take_wrong_request_id();
-        let echoed = if wrong {
-            format!("wrong-{request_id}")
-        } else {
-            request_id.to_owned()
-        };
-        if let Ok(value) = http::HeaderValue::from_str(&echoed) {
-            answer.headers_mut().insert(REQUEST_ID_HEADER, value);
+    /// Returns the answer to a prompt, or on purpose one that belongs to another request.
+    fn identify(&self, model: &str, prompt: &str, request_id: &str) -> AnswerIdentity {
+        if self.core.controls.take_wrong_request_id() {
+            return AnswerIdentity {
+                text: AnswerText::new(model, request_id),
+                echoed_id: format!("wrong-{request_id}"),
+            };
+        }
+        AnswerIdentity {
+            text: AnswerText::new(model, prompt),
+            echoed_id: request_id.to_owned(),
         }
-        answer
     }
 
     /// Loads or unloads a base model.
@@ -281,6 +289,14 @@
     }
 }
 
+/// Echoes a request id.
+fn echo_id(mut answer: http::Response<EventBody>, id: &str) -> http::Response<EventBody> {
+    if let Ok(value) = http::HeaderValue::from_str(id) {
+        answer.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    answer
+}
+
 /// Answers with events.
 fn stream_answer(stream: EventStream) -> http::Response<EventBody> {
     let mut answer = http::Response::new(EventBody::Events(Box::new(stream)));
--- a/galenahold_testkit/src/engine/event_body.rs
+++ b/galenahold_testkit/src/engine/event_body.rs
@@ -17,6 +17,8 @@
 pub(crate) struct EventFormat {
     /// The id of the answer.
     pub(crate) id: String,
+    /// The request id that the answer echoes.
+    pub(crate) echoed_id: String,
     /// The model as asked for.
     pub(crate) model: String,
     /// Whether it is a chat.
--- /dev/null
+++ b/galenahold_testkit/src/harness/instance_fleet.rs
@@ -0,0 +1,99 @@
+//! Running instances with their links.
+
+use std::net;
+use std::path;
+use std::time;
+
+use super::{InstanceProcess, PeerLinks};
+use crate::testkit_error::TestkitError;
+
+/// Holds instances, links and files until it is dropped.
+#[derive(Debug)]
+pub struct InstanceFleet {
+    // The order matters: processes end before their links and files go.
+    instances: Vec<InstanceProcess>,
+    links: PeerLinks,
+    folder: tempfile::TempDir,
+    credential: String,
+}
+
+impl InstanceFleet {
+    /// Puts a fleet together.
+    pub(crate) fn new(
+        instances: Vec<InstanceProcess>,
+        links: PeerLinks,
+        folder: tempfile::TempDir,
+        credential: String,
+    ) -> Self {
+        Self {
+            instances,
+            links,
+            folder,
+            credential,
+        }
+    }
+
+    /// Returns the instances; those of the control group come first.
+    #[must_use]
+    pub fn instances(&self) -> &[InstanceProcess] {
+        &self.instances
+    }
+
+    /// Returns the instances to start, kill and wait for.
+    pub fn instances_mut(&mut self) -> &mut [InstanceProcess] {
+        &mut self.instances
+    }
+
+    /// Returns the links between instances.
+    #[must_use]
+    pub fn links(&self) -> &PeerLinks {
+        &self.links
+    }
+
+    /// Returns the folder with all files.
+    #[must_use]
+    pub fn folder(&self) -> &path::Path {
+        self.folder.path()
+    }
+
+    /// Returns the operator's credential.
+    #[must_use]
+    pub fn operator_credential(&self) -> &str {
+        &self.credential
+    }
+
+    /// Lists the addresses for callers.
+    #[must_use]
+    pub fn callers(&self) -> Vec<net::SocketAddr> {
+        let addresses = self.instances.iter().map(InstanceProcess::addresses);
+        addresses.map(|addresses| addresses.callers).collect()
+    }
+
+    /// Lists the addresses for backend servers.
+    #[must_use]
+    pub fn backends(&self) -> Vec<net::SocketAddr> {
+        let addresses = self.instances.iter().map(InstanceProcess::addresses);
+        addresses.map(|addresses| addresses.backends).collect()
+    }
+
+    /// Lists the addresses for operators.
+    #[must_use]
+    pub fn operators(&self) -> Vec<net::SocketAddr> {
+        let addresses = self.instances.iter().map(InstanceProcess::addresses);
+        addresses.map(|addresses| addresses.operators).collect()
+    }
+
+    /// Waits until all instances are ready, at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first instance that ends or is not ready in time.
+    pub fn wait_ready(&mut self, limit: time::Duration) -> Result<(), TestkitError> {
+        let deadline = time::Instant::now() + limit;
+        for instance in &mut self.instances {
+            let left = deadline.saturating_duration_since(time::Instant::now());
+            instance.wait_ready(left)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -0,0 +1,18 @@
+//! Real instances as child processes, for tests of the product.
+
+mod fleet_builder;
+mod instance_addresses;
+mod instance_fleet;
+mod instance_plan;
+mod instance_process;
+mod peer_links;
+mod port_pool;
+mod product_binary;
+mod settings_merge;
+
+pub use fleet_builder::FleetBuilder;
+pub use instance_addresses::InstanceAddresses;
+pub use instance_fleet::InstanceFleet;
+pub use instance_process::InstanceProcess;
+pub use peer_links::{PeerLinks, PeerRoute};
+pub use product_binary::product_binary;
--- a/galenahold_testkit/src/host/standin_host.rs
+++ b/galenahold_testkit/src/host/standin_host.rs
@@ -39,20 +39,29 @@
         &self.scope
     }
 
+    /// Runs a future to its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics after the host was dropped, which its owner cannot see.
+    pub(crate) fn block_on<F: std::future::Future>(&self, future: F) -> F::Output {
+        let runtime = self
+            .runtime
+            .as_ref()
+            .expect("the runtime lives until the drop");
+        runtime.block_on(future)
+    }
+
     /// Blocks until the scope is cancelled.
     pub(crate) fn wait_cancelled(&self) {
-        if let Some(runtime) = &self.runtime {
-            runtime.block_on(self.scope.cancelled());
-        }
+        self.block_on(self.scope.cancelled());
     }
 
     /// Replaces a cancelled scope by a new one, once its tasks are gone.
     pub(crate) fn renew(&mut self) {
         self.scope.cancel();
-        if let Some(runtime) = &self.runtime {
-            runtime.block_on(self.scope.wait());
-            self.scope = TaskScope::new(runtime.handle().clone());
-        }
+        self.block_on(self.scope.wait());
+        self.scope = self.scope.renewed();
     }
 }
 
--- a/galenahold_testkit/src/host/task_scope.rs
+++ b/galenahold_testkit/src/host/task_scope.rs
@@ -23,6 +23,11 @@
         }
     }
 
+    /// Makes a fresh scope on the same runtime.
+    pub(crate) fn renewed(&self) -> Self {
+        Self::new(self.handle.clone())
+    }
+
     /// Spawns a task that is dropped when the scope is cancelled.
     pub(crate) fn spawn<F>(&self, future: F)
     where
--- a/galenahold_testkit/src/lib.rs
+++ b/galenahold_testkit/src/lib.rs
@@ -6,10 +6,13 @@
 
 pub mod announce;
 pub mod control;
+pub mod deployment;
 pub mod engine;
+pub mod harness;
 mod host;
 mod http;
 pub mod ledger;
+pub mod load;
 pub mod proxy;
 pub mod service;
 mod state_lock;
--- a/galenahold_testkit/src/store/store_settings.rs
+++ b/galenahold_testkit/src/store/store_settings.rs
@@ -32,3 +32,13 @@
         }
     }
 }
+
+impl StoreSettings {
+    /// Returns the whole loads that may start in a second, at least one.
+    pub(crate) fn whole_starts_per_second(&self) -> u32 {
+        (1..u32::MAX)
+            .take_while(|&starts| f64::from(starts) <= self.starts_per_second)
+            .last()
+            .unwrap_or(1)
+    }
+}
--- a/galenahold_testkit/src/testkit_error.rs
+++ b/galenahold_testkit/src/testkit_error.rs
@@ -81,4 +81,36 @@
         /// The cause.
         source: io::Error,
     },
+    /// A binary could not be started.
+    #[snafu(display("cannot start {}; build it first or set GALENAHOLD_BIN", path.display()))]
+    Start {
+        /// The binary.
+        path: path::PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// A process could not be signalled.
+    #[snafu(display("cannot signal the process of {name}; check that it runs"))]
+    Signal {
+        /// The instance's name.
+        name: String,
+        /// The cause.
+        source: rustix::io::Errno,
+    },
+    /// A process does not run.
+    #[snafu(display("{name} does not run; start it first"))]
+    NotRunning {
+        /// The instance's name.
+        name: String,
+    },
+    /// An instance did not become ready.
+    #[snafu(display("{name} was not ready in time; its log ends with:\n{log}"))]
+    NotReady {
+        /// The instance's name.
+        name: String,
+        /// Whether its process had ended.
+        ended: bool,
+        /// The end of its log.
+        log: String,
+    },
 }
--- /dev/null
+++ b/galenahold_testkit/tests/load/main.rs
@@ -0,0 +1,4 @@
+//! Promises of the load tool.
+
+mod runs;
+mod traces;
