--- /dev/null
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -0,0 +1,131 @@
+//! Sends single attempts to backend servers.
+
+use std::time;
+
+use http::Request;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt;
+use log::debug;
+use tokio::net;
+
+use crate::backend;
+use crate::task;
+
+/// Whether an attempt may use a connection that served others before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ConnectionUse {
+    /// An idle connection, if there is one.
+    Pooled,
+    /// Always a new connection: a closed idle one would leave the outcome unknown.
+    Fresh,
+}
+
+/// Sends single attempts to backend servers. It never sends a request twice.
+#[derive(Debug, Clone)]
+pub(crate) struct BackendClient {
+    pool: backend::ConnectionPool,
+    group: task::TaskGroup,
+    connect_timeout: time::Duration,
+}
+
+impl BackendClient {
+    /// Creates a client whose connections belong to `group`.
+    pub(crate) fn new(group: task::TaskGroup, connect_timeout: time::Duration) -> Self {
+        Self {
+            pool: backend::ConnectionPool::default(),
+            group,
+            connect_timeout,
+        }
+    }
+
+    /// Drops idle connections that are too old.
+    pub(crate) fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// Opens, or takes from the pool, a connection. No byte of a request is sent by this.
+    ///
+    /// # Errors
+    ///
+    /// The backend server could not be connected: not run.
+    pub(crate) async fn connect(
+        &self,
+        address: &backend::BackendAddress,
+        reuse: ConnectionUse,
+    ) -> Result<backend::PooledConnection, backend::AttemptError> {
+        if reuse == ConnectionUse::Pooled
+            && let Some(connection) = self.pool.take(address).await
+        {
+            return Ok(connection);
+        }
+        self.open(address).await
+    }
+
+    /// Sends one request over `connection` and waits for the head of its answer until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// The error's verdict says whether the request may have run.
+    pub(crate) async fn send(
+        &self,
+        mut connection: backend::PooledConnection,
+        address: &backend::BackendAddress,
+        request: Request<Full<bytes::Bytes>>,
+        deadline: time::Instant,
+    ) -> Result<backend::BackendExchange, backend::AttemptError> {
+        let sending = connection.try_send_request(request);
+        let answered = tokio::time::timeout_at(deadline.into(), sending).await;
+        let answer = match answered {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(mut error)) if error.take_message().is_some() => {
+                return Err(backend::AttemptError::not_run(
+                    backend::AttemptErrorKind::Unsent,
+                ));
+            }
+            Ok(Err(_)) => {
+                return Err(backend::AttemptError::may_have_run(
+                    backend::AttemptErrorKind::Broken,
+                ));
+            }
+            Err(_) => {
+                return Err(backend::AttemptError::may_have_run(
+                    backend::AttemptErrorKind::Timeout,
+                ));
+            }
+        };
+        let (head, body) = answer.into_parts();
+        Ok(backend::BackendExchange {
+            head,
+            body,
+            connection,
+            pool: self.pool.clone(),
+            address: address.clone(),
+        })
+    }
+
+    async fn open(
+        &self,
+        address: &backend::BackendAddress,
+    ) -> Result<backend::PooledConnection, backend::AttemptError> {
+        let connecting = net::TcpStream::connect(address.socket);
+        let connected = tokio::time::timeout(self.connect_timeout, connecting).await;
+        let Ok(Ok(stream)) = connected else {
+            return Err(backend::AttemptError::not_run(
+                backend::AttemptErrorKind::Connect,
+            ));
+        };
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| {
+            backend::AttemptError::not_run(backend::AttemptErrorKind::Connect)
+        })?;
+        let server = address.server.clone();
+        self.group.spawn_until_stop(async move {
+            if let Err(error) = connection.await {
+                debug!(server:% = server, error:% = error; "connection to backend server ended");
+            }
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/configuration/configuration_holder.rs
@@ -0,0 +1,204 @@
+//! The configuration in force at this instance.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::control;
+use galenahold_wire::message;
+use tokio::sync::watch;
+
+use crate::configuration;
+
+/// The configuration in force at this instance, with the time at which a quorum confirmed it.
+#[derive(Debug, Clone)]
+pub(crate) struct ConfigurationHolder {
+    index: sync::Arc<arc_swap::ArcSwap<control::ConfigurationIndex>>,
+    drains: sync::Arc<arc_swap::ArcSwap<message::DrainList>>,
+    state: sync::Arc<sync::Mutex<HolderState>>,
+    revision: sync::Arc<watch::Sender<u64>>,
+    bound: time::Duration,
+}
+
+#[derive(Debug, Default)]
+struct HolderState {
+    view: control::ConfigurationView,
+    history: Vec<control::ConfigurationChange>,
+    confirmed_at: Option<time::Instant>,
+}
+
+/// An update that another instance sent.
+#[derive(Debug)]
+pub(crate) struct ConfirmedUpdate {
+    /// The latest moment at which a quorum has surely confirmed it, by this instance's clock.
+    pub(crate) confirmed_at: time::Instant,
+    /// The revision that was confirmed.
+    pub(crate) revision: amount::RevisionNumber,
+    /// What is new.
+    pub(crate) update: message::ConfigurationUpdate,
+    /// The drain list, if it is new.
+    pub(crate) drains: Option<message::DrainList>,
+}
+
+/// Changes that are kept for instances that take their configuration from this one.
+const MAX_HISTORY: usize = 512;
+
+impl ConfigurationHolder {
+    /// Creates a holder without a configuration; it stays fresh for `bound` after a confirmation.
+    pub(crate) fn new(bound: time::Duration) -> Self {
+        let view = control::ConfigurationView::default();
+        let index = control::ConfigurationIndex::new(&view);
+        Self {
+            index: sync::Arc::new(arc_swap::ArcSwap::from_pointee(index)),
+            drains: sync::Arc::new(arc_swap::ArcSwap::from_pointee(
+                message::DrainList::default(),
+            )),
+            state: sync::Arc::default(),
+            revision: sync::Arc::new(watch::Sender::new(0)),
+            bound,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn index(&self) -> sync::Arc<control::ConfigurationIndex> {
+        self.index.load_full()
+    }
+
+    /// Returns the replicas that take no new requests.
+    pub(crate) fn drains(&self) -> sync::Arc<message::DrainList> {
+        self.drains.load_full()
+    }
+
+    /// Returns a receiver that is told of each new revision.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    /// Returns how long ago a quorum confirmed the configuration; `None` before the first time.
+    pub(crate) fn age(&self) -> Option<time::Duration> {
+        self.lock().confirmed_at.map(|at| at.elapsed())
+    }
+
+    /// Returns whether a quorum confirmed the configuration lately.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.age().is_some_and(|age| age <= self.bound)
+    }
+
+    /// Returns when the configuration stops being fresh unless it is confirmed again.
+    pub(crate) fn fresh_until(&self) -> Option<time::Instant> {
+        self.lock().confirmed_at.map(|at| at + self.bound)
+    }
+
+    /// Takes an update.
+    ///
+    /// # Errors
+    ///
+    /// The update is older than what is in force, or leaves a gap; nothing changes.
+    pub(crate) fn take(
+        &self,
+        confirmed: ConfirmedUpdate,
+    ) -> Result<(), configuration::HolderError> {
+        let mut state = self.lock();
+        let held = state.view.revision;
+        if confirmed.revision < held {
+            return Err(configuration::HolderError::Lower {
+                offered: confirmed.revision,
+                held,
+            });
+        }
+        state.apply(confirmed.update)?;
+        if state.view.revision != confirmed.revision {
+            return Err(configuration::HolderError::Gap {
+                held: state.view.revision,
+            });
+        }
+        state.confirmed_at = state.confirmed_at.max(Some(confirmed.confirmed_at));
+        if state.view.revision != held {
+            self.publish(&state);
+        }
+        drop(state);
+        if let Some(drains) = confirmed.drains {
+            self.drains.store(sync::Arc::new(drains));
+        }
+        Ok(())
+    }
+
+    /// Returns what is new to an instance that has `have`, for passing it on.
+    pub(crate) fn update_since(&self, have: amount::RevisionNumber) -> message::ConfigurationUpdate {
+        let state = self.lock();
+        if have >= state.view.revision {
+            return message::ConfigurationUpdate::Nothing;
+        }
+        let follows = state
+            .history
+            .iter()
+            .position(|change| change.revision() == have.next());
+        match follows {
+            Some(start) => {
+                message::ConfigurationUpdate::Changes(state.history[start..].to_vec())
+            }
+            None => message::ConfigurationUpdate::Snapshot(state.view.clone()),
+        }
+    }
+
+    fn publish(&self, state: &HolderState) {
+        let index = control::ConfigurationIndex::new(&state.view);
+        self.index.store(sync::Arc::new(index));
+        self.revision.send_replace(state.view.revision.0);
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, HolderState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl HolderState {
+    fn apply(
+        &mut self,
+        update: message::ConfigurationUpdate,
+    ) -> Result<(), configuration::HolderError> {
+        match update {
+            message::ConfigurationUpdate::Nothing => Ok(()),
+            message::ConfigurationUpdate::Changes(changes) => {
+                changes.into_iter().try_for_each(|change| self.follow(change))
+            }
+            message::ConfigurationUpdate::Snapshot(view) => self.replace(view),
+        }
+    }
+
+    fn follow(
+        &mut self,
+        change: control::ConfigurationChange,
+    ) -> Result<(), configuration::HolderError> {
+        // A change that is in force already comes again after a lost answer.
+        if change.revision() <= self.view.revision {
+            return Ok(());
+        }
+        let held = self.view.revision;
+        self.view
+            .apply(&change)
+            .map_err(|_| configuration::HolderError::Gap { held })?;
+        self.history.push(change);
+        if self.history.len() > MAX_HISTORY {
+            self.history.drain(..MAX_HISTORY / 2);
+        }
+        Ok(())
+    }
+
+    fn replace(
+        &mut self,
+        view: control::ConfigurationView,
+    ) -> Result<(), configuration::HolderError> {
+        if view.revision < self.view.revision {
+            return Err(configuration::HolderError::Lower {
+                offered: view.revision,
+                held: self.view.revision,
+            });
+        }
+        self.view = view;
+        self.history.clear();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -0,0 +1,185 @@
+//! Keeps the configuration fresh.
+
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::message;
+use log::{debug, info, warn};
+use rand::RngExt;
+
+use crate::configuration;
+use crate::peer;
+use crate::task;
+
+/// How long an answer without news may be held back.
+const HOLD: time::Duration = time::Duration::from_millis(400);
+
+/// How much longer than the hold time a wait may take.
+const WATCH_SLACK: time::Duration = time::Duration::from_millis(600);
+
+/// The longest pause after a failed wait.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// The instances that the configuration is taken from.
+#[derive(Debug, Clone)]
+pub(crate) enum WatchSources {
+    /// The control group's leader.
+    Leader(Vec<name::InstanceName>),
+    /// Named instances that pass it on; the first that answers is kept.
+    Relays(Vec<name::InstanceName>),
+}
+
+/// Keeps the configuration fresh by waiting, again and again, at one source.
+#[derive(Debug)]
+pub(crate) struct ConfigurationWatcher<Desk> {
+    holder: configuration::ConfigurationHolder,
+    network: peer::PeerNetwork,
+    client: peer::ControlClient<Desk>,
+    desk: Desk,
+    sources: WatchSources,
+    turn: usize,
+}
+
+impl<Desk: peer::LocalDesk> ConfigurationWatcher<Desk> {
+    /// Creates a watcher.
+    pub(crate) fn new(
+        holder: configuration::ConfigurationHolder,
+        network: peer::PeerNetwork,
+        client: peer::ControlClient<Desk>,
+        desk: Desk,
+        sources: WatchSources,
+    ) -> Self {
+        Self {
+            holder,
+            network,
+            client,
+            desk,
+            sources,
+            turn: rand::rng().random_range(0..64),
+        }
+    }
+
+    /// Watches until the group stops.
+    pub(crate) fn start(mut self, group: &task::TaskGroup) {
+        group.spawn_until_stop(async move {
+            loop {
+                if !self.watch_once().await {
+                    self.turn += 1;
+                    let pause = MAX_PAUSE.mul_f64(rand::rng().random_range(0.1..1.0));
+                    tokio::time::sleep(pause).await;
+                }
+            }
+        });
+    }
+
+    /// Waits once; returns whether the source is good.
+    async fn watch_once(&mut self) -> bool {
+        let request = message::WatchRequest {
+            card: self.network.directory().own().clone(),
+            have: self.holder.index().revision(),
+            drain_version: self.holder.drains().version,
+            hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
+        };
+        let sent_at = time::Instant::now();
+        let Some(reply) = self.ask(request).await else {
+            return false;
+        };
+        self.take(reply, sent_at)
+    }
+
+    async fn ask(&self, request: message::WatchRequest) -> Option<message::WatchReply> {
+        let limit = HOLD + WATCH_SLACK;
+        if matches!(self.sources, WatchSources::Leader(_)) && self.desk.leads() {
+            let watching = self.desk.watch(request);
+            return tokio::time::timeout(limit, watching).await.ok();
+        }
+        let source = self.source()?;
+        let watched = self
+            .network
+            .call(&source, limit, |client, context| async move {
+                client.watch(context, request).await
+            })
+            .await;
+        watched
+            .inspect_err(|error| debug!(source:% = source, error:% = error; "watch failed"))
+            .ok()
+    }
+
+    fn source(&self) -> Option<name::InstanceName> {
+        let own = &self.network.directory().own().name;
+        match &self.sources {
+            WatchSources::Leader(members) => {
+                let leader = self.client.leader().filter(|leader| leader != own);
+                leader.or_else(|| pick(members, own, self.turn))
+            }
+            WatchSources::Relays(relays) => pick(relays, own, self.turn),
+        }
+    }
+
+    fn take(&mut self, reply: message::WatchReply, sent_at: time::Instant) -> bool {
+        match reply {
+            message::WatchReply::Unavailable { leader } => {
+                self.client.learn_leader(leader);
+                false
+            }
+            message::WatchReply::Current {
+                age_ms,
+                held_ms,
+                revision,
+                update,
+                drains,
+                leader,
+            } => {
+                self.client.learn_leader(leader);
+                let confirmed = configuration::ConfirmedUpdate {
+                    confirmed_at: confirmed_at(sent_at, held_ms, age_ms),
+                    revision,
+                    update,
+                    drains,
+                };
+                self.put_in_force(confirmed)
+            }
+        }
+    }
+
+    fn put_in_force(&self, confirmed: configuration::ConfirmedUpdate) -> bool {
+        let before = self.holder.index().revision();
+        match self.holder.take(confirmed) {
+            Ok(()) => {
+                let revision = self.holder.index().revision();
+                if revision != before {
+                    info!(revision:% = revision; "configuration in force");
+                }
+                true
+            }
+            Err(error) => {
+                warn!(error:% = error; "update of the configuration refused");
+                false
+            }
+        }
+    }
+}
+
+/// Returns the latest moment at which the answer's configuration was surely confirmed.
+///
+/// The answer was made no earlier than `held_ms` after the request was sent; how long it travelled
+/// is unknown, so the earliest such moment counts.
+fn confirmed_at(sent_at: time::Instant, held_ms: u64, age_ms: u64) -> time::Instant {
+    let made_at = sent_at + time::Duration::from_millis(held_ms);
+    made_at
+        .checked_sub(time::Duration::from_millis(age_ms))
+        .unwrap_or(sent_at)
+        .min(time::Instant::now())
+}
+
+fn pick(
+    names: &[name::InstanceName],
+    own: &name::InstanceName,
+    turn: usize,
+) -> Option<name::InstanceName> {
+    let others: Vec<_> = names.iter().filter(|name| *name != own).collect();
+    if others.is_empty() {
+        return None;
+    }
+    Some(others[turn % others.len()].clone())
+}
--- /dev/null
+++ b/galenahold_instance/src/configuration/mod.rs
@@ -0,0 +1,11 @@
+//! The configuration in force at this instance, and how it is kept fresh.
+
+mod configuration_holder;
+mod configuration_watcher;
+mod holder_error;
+mod watch_server;
+
+pub(crate) use configuration_holder::{ConfigurationHolder, ConfirmedUpdate};
+pub(crate) use configuration_watcher::{ConfigurationWatcher, WatchSources};
+pub(crate) use holder_error::HolderError;
+pub(crate) use watch_server::WatchServer;
--- /dev/null
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -0,0 +1,56 @@
+//! Passes the configuration on to instances that take it from this one.
+
+use std::time;
+
+use galenahold_wire::message;
+
+use crate::configuration;
+
+/// Passes the configuration on, with an age that includes this instance's own.
+#[derive(Debug, Clone)]
+pub(crate) struct WatchServer {
+    holder: configuration::ConfigurationHolder,
+}
+
+impl WatchServer {
+    /// Creates a server over the configuration in force here.
+    pub(crate) fn new(holder: configuration::ConfigurationHolder) -> Self {
+        Self { holder }
+    }
+
+    /// Waits until there is news for the request, or its hold time is over.
+    pub(crate) async fn watch(&self, request: message::WatchRequest) -> message::WatchReply {
+        let started = time::Instant::now();
+        let hold = time::Duration::from_millis(request.hold_ms);
+        let mut revisions = self.holder.subscribe();
+        let news = async {
+            // The sender lives as long as the holder.
+            let _ = revisions
+                .wait_for(|revision| *revision > request.have.0)
+                .await;
+        };
+        let _ = tokio::time::timeout(hold, news).await;
+        self.reply(&request, started)
+    }
+
+    fn reply(&self, request: &message::WatchRequest, started: time::Instant) -> message::WatchReply {
+        let update = self.holder.update_since(request.have);
+        let drains = self.holder.drains();
+        let Some(age) = self.holder.age() else {
+            return message::WatchReply::Unavailable { leader: None };
+        };
+        message::WatchReply::Current {
+            age_ms: millis(age) + 1,
+            held_ms: millis(started.elapsed()),
+            revision: self.holder.index().revision(),
+            update,
+            drains: (drains.version > request.drain_version)
+                .then(|| message::DrainList::clone(&drains)),
+            leader: None,
+        }
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -0,0 +1,187 @@
+//! Gives waiting requests their replicas.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::server;
+use galenahold_routing::admission;
+use galenahold_routing::queue;
+use galenahold_routing::replica;
+use galenahold_wire::message;
+use tokio::sync::oneshot;
+
+use crate::dispatch;
+use crate::face;
+use crate::platform;
+
+/// Gives waiting requests their replicas, team by team in fair order.
+#[derive(Debug, Clone)]
+pub(crate) struct Dispatcher {
+    state: sync::Arc<sync::Mutex<dispatch::DispatchState>>,
+    rule: admission::AdmissionRule,
+    metrics: platform::FleetMetrics,
+    arrivals: sync::Arc<tokio::sync::Notify>,
+}
+
+impl Dispatcher {
+    /// Creates a dispatcher.
+    pub(crate) fn new(state: dispatch::DispatchState, metrics: platform::FleetMetrics) -> Self {
+        Self {
+            state: sync::Arc::new(sync::Mutex::new(state)),
+            rule: admission::AdmissionRule::default(),
+            metrics,
+            arrivals: sync::Arc::default(),
+        }
+    }
+
+    /// Waits for a replica until the request's deadline.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, where the queue is full or no replica takes the request in time.
+    pub(crate) async fn acquire(
+        &self,
+        request: dispatch::SlotRequest,
+    ) -> Result<dispatch::ReplicaSlot, face::RequestRefusal> {
+        let now = time::Instant::now();
+        let deadline = request.deadline;
+        let target = request.target.clone();
+        let (sender, receiver) = oneshot::channel();
+        let ticket = self.enqueue(request, sender, now)?;
+        let _ticket = dispatch::WaitTicket::new(self.clone(), target.clone(), ticket);
+        self.dispatch(&target);
+        self.arrivals.notify_one();
+        match tokio::time::timeout_at(deadline.into(), receiver).await {
+            Ok(Ok(slot)) => Ok(slot),
+            _ => Err(refuse_late()),
+        }
+    }
+
+    /// Waits until a request arrives.
+    pub(crate) async fn arrival(&self) {
+        self.arrivals.notified().await;
+    }
+
+    /// Follows an announcement.
+    pub(crate) fn announce(
+        &self,
+        announcement: &server::ServerAnnouncement,
+        age: time::Duration,
+        now: time::Instant,
+    ) {
+        self.lock().announce(announcement, age, now);
+    }
+
+    /// Follows a cache event.
+    pub(crate) fn follow(&self, event: &server::CacheEvent) {
+        self.lock().follow(event);
+    }
+
+    /// Puts a drain list in force.
+    pub(crate) fn set_drains(&self, list: &message::DrainList) {
+        self.lock().set_drains(list);
+    }
+
+    /// Gives replicas to waiting requests of all targets.
+    pub(crate) fn dispatch_all(&self) {
+        let targets = self.lock().waiting_targets();
+        for target in targets {
+            self.dispatch(&target);
+        }
+    }
+
+    /// Drops what has expired.
+    pub(crate) fn expire(&self, now: time::Instant) {
+        let mut state = self.lock();
+        let expired = state.expire(now);
+        let waiting = state.waiting();
+        drop(state);
+        // Dropping the waiters tells them.
+        drop(expired);
+        self.metrics
+            .waiting
+            .set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    }
+
+    /// Returns the demand for models and adapters since the last call.
+    pub(crate) fn take_demand(&self, now: time::Instant) -> Vec<message::TargetDemand> {
+        self.lock().take_demand(now)
+    }
+
+    /// Frees a slot and gives its place to the next request.
+    pub(super) fn release(&self, slot: &dispatch::ReplicaSlot) {
+        self.lock().release(slot, time::Instant::now());
+        self.dispatch(&slot.target);
+    }
+
+    /// Takes a request out of its queue.
+    pub(super) fn cancel(&self, target: &replica::ReplicaTarget, ticket: queue::QueueTicket) {
+        let cancelled = self.lock().cancel(target, ticket, time::Instant::now());
+        drop(cancelled);
+    }
+
+    fn enqueue(
+        &self,
+        request: dispatch::SlotRequest,
+        sender: oneshot::Sender<dispatch::ReplicaSlot>,
+        now: time::Instant,
+    ) -> Result<queue::QueueTicket, face::RequestRefusal> {
+        let left = request.deadline.saturating_duration_since(now);
+        let mut state = self.lock();
+        let wait = state.predicted_wait(&request);
+        if let admission::AdmissionDecision::Refuse { retry_after } = self.rule.decide(&wait, left)
+        {
+            return Err(refuse_hopeless().retry_after(retry_after));
+        }
+        state.push(request, sender, now).map_err(refuse_queue)
+    }
+
+    fn dispatch(&self, target: &replica::ReplicaTarget) {
+        let dispatched = self.lock().dispatch(target, time::Instant::now());
+        for next in dispatched {
+            let slot = dispatch::ReplicaSlot {
+                dispatcher: self.clone(),
+                target: target.clone(),
+                replica: next.replica,
+                server: next.server,
+                tokens: next.request.tokens,
+                address: next.address,
+                end: dispatch::AttemptEnd::Silent,
+            };
+            // A request that has gone meanwhile drops its slot, which frees the place again.
+            drop(next.sender.send(slot));
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, dispatch::DispatchState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn refuse_late() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::DeadlineExceeded,
+        "no replica took the request before its deadline",
+    )
+    .retry_after(time::Duration::from_secs(1))
+}
+
+fn refuse_hopeless() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::QueueFull,
+        "the request would not be served before its deadline",
+    )
+}
+
+fn refuse_queue(refusal: queue::QueueRefusal) -> face::RequestRefusal {
+    match refusal {
+        queue::QueueRefusal::Full { retry_after } => face::RequestRefusal::not_run(
+            face::RefusalKind::QueueFull,
+            "the team's part of the queue is full",
+        )
+        .retry_after(retry_after),
+        queue::QueueRefusal::DeadlinePassed => refuse_late(),
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/dispatch/mod.rs
@@ -0,0 +1,17 @@
+//! Waiting requests and the replicas that take them.
+
+mod dispatch_state;
+mod dispatcher;
+mod drain_set;
+mod replica_slot;
+mod slot_request;
+mod target_queue;
+mod wait_ticket;
+
+pub(crate) use dispatch_state::{DispatchState, Dispatched};
+pub(crate) use dispatcher::Dispatcher;
+pub(crate) use drain_set::DrainSet;
+pub(crate) use replica_slot::{AttemptEnd, ReplicaSlot};
+pub(crate) use slot_request::SlotRequest;
+pub(crate) use target_queue::{SlotWaiter, TargetQueue};
+pub(crate) use wait_ticket::WaitTicket;
--- /dev/null
+++ b/galenahold_instance/src/dispatch/replica_slot.rs
@@ -0,0 +1,49 @@
+//! The right to run one request at one replica.
+
+use galenahold_domain::amount;
+use galenahold_routing::replica;
+
+use crate::backend;
+use crate::dispatch;
+
+/// The right to run one request at one replica; dropping it frees the place.
+#[derive(Debug)]
+pub(crate) struct ReplicaSlot {
+    pub(super) dispatcher: dispatch::Dispatcher,
+    pub(super) target: replica::ReplicaTarget,
+    pub(super) replica: replica::ReplicaKey,
+    pub(super) server: replica::ServerKey,
+    pub(super) tokens: amount::TokenCount,
+    pub(super) address: backend::BackendAddress,
+    pub(super) end: AttemptEnd,
+}
+
+/// What an attempt says of its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptEnd {
+    /// Nothing, as where the caller went away.
+    Silent,
+    /// It answered.
+    Answered,
+    /// Its transport failed.
+    Failed,
+}
+
+impl ReplicaSlot {
+    /// Returns where the request goes.
+    pub(crate) fn address(&self) -> &backend::BackendAddress {
+        &self.address
+    }
+
+    /// Ends the attempt with what it says of the backend server.
+    pub(crate) fn finish(mut self, end: AttemptEnd) {
+        self.end = end;
+    }
+}
+
+impl Drop for ReplicaSlot {
+    fn drop(&mut self) {
+        let dispatcher = self.dispatcher.clone();
+        dispatcher.release(self);
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/attempt_rule.rs
@@ -0,0 +1,72 @@
+//! Decides whether a failed attempt is followed by another.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::verdict;
+use galenahold_routing::retry;
+use galenahold_settings::group;
+
+/// Decides whether a failed attempt is followed by another, within the instance's retry budget.
+#[derive(Debug, Clone)]
+pub(crate) struct AttemptRule {
+    rule: retry::RetryRule,
+    budget: sync::Arc<sync::Mutex<retry::RetryBudget>>,
+    backoff_min: time::Duration,
+    backoff_max: time::Duration,
+}
+
+impl AttemptRule {
+    /// The retries a second that are always allowed, so that a quiet instance can retry at all.
+    const LEAST_PER_SECOND: u32 = 10;
+
+    /// Creates the rule of the settings.
+    pub(crate) fn new(settings: &group::RetrySettings) -> Self {
+        let budget = retry::RetryBudget::new(
+            settings.budget_per_cent(),
+            Self::LEAST_PER_SECOND,
+            time::Instant::now(),
+        );
+        Self {
+            rule: retry::RetryRule::new(settings.max_attempts()),
+            budget: sync::Arc::new(sync::Mutex::new(budget)),
+            backoff_min: settings.backoff_min(),
+            backoff_max: settings.backoff_max(),
+        }
+    }
+
+    /// Returns a backoff for one request.
+    pub(crate) fn backoff(&self) -> retry::RetryBackoff {
+        retry::RetryBackoff::new(self.backoff_min, self.backoff_max)
+    }
+
+    /// Counts a request's first attempt.
+    pub(crate) fn count_request(&self) {
+        self.lock().deposit();
+    }
+
+    /// Returns the pause before the next attempt; `None` where there must be none.
+    pub(crate) fn next_pause(
+        &self,
+        backoff: &mut retry::RetryBackoff,
+        verdict: verdict::RequestVerdict,
+        idempotent: bool,
+        attempts: u32,
+        deadline: time::Instant,
+    ) -> Option<time::Duration> {
+        let now = time::Instant::now();
+        let left = deadline.saturating_duration_since(now);
+        let pause = backoff.next_pause(&mut rand::rng());
+        let decision = self.rule.decide(verdict, idempotent, attempts, pause, left);
+        let retry::RetryDecision::Retry { pause } = decision else {
+            return None;
+        };
+        self.lock().withdraw(now).then_some(pause)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, retry::RetryBudget> {
+        self.budget
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/caller_identity.rs
@@ -0,0 +1,86 @@
+//! Who calls.
+
+use galenahold_domain::key;
+use galenahold_domain::name;
+use http::HeaderMap;
+
+use crate::configuration;
+use crate::entry;
+use crate::face;
+use crate::operator;
+
+/// Who calls: a team by its key, or anybody.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerIdentity {
+    key: Option<key::CallerKey>,
+    team: Option<name::TeamName>,
+    scrubber: entry::KeyScrubber,
+}
+
+impl CallerIdentity {
+    /// Reads the key of a request and looks up its team.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, where the request shows a key that is not in force, or where this
+    /// instance cannot tell because its configuration is stale.
+    pub(crate) fn read(
+        headers: &HeaderMap,
+        holder: &configuration::ConfigurationHolder,
+    ) -> Result<Self, face::RequestRefusal> {
+        let shown = operator::bearer_text(headers);
+        let scrubber = entry::KeyScrubber::new(shown);
+        let Some(shown) = shown else {
+            return Ok(Self {
+                key: None,
+                team: None,
+                scrubber,
+            });
+        };
+        if !holder.is_fresh() {
+            return Err(refuse_stale());
+        }
+        let key = key::CallerKey::parse(shown).map_err(|_| refuse_unknown())?;
+        let index = holder.index();
+        let team = index.admitted_team(&key).ok_or_else(refuse_unknown)?;
+        Ok(Self {
+            team: Some(team.name.clone()),
+            key: Some(key),
+            scrubber,
+        })
+    }
+
+    /// Returns the team; `None` for a caller without a key.
+    pub(crate) fn team(&self) -> Option<&name::TeamName> {
+        self.team.as_ref()
+    }
+
+    /// Returns the team, or the empty name for a caller without a key.
+    pub(crate) fn team_or_empty(&self) -> name::TeamName {
+        self.team.clone().unwrap_or_else(|| name::TeamName::from(""))
+    }
+
+    /// Returns the key.
+    pub(crate) fn key(&self) -> Option<&key::CallerKey> {
+        self.key.as_ref()
+    }
+
+    /// Returns what finds the key in things that are passed on.
+    pub(crate) fn scrubber(&self) -> &entry::KeyScrubber {
+        &self.scrubber
+    }
+}
+
+fn refuse_unknown() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::Unauthorized,
+        "the key is unknown or was withdrawn",
+    )
+}
+
+fn refuse_stale() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::StaleConfiguration,
+        "this instance cannot confirm its keys now; try another one",
+    )
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/entry_desk.rs
@@ -0,0 +1,494 @@
+//! Turns callers' requests into calls.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use galenahold_domain::control;
+use galenahold_domain::intent;
+use galenahold_domain::name;
+use galenahold_domain::order;
+use galenahold_domain::placement;
+use galenahold_routing::replica;
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri, request};
+use hyper::body;
+use serde::Serialize;
+
+use crate::configuration;
+use crate::entry;
+use crate::entry::model_desk::stamp;
+use crate::face;
+use crate::order as ledger;
+use crate::peer;
+use crate::platform;
+use crate::task;
+
+/// The header by which a caller shortens the service's deadline, in milliseconds.
+const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+
+/// The longest idempotency key, in bytes.
+const MAX_ORDER_KEY_BYTES: usize = 256;
+
+/// Prefix blocks of a prompt that are hashed.
+const MAX_PREFIX_BLOCKS: usize = 64;
+
+/// Turns callers' requests into calls to models and plain services.
+#[derive(Debug, Clone)]
+pub(crate) struct EntryDesk<Desk> {
+    shared: sync::Arc<DeskParts<Desk>>,
+}
+
+/// What the desk works with.
+#[derive(Debug)]
+pub(crate) struct DeskParts<Desk> {
+    /// This instance's name and incarnation, as the first part of request ids.
+    pub(crate) id_prefix: String,
+    /// The number of the next request.
+    pub(crate) next_request: atomic::AtomicU64,
+    /// The configuration in force.
+    pub(crate) holder: configuration::ConfigurationHolder,
+    /// Answers calls to models.
+    pub(crate) models: entry::ModelDesk,
+    /// Answers calls to plain services.
+    pub(crate) services: entry::ServiceDesk,
+    /// The ledger of orders.
+    pub(crate) ledger: ledger::OrderDesk<Desk>,
+    /// Reads bodies.
+    pub(crate) reader: face::BodyReader,
+    /// The metrics.
+    pub(crate) metrics: platform::FleetMetrics,
+    /// What is counted against objectives.
+    pub(crate) recorder: platform::BurnRecorder,
+    /// Runs orders whose caller may go away.
+    pub(crate) group: task::TaskGroup,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelListEntry<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelListEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    owned_by: &'a str,
+}
+
+/// The parts of a request that its answer is decided by.
+struct ArrivedRequest {
+    id: name::RequestId,
+    started_at: time::Instant,
+    head: request::Parts,
+    identity: entry::CallerIdentity,
+    index: sync::Arc<control::ConfigurationIndex>,
+}
+
+impl<Desk: peer::LocalDesk> EntryDesk<Desk> {
+    /// Creates a desk.
+    pub(crate) fn new(parts: DeskParts<Desk>) -> Self {
+        Self {
+            shared: sync::Arc::new(parts),
+        }
+    }
+
+    /// Answers a request.
+    pub(crate) async fn answer(
+        &self,
+        request: Request<body::Incoming>,
+    ) -> Response<face::AnswerBody> {
+        let id = self.next_id();
+        match self.route(id.clone(), request).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                let mut answer = refusal.answer();
+                if let Ok(value) = http::HeaderValue::from_str(&id) {
+                    answer
+                        .headers_mut()
+                        .insert(entry::REQUEST_ID_HEADER, value);
+                }
+                answer
+            }
+        }
+    }
+
+    fn next_id(&self) -> name::RequestId {
+        let number = self
+            .shared
+            .next_request
+            .fetch_add(1, atomic::Ordering::Relaxed);
+        name::RequestId::from(format!("{}-{number:x}", self.shared.id_prefix))
+    }
+
+    async fn route(
+        &self,
+        id: name::RequestId,
+        request: Request<body::Incoming>,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let started_at = time::Instant::now();
+        let (head, body) = request.into_parts();
+        check_path(&head.uri)?;
+        let identity = entry::CallerIdentity::read(&head.headers, &self.shared.holder)
+            .inspect_err(|refusal| self.count_unrouted(refusal))?;
+        let arrived = ArrivedRequest {
+            id,
+            started_at,
+            head,
+            identity,
+            index: self.shared.holder.index(),
+        };
+        match arrived.head.uri.path() {
+            "/v1/chat/completions" | "/v1/completions" => self.call_model(arrived, body).await,
+            "/v1/models" => Ok(list_models(&arrived)),
+            _ => self.call_service(arrived, body).await,
+        }
+    }
+
+    async fn call_model(
+        &self,
+        arrived: ArrivedRequest,
+        body: body::Incoming,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        if arrived.head.method != Method::POST {
+            return Err(face::RequestRefusal::not_run(
+                face::RefusalKind::MethodNotAllowed,
+                "this path takes POST",
+            ));
+        }
+        let body = self.shared.reader.read(body).await?;
+        arrived.check_body(&body)?;
+        let request = entry::ModelRequest::parse(&body)?;
+        let call = self.prepare_model(&arrived, request)?;
+        let end = call.end.clone();
+        let served = self.shared.models.serve(call).await;
+        served.inspect_err(|refusal| end.refused(refusal))
+    }
+
+    fn prepare_model(
+        &self,
+        arrived: &ArrivedRequest,
+        request: entry::ModelRequest,
+    ) -> Result<entry::ModelCall, face::RequestRefusal> {
+        let index = &arrived.index;
+        let resolved = index
+            .resolve_model(request.model())
+            .ok_or_else(|| refuse_model(request.model()))?;
+        let service = index
+            .service_for_model(request.model(), arrived.identity.team())
+            .ok_or_else(|| arrived.refuse_use(request.model()))?;
+        let model = resolved.model;
+        let token_bound = request.token_bound(model.max_request_tokens)?;
+        Ok(entry::ModelCall {
+            id: arrived.id.clone(),
+            path: arrived.head.uri.path().to_owned(),
+            guard: self.guard(arrived, service),
+            artifact: placement::ReplicaArtifact {
+                model: model.name.clone(),
+                version: model.version.clone(),
+                adapter: resolved.adapter.map(|adapter| adapter.name.clone()),
+            },
+            priority: service.priority,
+            concurrency: model.replica_concurrency,
+            model_limit: model.max_request_tokens,
+            token_bound,
+            prefix: replica::PrefixBlocks::of_text(request.prompt(), MAX_PREFIX_BLOCKS),
+            body: bytes::Bytes::from(
+                request.engine_body(service.priority, model.max_request_tokens),
+            ),
+            deadline: arrived.deadline(service)?,
+            end: self.record(arrived, service),
+            identity: arrived.identity.clone(),
+            request,
+        })
+    }
+
+    async fn call_service(
+        &self,
+        arrived: ArrivedRequest,
+        body: body::Incoming,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let path = arrived.head.uri.path();
+        let service = arrived
+            .index
+            .service_for_path(path)
+            .cloned()
+            .ok_or_else(|| refuse_path(path))?;
+        if !service.admits(arrived.identity.team()) {
+            return Err(arrived.refuse_use(&service.name));
+        }
+        let body = self.shared.reader.read(body).await?;
+        arrived.check_body(&body)?;
+        let call = self.prepare_service(&arrived, &service, body)?;
+        let end = call.end.clone();
+        let id = call.id.clone();
+        let run = self.run_service(&arrived, call).await;
+        let answer = run.inspect_err(|refusal| end.refused(refusal))?;
+        end.first_token();
+        end.answered(answer.status.as_u16(), 0);
+        let ran = answer.status.is_success();
+        let mut answer = answer.into_response();
+        stamp(&mut answer, &id, ran);
+        Ok(answer)
+    }
+
+    fn prepare_service(
+        &self,
+        arrived: &ArrivedRequest,
+        service: &intent::ServiceIntent,
+        body: bytes::Bytes,
+    ) -> Result<entry::ServiceCall, face::RequestRefusal> {
+        let intent::RouteKind::Plain {
+            idempotent_methods,
+            call_tokens,
+            ..
+        } = &service.route
+        else {
+            return Err(refuse_path(arrived.head.uri.path()));
+        };
+        let method = arrived.head.method.clone();
+        let scrubber = arrived.identity.scrubber();
+        Ok(entry::ServiceCall {
+            id: arrived.id.clone(),
+            guard: self.guard(arrived, service),
+            service: service.name.clone(),
+            target: arrived.target()?,
+            headers: entry::headers_to_backend(&arrived.head.headers, scrubber),
+            body,
+            idempotent: is_idempotent(&method, idempotent_methods),
+            tokens: galenahold_domain::amount::TokenCount(*call_tokens),
+            priority: service.priority,
+            deadline: arrived.deadline(service)?,
+            end: self.record(arrived, service),
+            identity: arrived.identity.clone(),
+            method,
+        })
+    }
+
+    async fn run_service(
+        &self,
+        arrived: &ArrivedRequest,
+        call: entry::ServiceCall,
+    ) -> Result<entry::service_desk::ServiceAnswer, face::RequestRefusal> {
+        if call.idempotent {
+            return self.shared.services.run(&call).await;
+        }
+        let key = order_key(&arrived.head.headers, &call)?;
+        let desk = self.shared.services.clone();
+        let ledger = self.shared.ledger.clone();
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        // An order goes on to its end also when its caller goes away.
+        self.shared.group.spawn(async move {
+            let result = match key {
+                Some(key) => {
+                    let order = entry::OrderCall {
+                        ledger,
+                        desk,
+                        call,
+                        key,
+                    };
+                    order.run().await
+                }
+                None => desk.run(&call).await,
+            };
+            // A caller that has gone needs no answer.
+            let _ = sender.send(result);
+        });
+        receiver.await.unwrap_or_else(|_| {
+            Err(face::RequestRefusal::new(
+                face::RefusalKind::Stopping,
+                galenahold_domain::verdict::RequestVerdict::MayHaveRun,
+                "the instance stopped before the order's answer",
+            ))
+        })
+    }
+
+    fn guard(
+        &self,
+        arrived: &ArrivedRequest,
+        service: &intent::ServiceIntent,
+    ) -> entry::KeyGuard {
+        entry::KeyGuard::new(
+            arrived.identity.clone(),
+            service.name.clone(),
+            self.shared.holder.clone(),
+        )
+    }
+
+    fn record(
+        &self,
+        arrived: &ArrivedRequest,
+        service: &intent::ServiceIntent,
+    ) -> entry::RequestEnd {
+        entry::RequestEnd::new(
+            self.shared.metrics.clone(),
+            self.shared.recorder.clone(),
+            arrived.id.clone(),
+            service.name.clone(),
+            arrived.identity.team_or_empty(),
+            arrived.started_at,
+        )
+    }
+
+    fn count_unrouted(&self, refusal: &face::RequestRefusal) {
+        let labels = platform::RefusalLabels {
+            kind: refusal.kind.as_str().to_owned(),
+            verdict: refusal.verdict.as_str().to_owned(),
+        };
+        self.shared.metrics.refusals.get_or_create(&labels).inc();
+    }
+}
+
+impl ArrivedRequest {
+    /// Refuses a body that holds a key, since the backend server would see it.
+    fn check_body(&self, body: &[u8]) -> Result<(), face::RequestRefusal> {
+        if self.identity.scrubber().finds_in(body) {
+            return Err(face::RequestRefusal::not_run(
+                face::RefusalKind::BadRequest,
+                "the body holds a key; leave it out, since the backend server would see it",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Returns path and query without keys.
+    fn target(&self) -> Result<String, face::RequestRefusal> {
+        let scrubber = self.identity.scrubber();
+        let path = self.head.uri.path();
+        if scrubber.finds_in_escaped(path) {
+            return Err(face::RequestRefusal::not_run(
+                face::RefusalKind::BadRequest,
+                "the path holds a key; leave it out, since the backend server would see it",
+            ));
+        }
+        let query = self.head.uri.query();
+        Ok(match query.and_then(|query| scrubber.scrub_query(query)) {
+            Some(query) => format!("{path}?{query}"),
+            None => path.to_owned(),
+        })
+    }
+
+    /// Returns when the request has to be answered: the caller's limit, under the service's.
+    fn deadline(
+        &self,
+        service: &intent::ServiceIntent,
+    ) -> Result<time::Instant, face::RequestRefusal> {
+        let limit_ms = match self.head.headers.get(TIMEOUT_HEADER) {
+            None => service.deadline_ms,
+            Some(value) => {
+                let wanted = value.to_str().ok().and_then(|text| text.parse().ok());
+                let wanted: u64 = wanted.ok_or_else(|| {
+                    face::RequestRefusal::not_run(
+                        face::RefusalKind::BadRequest,
+                        format!("{TIMEOUT_HEADER}: must be a whole number of milliseconds"),
+                    )
+                })?;
+                wanted.min(service.deadline_ms)
+            }
+        };
+        Ok(self.started_at + time::Duration::from_millis(limit_ms))
+    }
+
+    fn refuse_use(&self, name: &str) -> face::RequestRefusal {
+        match self.identity.team() {
+            Some(team) => face::RequestRefusal::not_run(
+                face::RefusalKind::Forbidden,
+                format!("the team {team} may not use {name}"),
+            ),
+            None => face::RequestRefusal::not_run(
+                face::RefusalKind::Unauthorized,
+                format!("{name} is for teams; give a key as Authorization: Bearer"),
+            ),
+        }
+    }
+}
+
+/// Refuses paths whose meaning a backend server might take differently from this instance.
+fn check_path(uri: &Uri) -> Result<(), face::RequestRefusal> {
+    let plain = uri.path().replace("%2e", ".").replace("%2E", ".");
+    let plain = plain.replace("%2f", "/").replace("%2F", "/");
+    let escapes = plain.split('/').any(|part| part == "." || part == "..");
+    if escapes || !uri.path().starts_with('/') {
+        return Err(face::RequestRefusal::not_run(
+            face::RefusalKind::BadRequest,
+            "the path must begin with / and have no . or .. parts",
+        ));
+    }
+    Ok(())
+}
+
+fn is_idempotent(method: &Method, idempotent_methods: &[String]) -> bool {
+    method == Method::GET
+        || method == Method::HEAD
+        || idempotent_methods
+            .iter()
+            .any(|name| name.eq_ignore_ascii_case(method.as_str()))
+}
+
+fn order_key(
+    headers: &HeaderMap,
+    call: &entry::ServiceCall,
+) -> Result<Option<order::OrderKey>, face::RequestRefusal> {
+    let Some(value) = headers.get(entry::IDEMPOTENCY_HEADER) else {
+        return Ok(None);
+    };
+    let key = value.to_str().unwrap_or_default();
+    if key.is_empty() || key.len() > MAX_ORDER_KEY_BYTES {
+        return Err(face::RequestRefusal::not_run(
+            face::RefusalKind::BadRequest,
+            format!("idempotency-key: must be 1 to {MAX_ORDER_KEY_BYTES} ASCII characters"),
+        ));
+    }
+    if call.identity.scrubber().finds_in(key.as_bytes()) {
+        return Err(face::RequestRefusal::not_run(
+            face::RefusalKind::BadRequest,
+            "idempotency-key: must not hold a caller's key",
+        ));
+    }
+    Ok(Some(order::OrderKey {
+        team: call.identity.team_or_empty(),
+        service: call.service.clone(),
+        key: key.to_owned(),
+    }))
+}
+
+fn refuse_model(model: &str) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::NotFound,
+        format!("there is no model or adapter {model:?}"),
+    )
+}
+
+fn refuse_path(path: &str) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::NotFound,
+        format!("there is no service at {path:?}"),
+    )
+}
+
+fn list_models(arrived: &ArrivedRequest) -> Response<face::AnswerBody> {
+    let index = &arrived.index;
+    let team = arrived.identity.team();
+    let names = index.view().intent.models.iter().flat_map(|model| {
+        let adapters = model.adapters.iter().map(|adapter| adapter.name.as_str());
+        std::iter::once(model.name.as_str()).chain(adapters)
+    });
+    let data = names
+        .filter_map(|name| {
+            let service = index.service_for_model(name, team)?;
+            Some(ModelListEntry {
+                id: name,
+                object: "model",
+                owned_by: &service.name,
+            })
+        })
+        .collect();
+    let list = ModelList {
+        object: "list",
+        data,
+    };
+    face::json_answer(
+        StatusCode::OK,
+        serde_json::to_vec(&list).unwrap_or_default(),
+    )
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/exchange_check.rs
@@ -0,0 +1,41 @@
+//! Checks that an answer belongs to its request.
+
+use galenahold_domain::name;
+use galenahold_domain::verdict;
+use http::{HeaderName, response};
+
+use crate::backend;
+use crate::face;
+
+/// The header that carries an attempt's id to a backend server and back.
+pub(crate) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Checks that an answer belongs to its request and does not say that the request was refused.
+///
+/// # Errors
+///
+/// The answer is crossed, or the backend server said that it did not run the request.
+pub(crate) fn check_exchange(
+    head: &response::Parts,
+    attempt: &name::RequestId,
+) -> Result<(), backend::AttemptError> {
+    if let Some(echoed) = head.headers.get(&REQUEST_ID_HEADER)
+        && echoed.as_bytes() != attempt.as_bytes()
+    {
+        return Err(backend::AttemptError::may_have_run(
+            backend::AttemptErrorKind::Crossed,
+        ));
+    }
+    let verdict = head
+        .headers
+        .get(face::VERDICT_HEADER)
+        .map(http::HeaderValue::as_bytes);
+    if verdict == Some(verdict::RequestVerdict::NotRun.as_str().as_bytes())
+        && !head.status.is_success()
+    {
+        return Err(backend::AttemptError::not_run(
+            backend::AttemptErrorKind::Refused,
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/key_guard.rs
@@ -0,0 +1,99 @@
+//! Checks again and again that a request may run.
+
+use std::time;
+
+use galenahold_domain::name;
+use tokio::sync::watch;
+
+use crate::configuration;
+use crate::entry;
+use crate::face;
+
+/// Checks that a request may run: when it comes, right before each send, and while its answer streams.
+#[derive(Debug, Clone)]
+pub(crate) struct KeyGuard {
+    identity: entry::CallerIdentity,
+    service: name::ServiceName,
+    holder: configuration::ConfigurationHolder,
+    revisions: watch::Receiver<u64>,
+}
+
+impl KeyGuard {
+    /// Creates a guard over a caller's use of a service.
+    pub(crate) fn new(
+        identity: entry::CallerIdentity,
+        service: name::ServiceName,
+        holder: configuration::ConfigurationHolder,
+    ) -> Self {
+        let revisions = holder.subscribe();
+        Self {
+            identity,
+            service,
+            holder,
+            revisions,
+        }
+    }
+
+    /// Checks the key and the service against the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// The kind of refusal where the request may not run.
+    pub(crate) fn check(&self) -> Result<(), face::RefusalKind> {
+        let index = self.holder.index();
+        let Some(key) = self.identity.key() else {
+            return match index.may_call(&self.service, None) {
+                true => Ok(()),
+                false => Err(face::RefusalKind::Unauthorized),
+            };
+        };
+        if !self.holder.is_fresh() {
+            return Err(face::RefusalKind::StaleConfiguration);
+        }
+        let team = index
+            .admitted_team(key)
+            .ok_or(face::RefusalKind::KeyWithdrawn)?;
+        // A key never moves to another team, so a changed team is a new key under an old name.
+        if self.identity.team() != Some(&team.name) {
+            return Err(face::RefusalKind::KeyWithdrawn);
+        }
+        if !index.may_call(&self.service, Some(&team.name)) {
+            return Err(face::RefusalKind::Forbidden);
+        }
+        Ok(())
+    }
+
+    /// Checks right before a send.
+    ///
+    /// # Errors
+    ///
+    /// A refusal of a request that did not run.
+    pub(crate) fn check_before_send(&self) -> Result<(), face::RequestRefusal> {
+        self.check().map_err(|kind| {
+            face::RequestRefusal::not_run(kind, "the key no longer admits the request")
+        })
+    }
+
+    /// Waits until the request may run no longer.
+    pub(crate) async fn revoked(&mut self) -> face::RefusalKind {
+        loop {
+            if let Err(kind) = self.check() {
+                return kind;
+            }
+            let recheck = self.recheck_at();
+            let changed = self.revisions.changed();
+            // The sender lives as long as the holder, which this guard holds.
+            let _ = tokio::time::timeout_at(recheck.into(), changed).await;
+        }
+    }
+
+    /// Returns when the configuration would become stale without a further confirmation.
+    fn recheck_at(&self) -> time::Instant {
+        const SLACK: time::Duration = time::Duration::from_millis(1);
+        const OPEN_ROUTE_PERIOD: time::Duration = time::Duration::from_secs(1);
+        match (self.identity.key(), self.holder.fresh_until()) {
+            (Some(_), Some(until)) => until + SLACK,
+            _ => time::Instant::now() + OPEN_ROUTE_PERIOD,
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/key_scrubber.rs
@@ -0,0 +1,108 @@
+//! Finds callers' keys in what is passed on to backend servers.
+
+use galenahold_domain::key;
+
+/// Finds callers' keys in what is passed on: the one presented, and anything that has a key's shape.
+#[derive(Debug, Clone)]
+pub(crate) struct KeyScrubber {
+    presented: Option<PresentedText>,
+}
+
+/// Keeps the presented text out of debug output.
+#[derive(Clone)]
+struct PresentedText(String);
+
+impl std::fmt::Debug for PresentedText {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("PresentedText")
+    }
+}
+
+impl KeyScrubber {
+    /// Creates a scrubber for a request that presented `key`, valid or not.
+    pub(crate) fn new(presented: Option<&str>) -> Self {
+        Self {
+            presented: presented
+                .filter(|text| !text.is_empty())
+                .map(|text| PresentedText(text.to_owned())),
+        }
+    }
+
+    /// Returns whether the bytes hold a key.
+    pub(crate) fn finds_in(&self, bytes: &[u8]) -> bool {
+        if let Some(PresentedText(key)) = &self.presented
+            && contains(bytes, key.as_bytes())
+        {
+            return true;
+        }
+        holds_key_shape(bytes)
+    }
+
+    /// Returns whether text with percent escapes holds a key, escaped or not.
+    pub(crate) fn finds_in_escaped(&self, text: &str) -> bool {
+        self.finds_in(text.as_bytes()) || self.finds_in(&unescape(text))
+    }
+
+    /// Removes the parameters of a query that hold a key; `None` if none is left.
+    pub(crate) fn scrub_query(&self, query: &str) -> Option<String> {
+        let kept: Vec<&str> = query
+            .split('&')
+            .filter(|parameter| !self.finds_in_escaped(parameter))
+            .collect();
+        if kept.is_empty() {
+            return None;
+        }
+        Some(kept.join("&"))
+    }
+}
+
+fn contains(bytes: &[u8], pattern: &[u8]) -> bool {
+    bytes
+        .windows(pattern.len())
+        .any(|window| window == pattern)
+}
+
+/// Returns whether some part of the bytes parses as a key.
+fn holds_key_shape(bytes: &[u8]) -> bool {
+    let prefix = key::CallerKey::PREFIX.as_bytes();
+    let mut rest = bytes;
+    while let Some(start) = rest
+        .windows(prefix.len())
+        .position(|window| window == prefix)
+    {
+        let candidate = &rest[start..];
+        let length = candidate
+            .iter()
+            .take_while(|byte| byte.is_ascii_alphanumeric() || **byte == b'_')
+            .count();
+        if let Ok(text) = std::str::from_utf8(&candidate[..length])
+            && key::CallerKey::parse(text).is_ok()
+        {
+            return true;
+        }
+        rest = &candidate[prefix.len()..];
+    }
+    false
+}
+
+/// Resolves percent escapes and the plus sign of queries; broken escapes stay as they are.
+fn unescape(text: &str) -> Vec<u8> {
+    let bytes = text.as_bytes();
+    let mut plain = Vec::with_capacity(bytes.len());
+    let mut index = 0;
+    while index < bytes.len() {
+        let escape = bytes
+            .get(index + 1..index + 3)
+            .filter(|_| bytes[index] == b'%')
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        if let Some(byte) = escape {
+            plain.push(byte);
+            index += 3;
+        } else {
+            plain.push(bytes[index]);
+            index += 1;
+        }
+    }
+    plain
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/model_request.rs
@@ -0,0 +1,218 @@
+//! A caller's request to a model.
+
+use galenahold_domain::amount;
+use serde_json::{Map, Value};
+
+use crate::face;
+
+/// Output tokens of a request that states no limit.
+const DEFAULT_OUTPUT_TOKENS: u64 = 1_024;
+
+/// The most answers that one request may ask for.
+const MAX_ANSWERS: u64 = 16;
+
+/// A caller's request to a model, as far as routing needs it.
+#[derive(Debug, Clone)]
+pub(crate) struct ModelRequest {
+    document: Map<String, Value>,
+    model: String,
+    prompt: String,
+    stream: bool,
+    wants_usage: bool,
+    output_tokens: Option<u64>,
+    answers: u64,
+}
+
+impl ModelRequest {
+    /// Parses the body of a request to `/v1/chat/completions` or `/v1/completions`.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, that names the field and, for broken JSON, the line and column.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, face::RequestRefusal> {
+        let document: Map<String, Value> = serde_json::from_slice(body).map_err(|error| {
+            refuse(format!(
+                "the body is not a JSON object: line {}, column {}: {error}",
+                error.line(),
+                error.column()
+            ))
+        })?;
+        let model = read_model(&document)?;
+        let stream = read_bool(&document, "stream")?;
+        let wants_usage = read_wants_usage(&document)?;
+        let output_tokens = read_output_tokens(&document)?;
+        let answers = read_answers(&document)?;
+        let prompt = read_prompt(&document)?;
+        Ok(Self {
+            document,
+            model,
+            prompt,
+            stream,
+            wants_usage,
+            output_tokens,
+            answers,
+        })
+    }
+
+    /// Returns the model or adapter that the caller names.
+    pub(crate) fn model(&self) -> &str {
+        &self.model
+    }
+
+    /// Returns whether the caller wants an event stream.
+    pub(crate) fn stream(&self) -> bool {
+        self.stream
+    }
+
+    /// Returns whether the caller wants the counts at the end of the stream.
+    pub(crate) fn wants_usage(&self) -> bool {
+        self.wants_usage
+    }
+
+    /// Returns the text whose prefix decides about the prefix cache.
+    pub(crate) fn prompt(&self) -> &str {
+        &self.prompt
+    }
+
+    /// Returns the most tokens that the request can take, under the model's own limit.
+    ///
+    /// A token is at least one byte of the prompt, so that the charge is never too low.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, where the stated output alone is over the model's limit.
+    pub(crate) fn token_bound(
+        &self,
+        model_limit: amount::TokenCount,
+    ) -> Result<amount::TokenCount, face::RequestRefusal> {
+        let output = self.output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+        if self.output_tokens.is_some() && output > model_limit.0 {
+            return Err(face::RequestRefusal::not_run(
+                face::RefusalKind::TooManyTokens,
+                format!("max_tokens: {output}: the model takes {model_limit} tokens a request"),
+            ));
+        }
+        let prompt = self.prompt.len() as u64;
+        let one_answer = prompt.saturating_add(output).min(model_limit.0).max(1);
+        Ok(amount::TokenCount(one_answer.saturating_mul(self.answers)))
+    }
+
+    /// Returns the body for the engine: with the bound on output, the counts at a stream's end and
+    /// the service's priority.
+    pub(crate) fn engine_body(&self, priority: i32, model_limit: amount::TokenCount) -> Vec<u8> {
+        let mut document = self.document.clone();
+        if self.output_tokens.is_none() {
+            let bound = DEFAULT_OUTPUT_TOKENS.min(model_limit.0);
+            document.insert("max_tokens".to_owned(), Value::from(bound));
+        }
+        if priority != 0 {
+            document.insert("priority".to_owned(), Value::from(priority));
+        }
+        if self.stream {
+            let options = document
+                .entry("stream_options")
+                .or_insert_with(|| Value::Object(Map::new()));
+            if let Value::Object(options) = options {
+                options.insert("include_usage".to_owned(), Value::Bool(true));
+            }
+        }
+        serde_json::to_vec(&document).unwrap_or_default()
+    }
+}
+
+fn refuse(message: String) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(face::RefusalKind::BadRequest, message)
+}
+
+fn read_model(document: &Map<String, Value>) -> Result<String, face::RequestRefusal> {
+    match document.get("model") {
+        Some(Value::String(model)) if !model.is_empty() => Ok(model.clone()),
+        Some(other) => Err(refuse(format!(
+            "model: {other}: must be the name of a model"
+        ))),
+        None => Err(refuse("model: missing: must be the name of a model".into())),
+    }
+}
+
+fn read_bool(document: &Map<String, Value>, field: &str) -> Result<bool, face::RequestRefusal> {
+    match document.get(field) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(value)) => Ok(*value),
+        Some(other) => Err(refuse(format!("{field}: {other}: must be true or false"))),
+    }
+}
+
+fn read_wants_usage(document: &Map<String, Value>) -> Result<bool, face::RequestRefusal> {
+    match document.get("stream_options") {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Object(options)) => read_bool(options, "include_usage"),
+        Some(other) => Err(refuse(format!(
+            "stream_options: {other}: must be an object"
+        ))),
+    }
+}
+
+fn read_count(
+    document: &Map<String, Value>,
+    field: &str,
+) -> Result<Option<u64>, face::RequestRefusal> {
+    match document.get(field) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64() {
+            Some(count) if count >= 1 => Ok(Some(count)),
+            _ => Err(refuse(format!(
+                "{field}: {value}: must be a whole number of 1 or more"
+            ))),
+        },
+    }
+}
+
+fn read_output_tokens(document: &Map<String, Value>) -> Result<Option<u64>, face::RequestRefusal> {
+    let newer = read_count(document, "max_completion_tokens")?;
+    let older = read_count(document, "max_tokens")?;
+    Ok(match (newer, older) {
+        (Some(newer), Some(older)) => Some(newer.max(older)),
+        (newer, older) => newer.or(older),
+    })
+}
+
+fn read_answers(document: &Map<String, Value>) -> Result<u64, face::RequestRefusal> {
+    let answers = read_count(document, "n")?.unwrap_or(1);
+    let candidates = read_count(document, "best_of")?.unwrap_or(1);
+    let wanted = answers.max(candidates);
+    if wanted > MAX_ANSWERS {
+        return Err(refuse(format!("n: {wanted}: must be {MAX_ANSWERS} or less")));
+    }
+    Ok(wanted)
+}
+
+/// Joins the texts of the prompt or of the messages.
+fn read_prompt(document: &Map<String, Value>) -> Result<String, face::RequestRefusal> {
+    let mut text = String::new();
+    match (document.get("messages"), document.get("prompt")) {
+        (Some(Value::Array(messages)), _) => {
+            for message in messages {
+                collect_text(message, &mut text);
+            }
+        }
+        (Some(other), _) => {
+            return Err(refuse(format!("messages: {other}: must be an array")));
+        }
+        (None, Some(prompt)) => collect_text(prompt, &mut text),
+        (None, None) => {
+            return Err(refuse("messages: missing: give messages or a prompt".into()));
+        }
+    }
+    Ok(text)
+}
+
+/// Appends each text below `value`; the recursion is bounded by the JSON parser's own bound.
+fn collect_text(value: &Value, text: &mut String) {
+    match value {
+        Value::String(part) => text.push_str(part),
+        Value::Array(parts) => parts.iter().for_each(|part| collect_text(part, text)),
+        Value::Object(parts) => parts.values().for_each(|part| collect_text(part, text)),
+        Value::Number(number) => text.push_str(&number.to_string()),
+        Value::Null | Value::Bool(_) => {}
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/entry/order_call.rs
@@ -0,0 +1,97 @@
+//! Runs an order under its idempotency key.
+
+use galenahold_domain::order;
+use galenahold_domain::verdict;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+
+use crate::entry;
+use crate::entry::service_desk::ServiceAnswer;
+use crate::face;
+use crate::order as ledger;
+use crate::peer;
+
+/// The largest answer that the ledger keeps, in bytes.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
+/// Says that an answer comes from the ledger.
+const REPLAYED_HEADER: &str = "x-order-replayed";
+
+/// Runs an order under its idempotency key: started in the ledger before it is sent, ended after.
+#[derive(Debug)]
+pub(crate) struct OrderCall<Desk> {
+    /// The ledger.
+    pub(crate) ledger: ledger::OrderDesk<Desk>,
+    /// Sends the call.
+    pub(crate) desk: entry::ServiceDesk,
+    /// The call.
+    pub(crate) call: entry::ServiceCall,
+    /// The order's key.
+    pub(crate) key: order::OrderKey,
+}
+
+impl<Desk: peer::LocalDesk> OrderCall<Desk> {
+    /// Runs the order, or returns the answer that the ledger has.
+    ///
+    /// # Errors
+    ///
+    /// A refusal whose verdict says whether the order may have run.
+    pub(crate) async fn run(self) -> Result<ServiceAnswer, face::RequestRefusal> {
+        let digest = entry::order_digest(&self.call.method, &self.call.target, &self.call.body);
+        let started = self
+            .ledger
+            .start(&self.key, &digest, self.call.deadline)
+            .await?;
+        let attempt = match started {
+            ledger::OrderGate::Answered(answer) => return Ok(replay(answer)),
+            ledger::OrderGate::Begun(attempt) => attempt,
+        };
+        let result = self.desk.run(&self.call).await;
+        let outcome = match &result {
+            Ok(answer) => order::OrderOutcome::Answered(keep(answer)),
+            Err(refusal) if refusal.verdict == verdict::RequestVerdict::NotRun => {
+                order::OrderOutcome::NotRun
+            }
+            Err(_) => order::OrderOutcome::Unknown,
+        };
+        self.ledger.finish(self.key, attempt, outcome).await;
+        result
+    }
+}
+
+/// Returns what the ledger keeps of an answer.
+fn keep(answer: &ServiceAnswer) -> order::OrderAnswer {
+    let content_type = answer
+        .headers
+        .get(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .map(str::to_owned);
+    let truncated = answer.body.len() > MAX_KEPT_BYTES;
+    order::OrderAnswer {
+        status: answer.status.as_u16(),
+        content_type,
+        body: match truncated {
+            true => Vec::new(),
+            false => answer.body.to_vec(),
+        },
+        truncated,
+    }
+}
+
+fn replay(answer: order::OrderAnswer) -> ServiceAnswer {
+    let mut headers = HeaderMap::new();
+    headers.insert(REPLAYED_HEADER, HeaderValue::from_static("true"));
+    if let Some(content_type) = answer
+        .content_type
+        .and_then(|text| HeaderValue::from_str(&text).ok())
+    {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    if answer.truncated {
+        headers.insert("x-order-body-dropped", HeaderValue::from_static("true"));
+    }
+    ServiceAnswer {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        headers,
+        body: bytes::Bytes::from(answer.body),
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/face/body_reader.rs
@@ -0,0 +1,51 @@
+//! Reads the body of a request within limits.
+
+use std::time;
+
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body;
+
+use crate::face;
+
+/// Reads the body of a request within limits of size and time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BodyReader {
+    /// The most bytes.
+    pub(crate) max_bytes: usize,
+    /// The longest time.
+    pub(crate) timeout: time::Duration,
+}
+
+impl BodyReader {
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, where the body is too large, too slow or broken.
+    pub(crate) async fn read(
+        self,
+        body: body::Incoming,
+    ) -> Result<bytes::Bytes, face::RequestRefusal> {
+        let limited = Limited::new(body, self.max_bytes);
+        let read = tokio::time::timeout(self.timeout, limited.collect()).await;
+        let collected = read.map_err(|_| {
+            face::RequestRefusal::not_run(
+                face::RefusalKind::SlowRequest,
+                format!("the body did not arrive within {:?}", self.timeout),
+            )
+        })?;
+        let bytes = collected.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                return face::RequestRefusal::not_run(
+                    face::RefusalKind::TooLarge,
+                    format!("the body has more than {} bytes", self.max_bytes),
+                );
+            }
+            face::RequestRefusal::not_run(
+                face::RefusalKind::BadRequest,
+                format!("the body could not be read: {error}"),
+            )
+        })?;
+        Ok(bytes.to_bytes())
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/face/connection_counter.rs
@@ -0,0 +1,77 @@
+//! Counts the connections of a face.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use crate::face;
+
+/// Counts the connections of a face, in all and for each address.
+#[derive(Debug, Clone)]
+pub(crate) struct ConnectionCounter {
+    limits: face::ConnectionLimits,
+    counts: sync::Arc<sync::Mutex<ConnectionCounts>>,
+}
+
+#[derive(Debug, Default)]
+struct ConnectionCounts {
+    total: usize,
+    by_address: collections::HashMap<net::IpAddr, usize>,
+}
+
+/// The place of one connection; dropping it frees the place.
+#[derive(Debug)]
+pub(crate) struct ConnectionPlace {
+    counter: ConnectionCounter,
+    address: net::IpAddr,
+}
+
+impl ConnectionCounter {
+    /// Creates a counter without connections.
+    pub(crate) fn new(limits: face::ConnectionLimits) -> Self {
+        Self {
+            limits,
+            counts: sync::Arc::default(),
+        }
+    }
+
+    /// Takes a place, unless a limit is reached.
+    pub(crate) fn take(&self, address: net::IpAddr) -> Option<ConnectionPlace> {
+        let mut counts = self.lock();
+        let held = counts.by_address.get(&address).copied().unwrap_or(0);
+        if counts.total >= self.limits.max_connections || held >= self.limits.max_per_address {
+            return None;
+        }
+        counts.total += 1;
+        counts.by_address.insert(address, held + 1);
+        drop(counts);
+        Some(ConnectionPlace {
+            counter: self.clone(),
+            address,
+        })
+    }
+
+    fn release(&self, address: net::IpAddr) {
+        let mut counts = self.lock();
+        counts.total -= 1;
+        let Some(held) = counts.by_address.get_mut(&address) else {
+            return;
+        };
+        *held -= 1;
+        if *held == 0 {
+            counts.by_address.remove(&address);
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, ConnectionCounts> {
+        self.counts
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        self.counter.release(self.address);
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/face/http_listener.rs
@@ -0,0 +1,126 @@
+//! Accepts connections of a face and serves them.
+
+use std::convert;
+use std::net;
+use std::time;
+
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt;
+use log::{debug, warn};
+use tokio::net as tokio_net;
+use tokio_util::sync;
+
+use crate::face;
+use crate::task;
+
+/// How long accepting rests after an error such as too many open files.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// The smallest read buffer that the HTTP library allows, in bytes.
+const MIN_BUFFER_BYTES: usize = 8_192;
+
+/// Accepts connections of a face and serves them until it is told to stop.
+#[derive(Debug)]
+pub(crate) struct HttpListener<Handler> {
+    listener: tokio_net::TcpListener,
+    counter: face::ConnectionCounter,
+    limits: face::ConnectionLimits,
+    handler: Handler,
+}
+
+impl<Handler: face::HttpHandler> HttpListener<Handler> {
+    /// Creates a listener over a bound socket.
+    pub(crate) fn new(
+        listener: tokio_net::TcpListener,
+        limits: face::ConnectionLimits,
+        handler: Handler,
+    ) -> Self {
+        Self {
+            listener,
+            counter: face::ConnectionCounter::new(limits),
+            limits,
+            handler,
+        }
+    }
+
+    /// Serves until the group stops; connections then end after their running request.
+    pub(crate) fn start(self, group: &task::TaskGroup) {
+        let connections = group.clone();
+        group.spawn_until_stop(async move {
+            loop {
+                self.accept(&connections).await;
+            }
+        });
+    }
+
+    async fn accept(&self, group: &task::TaskGroup) {
+        match self.listener.accept().await {
+            Ok((stream, peer)) => self.serve(stream, peer, group),
+            Err(error) => {
+                // An exhausted descriptor table must not end the loop.
+                warn!(error:% = error; "accept failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    fn serve(&self, stream: tokio_net::TcpStream, peer: net::SocketAddr, group: &task::TaskGroup) {
+        let Some(place) = self.counter.take(peer.ip()) else {
+            debug!(peer:% = peer; "connection over the limit closed");
+            return;
+        };
+        if let Err(error) = self.prepare(&stream) {
+            debug!(peer:% = peer, error:% = error; "connection could not be set up");
+            return;
+        }
+        let handler = self.handler.clone();
+        let builder = self.builder();
+        let token = group.token().clone();
+        group.spawn(async move {
+            let _place = place;
+            let responder = service::service_fn(move |request| {
+                let handler = handler.clone();
+                async move { Ok::<_, convert::Infallible>(handler.handle(request, peer).await) }
+            });
+            let connection = builder.serve_connection(rt::TokioIo::new(stream), responder);
+            if let Err(error) = drive(connection, token).await {
+                debug!(peer:% = peer, error:% = error; "connection ended");
+            }
+        });
+    }
+
+    fn prepare(&self, stream: &tokio_net::TcpStream) -> std::io::Result<()> {
+        stream.set_nodelay(true)?;
+        socket2::SockRef::from(stream).set_tcp_user_timeout(Some(self.limits.write_timeout))
+    }
+
+    fn builder(&self) -> http1::Builder {
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(rt::TokioTimer::new())
+            .header_read_timeout(self.limits.head_timeout)
+            .max_buf_size(self.limits.max_head_bytes.max(MIN_BUFFER_BYTES));
+        builder
+    }
+}
+
+/// Drives a connection to its end; after a stop it ends with the request that runs.
+async fn drive<Io, Service>(
+    connection: http1::Connection<Io, Service>,
+    token: sync::CancellationToken,
+) -> hyper::Result<()>
+where
+    Io: hyper::rt::Read + hyper::rt::Write + Unpin,
+    Service: hyper::service::HttpService<hyper::body::Incoming, ResBody = face::AnswerBody>,
+    Service::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = token.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/face/mod.rs
@@ -0,0 +1,21 @@
+//! What the HTTP faces have in common: listening, limits, bodies and refusals.
+
+mod answer_body;
+mod body_reader;
+mod connection_counter;
+mod connection_limits;
+mod http_handler;
+mod http_listener;
+mod json_answer;
+mod request_refusal;
+mod refusal_kind;
+
+pub(crate) use answer_body::{AnswerBody, StreamCut, StreamSender};
+pub(crate) use body_reader::BodyReader;
+pub(crate) use connection_counter::ConnectionCounter;
+pub(crate) use connection_limits::ConnectionLimits;
+pub(crate) use http_handler::HttpHandler;
+pub(crate) use http_listener::HttpListener;
+pub(crate) use json_answer::json_answer;
+pub(crate) use refusal_kind::RefusalKind;
+pub(crate) use request_refusal::{RequestRefusal, VERDICT_HEADER};
--- /dev/null
+++ b/galenahold_instance/src/face/request_refusal.rs
@@ -0,0 +1,105 @@
+//! A refusal or error that a caller sees.
+
+use std::time;
+
+use galenahold_domain::verdict;
+use http::{HeaderValue, Response, header};
+use serde::Serialize;
+
+use crate::face;
+
+/// The header that carries the verdict.
+pub(crate) const VERDICT_HEADER: &str = "x-verdict";
+
+/// A refusal or error that a caller sees, with the verdict on its request.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestRefusal {
+    /// The kind.
+    pub(crate) kind: face::RefusalKind,
+    /// Whether the request may have run.
+    pub(crate) verdict: verdict::RequestVerdict,
+    /// What was wrong and what to do.
+    pub(crate) message: String,
+    /// When a repeat may succeed.
+    pub(crate) retry_after: Option<time::Duration>,
+}
+
+#[derive(Debug, Serialize)]
+struct RefusalDocument<'a> {
+    error: RefusalBody<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct RefusalBody<'a> {
+    #[serde(rename = "type")]
+    kind: &'a str,
+    message: &'a str,
+    verdict: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl RequestRefusal {
+    /// Creates a refusal of a request that did not run.
+    pub(crate) fn not_run(kind: face::RefusalKind, message: impl Into<String>) -> Self {
+        Self::new(kind, verdict::RequestVerdict::NotRun, message)
+    }
+
+    /// Creates a refusal or error.
+    pub(crate) fn new(
+        kind: face::RefusalKind,
+        verdict: verdict::RequestVerdict,
+        message: impl Into<String>,
+    ) -> Self {
+        Self {
+            kind,
+            verdict,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Says when a repeat may succeed.
+    #[must_use]
+    pub(crate) fn retry_after(mut self, wait: time::Duration) -> Self {
+        self.retry_after = Some(wait);
+        self
+    }
+
+    /// Returns the JSON document of the refusal.
+    pub(crate) fn document(&self) -> Vec<u8> {
+        let document = RefusalDocument {
+            error: RefusalBody {
+                kind: self.kind.as_str(),
+                message: &self.message,
+                verdict: self.verdict.as_str(),
+                retry_after_ms: self
+                    .retry_after
+                    .map(|wait| u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)),
+            },
+        };
+        serde_json::to_vec(&document).unwrap_or_default()
+    }
+
+    /// Returns the refusal as an answer.
+    pub(crate) fn answer(&self) -> Response<face::AnswerBody> {
+        let mut answer = Response::new(face::AnswerBody::whole(self.document()));
+        *answer.status_mut() = self.kind.status();
+        let headers = answer.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        headers.insert(
+            VERDICT_HEADER,
+            HeaderValue::from_static(self.verdict.as_str()),
+        );
+        if let Some(wait) = self.retry_after {
+            let seconds = wait.as_millis().div_ceil(1_000).max(1);
+            if let Ok(value) = HeaderValue::from_str(&seconds.to_string()) {
+                headers.insert(header::RETRY_AFTER, value);
+            }
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/operator/operator_face.rs
@@ -0,0 +1,306 @@
+//! The operators' HTTP face.
+
+use std::net;
+use std::time;
+
+use galenahold_domain::control;
+use galenahold_domain::name;
+use galenahold_wire::message;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body;
+use log::info;
+use serde::{Serialize, de};
+use serde_json::{Value, json};
+
+use crate::configuration;
+use crate::face;
+use crate::operator;
+use crate::peer;
+
+/// The largest document, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 16 * 1024 * 1024;
+
+/// How long a document may take to arrive.
+const DOCUMENT_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// How long a call may look for a leader and wait for its answer.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Returns the burn snapshot of this instance as JSON.
+pub(crate) trait OwnBurn: Clone + Send + Sync + 'static {
+    /// Returns the snapshot.
+    fn snapshot(&self) -> String;
+}
+
+/// The operators' HTTP face.
+#[derive(Debug, Clone)]
+pub(crate) struct OperatorFace<Desk, Burn> {
+    gate: operator::OperatorGate,
+    client: peer::ControlClient<Desk>,
+    holder: configuration::ConfigurationHolder,
+    collector: operator::BurnCollector,
+    burn: Burn,
+}
+
+/// A call, and the key that its answer shows.
+struct PreparedCall {
+    call: message::OperatorCall,
+    key: Option<String>,
+}
+
+impl<Desk: peer::LocalDesk, Burn: OwnBurn> OperatorFace<Desk, Burn> {
+    /// Creates the face.
+    pub(crate) fn new(
+        gate: operator::OperatorGate,
+        client: peer::ControlClient<Desk>,
+        holder: configuration::ConfigurationHolder,
+        collector: operator::BurnCollector,
+        burn: Burn,
+    ) -> Self {
+        Self {
+            gate,
+            client,
+            holder,
+            collector,
+            burn,
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<body::Incoming>,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let pass = self.gate.admit(request.headers())?;
+        let method = request.method().clone();
+        let path = request.uri().path().to_owned();
+        if method == Method::GET {
+            return self.answer_get(&path).await;
+        }
+        if method != Method::POST {
+            return Err(face::RequestRefusal::not_run(
+                face::RefusalKind::MethodNotAllowed,
+                format!("{path} takes GET or POST"),
+            ));
+        }
+        let reader = face::BodyReader {
+            max_bytes: MAX_DOCUMENT_BYTES,
+            timeout: DOCUMENT_TIMEOUT,
+        };
+        let document = reader.read(request.into_body()).await?;
+        let prepared = prepare(&path, &document, &pass)?;
+        info!(operator:% = pass.operator, path:% = path; "operator call");
+        Ok(self.pass_on(prepared).await)
+    }
+
+    async fn answer_get(
+        &self,
+        path: &str,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let call = match path {
+            "/v1/intent" => message::OperatorCall::ShowIntent,
+            "/v1/servers" => message::OperatorCall::ShowServers,
+            "/v1/replicas" => message::OperatorCall::ShowReplicas,
+            "/v1/orders" => message::OperatorCall::ShowOrders,
+            "/v1/status" | "/v1/members" => message::OperatorCall::Status,
+            "/v1/revision" => return Ok(self.revision()),
+            "/v1/report/burn" => return Ok(self.report_burn().await),
+            _ => return Err(no_such_path(path)),
+        };
+        Ok(self.pass_on(PreparedCall { call, key: None }).await)
+    }
+
+    fn revision(&self) -> Response<face::AnswerBody> {
+        let document = json!({
+            "revision": self.holder.index().revision(),
+            "fresh": self.holder.is_fresh(),
+            "age_ms": self.holder.age().map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        });
+        face::json_answer(StatusCode::OK, document.to_string())
+    }
+
+    async fn report_burn(&self) -> Response<face::AnswerBody> {
+        let collected = self.collector.collect().await;
+        let snapshots: Vec<Value> = collected
+            .snapshots
+            .iter()
+            .chain([&self.burn.snapshot()])
+            .filter_map(|snapshot| serde_json::from_str(snapshot).ok())
+            .collect();
+        let document = json!({ "snapshots": snapshots, "missing": collected.missing });
+        face::json_answer(StatusCode::OK, document.to_string())
+    }
+
+    async fn pass_on(&self, prepared: PreparedCall) -> Response<face::AnswerBody> {
+        let deadline = time::Instant::now() + CALL_TIMEOUT;
+        let call = message::ControlCall::Operator(prepared.call);
+        match self.client.call(call, deadline).await {
+            Ok(message::ControlReply::Operator(message::OperatorReply::Done { body })) => {
+                face::json_answer(StatusCode::OK, show_key(body, prepared.key))
+            }
+            Ok(message::ControlReply::Operator(message::OperatorReply::Failed(error))) => {
+                render(&error)
+            }
+            Ok(message::ControlReply::Refused { reason }) => {
+                render(&plain_error(message::OperatorErrorKind::Refused, reason))
+            }
+            Ok(_) | Err(peer::CallError::Unknown) => render(&plain_error(
+                message::OperatorErrorKind::OutcomeUnknown,
+                "the answer was lost and the change may have been made; repeat it under the same request number",
+            )),
+            Err(peer::CallError::NotDone) => render(&plain_error(
+                message::OperatorErrorKind::NoLeader,
+                "no leader of the control group can be reached; nothing changed",
+            )),
+        }
+    }
+}
+
+impl<Desk: peer::LocalDesk, Burn: OwnBurn> face::HttpHandler for OperatorFace<Desk, Burn> {
+    async fn handle(
+        self,
+        request: Request<body::Incoming>,
+        _peer: net::SocketAddr,
+    ) -> Response<face::AnswerBody> {
+        self.answer(request)
+            .await
+            .unwrap_or_else(|refusal| refusal.answer())
+    }
+}
+
+fn prepare(
+    path: &str,
+    document: &[u8],
+    pass: &operator::OperatorPass,
+) -> Result<PreparedCall, face::RequestRefusal> {
+    let identify = |request: name::RequestId| control::OperatorRequest {
+        operator: pass.operator.clone(),
+        request,
+    };
+    let mut key = None;
+    let call = match path {
+        "/v1/plans" => message::OperatorCall::Plan {
+            intent: parse::<operator::PlanDocument>(document)?.intent,
+        },
+        "/v1/plans/confirm" => {
+            let document: operator::ConfirmDocument = parse(document)?;
+            message::OperatorCall::Confirm {
+                request: identify(document.request),
+                base: document.base,
+                digest: document.digest,
+                intent: document.intent,
+            }
+        }
+        "/v1/keys" => {
+            let document: operator::GiveKeyDocument = parse(document)?;
+            let (shown, record) = operator::derive_key(pass, &document.request, &document.team);
+            key = Some(shown.reveal());
+            message::OperatorCall::GiveKey {
+                request: identify(document.request),
+                record,
+            }
+        }
+        "/v1/keys/withdraw" => {
+            let document: operator::WithdrawKeyDocument = parse(document)?;
+            message::OperatorCall::WithdrawKey {
+                request: identify(document.request),
+                id: document.id,
+            }
+        }
+        "/v1/members/add" => prepare_add(parse(document)?)?,
+        "/v1/members/promote" => message::OperatorCall::PromoteMember {
+            name: parse::<operator::MemberDocument>(document)?.name,
+        },
+        "/v1/members/remove" => message::OperatorCall::RemoveMember {
+            name: parse::<operator::MemberDocument>(document)?.name,
+        },
+        _ => return Err(no_such_path(path)),
+    };
+    Ok(PreparedCall { call, key })
+}
+
+fn prepare_add(
+    document: operator::MemberDocument,
+) -> Result<message::OperatorCall, face::RequestRefusal> {
+    let address = document.address.ok_or_else(|| {
+        face::RequestRefusal::not_run(
+            face::RefusalKind::BadRequest,
+            "address: missing: must be the IP number and port that other instances reach it at",
+        )
+    })?;
+    Ok(message::OperatorCall::AddMember {
+        name: document.name,
+        address,
+    })
+}
+
+fn parse<Document: de::DeserializeOwned>(document: &[u8]) -> Result<Document, face::RequestRefusal> {
+    serde_json::from_slice(document).map_err(|error| {
+        face::RequestRefusal::not_run(face::RefusalKind::BadRequest, error.to_string())
+    })
+}
+
+fn no_such_path(path: &str) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::NotFound,
+        format!("there is no {path} on the operators' face"),
+    )
+}
+
+/// Adds the key to the answer, which is the only place where it is ever shown.
+fn show_key(body: String, key: Option<String>) -> String {
+    let Some(key) = key else {
+        return body;
+    };
+    let Ok(Value::Object(mut document)) = serde_json::from_str(&body) else {
+        return body;
+    };
+    document.insert("key".to_owned(), Value::String(key));
+    Value::Object(document).to_string()
+}
+
+fn plain_error(
+    kind: message::OperatorErrorKind,
+    text: impl Into<String>,
+) -> message::OperatorError {
+    message::OperatorError {
+        kind,
+        message: text.into(),
+        details: None,
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorDocument<'a> {
+    error: ErrorBody<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    kind: message::OperatorErrorKind,
+    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    details: Option<Value>,
+}
+
+fn render(error: &message::OperatorError) -> Response<face::AnswerBody> {
+    let status = match error.kind {
+        message::OperatorErrorKind::Invalid => StatusCode::UNPROCESSABLE_ENTITY,
+        message::OperatorErrorKind::Conflict => StatusCode::CONFLICT,
+        message::OperatorErrorKind::NotFound => StatusCode::NOT_FOUND,
+        message::OperatorErrorKind::NoLeader | message::OperatorErrorKind::Refused => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        message::OperatorErrorKind::OutcomeUnknown => StatusCode::GATEWAY_TIMEOUT,
+    };
+    let document = ErrorDocument {
+        error: ErrorBody {
+            kind: error.kind,
+            message: &error.message,
+            details: error
+                .details
+                .as_deref()
+                .and_then(|details| serde_json::from_str(details).ok()),
+        },
+    };
+    face::json_answer(status, serde_json::to_vec(&document).unwrap_or_default())
+}
--- /dev/null
+++ b/galenahold_instance/src/operator/operator_gate.rs
@@ -0,0 +1,89 @@
+//! Authenticates operators.
+
+use std::sync;
+
+use galenahold_domain::name;
+use http::{HeaderMap, header};
+use sha2::{Digest, Sha256};
+
+use crate::face;
+
+/// Authenticates operators by their bearer credential.
+#[derive(Debug, Clone)]
+pub(crate) struct OperatorGate {
+    credentials: sync::Arc<[OperatorCredential]>,
+}
+
+#[derive(Debug)]
+struct OperatorCredential {
+    operator: name::OperatorName,
+    sha256: String,
+}
+
+/// An authenticated operator with the credential shown.
+#[derive(Clone)]
+pub(crate) struct OperatorPass {
+    /// The operator.
+    pub(crate) operator: name::OperatorName,
+    /// The credential, from which keys are derived; it is never stored or logged.
+    pub(crate) credential: String,
+}
+
+impl OperatorGate {
+    /// Creates a gate over operators and the SHA-256 of their credentials, in hexadecimal.
+    pub(crate) fn new(
+        credentials: impl IntoIterator<Item = (name::OperatorName, String)>,
+    ) -> Self {
+        Self {
+            credentials: credentials
+                .into_iter()
+                .map(|(operator, sha256)| OperatorCredential { operator, sha256 })
+                .collect(),
+        }
+    }
+
+    /// Authenticates the sender of a request.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, without a credential or with an unknown one.
+    pub(crate) fn admit(&self, headers: &HeaderMap) -> Result<OperatorPass, face::RequestRefusal> {
+        let credential = bearer_text(headers).ok_or_else(refuse)?;
+        let shown = hexadecimal(&Sha256::digest(credential.as_bytes()));
+        let known = self
+            .credentials
+            .iter()
+            .find(|known| known.sha256.eq_ignore_ascii_case(&shown));
+        let known = known.ok_or_else(refuse)?;
+        Ok(OperatorPass {
+            operator: known.operator.clone(),
+            credential: credential.to_owned(),
+        })
+    }
+}
+
+/// Returns the text of the bearer credential, if the request has one.
+pub(crate) fn bearer_text(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, text) = value.split_once(' ')?;
+    scheme
+        .eq_ignore_ascii_case("bearer")
+        .then_some(text.trim())
+}
+
+/// Returns bytes in hexadecimal.
+pub(crate) fn hexadecimal(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+fn refuse() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::Unauthorized,
+        "give an operator's credential as Authorization: Bearer",
+    )
+}
--- /dev/null
+++ b/galenahold_instance/src/operator/operator_key.rs
@@ -0,0 +1,45 @@
+//! Derives the key that an operator asks for.
+
+use galenahold_domain::key;
+use galenahold_domain::name;
+use sha2::{Digest, Sha512};
+
+use crate::operator;
+
+/// Derives the key that an operator asks for under a request number.
+///
+/// The secret follows from the operator's credential and the request, so that a repeat after a lost
+/// answer shows the same key, while nothing but the salted hash is stored.
+pub(crate) fn derive_key(
+    pass: &operator::OperatorPass,
+    request: &name::RequestId,
+    team: &name::TeamName,
+) -> (key::CallerKey, key::KeyRecord) {
+    let key = key::CallerKey::generate(&derive(b"galenahold key", pass, request, team));
+    let salt = derive(b"galenahold salt", pass, request, team);
+    let record = key.record(team.clone(), &salt);
+    (key, record)
+}
+
+/// Derives up to 64 bytes from the credential; each part goes in with its length.
+fn derive<const LENGTH: usize>(
+    purpose: &[u8],
+    pass: &operator::OperatorPass,
+    request: &name::RequestId,
+    team: &name::TeamName,
+) -> [u8; LENGTH] {
+    let mut hasher = Sha512::new();
+    let parts = [
+        purpose,
+        pass.credential.as_bytes(),
+        pass.operator.as_bytes(),
+        request.as_bytes(),
+        team.as_bytes(),
+    ];
+    for part in parts {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    std::array::from_fn(|index| digest[index])
+}
--- /dev/null
+++ b/galenahold_instance/src/order/order_desk.rs
@@ -0,0 +1,164 @@
+//! Starts and ends attempts of orders in the control group's ledger.
+
+use std::sync;
+use std::sync::atomic;
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::control;
+use galenahold_domain::name;
+use galenahold_domain::order;
+use galenahold_wire::message;
+use log::warn;
+
+use crate::face;
+use crate::peer;
+use crate::task;
+
+/// How long an answer waits for the end of its attempt to be recorded.
+const FINISH_WAIT: time::Duration = time::Duration::from_millis(500);
+
+/// How long the end of an attempt is recorded again and again.
+const FINISH_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+
+/// Starts and ends attempts of orders in the control group's ledger.
+#[derive(Debug, Clone)]
+pub(crate) struct OrderDesk<Desk> {
+    client: peer::ControlClient<Desk>,
+    instance: name::InstanceName,
+    incarnation: amount::IncarnationNumber,
+    calls: sync::Arc<atomic::AtomicU64>,
+    group: task::TaskGroup,
+}
+
+/// What the ledger allows for an order.
+#[derive(Debug)]
+pub(crate) enum OrderGate {
+    /// This instance owns the attempt and may send once.
+    Begun(u32),
+    /// The order ran; this is its answer.
+    Answered(order::OrderAnswer),
+}
+
+impl<Desk: peer::LocalDesk> OrderDesk<Desk> {
+    /// Creates a desk whose recording tasks belong to `group`.
+    pub(crate) fn new(
+        client: peer::ControlClient<Desk>,
+        card: &message::InstanceCard,
+        group: task::TaskGroup,
+    ) -> Self {
+        Self {
+            client,
+            instance: card.name.clone(),
+            incarnation: card.incarnation,
+            calls: sync::Arc::default(),
+            group,
+        }
+    }
+
+    /// Starts an attempt; nothing may be sent before it answers [`OrderGate::Begun`].
+    ///
+    /// # Errors
+    ///
+    /// A refusal whose verdict says whether an earlier attempt may have run.
+    pub(crate) async fn start(
+        &self,
+        key: &order::OrderKey,
+        digest: &str,
+        deadline: time::Instant,
+    ) -> Result<OrderGate, face::RequestRefusal> {
+        let command = control::ControlCommand::StartOrder {
+            key: key.clone(),
+            digest: digest.to_owned(),
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            call: self.calls.fetch_add(1, atomic::Ordering::Relaxed),
+            now_ms: epoch_ms(),
+        };
+        let call = message::ControlCall::Command(command);
+        match self.client.call(call, deadline).await {
+            Ok(message::ControlReply::Outcome(control::ControlOutcome::Order(start))) => judge(start),
+            Ok(message::ControlReply::Outcome(control::ControlOutcome::Invalid { reasons })) => {
+                Err(face::RequestRefusal::not_run(
+                    face::RefusalKind::BadRequest,
+                    reasons.join("; "),
+                ))
+            }
+            // Without the ledger's word nothing is sent, so this attempt has not run.
+            _ => Err(face::RequestRefusal::not_run(
+                face::RefusalKind::ControlUnavailable,
+                "the control group cannot record the order now; send it again under the same key",
+            )),
+        }
+    }
+
+    /// Records how an attempt ended; goes on in the background where that takes long.
+    pub(crate) async fn finish(
+        &self,
+        key: order::OrderKey,
+        attempt: u32,
+        outcome: order::OrderOutcome,
+    ) {
+        let desk = self.clone();
+        let (sender, receiver) = tokio::sync::oneshot::channel();
+        self.group.spawn(async move {
+            desk.record(key, attempt, outcome).await;
+            // Whoever waited may have gone on.
+            let _ = sender.send(());
+        });
+        let _ = tokio::time::timeout(FINISH_WAIT, receiver).await;
+    }
+
+    async fn record(&self, key: order::OrderKey, attempt: u32, outcome: order::OrderOutcome) {
+        let command = control::ControlCommand::FinishOrder {
+            key,
+            attempt,
+            outcome,
+            now_ms: epoch_ms(),
+        };
+        let deadline = time::Instant::now() + FINISH_TIMEOUT;
+        let call = message::ControlCall::Command(command);
+        if self.client.call(call, deadline).await.is_err() {
+            warn!(attempt = attempt; "end of an order could not be recorded; it counts as unknown");
+        }
+    }
+}
+
+fn judge(start: order::OrderStart) -> Result<OrderGate, face::RequestRefusal> {
+    use galenahold_domain::verdict::RequestVerdict;
+    match start {
+        order::OrderStart::Begun { attempt } => Ok(OrderGate::Begun(attempt)),
+        order::OrderStart::Answered(answer) => Ok(OrderGate::Answered(answer)),
+        order::OrderStart::Running => Err(face::RequestRefusal::new(
+            face::RefusalKind::OrderRunning,
+            RequestVerdict::MayHaveRun,
+            "an order under this idempotency key is under way; ask again for its answer",
+        )
+        .retry_after(time::Duration::from_secs(1))),
+        order::OrderStart::Unknown => Err(face::RequestRefusal::new(
+            face::RefusalKind::OrderUnknown,
+            RequestVerdict::MayHaveRun,
+            "the order may have run and its answer is lost; it is not sent again",
+        )),
+        order::OrderStart::DigestDiffers => Err(face::RequestRefusal::not_run(
+            face::RefusalKind::OrderDiffers,
+            "the idempotency key was used with another request; this one did not run",
+        )),
+        order::OrderStart::Expired => Err(face::RequestRefusal::not_run(
+            face::RefusalKind::OrderExpired,
+            "the idempotency key is older than the ledger keeps keys; this repeat did not run",
+        )),
+        order::OrderStart::Full => Err(face::RequestRefusal::not_run(
+            face::RefusalKind::OrderLedgerFull,
+            "the order ledger is full",
+        )),
+    }
+}
+
+/// Returns the milliseconds since the Unix epoch; the ledger never lets them go back.
+fn epoch_ms() -> u64 {
+    let elapsed = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/galenahold_instance/src/peer/mod.rs
@@ -0,0 +1,17 @@
+//! Other instances: who they are, links to them, and calls to the control group's leader.
+
+mod call_error;
+mod control_client;
+mod local_desk;
+mod peer_directory;
+mod peer_link;
+mod peer_network;
+mod peer_server;
+
+pub(crate) use call_error::CallError;
+pub(crate) use control_client::ControlClient;
+pub(crate) use local_desk::LocalDesk;
+pub(crate) use peer_directory::PeerDirectory;
+pub(crate) use peer_link::PeerLink;
+pub(crate) use peer_network::PeerNetwork;
+pub(crate) use peer_server::PeerServer;
--- /dev/null
+++ b/galenahold_instance/src/peer/peer_directory.rs
@@ -0,0 +1,118 @@
+//! The instances that this one knows of.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::message;
+
+/// How long an instance is remembered after it was last heard of, unless the settings name it.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(120);
+
+/// The instances that this one knows of: those that its settings name and those it has heard of.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerDirectory {
+    own: message::InstanceCard,
+    entries: sync::Arc<sync::Mutex<EntryTable>>,
+}
+
+type EntryTable = collections::BTreeMap<name::InstanceName, DirectoryEntry>;
+
+#[derive(Debug)]
+struct DirectoryEntry {
+    card: message::InstanceCard,
+    configured: bool,
+    heard: time::Instant,
+}
+
+impl PeerDirectory {
+    /// Creates a directory of the instances that the settings name.
+    pub(crate) fn new(own: message::InstanceCard, configured: Vec<message::InstanceCard>) -> Self {
+        let now = time::Instant::now();
+        let entries = configured
+            .into_iter()
+            .filter(|card| card.name != own.name)
+            .map(|card| {
+                let entry = DirectoryEntry {
+                    card: card.clone(),
+                    configured: true,
+                    heard: now,
+                };
+                (card.name, entry)
+            })
+            .collect();
+        Self {
+            own,
+            entries: sync::Arc::new(sync::Mutex::new(entries)),
+        }
+    }
+
+    /// Returns this instance's own card.
+    pub(crate) fn own(&self) -> &message::InstanceCard {
+        &self.own
+    }
+
+    /// Returns the cards of the other instances.
+    pub(crate) fn others(&self) -> Vec<message::InstanceCard> {
+        self.lock()
+            .values()
+            .map(|entry| entry.card.clone())
+            .collect()
+    }
+
+    /// Returns the card of an instance.
+    pub(crate) fn card(&self, name: &name::InstanceName) -> Option<message::InstanceCard> {
+        self.lock().get(name).map(|entry| entry.card.clone())
+    }
+
+    /// Takes up a card that the instance itself sent.
+    pub(crate) fn hear(&self, card: &message::InstanceCard, now: time::Instant) {
+        if card.name == self.own.name {
+            return;
+        }
+        let mut entries = self.lock();
+        let Some(entry) = entries.get_mut(&card.name) else {
+            let entry = DirectoryEntry {
+                card: card.clone(),
+                configured: false,
+                heard: now,
+            };
+            entries.insert(card.name.clone(), entry);
+            return;
+        };
+        if card.incarnation >= entry.card.incarnation {
+            entry.card = card.clone();
+            entry.heard = now;
+        }
+    }
+
+    /// Takes up cards that another instance passed on; one that is known stays as it is.
+    pub(crate) fn learn(&self, cards: &[message::InstanceCard], now: time::Instant) {
+        let mut entries = self.lock();
+        for card in cards {
+            if card.name == self.own.name || entries.contains_key(&card.name) {
+                continue;
+            }
+            let entry = DirectoryEntry {
+                card: card.clone(),
+                configured: false,
+                heard: now,
+            };
+            entries.insert(card.name.clone(), entry);
+        }
+    }
+
+    /// Forgets instances that the settings do not name and that were silent for long.
+    pub(crate) fn forget_silent(&self, now: time::Instant) {
+        self.lock().retain(|_, entry| {
+            entry.configured || now.saturating_duration_since(entry.heard) < FORGET_AFTER
+        });
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, EntryTable> {
+        self.entries
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/peer/peer_link.rs
@@ -0,0 +1,123 @@
+//! A link to one other instance, which reconnects.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use galenahold_wire::rpc;
+use rand::RngExt;
+use tarpc::client;
+use tarpc::context;
+use tokio::net as tokio_net;
+use tokio::sync as tokio_sync;
+
+use crate::peer;
+use crate::task;
+
+/// How long connecting may take.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// The shortest pause after a failed connection.
+const MIN_PAUSE: time::Duration = time::Duration::from_millis(25);
+
+/// The longest pause after failed connections.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// A link to one other instance. It connects at the first call and again, with jitter, after a loss.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerLink {
+    address: net::SocketAddr,
+    group: task::TaskGroup,
+    state: sync::Arc<tokio_sync::Mutex<LinkState>>,
+}
+
+#[derive(Debug, Default)]
+struct LinkState {
+    client: Option<rpc::InstanceRpcClient>,
+    pause: time::Duration,
+    retry_at: Option<time::Instant>,
+}
+
+impl PeerLink {
+    /// Creates a link that is not yet connected.
+    pub(crate) fn new(address: net::SocketAddr, group: task::TaskGroup) -> Self {
+        Self {
+            address,
+            group,
+            state: sync::Arc::default(),
+        }
+    }
+
+    /// Returns the other instance's address.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns a connected client.
+    ///
+    /// # Errors
+    ///
+    /// [`peer::CallError::NotDone`] where no connection came about or a pause is not over.
+    pub(crate) async fn client(&self) -> Result<rpc::InstanceRpcClient, peer::CallError> {
+        let mut state = self.state.lock().await;
+        if let Some(client) = &state.client {
+            return Ok(client.clone());
+        }
+        let now = time::Instant::now();
+        if state.retry_at.is_some_and(|retry_at| now < retry_at) {
+            return Err(peer::CallError::NotDone);
+        }
+        match self.connect().await {
+            Some(client) => {
+                state.client = Some(client.clone());
+                state.pause = time::Duration::ZERO;
+                state.retry_at = None;
+                Ok(client)
+            }
+            None => {
+                state.back_off(time::Instant::now());
+                Err(peer::CallError::NotDone)
+            }
+        }
+    }
+
+    /// Drops the connection after a failed call, so that the next one connects anew.
+    pub(crate) async fn reset(&self) {
+        let mut state = self.state.lock().await;
+        if state.client.take().is_some() {
+            state.back_off(time::Instant::now());
+        }
+    }
+
+    /// Returns a call's context with its time limit.
+    pub(crate) fn context(limit: time::Duration) -> context::Context {
+        let mut context = context::current();
+        context.deadline = time::Instant::now() + limit;
+        context
+    }
+
+    async fn connect(&self) -> Option<rpc::InstanceRpcClient> {
+        let connecting = tokio_net::TcpStream::connect(self.address);
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .ok()?
+            .ok()?;
+        stream.set_nodelay(true).ok()?;
+        let transport = rpc::frame_transport(stream);
+        let new_client = rpc::InstanceRpcClient::new(client::Config::default(), transport);
+        let dispatch = new_client.dispatch;
+        self.group.spawn_until_stop(async move {
+            // A broken connection shows at its calls.
+            let _ = dispatch.await;
+        });
+        Some(new_client.client)
+    }
+}
+
+impl LinkState {
+    fn back_off(&mut self, now: time::Instant) {
+        self.pause = (self.pause * 2).clamp(MIN_PAUSE, MAX_PAUSE);
+        let jitter = rand::rng().random_range(0.5..1.0);
+        self.retry_at = Some(now + self.pause.mul_f64(jitter));
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/peer/peer_network.rs
@@ -0,0 +1,84 @@
+//! The links to all other instances.
+
+use std::collections;
+use std::future;
+use std::sync;
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::rpc;
+use tarpc::client;
+use tarpc::context;
+
+use crate::peer;
+use crate::task;
+
+/// The links to all other instances, made when they are first used.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerNetwork {
+    directory: peer::PeerDirectory,
+    group: task::TaskGroup,
+    links: sync::Arc<sync::Mutex<LinkTable>>,
+}
+
+type LinkTable = collections::HashMap<name::InstanceName, peer::PeerLink>;
+
+impl PeerNetwork {
+    /// Creates a network over the instances of `directory`.
+    pub(crate) fn new(directory: peer::PeerDirectory, group: task::TaskGroup) -> Self {
+        Self {
+            directory,
+            group,
+            links: sync::Arc::default(),
+        }
+    }
+
+    /// Returns the directory.
+    pub(crate) fn directory(&self) -> &peer::PeerDirectory {
+        &self.directory
+    }
+
+    /// Calls another instance within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`peer::CallError::NotDone`] where no byte was sent, else [`peer::CallError::Unknown`].
+    pub(crate) async fn call<Reply, Calling, Method>(
+        &self,
+        name: &name::InstanceName,
+        limit: time::Duration,
+        method: Method,
+    ) -> Result<Reply, peer::CallError>
+    where
+        Method: FnOnce(rpc::InstanceRpcClient, context::Context) -> Calling,
+        Calling: future::Future<Output = Result<Reply, client::RpcError>>,
+    {
+        let link = self.link(name).ok_or(peer::CallError::NotDone)?;
+        let client = link.client().await?;
+        let calling = method(client, peer::PeerLink::context(limit));
+        let called = tokio::time::timeout(limit, calling).await;
+        match called {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) | Err(_) => {
+                link.reset().await;
+                Err(peer::CallError::Unknown)
+            }
+        }
+    }
+
+    fn link(&self, name: &name::InstanceName) -> Option<peer::PeerLink> {
+        let card = self.directory.card(name)?;
+        let mut links = self
+            .links
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(link) = links.get(name)
+            && link.address() == card.address
+        {
+            return Some(link.clone());
+        }
+        let link = peer::PeerLink::new(card.address, self.group.clone());
+        links.insert(name.clone(), link.clone());
+        Some(link)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -0,0 +1,189 @@
+//! The metrics of one instance.
+
+use std::sync;
+
+use prometheus_client::encoding;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry;
+
+/// Bounds of latencies, in seconds: the stated 1.7 s to the first token is one of them.
+const LATENCY_BOUNDS_SECONDS: [f64; 14] = [
+    0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.2, 1.7, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// Labels of a request's end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RequestLabels {
+    /// The service.
+    pub(crate) service: String,
+    /// The team; empty on open routes.
+    pub(crate) team: String,
+    /// `answered`, or the kind of the refusal.
+    pub(crate) outcome: String,
+}
+
+/// Labels of a refusal.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabels {
+    /// The kind of the refusal.
+    pub(crate) kind: String,
+    /// The verdict on the request.
+    pub(crate) verdict: String,
+}
+
+/// Labels of what is counted for a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    /// The service.
+    pub(crate) service: String,
+}
+
+/// Labels of what is counted for a team.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TeamLabels {
+    /// The team.
+    pub(crate) team: String,
+}
+
+/// The metrics of one instance.
+#[derive(Debug, Clone)]
+pub(crate) struct FleetMetrics {
+    registry: sync::Arc<registry::Registry>,
+    /// Ended requests.
+    pub(crate) requests: Family<RequestLabels, Counter>,
+    /// Refusals and errors.
+    pub(crate) refusals: Family<RefusalLabels, Counter>,
+    /// Time from a request's arrival to its first token or answer.
+    pub(crate) first_token: Family<ServiceLabels, Histogram, fn() -> Histogram>,
+    /// Tokens that teams spent.
+    pub(crate) tokens: Family<TeamLabels, Counter>,
+    /// Attempts at backend servers beyond a request's first.
+    pub(crate) retries: Counter,
+    /// Streams that went on at another replica or connection after a cut.
+    pub(crate) resumed: Counter,
+    /// Answers that carried another request's id.
+    pub(crate) crossed: Counter,
+    /// Requests that wait for a replica.
+    pub(crate) waiting: Gauge,
+    /// The revision in force.
+    pub(crate) revision: Gauge,
+    /// Milliseconds since a quorum confirmed the configuration.
+    pub(crate) age: Gauge,
+    /// Backend servers that are alive.
+    pub(crate) servers: Gauge,
+    /// Whether this instance leads the control group.
+    pub(crate) leader: Gauge,
+    /// Replicas that backend servers showed and nobody decided.
+    pub(crate) undecided: Counter,
+    /// Load orders that were sent.
+    pub(crate) loads: Counter,
+    /// Unload orders that were sent.
+    pub(crate) unloads: Counter,
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BOUNDS_SECONDS)
+}
+
+impl FleetMetrics {
+    /// Creates and registers the metrics.
+    pub(crate) fn new() -> Self {
+        let mut metrics = Self {
+            registry: sync::Arc::default(),
+            requests: Family::default(),
+            refusals: Family::default(),
+            first_token: Family::new_with_constructor(latency_histogram),
+            tokens: Family::default(),
+            retries: Counter::default(),
+            resumed: Counter::default(),
+            crossed: Counter::default(),
+            waiting: Gauge::default(),
+            revision: Gauge::default(),
+            age: Gauge::default(),
+            servers: Gauge::default(),
+            leader: Gauge::default(),
+            undecided: Counter::default(),
+            loads: Counter::default(),
+            unloads: Counter::default(),
+        };
+        let mut registry = registry::Registry::with_prefix("galenahold");
+        metrics.register_requests(&mut registry);
+        metrics.register_state(&mut registry);
+        metrics.registry = sync::Arc::new(registry);
+        metrics
+    }
+
+    /// Returns all metrics in the text format.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+
+    fn register_requests(&self, registry: &mut registry::Registry) {
+        registry.register("requests", "Requests that ended", self.requests.clone());
+        registry.register("refusals", "Refusals and errors", self.refusals.clone());
+        registry.register_with_unit(
+            "first_token",
+            "Time from arrival to the first token or answer",
+            registry::Unit::Seconds,
+            self.first_token.clone(),
+        );
+        registry.register("tokens", "Tokens that teams spent", self.tokens.clone());
+        registry.register(
+            "retries",
+            "Attempts at backend servers beyond the first",
+            self.retries.clone(),
+        );
+        registry.register(
+            "resumed_streams",
+            "Streams that went on after a cut",
+            self.resumed.clone(),
+        );
+        registry.register(
+            "crossed_answers",
+            "Answers with another request's id",
+            self.crossed.clone(),
+        );
+        registry.register(
+            "waiting_requests",
+            "Requests that wait for a replica",
+            self.waiting.clone(),
+        );
+    }
+
+    fn register_state(&self, registry: &mut registry::Registry) {
+        registry.register(
+            "configuration_revision",
+            "The revision in force",
+            self.revision.clone(),
+        );
+        registry.register(
+            "configuration_age_milliseconds",
+            "Time since a quorum confirmed the configuration",
+            self.age.clone(),
+        );
+        registry.register(
+            "backend_servers",
+            "Backend servers that are alive",
+            self.servers.clone(),
+        );
+        registry.register(
+            "control_leader",
+            "Whether this instance leads the control group",
+            self.leader.clone(),
+        );
+        registry.register(
+            "undecided_replicas",
+            "Replicas that were seen and never decided",
+            self.undecided.clone(),
+        );
+        registry.register("load_orders", "Load orders sent", self.loads.clone());
+        registry.register("unload_orders", "Unload orders sent", self.unloads.clone());
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! The face of the platform: liveness, readiness and metrics.
+
+mod fleet_metrics;
+mod platform_face;
+mod readiness_state;
+
+pub(crate) use fleet_metrics::{FleetMetrics, RefusalLabels, RequestLabels, ServiceLabels, TeamLabels};
+pub(crate) use platform_face::PlatformFace;
+pub(crate) use readiness_state::{ReadinessState, UnreadyReason};
--- /dev/null
+++ b/galenahold_instance/src/rate/mod.rs
@@ -0,0 +1,7 @@
+//! The tokens that this instance may spend for its teams.
+
+mod rate_keeper;
+mod token_charge;
+
+pub(crate) use rate_keeper::RateKeeper;
+pub(crate) use token_charge::TokenCharge;
--- /dev/null
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -0,0 +1,177 @@
+//! Keeps this instance's tokens and asks the leader for more.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::intent;
+use galenahold_domain::name;
+use galenahold_routing::rate;
+use galenahold_wire::message;
+use tokio::sync as tokio_sync;
+
+use crate::face;
+use crate::peer;
+use crate::rate as tokens;
+use crate::task;
+
+/// How long one call to the leader may take, all its attempts together.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+
+/// The longest rest of the caller of control while nothing is due.
+const MAX_REST: time::Duration = time::Duration::from_millis(200);
+
+/// The shortest rest between two calls.
+const MIN_REST: time::Duration = time::Duration::from_millis(2);
+
+/// Keeps this instance's tokens and asks the leader for more.
+#[derive(Debug, Clone)]
+pub(crate) struct RateKeeper {
+    wallet: sync::Arc<sync::Mutex<rate::TokenWallet>>,
+    wanted: sync::Arc<tokio_sync::Notify>,
+    replies: sync::Arc<tokio_sync::watch::Sender<u64>>,
+}
+
+impl RateKeeper {
+    /// Creates a keeper with an empty wallet.
+    pub(crate) fn new(wallet: rate::TokenWallet) -> Self {
+        Self {
+            wallet: sync::Arc::new(sync::Mutex::new(wallet)),
+            wanted: sync::Arc::default(),
+            replies: sync::Arc::new(tokio_sync::watch::Sender::new(0)),
+        }
+    }
+
+    /// Puts the teams of an intent in force.
+    pub(crate) fn set_teams(&self, teams: &[intent::TeamIntent]) {
+        self.lock().set_teams(teams, time::Instant::now());
+    }
+
+    /// Returns a team's weight where teams compete.
+    pub(crate) fn weight(&self, team: &name::TeamName) -> Option<f64> {
+        self.lock().weight(team)
+    }
+
+    /// Charges tokens, asking the leader for them where they are missing, until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run, where the team's rate does not give the tokens in time.
+    pub(crate) async fn charge(
+        &self,
+        team: &name::TeamName,
+        wanted: amount::TokenCount,
+        deadline: time::Instant,
+    ) -> Result<tokens::TokenCharge, face::RequestRefusal> {
+        let mut replies = self.replies.subscribe();
+        let mut asked = false;
+        loop {
+            let now = time::Instant::now();
+            let outcome = self.lock().charge(team, wanted, now);
+            let retry_after = match outcome {
+                rate::ChargeOutcome::Charged(receipt) => {
+                    return Ok(tokens::TokenCharge::new(self.clone(), receipt));
+                }
+                rate::ChargeOutcome::Ask { retry_after, .. } => retry_after,
+                rate::ChargeOutcome::TooLarge { burst } => {
+                    return Err(refuse_too_large(wanted, burst));
+                }
+                rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown(team)),
+            };
+            let left = deadline.saturating_duration_since(now);
+            let hopeless = asked && retry_after.is_some_and(|wait| wait > left);
+            if hopeless || left.is_zero() {
+                return Err(refuse_rate(team, retry_after));
+            }
+            self.wanted.notify_one();
+            // A reply that comes in time is all that can change the answer.
+            let _ = tokio::time::timeout_at(deadline.into(), replies.changed()).await;
+            asked = true;
+        }
+    }
+
+    /// Confirms, as the last step before a send, that charged tokens may still be spent.
+    pub(super) fn still_valid(&self, receipt: &mut rate::ChargeReceipt) -> bool {
+        self.lock().still_valid(receipt, time::Instant::now())
+    }
+
+    /// Ends a charge with the tokens that were really spent.
+    pub(super) fn settle(&self, receipt: rate::ChargeReceipt, spent: amount::TokenCount) {
+        self.lock().settle(receipt, spent, time::Instant::now());
+    }
+
+    /// Starts to call control whenever the wallet has something to say, until the group stops.
+    pub(crate) fn start<Desk: peer::LocalDesk>(
+        &self,
+        client: peer::ControlClient<Desk>,
+        group: &task::TaskGroup,
+    ) {
+        let keeper = self.clone();
+        group.spawn_until_stop(async move {
+            loop {
+                keeper.rest().await;
+                keeper.call(&client).await;
+            }
+        });
+    }
+
+    async fn rest(&self) {
+        let now = time::Instant::now();
+        let due = self.lock().call_at(now).unwrap_or(now + MAX_REST);
+        let due = due.clamp(now + MIN_REST, now + MAX_REST);
+        tokio::select! {
+            () = tokio::time::sleep_until(due.into()) => {}
+            () = self.wanted.notified() => {}
+        }
+    }
+
+    async fn call<Desk: peer::LocalDesk>(&self, client: &peer::ControlClient<Desk>) {
+        let Some(call) = self.lock().call(time::Instant::now()) else {
+            return;
+        };
+        let number = call.number;
+        let deadline = time::Instant::now() + CALL_TIMEOUT;
+        let reply = client.call(message::ControlCall::Grant(call), deadline).await;
+        match reply {
+            Ok(message::ControlReply::Grant(reply)) => {
+                self.lock().accept(&reply, time::Instant::now());
+            }
+            _ => self.lock().call_failed(number),
+        }
+        self.replies.send_modify(|count| *count += 1);
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, rate::TokenWallet> {
+        self.wallet
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+fn refuse_too_large(
+    wanted: amount::TokenCount,
+    burst: amount::TokenCount,
+) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::TooManyTokens,
+        format!("the request may take {wanted} tokens and the team's burst is {burst}"),
+    )
+}
+
+fn refuse_unknown(team: &name::TeamName) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::Forbidden,
+        format!("the team {team} is not in the configuration in force"),
+    )
+}
+
+fn refuse_rate(
+    team: &name::TeamName,
+    retry_after: Option<time::Duration>,
+) -> face::RequestRefusal {
+    let refusal = face::RequestRefusal::not_run(
+        face::RefusalKind::RateLimited,
+        format!("the rate and burst of the team {team} are used up"),
+    );
+    refusal.retry_after(retry_after.unwrap_or(time::Duration::from_secs(1)))
+}
--- /dev/null
+++ b/galenahold_instance/src/registry/announcement_face.rs
@@ -0,0 +1,131 @@
+//! The HTTP face that backend servers announce themselves at.
+
+use std::net;
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_domain::server;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body;
+use log::info;
+use serde::de;
+
+use crate::face;
+use crate::registry;
+
+/// The largest announcement, in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 4 * 1024 * 1024;
+
+/// How long an announcement may take to arrive.
+const ANNOUNCEMENT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// The longest name of a backend server, in bytes.
+const MAX_NAME_BYTES: usize = 128;
+
+/// The HTTP face that backend servers announce themselves at.
+#[derive(Debug, Clone)]
+pub(crate) struct AnnouncementFace {
+    registry: registry::ServerRegistry,
+    events: registry::EventLog,
+    sink: tokio::sync::mpsc::Sender<server::CacheEvent>,
+}
+
+impl AnnouncementFace {
+    /// Creates a face that fills `registry` and passes cache events on to `events` and `sink`.
+    pub(crate) fn new(
+        registry: registry::ServerRegistry,
+        events: registry::EventLog,
+        sink: tokio::sync::mpsc::Sender<server::CacheEvent>,
+    ) -> Self {
+        Self {
+            registry,
+            events,
+            sink,
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<body::Incoming>,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let path = request.uri().path().to_owned();
+        if request.method() != Method::POST {
+            return Err(face::RequestRefusal::not_run(
+                face::RefusalKind::MethodNotAllowed,
+                format!("{path} takes POST"),
+            ));
+        }
+        let reader = face::BodyReader {
+            max_bytes: MAX_ANNOUNCEMENT_BYTES,
+            timeout: ANNOUNCEMENT_TIMEOUT,
+        };
+        let body = reader.read(request.into_body()).await?;
+        match path.as_str() {
+            "/v1/backend/announce" => self.announce(parse(&body)?),
+            "/v1/backend/cache-events" => self.take_event(parse(&body)?),
+            _ => Err(face::RequestRefusal::not_run(
+                face::RefusalKind::NotFound,
+                "there are /v1/backend/announce and /v1/backend/cache-events",
+            )),
+        }
+    }
+
+    fn announce(
+        &self,
+        announcement: server::ServerAnnouncement,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        check_name(&announcement.name)?;
+        if announcement.leaving {
+            info!(
+                server:% = announcement.name,
+                incarnation:% = announcement.incarnation;
+                "backend server leaves"
+            );
+        }
+        let now = time::Instant::now();
+        self.registry
+            .take(announcement, time::Duration::ZERO, true, now);
+        Ok(face::json_answer(StatusCode::OK, "{}"))
+    }
+
+    fn take_event(
+        &self,
+        event: server::CacheEvent,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        check_name(&event.name)?;
+        // A full sink drops the event, which shows as a gap.
+        let _ = self.sink.try_send(event.clone());
+        self.events.push(event);
+        Ok(face::json_answer(StatusCode::OK, "{}"))
+    }
+}
+
+impl face::HttpHandler for AnnouncementFace {
+    async fn handle(
+        self,
+        request: Request<body::Incoming>,
+        _peer: net::SocketAddr,
+    ) -> Response<face::AnswerBody> {
+        self.answer(request)
+            .await
+            .unwrap_or_else(|refusal| refusal.answer())
+    }
+}
+
+fn parse<Document: de::DeserializeOwned>(body: &[u8]) -> Result<Document, face::RequestRefusal> {
+    serde_json::from_slice(body).map_err(|error| {
+        face::RequestRefusal::not_run(face::RefusalKind::BadRequest, error.to_string())
+    })
+}
+
+/// Names go into headers and logs, so they are plain text.
+fn check_name(name: &name::ServerName) -> Result<(), face::RequestRefusal> {
+    let plain = name.bytes().all(|byte| byte.is_ascii_graphic());
+    if plain && !name.is_empty() && name.len() <= MAX_NAME_BYTES {
+        return Ok(());
+    }
+    Err(face::RequestRefusal::not_run(
+        face::RefusalKind::BadRequest,
+        format!("name: must be 1 to {MAX_NAME_BYTES} printable ASCII characters without spaces"),
+    ))
+}
--- /dev/null
+++ b/galenahold_instance/src/registry/announcement_spreader.rs
@@ -0,0 +1,186 @@
+//! Passes announcements on to other instances.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::message;
+use rand::seq::IndexedRandom;
+
+use crate::peer;
+use crate::registry;
+use crate::task;
+use crate::timer;
+
+/// How often announcements are passed on.
+const SPREAD_PERIOD: time::Duration = time::Duration::from_millis(100);
+
+/// How long another instance may take to take a batch.
+const SPREAD_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Passes announcements on to other instances.
+///
+/// What a backend server sent to this instance goes to each other one at the next period. Besides,
+/// one other instance at random gets all that it may lack, so that a cut between two instances does not
+/// keep them from hearing through a third.
+#[derive(Debug, Clone)]
+pub(crate) struct AnnouncementSpreader {
+    network: peer::PeerNetwork,
+    registry: registry::ServerRegistry,
+    events: registry::EventLog,
+}
+
+/// How far one other instance has been told.
+#[derive(Debug, Clone, Copy, Default)]
+struct SpreadMark {
+    direct: u64,
+    full: u64,
+    event: u64,
+    busy: bool,
+}
+
+/// A batch under way and the marks that it leads to.
+struct PendingBatch {
+    target: name::InstanceName,
+    batch: message::SpreadBatch,
+    reached: SpreadMark,
+}
+
+impl AnnouncementSpreader {
+    /// Creates a spreader.
+    pub(crate) fn new(
+        network: peer::PeerNetwork,
+        registry: registry::ServerRegistry,
+        events: registry::EventLog,
+    ) -> Self {
+        Self {
+            network,
+            registry,
+            events,
+        }
+    }
+
+    /// Starts to pass announcements on until the group stops.
+    pub(crate) fn start(self, timer: &timer::TimerService, group: &task::TaskGroup) {
+        let mut subscription = timer.subscribe(SPREAD_PERIOD);
+        let tasks = group.clone();
+        group.spawn_until_stop(async move {
+            let marks = MarkTable::default();
+            while let Some(now) = subscription.tick().await {
+                self.network.directory().forget_silent(now);
+                self.registry.forget_silent(now);
+                self.spread(&marks, now, &tasks);
+            }
+        });
+    }
+
+    fn spread(&self, marks: &MarkTable, now: time::Instant, tasks: &task::TaskGroup) {
+        let others = self.network.directory().others();
+        let lucky = others
+            .choose(&mut rand::rng())
+            .map(|card| card.name.clone());
+        for card in &others {
+            let full = lucky.as_ref() == Some(&card.name);
+            let Some(pending) = self.prepare(marks, &card.name, full, &others, now) else {
+                continue;
+            };
+            let spreader = self.clone();
+            let marks = marks.clone();
+            tasks.spawn_until_stop(async move { spreader.send(pending, marks).await });
+        }
+    }
+
+    fn prepare(
+        &self,
+        marks: &MarkTable,
+        target: &name::InstanceName,
+        full: bool,
+        others: &[message::InstanceCard],
+        now: time::Instant,
+    ) -> Option<PendingBatch> {
+        let mark = marks.begin(target)?;
+        let since = if full { mark.full } else { mark.direct };
+        let delta = self.registry.since(since, !full, now);
+        let events = self.events.since(mark.event);
+        if delta.announcements.is_empty() && events.events.is_empty() && !full {
+            marks.end(target, None);
+            return None;
+        }
+        let reached = SpreadMark {
+            direct: delta.version,
+            full: if full { delta.version } else { mark.full },
+            event: events.next,
+            busy: false,
+        };
+        let batch = message::SpreadBatch {
+            card: self.network.directory().own().clone(),
+            known: if full { others.to_vec() } else { Vec::new() },
+            announcements: delta.announcements,
+            events: events.events,
+        };
+        Some(PendingBatch {
+            target: target.clone(),
+            batch,
+            reached,
+        })
+    }
+
+    async fn send(self, pending: PendingBatch, marks: MarkTable) {
+        let PendingBatch {
+            target,
+            batch,
+            reached,
+        } = pending;
+        let called = self
+            .network
+            .call(&target, SPREAD_TIMEOUT, |client, context| async move {
+                client.spread(context, batch).await
+            })
+            .await;
+        match called {
+            Ok(receipt) => {
+                let now = time::Instant::now();
+                self.network.directory().hear(&receipt.card, now);
+                marks.end(&target, Some(reached));
+            }
+            Err(_) => marks.end(&target, None),
+        }
+    }
+}
+
+/// How far each other instance has been told.
+#[derive(Debug, Clone, Default)]
+struct MarkTable {
+    marks: std::sync::Arc<std::sync::Mutex<collections::HashMap<name::InstanceName, SpreadMark>>>,
+}
+
+impl MarkTable {
+    /// Begins a batch, unless one is under way.
+    fn begin(&self, target: &name::InstanceName) -> Option<SpreadMark> {
+        let mut marks = self.lock();
+        let mark = marks.entry(target.clone()).or_default();
+        if mark.busy {
+            return None;
+        }
+        mark.busy = true;
+        Some(*mark)
+    }
+
+    /// Ends a batch with the marks that were reached, if it was taken.
+    fn end(&self, target: &name::InstanceName, reached: Option<SpreadMark>) {
+        let mut marks = self.lock();
+        let mark = marks.entry(target.clone()).or_default();
+        mark.busy = false;
+        if let Some(reached) = reached {
+            *mark = reached;
+        }
+    }
+
+    fn lock(
+        &self,
+    ) -> std::sync::MutexGuard<'_, collections::HashMap<name::InstanceName, SpreadMark>> {
+        self.marks
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/registry/mod.rs
@@ -0,0 +1,13 @@
+//! Backend servers that announced themselves, and how announcements spread between instances.
+
+mod announcement_face;
+mod announcement_spreader;
+mod event_log;
+mod registry_entry;
+mod server_registry;
+
+pub(crate) use announcement_face::AnnouncementFace;
+pub(crate) use announcement_spreader::AnnouncementSpreader;
+pub(crate) use event_log::EventLog;
+pub(crate) use registry_entry::RegistryEntry;
+pub(crate) use server_registry::{RegistryDelta, ServerRegistry};
--- /dev/null
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -0,0 +1,137 @@
+//! The backend servers that this instance knows of.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_domain::server;
+use galenahold_wire::message;
+use tokio::sync::watch;
+
+use crate::registry;
+
+/// How long a silent backend server is kept, so that an older incarnation cannot come back as new.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(600);
+
+/// The backend servers that this instance knows of, by their latest announcements.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerRegistry {
+    table: sync::Arc<sync::Mutex<RegistryTable>>,
+    version: sync::Arc<watch::Sender<u64>>,
+}
+
+#[derive(Debug, Default)]
+struct RegistryTable {
+    entries: collections::HashMap<name::ServerName, registry::RegistryEntry>,
+    version: u64,
+}
+
+/// Announcements that came after a version.
+#[derive(Debug)]
+pub(crate) struct RegistryDelta {
+    /// The version that the delta leads to.
+    pub(crate) version: u64,
+    /// The announcements with their ages.
+    pub(crate) announcements: Vec<message::AgedAnnouncement>,
+}
+
+impl ServerRegistry {
+    /// Creates an empty registry.
+    pub(crate) fn new() -> Self {
+        Self {
+            table: sync::Arc::default(),
+            version: sync::Arc::new(watch::Sender::new(0)),
+        }
+    }
+
+    /// Takes up an announcement that was sent `age` ago; returns whether it was news.
+    pub(crate) fn take(
+        &self,
+        announcement: server::ServerAnnouncement,
+        age: time::Duration,
+        direct: bool,
+        now: time::Instant,
+    ) -> bool {
+        let mut table = self.lock();
+        let news = table.take(announcement, age, direct, now);
+        let version = table.version;
+        drop(table);
+        if news {
+            self.version.send_replace(version);
+        }
+        news
+    }
+
+    /// Returns a receiver that is told of each new version.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// Returns all entries.
+    pub(crate) fn entries(&self) -> Vec<registry::RegistryEntry> {
+        self.lock().entries.values().cloned().collect()
+    }
+
+    /// Returns the announcements that came after `version`, or only those sent to this instance.
+    pub(crate) fn since(&self, version: u64, direct_only: bool, now: time::Instant) -> RegistryDelta {
+        let table = self.lock();
+        let announcements = table
+            .entries
+            .values()
+            .filter(|entry| entry.version > version && (entry.direct || !direct_only))
+            .map(|entry| message::AgedAnnouncement {
+                age_ms: u64::try_from(entry.age(now).as_millis()).unwrap_or(u64::MAX),
+                announcement: server::ServerAnnouncement::clone(&entry.announcement),
+            })
+            .collect();
+        RegistryDelta {
+            version: table.version,
+            announcements,
+        }
+    }
+
+    /// Forgets backend servers that were silent for long.
+    pub(crate) fn forget_silent(&self, now: time::Instant) {
+        self.lock()
+            .entries
+            .retain(|_, entry| entry.age(now) < FORGET_AFTER);
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, RegistryTable> {
+        self.table
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl RegistryTable {
+    fn take(
+        &mut self,
+        mut announcement: server::ServerAnnouncement,
+        age: time::Duration,
+        direct: bool,
+        now: time::Instant,
+    ) -> bool {
+        let Some(sent_at) = now.checked_sub(age) else {
+            return false;
+        };
+        if let Some(held) = self.entries.get(&announcement.name) {
+            if !held.is_older_than(&announcement) {
+                return false;
+            }
+            let same = held.announcement.incarnation == announcement.incarnation;
+            announcement.leaving |= same && held.announcement.leaving;
+        }
+        self.version += 1;
+        let entry = registry::RegistryEntry {
+            version: self.version,
+            sent_at,
+            direct,
+            announcement: sync::Arc::new(announcement),
+        };
+        self.entries
+            .insert(entry.announcement.name.clone(), entry);
+        true
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/timer/mod.rs
@@ -0,0 +1,7 @@
+//! The timer service that parts subscribe to.
+
+mod timer_service;
+mod timer_subscription;
+
+pub(crate) use timer_service::TimerService;
+pub(crate) use timer_subscription::TimerSubscription;
--- /dev/null
+++ b/galenahold_instance/src/timer/timer_service.rs
@@ -0,0 +1,75 @@
+//! Tells subscribers that their period is over.
+
+use std::time;
+
+use tokio::sync::mpsc;
+
+use crate::task;
+use crate::timer;
+
+/// The finest period, and the delay with which a new subscription is taken up.
+const RESOLUTION: time::Duration = time::Duration::from_millis(10);
+
+/// Tells subscribers that their period is over.
+#[derive(Debug, Clone)]
+pub(crate) struct TimerService {
+    requests: mpsc::UnboundedSender<Subscriber>,
+}
+
+#[derive(Debug)]
+struct Subscriber {
+    period: time::Duration,
+    due: time::Instant,
+    ticks: mpsc::Sender<time::Instant>,
+}
+
+impl TimerService {
+    /// Starts the service; it stops with the group.
+    pub(crate) fn start(group: &task::TaskGroup) -> Self {
+        let (requests, inbox) = mpsc::unbounded_channel();
+        group.spawn_until_stop(run(inbox));
+        Self { requests }
+    }
+
+    /// Subscribes to a tick each `period`, the first one period from now.
+    pub(crate) fn subscribe(&self, period: time::Duration) -> timer::TimerSubscription {
+        let (ticks, receiver) = mpsc::channel(1);
+        let subscriber = Subscriber {
+            period: period.max(RESOLUTION),
+            due: time::Instant::now() + period,
+            ticks,
+        };
+        // After a stop the subscription simply has no ticks.
+        let _ = self.requests.send(subscriber);
+        timer::TimerSubscription { ticks: receiver }
+    }
+}
+
+async fn run(mut inbox: mpsc::UnboundedReceiver<Subscriber>) {
+    let mut subscribers = Vec::new();
+    let mut interval = tokio::time::interval(RESOLUTION);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    loop {
+        interval.tick().await;
+        while let Ok(subscriber) = inbox.try_recv() {
+            subscribers.push(subscriber);
+        }
+        let now = time::Instant::now();
+        subscribers.retain_mut(|subscriber| subscriber.notify(now));
+    }
+}
+
+impl Subscriber {
+    /// Sends a due tick; returns whether the subscription is still alive.
+    fn notify(&mut self, now: time::Instant) -> bool {
+        if now < self.due {
+            return !self.ticks.is_closed();
+        }
+        // After a pause of the process one tick is enough.
+        self.due = (self.due + self.period).max(now);
+        !matches!(
+            self.ticks.try_send(now),
+            Err(mpsc::error::TrySendError::Closed(_))
+        )
+    }
+}
