--- /dev/null
+++ b/galenahold_consensus/src/core/leader_state.rs
@@ -0,0 +1,55 @@
+//! [`LeaderState`].
+
+use std::collections;
+
+use crate::core;
+use crate::log;
+use crate::member;
+use crate::message;
+
+/// What only a leader knows.
+#[derive(Debug, Clone)]
+pub(super) struct LeaderState {
+    pub(super) progress: collections::BTreeMap<member::MemberId, core::MemberProgress>,
+    pub(super) first_index: log::LogIndex,
+    pub(super) sequence: u64,
+    pub(super) heartbeat_at: core::MonotonicTime,
+    pub(super) pending_reads: Vec<PendingRead>,
+    pub(super) transfer: Option<core::TransferState>,
+}
+
+/// A read that waits for a round of heartbeats.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PendingRead {
+    pub(super) ticket: core::ReadTicket,
+    pub(super) sequence: u64,
+}
+
+impl LeaderState {
+    pub(super) fn stamp(&self, now: core::MonotonicTime) -> message::ProbeStamp {
+        message::ProbeStamp {
+            sequence: self.sequence,
+            sent_at: now,
+        }
+    }
+
+    /// Returns the value that a quorum of the voters reaches, the leader's own included.
+    pub(super) fn quorum_value<V: Copy + Ord>(
+        &self,
+        membership: &member::MembershipList,
+        own: (member::MemberId, V),
+        value: impl Fn(&core::MemberProgress) -> Option<V>,
+    ) -> Option<V> {
+        let mut values: Vec<Option<V>> = membership
+            .voters()
+            .map(|voter| {
+                if voter == own.0 {
+                    return Some(own.1);
+                }
+                self.progress.get(&voter).and_then(&value)
+            })
+            .collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.get(membership.quorum() - 1).copied().flatten()
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -0,0 +1,338 @@
+//! Leading: heartbeats, lease, reads, proposals, membership changes and handover.
+
+use std::collections;
+use std::time;
+
+use crate::core;
+use crate::core::leader_state;
+use crate::log;
+use crate::member;
+use crate::message;
+
+impl core::RaftNode {
+    /// Appends a command, if this member leads.
+    ///
+    /// # Errors
+    ///
+    /// Refused proposals are certain never to be committed.
+    pub fn propose(
+        &mut self,
+        command: bytes::Bytes,
+    ) -> Result<log::LogPosition, core::ProposeRefusal> {
+        let Some(state) = self.leader_state() else {
+            return Err(core::ProposeRefusal::NotLeader);
+        };
+        if state.transfer.is_some() {
+            return Err(core::ProposeRefusal::Transferring);
+        }
+        Ok(self.append(log::EntryPayload::Command(command)))
+    }
+
+    /// Asks for a linearizable read; the answer comes in an output.
+    pub fn read(&mut self, ticket: core::ReadTicket, now: core::MonotonicTime) {
+        let ready = self.leads_ready() && self.lease_until().is_some_and(|until| now < until);
+        if ready {
+            let index = self.commit;
+            let verdict = core::ReadVerdict::Ready { ticket, index };
+            self.output.reads.push(verdict);
+            return;
+        }
+        let Some(state) = self.leader_state_mut() else {
+            self.output
+                .reads
+                .push(core::ReadVerdict::Refused { ticket });
+            return;
+        };
+        let sequence = state.sequence + 1;
+        state.heartbeat_at = now;
+        state
+            .pending_reads
+            .push(leader_state::PendingRead { ticket, sequence });
+        self.tick_leader(now);
+    }
+
+    /// Changes the membership by one member, if this member leads.
+    ///
+    /// # Errors
+    ///
+    /// Refused changes are certain never to be committed.
+    pub fn change_membership(
+        &mut self,
+        change: &member::MembershipChange,
+        now: core::MonotonicTime,
+    ) -> Result<log::LogPosition, core::ChangeRefusal> {
+        let Some(state) = self.leader_state() else {
+            return Err(core::ChangeRefusal::NotLeader);
+        };
+        let underway = self.membership.current_index() > self.commit;
+        if underway || state.transfer.is_some() || !self.leads_ready() {
+            return Err(core::ChangeRefusal::Underway);
+        }
+        if let member::MembershipChange::Promote(id) = change {
+            self.check_caught_up(*id)?;
+        }
+        let changed = self.membership.current().changed(change);
+        let list = changed.ok_or(core::ChangeRefusal::Inapplicable)?;
+        let position = self.append(log::EntryPayload::Membership(list));
+        self.align_progress(now);
+        Ok(position)
+    }
+
+    /// Begins to hand leadership to a voter; false if this member does not lead or the target is
+    /// no other voter.
+    ///
+    /// The lease is no longer extended, and the target is asked to stand only once it has run out,
+    /// so that whoever relies on the lease may do so to its end.
+    pub fn transfer_leadership(
+        &mut self,
+        target: member::MemberId,
+        now: core::MonotonicTime,
+    ) -> bool {
+        let known = target != self.own_id() && self.membership.current().is_voter(target);
+        let lease_until = self.lease_until().unwrap_or(now).max(now);
+        let deadline = lease_until + self.settings.election_timeout;
+        let Some(state) = self.leader_state_mut() else {
+            return false;
+        };
+        if !known || state.transfer.is_some() {
+            return false;
+        }
+        state.transfer = Some(core::TransferState {
+            target,
+            lease_until,
+            deadline,
+            asked: false,
+        });
+        self.refuse_reads();
+        true
+    }
+
+    /// Returns until when no other member can lead, as far as this leader knows.
+    ///
+    /// None if it does not lead, or no quorum has answered yet.
+    #[must_use]
+    pub fn lease_until(&self) -> Option<core::MonotonicTime> {
+        let state = self.leader_state()?;
+        if let Some(transfer) = state.transfer {
+            return Some(transfer.lease_until);
+        }
+        let endless = core::MonotonicTime::from_nanos(u64::MAX);
+        let start = state.quorum_value(
+            self.membership.current(),
+            (self.own_id(), endless),
+            |progress| progress.echoed.map(|probe| probe.sent_at),
+        )?;
+        Some(start + self.settings.lease_duration())
+    }
+
+    /// Tells whether this member leads and has committed an entry of its own term.
+    #[must_use]
+    pub fn leads_ready(&self) -> bool {
+        self.leader_state()
+            .is_some_and(|state| state.first_index <= self.commit)
+    }
+
+    /// Returns the position of the first entry of the own term, once it is committed.
+    #[must_use]
+    pub fn leading_since(&self) -> Option<log::LogPosition> {
+        let state = self.leader_state()?;
+        self.leads_ready().then_some(log::LogPosition {
+            term: self.hard_state.term,
+            index: state.first_index,
+        })
+    }
+
+    pub(super) fn lead(&mut self, now: core::MonotonicTime) {
+        let first_index = self.log.last().index.next();
+        self.role = core::RoleState::Leader(Box::new(core::LeaderState {
+            progress: collections::BTreeMap::new(),
+            first_index,
+            sequence: 0,
+            heartbeat_at: now,
+            pending_reads: Vec::new(),
+            transfer: None,
+        }));
+        self.leader = Some(self.own_id());
+        self.align_progress(now);
+        self.append(log::EntryPayload::Blank);
+    }
+
+    pub(super) fn tick_leader(&mut self, now: core::MonotonicTime) {
+        let abandoned = self.quorum_silence(now) >= self.settings.election_timeout;
+        if abandoned || self.transfer_failed(now) {
+            self.step_down(now);
+            return;
+        }
+        self.advance_transfer(now);
+        let interval = self.settings.heartbeat_interval;
+        let Some(state) = self.leader_state_mut() else {
+            return;
+        };
+        if now < state.heartbeat_at {
+            return;
+        }
+        state.heartbeat_at = now + interval;
+        state.sequence += 1;
+        self.send_heartbeats(now);
+    }
+
+    /// Takes in an answer of the own term; false if it is not for this leader.
+    pub(super) fn lead_sender(
+        &mut self,
+        sender: &core::MessageSender,
+        probe: message::ProbeStamp,
+        now: core::MonotonicTime,
+    ) -> bool {
+        if sender.term > self.hard_state.term {
+            self.follow(sender.term, None, now);
+            return false;
+        }
+        if sender.term < self.hard_state.term {
+            return false;
+        }
+        let Some(state) = self.leader_state_mut() else {
+            return false;
+        };
+        let Some(progress) = state.progress.get_mut(&sender.id) else {
+            return false;
+        };
+        progress.hear(probe, now);
+        self.answer_reads();
+        true
+    }
+
+    pub(super) fn refuse_reads(&mut self) {
+        let Some(state) = self.leader_state_mut() else {
+            return;
+        };
+        let refused = std::mem::take(&mut state.pending_reads);
+        let verdicts = refused.into_iter().map(|read| core::ReadVerdict::Refused {
+            ticket: read.ticket,
+        });
+        self.output.reads.extend(verdicts);
+    }
+
+    pub(super) fn answer_reads(&mut self) {
+        if !self.leads_ready() {
+            return;
+        }
+        let index = self.commit;
+        let own_id = self.own_id();
+        let core::RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let confirmed = state.quorum_value(
+            self.membership.current(),
+            (own_id, state.sequence),
+            |progress| progress.echoed.map(|probe| probe.sequence),
+        );
+        let confirmed = confirmed.unwrap_or(0);
+        let (ready, waiting) = std::mem::take(&mut state.pending_reads)
+            .into_iter()
+            .partition(|read| read.sequence <= confirmed);
+        state.pending_reads = waiting;
+        let ready: Vec<leader_state::PendingRead> = ready;
+        let verdicts = ready.into_iter().map(|read| core::ReadVerdict::Ready {
+            ticket: read.ticket,
+            index,
+        });
+        self.output.reads.extend(verdicts);
+    }
+
+    fn advance_transfer(&mut self, now: core::MonotonicTime) {
+        let last = self.log.last().index;
+        let Some(state) = self.leader_state_mut() else {
+            return;
+        };
+        let Some(transfer) = &mut state.transfer else {
+            return;
+        };
+        let target = transfer.target;
+        let caught_up = state
+            .progress
+            .get(&target)
+            .is_some_and(|progress| progress.matched >= last);
+        if transfer.asked || !caught_up || now < transfer.lease_until {
+            return;
+        }
+        transfer.asked = true;
+        self.send_prompt(target, message::MessageBody::ElectNow);
+    }
+
+    /// Steps down once the membership without this member as a voter is committed.
+    pub(super) fn leave_if_removed(&mut self) {
+        let settled = self.membership.current_index() <= self.commit;
+        let voter = self.membership.current().is_voter(self.own_id());
+        if settled && !voter && matches!(self.role, core::RoleState::Leader(_)) {
+            self.refuse_reads();
+            self.role = core::RoleState::Follower;
+            self.leader = None;
+        }
+    }
+
+    pub(super) fn append(&mut self, payload: log::EntryPayload) -> log::LogPosition {
+        let position = log::LogPosition {
+            term: self.hard_state.term,
+            index: self.log.last().index.next(),
+        };
+        let entry = log::LogEntry { position, payload };
+        self.membership.note(&entry);
+        self.output.entries.push(entry.clone());
+        self.log.push(entry);
+        position
+    }
+
+    fn check_caught_up(&self, id: member::MemberId) -> Result<(), core::ChangeRefusal> {
+        let progress = self.progress(id);
+        let progress = progress.ok_or(core::ChangeRefusal::Inapplicable)?;
+        let reach = progress.matched.get() + self.settings.promotion_lag_entries;
+        if reach < self.log.last().index.get() {
+            return Err(core::ChangeRefusal::Lagging);
+        }
+        Ok(())
+    }
+
+    fn align_progress(&mut self, now: core::MonotonicTime) {
+        let own_id = self.own_id();
+        let last = self.log.last().index;
+        let core::RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let membership = self.membership.current();
+        state.progress.retain(|id, _| membership.contains(*id));
+        for member in membership.iter() {
+            let id = member.profile.id;
+            if id != own_id {
+                let fresh = || core::MemberProgress::new(last, now);
+                state.progress.entry(id).or_insert_with(fresh);
+            }
+        }
+    }
+
+    fn quorum_silence(&self, now: core::MonotonicTime) -> time::Duration {
+        let heard_at = self.leader_state().and_then(|state| {
+            state.quorum_value(
+                self.membership.current(),
+                (self.own_id(), now),
+                |progress| Some(progress.heard_at),
+            )
+        });
+        heard_at.map_or(time::Duration::ZERO, |heard_at| now.since(heard_at))
+    }
+
+    /// Ends a handover whose time is over; true if the leader must step down because its lease is
+    /// given up for good.
+    fn transfer_failed(&mut self, now: core::MonotonicTime) -> bool {
+        let Some(state) = self.leader_state_mut() else {
+            return false;
+        };
+        let Some(transfer) = state.transfer else {
+            return false;
+        };
+        if now < transfer.deadline {
+            return false;
+        }
+        state.transfer = None;
+        transfer.asked
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/core/mod.rs
@@ -0,0 +1,52 @@
+//! The consensus algorithm as a step function, without threads, clocks, sockets and files.
+
+mod change_refusal;
+mod election;
+mod incoming_snapshot;
+mod jitter_source;
+mod leader_state;
+mod leadership;
+mod mark_table;
+mod member_progress;
+mod membership_history;
+mod message_sender;
+mod monotonic_time;
+mod node_output;
+mod node_role;
+mod node_settings;
+mod outgoing_message;
+mod progress_phase;
+mod propose_refusal;
+mod raft_node;
+mod read_ticket;
+mod read_verdict;
+mod recovered_state;
+mod replication;
+mod role_state;
+mod snapshot_transfer;
+mod snapshotting;
+mod transfer_state;
+
+pub use change_refusal::ChangeRefusal;
+pub use mark_table::MarkTable;
+pub use member_progress::MemberProgress;
+pub use monotonic_time::MonotonicTime;
+pub use node_output::NodeOutput;
+pub use node_role::NodeRole;
+pub use node_settings::NodeSettings;
+pub use outgoing_message::OutgoingMessage;
+pub use progress_phase::ProgressPhase;
+pub use propose_refusal::ProposeRefusal;
+pub use raft_node::RaftNode;
+pub use read_ticket::ReadTicket;
+pub use read_verdict::ReadVerdict;
+pub use recovered_state::RecoveredState;
+pub use snapshot_transfer::SnapshotTransfer;
+
+use incoming_snapshot::IncomingSnapshot;
+use jitter_source::JitterSource;
+use leader_state::LeaderState;
+use membership_history::MembershipHistory;
+use message_sender::MessageSender;
+use role_state::RoleState;
+use transfer_state::TransferState;
--- /dev/null
+++ b/galenahold_consensus/src/core/raft_node.rs
@@ -0,0 +1,341 @@
+//! [`RaftNode`].
+
+use std::mem;
+
+use crate::core;
+use crate::log;
+use crate::member;
+use crate::message;
+
+/// One member of a consensus group, as a step function.
+///
+/// Each input takes the time of the member's own monotonic clock, read when the input is taken up.
+/// What must be done is collected and handed out by [`RaftNode::take_output`].
+#[derive(Debug, Clone)]
+pub struct RaftNode {
+    pub(super) settings: core::NodeSettings,
+    pub(super) hard_state: log::HardState,
+    pub(super) log: log::RaftLog,
+    pub(super) membership: core::MembershipHistory,
+    pub(super) role: core::RoleState,
+    pub(super) leader: Option<member::MemberId>,
+    pub(super) leader_contact: core::MonotonicTime,
+    pub(super) election_at: core::MonotonicTime,
+    pub(super) jitter: core::JitterSource,
+    pub(super) commit: log::LogIndex,
+    pub(super) durable: log::LogIndex,
+    pub(super) snapshot: Option<log::SnapshotImage>,
+    pub(super) incoming: Option<core::IncomingSnapshot>,
+    pub(super) marks: core::MarkTable,
+    pub(super) output: core::NodeOutput,
+}
+
+impl RaftNode {
+    /// Starts a member from what its data folder holds.
+    ///
+    /// `genesis` is the group's first membership, `entries` follow the snapshot without a gap.
+    /// The member may have vouched for a leader's lease right before it stopped, so it refuses
+    /// votes for a first election timeout.
+    #[must_use]
+    pub fn new(
+        settings: core::NodeSettings,
+        genesis: member::MembershipList,
+        recovered: core::RecoveredState,
+        now: core::MonotonicTime,
+    ) -> Self {
+        let meta = recovered.snapshot.as_ref().map(|image| image.meta.clone());
+        let meta = meta.unwrap_or(log::SnapshotMeta {
+            position: log::LogPosition::default(),
+            membership: genesis,
+        });
+        let mut membership = core::MembershipHistory::new(meta.membership);
+        for entry in &recovered.entries {
+            membership.note(entry);
+        }
+        let log = log::RaftLog::new(meta.position, recovered.entries);
+        let mut jitter = core::JitterSource::new(settings.seed);
+        let election_at = now + jitter.spread(settings.election_timeout);
+        Self {
+            durable: log.last().index,
+            commit: meta.position.index,
+            hard_state: recovered.hard_state,
+            marks: core::MarkTable::new(recovered.marks),
+            snapshot: recovered.snapshot,
+            role: core::RoleState::Follower,
+            leader: None,
+            leader_contact: now,
+            incoming: None,
+            output: core::NodeOutput::default(),
+            settings,
+            log,
+            membership,
+            election_at,
+            jitter,
+        }
+    }
+
+    /// Takes in that time has passed.
+    pub fn tick(&mut self, now: core::MonotonicTime) {
+        match self.role {
+            core::RoleState::Retired => {}
+            core::RoleState::Leader(_) => self.tick_leader(now),
+            _ => self.tick_election(now),
+        }
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, message: message::ConsensusMessage, now: core::MonotonicTime) {
+        let addressed = message.to == Some(self.settings.profile.id)
+            && message.cluster == Some(self.settings.cluster);
+        if !addressed || matches!(self.role, core::RoleState::Retired) {
+            return;
+        }
+        if let message::MessageBody::Superseded { incarnation } = message.body {
+            self.retire_if_meant(incarnation);
+            return;
+        }
+        if !self.marks.admit(&message) {
+            self.tell_superseded(&message);
+            return;
+        }
+        let sender = core::MessageSender {
+            id: message.from,
+            endpoint: message.from_endpoint,
+            term: message.term,
+        };
+        self.dispatch(&sender, message.body, now);
+    }
+
+    /// Hands out what must be done, after filling the append windows of all members.
+    pub fn take_output(&mut self, now: core::MonotonicTime) -> core::NodeOutput {
+        self.feed_members(now);
+        mem::take(&mut self.output)
+    }
+
+    /// Takes in that all entries of the outputs so far are durable.
+    pub fn persisted(&mut self, position: log::LogPosition) {
+        if !self.log.matches(position) {
+            return;
+        }
+        self.durable = self.durable.max(position.index);
+        if matches!(self.role, core::RoleState::Leader(_)) {
+            self.advance_commit();
+        }
+    }
+
+    /// Gives up leadership, for instance because the data folder fails.
+    pub fn step_down(&mut self, now: core::MonotonicTime) {
+        let term = self.hard_state.term;
+        self.follow(term, None, now);
+    }
+
+    /// Returns the role.
+    #[must_use]
+    pub fn role(&self) -> core::NodeRole {
+        match self.role {
+            core::RoleState::Follower => core::NodeRole::Follower,
+            core::RoleState::TrialCandidate(_) | core::RoleState::Candidate(_) => {
+                core::NodeRole::Candidate
+            }
+            core::RoleState::Leader(_) => core::NodeRole::Leader,
+            core::RoleState::Retired => core::NodeRole::Retired,
+        }
+    }
+
+    /// Returns the term.
+    #[must_use]
+    pub fn term(&self) -> log::Term {
+        self.hard_state.term
+    }
+
+    /// Returns the leader of the term, where it is known.
+    #[must_use]
+    pub fn leader(&self) -> Option<member::MemberId> {
+        self.leader
+    }
+
+    /// Returns the highest index known to be committed.
+    #[must_use]
+    pub fn commit(&self) -> log::LogIndex {
+        self.commit
+    }
+
+    /// Returns the last position of the log.
+    #[must_use]
+    pub fn last(&self) -> log::LogPosition {
+        self.log.last()
+    }
+
+    /// Returns the log.
+    #[must_use]
+    pub fn log(&self) -> &log::RaftLog {
+        &self.log
+    }
+
+    /// Returns the membership in force.
+    #[must_use]
+    pub fn membership(&self) -> &member::MembershipList {
+        self.membership.current()
+    }
+
+    /// Returns the position of the last snapshot.
+    #[must_use]
+    pub fn snapshot_position(&self) -> Option<log::LogPosition> {
+        self.snapshot.as_ref().map(|image| image.meta.position)
+    }
+
+    /// Returns the marks of the members.
+    #[must_use]
+    pub fn marks(&self) -> &core::MarkTable {
+        &self.marks
+    }
+
+    /// Returns the settings.
+    #[must_use]
+    pub fn settings(&self) -> &core::NodeSettings {
+        &self.settings
+    }
+
+    /// Returns what the leader knows of a member; none on other members.
+    #[must_use]
+    pub fn progress(&self, id: member::MemberId) -> Option<&core::MemberProgress> {
+        self.leader_state()?.progress.get(&id)
+    }
+
+    fn dispatch(
+        &mut self,
+        sender: &core::MessageSender,
+        body: message::MessageBody,
+        now: core::MonotonicTime,
+    ) {
+        match body {
+            message::MessageBody::VoteRequest(request) => {
+                self.receive_vote_request(sender, request, now);
+            }
+            message::MessageBody::VoteResponse(response) => {
+                self.receive_vote_response(sender, response, now);
+            }
+            message::MessageBody::AppendRequest(request) => {
+                if self.follow_sender(sender, request.probe, now) {
+                    self.receive_append(sender, &request);
+                }
+            }
+            message::MessageBody::SnapshotChunk(chunk) => {
+                if self.follow_sender(sender, chunk.probe, now) {
+                    self.receive_chunk(sender, &chunk);
+                }
+            }
+            message::MessageBody::Heartbeat { probe } => {
+                if self.follow_sender(sender, probe, now) {
+                    let body = message::MessageBody::HeartbeatResponse { probe };
+                    self.send_after_sync(sender, body);
+                }
+            }
+            message::MessageBody::AppendResponse(response) => {
+                if self.lead_sender(sender, response.probe, now) {
+                    self.receive_append_response(sender.id, response);
+                }
+            }
+            message::MessageBody::SnapshotProgress {
+                index,
+                offset,
+                probe,
+            } => {
+                if self.lead_sender(sender, probe, now) {
+                    self.receive_snapshot_progress(sender.id, index, offset);
+                }
+            }
+            message::MessageBody::HeartbeatResponse { probe } => {
+                self.lead_sender(sender, probe, now);
+            }
+            message::MessageBody::ElectNow => self.receive_elect_now(sender, now),
+            message::MessageBody::Superseded { .. } | message::MessageBody::Founding(_) => {}
+        }
+    }
+
+    fn retire_if_meant(&mut self, incarnation: u64) {
+        if incarnation == self.settings.incarnation {
+            self.refuse_reads();
+            self.role = core::RoleState::Retired;
+            self.leader = None;
+            self.output.retired = true;
+        }
+    }
+
+    fn tell_superseded(&mut self, message: &message::ConsensusMessage) {
+        let body = message::MessageBody::Superseded {
+            incarnation: message.incarnation,
+        };
+        let answer = self.envelope(message.from, body);
+        self.output.prompt.push(core::OutgoingMessage {
+            to: message.from_endpoint.clone(),
+            message: answer,
+        });
+    }
+
+    pub(super) fn envelope(
+        &self,
+        to: member::MemberId,
+        body: message::MessageBody,
+    ) -> message::ConsensusMessage {
+        message::ConsensusMessage {
+            version: message::ConsensusMessage::VERSION,
+            cluster: Some(self.settings.cluster),
+            from: self.settings.profile.id,
+            from_endpoint: self.settings.profile.endpoint.clone(),
+            to: Some(to),
+            boot: self.settings.boot,
+            incarnation: self.settings.incarnation,
+            term: self.hard_state.term,
+            durable: self.durable,
+            body,
+        }
+    }
+
+    pub(super) fn send_prompt(&mut self, to: member::MemberId, body: message::MessageBody) {
+        let Some(member) = self.membership.current().get(to) else {
+            return;
+        };
+        let endpoint = member.profile.endpoint.clone();
+        let message = self.envelope(to, body);
+        self.output.prompt.push(core::OutgoingMessage {
+            to: endpoint,
+            message,
+        });
+    }
+
+    pub(super) fn send_after_sync(&mut self, to: &core::MessageSender, body: message::MessageBody) {
+        let message = self.envelope(to.id, body);
+        self.output.after_sync.push(core::OutgoingMessage {
+            to: to.endpoint.clone(),
+            message,
+        });
+    }
+
+    pub(super) fn own_id(&self) -> member::MemberId {
+        self.settings.profile.id
+    }
+
+    pub(super) fn leader_state(&self) -> Option<&core::LeaderState> {
+        match &self.role {
+            core::RoleState::Leader(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    pub(super) fn leader_state_mut(&mut self) -> Option<&mut core::LeaderState> {
+        match &mut self.role {
+            core::RoleState::Leader(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    pub(super) fn commit_to(&mut self, index: log::LogIndex) {
+        while self.commit < index {
+            self.commit = self.commit.next();
+            if let Some(entry) = self.log.get(self.commit) {
+                self.output.committed.push(entry.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/core/role_state.rs
@@ -0,0 +1,16 @@
+//! [`RoleState`].
+
+use std::collections;
+
+use crate::core;
+use crate::member;
+
+/// A member's role with what belongs to it.
+#[derive(Debug, Clone)]
+pub(super) enum RoleState {
+    Follower,
+    TrialCandidate(collections::BTreeSet<member::MemberId>),
+    Candidate(collections::BTreeSet<member::MemberId>),
+    Leader(Box<core::LeaderState>),
+    Retired,
+}
--- /dev/null
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -0,0 +1,562 @@
+//! [`LogThread`].
+
+use std::collections;
+use std::sync;
+
+use crate::core;
+use crate::driver;
+use crate::driver::log_input;
+use crate::driver::status_report;
+use crate::founding;
+use crate::log;
+use crate::member;
+use crate::message;
+use crate::storage;
+
+/// The thread that owns a member: its node, data folder, state machine and transport.
+pub(super) struct LogThread<S: driver::StateMachine, T, B: storage::StorageBackend> {
+    settings: driver::DriverSettings,
+    node_settings: core::NodeSettings,
+    clock: driver::DriverClock,
+    founding: founding::GroupFounding,
+    store: storage::LogStore<B>,
+    machine: S,
+    transport: T,
+    inbox: crossbeam_channel::Receiver<driver::LogInput<S>>,
+    view: sync::Arc<driver::SharedView>,
+    writer: driver::SnapshotWriter,
+    node: Option<core::RaftNode>,
+    recovered: core::RecoveredState,
+    applied: log::LogIndex,
+    unsnapshot_bytes: u64,
+    proposals: driver::PendingProposals<S::Outcome>,
+    reads: driver::PendingReads<S>,
+    joiners: collections::BTreeMap<member::MemberId, member::MemberProfile>,
+    failure: Option<sync::Arc<str>>,
+    retired: bool,
+    marks_at: core::MonotonicTime,
+    status_at: core::MonotonicTime,
+}
+
+impl<S, T, B> LogThread<S, T, B>
+where
+    S: driver::StateMachine,
+    T: driver::MessageTransport,
+    B: storage::StorageBackend,
+{
+    const STATUS_INTERVAL: std::time::Duration = std::time::Duration::from_millis(20);
+    const MARKS_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+    const KEPT_JOINERS: usize = 64;
+
+    pub(super) fn new(parts: driver::ThreadParts<S, T, B>) -> Self {
+        let now = parts.clock.now();
+        let snapshot = parts.opened.recovered.snapshot.as_ref();
+        let applied = snapshot.map_or(log::LogIndex::ZERO, |image| image.meta.position.index);
+        Self {
+            settings: parts.settings,
+            node_settings: parts.node_settings,
+            clock: parts.clock,
+            founding: parts.founding,
+            store: parts.opened.store,
+            machine: parts.machine,
+            transport: parts.transport,
+            inbox: parts.inbox,
+            view: parts.view,
+            writer: parts.writer,
+            node: None,
+            recovered: parts.opened.recovered,
+            applied,
+            unsnapshot_bytes: 0,
+            proposals: driver::PendingProposals::new(),
+            reads: driver::PendingReads::new(),
+            joiners: collections::BTreeMap::new(),
+            failure: None,
+            retired: false,
+            marks_at: now,
+            status_at: now,
+        }
+    }
+
+    pub(super) fn run(mut self) {
+        self.start_node();
+        while self.turn() {}
+        self.finish();
+    }
+
+    /// Takes up what waits, or the passing of time; false once it is to stop.
+    fn turn(&mut self) -> bool {
+        match self.inbox.recv_timeout(self.settings.tick_interval) {
+            Ok(driver::LogInput::Stop) | Err(crossbeam_channel::RecvTimeoutError::Disconnected) => {
+                return false;
+            }
+            Ok(input) => self.take(input),
+            Err(crossbeam_channel::RecvTimeoutError::Timeout) => {}
+        }
+        for _ in 1..self.settings.batch_inputs {
+            match self.inbox.try_recv() {
+                Ok(driver::LogInput::Stop) => return false,
+                Ok(input) => self.take(input),
+                Err(_) => break,
+            }
+        }
+        self.tick();
+        self.flush();
+        self.publish();
+        true
+    }
+
+    fn take(&mut self, input: driver::LogInput<S>) {
+        match input {
+            driver::LogInput::Message(message) => self.take_message(*message),
+            driver::LogInput::Propose { command, reply } => self.propose(command, reply),
+            driver::LogInput::Read {
+                linearizable,
+                reply,
+            } => self.read(linearizable, reply),
+            driver::LogInput::Change { change, reply } => self.change(&change, reply),
+            driver::LogInput::Transfer { target, reply } => {
+                let now = self.clock.now();
+                let node = self.node.as_mut();
+                reply(node.is_some_and(|node| node.transfer_leadership(target, now)));
+            }
+            driver::LogInput::SnapshotWritten { image, outcome } => {
+                self.snapshot_written(image, &outcome);
+            }
+            driver::LogInput::Stop => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.failure.is_some() {
+            return;
+        }
+        let now = self.clock.now();
+        let Some(node) = self.node.as_mut() else {
+            self.seek_group(now);
+            return;
+        };
+        node.tick(now);
+        if now.since(self.marks_at) >= Self::MARKS_INTERVAL {
+            self.marks_at = now;
+            let marks = node.marks().iter().copied().collect();
+            let outcome = self.store.persist_marks(marks);
+            self.check(&outcome);
+        }
+    }
+
+    /// Does all that the node asks for, in the order that keeps acknowledgements behind durability.
+    fn flush(&mut self) {
+        while let Some(node) = self.node.as_mut() {
+            let output = node.take_output(self.clock.now());
+            if output.is_empty() {
+                break;
+            }
+            if output.retired {
+                self.retire();
+                return;
+            }
+            if !self.carry_out(output) {
+                return;
+            }
+        }
+        self.drop_lost_proposals();
+        self.take_snapshot_if_due();
+    }
+
+    fn carry_out(&mut self, mut output: core::NodeOutput) -> bool {
+        self.publish_lease();
+        self.send(std::mem::take(&mut output.prompt));
+        if output.needs_sync() {
+            let outcome = self.store.persist(&output);
+            if !self.check(&outcome) {
+                return false;
+            }
+        }
+        self.send(std::mem::take(&mut output.after_sync));
+        if let Some(image) = output.install.take()
+            && !self.install(&image)
+        {
+            return false;
+        }
+        if let (Some(node), Some(last)) = (self.node.as_mut(), output.entries.last()) {
+            node.persisted(last.position);
+        }
+        self.apply(output.committed);
+        self.settle_reads(&output.reads);
+        true
+    }
+
+    fn send(&mut self, messages: Vec<core::OutgoingMessage>) {
+        for outgoing in messages {
+            self.transport.send(&outgoing.to, outgoing.message);
+        }
+    }
+
+    fn apply(&mut self, committed: Vec<log::LogEntry>) {
+        if committed.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let lease = self.node.as_ref().and_then(core::RaftNode::lease_until);
+        let leased = lease.is_some_and(|until| now < until);
+        for entry in committed {
+            let position = entry.position;
+            self.applied = position.index;
+            match entry.payload {
+                log::EntryPayload::Blank => {}
+                log::EntryPayload::Command(command) => {
+                    self.unsnapshot_bytes += command.len() as u64;
+                    let outcome = self.machine.apply(position.index, position.term, &command);
+                    if let Some(reply) = self.proposals.take(position) {
+                        reply(acknowledged(leased, position, outcome));
+                    }
+                }
+                log::EntryPayload::Membership(list) => {
+                    self.joiners.retain(|id, _| !list.contains(*id));
+                    if let Some(reply) = self.proposals.take_change(position) {
+                        reply(Ok(position));
+                    }
+                }
+            }
+        }
+    }
+
+    fn settle_reads(&mut self, verdicts: &[core::ReadVerdict]) {
+        let refusal = driver::ReadError::NotLeader {
+            hint: self.leader(),
+        };
+        for verdict in verdicts {
+            self.reads.settle(*verdict, &refusal);
+        }
+        self.reads.run(self.applied, &self.machine);
+    }
+
+    fn propose(&mut self, command: bytes::Bytes, reply: log_input::ProposeReply<S::Outcome>) {
+        if self.proposals.len() >= self.settings.pending_proposals {
+            reply(Err(driver::ProposeError::Busy));
+            return;
+        }
+        let proposed = self.node.as_mut().map(|node| node.propose(command));
+        match proposed {
+            Some(Ok(position)) => self.proposals.add(position, reply),
+            Some(Err(core::ProposeRefusal::Transferring)) => {
+                reply(Err(driver::ProposeError::Busy));
+            }
+            _ => reply(Err(self.not_leading())),
+        }
+    }
+
+    fn read(&mut self, linearizable: bool, reply: log_input::ReadReply<S>) {
+        if self.failure.is_some() {
+            reply(Err(driver::ReadError::Storage));
+        } else if !linearizable {
+            reply(Ok(&self.machine));
+        } else if let Some(node) = self.node.as_mut() {
+            let ticket = self.reads.enqueue(reply);
+            node.read(ticket, self.clock.now());
+        } else {
+            reply(Err(driver::ReadError::NotLeader { hint: None }));
+        }
+    }
+
+    fn change(&mut self, change: &member::MembershipChange, reply: log_input::ChangeReply) {
+        let now = self.clock.now();
+        let Some(node) = self.node.as_mut() else {
+            let cause = self.not_leading();
+            reply(Err(driver::ChangeError::Unsettled { cause }));
+            return;
+        };
+        match node.change_membership(change, now) {
+            Ok(position) => self.proposals.add_change(position, reply),
+            Err(core::ChangeRefusal::NotLeader) => {
+                let cause = self.not_leading();
+                reply(Err(driver::ChangeError::Unsettled { cause }));
+            }
+            Err(refusal) => reply(Err(driver::ChangeError::Refused { refusal })),
+        }
+    }
+
+    fn take_message(&mut self, message: message::ConsensusMessage) {
+        if self.failure.is_some() {
+            return;
+        }
+        if let message::MessageBody::Founding(body) = message.body {
+            self.take_founding(&message.from_endpoint, body);
+            return;
+        }
+        if let Some(node) = self.node.as_mut() {
+            node.receive(message, self.clock.now());
+        }
+    }
+
+    fn take_founding(&mut self, from: &member::MemberEndpoint, body: message::FoundingBody) {
+        if self.node.is_none() {
+            if let Some(step) = self.founding.receive(body) {
+                self.join(step);
+            }
+            return;
+        }
+        let message::FoundingBody::Greeting(guest) = body else {
+            return;
+        };
+        if let Some(answer) = self.answer_greeting(guest) {
+            self.send_founding(from, answer);
+        }
+    }
+
+    fn answer_greeting(&mut self, guest: member::MemberProfile) -> Option<message::FoundingBody> {
+        let node = self.node.as_ref()?;
+        let cluster = node.settings().cluster;
+        if node.membership().contains(guest.id) {
+            return Some(message::FoundingBody::Welcome {
+                cluster,
+                genesis: self.store.identity().genesis.clone(),
+                guest: guest.id,
+            });
+        }
+        self.joiners
+            .retain(|_, joiner| joiner.endpoint.name != guest.endpoint.name);
+        if self.joiners.len() < Self::KEPT_JOINERS {
+            self.joiners.insert(guest.id, guest);
+        }
+        Some(message::FoundingBody::Founded { cluster })
+    }
+
+    fn seek_group(&mut self, now: core::MonotonicTime) {
+        for endpoint in self.founding.greetings(now) {
+            let greeting = self.founding.greeting();
+            self.send_founding(&endpoint, greeting);
+        }
+        if let Some(step) = self.founding.foundable() {
+            self.join(step);
+        }
+    }
+
+    fn send_founding(&mut self, to: &member::MemberEndpoint, body: message::FoundingBody) {
+        let settings = &self.node_settings;
+        let message = message::ConsensusMessage {
+            version: message::ConsensusMessage::VERSION,
+            cluster: self.store.identity().cluster,
+            from: settings.profile.id,
+            from_endpoint: settings.profile.endpoint.clone(),
+            to: None,
+            boot: settings.boot,
+            incarnation: settings.incarnation,
+            term: log::Term::ZERO,
+            durable: log::LogIndex::ZERO,
+            body: message::MessageBody::Founding(body),
+        };
+        self.transport.send(to, message);
+    }
+
+    fn join(&mut self, step: founding::FoundingStep) {
+        let (cluster, genesis) = match step {
+            founding::FoundingStep::Found(genesis) => {
+                (member::ClusterId::new(rand::random()), genesis)
+            }
+            founding::FoundingStep::Join { cluster, genesis } => (cluster, genesis),
+        };
+        let outcome = self.store.join(cluster, genesis);
+        if self.check(&outcome) {
+            self.start_node();
+        }
+    }
+
+    fn start_node(&mut self) {
+        let identity = self.store.identity();
+        let Some(cluster) = identity.cluster else {
+            return;
+        };
+        self.node_settings.cluster = cluster;
+        self.node = Some(core::RaftNode::new(
+            self.node_settings.clone(),
+            identity.genesis.clone(),
+            std::mem::take(&mut self.recovered),
+            self.clock.now(),
+        ));
+    }
+
+    fn take_snapshot_if_due(&mut self) {
+        let Some(node) = &self.node else {
+            return;
+        };
+        let position = node.snapshot_position().unwrap_or_default();
+        let entries = self.applied.get().saturating_sub(position.index.get());
+        let due = entries >= self.settings.snapshot_entries
+            || self.unsnapshot_bytes >= self.settings.snapshot_bytes;
+        if !due || entries == 0 || self.writer.is_busy() {
+            return;
+        }
+        let Some(meta) = node.snapshot_meta(self.applied) else {
+            return;
+        };
+        self.unsnapshot_bytes = 0;
+        self.writer.write(log::SnapshotImage {
+            meta,
+            data: self.machine.snapshot().into(),
+        });
+    }
+
+    fn snapshot_written(
+        &mut self,
+        image: log::SnapshotImage,
+        outcome: &Result<(), storage::StorageError>,
+    ) {
+        self.writer.written();
+        if !self.check(outcome) {
+            return;
+        }
+        let Some(node) = self.node.as_mut() else {
+            return;
+        };
+        let index = image.meta.position.index;
+        node.snapshot_taken(image);
+        let outcome = self.store.release_before(index);
+        self.check(&outcome);
+    }
+
+    fn install(&mut self, image: &log::SnapshotImage) -> bool {
+        if let Err(error) = self.machine.restore(&image.data) {
+            self.fail(&error.to_string());
+            return false;
+        }
+        self.applied = image.meta.position.index;
+        self.unsnapshot_bytes = 0;
+        true
+    }
+
+    fn drop_lost_proposals(&mut self) {
+        let leads = self
+            .node
+            .as_ref()
+            .is_some_and(|node| node.role() == core::NodeRole::Leader);
+        if !leads && !self.proposals.is_empty() {
+            self.proposals.drop_all();
+        }
+    }
+
+    fn retire(&mut self) {
+        let reason = match self.store.retire() {
+            Ok(()) => "the data folder is an older copy: empty it and add it as a new member",
+            Err(_) => "the data folder is an older copy and could not be marked so",
+        };
+        self.retired = true;
+        self.fail(reason);
+    }
+
+    fn check(&mut self, outcome: &Result<(), storage::StorageError>) -> bool {
+        if let Err(error) = outcome {
+            self.fail(&error.to_string());
+        }
+        outcome.is_ok()
+    }
+
+    /// Takes no further part; nothing is sent or acknowledged any more.
+    fn fail(&mut self, reason: &str) {
+        ::log::error!("the member takes no further part: {reason}");
+        self.failure = Some(reason.into());
+        self.node = None;
+        self.view.set_lease(None);
+        self.proposals.drop_all();
+        self.reads.fail(&driver::ReadError::Storage);
+    }
+
+    fn publish(&mut self) {
+        self.publish_lease();
+        self.view.announce(&self.role_event());
+        let now = self.clock.now();
+        if now.since(self.status_at) >= Self::STATUS_INTERVAL {
+            self.status_at = now;
+            self.publish_status(now);
+        }
+    }
+
+    fn publish_lease(&self) {
+        let node = self.node.as_ref().filter(|node| node.leads_ready());
+        let lease = node.and_then(core::RaftNode::lease_until);
+        self.view.set_lease(lease);
+    }
+
+    fn publish_status(&self, now: core::MonotonicTime) {
+        let mut status = driver::LogStatus::unjoined(self.node_settings.profile.clone());
+        status.cluster = self.store.identity().cluster;
+        status.applied = self.applied;
+        status.joiners = self.joiners.values().cloned().collect();
+        status.failure.clone_from(&self.failure);
+        if let Some(node) = &self.node {
+            status_report::fill(&mut status, node, now);
+        }
+        if self.retired {
+            status.role = core::NodeRole::Retired;
+        }
+        self.view.set_status(status);
+    }
+
+    fn role_event(&self) -> driver::RoleEvent {
+        if self.failure.is_some() {
+            return driver::RoleEvent::Failed;
+        }
+        let since = self.node.as_ref().and_then(core::RaftNode::leading_since);
+        if let Some(since) = since {
+            return driver::RoleEvent::Leading { since };
+        }
+        driver::RoleEvent::Following {
+            term: self
+                .node
+                .as_ref()
+                .map(core::RaftNode::term)
+                .unwrap_or_default(),
+            leader: self.leader(),
+        }
+    }
+
+    fn not_leading(&self) -> driver::ProposeError {
+        if self.failure.is_some() {
+            return driver::ProposeError::Storage;
+        }
+        driver::ProposeError::NotLeader {
+            hint: self.leader(),
+        }
+    }
+
+    fn leader(&self) -> Option<member::MemberProfile> {
+        status_report::leader(self.node.as_ref()?)
+    }
+
+    fn finish(mut self) {
+        self.view.set_lease(None);
+        self.proposals.drop_all();
+        self.reads.fail(&driver::ReadError::Stopped);
+        while let Ok(input) = self.inbox.try_recv() {
+            refuse_stopped(input);
+        }
+        self.publish_status(self.clock.now());
+        self.view.announce(&driver::RoleEvent::Stopped);
+        drop(self.inbox);
+        self.writer.join();
+    }
+}
+
+fn acknowledged<O>(
+    leased: bool,
+    position: log::LogPosition,
+    outcome: O,
+) -> Result<driver::CommittedOutcome<O>, driver::ProposeError> {
+    if leased {
+        Ok(driver::CommittedOutcome { position, outcome })
+    } else {
+        Err(driver::ProposeError::Dropped)
+    }
+}
+
+fn refuse_stopped<S: driver::StateMachine>(input: driver::LogInput<S>) {
+    match input {
+        driver::LogInput::Propose { reply, .. } => reply(Err(driver::ProposeError::Stopped)),
+        driver::LogInput::Read { reply, .. } => reply(Err(driver::ReadError::Stopped)),
+        driver::LogInput::Change { reply, .. } => reply(Err(driver::ChangeError::Unsettled {
+            cause: driver::ProposeError::Stopped,
+        })),
+        driver::LogInput::Transfer { reply, .. } => reply(false),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/driver/mod.rs
@@ -0,0 +1,53 @@
+//! The thread that drives a member, its data folder and its state machine.
+
+mod change_error;
+mod committed_outcome;
+mod driver_clock;
+mod driver_settings;
+mod log_builder;
+mod log_handle;
+mod log_input;
+mod log_status;
+mod log_thread;
+mod member_report;
+mod message_transport;
+mod pending_proposals;
+mod pending_reads;
+mod propose_error;
+mod propose_error_kind;
+mod read_error;
+mod replicated_log;
+mod restore_error;
+mod role_event;
+mod shared_view;
+mod snapshot_writer;
+mod start_error;
+mod state_machine;
+mod status_report;
+mod thread_parts;
+
+pub use change_error::ChangeError;
+pub use committed_outcome::CommittedOutcome;
+pub use log_builder::LogBuilder;
+pub use log_handle::LogHandle;
+pub use log_status::LogStatus;
+pub use member_report::MemberReport;
+pub use message_transport::MessageTransport;
+pub use propose_error::ProposeError;
+pub use propose_error_kind::ProposeErrorKind;
+pub use read_error::ReadError;
+pub use replicated_log::ReplicatedLog;
+pub use restore_error::RestoreError;
+pub use role_event::RoleEvent;
+pub use start_error::StartError;
+pub use state_machine::StateMachine;
+
+use driver_clock::DriverClock;
+use driver_settings::DriverSettings;
+use log_input::LogInput;
+use log_thread::LogThread;
+use pending_proposals::PendingProposals;
+use pending_reads::PendingReads;
+use shared_view::SharedView;
+use snapshot_writer::SnapshotWriter;
+use thread_parts::ThreadParts;
--- /dev/null
+++ b/galenahold_consensus/src/driver/pending_reads.rs
@@ -0,0 +1,67 @@
+//! [`PendingReads`].
+
+use std::collections;
+use std::mem;
+
+use crate::core;
+use crate::driver;
+use crate::driver::log_input;
+use crate::log;
+
+/// The reads that have no answer yet.
+pub(super) struct PendingReads<S> {
+    ticketed: collections::BTreeMap<core::ReadTicket, log_input::ReadReply<S>>,
+    waiting: Vec<log_input::WaitingRead<S>>,
+    next_ticket: u64,
+}
+
+impl<S> PendingReads<S> {
+    pub(super) fn new() -> Self {
+        Self {
+            ticketed: collections::BTreeMap::new(),
+            waiting: Vec::new(),
+            next_ticket: 0,
+        }
+    }
+
+    pub(super) fn enqueue(&mut self, reply: log_input::ReadReply<S>) -> core::ReadTicket {
+        let ticket = core::ReadTicket::new(self.next_ticket);
+        self.next_ticket += 1;
+        self.ticketed.insert(ticket, reply);
+        ticket
+    }
+
+    pub(super) fn settle(&mut self, verdict: core::ReadVerdict, refusal: &driver::ReadError) {
+        match verdict {
+            core::ReadVerdict::Ready { ticket, index } => {
+                if let Some(reply) = self.ticketed.remove(&ticket) {
+                    self.waiting.push(log_input::WaitingRead { index, reply });
+                }
+            }
+            core::ReadVerdict::Refused { ticket } => {
+                if let Some(reply) = self.ticketed.remove(&ticket) {
+                    reply(Err(refusal.clone()));
+                }
+            }
+        }
+    }
+
+    pub(super) fn run(&mut self, applied: log::LogIndex, machine: &S) {
+        let (ready, waiting) = mem::take(&mut self.waiting)
+            .into_iter()
+            .partition::<Vec<_>, _>(|read| read.index <= applied);
+        self.waiting = waiting;
+        for read in ready {
+            (read.reply)(Ok(machine));
+        }
+    }
+
+    pub(super) fn fail(&mut self, error: &driver::ReadError) {
+        let ticketed = mem::take(&mut self.ticketed).into_values();
+        let waiting = mem::take(&mut self.waiting);
+        let replies = ticketed.chain(waiting.into_iter().map(|read| read.reply));
+        for reply in replies {
+            reply(Err(error.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/driver/status_report.rs
@@ -0,0 +1,71 @@
+//! Makes a [`driver::LogStatus`] from a node.
+
+use crate::core;
+use crate::driver;
+use crate::log;
+use crate::member;
+
+/// Fills in what the node knows.
+pub(super) fn fill(
+    status: &mut driver::LogStatus,
+    node: &core::RaftNode,
+    now: core::MonotonicTime,
+) {
+    status.cluster = Some(node.settings().cluster);
+    status.role = node.role();
+    status.ready = node.leads_ready();
+    status.term = node.term();
+    status.leader = leader(node);
+    status.commit = node.commit();
+    status.last = node.last();
+    status.snapshot = node.snapshot_position();
+    status.members = node
+        .membership()
+        .iter()
+        .map(|member| report(node, member, now))
+        .collect();
+    status.safe_to_lose = safe_to_lose(node, now);
+}
+
+/// Returns the leader's profile, where it is known.
+pub(super) fn leader(node: &core::RaftNode) -> Option<member::MemberProfile> {
+    let member = node.membership().get(node.leader()?)?;
+    Some(member.profile.clone())
+}
+
+fn report(
+    node: &core::RaftNode,
+    member: &member::GroupMember,
+    now: core::MonotonicTime,
+) -> driver::MemberReport {
+    let progress = node.progress(member.profile.id);
+    let itself =
+        node.role() == core::NodeRole::Leader && member.profile.id == node.settings().profile.id;
+    let last = node.last().index;
+    let matched = progress
+        .map(|progress| progress.matched)
+        .or(itself.then_some(last));
+    let lag = |matched: log::LogIndex| last.get().saturating_sub(matched.get());
+    driver::MemberReport {
+        member: member.clone(),
+        matched,
+        lag_entries: matched.map(lag),
+        silence: progress.map(|progress| now.since(progress.heard_at)),
+    }
+}
+
+fn safe_to_lose(node: &core::RaftNode, now: core::MonotonicTime) -> Option<usize> {
+    node.leading_since()?;
+    let settings = node.settings();
+    let sound = |id: member::MemberId| {
+        let Some(progress) = node.progress(id) else {
+            return id == settings.profile.id;
+        };
+        let reach = progress.matched.get() + settings.promotion_lag_entries;
+        reach >= node.last().index.get()
+            && progress.matched >= node.leading_since().unwrap_or_default().index
+            && now.since(progress.heard_at) < settings.election_timeout
+    };
+    let sound_voters = node.membership().voters().filter(|id| sound(*id)).count();
+    Some(sound_voters.saturating_sub(node.membership().quorum()))
+}
--- /dev/null
+++ b/galenahold_consensus/src/founding/group_founding.rs
@@ -0,0 +1,113 @@
+//! [`GroupFounding`].
+
+use std::collections;
+use std::time;
+
+use crate::core;
+use crate::founding;
+use crate::member;
+use crate::message;
+
+/// The part of a data folder's life before it belongs to a group, as a step function.
+///
+/// Only the voter with the lowest name founds a group, and only while the data folders of all
+/// voters say that they belong to none. A folder joins one group, durably and for ever.
+/// So even if the founder loses its folder halfway and starts again, no two groups reach a quorum:
+/// each quorum would need a voter that the other one also needs.
+#[derive(Debug, Clone)]
+pub struct GroupFounding {
+    profile: member::MemberProfile,
+    voters: Vec<member::MemberEndpoint>,
+    seen: collections::BTreeMap<member::MemberName, member::MemberProfile>,
+    founded: Option<member::ClusterId>,
+    greet_at: core::MonotonicTime,
+    interval: time::Duration,
+}
+
+impl GroupFounding {
+    /// Starts for a data folder and the voters that the settings name.
+    #[must_use]
+    pub fn new(
+        profile: member::MemberProfile,
+        voters: Vec<member::MemberEndpoint>,
+        interval: time::Duration,
+        now: core::MonotonicTime,
+    ) -> Self {
+        Self {
+            profile,
+            voters,
+            interval,
+            seen: collections::BTreeMap::new(),
+            founded: None,
+            greet_at: now,
+        }
+    }
+
+    /// Returns a group that exists and to which the folder doesn't belong, where one was met.
+    #[must_use]
+    pub fn founded(&self) -> Option<member::ClusterId> {
+        self.founded
+    }
+
+    /// Returns the endpoints to greet now.
+    pub fn greetings(&mut self, now: core::MonotonicTime) -> Vec<member::MemberEndpoint> {
+        if now < self.greet_at {
+            return Vec::new();
+        }
+        self.greet_at = now + self.interval;
+        self.others().cloned().collect()
+    }
+
+    /// Returns the body of a greeting.
+    #[must_use]
+    pub fn greeting(&self) -> message::FoundingBody {
+        message::FoundingBody::Greeting(self.profile.clone())
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, body: message::FoundingBody) -> Option<founding::FoundingStep> {
+        match body {
+            message::FoundingBody::Greeting(profile) => {
+                self.seen.insert(profile.endpoint.name.clone(), profile);
+                None
+            }
+            message::FoundingBody::Founded { cluster } => {
+                self.founded = Some(cluster);
+                None
+            }
+            message::FoundingBody::Welcome {
+                cluster,
+                genesis,
+                guest,
+            } => (guest == self.profile.id)
+                .then_some(founding::FoundingStep::Join { cluster, genesis }),
+        }
+    }
+
+    /// Returns the step to found a group, once this folder may.
+    #[must_use]
+    pub fn foundable(&self) -> Option<founding::FoundingStep> {
+        let name = &self.profile.endpoint.name;
+        let founder = self.voters.iter().map(|voter| &voter.name).min();
+        if founder != Some(name) || self.founded.is_some() {
+            return None;
+        }
+        let mut profiles = vec![self.profile.clone()];
+        for other in self.others() {
+            let seen = self.seen.get(&other.name)?;
+            profiles.push(member::MemberProfile {
+                id: seen.id,
+                endpoint: other.clone(),
+            });
+        }
+        let genesis = member::MembershipList::of_voters(profiles);
+        Some(founding::FoundingStep::Found(genesis))
+    }
+
+    fn others(&self) -> impl Iterator<Item = &member::MemberEndpoint> {
+        let own_name = &self.profile.endpoint.name;
+        self.voters
+            .iter()
+            .filter(move |voter| voter.name != *own_name)
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/member/cluster_id.rs
@@ -0,0 +1,26 @@
+//! [`ClusterId`].
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Identity of one consensus group, drawn at random when the group is founded.
+///
+/// It is shown as 32 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ClusterId(u128);
+
+impl ClusterId {
+    /// Wraps random bits.
+    #[must_use]
+    pub const fn new(bits: u128) -> Self {
+        Self(bits)
+    }
+}
+
+impl fmt::Display for ClusterId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/member/member_address.rs
@@ -0,0 +1,31 @@
+//! [`MemberAddress`].
+
+use std::fmt;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+/// Address at which the transport reaches a member, opaque to consensus.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct MemberAddress(sync::Arc<str>);
+
+impl MemberAddress {
+    /// Wraps a text.
+    #[must_use]
+    pub fn new(text: &str) -> Self {
+        Self(text.into())
+    }
+
+    /// Returns the text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for MemberAddress {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/message/mod.rs
@@ -0,0 +1,27 @@
+//! Messages between members, with their encoding.
+
+mod append_request;
+mod append_response;
+mod consensus_message;
+mod founding_body;
+mod member_mark;
+mod message_body;
+mod message_error;
+mod probe_stamp;
+mod snapshot_chunk;
+mod vote_kind;
+mod vote_request;
+mod vote_response;
+
+pub use append_request::AppendRequest;
+pub use append_response::AppendResponse;
+pub use consensus_message::ConsensusMessage;
+pub use founding_body::FoundingBody;
+pub use member_mark::MemberMark;
+pub use message_body::MessageBody;
+pub use message_error::MessageError;
+pub use probe_stamp::ProbeStamp;
+pub use snapshot_chunk::SnapshotChunk;
+pub use vote_kind::VoteKind;
+pub use vote_request::VoteRequest;
+pub use vote_response::VoteResponse;
--- /dev/null
+++ b/galenahold_consensus/src/storage/folder_identity.rs
@@ -0,0 +1,121 @@
+//! [`FolderIdentity`].
+
+use std::path;
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use crate::member;
+use crate::storage;
+use crate::storage::StorageFile;
+use crate::storage::storage_error;
+
+/// Whose data folder it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FolderIdentity {
+    /// Identity, drawn when the folder was created.
+    pub member: member::MemberId,
+    /// Name of the member that created it.
+    pub name: member::MemberName,
+    /// Number of starts.
+    pub boot: u64,
+    /// Group that it has joined; never changes once set.
+    pub cluster: Option<member::ClusterId>,
+    /// First membership of that group.
+    pub genesis: member::MembershipList,
+    /// It was found to be an older copy.
+    pub retired: bool,
+    /// The first segment of the write-ahead log is durable.
+    pub prepared: bool,
+}
+
+impl FolderIdentity {
+    const FILE_NAME: &'static str = "identity";
+    const DRAFT_NAME: &'static str = "identity.draft";
+
+    pub(super) fn new(member: member::MemberId, name: member::MemberName) -> Self {
+        Self {
+            member,
+            name,
+            boot: 0,
+            cluster: None,
+            genesis: member::MembershipList::default(),
+            retired: false,
+            prepared: false,
+        }
+    }
+
+    pub(super) fn load<B: storage::StorageBackend>(
+        backend: &B,
+        folder: &path::Path,
+    ) -> Result<Option<Self>, storage::StorageError> {
+        let path = folder.join(Self::FILE_NAME);
+        let names = backend.list(folder).context(storage_error::IoSnafu {
+            action: "listing",
+            path: folder,
+        })?;
+        if !names.iter().any(|name| name == Self::FILE_NAME) {
+            return Ok(None);
+        }
+        let bytes = backend.read(&path).context(storage_error::IoSnafu {
+            action: "reading",
+            path: &path,
+        })?;
+        match storage::RecordCodec::decode(&bytes, 0) {
+            Ok(framed) => match rmp_serde::from_slice(framed.payload) {
+                Ok(identity) => Ok(Some(identity)),
+                Err(_) => storage_error::NewerSnafu {
+                    path,
+                    offset: 0_u64,
+                }
+                .fail(),
+            },
+            Err(storage::RecordFlaw::Newer) => storage_error::NewerSnafu {
+                path,
+                offset: 0_u64,
+            }
+            .fail(),
+            Err(storage::RecordFlaw::Damaged) => storage_error::CorruptSnafu {
+                path,
+                offset: 0_u64,
+                flaw: "the identity is damaged",
+            }
+            .fail(),
+        }
+    }
+
+    pub(super) fn save<B: storage::StorageBackend>(
+        &self,
+        backend: &B,
+        folder: &path::Path,
+    ) -> Result<(), storage::StorageError> {
+        let payload =
+            rmp_serde::to_vec_named(self).expect("identities have a representation in the codec");
+        let mut bytes = Vec::new();
+        storage::RecordCodec::encode(&payload, 0, &mut bytes);
+        replace_file(backend, folder, Self::DRAFT_NAME, Self::FILE_NAME, &bytes)
+    }
+}
+
+/// Writes a file so that after a crash either the old or the new content is there.
+pub(super) fn replace_file<B: storage::StorageBackend>(
+    backend: &B,
+    folder: &path::Path,
+    draft_name: &str,
+    name: &str,
+    bytes: &[u8],
+) -> Result<(), storage::StorageError> {
+    let draft = folder.join(draft_name);
+    let path = folder.join(name);
+    let attempt = || {
+        let mut file = backend.create(&draft)?;
+        file.append(bytes)?;
+        file.sync()?;
+        backend.rename(&draft, &path)?;
+        backend.sync_folder(folder)
+    };
+    attempt().context(storage_error::IoSnafu {
+        action: "replacing",
+        path: folder.join(name),
+    })
+}
--- /dev/null
+++ b/galenahold_consensus/src/storage/mod.rs
@@ -0,0 +1,39 @@
+//! A member's data folder: identity, write-ahead log and snapshots.
+
+mod file_backend;
+mod folder_identity;
+mod folder_lock;
+mod log_store;
+mod record_codec;
+mod record_flaw;
+mod segment_file;
+mod segment_reader;
+mod segment_start;
+mod snapshot_store;
+mod storage_backend;
+mod storage_error;
+mod storage_error_kind;
+mod storage_file;
+mod store_settings;
+mod wal_record;
+mod wal_replay;
+
+pub use file_backend::FileBackend;
+pub use folder_identity::FolderIdentity;
+pub use log_store::LogStore;
+pub use log_store::OpenedStore;
+pub use snapshot_store::SnapshotStore;
+pub use storage_backend::StorageBackend;
+pub use storage_error::StorageError;
+pub use storage_error_kind::StorageErrorKind;
+pub use storage_file::StorageFile;
+pub use store_settings::StoreSettings;
+
+use folder_lock::FolderLock;
+use record_codec::RecordCodec;
+use record_flaw::RecordFlaw;
+use segment_file::SegmentFile;
+use segment_reader::SegmentReader;
+use segment_start::SegmentStart;
+use wal_record::WalRecord;
+use wal_replay::WalReplay;
--- /dev/null
+++ b/galenahold_consensus/src/storage/record_codec.rs
@@ -0,0 +1,96 @@
+//! [`RecordCodec`].
+
+use crate::storage;
+
+/// Frames records: a fixed header with version, lengths and checksum, then the payload.
+///
+/// | bytes | content |
+/// |---|---|
+/// | 4 | magic |
+/// | 4 | version |
+/// | 4 | payload length |
+/// | 4 | checksum of all other bytes |
+/// | 8 | length of the file that was durable before the record was written |
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RecordCodec;
+
+/// A record within the bytes of a file.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FramedRecord<'a> {
+    pub(super) payload: &'a [u8],
+    pub(super) durable_length: u64,
+    pub(super) end: usize,
+}
+
+impl RecordCodec {
+    const MAGIC: [u8; 4] = *b"GHR\x01";
+    const VERSION: u32 = 1;
+    const HEADER_BYTES: usize = 24;
+
+    pub(super) fn encode(payload: &[u8], durable_length: u64, target: &mut Vec<u8>) {
+        let length = u32::try_from(payload.len()).expect("records are shorter than 4 GiB");
+        let version = Self::VERSION.to_le_bytes();
+        let length = length.to_le_bytes();
+        let durable = durable_length.to_le_bytes();
+        let checksum = checksum(&[&version, &length, &durable, payload]);
+        target.extend_from_slice(&Self::MAGIC);
+        target.extend_from_slice(&version);
+        target.extend_from_slice(&length);
+        target.extend_from_slice(&checksum.to_le_bytes());
+        target.extend_from_slice(&durable);
+        target.extend_from_slice(payload);
+    }
+
+    pub(super) fn decode(
+        bytes: &[u8],
+        start: usize,
+    ) -> Result<FramedRecord<'_>, storage::RecordFlaw> {
+        let damaged = storage::RecordFlaw::Damaged;
+        let header = bytes
+            .get(start..start + Self::HEADER_BYTES)
+            .ok_or(damaged)?;
+        if header[..4] != Self::MAGIC {
+            return Err(damaged);
+        }
+        let payload_start = start + Self::HEADER_BYTES;
+        let length = usize::try_from(read_u32(&header[8..12])).map_err(|_| damaged)?;
+        let end = payload_start.checked_add(length).ok_or(damaged)?;
+        let payload = bytes.get(payload_start..end).ok_or(damaged)?;
+        let expected = checksum(&[&header[4..8], &header[8..12], &header[16..24], payload]);
+        if read_u32(&header[12..16]) != expected {
+            return Err(damaged);
+        }
+        if read_u32(&header[4..8]) > Self::VERSION {
+            return Err(storage::RecordFlaw::Newer);
+        }
+        let mut durable = [0; 8];
+        durable.copy_from_slice(&header[16..24]);
+        Ok(FramedRecord {
+            payload,
+            durable_length: u64::from_le_bytes(durable),
+            end,
+        })
+    }
+
+    /// Tells whether a later record proves that the bytes at the offset had been durable.
+    pub(super) fn was_durable(bytes: &[u8], offset: usize) -> bool {
+        let candidates = bytes.len().saturating_sub(Self::HEADER_BYTES);
+        (offset + 1..=candidates.max(offset)).any(|start| {
+            Self::decode(bytes, start).is_ok_and(|record| record.durable_length > offset as u64)
+        })
+    }
+}
+
+fn checksum(parts: &[&[u8]]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    for part in parts {
+        hasher.update(part);
+    }
+    hasher.finalize()
+}
+
+fn read_u32(bytes: &[u8]) -> u32 {
+    let mut number = [0; 4];
+    number.copy_from_slice(bytes);
+    u32::from_le_bytes(number)
+}
--- /dev/null
+++ b/galenahold_consensus/src/storage/segment_file.rs
@@ -0,0 +1,61 @@
+//! [`SegmentFile`].
+
+use std::path;
+
+use snafu::ResultExt;
+
+use crate::log;
+use crate::storage;
+use crate::storage::storage_error;
+
+/// The segment that is being written.
+#[derive(Debug)]
+pub(super) struct SegmentFile<F> {
+    path: path::PathBuf,
+    file: F,
+    length_bytes: u64,
+    pub(super) last_index: log::LogIndex,
+}
+
+impl<F: storage::StorageFile> SegmentFile<F> {
+    pub(super) fn new(path: path::PathBuf, file: F) -> Self {
+        Self {
+            path,
+            file,
+            length_bytes: 0,
+            last_index: log::LogIndex::ZERO,
+        }
+    }
+
+    pub(super) fn path(&self) -> &path::Path {
+        &self.path
+    }
+
+    pub(super) fn length_bytes(&self) -> u64 {
+        self.length_bytes
+    }
+
+    /// Writes records and makes them durable.
+    pub(super) fn append(
+        &mut self,
+        records: &[storage::WalRecord],
+    ) -> Result<(), storage::StorageError> {
+        let mut buffer = Vec::new();
+        for record in records {
+            storage::RecordCodec::encode(&record.encode(), self.length_bytes, &mut buffer);
+            if let storage::WalRecord::Entry(entry) = record {
+                self.last_index = self.last_index.max(entry.position.index);
+            }
+        }
+        self.file.append(&buffer).context(storage_error::IoSnafu {
+            action: "writing",
+            path: &self.path,
+        })?;
+        self.file.sync().context(storage_error::IoSnafu {
+            action: "syncing",
+            path: &self.path,
+        })?;
+        self.length_bytes += buffer.len() as u64;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/storage/segment_reader.rs
@@ -0,0 +1,66 @@
+//! [`SegmentReader`].
+
+use std::path;
+
+use crate::storage;
+use crate::storage::storage_error;
+
+/// Reads the records of one segment.
+#[derive(Debug)]
+pub(super) struct SegmentReader<'a> {
+    path: &'a path::Path,
+    bytes: &'a [u8],
+    offset: usize,
+}
+
+impl<'a> SegmentReader<'a> {
+    pub(super) fn new(path: &'a path::Path, bytes: &'a [u8]) -> Self {
+        Self {
+            path,
+            bytes,
+            offset: 0,
+        }
+    }
+
+    /// Offset behind the last valid record.
+    pub(super) fn offset(&self) -> usize {
+        self.offset
+    }
+
+    /// Returns the next record; none at the end or where a torn tail begins.
+    pub(super) fn next(&mut self) -> Result<Option<storage::WalRecord>, storage::StorageError> {
+        if self.offset == self.bytes.len() {
+            return Ok(None);
+        }
+        let framed = match storage::RecordCodec::decode(self.bytes, self.offset) {
+            Ok(framed) => framed,
+            Err(storage::RecordFlaw::Newer) => return self.newer(),
+            Err(storage::RecordFlaw::Damaged) => return self.judge_damage(),
+        };
+        let Ok(record) = rmp_serde::from_slice(framed.payload) else {
+            return self.newer();
+        };
+        self.offset = framed.end;
+        Ok(Some(record))
+    }
+
+    fn judge_damage(&self) -> Result<Option<storage::WalRecord>, storage::StorageError> {
+        if storage::RecordCodec::was_durable(self.bytes, self.offset) {
+            return storage_error::CorruptSnafu {
+                path: self.path,
+                offset: self.offset as u64,
+                flaw: "the record is damaged and later ones are whole",
+            }
+            .fail();
+        }
+        Ok(None)
+    }
+
+    fn newer(&self) -> Result<Option<storage::WalRecord>, storage::StorageError> {
+        storage_error::NewerSnafu {
+            path: self.path,
+            offset: self.offset as u64,
+        }
+        .fail()
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/storage/segment_start.rs
@@ -0,0 +1,16 @@
+//! [`SegmentStart`].
+
+use serde::{Deserialize, Serialize};
+
+use crate::log;
+use crate::member;
+use crate::message;
+
+/// First record of a segment; repeats what must outlive the segments before it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct SegmentStart {
+    pub(super) sequence: u64,
+    pub(super) member: member::MemberId,
+    pub(super) hard_state: log::HardState,
+    pub(super) marks: Vec<message::MemberMark>,
+}
--- /dev/null
+++ b/galenahold_consensus/src/storage/storage_backend.rs
@@ -0,0 +1,69 @@
+//! [`StorageBackend`].
+
+use std::fmt;
+use std::io;
+use std::path;
+
+use crate::storage;
+
+/// The file operations that the store needs, so that tests can let them fail.
+pub trait StorageBackend: fmt::Debug + Clone + Send + 'static {
+    /// A file open for writing.
+    type File: storage::StorageFile;
+
+    /// Creates a folder with its parents.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn create_folder(&self, folder: &path::Path) -> io::Result<()>;
+
+    /// Lists the file names in a folder.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn list(&self, folder: &path::Path) -> io::Result<Vec<String>>;
+
+    /// Reads a whole file.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn read(&self, file: &path::Path) -> io::Result<Vec<u8>>;
+
+    /// Creates an empty file, or empties the one of that name.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn create(&self, file: &path::Path) -> io::Result<Self::File>;
+
+    /// Cuts a file to a length in bytes, durably.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn cut(&self, file: &path::Path, length_bytes: u64) -> io::Result<()>;
+
+    /// Gives a file another name, replacing the file of that name.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn rename(&self, from: &path::Path, to: &path::Path) -> io::Result<()>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn remove(&self, file: &path::Path) -> io::Result<()>;
+
+    /// Makes the names in a folder durable.
+    ///
+    /// # Errors
+    ///
+    /// Any failure of the file system.
+    fn sync_folder(&self, folder: &path::Path) -> io::Result<()>;
+}
--- /dev/null
+++ b/galenahold_consensus/src/storage/wal_replay.rs
@@ -0,0 +1,80 @@
+//! [`WalReplay`].
+
+use crate::log;
+use crate::message;
+use crate::storage;
+
+/// The state that the records of a write-ahead log add up to.
+#[derive(Debug, Default)]
+pub(super) struct WalReplay {
+    pub(super) hard_state: log::HardState,
+    pub(super) marks: Vec<message::MemberMark>,
+    entries: Vec<log::LogEntry>,
+}
+
+impl WalReplay {
+    /// Takes in a record; false if an entry is missing before it.
+    pub(super) fn apply(&mut self, record: storage::WalRecord) -> bool {
+        match record {
+            storage::WalRecord::Start(start) => {
+                self.hard_state = start.hard_state;
+                self.marks = start.marks;
+            }
+            storage::WalRecord::HardState(hard_state) => self.hard_state = hard_state,
+            storage::WalRecord::Marks(marks) => self.marks = marks,
+            storage::WalRecord::Reset(_) => self.entries.clear(),
+            storage::WalRecord::Entry(entry) => return self.push(entry),
+        }
+        true
+    }
+
+    /// Returns the entries that follow a snapshot; none if some are missing in between.
+    pub(super) fn entries_after(&mut self, snapshot: log::LogPosition) -> Option<EntriesAfter> {
+        let mut entries = std::mem::take(&mut self.entries);
+        let first = entries.first().map(|entry| entry.position.index);
+        if first.is_some_and(|first| first > snapshot.index.next()) {
+            return None;
+        }
+        let outdated = is_outdated(&entries, snapshot);
+        if outdated {
+            entries.clear();
+        }
+        entries.retain(|entry| entry.position.index > snapshot.index);
+        Some(EntriesAfter { entries, outdated })
+    }
+
+    fn push(&mut self, entry: log::LogEntry) -> bool {
+        let index = entry.position.index;
+        self.entries.truncate(
+            self.entries
+                .partition_point(|held| held.position.index < index),
+        );
+        let follows = self
+            .entries
+            .last()
+            .is_none_or(|last| last.position.index.next() == index);
+        if follows {
+            self.entries.push(entry);
+        }
+        follows
+    }
+}
+
+/// The part of a log that follows a snapshot.
+#[derive(Debug)]
+pub(super) struct EntriesAfter {
+    pub(super) entries: Vec<log::LogEntry>,
+    /// The log was older than the snapshot and has been dropped.
+    pub(super) outdated: bool,
+}
+
+/// Tells whether a log doesn't lead up to the snapshot, which then came from a leader.
+fn is_outdated(entries: &[log::LogEntry], snapshot: log::LogPosition) -> bool {
+    let Some(first) = entries.first() else {
+        return false;
+    };
+    if first.position.index == snapshot.index.next() {
+        return false;
+    }
+    !entries.iter().any(|entry| entry.position == snapshot)
+}
--- /dev/null
+++ b/galenahold_consensus/tests/driver/local_group.rs
@@ -0,0 +1,123 @@
+//! A group of members in one process.
+
+use std::collections;
+use std::fs;
+use std::path;
+use std::time;
+
+use galenahold_consensus::driver;
+use galenahold_consensus::log;
+use galenahold_consensus::member;
+
+use crate::local_network;
+use crate::text_machine;
+use crate::waiting;
+
+pub(crate) type Handle = driver::LogHandle<text_machine::TextMachine>;
+
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+/// Members with data folders below one temporary folder.
+pub(crate) struct LocalGroup {
+    folder: tempfile::TempDir,
+    network: local_network::LocalNetwork,
+    members: collections::BTreeMap<String, driver::ReplicatedLog<text_machine::TextMachine>>,
+    voters: Vec<member::MemberEndpoint>,
+}
+
+impl LocalGroup {
+    const SNAPSHOT_ENTRIES: u64 = 100;
+    const RETAINED_ENTRIES: u64 = 10;
+
+    pub(crate) fn found(names: &[&str]) -> Self {
+        let mut group = Self {
+            folder: tempfile::tempdir().expect("temporary folder"),
+            network: local_network::LocalNetwork::default(),
+            members: collections::BTreeMap::new(),
+            voters: names
+                .iter()
+                .map(|name| member::MemberEndpoint::new(name, name))
+                .collect(),
+        };
+        for name in names {
+            group.start(name);
+        }
+        group
+    }
+
+    pub(crate) fn builder(&self, name: &str) -> driver::LogBuilder {
+        driver::LogBuilder::new(self.data_folder(name), name)
+            .address(name)
+            .voters(self.voters.clone())
+            .snapshot_entries(Self::SNAPSHOT_ENTRIES)
+            .retained_entries(Self::RETAINED_ENTRIES)
+    }
+
+    pub(crate) fn start(&mut self, name: &str) -> Handle {
+        let machine = text_machine::TextMachine::default();
+        let member = self
+            .builder(name)
+            .start(machine, self.network.clone())
+            .expect("start");
+        let handle = member.handle();
+        self.network.attach(name, handle.clone());
+        self.members.insert(name.to_owned(), member);
+        handle
+    }
+
+    pub(crate) fn stop(&mut self, name: &str) {
+        self.network.detach(name);
+        let member = self.members.remove(name).expect("running member");
+        member.stop();
+    }
+
+    pub(crate) fn network(&self) -> &local_network::LocalNetwork {
+        &self.network
+    }
+
+    pub(crate) fn data_folder(&self, name: &str) -> path::PathBuf {
+        self.folder.path().join(name)
+    }
+
+    pub(crate) fn handle(&self, name: &str) -> Handle {
+        self.members.get(name).expect("running member").handle()
+    }
+
+    pub(crate) fn leader(&self) -> (String, Handle) {
+        waiting::until("a member leads", || {
+            self.members.iter().find_map(|(name, member)| {
+                let handle = member.handle();
+                handle
+                    .lease_valid_for()
+                    .is_some()
+                    .then(|| (name.clone(), handle))
+            })
+        })
+    }
+
+    /// Proposes until a leader acknowledges; for commands that may be committed twice.
+    pub(crate) fn commit(&self, command: &str) -> log::LogPosition {
+        waiting::until("a command is committed", || {
+            let (_, handle) = self.leader();
+            let result = handle.propose(command.as_bytes().to_vec(), PATIENCE);
+            result.ok().map(|committed| committed.position)
+        })
+    }
+
+    pub(crate) fn await_lines(&self, name: &str, count: usize) -> Vec<String> {
+        let handle = self.handle(name);
+        waiting::until("all lines are applied", || {
+            let lines = handle.read_local(PATIENCE, |machine| machine.lines.clone());
+            lines.ok().filter(|lines| lines.len() >= count)
+        })
+    }
+
+    pub(crate) fn bytes_on_disk(&self, name: &str) -> u64 {
+        fs::read_dir(self.data_folder(name))
+            .expect("data folder")
+            .filter_map(Result::ok)
+            .filter_map(|entry| entry.metadata().ok())
+            .map(|metadata| metadata.len())
+            .sum()
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/tests/driver/main.rs
@@ -0,0 +1,9 @@
+//! The driver: members in one process, joined by channels that can be cut.
+
+mod leadership;
+mod local_group;
+mod local_network;
+mod member_changes;
+mod recovery;
+mod text_machine;
+mod waiting;
--- /dev/null
+++ b/galenahold_consensus/tests/driver/recovery.rs
@@ -0,0 +1,111 @@
+//! Restarts, snapshots and data folders that come back different.
+
+use std::fs;
+use std::path;
+
+use galenahold_consensus::core;
+use galenahold_consensus::driver;
+
+use crate::local_group;
+use crate::local_network;
+use crate::text_machine;
+use crate::waiting;
+
+#[test]
+fn state_survives_restart_of_all_after_hundreds_of_commands_in_bounded_space() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    let expected: Vec<String> = (0..600).map(|number| format!("command {number}")).collect();
+    for command in &expected {
+        group.commit(command);
+    }
+    let last = group.await_lines("a", expected.len());
+    assert_eq!(last, expected);
+    for name in ["a", "b", "c"] {
+        group.stop(name);
+    }
+    for name in ["a", "b", "c"] {
+        let replayed_limit_bytes = 200_000;
+        assert!(group.bytes_on_disk(name) < replayed_limit_bytes);
+        group.start(name);
+    }
+    group.commit("after");
+    for name in ["a", "b", "c"] {
+        let lines = group.await_lines(name, expected.len() + 1);
+        assert_eq!(lines[..expected.len()], expected);
+    }
+}
+
+#[test]
+fn lagging_member_catches_up_by_snapshot() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("first");
+    group.stop("c");
+    let expected: Vec<String> = (0..400).map(|number| format!("command {number}")).collect();
+    for command in &expected {
+        group.commit(command);
+    }
+    group.start("c");
+    let lines = group.await_lines("c", expected.len() + 1);
+    assert_eq!(lines[1..], expected);
+    let handle = group.handle("c");
+    waiting::until("the snapshot shows in the status", || {
+        handle.status().snapshot
+    });
+}
+
+#[test]
+fn emptied_folder_neither_founds_nor_votes_and_asks_to_join() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let old = group.handle("a").status().profile.id;
+    group.stop("a");
+    fs::remove_dir_all(group.data_folder("a")).expect("empty the folder");
+    let handle = group.start("a");
+    let joiner = waiting::until("the new folder asks to join", || {
+        let (_, leader) = group.leader();
+        leader.status().joiners.first().cloned()
+    });
+    assert_ne!(joiner.id, old);
+    assert_eq!(handle.status().role, core::NodeRole::Unjoined);
+    assert!(handle.status().cluster.is_none());
+}
+
+#[test]
+fn older_copy_of_a_folder_is_retired() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (leader, _) = group.leader();
+    let name = ["a", "b", "c"]
+        .into_iter()
+        .find(|name| *name != leader)
+        .expect("follower");
+    group.stop(name);
+    let copy = group.data_folder("copy");
+    copy_folder(&group.data_folder(name), &copy);
+    group.start(name);
+    for number in 0..20 {
+        group.commit(&format!("command {number}"));
+    }
+    group.await_lines(name, 21);
+    group.stop(name);
+    fs::remove_dir_all(group.data_folder(name)).expect("remove the newer folder");
+    fs::rename(&copy, group.data_folder(name)).expect("bring the older folder back");
+    let handle = group.start(name);
+    waiting::until("the older copy is retired", || {
+        (handle.status().role == core::NodeRole::Retired).then_some(())
+    });
+    group.stop(name);
+    let again = group.builder(name).start(
+        text_machine::TextMachine::default(),
+        local_network::LocalNetwork::default(),
+    );
+    assert!(matches!(again, Err(driver::StartError::Storage { .. })));
+}
+
+fn copy_folder(from: &path::Path, to: &path::Path) {
+    fs::create_dir(to).expect("create the copy");
+    for entry in fs::read_dir(from).expect("list the folder") {
+        let entry = entry.expect("entry");
+        fs::copy(entry.path(), to.join(entry.file_name())).expect("copy a file");
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/tests/driver/waiting.rs
@@ -0,0 +1,19 @@
+//! Polling with a generous limit.
+
+use std::thread;
+use std::time;
+
+const LIMIT: time::Duration = time::Duration::from_secs(30);
+const PAUSE: time::Duration = time::Duration::from_millis(5);
+
+/// Polls until there is a value.
+pub(crate) fn until<T>(what: &str, mut probe: impl FnMut() -> Option<T>) -> T {
+    let end = time::Instant::now() + LIMIT;
+    while time::Instant::now() < end {
+        if let Some(value) = probe() {
+            return value;
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("waited in vain until {what}");
+}
