--- /dev/null
+++ b/galenahold_domain/src/control/change_history.rs
@@ -0,0 +1,47 @@
+//! The latest changes of the configuration.
+
+use std::collections;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount;
+use crate::control;
+
+const MAX_CHANGES: usize = 4_096;
+
+/// The most parts of the intent that all kept changes hold together.
+const MAX_PARTS: usize = 65_536;
+
+/// The latest changes of the configuration, bounded by their number and by what they hold.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct ChangeHistory {
+    changes: collections::VecDeque<sync::Arc<control::ConfigurationChange>>,
+    parts: usize,
+}
+
+impl ChangeHistory {
+    /// Adds the change that made the latest revision.
+    pub(crate) fn push(&mut self, change: control::ConfigurationChange) {
+        self.parts += change.part_count();
+        self.changes.push_back(sync::Arc::new(change));
+        while self.changes.len() > MAX_CHANGES || self.parts > MAX_PARTS {
+            let Some(oldest) = self.changes.pop_front() else {
+                return;
+            };
+            self.parts -= oldest.part_count();
+        }
+    }
+
+    /// Returns the changes after a revision up to the current one, or none where one is missing.
+    pub(crate) fn since(
+        &self,
+        revision: amount::RevisionNumber,
+        current: amount::RevisionNumber,
+    ) -> Option<Vec<control::ConfigurationChange>> {
+        let missing = usize::try_from(current.0.checked_sub(revision.0)?).ok()?;
+        let first = self.changes.len().checked_sub(missing)?;
+        let changes = self.changes.iter().skip(first);
+        Some(changes.map(|change| (**change).clone()).collect())
+    }
+}
--- a/galenahold_domain/src/control/configuration_change.rs
+++ b/galenahold_domain/src/control/configuration_change.rs
@@ -51,3 +51,23 @@
         }
     }
 }
+
+impl ConfigurationChange {
+    /// Returns how many parts the change holds, as a measure of its size.
+    pub(crate) fn part_count(&self) -> usize {
+        let Self::Intent {
+            set,
+            removed_teams,
+            removed_models,
+            removed_services,
+            ..
+        } = self
+        else {
+            return 1;
+        };
+        let adapters: usize = set.models.iter().map(|model| model.adapters.len()).sum();
+        let named = set.teams.len() + set.models.len() + set.services.len();
+        let removed = removed_teams.len() + removed_models.len() + removed_services.len();
+        1 + named + adapters + removed
+    }
+}
--- /dev/null
+++ b/galenahold_domain/src/control/configuration_index.rs
@@ -0,0 +1,210 @@
+//! Lookups in the configuration in force.
+
+use std::collections;
+use std::sync;
+
+use crate::amount;
+use crate::control;
+use crate::intent;
+use crate::key;
+use crate::name;
+
+/// Lookups in the configuration in force, immutable and cheap to share.
+///
+/// The part that follows from the intent is shared with the index that it was made after, so that
+/// a change of a key costs little.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigurationIndex {
+    view: sync::Arc<control::ConfigurationView>,
+    places: sync::Arc<IntentPlaces>,
+}
+
+/// Where the parts of an intent stand in it.
+#[derive(Debug, Default)]
+struct IntentPlaces {
+    teams: collections::HashMap<name::TeamName, TeamPlace>,
+    models: collections::HashMap<name::ModelName, ModelPlace>,
+    adapters: collections::HashMap<name::AdapterName, AdapterPlace>,
+    services: collections::HashMap<name::ServiceName, ServicePlace>,
+    prefixes: collections::HashMap<String, ServicePlace>,
+    offers: collections::HashMap<name::ModelName, Vec<ServicePlace>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct TeamPlace(usize);
+
+#[derive(Debug, Clone, Copy)]
+struct ModelPlace(usize);
+
+#[derive(Debug, Clone, Copy)]
+struct AdapterPlace {
+    model: ModelPlace,
+    adapter: usize,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ServicePlace(usize);
+
+impl ConfigurationIndex {
+    /// Builds the index of a view.
+    #[must_use]
+    pub fn new(view: sync::Arc<control::ConfigurationView>) -> Self {
+        let places = sync::Arc::new(IntentPlaces::of(&view.intent));
+        Self { view, places }
+    }
+
+    /// Builds the index of a later view, and shares what did not change.
+    #[must_use]
+    pub fn renewed(&self, view: sync::Arc<control::ConfigurationView>) -> Self {
+        if !sync::Arc::ptr_eq(&self.view.intent, &view.intent) {
+            return Self::new(view);
+        }
+        Self {
+            view,
+            places: sync::Arc::clone(&self.places),
+        }
+    }
+
+    /// Returns the view.
+    #[must_use]
+    pub fn view(&self) -> &sync::Arc<control::ConfigurationView> {
+        &self.view
+    }
+
+    /// Returns the revision.
+    #[must_use]
+    pub fn revision(&self) -> amount::RevisionNumber {
+        self.view.revision
+    }
+
+    /// Returns the team.
+    #[must_use]
+    pub fn team(&self, name: &str) -> Option<&intent::TeamIntent> {
+        let place = self.places.teams.get(name)?;
+        self.view.intent.teams.get(place.0)
+    }
+
+    /// Returns the key with this public part.
+    #[must_use]
+    pub fn key(&self, id: &str) -> Option<&key::KeyRecord> {
+        self.view.keys.get(id)
+    }
+
+    /// Returns the team whose requests the key admits, if the key is in force.
+    #[must_use]
+    pub fn admitted_team(&self, key: &key::CallerKey) -> Option<&intent::TeamIntent> {
+        let record = self.key(key.id())?;
+        if !record.admits(key) {
+            return None;
+        }
+        self.team(&record.team)
+    }
+
+    /// Returns the service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&intent::ServiceIntent> {
+        let place = self.places.services.get(name)?;
+        self.view.intent.services.get(place.0)
+    }
+
+    /// Returns the plain service whose prefix covers the most segments of the path.
+    ///
+    /// The path has neither query nor fragment. A prefix `/orders` covers `/orders` and
+    /// `/orders/7`, and not `/orders7`.
+    #[must_use]
+    pub fn service_for_path(&self, path: &str) -> Option<&intent::ServiceIntent> {
+        let mut rest = path;
+        loop {
+            if let Some(place) = self.places.prefixes.get(rest) {
+                return self.view.intent.services.get(place.0);
+            }
+            rest = &rest[..rest.rfind('/')?];
+        }
+    }
+
+    /// Returns the model or adapter that a caller names.
+    #[must_use]
+    pub fn resolve_model(&self, name: &str) -> Option<control::ResolvedModel<'_>> {
+        if let Some(place) = self.places.models.get(name) {
+            let model = self.view.intent.models.get(place.0)?;
+            return Some(control::ResolvedModel {
+                model,
+                adapter: None,
+            });
+        }
+        let place = self.places.adapters.get(name)?;
+        let model = self.view.intent.models.get(place.model.0)?;
+        let adapter = Some(model.adapters.get(place.adapter)?);
+        Some(control::ResolvedModel { model, adapter })
+    }
+
+    /// Returns the services that offer the model or adapter that a caller names.
+    pub fn services_offering(&self, name: &str) -> impl Iterator<Item = &intent::ServiceIntent> {
+        self.resolve_model(name)
+            .and_then(|resolved| self.places.offers.get(&resolved.model.name))
+            .into_iter()
+            .flatten()
+            .filter_map(|place| self.view.intent.services.get(place.0))
+    }
+
+    /// Returns the service by which the team may call the model or adapter; no team stands for a
+    /// caller without a key. Where there are several, the one with the lowest priority number.
+    #[must_use]
+    pub fn service_for_model(
+        &self,
+        name: &str,
+        team: Option<&name::TeamName>,
+    ) -> Option<&intent::ServiceIntent> {
+        self.services_offering(name)
+            .filter(|service| service.admits(team))
+            .min_by_key(|service| service.priority)
+    }
+
+    /// Returns whether the team may call the service; no team stands for a caller without a key.
+    #[must_use]
+    pub fn may_call(&self, service: &str, team: Option<&name::TeamName>) -> bool {
+        self.service(service)
+            .is_some_and(|service| service.admits(team))
+    }
+}
+
+impl IntentPlaces {
+    fn of(intent: &intent::FleetIntent) -> Self {
+        let mut places = Self::default();
+        for (place, team) in intent.teams.iter().enumerate() {
+            places.teams.insert(team.name.clone(), TeamPlace(place));
+        }
+        for (place, model) in intent.models.iter().enumerate() {
+            places.add_model(ModelPlace(place), model);
+        }
+        for (place, service) in intent.services.iter().enumerate() {
+            places.add_service(ServicePlace(place), service);
+        }
+        places
+    }
+
+    fn add_model(&mut self, place: ModelPlace, model: &intent::ModelIntent) {
+        self.models.insert(model.name.clone(), place);
+        for (adapter, intent) in model.adapters.iter().enumerate() {
+            let adapter = AdapterPlace {
+                model: place,
+                adapter,
+            };
+            self.adapters.insert(intent.name.clone(), adapter);
+        }
+    }
+
+    fn add_service(&mut self, place: ServicePlace, service: &intent::ServiceIntent) {
+        self.services.insert(service.name.clone(), place);
+        match &service.route {
+            intent::RouteKind::Models { models } => {
+                for model in models {
+                    self.offers.entry(model.clone()).or_default().push(place);
+                }
+            }
+            intent::RouteKind::Plain { path_prefix, .. } => {
+                self.prefixes.insert(path_prefix.clone(), place);
+            }
+        }
+    }
+}
--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -1,9 +1,13 @@
 //! A command of the replicated log.
 
+use std::collections;
+
+use serde::de;
 use serde::{Deserialize, Serialize};
 
 use crate::amount;
 use crate::control;
+use crate::error;
 use crate::intent;
 use crate::key;
 use crate::name;
@@ -15,7 +19,7 @@
 /// `now_ms` fields hold milliseconds since the Unix epoch at the proposer. They only bound how long
 /// finished orders and answered requests are kept, and the state never lets them go back.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum ControlCommand {
     /// Puts a plan in force if its base is the revision in force.
     ConfirmPlan {
@@ -34,6 +38,9 @@
     GiveKey {
         /// Who asks.
         request: control::OperatorRequest,
+        /// A revision that the operator saw. A request whose base is older than what the state
+        /// remembers of withdrawn keys is refused, so that an old resend never revives a key.
+        base: amount::RevisionNumber,
         /// The key.
         record: key::KeyRecord,
         /// Milliseconds since the Unix epoch.
@@ -74,6 +81,15 @@
         /// Milliseconds since the Unix epoch.
         now_ms: u64,
     },
+    /// Ends the running attempts of an instance's earlier incarnations: their outcome is unknown.
+    AbandonOrders {
+        /// The instance.
+        instance: name::InstanceName,
+        /// The incarnation that is alive now, or the one after the last that was.
+        before_incarnation: amount::IncarnationNumber,
+        /// Milliseconds since the Unix epoch.
+        now_ms: u64,
+    },
     /// Reserves memory for a replica, before its load order is sent.
     ReserveMemory {
         /// The backend server.
@@ -130,3 +146,133 @@
         incarnation: amount::IncarnationNumber,
     },
 }
+
+/// The latest version of the encoding that this program writes and reads.
+const COMMAND_VERSION: u32 = 1;
+
+/// The names of the command kinds in the encoding.
+const COMMAND_KINDS: [&str; 11] = [
+    "confirm_plan",
+    "give_key",
+    "withdraw_key",
+    "start_order",
+    "finish_order",
+    "abandon_orders",
+    "reserve_memory",
+    "advance_reservation",
+    "release_reservation",
+    "adopt_replica",
+    "retire_server",
+];
+
+/// The version alone, which is read before the rest.
+#[derive(Debug, Deserialize)]
+struct CommandHeader {
+    version: u32,
+}
+
+/// The version and the name of the command's kind.
+#[derive(Debug, Deserialize)]
+#[expect(
+    clippy::zero_sized_map_values,
+    reason = "the content of an unknown kind is skipped"
+)]
+struct CommandKind {
+    command: collections::BTreeMap<String, de::IgnoredAny>,
+}
+
+/// A command that is written.
+#[derive(Debug, Serialize)]
+struct WrittenCommand<'a> {
+    version: u32,
+    command: &'a ControlCommand,
+}
+
+/// A command that is read.
+#[derive(Debug, Deserialize)]
+struct ReadCommand {
+    command: ControlCommand,
+}
+
+impl ControlCommand {
+    /// Returns the command as bytes for the log: `MessagePack` with named fields, the version
+    /// first.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to memory does not fail, and each command has a `MessagePack` form.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let command = WrittenCommand {
+            version: COMMAND_VERSION,
+            command: self,
+        };
+        rmp_serde::to_vec_named(&command).expect("a command has a MessagePack form")
+    }
+
+    /// Reads a command from the log.
+    ///
+    /// # Errors
+    ///
+    /// Fails for a later version, an unknown kind, an unknown field and malformed bytes. A voter
+    /// that gets an error must stop: to skip an entry would let its state differ from the others'.
+    pub fn decode(bytes: &[u8]) -> Result<Self, error::DomainError> {
+        let header: CommandHeader = rmp_serde::from_slice(bytes).map_err(malformed)?;
+        if header.version > COMMAND_VERSION {
+            return error::CommandVersionSnafu {
+                found: header.version,
+                known: COMMAND_VERSION,
+            }
+            .fail();
+        }
+        match rmp_serde::from_slice::<ReadCommand>(bytes) {
+            Ok(read) => Ok(read.command),
+            Err(source) => Err(unknown_kind(bytes).unwrap_or_else(|| malformed(source))),
+        }
+    }
+
+    /// Returns the replica that the command reserves or adopts.
+    pub(crate) fn replica_request(&self) -> Option<placement::ReplicaRequest> {
+        match self {
+            Self::ReserveMemory {
+                server,
+                incarnation,
+                artifact,
+                bytes,
+                sender,
+                sender_incarnation,
+                ..
+            }
+            | Self::AdoptReplica {
+                server,
+                incarnation,
+                artifact,
+                bytes,
+                sender,
+                sender_incarnation,
+            } => Some(placement::ReplicaRequest {
+                server: server.clone(),
+                incarnation: *incarnation,
+                artifact: artifact.clone(),
+                bytes: *bytes,
+                sender: sender.clone(),
+                sender_incarnation: *sender_incarnation,
+            }),
+            _ => None,
+        }
+    }
+}
+
+fn malformed(source: rmp_serde::decode::Error) -> error::DomainError {
+    error::DomainError::CommandMalformed { source }
+}
+
+/// Returns the error for a command of a kind that this program does not know.
+fn unknown_kind(bytes: &[u8]) -> Option<error::DomainError> {
+    let read: CommandKind = rmp_serde::from_slice(bytes).ok()?;
+    let kind = read.command.into_keys().next()?;
+    if COMMAND_KINDS.contains(&kind.as_str()) {
+        return None;
+    }
+    Some(error::CommandKindSnafu { kind }.build())
+}
--- a/galenahold_domain/src/control/control_outcome.rs
+++ b/galenahold_domain/src/control/control_outcome.rs
@@ -40,6 +40,11 @@
     Order(order::OrderStart),
     /// The outcome of an order is recorded, or was before.
     OrderRecorded,
+    /// The running attempts of the instance's earlier incarnations are unknown now.
+    OrdersAbandoned {
+        /// How many attempts were ended.
+        count: u64,
+    },
     /// Memory is reserved.
     Reserved(placement::MemoryReservation),
     /// Memory is not reserved.
@@ -47,7 +52,9 @@
         /// Why.
         reason: String,
     },
-    /// The reservation was moved on or freed, or had been before.
+    /// The reservation is in the wanted state; its fencing number goes with the order.
+    Advanced(placement::MemoryReservation),
+    /// The reservation was freed, or had been before.
     ReservationChanged,
     /// There is no such reservation, or it cannot go to that state.
     ReservationRefused {
--- /dev/null
+++ b/galenahold_domain/src/control/operator_ledger.rs
@@ -0,0 +1,108 @@
+//! What operators asked for and were answered.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use crate::control;
+use crate::digest;
+
+const HOUR_MS: u64 = 3_600_000;
+const KEPT_MS: u64 = 24 * HOUR_MS;
+const MAX_ENTRIES: usize = 10_000;
+
+/// What operators asked for and were answered, so that a resent request gets its first answer.
+///
+/// An entry is kept for 24 hours unless 10,000 later ones push it out. A resend that comes after
+/// that is judged anew, and none can act twice: a plan names its base, which its first run moved
+/// on; a key's public part is given once and withdrawn once (see [`control::WithdrawnKeys`]).
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "LedgerDocument")]
+pub(crate) struct OperatorLedger {
+    entries: collections::VecDeque<OperatorEntry>,
+    #[serde(skip)]
+    dropped: u64,
+    #[serde(skip)]
+    positions: collections::BTreeMap<control::OperatorRequest, EntryPosition>,
+}
+
+/// The ledger without its index.
+#[derive(Deserialize)]
+struct LedgerDocument {
+    entries: collections::VecDeque<OperatorEntry>,
+}
+
+/// One request with its answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct OperatorEntry {
+    request: control::OperatorRequest,
+    content: digest::ShortHash,
+    outcome: control::ControlOutcome,
+    at_ms: u64,
+}
+
+/// The number of an entry, counted from the first that the ledger took.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct EntryPosition(u64);
+
+impl From<LedgerDocument> for OperatorLedger {
+    fn from(document: LedgerDocument) -> Self {
+        let mut ledger = Self::default();
+        for entry in document.entries {
+            ledger.push(entry);
+        }
+        ledger
+    }
+}
+
+impl OperatorLedger {
+    /// Returns the first answer to the request, or that its number was used for another.
+    pub(crate) fn answer(
+        &self,
+        request: &control::OperatorRequest,
+        content: digest::ShortHash,
+    ) -> Option<control::ControlOutcome> {
+        let position = self.positions.get(request)?;
+        let place = usize::try_from(position.0 - self.dropped).ok()?;
+        let entry = self.entries.get(place)?;
+        if entry.content != content {
+            return Some(control::ControlOutcome::RequestReused);
+        }
+        Some(entry.outcome.clone())
+    }
+
+    /// Records the first answer to a request.
+    pub(crate) fn record(
+        &mut self,
+        request: &control::OperatorRequest,
+        content: digest::ShortHash,
+        outcome: &control::ControlOutcome,
+        now_ms: u64,
+    ) {
+        self.push(OperatorEntry {
+            request: request.clone(),
+            content,
+            outcome: outcome.clone(),
+            at_ms: now_ms,
+        });
+        self.drop_old(now_ms);
+    }
+
+    fn push(&mut self, entry: OperatorEntry) {
+        let position = EntryPosition(self.dropped + self.entries.len() as u64);
+        self.positions.insert(entry.request.clone(), position);
+        self.entries.push_back(entry);
+    }
+
+    fn drop_old(&mut self, now_ms: u64) {
+        while let Some(oldest) = self.entries.front() {
+            let is_old = oldest.at_ms.saturating_add(KEPT_MS) <= now_ms;
+            if !is_old && self.entries.len() <= MAX_ENTRIES {
+                return;
+            }
+            self.positions.remove(&oldest.request);
+            self.entries.pop_front();
+            self.dropped += 1;
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_domain/src/digest/content_digest.rs
@@ -0,0 +1,48 @@
+//! A SHA-256 digest.
+
+use std::fmt;
+
+use crate::digest;
+
+const HALF_BYTES: usize = 8;
+
+/// A SHA-256 digest; its text form is hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ContentDigest([u8; 32]);
+
+impl ContentDigest {
+    /// Wraps the output of SHA-256.
+    pub(crate) fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+
+    /// Returns the digest of parts, each counted in with its length.
+    pub(crate) fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = digest::ContentHasher::new();
+        for part in parts {
+            hasher.part(part);
+        }
+        hasher.finish()
+    }
+
+    /// Returns the first 128 bits.
+    pub(crate) fn short(self) -> digest::ShortHash {
+        let (high, rest) = self.0.split_at(HALF_BYTES);
+        digest::ShortHash::new(half(high), half(&rest[..HALF_BYTES]))
+    }
+}
+
+fn half(bytes: &[u8]) -> u64 {
+    bytes
+        .iter()
+        .fold(0, |number, byte| (number << 8) | u64::from(*byte))
+}
+
+impl fmt::Display for ContentDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(formatter, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
--- a/galenahold_domain/src/intent/fleet_intent.rs
+++ b/galenahold_domain/src/intent/fleet_intent.rs
@@ -1,8 +1,13 @@
 //! The whole of what operators want.
 
+use std::collections;
+use std::ops;
+
 use serde::{Deserialize, Serialize};
 
+use crate::error;
 use crate::intent;
+use crate::name;
 
 /// The whole of what operators want, as one document.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -21,3 +26,111 @@
     #[serde(default)]
     pub store: intent::StoreLimits,
 }
+
+impl FleetIntent {
+    /// Reads an intent from a JSON document.
+    ///
+    /// # Errors
+    ///
+    /// Names the line, the column and the field of the first fault. Unknown fields are faults.
+    pub fn from_json(text: &str) -> Result<Self, error::DomainError> {
+        let mut deserializer = serde_json::Deserializer::from_str(text);
+        let intent: Self = serde_path_to_error::deserialize(&mut deserializer)
+            .map_err(|fault| malformed(&fault.path().to_string(), fault.inner()))?;
+        deserializer.end().map_err(|fault| malformed("", &fault))?;
+        Ok(intent)
+    }
+
+    /// Returns the intent with everything that has no order of its own ordered by name.
+    #[must_use]
+    pub fn normalized(mut self) -> Self {
+        self.teams.sort_by(|left, right| left.name.cmp(&right.name));
+        self.models
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        self.services
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        for model in &mut self.models {
+            model
+                .adapters
+                .sort_by(|left, right| left.name.cmp(&right.name));
+        }
+        for service in &mut self.services {
+            service.normalize();
+        }
+        self
+    }
+
+    /// Returns the team, in a normalized intent.
+    #[must_use]
+    pub fn team(&self, name: &str) -> Option<&intent::TeamIntent> {
+        find(&self.teams, name)
+    }
+
+    /// Returns the model, in a normalized intent.
+    #[must_use]
+    pub fn model(&self, name: &str) -> Option<&intent::ModelIntent> {
+        find(&self.models, name)
+    }
+
+    /// Returns the service, in a normalized intent.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&intent::ServiceIntent> {
+        find(&self.services, name)
+    }
+
+    /// Sets and removes parts of a normalized intent; it stays normalized.
+    pub(crate) fn merge(
+        &mut self,
+        set: &Self,
+        removed_teams: &[name::TeamName],
+        removed_models: &[name::ModelName],
+        removed_services: &[name::ServiceName],
+    ) {
+        remove_named(&mut self.teams, removed_teams);
+        remove_named(&mut self.models, removed_models);
+        remove_named(&mut self.services, removed_services);
+        set_named(&mut self.teams, &set.teams);
+        set_named(&mut self.models, &set.models);
+        set_named(&mut self.services, &set.services);
+        self.store = set.store.clone();
+    }
+}
+
+fn malformed(path: &str, fault: &serde_json::Error) -> error::DomainError {
+    let field = if path.is_empty() { "." } else { path };
+    let reason = fault.to_string();
+    let place = format!(" at line {} column {}", fault.line(), fault.column());
+    error::IntentMalformedSnafu {
+        line: fault.line(),
+        column: fault.column(),
+        field,
+        reason: reason.strip_suffix(&place).unwrap_or(&reason),
+    }
+    .build()
+}
+
+fn find<'a, P: intent::NamedPart>(parts: &'a [P], name: &str) -> Option<&'a P> {
+    let place = parts.binary_search_by(|part| part.part_name().cmp(name));
+    place.ok().and_then(|place| parts.get(place))
+}
+
+fn remove_named<P: intent::NamedPart, N: ops::Deref<Target = str>>(
+    parts: &mut Vec<P>,
+    names: &[N],
+) {
+    if names.is_empty() {
+        return;
+    }
+    let names: collections::BTreeSet<&str> = names.iter().map(ops::Deref::deref).collect();
+    parts.retain(|part| !names.contains(part.part_name()));
+}
+
+fn set_named<P: intent::NamedPart>(parts: &mut Vec<P>, set: &[P]) {
+    for part in set {
+        let place = parts.binary_search_by(|known| known.part_name().cmp(part.part_name()));
+        match place {
+            Ok(place) => parts[place] = part.clone(),
+            Err(place) => parts.insert(place, part.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_domain/src/intent/intent_plan.rs
@@ -0,0 +1,191 @@
+//! What a wanted intent would change.
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount;
+use crate::control;
+use crate::digest;
+use crate::intent;
+
+/// Names the canonical form that digests are made over.
+const CANONICAL_FORM: &[u8] = b"galenahold-plan-1";
+
+/// What a wanted intent would change, against one revision.
+///
+/// Nothing changes until an operator confirms the plan by its digest: the SHA-256 over the base and
+/// the steps in their canonical form. The canonical form of a step is its compact JSON; a field
+/// that is added later must be left out of it while it has its default, so that voters of both
+/// versions compute the same digest.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct IntentPlan {
+    /// The revision that the plan was made against.
+    pub base: amount::RevisionNumber,
+    /// The steps, in the order in which a reader expects them.
+    pub steps: Vec<intent::IntentStep>,
+    /// The digest, in hexadecimal.
+    pub digest: String,
+}
+
+impl IntentPlan {
+    /// Returns the plan that leads from the intent in force to the wanted one.
+    #[must_use]
+    pub fn between(
+        base: amount::RevisionNumber,
+        current: &intent::FleetIntent,
+        wanted: &intent::FleetIntent,
+    ) -> Self {
+        let current = current.clone().normalized();
+        let wanted = wanted.clone().normalized();
+        Self::between_normalized(base, &current, &wanted)
+    }
+
+    /// Returns whether the plan changes nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.steps.is_empty()
+    }
+
+    /// Returns a line a step, as operators read them.
+    #[must_use]
+    pub fn lines(&self) -> Vec<String> {
+        self.steps.iter().map(ToString::to_string).collect()
+    }
+
+    /// Returns the plan between intents that are normalized already.
+    pub(crate) fn between_normalized(
+        base: amount::RevisionNumber,
+        current: &intent::FleetIntent,
+        wanted: &intent::FleetIntent,
+    ) -> Self {
+        let mut steps = Vec::new();
+        team_steps(&mut steps, current, wanted);
+        model_steps(&mut steps, current, wanted);
+        service_steps(&mut steps, current, wanted);
+        if current.store != wanted.store {
+            steps.push(intent::IntentStep::ChangeStore {
+                before: current.store.clone(),
+                after: wanted.store.clone(),
+            });
+        }
+        let digest = digest_of(base, &steps);
+        Self {
+            base,
+            steps,
+            digest,
+        }
+    }
+
+    /// Returns the change that carries the steps out, which makes the revision.
+    pub(crate) fn change(
+        &self,
+        revision: amount::RevisionNumber,
+        wanted: &intent::FleetIntent,
+    ) -> control::ConfigurationChange {
+        let mut set = intent::FleetIntent {
+            store: wanted.store.clone(),
+            ..intent::FleetIntent::default()
+        };
+        let mut removed_teams = Vec::new();
+        let mut removed_models = Vec::new();
+        let mut removed_services = Vec::new();
+        for step in &self.steps {
+            match step {
+                intent::IntentStep::AddTeam { team: after }
+                | intent::IntentStep::ChangeTeam { after, .. } => set.teams.push(after.clone()),
+                intent::IntentStep::RemoveTeam { team } => removed_teams.push(team.clone()),
+                intent::IntentStep::AddModel { model: after }
+                | intent::IntentStep::ChangeModel { after, .. } => set.models.push(after.clone()),
+                intent::IntentStep::RemoveModel { model } => removed_models.push(model.clone()),
+                intent::IntentStep::AddService { service: after }
+                | intent::IntentStep::ChangeService { after, .. } => {
+                    set.services.push(after.clone());
+                }
+                intent::IntentStep::RemoveService { service } => {
+                    removed_services.push(service.clone());
+                }
+                intent::IntentStep::ChangeStore { .. } => {}
+            }
+        }
+        control::ConfigurationChange::Intent {
+            revision,
+            set,
+            removed_teams,
+            removed_models,
+            removed_services,
+        }
+    }
+}
+
+fn team_steps(
+    steps: &mut Vec<intent::IntentStep>,
+    current: &intent::FleetIntent,
+    wanted: &intent::FleetIntent,
+) {
+    for difference in intent::differences(&current.teams, &wanted.teams) {
+        steps.push(match difference {
+            intent::PartDifference::Added(team) => {
+                intent::IntentStep::AddTeam { team: team.clone() }
+            }
+            intent::PartDifference::Changed(before, after) => intent::IntentStep::ChangeTeam {
+                before: before.clone(),
+                after: after.clone(),
+            },
+            intent::PartDifference::Removed(team) => intent::IntentStep::RemoveTeam {
+                team: team.name.clone(),
+            },
+        });
+    }
+}
+
+fn model_steps(
+    steps: &mut Vec<intent::IntentStep>,
+    current: &intent::FleetIntent,
+    wanted: &intent::FleetIntent,
+) {
+    for difference in intent::differences(&current.models, &wanted.models) {
+        steps.push(match difference {
+            intent::PartDifference::Added(model) => intent::IntentStep::AddModel {
+                model: model.clone(),
+            },
+            intent::PartDifference::Changed(before, after) => intent::IntentStep::ChangeModel {
+                before: before.clone(),
+                after: after.clone(),
+            },
+            intent::PartDifference::Removed(model) => intent::IntentStep::RemoveModel {
+                model: model.name.clone(),
+            },
+        });
+    }
+}
+
+fn service_steps(
+    steps: &mut Vec<intent::IntentStep>,
+    current: &intent::FleetIntent,
+    wanted: &intent::FleetIntent,
+) {
+    for difference in intent::differences(&current.services, &wanted.services) {
+        steps.push(match difference {
+            intent::PartDifference::Added(service) => intent::IntentStep::AddService {
+                service: service.clone(),
+            },
+            intent::PartDifference::Changed(before, after) => intent::IntentStep::ChangeService {
+                before: before.clone(),
+                after: after.clone(),
+            },
+            intent::PartDifference::Removed(service) => intent::IntentStep::RemoveService {
+                service: service.name.clone(),
+            },
+        });
+    }
+}
+
+fn digest_of(base: amount::RevisionNumber, steps: &[intent::IntentStep]) -> String {
+    let mut hasher = digest::ContentHasher::new();
+    hasher.part(CANONICAL_FORM);
+    hasher.part(&base.0.to_be_bytes());
+    for step in steps {
+        let text = serde_json::to_vec(step).unwrap_or_default();
+        hasher.part(&text);
+    }
+    hasher.finish().to_string()
+}
--- /dev/null
+++ b/galenahold_domain/src/intent/part_difference.rs
@@ -0,0 +1,47 @@
+//! How two lists of named parts differ.
+
+use std::cmp;
+
+use crate::intent;
+
+/// How a named part differs between two lists.
+#[derive(Debug)]
+pub(crate) enum PartDifference<'a, P> {
+    /// The part is in the second list only.
+    Added(&'a P),
+    /// The part is in both, with other content.
+    Changed(&'a P, &'a P),
+    /// The part is in the first list only.
+    Removed(&'a P),
+}
+
+/// Returns the differences of two lists that are ordered by name.
+pub(crate) fn differences<'a, P: intent::NamedPart>(
+    before: &'a [P],
+    after: &'a [P],
+) -> Vec<PartDifference<'a, P>> {
+    let mut found = Vec::new();
+    let mut old = before.iter().peekable();
+    let mut new = after.iter().peekable();
+    loop {
+        let order = match (old.peek(), new.peek()) {
+            (None, None) => return found,
+            (Some(_), None) => cmp::Ordering::Less,
+            (None, Some(_)) => cmp::Ordering::Greater,
+            (Some(old), Some(new)) => old.part_name().cmp(new.part_name()),
+        };
+        match order {
+            cmp::Ordering::Less => found.extend(old.next().map(PartDifference::Removed)),
+            cmp::Ordering::Greater => found.extend(new.next().map(PartDifference::Added)),
+            cmp::Ordering::Equal => found.extend(changed(old.next(), new.next())),
+        }
+    }
+}
+
+fn changed<'a, P: intent::NamedPart>(
+    old: Option<&'a P>,
+    new: Option<&'a P>,
+) -> Option<PartDifference<'a, P>> {
+    let (old, new) = (old?, new?);
+    (old != new).then_some(PartDifference::Changed(old, new))
+}
--- /dev/null
+++ b/galenahold_domain/src/intent/part_field.rs
@@ -0,0 +1,83 @@
+//! A field of a part of the intent, as operators read it.
+
+use std::collections;
+
+use serde::Serialize;
+
+const ABSENT_VALUE: &str = "none";
+
+/// The field that a step's line names already.
+const NAME_FIELD: &str = "name";
+
+/// A field of a part of the intent, as operators read it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PartField {
+    /// The field's path, such as `objective.first_token_ms`.
+    pub(crate) name: String,
+    /// The field's value, as JSON.
+    pub(crate) value: String,
+}
+
+/// Returns the fields of a part, ordered by name.
+pub(crate) fn part_fields<P: Serialize>(part: &P) -> Vec<PartField> {
+    let mut fields = Vec::new();
+    if let Ok(value) = serde_json::to_value(part) {
+        collect(&mut fields, "", &value);
+    }
+    fields.sort_by(|left, right| left.name.cmp(&right.name));
+    fields
+}
+
+/// Returns a text for each field that differs.
+pub(crate) fn field_changes(before: &[PartField], after: &[PartField]) -> Vec<String> {
+    let before = by_name(before);
+    let after = by_name(after);
+    let names: collections::BTreeSet<&str> = before.keys().chain(after.keys()).copied().collect();
+    names
+        .into_iter()
+        .filter_map(|name| {
+            let old = before.get(name).copied().unwrap_or(ABSENT_VALUE);
+            let new = after.get(name).copied().unwrap_or(ABSENT_VALUE);
+            (old != new).then(|| format!("{name} {old} -> {new}"))
+        })
+        .collect()
+}
+
+fn by_name(fields: &[PartField]) -> collections::BTreeMap<&str, &str> {
+    fields
+        .iter()
+        .map(|field| (field.name.as_str(), field.value.as_str()))
+        .collect()
+}
+
+fn collect(fields: &mut Vec<PartField>, path: &str, value: &serde_json::Value) {
+    match value {
+        serde_json::Value::Object(object) => {
+            for (name, inner) in object {
+                collect(fields, &joined(path, name), inner);
+            }
+        }
+        serde_json::Value::Array(items) if holds_named_objects(items) => {
+            for item in items {
+                let name = item[NAME_FIELD].as_str().unwrap_or_default();
+                collect(fields, &format!("{path}[{name}]"), item);
+            }
+        }
+        _ if path == NAME_FIELD => {}
+        _ => fields.push(PartField {
+            name: path.to_owned(),
+            value: value.to_string(),
+        }),
+    }
+}
+
+fn joined(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        return name.to_owned();
+    }
+    format!("{path}.{name}")
+}
+
+fn holds_named_objects(items: &[serde_json::Value]) -> bool {
+    !items.is_empty() && items.iter().all(|item| item[NAME_FIELD].is_string())
+}
--- a/galenahold_domain/src/intent/service_intent.rs
+++ b/galenahold_domain/src/intent/service_intent.rs
@@ -5,33 +5,47 @@
 use crate::intent;
 use crate::name;
 
-const DEFAULT_DEADLINE_MS: u64 = 30_000;
-
 /// A service that is offered to teams.
+///
+/// Documents carry the fields of its route beside its own; a field that the route's kind does not
+/// have is an error.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(
+    try_from = "intent::service_document::ServiceDocument",
+    into = "intent::service_document::ServiceDocument"
+)]
 pub struct ServiceIntent {
     /// The service's name. Plain backend servers announce it.
     pub name: name::ServiceName,
     /// What the service routes to.
-    #[serde(flatten)]
     pub route: intent::RouteKind,
     /// The teams that may call it.
-    #[serde(default)]
     pub teams: Vec<name::TeamName>,
     /// Whether callers without a key may call it.
-    #[serde(default)]
     pub open: bool,
     /// Priority passed to engines; a lower number goes first.
-    #[serde(default)]
     pub priority: i32,
     /// The longest that a request may take before it is refused or ended, in milliseconds.
-    #[serde(default = "default_deadline_ms")]
     pub deadline_ms: u64,
     /// What the service promises.
-    #[serde(default)]
     pub objective: intent::ServiceObjective,
 }
 
-fn default_deadline_ms() -> u64 {
-    DEFAULT_DEADLINE_MS
+impl ServiceIntent {
+    /// Returns whether the team may call the service; no team stands for a caller without a key.
+    #[must_use]
+    pub fn admits(&self, team: Option<&name::TeamName>) -> bool {
+        self.open || team.is_some_and(|team| self.teams.contains(team))
+    }
+
+    /// Orders by name what has no order of its own.
+    pub(crate) fn normalize(&mut self) {
+        self.teams.sort();
+        match &mut self.route {
+            intent::RouteKind::Models { models } => models.sort(),
+            intent::RouteKind::Plain {
+                idempotent_methods, ..
+            } => idempotent_methods.sort(),
+        }
+    }
 }
--- /dev/null
+++ b/galenahold_domain/src/key/key_table.rs
@@ -0,0 +1,158 @@
+//! All keys at one revision.
+
+use std::fmt;
+use std::sync;
+
+use serde::de::Deserializer;
+use serde::ser::Serializer;
+use serde::{Deserialize, Serialize};
+
+use crate::key;
+use crate::name;
+
+/// The most records in one shared chunk; a change copies at most this many pointers.
+const CHUNK_RECORDS: usize = 128;
+
+type KeyChunk = sync::Arc<Vec<sync::Arc<key::KeyRecord>>>;
+
+/// All keys at one revision, ordered by their public part.
+///
+/// The records lie in shared chunks: a clone copies one pointer a chunk, and a change of a table
+/// that is shared copies one chunk. Lookups take logarithmic time.
+#[derive(Clone, Default, PartialEq)]
+pub struct KeyTable {
+    chunks: Vec<KeyChunk>,
+    length: usize,
+}
+
+impl KeyTable {
+    /// Returns an empty table.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether there is no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns the key with this public part.
+    #[must_use]
+    pub fn get(&self, id: &str) -> Option<&key::KeyRecord> {
+        let chunk = self.chunks.get(self.chunk_of(id)?)?;
+        let place = chunk
+            .binary_search_by(|record| record.id.as_str().cmp(id))
+            .ok()?;
+        chunk.get(place).map(AsRef::as_ref)
+    }
+
+    /// Returns the keys, ordered by their public part.
+    pub fn iter(&self) -> impl Iterator<Item = &key::KeyRecord> {
+        self.chunks
+            .iter()
+            .flat_map(|chunk| chunk.iter().map(AsRef::as_ref))
+    }
+
+    /// Adds a key, in place of one with the same public part.
+    pub fn insert(&mut self, record: key::KeyRecord) {
+        let Some(position) = self.chunk_of(&record.id) else {
+            self.chunks
+                .push(sync::Arc::new(vec![sync::Arc::new(record)]));
+            self.length = 1;
+            return;
+        };
+        let chunk = sync::Arc::make_mut(&mut self.chunks[position]);
+        match chunk.binary_search_by(|known| known.id.cmp(&record.id)) {
+            Ok(place) => chunk[place] = sync::Arc::new(record),
+            Err(place) => {
+                chunk.insert(place, sync::Arc::new(record));
+                self.length += 1;
+            }
+        }
+        if chunk.len() > CHUNK_RECORDS {
+            let upper = chunk.split_off(CHUNK_RECORDS / 2);
+            self.chunks.insert(position + 1, sync::Arc::new(upper));
+        }
+    }
+
+    /// Removes the key with this public part and returns whether there was one.
+    pub fn remove(&mut self, id: &str) -> bool {
+        let Some(position) = self.chunk_of(id) else {
+            return false;
+        };
+        let found = self.chunks[position].binary_search_by(|record| record.id.as_str().cmp(id));
+        let Ok(place) = found else {
+            return false;
+        };
+        let chunk = sync::Arc::make_mut(&mut self.chunks[position]);
+        chunk.remove(place);
+        if chunk.is_empty() {
+            self.chunks.remove(position);
+        }
+        self.length -= 1;
+        true
+    }
+
+    /// Removes all keys of the teams.
+    pub fn remove_teams(&mut self, teams: &[name::TeamName]) {
+        if teams.is_empty() {
+            return;
+        }
+        let ids: Vec<name::KeyId> = self
+            .iter()
+            .filter(|record| teams.contains(&record.team))
+            .map(|record| record.id.clone())
+            .collect();
+        for id in &ids {
+            self.remove(id);
+        }
+    }
+
+    /// Returns the position of the chunk that holds or would hold the key.
+    fn chunk_of(&self, id: &str) -> Option<usize> {
+        if self.chunks.is_empty() {
+            return None;
+        }
+        let after = self
+            .chunks
+            .partition_point(|chunk| chunk.first().is_some_and(|first| first.id.as_str() <= id));
+        Some(after.saturating_sub(1))
+    }
+}
+
+impl FromIterator<key::KeyRecord> for KeyTable {
+    fn from_iter<I: IntoIterator<Item = key::KeyRecord>>(records: I) -> Self {
+        let mut table = Self::new();
+        for record in records {
+            table.insert(record);
+        }
+        table
+    }
+}
+
+impl fmt::Debug for KeyTable {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_list().entries(self.iter()).finish()
+    }
+}
+
+impl Serialize for KeyTable {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_seq(self.iter())
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyTable {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let records = Vec::<key::KeyRecord>::deserialize(deserializer)?;
+        Ok(records.into_iter().collect())
+    }
+}
--- a/galenahold_domain/src/lib.rs
+++ b/galenahold_domain/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod amount;
 pub mod control;
+mod digest;
+pub mod error;
 pub mod intent;
 pub mod key;
 pub mod name;
--- a/galenahold_domain/src/order/order_answer.rs
+++ b/galenahold_domain/src/order/order_answer.rs
@@ -10,8 +10,28 @@
     /// The header `content-type`.
     pub content_type: Option<String>,
     /// The body; it is not kept above the ledger's limit, see [`OrderAnswer::truncated`].
+    #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
     /// Whether the body was too large to keep.
     #[serde(default)]
     pub truncated: bool,
 }
+
+impl OrderAnswer {
+    /// Returns the bytes that count against the ledger's limits.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        self.body.len() + self.content_type.as_ref().map_or(0, String::len)
+    }
+
+    /// Returns the answer without its body and content type, marked as truncated.
+    #[must_use]
+    pub(crate) fn without_body(self) -> Self {
+        Self {
+            status: self.status,
+            content_type: None,
+            body: Vec::new(),
+            truncated: true,
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_domain/src/order/order_ledger.rs
@@ -0,0 +1,407 @@
+//! Which orders were started and how they ended.
+
+use std::collections;
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount;
+use crate::digest;
+use crate::name;
+use crate::order;
+
+/// The most records that one command drops, so that no command takes long after a quiet time.
+const MAX_DROPS_A_COMMAND: usize = 64;
+
+/// Which orders were started and how they ended: the aggregate that lets each run at most once.
+///
+/// What it promises for one [`order::OrderKey`]:
+///
+/// - At most one attempt is under way, and its number owns the right to send. A further attempt
+///   starts only after the one before it ended as [`order::OrderOutcome::NotRun`].
+/// - An order that was answered, or whose outcome is unknown, never runs again: for at least
+///   `window_ms` after its end a repeat gets the recorded outcome, and for at least `remembered_ms`
+///   after its end a repeat gets [`order::OrderStart::Expired`]. The key is forgotten later than
+///   that, and only where `remembered` other keys ended after it.
+/// - A running attempt is kept without a limit of time, until it is finished or abandoned.
+/// - Where no record can be dropped under these rules and the limit is reached, new orders get
+///   [`order::OrderStart::Full`]. A team may take as many records as are still free, so that a
+///   single team never fills the ledger for the others. The same share holds for the bytes of
+///   answers; an answer beyond it is kept without its body.
+///
+/// Times come from the proposers' clocks. The ledger's time never goes back; a clock that is ahead
+/// shortens the times above, but no key is forgotten before `remembered` others ended after it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(from = "LedgerDocument")]
+pub struct OrderLedger {
+    limits: order::OrderLimits,
+    now_ms: u64,
+    records: collections::BTreeMap<digest::ShortHash, order::OrderRecord>,
+    remembered: collections::VecDeque<RememberedKey>,
+    ended: collections::BTreeMap<name::InstanceName, amount::IncarnationNumber>,
+    #[serde(skip)]
+    ends: collections::BTreeSet<(u64, digest::ShortHash)>,
+    #[serde(skip)]
+    remembered_hashes: collections::BTreeSet<u64>,
+    #[serde(skip)]
+    usage: order::OrderUsage,
+    #[serde(skip)]
+    team_usage: collections::BTreeMap<name::TeamName, order::OrderUsage>,
+}
+
+/// The ledger without what follows from the rest.
+#[derive(Deserialize)]
+struct LedgerDocument {
+    limits: order::OrderLimits,
+    now_ms: u64,
+    records: collections::BTreeMap<digest::ShortHash, order::OrderRecord>,
+    remembered: collections::VecDeque<RememberedKey>,
+    ended: collections::BTreeMap<name::InstanceName, amount::IncarnationNumber>,
+}
+
+/// The key of a dropped record: 64 bits of its hash, and when its order ended in milliseconds.
+///
+/// Two keys with equal bits make the later one expire at once, which refuses an order and never
+/// runs one twice.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct RememberedKey(u64, u64);
+
+impl Default for OrderLedger {
+    fn default() -> Self {
+        Self::with_limits(order::OrderLimits::default())
+    }
+}
+
+impl From<LedgerDocument> for OrderLedger {
+    fn from(document: LedgerDocument) -> Self {
+        let mut ledger = Self::with_limits(document.limits);
+        ledger.now_ms = document.now_ms;
+        ledger.ended = document.ended;
+        for key in &document.remembered {
+            ledger.remembered_hashes.insert(key.0);
+        }
+        ledger.remembered = document.remembered;
+        for (hash, record) in document.records {
+            if let Some(end) = &record.end {
+                ledger.ends.insert((end.at_ms, hash));
+            }
+            ledger.count_in(&record);
+            ledger.records.insert(hash, record);
+        }
+        ledger
+    }
+}
+
+impl OrderLedger {
+    /// Returns an empty ledger with these limits.
+    #[must_use]
+    pub fn with_limits(limits: order::OrderLimits) -> Self {
+        Self {
+            limits,
+            now_ms: 0,
+            records: collections::BTreeMap::new(),
+            remembered: collections::VecDeque::new(),
+            ended: collections::BTreeMap::new(),
+            ends: collections::BTreeSet::new(),
+            remembered_hashes: collections::BTreeSet::new(),
+            usage: order::OrderUsage::default(),
+            team_usage: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Starts an attempt of an order, or says why none starts.
+    ///
+    /// The same owner gets the same attempt again while it is under way. A late copy of a start
+    /// whose attempt has ended starts nothing.
+    pub fn start(
+        &mut self,
+        key: &order::OrderKey,
+        digest: &str,
+        owner: &order::OrderOwner,
+        now_ms: u64,
+    ) -> order::OrderStart {
+        self.advance(now_ms);
+        let hash = key_hash(key);
+        let content = content_hash(digest);
+        if self.records.contains_key(&hash) {
+            return self.repeat(hash, content, owner);
+        }
+        if self.remembered_hashes.contains(&hash.high()) {
+            return order::OrderStart::Expired;
+        }
+        if self.has_ended(owner) {
+            return order::OrderStart::OwnerEnded;
+        }
+        if !self.has_room_for(&key.team) {
+            return order::OrderStart::Full;
+        }
+        self.begin(hash, &key.team, content, owner)
+    }
+
+    /// Records how an attempt ended.
+    ///
+    /// The first outcome stands, but that an unknown one gives way to the answer when it arrives
+    /// late.
+    pub fn finish(
+        &mut self,
+        key: &order::OrderKey,
+        attempt: u32,
+        outcome: &order::OrderOutcome,
+        now_ms: u64,
+    ) -> order::OrderFinish {
+        self.advance(now_ms);
+        let hash = key_hash(key);
+        let Some(record) = self.records.get(&hash) else {
+            return order::OrderFinish::NoSuchOrder;
+        };
+        if record.attempt != attempt {
+            return order::OrderFinish::WrongAttempt {
+                current: record.attempt,
+            };
+        }
+        if takes(record, outcome) {
+            self.end(hash, outcome.clone());
+        }
+        order::OrderFinish::Recorded
+    }
+
+    /// Ends the running attempts of an instance's incarnations before this one as unknown, refuses
+    /// their later starts, and returns how many attempts it ended.
+    pub fn abandon(
+        &mut self,
+        instance: &name::InstanceName,
+        before: amount::IncarnationNumber,
+        now_ms: u64,
+    ) -> u64 {
+        self.advance(now_ms);
+        let floor = self.ended.entry(instance.clone()).or_default();
+        *floor = before.max(*floor);
+        let hashes: Vec<digest::ShortHash> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_running())
+            .filter(|(_, record)| record.owner.instance == *instance)
+            .filter(|(_, record)| record.owner.incarnation < before)
+            .map(|(hash, _)| *hash)
+            .collect();
+        for hash in &hashes {
+            self.end(*hash, order::OrderOutcome::Unknown);
+        }
+        hashes.len() as u64
+    }
+
+    /// Returns figures for reports.
+    #[must_use]
+    pub fn statistics(&self) -> order::OrderStatistics {
+        order::OrderStatistics {
+            usage: self.usage,
+            running: self.usage.records - self.ends.len(),
+            remembered: self.remembered.len(),
+        }
+    }
+
+    /// Returns what a team uses of the ledger.
+    #[must_use]
+    pub fn team_usage(&self, team: &str) -> order::OrderUsage {
+        self.team_usage.get(team).copied().unwrap_or_default()
+    }
+
+    fn repeat(
+        &mut self,
+        hash: digest::ShortHash,
+        content: digest::ShortHash,
+        owner: &order::OrderOwner,
+    ) -> order::OrderStart {
+        let has_ended = self.has_ended(owner);
+        let Some(record) = self.records.get_mut(&hash) else {
+            return order::OrderStart::Expired;
+        };
+        if record.content != content {
+            return order::OrderStart::DigestDiffers;
+        }
+        let Some(end) = &record.end else {
+            return running_answer(record, owner);
+        };
+        match &end.outcome {
+            order::OrderOutcome::Answered(answer) => order::OrderStart::Answered(answer.clone()),
+            order::OrderOutcome::Unknown => order::OrderStart::Unknown,
+            order::OrderOutcome::NotRun if record.knows(owner) => order::OrderStart::Running,
+            order::OrderOutcome::NotRun if has_ended => order::OrderStart::OwnerEnded,
+            order::OrderOutcome::NotRun => {
+                self.ends.remove(&(end.at_ms, hash));
+                record.begin_again(owner.clone());
+                order::OrderStart::Begun {
+                    attempt: record.attempt,
+                }
+            }
+        }
+    }
+
+    fn begin(
+        &mut self,
+        hash: digest::ShortHash,
+        team: &name::TeamName,
+        content: digest::ShortHash,
+        owner: &order::OrderOwner,
+    ) -> order::OrderStart {
+        let team = match self.team_usage.get_key_value(team) {
+            Some((team, _)) => team.clone(),
+            None => team.clone(),
+        };
+        let record = order::OrderRecord::begin(team, content, owner.clone());
+        let attempt = record.attempt;
+        self.count_in(&record);
+        self.records.insert(hash, record);
+        order::OrderStart::Begun { attempt }
+    }
+
+    fn end(&mut self, hash: digest::ShortHash, outcome: order::OrderOutcome) {
+        let Some(mut record) = self.records.remove(&hash) else {
+            return;
+        };
+        if let Some(end) = &record.end {
+            self.ends.remove(&(end.at_ms, hash));
+        }
+        self.count_out(&record);
+        let outcome = self.bounded(&record.team, outcome);
+        record.end = Some(order::RecordEnd {
+            outcome,
+            at_ms: self.now_ms,
+        });
+        self.count_in(&record);
+        self.ends.insert((self.now_ms, hash));
+        self.records.insert(hash, record);
+    }
+
+    /// Returns the outcome with the answer's body left out where it is beyond the limits.
+    fn bounded(&self, team: &name::TeamName, outcome: order::OrderOutcome) -> order::OrderOutcome {
+        let order::OrderOutcome::Answered(answer) = outcome else {
+            return outcome;
+        };
+        let bytes = answer.kept_bytes();
+        let free = self.limits.total_bytes.saturating_sub(self.usage.bytes);
+        let share = free.saturating_sub(self.team_usage(team).bytes);
+        if bytes > self.limits.answer_bytes || bytes > share {
+            return order::OrderOutcome::Answered(answer.without_body());
+        }
+        order::OrderOutcome::Answered(answer)
+    }
+
+    fn has_ended(&self, owner: &order::OrderOwner) -> bool {
+        self.ended
+            .get(&owner.instance)
+            .is_some_and(|floor| owner.incarnation < *floor)
+    }
+
+    fn has_room_for(&self, team: &name::TeamName) -> bool {
+        let free = self.limits.records.saturating_sub(self.usage.records);
+        free > self.team_usage(team).records
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        for _ in 0..MAX_DROPS_A_COMMAND {
+            let Some((at_ms, hash)) = self.ends.first().copied() else {
+                return;
+            };
+            if at_ms.saturating_add(self.limits.window_ms) > self.now_ms {
+                return;
+            }
+            if !self.drop_record(at_ms, hash) {
+                return;
+            }
+        }
+    }
+
+    /// Drops a record whose window has passed, and returns whether it could.
+    fn drop_record(&mut self, at_ms: u64, hash: digest::ShortHash) -> bool {
+        let Some(record) = self.records.get(&hash) else {
+            return false;
+        };
+        let may_have_run = record
+            .end
+            .as_ref()
+            .is_some_and(|end| end.outcome != order::OrderOutcome::NotRun);
+        if may_have_run && !self.remember(at_ms, hash) {
+            return false;
+        }
+        self.ends.remove(&(at_ms, hash));
+        if let Some(record) = self.records.remove(&hash) {
+            self.count_out(&record);
+        }
+        true
+    }
+
+    fn remember(&mut self, at_ms: u64, hash: digest::ShortHash) -> bool {
+        if self.remembered.len() >= self.limits.remembered && !self.forget_oldest() {
+            return false;
+        }
+        self.remembered.push_back(RememberedKey(hash.high(), at_ms));
+        self.remembered_hashes.insert(hash.high());
+        true
+    }
+
+    fn forget_oldest(&mut self) -> bool {
+        let Some(oldest) = self.remembered.front() else {
+            return false;
+        };
+        if oldest.1.saturating_add(self.limits.remembered_ms) > self.now_ms {
+            return false;
+        }
+        self.remembered_hashes.remove(&oldest.0);
+        self.remembered.pop_front();
+        true
+    }
+
+    fn count_in(&mut self, record: &order::OrderRecord) {
+        let bytes = record.answer_bytes();
+        self.usage.add(bytes);
+        self.team_usage
+            .entry(record.team.clone())
+            .or_default()
+            .add(bytes);
+    }
+
+    fn count_out(&mut self, record: &order::OrderRecord) {
+        let bytes = record.answer_bytes();
+        self.usage.remove(bytes);
+        if let Some(usage) = self.team_usage.get_mut(&record.team) {
+            usage.remove(bytes);
+            if usage.records == 0 {
+                self.team_usage.remove(&record.team);
+            }
+        }
+    }
+}
+
+fn running_answer(record: &order::OrderRecord, owner: &order::OrderOwner) -> order::OrderStart {
+    if record.owner == *owner {
+        return order::OrderStart::Begun {
+            attempt: record.attempt,
+        };
+    }
+    order::OrderStart::Running
+}
+
+/// Returns whether the outcome replaces what the record says.
+fn takes(record: &order::OrderRecord, outcome: &order::OrderOutcome) -> bool {
+    match &record.end {
+        None => true,
+        Some(end) => {
+            end.outcome == order::OrderOutcome::Unknown
+                && matches!(outcome, order::OrderOutcome::Answered(_))
+        }
+    }
+}
+
+fn key_hash(key: &order::OrderKey) -> digest::ShortHash {
+    digest::ContentDigest::of_parts(&[
+        key.team.as_bytes(),
+        key.service.as_bytes(),
+        key.key.as_bytes(),
+    ])
+    .short()
+}
+
+fn content_hash(digest: &str) -> digest::ShortHash {
+    digest::ContentDigest::of_parts(&[digest.as_bytes()]).short()
+}
--- a/galenahold_domain/src/order/order_start.rs
+++ b/galenahold_domain/src/order/order_start.rs
@@ -23,6 +23,8 @@
     DigestDiffers,
     /// The key is older than the ledger's window.
     Expired,
+    /// The asking instance's incarnation was declared ended; it may start no order.
+    OwnerEnded,
     /// The ledger has reached its limit of entries or bytes.
     Full,
 }
--- /dev/null
+++ b/galenahold_domain/src/order/order_statistics.rs
@@ -0,0 +1,14 @@
+//! Figures of the order ledger for reports.
+
+use crate::order;
+
+/// Figures of the order ledger for reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OrderStatistics {
+    /// What the records take.
+    pub usage: order::OrderUsage,
+    /// Records whose attempt is under way.
+    pub running: usize,
+    /// Keys of dropped records that are still refused.
+    pub remembered: usize,
+}
--- a/galenahold_domain/src/placement/replica_artifact.rs
+++ b/galenahold_domain/src/placement/replica_artifact.rs
@@ -1,5 +1,7 @@
 //! What a replica holds.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::name;
@@ -14,3 +16,13 @@
     /// The adapter, for an adapter.
     pub adapter: Option<name::AdapterName>,
 }
+
+impl fmt::Display for ReplicaArtifact {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} {}", self.model, self.version)?;
+        match &self.adapter {
+            Some(adapter) => write!(formatter, " {adapter}"),
+            None => Ok(()),
+        }
+    }
+}
--- a/galenahold_domain/src/placement/reservation_id.rs
+++ b/galenahold_domain/src/placement/reservation_id.rs
@@ -1,8 +1,16 @@
 //! Numbers a reservation.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Numbers a reservation by the log index of its commit; it is the `order` of the load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ReservationId(pub u64);
+
+impl fmt::Display for ReservationId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
--- /dev/null
+++ b/galenahold_domain/tests/control/codec.rs
@@ -0,0 +1,137 @@
+//! Commands and snapshots as bytes.
+
+use galenahold_domain::amount;
+use galenahold_domain::control;
+use galenahold_domain::error;
+use galenahold_domain::placement;
+use proptest::prelude::*;
+use serde::Serialize;
+
+use crate::fixture;
+
+#[derive(Serialize)]
+struct LaterCommand {
+    version: u32,
+    command: LaterKind,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+enum LaterKind {
+    MoveDataCentre { name: String },
+    ReleaseReservation { id: u64, urgent: bool },
+}
+
+#[test]
+fn commands_survive_encoding() {
+    let command = control::ControlCommand::ConfirmPlan {
+        request: fixture::request("amina", "7"),
+        base: amount::RevisionNumber(3),
+        intent: fixture::intent(),
+        digest: "d".to_owned(),
+        now_ms: 9,
+    };
+    let decoded = control::ControlCommand::decode(&command.encode()).expect("it decodes");
+    assert_eq!(decoded, command);
+}
+
+#[test]
+fn unknown_kind_is_a_typed_error() {
+    let bytes = rmp_serde::to_vec_named(&LaterCommand {
+        version: 1,
+        command: LaterKind::MoveDataCentre {
+            name: "pwani".to_owned(),
+        },
+    })
+    .expect("it encodes");
+    let fault = control::ControlCommand::decode(&bytes).expect_err("the kind is unknown");
+    assert!(
+        matches!(&fault, error::DomainError::CommandKind { kind } if kind == "move_data_centre"),
+        "{fault}"
+    );
+}
+
+#[test]
+fn unknown_field_of_a_command_is_an_error() {
+    let bytes = rmp_serde::to_vec_named(&LaterCommand {
+        version: 1,
+        command: LaterKind::ReleaseReservation {
+            id: 1,
+            urgent: true,
+        },
+    })
+    .expect("it encodes");
+    let fault = control::ControlCommand::decode(&bytes).expect_err("the field is unknown");
+    assert!(
+        matches!(fault, error::DomainError::CommandMalformed { .. }),
+        "{fault}"
+    );
+}
+
+#[test]
+fn later_version_of_a_command_is_a_typed_error() {
+    let bytes = rmp_serde::to_vec_named(&LaterCommand {
+        version: 2,
+        command: LaterKind::MoveDataCentre {
+            name: "pwani".to_owned(),
+        },
+    })
+    .expect("it encodes");
+    let fault = control::ControlCommand::decode(&bytes).expect_err("the version is later");
+    assert!(
+        matches!(fault, error::DomainError::CommandVersion { found: 2, .. }),
+        "{fault}"
+    );
+}
+
+#[test]
+fn snapshot_restores_the_same_state() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    logged.withdraw("2", fixture::caller_key(1).id());
+    let bytes = logged.state.snapshot();
+    let restored = control::ControlState::restore(&bytes).expect("it restores");
+    assert_eq!(restored.view(), logged.state.view());
+    assert_eq!(restored.snapshot(), bytes);
+    let all = amount::RevisionNumber::ZERO;
+    assert_eq!(restored.changes_since(all), logged.state.changes_since(all));
+}
+
+#[test]
+fn snapshot_of_a_later_version_is_a_typed_error() {
+    #[derive(Serialize)]
+    struct LaterSnapshot {
+        version: u32,
+    }
+    let bytes = rmp_serde::to_vec_named(&LaterSnapshot { version: 2 }).expect("it encodes");
+    let fault = control::ControlState::restore(&bytes).expect_err("the version is later");
+    assert!(
+        matches!(fault, error::DomainError::SnapshotVersion { found: 2, .. }),
+        "{fault}"
+    );
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = control::ControlCommand::decode(&bytes);
+        let _ = control::ControlState::restore(&bytes);
+    }
+
+    #[test]
+    fn damaged_bytes_never_panic(place in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut logged = fixture::LoggedState::with_intent();
+        logged.give("1", fixture::key_record(1, "mkoani"));
+        let mut snapshot = logged.state.snapshot();
+        let damaged = place.index(snapshot.len());
+        snapshot[damaged] = byte;
+        let _ = control::ControlState::restore(&snapshot);
+        let command = control::ControlCommand::ReleaseReservation {
+            id: placement::ReservationId(7),
+        };
+        let mut command = command.encode();
+        let damaged = place.index(command.len());
+        command[damaged] = byte;
+        let _ = control::ControlCommand::decode(&command);
+    }
+}
--- /dev/null
+++ b/galenahold_domain/tests/control/configuration.rs
@@ -0,0 +1,124 @@
+//! The configuration at instances: changes in order, and lookups.
+
+use std::sync;
+
+use galenahold_domain::amount;
+use galenahold_domain::control;
+use galenahold_domain::name;
+
+use crate::fixture;
+
+fn index() -> control::ConfigurationIndex {
+    let logged = fixture::LoggedState::with_intent();
+    control::ConfigurationIndex::new(logged.state.view())
+}
+
+#[test]
+fn instance_reaches_the_same_view_by_changes() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    logged.give("2", fixture::key_record(2, "kibaha"));
+    logged.withdraw("3", fixture::caller_key(1).id());
+    let mut wanted = fixture::intent();
+    wanted.teams.remove(1);
+    wanted.services[0].teams.pop();
+    wanted.models[0].adapters.reverse();
+    assert_eq!(logged.confirm("boot", "2", 4, &wanted), fixture::changed(5));
+    let mut view = control::ConfigurationView::default();
+    let changes = logged.state.changes_since(view.revision);
+    for change in changes.expect("all changes are kept") {
+        view.apply(&change).expect("it is the next");
+    }
+    assert_eq!(view, *logged.state.view());
+    assert!(view.keys.is_empty(), "the removed team's key is gone");
+}
+
+#[test]
+fn instance_refuses_a_lower_revision_and_a_gap() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    logged.give("2", fixture::key_record(2, "mkoani"));
+    let changes = logged
+        .state
+        .changes_since(amount::RevisionNumber::ZERO)
+        .expect("all changes are kept");
+    let mut view = control::ConfigurationView::default();
+    view.apply(&changes[0]).expect("it is the next");
+    let before = view.clone();
+    assert!(view.apply(&changes[0]).is_err(), "a repeat");
+    assert!(view.apply(&changes[2]).is_err(), "a gap");
+    assert_eq!(view, before);
+}
+
+#[test]
+fn changes_are_refused_to_an_instance_that_is_ahead() {
+    let logged = fixture::LoggedState::with_intent();
+    let ahead = amount::RevisionNumber(2);
+    assert_eq!(logged.state.changes_since(ahead), None);
+    let same = logged.state.changes_since(amount::RevisionNumber(1));
+    assert_eq!(same, Some(Vec::new()));
+}
+
+#[test]
+fn path_goes_to_the_longest_prefix_of_whole_segments() {
+    let index = index();
+    let service = |path: &str| {
+        index
+            .service_for_path(path)
+            .map(|service| service.name.to_string())
+    };
+    assert_eq!(service("/orders").as_deref(), Some("foundry-desk"));
+    assert_eq!(service("/orders/7").as_deref(), Some("foundry-desk"));
+    assert_eq!(service("/orders/records/9").as_deref(), Some("records"));
+    assert_eq!(service("/orders/recordsx").as_deref(), Some("foundry-desk"));
+    assert_eq!(service("/ordersx"), None);
+    assert_eq!(service("/"), None);
+    assert_eq!(service(""), None);
+}
+
+#[test]
+fn adapter_resolves_to_its_model_and_is_offered_with_it() {
+    let index = index();
+    let resolved = index.resolve_model("surveys").expect("it is an adapter");
+    assert_eq!(resolved.model.name.as_str(), "alama-llm");
+    assert_eq!(resolved.adapter.map(|adapter| adapter.bytes.0), Some(20));
+    let offering: Vec<&str> = index
+        .services_offering("surveys")
+        .map(|service| service.name.as_str())
+        .collect();
+    assert_eq!(offering, ["drafts"]);
+    assert!(index.resolve_model("nothing").is_none());
+}
+
+#[test]
+fn team_calls_only_services_that_admit_it() {
+    let index = index();
+    let kibaha = name::TeamName::from("kibaha");
+    assert!(index.may_call("drafts", Some(&kibaha)));
+    assert!(!index.may_call("foundry-desk", Some(&kibaha)));
+    assert!(!index.may_call("foundry-desk", None));
+    assert!(index.may_call("records", None));
+}
+
+#[test]
+fn key_admits_its_team_until_it_is_withdrawn() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    let index = control::ConfigurationIndex::new(logged.state.view());
+    let key = fixture::caller_key(1);
+    let team = index.admitted_team(&key).expect("the key is in force");
+    assert_eq!(team.name.as_str(), "mkoani");
+    assert!(index.admitted_team(&fixture::caller_key(2)).is_none());
+    logged.withdraw("2", key.id());
+    let index = index.renewed(logged.state.view());
+    assert!(index.admitted_team(&key).is_none());
+}
+
+#[test]
+fn change_of_a_key_shares_the_intent() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let before = logged.state.view();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    let after = logged.state.view();
+    assert!(sync::Arc::ptr_eq(&before.intent, &after.intent));
+}
--- /dev/null
+++ b/galenahold_domain/tests/control/main.rs
@@ -0,0 +1,6 @@
+//! The replicated control state: commands, operators, keys, snapshots and what instances see.
+
+mod codec;
+mod configuration;
+mod fixture;
+mod operators;
--- /dev/null
+++ b/galenahold_domain/tests/control/operators.rs
@@ -0,0 +1,124 @@
+//! Operators who race each other and resend.
+
+use galenahold_domain::amount;
+use galenahold_domain::control;
+
+use crate::fixture;
+
+#[test]
+fn one_of_two_operators_under_equal_numbers_wins() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let mut first = fixture::intent();
+    first.teams[0].weight = 5;
+    let mut second = fixture::intent();
+    second.teams[1].weight = 7;
+    let current = logged.state.view();
+    let base = current.revision;
+    let plan = galenahold_domain::intent::IntentPlan::between(base, &current.intent, &second);
+    assert_eq!(logged.confirm("amina", "1", 1, &first), fixture::changed(2));
+    let outcome = logged.apply(&control::ControlCommand::ConfirmPlan {
+        request: fixture::request("juma", "1"),
+        base,
+        intent: second,
+        digest: plan.digest,
+        now_ms: 0,
+    });
+    let control::ControlOutcome::Conflict(conflict) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(conflict.current, amount::RevisionNumber(2));
+    assert_eq!(conflict.operator.as_str(), "amina");
+    assert_eq!(conflict.summary, ["change team `mkoani`: weight 1 -> 5"]);
+}
+
+#[test]
+fn resend_gets_the_first_answer_after_later_changes() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let current = logged.state.view();
+    let mut wanted = fixture::intent();
+    wanted.teams[0].weight = 5;
+    let plan =
+        galenahold_domain::intent::IntentPlan::between(current.revision, &current.intent, &wanted);
+    let command = control::ControlCommand::ConfirmPlan {
+        request: fixture::request("amina", "1"),
+        base: current.revision,
+        intent: wanted,
+        digest: plan.digest,
+        now_ms: 0,
+    };
+    assert_eq!(logged.apply(&command), fixture::changed(2));
+    assert_eq!(
+        logged.confirm("juma", "1", 2, &fixture::intent()),
+        fixture::changed(3)
+    );
+    let before = logged.state.view();
+    assert_eq!(logged.apply(&command), fixture::changed(2));
+    assert_eq!(logged.state.view(), before);
+}
+
+#[test]
+fn number_used_for_another_request_is_refused() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    let outcome = logged.give("1", fixture::key_record(2, "mkoani"));
+    assert_eq!(outcome, control::ControlOutcome::RequestReused);
+    assert_eq!(logged.state.revision(), amount::RevisionNumber(2));
+}
+
+#[test]
+fn plan_with_another_digest_changes_nothing() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let mut wanted = fixture::intent();
+    wanted.teams[0].weight = 5;
+    let outcome = logged.apply(&control::ControlCommand::ConfirmPlan {
+        request: fixture::request("amina", "1"),
+        base: amount::RevisionNumber(1),
+        intent: wanted,
+        digest: "other".to_owned(),
+        now_ms: 0,
+    });
+    assert!(
+        matches!(outcome, control::ControlOutcome::DigestDiffers { .. }),
+        "{outcome:?}"
+    );
+    assert_eq!(logged.state.revision(), amount::RevisionNumber(1));
+}
+
+#[test]
+fn plan_stands_when_only_keys_changed_since_its_base() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "mkoani"));
+    let mut wanted = fixture::intent();
+    wanted.teams[0].weight = 5;
+    assert_eq!(logged.confirm("juma", "1", 1, &wanted), fixture::changed(3));
+}
+
+#[test]
+fn withdrawn_key_is_never_given_again_by_an_old_resend() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let base = logged.state.revision();
+    let record = fixture::key_record(1, "mkoani");
+    logged.give_against("1", base, record.clone());
+    logged.withdraw("2", &record.id);
+    let outcome = logged.give_against("resent-under-another-number", base, record);
+    assert!(
+        matches!(outcome, control::ControlOutcome::Invalid { .. }),
+        "{outcome:?}"
+    );
+    assert!(logged.state.view().keys.is_empty());
+}
+
+#[test]
+fn removed_teams_key_stays_withdrawn_when_the_team_returns() {
+    let mut logged = fixture::LoggedState::with_intent();
+    logged.give("1", fixture::key_record(1, "kibaha"));
+    let mut wanted = fixture::intent();
+    wanted.teams.remove(1);
+    wanted.services[0].teams.pop();
+    assert_eq!(logged.confirm("juma", "1", 2, &wanted), fixture::changed(3));
+    assert_eq!(
+        logged.confirm("juma", "2", 3, &fixture::intent()),
+        fixture::changed(4)
+    );
+    assert!(logged.state.view().keys.is_empty());
+}
