--- /dev/null
+++ b/galenahold_domain/src/control/configuration_change.rs
@@ -0,0 +1,73 @@
+//! One change of the configuration, as it travels to instances.
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount;
+use crate::intent;
+use crate::key;
+use crate::name;
+
+/// One change of the configuration, as it travels to instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ConfigurationChange {
+    /// Parts of the intent were set or removed.
+    Intent {
+        /// The revision that the change makes.
+        revision: amount::RevisionNumber,
+        /// Teams, models and services that were added or altered, and the store's limits.
+        set: intent::FleetIntent,
+        /// Teams that were removed.
+        removed_teams: Vec<name::TeamName>,
+        /// Models that were removed.
+        removed_models: Vec<name::ModelName>,
+        /// Services that were removed.
+        removed_services: Vec<name::ServiceName>,
+    },
+    /// A key was given.
+    KeyGiven {
+        /// The revision that the change makes.
+        revision: amount::RevisionNumber,
+        /// The key.
+        record: key::KeyRecord,
+    },
+    /// A key was withdrawn.
+    KeyWithdrawn {
+        /// The revision that the change makes.
+        revision: amount::RevisionNumber,
+        /// The key's public part.
+        id: name::KeyId,
+    },
+}
+
+impl ConfigurationChange {
+    /// Returns the revision that the change makes.
+    #[must_use]
+    pub fn revision(&self) -> amount::RevisionNumber {
+        match self {
+            Self::Intent { revision, .. }
+            | Self::KeyGiven { revision, .. }
+            | Self::KeyWithdrawn { revision, .. } => *revision,
+        }
+    }
+}
+
+impl ConfigurationChange {
+    /// Returns how many parts the change holds, as a measure of its size.
+    pub(crate) fn part_count(&self) -> usize {
+        let Self::Intent {
+            set,
+            removed_teams,
+            removed_models,
+            removed_services,
+            ..
+        } = self
+        else {
+            return 1;
+        };
+        let adapters: usize = set.models.iter().map(|model| model.adapters.len()).sum();
+        let named = set.teams.len() + set.models.len() + set.services.len();
+        let removed = removed_teams.len() + removed_models.len() + removed_services.len();
+        1 + named + adapters + removed
+    }
+}
