--- a/galenahold_instance/src/configuration/configuration_holder.rs
+++ b/galenahold_instance/src/configuration/configuration_holder.rs
@@ -22,7 +22,7 @@
 
 #[derive(Debug, Default)]
 struct HolderState {
-    view: control::ConfigurationView,
+    view: sync::Arc<control::ConfigurationView>,
     history: Vec<control::ConfigurationChange>,
     confirmed_at: Option<time::Instant>,
 }
@@ -40,14 +40,22 @@
     pub(crate) drains: Option<message::DrainList>,
 }
 
+/// What is new of the configuration, and the revision that it leads to.
+#[derive(Debug)]
+pub(crate) struct ConfigurationNews {
+    /// The revision.
+    pub(crate) revision: amount::RevisionNumber,
+    /// What is new.
+    pub(crate) update: message::ConfigurationUpdate,
+}
+
 /// Changes that are kept for instances that take their configuration from this one.
 const MAX_HISTORY: usize = 512;
 
 impl ConfigurationHolder {
     /// Creates a holder without a configuration; it stays fresh for `bound` after a confirmation.
     pub(crate) fn new(bound: time::Duration) -> Self {
-        let view = control::ConfigurationView::default();
-        let index = control::ConfigurationIndex::new(&view);
+        let index = control::ConfigurationIndex::default();
         Self {
             index: sync::Arc::new(arc_swap::ArcSwap::from_pointee(index)),
             drains: sync::Arc::new(arc_swap::ArcSwap::from_pointee(
@@ -124,25 +132,16 @@
     }
 
     /// Returns what is new to an instance that has `have`, for passing it on.
-    pub(crate) fn update_since(&self, have: amount::RevisionNumber) -> message::ConfigurationUpdate {
+    pub(crate) fn news_since(&self, have: amount::RevisionNumber) -> ConfigurationNews {
         let state = self.lock();
-        if have >= state.view.revision {
-            return message::ConfigurationUpdate::Nothing;
-        }
-        let follows = state
-            .history
-            .iter()
-            .position(|change| change.revision() == have.next());
-        match follows {
-            Some(start) => {
-                message::ConfigurationUpdate::Changes(state.history[start..].to_vec())
-            }
-            None => message::ConfigurationUpdate::Snapshot(state.view.clone()),
+        ConfigurationNews {
+            revision: state.view.revision,
+            update: state.update_since(have),
         }
     }
 
     fn publish(&self, state: &HolderState) {
-        let index = control::ConfigurationIndex::new(&state.view);
+        let index = self.index.load().renewed(sync::Arc::clone(&state.view));
         self.index.store(sync::Arc::new(index));
         self.revision.send_replace(state.view.revision.0);
     }
@@ -155,6 +154,22 @@
 }
 
 impl HolderState {
+    fn update_since(&self, have: amount::RevisionNumber) -> message::ConfigurationUpdate {
+        if have >= self.view.revision {
+            return message::ConfigurationUpdate::Nothing;
+        }
+        let follows = self
+            .history
+            .iter()
+            .position(|change| change.revision() == have.next());
+        match follows {
+            Some(start) => message::ConfigurationUpdate::Changes(self.history[start..].to_vec()),
+            None => message::ConfigurationUpdate::Snapshot(
+                control::ConfigurationView::clone(&self.view),
+            ),
+        }
+    }
+
     fn apply(
         &mut self,
         update: message::ConfigurationUpdate,
@@ -177,7 +192,7 @@
             return Ok(());
         }
         let held = self.view.revision;
-        self.view
+        sync::Arc::make_mut(&mut self.view)
             .apply(&change)
             .map_err(|_| configuration::HolderError::Gap { held })?;
         self.history.push(change);
@@ -197,7 +212,7 @@
                 held: self.view.revision,
             });
         }
-        self.view = view;
+        self.view = sync::Arc::new(view);
         self.history.clear();
         Ok(())
     }
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use galenahold_domain::name;
 use galenahold_wire::message;
 
 use crate::configuration;
@@ -19,7 +20,13 @@
     }
 
     /// Waits until there is news for the request, or its hold time is over.
-    pub(crate) async fn watch(&self, request: message::WatchRequest) -> message::WatchReply {
+    ///
+    /// `leader` goes with the answer, so that the one who waits can turn to it.
+    pub(crate) async fn watch(
+        &self,
+        request: message::WatchRequest,
+        leader: Option<name::InstanceName>,
+    ) -> message::WatchReply {
         let started = time::Instant::now();
         let hold = time::Duration::from_millis(request.hold_ms);
         let mut revisions = self.holder.subscribe();
@@ -30,23 +37,31 @@
                 .await;
         };
         let _ = tokio::time::timeout(hold, news).await;
-        self.reply(&request, started)
+        self.reply(&request, started, leader)
     }
 
-    fn reply(&self, request: &message::WatchRequest, started: time::Instant) -> message::WatchReply {
-        let update = self.holder.update_since(request.have);
-        let drains = self.holder.drains();
-        let Some(age) = self.holder.age() else {
-            return message::WatchReply::Unavailable { leader: None };
+    fn reply(
+        &self,
+        request: &message::WatchRequest,
+        started: time::Instant,
+        leader: Option<name::InstanceName>,
+    ) -> message::WatchReply {
+        // The age is taken first: what is read after it is at least as new as it says.
+        let held = started.elapsed();
+        let Some(age) = self.holder.age().filter(|_| self.holder.is_fresh()) else {
+            return message::WatchReply::Unavailable { leader };
         };
+        let news = self.holder.news_since(request.have);
+        let drains = self.holder.drains();
         message::WatchReply::Current {
+            // Rounded up, so that the age never falls short on its way.
             age_ms: millis(age) + 1,
-            held_ms: millis(started.elapsed()),
-            revision: self.holder.index().revision(),
-            update,
-            drains: (drains.version > request.drain_version)
+            held_ms: millis(held),
+            revision: news.revision,
+            update: news.update,
+            drains: (drains.version != request.drain_version)
                 .then(|| message::DrainList::clone(&drains)),
-            leader: None,
+            leader,
         }
     }
 }
--- /dev/null
+++ b/galenahold_instance/src/control/control_group.rs
@@ -0,0 +1,126 @@
+//! This instance's member of the control group.
+
+use std::sync;
+use std::time;
+
+use galenahold_consensus::driver;
+use galenahold_consensus::member;
+use galenahold_consensus::message as raft_message;
+use galenahold_domain::control;
+use galenahold_domain::name;
+use galenahold_settings::group as settings;
+use tokio::sync::oneshot;
+
+use crate::control as group;
+
+/// How long a proposal may take.
+const PROPOSE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// This instance's member of the control group: its log and the state that the log makes.
+pub(crate) struct ControlGroup {
+    handle: driver::LogHandle<group::ControlMachine>,
+    state: group::SharedState,
+}
+
+impl ControlGroup {
+    /// Opens the data folder and starts the log.
+    ///
+    /// # Errors
+    ///
+    /// The data folder is unusable or the log does not know what it holds.
+    pub(crate) fn start(
+        settings: &settings::InstanceSettings,
+        folder: &std::path::Path,
+        transport: group::LogTransport,
+    ) -> Result<(Self, driver::ReplicatedLog<group::ControlMachine>), driver::StartError> {
+        let state = group::SharedState::new();
+        let machine = group::ControlMachine::new(state.clone());
+        let permille = settings.timing.clock_drift_per_million().div_ceil(1_000);
+        let log = driver::LogBuilder::new(folder, &settings.instance.name)
+            .voters(voters(settings))
+            .address(&settings.peer_address().to_string())
+            .election_timeout(settings.timing.election_timeout())
+            .heartbeat_interval(settings.timing.heartbeat())
+            .clock_drift_permille(u32::try_from(permille).unwrap_or(u32::MAX))
+            .start(machine, transport)?;
+        let member = Self {
+            handle: log.handle(),
+            state,
+        };
+        Ok((member, log))
+    }
+
+    /// Returns the replicated state.
+    pub(crate) fn state(&self) -> &group::SharedState {
+        &self.state
+    }
+
+    /// Returns the log's handle.
+    pub(crate) fn handle(&self) -> &driver::LogHandle<group::ControlMachine> {
+        &self.handle
+    }
+
+    /// Returns whether this member leads, holds a valid lease and has applied all earlier commands.
+    pub(crate) fn leads(&self) -> bool {
+        self.handle.lease_valid_for().is_some() && self.handle.status().ready
+    }
+
+    /// Returns the term of the leadership, if this member leads.
+    pub(crate) fn leading_term(&self) -> Option<u64> {
+        let status = self.handle.status();
+        (status.ready && self.handle.lease_valid_for().is_some()).then(|| status.term.get())
+    }
+
+    /// Returns who leads, as far as this member knows.
+    pub(crate) fn leader(&self) -> Option<name::InstanceName> {
+        let status = self.handle.status();
+        let leader = status.leader.as_ref()?;
+        Some(name::InstanceName::from(leader.endpoint.name.as_str()))
+    }
+
+    /// Hands a message of another member to the log.
+    pub(crate) fn deliver(&self, encoded: &[u8]) {
+        match raft_message::ConsensusMessage::decode(encoded) {
+            Ok(message) => self.handle.deliver(message),
+            Err(error) => log::debug!(error:% = error; "message of the log dropped"),
+        }
+    }
+
+    /// Commits a command and returns its outcome.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the command may have been committed.
+    pub(crate) async fn command(
+        &self,
+        command: &control::ControlCommand,
+    ) -> Result<control::ControlOutcome, group::CommandError> {
+        let (sender, receiver) = oneshot::channel();
+        self.handle.propose_with(command.encode(), move |result| {
+            // Whoever waited may have gone on.
+            let _ = sender.send(result);
+        });
+        let answered = tokio::time::timeout(PROPOSE_TIMEOUT, receiver).await;
+        match answered {
+            Ok(Ok(result)) => Ok(result?.outcome),
+            Ok(Err(_)) | Err(_) => Err(group::CommandError::Unknown),
+        }
+    }
+}
+
+/// Returns the members with which the group is founded, this one included.
+fn voters(settings: &settings::InstanceSettings) -> Vec<member::MemberEndpoint> {
+    let own = member::MemberEndpoint::new(
+        &settings.instance.name,
+        &settings.peer_address().to_string(),
+    );
+    let others = settings
+        .peers
+        .iter()
+        .filter(|peer| peer.control && peer.name != settings.instance.name)
+        .map(|peer| member::MemberEndpoint::new(&peer.name, &peer.address.to_string()));
+    others.chain([own]).collect()
+}
+
+/// A shared member of the control group; `None` at instances outside it.
+pub(crate) type SharedGroup = Option<sync::Arc<ControlGroup>>;
--- /dev/null
+++ b/galenahold_instance/src/control/member_desk.rs
@@ -0,0 +1,205 @@
+//! Changes and shows the members of the control group.
+
+use std::sync;
+use std::time;
+
+use galenahold_consensus::driver;
+use galenahold_consensus::log as raft_log;
+use galenahold_consensus::member;
+use galenahold_domain::name;
+use galenahold_wire::message;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::control as group;
+
+/// How long a change of the members may take.
+const CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(4);
+
+/// Changes and shows the members of the control group.
+pub(crate) struct MemberDesk {
+    member: sync::Arc<group::ControlGroup>,
+}
+
+impl MemberDesk {
+    /// Creates a desk.
+    pub(crate) fn new(member: sync::Arc<group::ControlGroup>) -> Self {
+        Self { member }
+    }
+
+    /// Returns the state of the control group as this member sees it.
+    pub(crate) fn status(&self) -> Value {
+        let status = self.member.handle().status();
+        let members: Vec<Value> = status.members.iter().map(show_member).collect();
+        let joiners: Vec<Value> = status
+            .joiners
+            .iter()
+            .map(|joiner| {
+                json!({
+                    "name": joiner.endpoint.name.as_str(),
+                    "address": joiner.endpoint.address.as_str(),
+                })
+            })
+            .collect();
+        let (revision, reservations) = self
+            .member
+            .state()
+            .read(|state| (state.revision(), state.reservations().len()));
+        json!({
+            "instance": status.profile.endpoint.name.as_str(),
+            "leader": status.leader.as_ref().map(|leader| leader.endpoint.name.as_str()),
+            "term": status.term.get(),
+            "commit": status.commit.get(),
+            "applied": status.applied.get(),
+            "revision": revision,
+            "reservations": reservations,
+            "members": members,
+            "joiners": joiners,
+            "safe_to_lose": status.safe_to_lose,
+        })
+    }
+
+    /// Adds an instance that asks to join; it learns the log before it may vote.
+    ///
+    /// # Errors
+    ///
+    /// No such instance asks to join, or the change was not made.
+    pub(crate) async fn add(
+        &self,
+        name: &name::InstanceName,
+    ) -> Result<Value, message::OperatorError> {
+        let status = self.member.handle().status();
+        let profile = status
+            .joiners
+            .iter()
+            .find(|joiner| joiner.endpoint.name.as_str() == name.as_str())
+            .cloned()
+            .ok_or_else(|| not_found(format!(
+                "no instance {name} asks to join; start it with the role control, an empty data folder and the control group among its peers"
+            )))?;
+        self.change(member::MembershipChange::AddLearner(profile))
+            .await
+    }
+
+    /// Makes a learner that has caught up a voter.
+    ///
+    /// # Errors
+    ///
+    /// There is no such member, it has not caught up, or the change was not made.
+    pub(crate) async fn promote(
+        &self,
+        name: &name::InstanceName,
+    ) -> Result<Value, message::OperatorError> {
+        let id = self.find(name, |standing| standing == member::MemberStanding::Learner)?;
+        self.change(member::MembershipChange::Promote(id)).await
+    }
+
+    /// Takes a member out.
+    ///
+    /// # Errors
+    ///
+    /// There is no such member, or the change was not made.
+    pub(crate) async fn remove(
+        &self,
+        name: &name::InstanceName,
+    ) -> Result<Value, message::OperatorError> {
+        let id = self.find_silent(name)?;
+        self.change(member::MembershipChange::Remove(id)).await
+    }
+
+    fn find(
+        &self,
+        name: &name::InstanceName,
+        wanted: impl Fn(member::MemberStanding) -> bool,
+    ) -> Result<member::MemberId, message::OperatorError> {
+        let status = self.member.handle().status();
+        status
+            .members
+            .iter()
+            .map(|report| &report.member)
+            .find(|known| {
+                known.profile.endpoint.name.as_str() == name.as_str() && wanted(known.standing)
+            })
+            .map(|known| known.profile.id)
+            .ok_or_else(|| not_found(format!("the control group has no such member {name}")))
+    }
+
+    /// Finds the member to remove; of two under one name the one that was silent longest.
+    fn find_silent(
+        &self,
+        name: &name::InstanceName,
+    ) -> Result<member::MemberId, message::OperatorError> {
+        let status = self.member.handle().status();
+        status
+            .members
+            .iter()
+            .filter(|report| {
+                report.member.profile.endpoint.name.as_str() == name.as_str()
+            })
+            .max_by_key(|report| report.silence)
+            .map(|report| report.member.profile.id)
+            .ok_or_else(|| not_found(format!("the control group has no member {name}")))
+    }
+
+    async fn change(
+        &self,
+        change: member::MembershipChange,
+    ) -> Result<Value, message::OperatorError> {
+        let (sender, receiver) = oneshot::channel();
+        self.member.handle().change_with(change, move |result| {
+            // Whoever waited may have gone on.
+            let _ = sender.send(result);
+        });
+        let answered = tokio::time::timeout(CHANGE_TIMEOUT, receiver).await;
+        match answered {
+            Ok(Ok(Ok(position))) => Ok(show_position(position)),
+            Ok(Ok(Err(error))) => Err(refuse(&error)),
+            Ok(Err(_)) | Err(_) => Err(message::OperatorError {
+                kind: message::OperatorErrorKind::OutcomeUnknown,
+                message: "the change of the members may have been made; look at the members"
+                    .to_owned(),
+                details: None,
+            }),
+        }
+    }
+}
+
+fn show_position(position: raft_log::LogPosition) -> Value {
+    json!({ "term": position.term.get(), "index": position.index.get() })
+}
+
+fn show_member(report: &driver::MemberReport) -> Value {
+    let voter = report.member.standing == member::MemberStanding::Voter;
+    json!({
+        "name": report.member.profile.endpoint.name.as_str(),
+        "address": report.member.profile.endpoint.address.as_str(),
+        "standing": if voter { "voter" } else { "learner" },
+        "lag_entries": report.lag_entries,
+        "silence_ms": report
+            .silence
+            .map(|silence| u64::try_from(silence.as_millis()).unwrap_or(u64::MAX)),
+    })
+}
+
+fn not_found(message: String) -> message::OperatorError {
+    message::OperatorError {
+        kind: message::OperatorErrorKind::NotFound,
+        message,
+        details: None,
+    }
+}
+
+fn refuse(error: &driver::ChangeError) -> message::OperatorError {
+    let unsettled = matches!(
+        error,
+        driver::ChangeError::Unsettled { cause } if cause.kind().may_have_committed()
+    );
+    message::OperatorError {
+        kind: match unsettled {
+            true => message::OperatorErrorKind::OutcomeUnknown,
+            false => message::OperatorErrorKind::Refused,
+        },
+        message: error.to_string(),
+        details: None,
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/control/mod.rs
@@ -0,0 +1,25 @@
+//! The control group at this instance: the replicated state and the leader's work.
+
+mod command_error;
+mod control_desk;
+mod control_group;
+mod control_machine;
+mod drain_view;
+mod grant_desk;
+mod leader_term;
+mod log_transport;
+mod member_desk;
+mod operator_desk;
+mod shared_state;
+
+pub(crate) use command_error::CommandError;
+pub(crate) use control_desk::{ControlDesk, DeskParts, MAX_QUEUED_DEMAND};
+pub(crate) use control_group::ControlGroup;
+pub(crate) use control_machine::ControlMachine;
+pub(crate) use drain_view::drain_list;
+pub(crate) use grant_desk::GrantDesk;
+pub(crate) use leader_term::LeaderTerm;
+pub(crate) use log_transport::LogTransport;
+pub(crate) use member_desk::MemberDesk;
+pub(crate) use operator_desk::OperatorDesk;
+pub(crate) use shared_state::SharedState;
--- /dev/null
+++ b/galenahold_instance/src/control/operator_desk.rs
@@ -0,0 +1,237 @@
+//! Answers operators at the leader.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::control;
+use galenahold_domain::intent;
+use galenahold_wire::message;
+use serde_json::{Value, json};
+
+use crate::control as group;
+use crate::registry;
+
+/// Answers operators at the leader.
+pub(crate) struct OperatorDesk {
+    member: sync::Arc<group::ControlGroup>,
+    members: group::MemberDesk,
+    registry: registry::ServerRegistry,
+}
+
+impl OperatorDesk {
+    /// Creates a desk.
+    pub(crate) fn new(
+        member: sync::Arc<group::ControlGroup>,
+        registry: registry::ServerRegistry,
+    ) -> Self {
+        Self {
+            members: group::MemberDesk::new(sync::Arc::clone(&member)),
+            member,
+            registry,
+        }
+    }
+
+    /// Answers a call.
+    pub(crate) async fn answer(&self, call: message::OperatorCall) -> message::ControlReply {
+        let result = self.dispatch(call).await;
+        // What was read may be old unless this member still leads.
+        if !self.member.leads() {
+            return message::ControlReply::OutcomeUnknown;
+        }
+        message::ControlReply::Operator(match result {
+            Ok(document) => message::OperatorReply::Done {
+                body: document.to_string(),
+            },
+            Err(error) => message::OperatorReply::Failed(error),
+        })
+    }
+
+    async fn dispatch(&self, call: message::OperatorCall) -> Result<Value, message::OperatorError> {
+        match call {
+            message::OperatorCall::Plan { intent } => self.plan(intent),
+            message::OperatorCall::Confirm {
+                request,
+                base,
+                digest,
+                intent,
+            } => {
+                let command = control::ControlCommand::ConfirmPlan {
+                    request,
+                    base,
+                    intent,
+                    digest,
+                    now_ms: epoch_ms(),
+                };
+                self.command(&command).await
+            }
+            message::OperatorCall::GiveKey {
+                request,
+                base,
+                record,
+            } => {
+                let id = record.id.clone();
+                let command = control::ControlCommand::GiveKey {
+                    request,
+                    base,
+                    record,
+                    now_ms: epoch_ms(),
+                };
+                let mut document = self.command(&command).await?;
+                document["id"] = json!(id);
+                Ok(document)
+            }
+            message::OperatorCall::WithdrawKey { request, id } => {
+                let command = control::ControlCommand::WithdrawKey {
+                    request,
+                    id,
+                    now_ms: epoch_ms(),
+                };
+                self.command(&command).await
+            }
+            message::OperatorCall::ShowIntent => Ok(self.show_intent()),
+            message::OperatorCall::ShowServers => Ok(self.show_servers()),
+            message::OperatorCall::ShowReplicas => Ok(self.show_replicas()),
+            message::OperatorCall::ShowOrders => Ok(self.show_orders()),
+            message::OperatorCall::Status => Ok(self.members.status()),
+            message::OperatorCall::AddMember { name, .. } => self.members.add(&name).await,
+            message::OperatorCall::PromoteMember { name } => self.members.promote(&name).await,
+            message::OperatorCall::RemoveMember { name } => self.members.remove(&name).await,
+        }
+    }
+
+    fn plan(&self, wanted: intent::FleetIntent) -> Result<Value, message::OperatorError> {
+        let largest = self.largest_engine();
+        let validation = intent::IntentValidation::of(&wanted, largest);
+        if !validation.is_valid() {
+            return Err(invalid(&validation.lines()));
+        }
+        let view = self.member.state().read(control::ControlState::view);
+        let plan = intent::IntentPlan::between(view.revision, &view.intent, &wanted);
+        Ok(json!({
+            "base": plan.base,
+            "digest": plan.digest,
+            "steps": plan.lines(),
+        }))
+    }
+
+    async fn command(
+        &self,
+        command: &control::ControlCommand,
+    ) -> Result<Value, message::OperatorError> {
+        match self.member.command(command).await {
+            Ok(outcome) => judge(outcome),
+            Err(group::CommandError::NotCommitted) => Err(message::OperatorError {
+                kind: message::OperatorErrorKind::NoLeader,
+                message: "the leader could not commit the change; nothing changed".to_owned(),
+                details: None,
+            }),
+            Err(group::CommandError::Unknown) => Err(message::OperatorError {
+                kind: message::OperatorErrorKind::OutcomeUnknown,
+                message: "the change may have been made; repeat it under the same request number"
+                    .to_owned(),
+                details: None,
+            }),
+        }
+    }
+
+    fn largest_engine(&self) -> Option<galenahold_domain::amount::ByteCount> {
+        self.registry
+            .entries()
+            .iter()
+            .map(|entry| entry.announcement.memory_bytes)
+            .filter(|bytes| bytes.0 > 0)
+            .max()
+    }
+
+    fn show_intent(&self) -> Value {
+        let view = self.member.state().read(control::ControlState::view);
+        let keys: Vec<Value> = view
+            .keys
+            .iter()
+            .map(|record| json!({ "id": record.id, "team": record.team }))
+            .collect();
+        json!({ "revision": view.revision, "intent": &*view.intent, "keys": keys })
+    }
+
+    fn show_servers(&self) -> Value {
+        let now = time::Instant::now();
+        let servers: Vec<Value> = self
+            .registry
+            .entries()
+            .iter()
+            .map(|entry| {
+                json!({
+                    "age_ms": u64::try_from(entry.age(now).as_millis()).unwrap_or(u64::MAX),
+                    "announcement": &*entry.announcement,
+                })
+            })
+            .collect();
+        json!({ "servers": servers })
+    }
+
+    fn show_replicas(&self) -> Value {
+        self.member.state().read(|state| {
+            let reservations: Vec<_> = state.reservations().iter().collect();
+            json!({ "reservations": reservations })
+        })
+    }
+
+    fn show_orders(&self) -> Value {
+        let statistics = self
+            .member
+            .state()
+            .read(control::ControlState::order_statistics);
+        json!({ "orders": statistics })
+    }
+}
+
+fn judge(outcome: control::ControlOutcome) -> Result<Value, message::OperatorError> {
+    match outcome {
+        control::ControlOutcome::Changed { revision } => Ok(json!({ "revision": revision })),
+        control::ControlOutcome::Conflict(conflict) => Err(message::OperatorError {
+            kind: message::OperatorErrorKind::Conflict,
+            message: format!(
+                "the plan was made against revision {}, and {} has since put revision {} in force",
+                conflict.base, conflict.operator, conflict.current
+            ),
+            details: serde_json::to_string(&conflict).ok(),
+        }),
+        control::ControlOutcome::DigestDiffers { expected } => Err(message::OperatorError {
+            kind: message::OperatorErrorKind::Conflict,
+            message: "the digest is not that of the plan's steps; make the plan again".to_owned(),
+            details: serde_json::to_string(&json!({ "expected": expected })).ok(),
+        }),
+        control::ControlOutcome::Invalid { reasons } => Err(invalid(&reasons)),
+        control::ControlOutcome::RequestReused => Err(message::OperatorError {
+            kind: message::OperatorErrorKind::Conflict,
+            message: "the request number was used for another request; take a new one".to_owned(),
+            details: None,
+        }),
+        control::ControlOutcome::NoSuchKey { id } => Err(message::OperatorError {
+            kind: message::OperatorErrorKind::NotFound,
+            message: format!("there is no key {id}"),
+            details: None,
+        }),
+        other => Err(message::OperatorError {
+            kind: message::OperatorErrorKind::Refused,
+            message: format!("the change was not made: {other:?}"),
+            details: None,
+        }),
+    }
+}
+
+fn invalid(reasons: &[String]) -> message::OperatorError {
+    message::OperatorError {
+        kind: message::OperatorErrorKind::Invalid,
+        message: reasons.join("; "),
+        details: serde_json::to_string(&json!({ "reasons": reasons })).ok(),
+    }
+}
+
+/// Returns the milliseconds since the Unix epoch.
+fn epoch_ms() -> u64 {
+    let elapsed = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -178,6 +178,13 @@
         self.queues.values().map(|queue| queue.queue.len()).sum()
     }
 
+    /// Returns whether a request waits for a target without any replica.
+    pub(crate) fn has_unserved(&self) -> bool {
+        self.queues
+            .values()
+            .any(|queue| queue.cold_since.is_some() && !queue.queue.is_empty())
+    }
+
     /// Frees the place of a request that ended.
     pub(crate) fn release(&mut self, slot: &dispatch::ReplicaSlot, now: time::Instant) {
         self.table.finish(slot.replica, slot.tokens);
--- a/galenahold_instance/src/dispatch/dispatcher.rs
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -103,6 +103,11 @@
             .set(i64::try_from(waiting).unwrap_or(i64::MAX));
     }
 
+    /// Returns whether a request waits for a target without any replica.
+    pub(crate) fn has_unserved(&self) -> bool {
+        self.lock().has_unserved()
+    }
+
     /// Returns the demand for models and adapters since the last call.
     pub(crate) fn take_demand(&self, now: time::Instant) -> Vec<message::TargetDemand> {
         self.lock().take_demand(now)
--- a/galenahold_instance/src/entry/entry_desk.rs
+++ b/galenahold_instance/src/entry/entry_desk.rs
@@ -320,13 +320,17 @@
         arrived: &ArrivedRequest,
         service: &intent::ServiceIntent,
     ) -> entry::RequestEnd {
+        let subject = entry::EndSubject {
+            request: arrived.id.clone(),
+            service: service.name.clone(),
+            team: arrived.identity.team_or_empty(),
+            objective: service.objective.clone(),
+            started_at: arrived.started_at,
+        };
         entry::RequestEnd::new(
             self.shared.metrics.clone(),
             self.shared.recorder.clone(),
-            arrived.id.clone(),
-            service.name.clone(),
-            arrived.identity.team_or_empty(),
-            arrived.started_at,
+            subject,
         )
     }
 
--- a/galenahold_instance/src/entry/mod.rs
+++ b/galenahold_instance/src/entry/mod.rs
@@ -34,6 +34,6 @@
 pub(crate) use model_stream::ModelStream;
 pub(crate) use order_call::OrderCall;
 pub(crate) use order_digest::order_digest;
-pub(crate) use request_end::RequestEnd;
+pub(crate) use request_end::{EndSubject, RequestEnd};
 pub(crate) use service_call::ServiceCall;
 pub(crate) use service_desk::ServiceDesk;
--- a/galenahold_instance/src/entry/model_desk.rs
+++ b/galenahold_instance/src/entry/model_desk.rs
@@ -268,6 +268,7 @@
             charge.confirm(call.deadline).await?;
         }
         call.guard.check_before_send()?;
+        call.end.sent();
         let sending = self
             .client
             .send(connection, &address, request, call.deadline);
--- a/galenahold_instance/src/entry/request_end.rs
+++ b/galenahold_instance/src/entry/request_end.rs
@@ -1,8 +1,11 @@
 //! Records how a request ended.
 
+use std::sync;
 use std::time;
 
+use galenahold_domain::intent;
 use galenahold_domain::name;
+use galenahold_report::{RequestMeasurement, RequestOutcome, TokenGapCounts};
 use log::info;
 
 use crate::face;
@@ -13,61 +16,88 @@
 pub(crate) struct RequestEnd {
     metrics: platform::FleetMetrics,
     recorder: platform::BurnRecorder,
-    request: name::RequestId,
-    service: name::ServiceName,
-    team: name::TeamName,
-    started_at: time::Instant,
+    subject: sync::Arc<EndSubject>,
+    measured: sync::Arc<sync::Mutex<MeasuredTimes>>,
+}
+
+/// What the record is about.
+#[derive(Debug)]
+pub(crate) struct EndSubject {
+    /// The request.
+    pub(crate) request: name::RequestId,
+    /// The service.
+    pub(crate) service: name::ServiceName,
+    /// The team; the empty name on an open route.
+    pub(crate) team: name::TeamName,
+    /// What the service promises.
+    pub(crate) objective: intent::ServiceObjective,
+    /// When the request came.
+    pub(crate) started_at: time::Instant,
+}
+
+#[derive(Debug, Default)]
+struct MeasuredTimes {
+    wait: Option<time::Duration>,
+    first_token: Option<time::Duration>,
+    token_gaps: TokenGapCounts,
 }
 
 impl RequestEnd {
-    /// Creates the record of a request that came at `started_at`.
+    /// Creates the record of a request.
     pub(crate) fn new(
         metrics: platform::FleetMetrics,
         recorder: platform::BurnRecorder,
-        request: name::RequestId,
-        service: name::ServiceName,
-        team: name::TeamName,
-        started_at: time::Instant,
+        subject: EndSubject,
     ) -> Self {
         Self {
             metrics,
             recorder,
-            request,
-            service,
-            team,
-            started_at,
+            subject: sync::Arc::new(subject),
+            measured: sync::Arc::default(),
         }
     }
 
+    /// Records that the request is sent to a backend server; the first time counts.
+    pub(crate) fn sent(&self) {
+        let waited = self.subject.started_at.elapsed();
+        self.lock().wait.get_or_insert(waited);
+    }
+
     /// Records the time to the first token or answer.
     pub(crate) fn first_token(&self) {
         let labels = platform::ServiceLabels {
-            service: self.service.to_string(),
+            service: self.subject.service.to_string(),
         };
-        let waited = self.started_at.elapsed();
+        let waited = self.subject.started_at.elapsed();
         self.metrics
             .first_token
             .get_or_create(&labels)
             .observe(waited.as_secs_f64());
-        self.recorder.first_token(&self.service, &self.team, waited);
+        self.lock().first_token = Some(waited);
     }
 
     /// Records the time between two tokens.
     pub(crate) fn between_tokens(&self, gap: time::Duration) {
-        self.recorder.between_tokens(&self.service, &self.team, gap);
+        let bound = time::Duration::from_millis(self.subject.objective.between_tokens_ms);
+        let gaps = &mut self.lock().token_gaps;
+        if gap <= bound {
+            gaps.met += 1;
+        } else {
+            gaps.missed += 1;
+        }
     }
 
     /// Records a whole answer that spent `tokens`.
     pub(crate) fn answered(&self, status: u16, tokens: u64) {
         self.count("answered", tokens);
-        self.recorder.answered(&self.service, &self.team);
+        self.record(RequestOutcome::Answered);
         info!(
-            request:% = self.request,
-            service:% = self.service,
-            team:% = self.team,
+            request:% = self.subject.request,
+            service:% = self.subject.service,
+            team:% = self.subject.team,
             status = status,
             tokens = tokens,
-            duration_ms = millis(self.started_at.elapsed());
+            duration_ms = self.duration_ms();
             "request answered"
         );
     }
@@ -76,11 +106,11 @@
     pub(crate) fn abandoned(&self, tokens: u64) {
         self.count("abandoned", tokens);
         info!(
-            request:% = self.request,
-            service:% = self.service,
-            team:% = self.team,
+            request:% = self.subject.request,
+            service:% = self.subject.service,
+            team:% = self.subject.team,
             tokens = tokens,
-            duration_ms = millis(self.started_at.elapsed());
+            duration_ms = self.duration_ms();
             "caller went away"
         );
     }
@@ -93,35 +123,84 @@
             verdict: refusal.verdict.as_str().to_owned(),
         };
         self.metrics.refusals.get_or_create(&labels).inc();
-        self.recorder
-            .refused(&self.service, &self.team, refusal.kind);
+        self.record(outcome_of(refusal.kind));
         info!(
-            request:% = self.request,
-            service:% = self.service,
-            team:% = self.team,
+            request:% = self.subject.request,
+            service:% = self.subject.service,
+            team:% = self.subject.team,
             kind = refusal.kind.as_str(),
             verdict = refusal.verdict.as_str(),
-            duration_ms = millis(self.started_at.elapsed());
+            reason = refusal.message.as_str(),
+            duration_ms = self.duration_ms();
             "request refused"
         );
     }
 
+    fn record(&self, outcome: RequestOutcome) {
+        let measured = self.lock();
+        let measurement = RequestMeasurement {
+            outcome,
+            wait: measured
+                .wait
+                .unwrap_or_else(|| self.subject.started_at.elapsed()),
+            first_token: measured.first_token,
+            token_gaps: measured.token_gaps,
+        };
+        drop(measured);
+        self.recorder.record(&self.subject, &measurement);
+    }
+
     fn count(&self, outcome: &str, tokens: u64) {
         let labels = platform::RequestLabels {
-            service: self.service.to_string(),
-            team: self.team.to_string(),
+            service: self.subject.service.to_string(),
+            team: self.subject.team.to_string(),
             outcome: outcome.to_owned(),
         };
         self.metrics.requests.get_or_create(&labels).inc();
         if tokens > 0 {
             let labels = platform::TeamLabels {
-                team: self.team.to_string(),
+                team: self.subject.team.to_string(),
             };
             self.metrics.tokens.get_or_create(&labels).inc_by(tokens);
         }
     }
+
+    fn duration_ms(&self) -> u64 {
+        let duration = self.subject.started_at.elapsed();
+        u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, MeasuredTimes> {
+        self.measured
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
 }
 
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+/// Sorts refusals into the caller's own, those inside the rate, and failures.
+fn outcome_of(kind: face::RefusalKind) -> RequestOutcome {
+    match kind {
+        face::RefusalKind::BadRequest
+        | face::RefusalKind::TooLarge
+        | face::RefusalKind::SlowRequest
+        | face::RefusalKind::Unauthorized
+        | face::RefusalKind::Forbidden
+        | face::RefusalKind::NotFound
+        | face::RefusalKind::MethodNotAllowed
+        | face::RefusalKind::RateLimited
+        | face::RefusalKind::TooManyTokens
+        | face::RefusalKind::OrderRunning
+        | face::RefusalKind::OrderUnknown
+        | face::RefusalKind::OrderDiffers
+        | face::RefusalKind::OrderExpired
+        | face::RefusalKind::KeyWithdrawn => RequestOutcome::RefusedByRule,
+        face::RefusalKind::QueueFull
+        | face::RefusalKind::StaleConfiguration
+        | face::RefusalKind::ControlUnavailable
+        | face::RefusalKind::OrderLedgerFull
+        | face::RefusalKind::Stopping => RequestOutcome::RefusedInsideRate,
+        face::RefusalKind::DeadlineExceeded
+        | face::RefusalKind::BackendUnavailable
+        | face::RefusalKind::BackendFailed => RequestOutcome::Failed,
+    }
 }
--- a/galenahold_instance/src/entry/service_desk.rs
+++ b/galenahold_instance/src/entry/service_desk.rs
@@ -176,6 +176,7 @@
             charge.confirm(call.deadline).await?;
         }
         call.guard.check_before_send()?;
+        call.end.sent();
         let request = call.request(&attempt);
         // Once sent, an order goes on to its answer: breaking it off would only lose the outcome.
         let sent = self
--- /dev/null
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -0,0 +1,95 @@
+//! Answers the calls of other instances.
+
+use std::time;
+
+use galenahold_wire::message;
+use galenahold_wire::rpc;
+use tarpc::context;
+
+use crate::configuration;
+use crate::control;
+use crate::operator::OwnBurn;
+use crate::peer;
+use crate::peer::LocalDesk;
+use crate::platform;
+use crate::registry;
+
+/// Answers the calls of other instances.
+#[derive(Debug, Clone)]
+pub(crate) struct InstanceService {
+    /// The log and the leader's work.
+    pub(crate) desk: control::ControlDesk,
+    /// Passes the configuration on.
+    pub(crate) watch: configuration::WatchServer,
+    /// The instances.
+    pub(crate) directory: peer::PeerDirectory,
+    /// The backend servers.
+    pub(crate) registry: registry::ServerRegistry,
+    /// Takes cache events to the replica table.
+    pub(crate) events: tokio::sync::mpsc::Sender<galenahold_domain::server::CacheEvent>,
+    /// What was counted against objectives.
+    pub(crate) recorder: platform::BurnRecorder,
+}
+
+impl rpc::InstanceRpc for InstanceService {
+    async fn consensus(
+        self,
+        _context: context::Context,
+        batch: message::ConsensusBatch,
+    ) -> message::ConsensusReceipt {
+        message::ConsensusReceipt {
+            taken: self.desk.deliver(&batch.messages),
+        }
+    }
+
+    async fn watch(
+        self,
+        _context: context::Context,
+        request: message::WatchRequest,
+    ) -> message::WatchReply {
+        self.directory.hear(&request.card, time::Instant::now());
+        if self.desk.leads() {
+            return self.desk.watch(request).await;
+        }
+        self.watch.watch(request, self.desk.leader()).await
+    }
+
+    async fn call(
+        self,
+        _context: context::Context,
+        call: message::ControlCall,
+    ) -> message::ControlReply {
+        self.desk.answer(call).await
+    }
+
+    async fn spread(
+        self,
+        _context: context::Context,
+        batch: message::SpreadBatch,
+    ) -> message::SpreadReceipt {
+        let now = time::Instant::now();
+        self.directory.hear(&batch.card, now);
+        self.directory.learn(&batch.known, now);
+        for aged in batch.announcements {
+            let age = time::Duration::from_millis(aged.age_ms);
+            self.registry.take(aged.announcement, age, false, now);
+        }
+        for event in batch.events {
+            // A full sink drops the event, which shows as a gap.
+            let _ = self.events.try_send(event);
+        }
+        message::SpreadReceipt {
+            card: self.directory.own().clone(),
+        }
+    }
+
+    async fn burn(
+        self,
+        _context: context::Context,
+        _request: message::BurnRequest,
+    ) -> message::BurnReply {
+        message::BurnReply {
+            snapshot: self.recorder.snapshot(),
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/instance/mod.rs
@@ -0,0 +1,18 @@
+//! One running instance: its parts, wired and joined.
+
+mod demand_reporter;
+mod fleet_instance;
+mod instance_error;
+mod instance_faces;
+mod instance_service;
+mod stop_reason;
+mod view_feeder;
+
+pub use fleet_instance::FleetInstance;
+pub use instance_error::InstanceError;
+pub use stop_reason::StopReason;
+
+pub(crate) use demand_reporter::DemandReporter;
+pub(crate) use instance_faces::BoundFaces;
+pub(crate) use instance_service::InstanceService;
+pub(crate) use view_feeder::ViewFeeder;
--- a/galenahold_instance/src/operator/operator_documents.rs
+++ b/galenahold_instance/src/operator/operator_documents.rs
@@ -35,6 +35,9 @@
 pub(crate) struct GiveKeyDocument {
     /// The operator's number for the request; the key is derived from it.
     pub(crate) request: name::RequestId,
+    /// A revision that the operator saw: an old resend never revives a withdrawn key.
+    #[serde(default)]
+    pub(crate) base: amount::RevisionNumber,
     /// The team.
     pub(crate) team: name::TeamName,
 }
--- a/galenahold_instance/src/operator/operator_face.rs
+++ b/galenahold_instance/src/operator/operator_face.rs
@@ -196,6 +196,7 @@
             key = Some(shown.reveal());
             message::OperatorCall::GiveKey {
                 request: identify(document.request),
+                base: document.base,
                 record,
             }
         }
--- a/galenahold_instance/src/platform/mod.rs
+++ b/galenahold_instance/src/platform/mod.rs
@@ -1,9 +1,11 @@
 //! The face of the platform: liveness, readiness and metrics.
 
+mod burn_recorder;
 mod fleet_metrics;
 mod platform_face;
 mod readiness_state;
 
+pub(crate) use burn_recorder::BurnRecorder;
 pub(crate) use fleet_metrics::{FleetMetrics, RefusalLabels, RequestLabels, ServiceLabels, TeamLabels};
 pub(crate) use platform_face::PlatformFace;
 pub(crate) use readiness_state::{ReadinessState, UnreadyReason};
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -73,6 +73,28 @@
         self.lock().entries.values().cloned().collect()
     }
 
+    /// Returns the entries that came after `version`, the oldest first.
+    pub(crate) fn entries_since(&self, version: u64) -> Vec<registry::RegistryEntry> {
+        let mut entries: Vec<_> = self
+            .lock()
+            .entries
+            .values()
+            .filter(|entry| entry.version > version)
+            .cloned()
+            .collect();
+        entries.sort_by_key(|entry| entry.version);
+        entries
+    }
+
+    /// Returns how many backend servers announced themselves within `ttl`.
+    pub(crate) fn count_alive(&self, ttl: time::Duration, now: time::Instant) -> usize {
+        self.lock()
+            .entries
+            .values()
+            .filter(|entry| entry.age(now) <= ttl)
+            .count()
+    }
+
     /// Returns the announcements that came after `version`, or only those sent to this instance.
     pub(crate) fn since(&self, version: u64, direct_only: bool, now: time::Instant) -> RegistryDelta {
         let table = self.lock();
--- a/galenahold_wire/src/message/operator_call.rs
+++ b/galenahold_wire/src/message/operator_call.rs
@@ -33,6 +33,8 @@
     GiveKey {
         /// Who asks.
         request: control::OperatorRequest,
+        /// A revision that the operator saw; an old resend never revives a withdrawn key.
+        base: amount::RevisionNumber,
         /// The key.
         record: key::KeyRecord,
     },
