Validate intents and name every fault's field

Cause: an intent with a rate of zero, a clashing path or an unknown model would have been put in force; plans are confirmed by digest only.

Open services have no team to charge: they offer no models, charge no tokens and list no teams. Plans read as a line a step.

Ruled out: to refuse a service that nobody may call; operators prepare services that way.

--- a/galenahold_domain/src/intent/intent_validation.rs
+++ b/galenahold_domain/src/intent/intent_validation.rs
@@ -2,6 +2,7 @@
 
 use crate::amount;
 use crate::intent;
+use crate::intent::rules;
 
 /// All faults of an intent, each with the path of its field.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -16,8 +17,14 @@
     /// with its largest adapter must fit into it. The replicated state does not know it.
     #[must_use]
     pub fn of(wanted: &intent::FleetIntent, largest_engine: Option<amount::ByteCount>) -> Self {
-        let _ = (wanted, largest_engine);
-        Self::default()
+        let mut problems = rules::ProblemList::default();
+        rules::check_teams(&mut problems, wanted);
+        rules::check_models(&mut problems, wanted, largest_engine);
+        rules::check_services(&mut problems, wanted);
+        rules::check_store(&mut problems, &wanted.store);
+        Self {
+            problems: problems.into_problems(),
+        }
     }
 
     /// Returns whether there is no fault.
@@ -26,7 +33,7 @@
         self.problems.is_empty()
     }
 
-    /// Returns the faults, in the order of the document.
+    /// Returns the faults: of teams, models, adapters, services and the weight store.
     #[must_use]
     pub fn problems(&self) -> &[intent::IntentProblem] {
         &self.problems
--- a/galenahold_domain/src/intent/mod.rs
+++ b/galenahold_domain/src/intent/mod.rs
@@ -11,6 +11,7 @@
 mod part_difference;
 mod part_field;
 mod route_kind;
+mod rules;
 mod service_document;
 mod service_intent;
 mod service_objective;
--- a/galenahold_domain/src/intent/part_field.rs
+++ b/galenahold_domain/src/intent/part_field.rs
@@ -6,9 +6,12 @@
 
 const ABSENT_VALUE: &str = "none";
 
-/// The field that a step's line names already.
+/// The field that a line shows as the part's own name.
 const NAME_FIELD: &str = "name";
 
+/// The field whose items have names.
+const NAMED_LIST_FIELD: &str = "adapters";
+
 /// A field of a part of the intent, as operators read it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct PartField {
@@ -53,17 +56,17 @@
 fn collect(fields: &mut Vec<PartField>, path: &str, value: &serde_json::Value) {
     match value {
         serde_json::Value::Object(object) => {
-            for (name, inner) in object {
+            let unnamed = object.iter().filter(|(name, _)| *name != NAME_FIELD);
+            for (name, inner) in unnamed {
                 collect(fields, &joined(path, name), inner);
             }
         }
-        serde_json::Value::Array(items) if holds_named_objects(items) => {
+        serde_json::Value::Array(items) if path == NAMED_LIST_FIELD => {
             for item in items {
                 let name = item[NAME_FIELD].as_str().unwrap_or_default();
                 collect(fields, &format!("{path}[{name}]"), item);
             }
         }
-        _ if path == NAME_FIELD => {}
         _ => fields.push(PartField {
             name: path.to_owned(),
             value: value.to_string(),
@@ -77,7 +80,3 @@
     }
     format!("{path}.{name}")
 }
-
-fn holds_named_objects(items: &[serde_json::Value]) -> bool {
-    !items.is_empty() && items.iter().all(|item| item[NAME_FIELD].is_string())
-}
--- /dev/null
+++ b/galenahold_domain/src/intent/rules/mod.rs
@@ -0,0 +1,17 @@
+//! The rules that a valid intent keeps, a module a part of the document.
+
+mod model_rules;
+mod name_rules;
+mod path_rules;
+mod problem_list;
+mod service_rules;
+mod store_rules;
+mod team_rules;
+
+pub(crate) use model_rules::check_models;
+use name_rules::check_name;
+use path_rules::path_fault;
+pub(crate) use problem_list::ProblemList;
+pub(crate) use service_rules::check_services;
+pub(crate) use store_rules::check_store;
+pub(crate) use team_rules::check_teams;
--- /dev/null
+++ b/galenahold_domain/src/intent/rules/model_rules.rs
@@ -0,0 +1,90 @@
+//! Rules for models and their adapters.
+
+use std::collections;
+
+use crate::amount;
+use crate::intent;
+use crate::intent::rules;
+
+/// The names that callers may use in the field `model`.
+type CallerNames<'a> = collections::HashSet<&'a str>;
+
+/// Adds the faults of the models and adapters.
+pub(crate) fn check_models(
+    problems: &mut rules::ProblemList,
+    wanted: &intent::FleetIntent,
+    largest_engine: Option<amount::ByteCount>,
+) {
+    let mut seen = CallerNames::new();
+    for (place, model) in wanted.models.iter().enumerate() {
+        let path = format!("models[{place}]");
+        check_unique(problems, &format!("{path}.name"), &model.name, &mut seen);
+        rules::check_name(problems, &format!("{path}.version"), &model.version);
+        check_amounts(problems, &path, model);
+        if let Some(memory) = largest_engine {
+            check_memory(problems, &path, model, memory);
+        }
+    }
+    for (place, model) in wanted.models.iter().enumerate() {
+        check_adapters(problems, &format!("models[{place}]"), model, &mut seen);
+    }
+}
+
+fn check_adapters<'a>(
+    problems: &mut rules::ProblemList,
+    path: &str,
+    model: &'a intent::ModelIntent,
+    seen: &mut CallerNames<'a>,
+) {
+    for (place, adapter) in model.adapters.iter().enumerate() {
+        let path = format!("{path}.adapters[{place}]");
+        check_unique(problems, &format!("{path}.name"), &adapter.name, seen);
+        problems.refuse_zero(&format!("{path}.bytes"), adapter.bytes.0);
+    }
+}
+
+fn check_unique<'a>(
+    problems: &mut rules::ProblemList,
+    field: &str,
+    name: &'a str,
+    seen: &mut CallerNames<'a>,
+) {
+    rules::check_name(problems, field, name);
+    if !seen.insert(name) {
+        problems.push_text(field, name, "must be unique among models and adapters");
+    }
+}
+
+fn check_amounts(problems: &mut rules::ProblemList, path: &str, model: &intent::ModelIntent) {
+    problems.refuse_zero(&format!("{path}.bytes"), model.bytes.0);
+    problems.refuse_zero(
+        &format!("{path}.max_request_tokens"),
+        model.max_request_tokens.0,
+    );
+    problems.refuse_zero(
+        &format!("{path}.replica_concurrency"),
+        model.replica_concurrency.into(),
+    );
+    if model.min_replicas > model.max_replicas {
+        let demand = format!("must be {} or less, max_replicas", model.max_replicas);
+        problems.push(&format!("{path}.min_replicas"), model.min_replicas, &demand);
+    }
+}
+
+fn check_memory(
+    problems: &mut rules::ProblemList,
+    path: &str,
+    model: &intent::ModelIntent,
+    memory: amount::ByteCount,
+) {
+    let adapters = model.adapters.iter().map(|adapter| adapter.bytes);
+    let largest = adapters.max().unwrap_or(amount::ByteCount::ZERO);
+    let needed = model.bytes.saturating_add(largest);
+    if needed <= memory {
+        return;
+    }
+    let demand = format!(
+        "must fit with its largest adapter of {largest} bytes into the largest engine of {memory} bytes"
+    );
+    problems.push(&format!("{path}.bytes"), model.bytes, &demand);
+}
--- /dev/null
+++ b/galenahold_domain/src/intent/rules/name_rules.rs
@@ -0,0 +1,31 @@
+//! Rules for names.
+
+use crate::intent::rules;
+
+const MAX_NAME_BYTES: usize = 128;
+
+/// Characters that headers, logs and metrics would have to quote.
+const REFUSED_CHARACTERS: &[u8] = b"\"'`,=\\";
+
+/// Adds a fault where a name is empty, too long or would have to be quoted in headers and logs.
+pub(crate) fn check_name(problems: &mut rules::ProblemList, field: &str, name: &str) {
+    if name.is_empty() {
+        problems.push_text(field, name, "must not be empty");
+        return;
+    }
+    if name.len() > MAX_NAME_BYTES {
+        problems.push_text(field, name, "must have 128 bytes at most");
+        return;
+    }
+    if !name.bytes().all(is_allowed) {
+        problems.push_text(
+            field,
+            name,
+            "must be visible ASCII without quotes, commas, equals signs and backslashes",
+        );
+    }
+}
+
+fn is_allowed(byte: u8) -> bool {
+    byte.is_ascii_graphic() && !REFUSED_CHARACTERS.contains(&byte)
+}
--- /dev/null
+++ b/galenahold_domain/src/intent/rules/path_rules.rs
@@ -0,0 +1,39 @@
+//! Rules for path prefixes.
+
+const MAX_PATH_BYTES: usize = 256;
+
+/// The first segment of the paths that serve models.
+const MODELS_SEGMENT: &str = "v1";
+
+/// Returns what is wrong with the path prefix of a plain service, if anything.
+pub(crate) fn path_fault(prefix: &str) -> Option<&'static str> {
+    if prefix.len() > MAX_PATH_BYTES {
+        return Some("must have 256 bytes at most");
+    }
+    let Some(rest) = prefix.strip_prefix('/') else {
+        return Some("must begin with `/`");
+    };
+    if rest.is_empty() {
+        return Some("must not cover all paths");
+    }
+    if rest.split('/').any(|segment| !is_plain(segment)) {
+        return Some(
+            "must have segments of letters, digits and `-._~` that are not empty, `.` or `..`",
+        );
+    }
+    let first = rest.split('/').next().unwrap_or_default();
+    if first.eq_ignore_ascii_case(MODELS_SEGMENT) {
+        return Some("must not shadow `/v1`, which serves models");
+    }
+    None
+}
+
+fn is_plain(segment: &str) -> bool {
+    let is_step = matches!(segment, "" | "." | "..");
+    !is_step && segment.bytes().all(is_unreserved)
+}
+
+/// Returns whether a byte is unreserved in RFC 3986.
+fn is_unreserved(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"-._~".contains(&byte)
+}
--- /dev/null
+++ b/galenahold_domain/src/intent/rules/problem_list.rs
@@ -0,0 +1,45 @@
+//! Collects faults.
+
+use std::fmt;
+
+use crate::intent;
+
+/// The most characters of a text that a fault repeats.
+const MAX_SHOWN_CHARACTERS: usize = 128;
+
+const AT_LEAST_ONE: &str = "must be 1 or more";
+
+/// Collects faults in the order in which the rules find them.
+#[derive(Debug, Default)]
+pub(crate) struct ProblemList {
+    problems: Vec<intent::IntentProblem>,
+}
+
+impl ProblemList {
+    /// Adds a fault.
+    pub(crate) fn push(&mut self, field: &str, value: impl fmt::Display, demand: &str) {
+        self.problems.push(intent::IntentProblem {
+            field: field.to_owned(),
+            value: value.to_string(),
+            demand: demand.to_owned(),
+        });
+    }
+
+    /// Adds a fault of a name or another text.
+    pub(crate) fn push_text(&mut self, field: &str, text: &str, demand: &str) {
+        let shown: String = text.chars().take(MAX_SHOWN_CHARACTERS).collect();
+        self.push(field, format!("`{}`", shown.escape_default()), demand);
+    }
+
+    /// Adds a fault where an amount is zero.
+    pub(crate) fn refuse_zero(&mut self, field: &str, value: u64) {
+        if value == 0 {
+            self.push(field, value, AT_LEAST_ONE);
+        }
+    }
+
+    /// Returns the faults.
+    pub(crate) fn into_problems(self) -> Vec<intent::IntentProblem> {
+        self.problems
+    }
+}
--- /dev/null
+++ b/galenahold_domain/tests/intent/main.rs
@@ -0,0 +1,5 @@
+//! Intents: reading, faults and plans.
+
+mod documents;
+mod faults;
+mod plans;
