--- a/galenahold_domain/src/key/caller_key.rs
+++ b/galenahold_domain/src/key/caller_key.rs
@@ -26,6 +26,9 @@
 }
 
 impl CallerKey {
+    /// What the text of each key begins with.
+    pub const PREFIX: &'static str = KEY_PREFIX;
+
     /// The number of random bytes that [`CallerKey::generate`] takes.
     pub const RANDOM_BYTES: usize = ID_BYTES + SECRET_BYTES;
 
--- a/galenahold_domain/src/order/order_statistics.rs
+++ b/galenahold_domain/src/order/order_statistics.rs
@@ -1,9 +1,11 @@
 //! Figures of the order ledger for reports.
 
+use serde::Serialize;
+
 use crate::order;
 
 /// Figures of the order ledger for reports.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct OrderStatistics {
     /// What the records take.
     pub usage: order::OrderUsage,
--- a/galenahold_domain/src/order/order_usage.rs
+++ b/galenahold_domain/src/order/order_usage.rs
@@ -1,7 +1,9 @@
 //! How much of the order ledger is in use.
 
+use serde::Serialize;
+
 /// How much of the order ledger is in use, by one team or by all.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct OrderUsage {
     /// Records.
     pub records: usize,
--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -78,15 +78,14 @@
         let answered = tokio::time::timeout_at(deadline.into(), sending).await;
         let answer = match answered {
             Ok(Ok(answer)) => answer,
-            Ok(Err(mut error)) if error.take_message().is_some() => {
-                return Err(backend::AttemptError::not_run(
-                    backend::AttemptErrorKind::Unsent,
-                ));
-            }
-            Ok(Err(_)) => {
-                return Err(backend::AttemptError::may_have_run(
-                    backend::AttemptErrorKind::Broken,
-                ));
+            Ok(Err(mut error)) => {
+                // The library gives back a message of which it wrote nothing.
+                return Err(match error.take_message() {
+                    Some(_unsent) => {
+                        backend::AttemptError::not_run(backend::AttemptErrorKind::Unsent)
+                    }
+                    None => backend::AttemptError::may_have_run(backend::AttemptErrorKind::Broken),
+                });
             }
             Err(_) => {
                 return Err(backend::AttemptError::may_have_run(
@@ -117,9 +116,8 @@
         };
         let _ = stream.set_nodelay(true);
         let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|_| {
-            backend::AttemptError::not_run(backend::AttemptErrorKind::Connect)
-        })?;
+        let (sender, connection) = handshake
+            .map_err(|_| backend::AttemptError::not_run(backend::AttemptErrorKind::Connect))?;
         let server = address.server.clone();
         self.group.spawn_until_stop(async move {
             if let Err(error) = connection.await {
--- a/galenahold_instance/src/backend/backend_exchange.rs
+++ b/galenahold_instance/src/backend/backend_exchange.rs
@@ -38,9 +38,8 @@
             let Some(frame) = self.body.frame().await else {
                 return Ok(None);
             };
-            let frame = frame.map_err(|_| {
-                backend::AttemptError::may_have_run(backend::AttemptErrorKind::Cut)
-            })?;
+            let frame = frame
+                .map_err(|_| backend::AttemptError::may_have_run(backend::AttemptErrorKind::Cut))?;
             if let Ok(piece) = frame.into_data() {
                 return Ok(Some(piece));
             }
--- a/galenahold_instance/src/configuration/configuration_holder.rs
+++ b/galenahold_instance/src/configuration/configuration_holder.rs
@@ -164,9 +164,9 @@
             .position(|change| change.revision() == have.next());
         match follows {
             Some(start) => message::ConfigurationUpdate::Changes(self.history[start..].to_vec()),
-            None => message::ConfigurationUpdate::Snapshot(
-                control::ConfigurationView::clone(&self.view),
-            ),
+            None => message::ConfigurationUpdate::Snapshot(control::ConfigurationView::clone(
+                &self.view,
+            )),
         }
     }
 
@@ -176,9 +176,9 @@
     ) -> Result<(), configuration::HolderError> {
         match update {
             message::ConfigurationUpdate::Nothing => Ok(()),
-            message::ConfigurationUpdate::Changes(changes) => {
-                changes.into_iter().try_for_each(|change| self.follow(change))
-            }
+            message::ConfigurationUpdate::Changes(changes) => changes
+                .into_iter()
+                .try_for_each(|change| self.follow(change)),
             message::ConfigurationUpdate::Snapshot(view) => self.replace(view),
         }
     }
--- a/galenahold_instance/src/configuration/mod.rs
+++ b/galenahold_instance/src/configuration/mod.rs
@@ -5,7 +5,7 @@
 mod holder_error;
 mod watch_server;
 
-pub(crate) use configuration_holder::{ConfigurationHolder, ConfigurationNews, ConfirmedUpdate};
+pub(crate) use configuration_holder::{ConfigurationHolder, ConfirmedUpdate};
 pub(crate) use configuration_watcher::{ConfigurationWatcher, WatchSources};
 pub(crate) use holder_error::HolderError;
 pub(crate) use watch_server::WatchServer;
--- a/galenahold_instance/src/control/control_desk.rs
+++ b/galenahold_instance/src/control/control_desk.rs
@@ -172,11 +172,7 @@
     }
 
     /// Returns what is new to the one who waits, confirmed by this member's lease.
-    fn news(
-        &self,
-        request: &message::WatchRequest,
-        started: time::Instant,
-    ) -> message::WatchReply {
+    fn news(&self, request: &message::WatchRequest, started: time::Instant) -> message::WatchReply {
         // Read before the lease is looked at: a lease that is valid after the reading was valid
         // throughout, so nothing newer was committed elsewhere before this moment.
         let held = started.elapsed();
@@ -209,8 +205,8 @@
     }
     match state.changes_since(request.have) {
         Some(changes) => message::ConfigurationUpdate::Changes(changes),
-        None => message::ConfigurationUpdate::Snapshot(
-            control::ConfigurationView::clone(&state.view()),
-        ),
+        None => {
+            message::ConfigurationUpdate::Snapshot(control::ConfigurationView::clone(&state.view()))
+        }
     }
 }
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -8,7 +8,7 @@
 use galenahold_consensus::message as raft_message;
 use galenahold_domain::control;
 use galenahold_domain::name;
-use galenahold_settings::group as settings;
+use galenahold_settings::InstanceSettings;
 use tokio::sync::oneshot;
 
 use crate::control as group;
@@ -29,7 +29,7 @@
     ///
     /// The data folder is unusable or the log does not know what it holds.
     pub(crate) fn start(
-        settings: &settings::InstanceSettings,
+        settings: &InstanceSettings,
         folder: &std::path::Path,
         transport: group::LogTransport,
     ) -> Result<(Self, driver::ReplicatedLog<group::ControlMachine>), driver::StartError> {
@@ -109,7 +109,7 @@
 }
 
 /// Returns the members with which the group is founded, this one included.
-fn voters(settings: &settings::InstanceSettings) -> Vec<member::MemberEndpoint> {
+fn voters(settings: &InstanceSettings) -> Vec<member::MemberEndpoint> {
     let own = member::MemberEndpoint::new(
         &settings.instance.name,
         &settings.peer_address().to_string(),
--- a/galenahold_instance/src/control/member_desk.rs
+++ b/galenahold_instance/src/control/member_desk.rs
@@ -133,9 +133,7 @@
         status
             .members
             .iter()
-            .filter(|report| {
-                report.member.profile.endpoint.name.as_str() == name.as_str()
-            })
+            .filter(|report| report.member.profile.endpoint.name.as_str() == name.as_str())
             .max_by_key(|report| report.silence)
             .map(|report| report.member.profile.id)
             .ok_or_else(|| not_found(format!("the control group has no member {name}")))
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -117,7 +117,7 @@
         let ticket = target
             .queue
             .push(entry, waiter, now)
-            .map_err(|(refusal, _waiter)| refusal)?;
+            .map_err(|refused| refused.refusal)?;
         target.count_in(&team, now);
         Ok(ticket)
     }
--- a/galenahold_instance/src/dispatch/mod.rs
+++ b/galenahold_instance/src/dispatch/mod.rs
@@ -8,7 +8,7 @@
 mod target_queue;
 mod wait_ticket;
 
-pub(crate) use dispatch_state::{DispatchState, Dispatched};
+pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
 pub(crate) use drain_set::DrainSet;
 pub(crate) use replica_slot::{AttemptEnd, ReplicaSlot};
--- a/galenahold_instance/src/entry/attempt_rule.rs
+++ b/galenahold_instance/src/entry/attempt_rule.rs
@@ -5,7 +5,7 @@
 
 use galenahold_domain::verdict;
 use galenahold_routing::retry;
-use galenahold_settings::group;
+use galenahold_settings::RetrySettings;
 
 /// Decides whether a failed attempt is followed by another, within the instance's retry budget.
 #[derive(Debug, Clone)]
@@ -21,14 +21,14 @@
     const LEAST_PER_SECOND: u32 = 10;
 
     /// Creates the rule of the settings.
-    pub(crate) fn new(settings: &group::RetrySettings) -> Self {
+    pub(crate) fn new(settings: &RetrySettings) -> Self {
         let budget = retry::RetryBudget::new(
-            settings.budget_per_cent(),
+            u32::try_from(settings.budget_per_cent()).unwrap_or(u32::MAX),
             Self::LEAST_PER_SECOND,
             time::Instant::now(),
         );
         Self {
-            rule: retry::RetryRule::new(settings.max_attempts()),
+            rule: retry::RetryRule::new(u32::try_from(settings.max_attempts()).unwrap_or(u32::MAX)),
             budget: sync::Arc::new(sync::Mutex::new(budget)),
             backoff_min: settings.backoff_min(),
             backoff_max: settings.backoff_max(),
--- a/galenahold_instance/src/entry/caller_identity.rs
+++ b/galenahold_instance/src/entry/caller_identity.rs
@@ -57,7 +57,9 @@
 
     /// Returns the team, or the empty name for a caller without a key.
     pub(crate) fn team_or_empty(&self) -> name::TeamName {
-        self.team.clone().unwrap_or_else(|| name::TeamName::from(""))
+        self.team
+            .clone()
+            .unwrap_or_else(|| name::TeamName::from(""))
     }
 
     /// Returns the key.
--- a/galenahold_instance/src/entry/entry_desk.rs
+++ b/galenahold_instance/src/entry/entry_desk.rs
@@ -104,9 +104,7 @@
             Err(refusal) => {
                 let mut answer = refusal.answer();
                 if let Ok(value) = http::HeaderValue::from_str(&id) {
-                    answer
-                        .headers_mut()
-                        .insert(entry::REQUEST_ID_HEADER, value);
+                    answer.headers_mut().insert(entry::REQUEST_ID_HEADER, value);
                 }
                 answer
             }
@@ -303,11 +301,7 @@
         })
     }
 
-    fn guard(
-        &self,
-        arrived: &ArrivedRequest,
-        service: &intent::ServiceIntent,
-    ) -> entry::KeyGuard {
+    fn guard(&self, arrived: &ArrivedRequest, service: &intent::ServiceIntent) -> entry::KeyGuard {
         entry::KeyGuard::new(
             arrived.identity.clone(),
             service.name.clone(),
--- a/galenahold_instance/src/entry/key_scrubber.rs
+++ b/galenahold_instance/src/entry/key_scrubber.rs
@@ -57,9 +57,7 @@
 }
 
 fn contains(bytes: &[u8], pattern: &[u8]) -> bool {
-    bytes
-        .windows(pattern.len())
-        .any(|window| window == pattern)
+    bytes.windows(pattern.len()).any(|window| window == pattern)
 }
 
 /// Returns whether some part of the bytes parses as a key.
--- a/galenahold_instance/src/entry/model_desk.rs
+++ b/galenahold_instance/src/entry/model_desk.rs
@@ -286,7 +286,9 @@
         state: &AttemptState,
     ) -> Result<dispatch::ReplicaSlot, AttemptStop> {
         let team = call.identity.team();
-        let weight = team.and_then(|team| self.keeper.weight(team)).unwrap_or(1.0);
+        let weight = team
+            .and_then(|team| self.keeper.weight(team))
+            .unwrap_or(1.0);
         let wanted = call.slot_request(weight, state.avoid.clone());
         let acquiring = self.dispatcher.acquire(wanted);
         let slot = guarded(&call.guard, verdict::RequestVerdict::NotRun, acquiring).await??;
@@ -306,8 +308,7 @@
             return Err(fail(slot, error));
         }
         if exchange.head().status.is_server_error() {
-            let error =
-                backend::AttemptError::may_have_run(backend::AttemptErrorKind::ServerError);
+            let error = backend::AttemptError::may_have_run(backend::AttemptErrorKind::ServerError);
             return Err(fail(slot, error));
         }
         Ok(OpenedAnswer {
@@ -383,10 +384,9 @@
         *answer.status_mut() = opened.exchange.head().status;
         *answer.headers_mut() = entry::headers_to_caller(&opened.exchange.head().headers);
         stamp(&mut answer, &call.id, true);
-        answer.headers_mut().insert(
-            header::CACHE_CONTROL,
-            HeaderValue::from_static("no-store"),
-        );
+        answer
+            .headers_mut()
+            .insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
         let stream = entry::ModelStream::new(self.clone(), call, charge, state, opened, sender);
         self.group.spawn(stream.run());
         answer
--- a/galenahold_instance/src/entry/model_request.rs
+++ b/galenahold_instance/src/entry/model_request.rs
@@ -181,7 +181,9 @@
     let candidates = read_count(document, "best_of")?.unwrap_or(1);
     let wanted = answers.max(candidates);
     if wanted > MAX_ANSWERS {
-        return Err(refuse(format!("n: {wanted}: must be {MAX_ANSWERS} or less")));
+        return Err(refuse(format!(
+            "n: {wanted}: must be {MAX_ANSWERS} or less"
+        )));
     }
     Ok(wanted)
 }
@@ -200,7 +202,9 @@
         }
         (None, Some(prompt)) => collect_text(prompt, &mut text),
         (None, None) => {
-            return Err(refuse("messages: missing: give messages or a prompt".into()));
+            return Err(refuse(
+                "messages: missing: give messages or a prompt".into(),
+            ));
         }
     }
     Ok(text)
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -118,10 +118,7 @@
     /// # Errors
     ///
     /// It was cut short.
-    async fn relay_segment(
-        &mut self,
-        opened: OpenedAnswer,
-    ) -> Result<StreamEnd, FailedAttempt> {
+    async fn relay_segment(&mut self, opened: OpenedAnswer) -> Result<StreamEnd, FailedAttempt> {
         let OpenedAnswer {
             slot, mut exchange, ..
         } = opened;
@@ -218,7 +215,13 @@
         let resume = (self.resume.offset > 0).then(|| self.resume.clone());
         let reopened = self
             .desk
-            .reopen(&self.call, &mut self.charge, &mut self.state, failed, resume)
+            .reopen(
+                &self.call,
+                &mut self.charge,
+                &mut self.state,
+                failed,
+                resume,
+            )
             .await;
         match reopened {
             Ok(opened) => {
--- a/galenahold_instance/src/entry/service_desk.rs
+++ b/galenahold_instance/src/entry/service_desk.rs
@@ -196,7 +196,9 @@
         state: &AttemptState,
     ) -> Result<dispatch::ReplicaSlot, AttemptStop> {
         let team = call.identity.team();
-        let weight = team.and_then(|team| self.keeper.weight(team)).unwrap_or(1.0);
+        let weight = team
+            .and_then(|team| self.keeper.weight(team))
+            .unwrap_or(1.0);
         let wanted = call.slot_request(weight, state.avoid.clone());
         let acquiring = self.dispatcher.acquire(wanted);
         let slot = guarded(&call.guard, verdict::RequestVerdict::NotRun, acquiring).await??;
--- a/galenahold_instance/src/face/mod.rs
+++ b/galenahold_instance/src/face/mod.rs
@@ -7,8 +7,8 @@
 mod http_handler;
 mod http_listener;
 mod json_answer;
-mod request_refusal;
 mod refusal_kind;
+mod request_refusal;
 
 pub(crate) use answer_body::{AnswerBody, StreamCut, StreamSender};
 pub(crate) use body_reader::BodyReader;
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -10,7 +10,7 @@
 use galenahold_routing::queue;
 use galenahold_routing::rate as routing_rate;
 use galenahold_routing::replica;
-use galenahold_settings::group;
+use galenahold_settings::{InstanceSettings, LimitSettings, TimingSettings};
 use galenahold_wire::message;
 use log::{info, warn};
 use snafu::ResultExt;
@@ -73,7 +73,7 @@
 
 /// The parts that the wiring steps share.
 struct CommonParts {
-    settings: group::InstanceSettings,
+    settings: InstanceSettings,
     card: message::InstanceCard,
     timer: timer::TimerService,
     metrics: platform::FleetMetrics,
@@ -98,7 +98,7 @@
     /// # Errors
     ///
     /// An address cannot be listened on, or the data folder cannot be used. Nothing runs then.
-    pub fn start(settings: group::InstanceSettings) -> Result<Self, instance::InstanceError> {
+    pub fn start(settings: InstanceSettings) -> Result<Self, instance::InstanceError> {
         let runtime = runtime::Builder::new_multi_thread()
             .thread_name("galenahold")
             .enable_all()
@@ -203,7 +203,7 @@
 
 impl CommonParts {
     fn new(
-        settings: group::InstanceSettings,
+        settings: InstanceSettings,
         event_sink: mpsc::Sender<galenahold_domain::server::CacheEvent>,
         system: &task::TaskGroup,
     ) -> Self {
@@ -248,10 +248,7 @@
         let desk = control::ControlDesk::member(control::DeskParts {
             member: sync::Arc::clone(&member),
             grants: control::GrantDesk::new(ledger_settings(&self.settings.timing)),
-            operators: control::OperatorDesk::new(
-                sync::Arc::clone(&member),
-                self.registry.clone(),
-            ),
+            operators: control::OperatorDesk::new(sync::Arc::clone(&member), self.registry.clone()),
             demand,
         });
         control::LeaderTerm::new(desk.clone(), self.metrics.clone()).start(
@@ -283,8 +280,7 @@
         readiness: &platform::ReadinessState,
     ) {
         let members = self.control_members();
-        let client =
-            peer::ControlClient::new(self.network.clone(), desk.clone(), members.clone());
+        let client = peer::ControlClient::new(self.network.clone(), desk.clone(), members.clone());
         self.start_peers(groups, desk, faces.peers);
         self.start_watcher(groups, desk, &client, members);
         registry::AnnouncementSpreader::new(
@@ -388,8 +384,8 @@
     }
 
     fn dispatcher(&self) -> dispatch::Dispatcher {
-        let table = replica::TableSettings::default()
-            .with_expiry(self.settings.timing.announcement_ttl());
+        let table =
+            replica::TableSettings::default().with_expiry(self.settings.timing.announcement_ttl());
         let limits = &self.settings.limits;
         let queue = queue::QueueLimits::default()
             .with_most_items(count(limits.max_waiting_requests()))
@@ -493,7 +489,7 @@
     }
 }
 
-fn configured_cards(settings: &group::InstanceSettings) -> Vec<message::InstanceCard> {
+fn configured_cards(settings: &InstanceSettings) -> Vec<message::InstanceCard> {
     settings
         .peers
         .iter()
@@ -506,7 +502,7 @@
         .collect()
 }
 
-fn connection_limits(limits: &group::LimitSettings) -> face::ConnectionLimits {
+fn connection_limits(limits: &LimitSettings) -> face::ConnectionLimits {
     face::ConnectionLimits {
         max_connections: count(limits.max_connections()),
         max_per_address: count(limits.max_connections_per_address()),
@@ -516,7 +512,7 @@
     }
 }
 
-fn ledger_settings(timing: &group::TimingSettings) -> routing_rate::LedgerSettings {
+fn ledger_settings(timing: &TimingSettings) -> routing_rate::LedgerSettings {
     let lease = timing.grant_lease();
     let drift = u32::try_from(timing.clock_drift_per_million()).unwrap_or(u32::MAX);
     routing_rate::LedgerSettings::default()
--- a/galenahold_instance/src/instance/instance_error.rs
+++ b/galenahold_instance/src/instance/instance_error.rs
@@ -18,7 +18,9 @@
         source: io::Error,
     },
     /// An address could not be listened on.
-    #[snafu(display("listening on {address} ({field}): {source}; choose a free address of this machine"))]
+    #[snafu(display(
+        "listening on {address} ({field}): {source}; choose a free address of this machine"
+    ))]
     Listen {
         /// The field of the settings.
         field: &'static str,
--- a/galenahold_instance/src/instance/instance_faces.rs
+++ b/galenahold_instance/src/instance/instance_faces.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use galenahold_settings::group;
+use galenahold_settings::ListenSettings;
 use snafu::ResultExt;
 use tokio::net as tokio_net;
 
@@ -30,9 +30,7 @@
     /// # Errors
     ///
     /// Names the field and the address that could not be listened on.
-    pub(crate) async fn bind(
-        settings: &group::ListenSettings,
-    ) -> Result<Self, instance::InstanceError> {
+    pub(crate) async fn bind(settings: &ListenSettings) -> Result<Self, instance::InstanceError> {
         Ok(Self {
             callers: bind_optional("listen.callers", settings.callers).await?,
             backends: bind_optional("listen.backends", settings.backends).await?,
--- a/galenahold_instance/src/operator/mod.rs
+++ b/galenahold_instance/src/operator/mod.rs
@@ -6,8 +6,10 @@
 mod operator_gate;
 mod operator_key;
 
-pub(crate) use burn_collector::{BurnCollector, CollectedBurn};
-pub(crate) use operator_documents::{ConfirmDocument, GiveKeyDocument, MemberDocument, PlanDocument, WithdrawKeyDocument};
+pub(crate) use burn_collector::BurnCollector;
+pub(crate) use operator_documents::{
+    ConfirmDocument, GiveKeyDocument, MemberDocument, PlanDocument, WithdrawKeyDocument,
+};
 pub(crate) use operator_face::{OperatorFace, OwnBurn};
 pub(crate) use operator_gate::{OperatorGate, OperatorPass, bearer_text, hexadecimal};
 pub(crate) use operator_key::derive_key;
--- a/galenahold_instance/src/operator/operator_face.rs
+++ b/galenahold_instance/src/operator/operator_face.rs
@@ -234,7 +234,9 @@
     })
 }
 
-fn parse<Document: de::DeserializeOwned>(document: &[u8]) -> Result<Document, face::RequestRefusal> {
+fn parse<Document: de::DeserializeOwned>(
+    document: &[u8],
+) -> Result<Document, face::RequestRefusal> {
     serde_json::from_slice(document).map_err(|error| {
         face::RequestRefusal::not_run(face::RefusalKind::BadRequest, error.to_string())
     })
--- a/galenahold_instance/src/operator/operator_gate.rs
+++ b/galenahold_instance/src/operator/operator_gate.rs
@@ -31,9 +31,7 @@
 
 impl OperatorGate {
     /// Creates a gate over operators and the SHA-256 of their credentials, in hexadecimal.
-    pub(crate) fn new(
-        credentials: impl IntoIterator<Item = (name::OperatorName, String)>,
-    ) -> Self {
+    pub(crate) fn new(credentials: impl IntoIterator<Item = (name::OperatorName, String)>) -> Self {
         Self {
             credentials: credentials
                 .into_iter()
@@ -66,9 +64,7 @@
 pub(crate) fn bearer_text(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(header::AUTHORIZATION)?.to_str().ok()?;
     let (scheme, text) = value.split_once(' ')?;
-    scheme
-        .eq_ignore_ascii_case("bearer")
-        .then_some(text.trim())
+    scheme.eq_ignore_ascii_case("bearer").then_some(text.trim())
 }
 
 /// Returns bytes in hexadecimal.
--- a/galenahold_instance/src/order/order_desk.rs
+++ b/galenahold_instance/src/order/order_desk.rs
@@ -77,7 +77,9 @@
         };
         let call = message::ControlCall::Command(command);
         match self.client.call(call, deadline).await {
-            Ok(message::ControlReply::Outcome(control::ControlOutcome::Order(start))) => judge(start),
+            Ok(message::ControlReply::Outcome(control::ControlOutcome::Order(start))) => {
+                judge(start)
+            }
             Ok(message::ControlReply::Outcome(control::ControlOutcome::Invalid { reasons })) => {
                 Err(face::RequestRefusal::not_run(
                     face::RefusalKind::BadRequest,
@@ -148,6 +150,10 @@
             face::RefusalKind::OrderExpired,
             "the idempotency key is older than the ledger keeps keys; this repeat did not run",
         )),
+        order::OrderStart::OwnerEnded => Err(face::RequestRefusal::not_run(
+            face::RefusalKind::ControlUnavailable,
+            "a later start of this instance has taken over; send the order again",
+        )),
         order::OrderStart::Full => Err(face::RequestRefusal::not_run(
             face::RefusalKind::OrderLedgerFull,
             "the order ledger is full",
--- a/galenahold_instance/src/peer/peer_server.rs
+++ b/galenahold_instance/src/peer/peer_server.rs
@@ -10,6 +10,7 @@
 use tarpc::server::Channel;
 use tokio::net;
 
+use crate::instance;
 use crate::task;
 
 /// How long accepting rests after an error such as too many open files.
@@ -20,17 +21,14 @@
 
 /// Accepts connections of other instances and answers their calls with a service.
 #[derive(Debug)]
-pub(crate) struct PeerServer<Service> {
+pub(crate) struct PeerServer {
     listener: net::TcpListener,
-    service: Service,
+    service: instance::InstanceService,
 }
 
-impl<Service> PeerServer<Service>
-where
-    Service: InstanceRpc + Clone + Send + Sync + 'static,
-{
+impl PeerServer {
     /// Creates a server over a bound socket.
-    pub(crate) fn new(listener: net::TcpListener, service: Service) -> Self {
+    pub(crate) fn new(listener: net::TcpListener, service: instance::InstanceService) -> Self {
         Self { listener, service }
     }
 
@@ -59,10 +57,7 @@
     }
 }
 
-async fn answer<Service>(stream: net::TcpStream, service: Service)
-where
-    Service: InstanceRpc + Clone + Send + 'static,
-{
+async fn answer(stream: net::TcpStream, service: instance::InstanceService) {
     let channel = server::BaseChannel::with_defaults(rpc::frame_transport(stream));
     channel
         .execute(service.serve())
--- a/galenahold_instance/src/platform/mod.rs
+++ b/galenahold_instance/src/platform/mod.rs
@@ -6,6 +6,8 @@
 mod readiness_state;
 
 pub(crate) use burn_recorder::BurnRecorder;
-pub(crate) use fleet_metrics::{FleetMetrics, RefusalLabels, RequestLabels, ServiceLabels, TeamLabels};
+pub(crate) use fleet_metrics::{
+    FleetMetrics, RefusalLabels, RequestLabels, ServiceLabels, TeamLabels,
+};
 pub(crate) use platform_face::PlatformFace;
-pub(crate) use readiness_state::{ReadinessState, UnreadyReason};
+pub(crate) use readiness_state::ReadinessState;
--- a/galenahold_instance/src/platform/platform_face.rs
+++ b/galenahold_instance/src/platform/platform_face.rs
@@ -46,10 +46,9 @@
 
     fn metrics(&self) -> Response<face::AnswerBody> {
         let mut answer = Response::new(face::AnswerBody::whole(self.metrics.encode()));
-        answer.headers_mut().insert(
-            header::CONTENT_TYPE,
-            HeaderValue::from_static(METRICS_TYPE),
-        );
+        answer
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
         answer
     }
 }
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -131,7 +131,9 @@
         };
         let number = call.number;
         let deadline = time::Instant::now() + CALL_TIMEOUT;
-        let reply = client.call(message::ControlCall::Grant(call), deadline).await;
+        let reply = client
+            .call(message::ControlCall::Grant(call), deadline)
+            .await;
         match reply {
             Ok(message::ControlReply::Grant(reply)) => {
                 self.lock().accept(&reply, time::Instant::now());
@@ -148,10 +150,7 @@
     }
 }
 
-fn refuse_too_large(
-    wanted: amount::TokenCount,
-    burst: amount::TokenCount,
-) -> face::RequestRefusal {
+fn refuse_too_large(wanted: amount::TokenCount, burst: amount::TokenCount) -> face::RequestRefusal {
     face::RequestRefusal::not_run(
         face::RefusalKind::TooManyTokens,
         format!("the request may take {wanted} tokens and the team's burst is {burst}"),
@@ -165,10 +164,7 @@
     )
 }
 
-fn refuse_rate(
-    team: &name::TeamName,
-    retry_after: Option<time::Duration>,
-) -> face::RequestRefusal {
+fn refuse_rate(team: &name::TeamName, retry_after: Option<time::Duration>) -> face::RequestRefusal {
     let refusal = face::RequestRefusal::not_run(
         face::RefusalKind::RateLimited,
         format!("the rate and burst of the team {team} are used up"),
--- a/galenahold_instance/src/registry/mod.rs
+++ b/galenahold_instance/src/registry/mod.rs
@@ -10,4 +10,4 @@
 pub(crate) use announcement_spreader::AnnouncementSpreader;
 pub(crate) use event_log::EventLog;
 pub(crate) use registry_entry::RegistryEntry;
-pub(crate) use server_registry::{RegistryDelta, ServerRegistry};
+pub(crate) use server_registry::ServerRegistry;
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -96,7 +96,12 @@
     }
 
     /// Returns the announcements that came after `version`, or only those sent to this instance.
-    pub(crate) fn since(&self, version: u64, direct_only: bool, now: time::Instant) -> RegistryDelta {
+    pub(crate) fn since(
+        &self,
+        version: u64,
+        direct_only: bool,
+        now: time::Instant,
+    ) -> RegistryDelta {
         let table = self.lock();
         let announcements = table
             .entries
@@ -152,8 +157,7 @@
             direct,
             announcement: sync::Arc::new(announcement),
         };
-        self.entries
-            .insert(entry.announcement.name.clone(), entry);
+        self.entries.insert(entry.announcement.name.clone(), entry);
         true
     }
 }
--- a/galenahold_wire/src/message/control_call.rs
+++ b/galenahold_wire/src/message/control_call.rs
@@ -1,6 +1,7 @@
 //! A call to the control group's leader.
 
 use galenahold_domain::control;
+use galenahold_routing::rate;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -10,7 +11,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum ControlCall {
     /// Asks for and returns token grants.
-    Grant(message::GrantExchange),
+    Grant(rate::GrantCall),
     /// Reports demand.
     Demand(message::DemandReport),
     /// Puts a command into the replicated log. Instances only do so for orders.
--- a/galenahold_wire/src/message/control_reply.rs
+++ b/galenahold_wire/src/message/control_reply.rs
@@ -2,6 +2,7 @@
 
 use galenahold_domain::control;
 use galenahold_domain::name;
+use galenahold_routing::rate;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -11,7 +12,7 @@
 #[serde(rename_all = "snake_case")]
 pub enum ControlReply {
     /// Token grants.
-    Grant(message::GrantReply),
+    Grant(rate::GrantReply),
     /// The demand report was taken.
     DemandTaken,
     /// What the replicated state answered to the command.
--- a/galenahold_wire/tests/rpc/version_skew.rs
+++ b/galenahold_wire/tests/rpc/version_skew.rs
@@ -14,11 +14,12 @@
 }
 
 #[derive(Debug, Serialize)]
-struct OlderGrant {
-    team: &'static str,
-    id: u64,
-    tokens: u64,
-    valid_ms: u64,
+struct OlderDemand {
+    model: &'static str,
+    oldest_wait_ms: u64,
+    running: u32,
+    arrived: u32,
+    waiting: Vec<u8>,
 }
 
 fn encode<Item: Serialize>(item: &Item) -> bytes::BytesMut {
@@ -42,16 +43,17 @@
 
 #[test]
 fn missing_fields_of_an_older_instance_take_their_defaults() {
-    let encoded = encode(&OlderGrant {
-        team: "a",
-        id: 1,
-        tokens: 5,
-        valid_ms: 9,
+    let encoded = encode(&OlderDemand {
+        model: "m",
+        oldest_wait_ms: 9,
+        running: 1,
+        arrived: 2,
+        waiting: Vec::new(),
     });
     let mut codec = codec::NamedMessagePack;
-    let grant: message::TeamGrant = pin::Pin::new(&mut codec)
+    let demand: message::TargetDemand = pin::Pin::new(&mut codec)
         .deserialize(&encoded)
         .expect("decodes");
-    assert_eq!(grant.retry_after_ms, 0);
-    assert_eq!(grant.tokens.0, 5);
+    assert_eq!(demand.adapter, None);
+    assert_eq!(demand.arrived, 2);
 }
