--- /dev/null
+++ b/galenahold_routing/src/breaker/circuit_breaker.rs
@@ -0,0 +1,136 @@
+//! Takes failing backend servers out of service for a while.
+
+use std::time;
+
+use crate::breaker;
+use crate::replica;
+
+const MOST_DOUBLINGS: u32 = 16;
+
+/// Takes backend servers out of service after consecutive transport errors.
+///
+/// After a pause one request at a time probes the server; the first success puts it back. It never
+/// leaves fewer than half of a request's candidates.
+#[derive(Debug)]
+pub struct CircuitBreaker {
+    settings: breaker::BreakerSettings,
+    circuits: slotmap::SecondaryMap<replica::ServerKey, ServerCircuit>,
+}
+
+#[derive(Debug, Default)]
+struct ServerCircuit {
+    errors: u32,
+    failed_probes: u32,
+    state: CircuitState,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+enum CircuitState {
+    #[default]
+    Closed,
+    Open {
+        until: time::Instant,
+    },
+    /// A probe was sent; another one may be sent if its end is not heard of in time.
+    Probing {
+        until: time::Instant,
+    },
+}
+
+impl CircuitBreaker {
+    /// Returns a breaker that lets everything pass.
+    #[must_use]
+    pub fn new(settings: breaker::BreakerSettings) -> Self {
+        Self {
+            settings,
+            circuits: slotmap::SecondaryMap::new(),
+        }
+    }
+
+    /// Returns whether a server may get a request, as one of many or as a probe.
+    #[must_use]
+    pub fn allows(&self, key: replica::ServerKey, now: time::Instant) -> bool {
+        match self.state_of(key) {
+            CircuitState::Closed => true,
+            CircuitState::Open { until } | CircuitState::Probing { until } => until <= now,
+        }
+    }
+
+    /// Removes candidates whose server is out of service, but never more than half of them.
+    ///
+    /// Those with the fewest errors are put back first.
+    pub fn admit(&self, candidates: &mut Vec<replica::ReplicaCandidate>, now: time::Instant) {
+        let least = candidates.len().div_ceil(2);
+        candidates.sort_by_key(|candidate| {
+            let allowed = self.allows(candidate.server, now);
+            let errors = self.circuits.get(candidate.server);
+            (!allowed, errors.map_or(0, |circuit| circuit.errors))
+        });
+        let allowed = candidates
+            .iter()
+            .take_while(|candidate| self.allows(candidate.server, now))
+            .count();
+        candidates.truncate(allowed.max(least));
+    }
+
+    /// Notes that a request is sent to a server; it is the probe where one is due.
+    pub fn begin(&mut self, key: replica::ServerKey, now: time::Instant) {
+        let pause = self.settings.longest_pause;
+        if let Some(circuit) = self.circuits.get_mut(key)
+            && !matches!(circuit.state, CircuitState::Closed)
+        {
+            let until = now + pause;
+            circuit.state = CircuitState::Probing { until };
+        }
+    }
+
+    /// Notes that a server answered.
+    pub fn succeed(&mut self, key: replica::ServerKey) {
+        self.circuits.remove(key);
+    }
+
+    /// Notes a transport error; returns whether it took the server out of service.
+    pub fn fail(&mut self, key: replica::ServerKey, now: time::Instant) -> bool {
+        let settings = &self.settings;
+        let Some(circuit) = self
+            .circuits
+            .entry(key)
+            .map(slotmap::secondary::Entry::or_default)
+        else {
+            return false;
+        };
+        circuit.errors = circuit.errors.saturating_add(1);
+        match circuit.state {
+            CircuitState::Closed if circuit.errors < settings.opens_after => false,
+            CircuitState::Closed => {
+                circuit.open(settings, now);
+                true
+            }
+            CircuitState::Probing { .. } => {
+                circuit.failed_probes += 1;
+                circuit.open(settings, now);
+                false
+            }
+            CircuitState::Open { .. } => false,
+        }
+    }
+
+    /// Forgets an incarnation of a server.
+    pub fn forget(&mut self, key: replica::ServerKey) {
+        self.circuits.remove(key);
+    }
+
+    fn state_of(&self, key: replica::ServerKey) -> CircuitState {
+        let circuit = self.circuits.get(key);
+        circuit.map_or(CircuitState::Closed, |circuit| circuit.state)
+    }
+}
+
+impl ServerCircuit {
+    fn open(&mut self, settings: &breaker::BreakerSettings, now: time::Instant) {
+        let factor = 1 << self.failed_probes.min(MOST_DOUBLINGS);
+        let pause = settings.first_pause.saturating_mul(factor);
+        let until = now + pause.min(settings.longest_pause);
+        self.state = CircuitState::Open { until };
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/queue/fair_queue.rs
@@ -0,0 +1,340 @@
+//! A queue that shares capacity fairly between teams.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::{amount, name};
+
+use crate::queue;
+use crate::queue::team_lane::{LanePosition, TeamLane, VirtualTime};
+
+const LEAST_WEIGHT: f64 = 0.001;
+const RETRY_WITHOUT_ESTIMATE: time::Duration = time::Duration::from_secs(1);
+
+/// A queue that shares capacity fairly between teams: start-time fair queueing by tokens.
+///
+/// One queue serves one pool of capacity, such as the replicas of a model. Each team's next item
+/// carries a virtual start; the lowest start goes first and moves its team on by tokens over weight.
+/// A team may fill its part of the queue up to what is still free, so one team alone never shuts
+/// the others out. All operations take logarithmic time in items and linear time in waiting teams.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    limits: queue::QueueLimits,
+    items: slotmap::SlotMap<queue::QueueTicket, Waiting<T>>,
+    lanes: collections::BTreeMap<name::TeamName, TeamLane>,
+    weights: collections::BTreeMap<name::TeamName, f64>,
+    order: collections::BTreeSet<LaneTurn>,
+    deadlines: collections::BTreeSet<DeadlineTurn>,
+    virtual_time: VirtualTime,
+    next_sequence: u64,
+    bytes: u64,
+    tokens: u64,
+    rate: queue::ServiceRate,
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    entry: queue::QueueEntry,
+    position: LanePosition,
+    queued_at: time::Instant,
+    item: T,
+}
+
+/// A team's place among the teams that wait.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct LaneTurn {
+    start: VirtualTime,
+    team: name::TeamName,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct DeadlineTurn {
+    deadline: time::Instant,
+    ticket: queue::QueueTicket,
+}
+
+impl<T> FairQueue<T> {
+    /// Returns an empty queue.
+    #[must_use]
+    pub fn new(limits: queue::QueueLimits) -> Self {
+        Self {
+            limits,
+            items: slotmap::SlotMap::with_key(),
+            lanes: collections::BTreeMap::new(),
+            weights: collections::BTreeMap::new(),
+            order: collections::BTreeSet::new(),
+            deadlines: collections::BTreeSet::new(),
+            virtual_time: VirtualTime(0.0),
+            next_sequence: 0,
+            bytes: 0,
+            tokens: 0,
+            rate: queue::ServiceRate::default(),
+        }
+    }
+
+    /// Sets a team's weight, from its next item on; teams without one have weight 1.
+    pub fn set_weight(&mut self, team: &name::TeamName, weight: f64) {
+        let weight = weight.max(LEAST_WEIGHT);
+        self.weights.insert(team.clone(), weight);
+        if let Some(lane) = self.lanes.get_mut(team) {
+            lane.weight = weight;
+        }
+    }
+
+    /// Queues an item.
+    ///
+    /// # Errors
+    ///
+    /// Gives the item back with the reason where the team's part of the queue is full or the
+    /// deadline has passed.
+    pub fn push(
+        &mut self,
+        entry: queue::QueueEntry,
+        item: T,
+        now: time::Instant,
+    ) -> Result<queue::QueueTicket, queue::RefusedItem<T>> {
+        if entry.deadline <= now {
+            let refusal = queue::QueueRefusal::DeadlinePassed;
+            return Err(queue::RefusedItem { refusal, item });
+        }
+        if !self.has_room(&entry) {
+            let retry_after = self.retry_after(&entry);
+            let refusal = queue::QueueRefusal::Full { retry_after };
+            return Err(queue::RefusedItem { refusal, item });
+        }
+        if self.items.is_empty() {
+            self.rate.resume(now);
+        }
+        Ok(self.insert(entry, item, now))
+    }
+
+    /// Takes the next item for which there is capacity.
+    ///
+    /// Of each team only the first item is offered, so a team's items keep their order.
+    pub fn pop(
+        &mut self,
+        now: time::Instant,
+        mut has_capacity: impl FnMut(&queue::QueueEntry, &T) -> bool,
+    ) -> Option<queue::QueuedItem<T>> {
+        let ticket = self.order.iter().find_map(|turn| {
+            let first = self.lanes.get(&turn.team)?.items.first()?;
+            let waiting = self.items.get(first.ticket)?;
+            has_capacity(&waiting.entry, &waiting.item).then_some(first.ticket)
+        })?;
+        let item = self.take(ticket)?;
+        self.serve(&item.entry, now);
+        Some(item)
+    }
+
+    /// Takes an item whose deadline has passed; call it until it returns nothing.
+    pub fn expired(&mut self, now: time::Instant) -> Option<queue::QueuedItem<T>> {
+        let turn = *self.deadlines.first()?;
+        if turn.deadline > now {
+            return None;
+        }
+        self.take_unserved(turn.ticket)
+    }
+
+    /// Takes an item out of turn.
+    pub fn cancel(&mut self, ticket: queue::QueueTicket) -> Option<queue::QueuedItem<T>> {
+        self.take_unserved(ticket)
+    }
+
+    /// Returns the earliest deadline of the waiting items.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<time::Instant> {
+        self.deadlines.first().map(|turn| turn.deadline)
+    }
+
+    /// Returns the number of waiting items.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Returns whether no item waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Returns the tokens of all waiting items.
+    #[must_use]
+    pub fn waiting_tokens(&self) -> amount::TokenCount {
+        amount::TokenCount(self.tokens)
+    }
+
+    /// Returns the tokens that are served before a new item of a team would be.
+    #[must_use]
+    pub fn tokens_ahead(&self, team: &name::TeamName) -> amount::TokenCount {
+        let own = self.lanes.get(team);
+        let own_tokens = own.map_or(0, |lane| lane.tokens);
+        let weight = self.weight_of(team);
+        let finish = to_float(own_tokens) / weight;
+        let others = self.lanes.iter().filter(|(name, _)| *name != team);
+        let ahead: u64 = others
+            .map(|(_, lane)| lane.tokens.min(to_count(finish * lane.weight)))
+            .sum();
+        amount::TokenCount(own_tokens + ahead)
+    }
+
+    /// Returns how long a new item of a team is expected to wait, or nothing where too little was
+    /// served to tell.
+    #[must_use]
+    pub fn predicted_wait(&self, team: &name::TeamName) -> Option<time::Duration> {
+        let ahead = self.tokens_ahead(team);
+        if ahead == amount::TokenCount::ZERO {
+            return Some(time::Duration::ZERO);
+        }
+        self.rate.time_for(ahead)
+    }
+
+    fn weight_of(&self, team: &name::TeamName) -> f64 {
+        self.weights.get(team).copied().unwrap_or(1.0)
+    }
+
+    /// A team may hold as much as is still free, in items and in bytes.
+    fn has_room(&self, entry: &queue::QueueEntry) -> bool {
+        let lane = self.lanes.get(&entry.team);
+        let lane_items = lane.map_or(0, |lane| lane.items.len());
+        let lane_bytes = lane.map_or(0, |lane| lane.bytes);
+        let free_items = self.limits.most_items.saturating_sub(self.items.len());
+        let free_bytes = self.limits.most_bytes.0.saturating_sub(self.bytes);
+        let fits_items = lane_items < free_items;
+        let fits_bytes = entry.bytes.0 <= free_bytes && lane_bytes <= free_bytes;
+        fits_items && fits_bytes
+    }
+
+    fn retry_after(&self, entry: &queue::QueueEntry) -> time::Duration {
+        self.rate
+            .time_for(self.tokens_ahead(&entry.team))
+            .unwrap_or(RETRY_WITHOUT_ESTIMATE)
+    }
+
+    fn insert(
+        &mut self,
+        entry: queue::QueueEntry,
+        item: T,
+        now: time::Instant,
+    ) -> queue::QueueTicket {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let (team, priority, deadline) = (entry.team.clone(), entry.priority, entry.deadline);
+        let (tokens, bytes) = (entry.tokens.0, entry.bytes.0);
+        let ticket = self.items.insert_with_key(|ticket| Waiting {
+            entry,
+            position: LanePosition {
+                priority,
+                sequence,
+                ticket,
+            },
+            queued_at: now,
+            item,
+        });
+        let position = self.items[ticket].position;
+        self.tokens += tokens;
+        self.bytes += bytes;
+        self.deadlines.insert(DeadlineTurn { deadline, ticket });
+        let weight = self.weight_of(&team);
+        let virtual_time = self.virtual_time;
+        let lane = self.lanes.entry(team.clone()).or_insert_with(|| TeamLane {
+            weight,
+            start: virtual_time,
+            items: collections::BTreeSet::new(),
+            tokens: 0,
+            bytes: 0,
+        });
+        if lane.items.is_empty() {
+            lane.start = lane.start.max(virtual_time);
+            let start = lane.start;
+            self.order.insert(LaneTurn { start, team });
+        }
+        lane.items.insert(position);
+        lane.tokens += tokens;
+        lane.bytes += bytes;
+        ticket
+    }
+
+    /// Takes an item from all indexes; its lane stays, also when it is empty.
+    fn take(&mut self, ticket: queue::QueueTicket) -> Option<queue::QueuedItem<T>> {
+        let waiting = self.items.remove(ticket)?;
+        self.deadlines.remove(&DeadlineTurn {
+            deadline: waiting.entry.deadline,
+            ticket,
+        });
+        self.tokens -= waiting.entry.tokens.0;
+        self.bytes -= waiting.entry.bytes.0;
+        if let Some(lane) = self.lanes.get_mut(&waiting.entry.team) {
+            lane.items.remove(&waiting.position);
+            lane.tokens -= waiting.entry.tokens.0;
+            lane.bytes -= waiting.entry.bytes.0;
+        }
+        Some(queue::QueuedItem {
+            ticket,
+            entry: waiting.entry,
+            queued_at: waiting.queued_at,
+            item: waiting.item,
+        })
+    }
+
+    fn take_unserved(&mut self, ticket: queue::QueueTicket) -> Option<queue::QueuedItem<T>> {
+        let item = self.take(ticket)?;
+        let team = &item.entry.team;
+        if let Some(lane) = self.lanes.get(team).filter(|lane| lane.items.is_empty()) {
+            let start = lane.start;
+            let team = team.clone();
+            self.order.remove(&LaneTurn { start, team });
+        }
+        self.forget_idle();
+        Some(item)
+    }
+
+    /// Moves a team on after an item of it was taken in turn.
+    fn serve(&mut self, entry: &queue::QueueEntry, now: time::Instant) {
+        self.rate.record(entry.tokens, now);
+        let Some(lane) = self.lanes.get_mut(&entry.team) else {
+            return;
+        };
+        let team = entry.team.clone();
+        let start = lane.start;
+        self.virtual_time = self.virtual_time.max(start);
+        lane.start = VirtualTime(start.0 + to_float(entry.tokens.0) / lane.weight);
+        let next = lane.start;
+        let waits = !lane.items.is_empty();
+        let mut turn = LaneTurn { start, team };
+        self.order.remove(&turn);
+        if waits {
+            turn.start = next;
+            self.order.insert(turn);
+        }
+        self.forget_idle();
+    }
+
+    /// Drops lanes that would start anew at the present virtual time.
+    fn forget_idle(&mut self) {
+        if !self.order.is_empty() {
+            let virtual_time = self.virtual_time;
+            self.lanes
+                .retain(|_, lane| !lane.items.is_empty() || lane.start > virtual_time);
+        } else if self.items.is_empty() {
+            self.lanes.clear();
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "shares need no more than 52 bits"
+)]
+fn to_float(tokens: u64) -> f64 {
+    tokens as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the conversion saturates and the value is not negative"
+)]
+fn to_count(tokens: f64) -> u64 {
+    tokens as u64
+}
--- /dev/null
+++ b/galenahold_routing/src/queue/refused_item.rs
@@ -0,0 +1,12 @@
+//! An item that was not queued.
+
+use crate::queue;
+
+/// An item that was not queued, given back with the reason.
+#[derive(Debug)]
+pub struct RefusedItem<T> {
+    /// Why it was not queued.
+    pub refusal: queue::QueueRefusal,
+    /// The item.
+    pub item: T,
+}
--- /dev/null
+++ b/galenahold_routing/src/queue/team_lane.rs
@@ -0,0 +1,49 @@
+//! The part of a queue that belongs to one team.
+
+use std::cmp;
+use std::collections;
+
+use crate::queue;
+
+/// The part of a queue that belongs to one team.
+#[derive(Debug)]
+pub(super) struct TeamLane {
+    pub(super) weight: f64,
+    /// The virtual time at which the team's next item starts.
+    pub(super) start: VirtualTime,
+    pub(super) items: collections::BTreeSet<LanePosition>,
+    pub(super) tokens: u64,
+    pub(super) bytes: u64,
+}
+
+/// An item's place within its team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct LanePosition {
+    pub(super) priority: i32,
+    pub(super) sequence: u64,
+    pub(super) ticket: queue::QueueTicket,
+}
+
+/// Virtual time in tokens a unit of weight.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct VirtualTime(pub(super) f64);
+
+impl PartialEq for VirtualTime {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == cmp::Ordering::Equal
+    }
+}
+
+impl Eq for VirtualTime {}
+
+impl PartialOrd for VirtualTime {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for VirtualTime {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/fairness_correction.rs
@@ -0,0 +1,92 @@
+//! Corrects the teams' weights by what they were served over the whole fleet.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::name;
+
+const DEFAULT_MEMORY: time::Duration = time::Duration::from_secs(2);
+const LEAST_FACTOR: f64 = 0.25;
+const GREATEST_FACTOR: f64 = 4.0;
+
+/// Corrects the teams' weights by what they were served over the whole fleet.
+///
+/// An instance sees only its own queues. A team that is served much at other instances gets a
+/// lower weight at each of them, and a team that is served little a higher one.
+#[derive(Debug, Default)]
+pub struct FairnessCorrection {
+    teams: collections::BTreeMap<name::TeamName, ServedShare>,
+}
+
+#[derive(Debug)]
+struct ServedShare {
+    weight: f64,
+    served: f64,
+    updated_at: time::Instant,
+}
+
+impl FairnessCorrection {
+    /// Sets a team's weight in the intent.
+    pub fn set_weight(&mut self, team: &name::TeamName, weight: u32, now: time::Instant) {
+        let share = self.share_mut(team, now);
+        share.weight = f64::from(weight.max(1));
+    }
+
+    /// Forgets a team.
+    pub fn remove(&mut self, team: &name::TeamName) {
+        self.teams.remove(team);
+    }
+
+    /// Counts tokens that a team was served at any instance.
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "shares need no more than 52 bits"
+    )]
+    pub fn record(&mut self, team: &name::TeamName, tokens: u64, now: time::Instant) {
+        let share = self.share_mut(team, now);
+        share.decay(now);
+        share.served += tokens as f64;
+    }
+
+    /// Returns a team's corrected weight.
+    #[must_use]
+    pub fn weight(&self, team: &name::TeamName, now: time::Instant) -> f64 {
+        let Some(own) = self.teams.get(team) else {
+            return 1.0;
+        };
+        let active = self
+            .teams
+            .values()
+            .filter(|share| share.served_at(now) >= 1.0);
+        let (weights, served) = active.fold((0.0, 0.0), |(weights, served), share| {
+            (weights + share.weight, served + share.served_at(now))
+        });
+        let own_served = own.served_at(now);
+        if own_served < 1.0 || served <= 0.0 {
+            return own.weight;
+        }
+        let fair = own.weight / weights;
+        let actual = own_served / served;
+        own.weight * (fair / actual).clamp(LEAST_FACTOR, GREATEST_FACTOR)
+    }
+
+    fn share_mut(&mut self, team: &name::TeamName, now: time::Instant) -> &mut ServedShare {
+        self.teams.entry(team.clone()).or_insert(ServedShare {
+            weight: 1.0,
+            served: 0.0,
+            updated_at: now,
+        })
+    }
+}
+
+impl ServedShare {
+    fn served_at(&self, now: time::Instant) -> f64 {
+        let age = now.saturating_duration_since(self.updated_at);
+        self.served * (-age.as_secs_f64() / DEFAULT_MEMORY.as_secs_f64()).exp()
+    }
+
+    fn decay(&mut self, now: time::Instant) {
+        self.served = self.served_at(now);
+        self.updated_at = now;
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/grant_id.rs
@@ -0,0 +1,12 @@
+//! Identifies a grant.
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a grant: the leader's term and a number within it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    /// The term of the leader that gave it.
+    pub term: u64,
+    /// Grows with each grant of the term.
+    pub number: u64,
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/grant_ledger.rs
@@ -0,0 +1,146 @@
+//! The control side of rates.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::{amount, intent, name};
+
+use crate::rate;
+use crate::rate::team_bucket::TeamBucket;
+
+/// The control side of rates: lends tokens of each team's bucket to instances.
+///
+/// It lives as long as one leadership. Its start has to lie after the end of the earlier leader's
+/// lease, since an earlier leader may lend tokens until then. What it lent is unknown here, so each
+/// level stays at zero until all of it can no longer be spent, and refills from there.
+#[derive(Debug)]
+pub struct GrantLedger {
+    term: u64,
+    settings: rate::LedgerSettings,
+    refills_from: time::Instant,
+    next_grant: u64,
+    buckets: collections::BTreeMap<name::TeamName, BucketEntry>,
+    fairness: rate::FairnessCorrection,
+}
+
+/// A bucket is kept when its team is removed, so that adding it again mints nothing.
+#[derive(Debug)]
+struct BucketEntry {
+    bucket: TeamBucket,
+    active: bool,
+}
+
+impl GrantLedger {
+    /// Returns the ledger of a leadership that starts now.
+    #[must_use]
+    pub fn new(term: u64, settings: rate::LedgerSettings, started_at: time::Instant) -> Self {
+        Self {
+            term,
+            refills_from: started_at + settings.write_off_after(),
+            settings,
+            next_grant: 1,
+            buckets: collections::BTreeMap::new(),
+            fairness: rate::FairnessCorrection::default(),
+        }
+    }
+
+    /// Puts the teams of an intent in force.
+    ///
+    /// A team that is new to this leadership holds what would have refilled since its start.
+    pub fn set_teams(&mut self, teams: &[intent::TeamIntent], now: time::Instant) {
+        for entry in self.buckets.values_mut() {
+            entry.active = false;
+        }
+        for team in teams {
+            self.set_team(team, now);
+        }
+        for (team, entry) in &self.buckets {
+            if !entry.active {
+                self.fairness.remove(team);
+            }
+        }
+    }
+
+    /// Answers a call: follows what it states and lends tokens.
+    ///
+    /// A call that is not newer than the last one of its holder gets no grants.
+    pub fn grant(&mut self, call: &rate::GrantCall, now: time::Instant) -> rate::GrantReply {
+        let mut grants = Vec::with_capacity(call.teams.len());
+        for request in &call.teams {
+            grants.extend(self.grant_team(call, request, now));
+        }
+        rate::GrantReply {
+            number: call.number,
+            grants,
+        }
+    }
+
+    /// Returns the tokens that a team's bucket could give.
+    #[must_use]
+    pub fn level(&mut self, team: &name::TeamName, now: time::Instant) -> amount::TokenCount {
+        let entry = self.buckets.get_mut(team);
+        amount::TokenCount(entry.map_or(0, |entry| {
+            entry.bucket.advance(now);
+            entry.bucket.level()
+        }))
+    }
+
+    /// Returns the tokens of a team that are lent and not known to be spent or returned.
+    #[must_use]
+    pub fn outstanding(&self, team: &name::TeamName) -> amount::TokenCount {
+        let entry = self.buckets.get(team);
+        amount::TokenCount(entry.map_or(0, |entry| entry.bucket.outstanding()))
+    }
+
+    fn set_team(&mut self, team: &intent::TeamIntent, now: time::Instant) {
+        let refills_from = self.refills_from;
+        let entry = self
+            .buckets
+            .entry(team.name.clone())
+            .or_insert_with(|| BucketEntry {
+                bucket: TeamBucket::new(team, refills_from),
+                active: true,
+            });
+        entry.bucket.set_limits(team, now);
+        entry.active = true;
+        self.fairness.set_weight(&team.name, team.weight, now);
+    }
+
+    fn grant_team(
+        &mut self,
+        call: &rate::GrantCall,
+        request: &rate::GrantRequest,
+        now: time::Instant,
+    ) -> Option<rate::TokenGrant> {
+        let entry = self.buckets.get_mut(&request.team)?;
+        let bucket = &mut entry.bucket;
+        if !bucket.takes_call(call) {
+            return None;
+        }
+        bucket.advance(now);
+        let served = bucket.follow(call, request, self.term);
+        if !entry.active {
+            return None;
+        }
+        self.fairness.record(&request.team, served, now);
+        let gift = bucket.decide(&call.instance, request, now, &self.settings);
+        let number = self.next_grant;
+        self.next_grant += 1;
+        if gift.tokens > 0 {
+            let write_off_at = now + self.settings.write_off_after();
+            bucket.lend(&call.instance, number, gift.tokens, write_off_at);
+        }
+        Some(rate::TokenGrant {
+            team: request.team.clone(),
+            id: rate::GrantId {
+                term: self.term,
+                number,
+            },
+            tokens: amount::TokenCount(gift.tokens),
+            expiry_in: self.settings.grant_expiry,
+            retry_after: gift.retry_after,
+            scarce: gift.scarce,
+            weight: self.fairness.weight(&request.team, now),
+        })
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/holder_account.rs
@@ -0,0 +1,105 @@
+//! What the ledger knows of one holder of a team's tokens.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::amount;
+
+const MOST_CALLS: usize = 4_096;
+const MOST_WRITTEN_OFF: usize = 1_024;
+
+/// A grant that may still be spent.
+#[derive(Debug)]
+pub(super) struct OpenGrant {
+    pub(super) number: u64,
+    /// Tokens not yet stated as spent or returned.
+    pub(super) remaining: u64,
+    /// Tokens stated as spent.
+    pub(super) spent: u64,
+    pub(super) write_off_at: time::Instant,
+}
+
+/// What the ledger knows of one holder of a team's tokens.
+#[derive(Debug)]
+pub(super) struct HolderAccount {
+    pub(super) incarnation: amount::IncarnationNumber,
+    pub(super) last_call: u64,
+    pub(super) open: Vec<OpenGrant>,
+    pub(super) last_refund: u64,
+    pub(super) overdrawn_total: u64,
+    pub(super) served_total: u64,
+    /// Refunds of tokens that were stated in an earlier call are not credited.
+    credited_from: u64,
+    /// Numbers of grants that were written off; refunds of their tokens are not credited.
+    written_off: collections::BTreeSet<u64>,
+    calls: collections::VecDeque<CallStep>,
+}
+
+/// The step of the bucket's history that follows a call.
+#[derive(Debug)]
+struct CallStep {
+    number: u64,
+    step: u64,
+}
+
+impl HolderAccount {
+    /// Returns the account of a holder that makes its first call to this leader.
+    pub(super) fn new(
+        incarnation: amount::IncarnationNumber,
+        call: u64,
+        overdrawn_total: u64,
+        served_total: u64,
+    ) -> Self {
+        Self {
+            incarnation,
+            last_call: 0,
+            open: Vec::new(),
+            last_refund: 0,
+            overdrawn_total,
+            served_total,
+            credited_from: call,
+            written_off: collections::BTreeSet::new(),
+            calls: collections::VecDeque::new(),
+        }
+    }
+
+    /// Notes that a call was taken, after the bucket followed what it stated.
+    pub(super) fn note_call(&mut self, number: u64, step: u64) {
+        self.last_call = number;
+        self.calls.push_back(CallStep { number, step });
+        if self.calls.len() > MOST_CALLS {
+            self.calls.pop_front();
+            let first = self.calls.front().map_or(number, |call| call.number);
+            self.credited_from = self.credited_from.max(first);
+        }
+        if self.written_off.len() > MOST_WRITTEN_OFF {
+            self.written_off.clear();
+            self.credited_from = number + 1;
+        }
+    }
+
+    /// Counts the open grants as spent that can no longer be spent; returns their tokens.
+    pub(super) fn write_off(&mut self, at: time::Instant) -> u64 {
+        let mut tokens = 0;
+        let written_off = &mut self.written_off;
+        self.open.retain(|grant| {
+            let open = grant.write_off_at > at;
+            if !open {
+                tokens += grant.remaining;
+                written_off.insert(grant.number);
+            }
+            open
+        });
+        tokens
+    }
+
+    /// Returns the step of the history in which the spending was known that a call first stated of
+    /// a grant, or nothing where refunds of it are not credited.
+    pub(super) fn known_since(&self, grant: u64, number: u64) -> Option<u64> {
+        if number < self.credited_from || self.written_off.contains(&grant) {
+            return None;
+        }
+        let first = self.calls.partition_point(|call| call.number < number);
+        self.calls.get(first).map(|call| call.step)
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/ledger_settings.rs
@@ -0,0 +1,54 @@
+//! Settings of the control side of rates.
+
+use std::time;
+
+const DEFAULT_GRANT_EXPIRY: time::Duration = time::Duration::from_millis(1_500);
+const DEFAULT_DRIFT_BOUND: time::Duration = time::Duration::from_millis(100);
+const DEFAULT_PENDING_EXPIRY: time::Duration = time::Duration::from_millis(500);
+
+/// Settings of the control side of rates.
+#[derive(Debug, Clone)]
+pub struct LedgerSettings {
+    pub(super) grant_expiry: time::Duration,
+    pub(super) drift_bound: time::Duration,
+    pub(super) pending_expiry: time::Duration,
+}
+
+impl LedgerSettings {
+    /// Returns the settings with another life of grants.
+    #[must_use]
+    pub fn with_grant_expiry(mut self, expiry: time::Duration) -> Self {
+        self.grant_expiry = expiry;
+        self
+    }
+
+    /// Returns the settings with another bound on how far two monotonic clocks drift apart in the
+    /// life of a grant.
+    #[must_use]
+    pub fn with_drift_bound(mut self, bound: time::Duration) -> Self {
+        self.drift_bound = bound;
+        self
+    }
+
+    /// Returns the settings with another time after which an unrepeated demand is forgotten.
+    #[must_use]
+    pub fn with_pending_expiry(mut self, expiry: time::Duration) -> Self {
+        self.pending_expiry = expiry;
+        self
+    }
+
+    /// Returns the time after which a grant can no longer be spent, by the ledger's clock.
+    pub(super) fn write_off_after(&self) -> time::Duration {
+        self.grant_expiry + self.drift_bound
+    }
+}
+
+impl Default for LedgerSettings {
+    fn default() -> Self {
+        Self {
+            grant_expiry: DEFAULT_GRANT_EXPIRY,
+            drift_bound: DEFAULT_DRIFT_BOUND,
+            pending_expiry: DEFAULT_PENDING_EXPIRY,
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/mod.rs
@@ -0,0 +1,39 @@
+//! Rate and burst of each team over the whole fleet.
+//!
+//! The control leader keeps a [`GrantLedger`] and lends tokens to instances; each instance keeps a
+//! [`TokenWallet`] and spends what it was lent. The sum of a bucket's level and of everything lent
+//! and not yet known to be spent never exceeds the burst.
+
+mod charge_outcome;
+mod charge_receipt;
+mod fairness_correction;
+mod grant_call;
+mod grant_id;
+mod grant_ledger;
+mod grant_reply;
+mod grant_request;
+mod grant_statement;
+mod holder_account;
+mod ledger_settings;
+mod level_history;
+mod team_bucket;
+mod token_grant;
+mod token_refund;
+mod token_wallet;
+mod wallet_account;
+mod wallet_settings;
+
+pub use charge_outcome::ChargeOutcome;
+pub use charge_receipt::ChargeReceipt;
+pub use fairness_correction::FairnessCorrection;
+pub use grant_call::GrantCall;
+pub use grant_id::GrantId;
+pub use grant_ledger::GrantLedger;
+pub use grant_reply::GrantReply;
+pub use grant_request::GrantRequest;
+pub use grant_statement::GrantStatement;
+pub use ledger_settings::LedgerSettings;
+pub use token_grant::TokenGrant;
+pub use token_refund::TokenRefund;
+pub use token_wallet::TokenWallet;
+pub use wallet_settings::WalletSettings;
--- /dev/null
+++ b/galenahold_routing/src/rate/token_wallet.rs
@@ -0,0 +1,259 @@
+//! The entry side of rates.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::{amount, intent, name};
+
+use crate::rate;
+use crate::rate::wallet_account::WalletAccount;
+
+/// The entry side of rates: the tokens that an instance was lent, for all teams.
+///
+/// A request is charged before it waits for a replica, and its receipt is confirmed as the last
+/// step before it is sent. After a reply of control was accepted, requests that were told to ask
+/// charge again.
+///
+/// # Examples
+///
+/// ```
+/// # use std::time;
+/// # use galenahold_domain::{amount, intent, name};
+/// # use galenahold_routing::rate;
+/// # let now = time::Instant::now();
+/// # let team = intent::TeamIntent {
+/// #     name: name::TeamName::from("blue"),
+/// #     rate_tokens_per_s: amount::TokensPerSecond(100),
+/// #     burst_tokens: amount::TokenCount(1_000),
+/// #     weight: 1,
+/// # };
+/// let mut wallet = rate::TokenWallet::new(
+///     name::InstanceName::from("entry-1"),
+///     amount::IncarnationNumber(1),
+///     rate::WalletSettings::default(),
+/// );
+/// wallet.set_teams(&[team.clone()], now);
+/// let outcome = wallet.charge(&team.name, amount::TokenCount(10), now);
+/// assert!(matches!(outcome, rate::ChargeOutcome::Ask { .. }));
+/// let call = wallet.call(now).expect("a request waits");
+/// assert_eq!(call.teams[0].missing, amount::TokenCount(10));
+/// ```
+#[derive(Debug)]
+pub struct TokenWallet {
+    instance: name::InstanceName,
+    incarnation: amount::IncarnationNumber,
+    settings: rate::WalletSettings,
+    accounts: collections::BTreeMap<name::TeamName, WalletAccount>,
+    next_call: u64,
+    in_flight: Option<CallInFlight>,
+    highest_term: u64,
+}
+
+#[derive(Debug)]
+struct CallInFlight {
+    number: u64,
+    sent_at: time::Instant,
+    teams: Vec<CalledTeam>,
+}
+
+#[derive(Debug)]
+struct CalledTeam {
+    team: name::TeamName,
+    last_refund: u64,
+}
+
+impl TokenWallet {
+    /// Returns an empty wallet of an instance's incarnation.
+    #[must_use]
+    pub fn new(
+        instance: name::InstanceName,
+        incarnation: amount::IncarnationNumber,
+        settings: rate::WalletSettings,
+    ) -> Self {
+        Self {
+            instance,
+            incarnation,
+            settings,
+            accounts: collections::BTreeMap::new(),
+            next_call: 1,
+            in_flight: None,
+            highest_term: 0,
+        }
+    }
+
+    /// Puts the teams of an intent in force.
+    pub fn set_teams(&mut self, teams: &[intent::TeamIntent], now: time::Instant) {
+        for account in self.accounts.values_mut() {
+            account.active = false;
+        }
+        for team in teams {
+            self.accounts
+                .entry(team.name.clone())
+                .or_insert_with(|| WalletAccount::new(team, now))
+                .set_limits(team);
+        }
+    }
+
+    /// Sets tokens aside for a request.
+    pub fn charge(
+        &mut self,
+        team: &name::TeamName,
+        tokens: amount::TokenCount,
+        now: time::Instant,
+    ) -> rate::ChargeOutcome {
+        match self.accounts.get_mut(team) {
+            Some(account) => account.charge(team, tokens.0, now),
+            None => rate::ChargeOutcome::UnknownTeam,
+        }
+    }
+
+    /// Confirms that a charged request is sent now; call it as the last step before the send.
+    ///
+    /// Returns false where the tokens expired meanwhile: the request must not be sent and has to be
+    /// charged again.
+    #[must_use]
+    pub fn still_valid(&mut self, receipt: &mut rate::ChargeReceipt, now: time::Instant) -> bool {
+        let next_call = self.next_call;
+        let account = self.accounts.get_mut(&receipt.team);
+        account.is_some_and(|account| account.confirm(receipt, next_call, now))
+    }
+
+    /// Ends a charge with the tokens that the request really took; zero where it was not sent.
+    ///
+    /// Gives back at most what was charged. Tokens beyond the charge are taken from later ones.
+    pub fn settle(
+        &mut self,
+        receipt: rate::ChargeReceipt,
+        true_count: amount::TokenCount,
+        now: time::Instant,
+    ) {
+        let next_call = self.next_call;
+        if let Some(account) = self.accounts.get_mut(&receipt.team) {
+            account.settle(receipt, true_count.0, next_call, now);
+        }
+    }
+
+    /// Returns the call to make to control now, if one is due.
+    ///
+    /// At most one call is under way; one without a reply within the timeout counts as lost.
+    pub fn call(&mut self, now: time::Instant) -> Option<rate::GrantCall> {
+        if self.call_at(now)? > now {
+            return None;
+        }
+        self.lose_call();
+        let number = self.next_call;
+        self.next_call += 1;
+        let mut teams = Vec::new();
+        let mut called = Vec::new();
+        for (team, account) in &mut self.accounts {
+            let due = account.call_due(self.settings.call_interval, now);
+            if due.is_none_or(|at| at > now) {
+                continue;
+            }
+            teams.push(account.request(team, number, &self.settings, now));
+            called.push(CalledTeam {
+                team: team.clone(),
+                last_refund: account.refund_sequence(),
+            });
+        }
+        self.in_flight = Some(CallInFlight {
+            number,
+            sent_at: now,
+            teams: called,
+        });
+        Some(rate::GrantCall {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            number,
+            teams,
+        })
+    }
+
+    /// Returns when the next call is due, or nothing where there is nothing to say.
+    #[must_use]
+    pub fn call_at(&self, now: time::Instant) -> Option<time::Instant> {
+        let lost_at = self
+            .in_flight
+            .as_ref()
+            .map(|call| call.sent_at + self.settings.call_timeout);
+        let due = self
+            .accounts
+            .values()
+            .filter_map(|account| account.call_due(self.settings.call_interval, now))
+            .min();
+        match (lost_at, due) {
+            (Some(lost_at), Some(due)) => Some(lost_at.max(due)),
+            (Some(lost_at), None) => Some(lost_at),
+            (None, due) => due,
+        }
+    }
+
+    /// Takes control's reply; returns whether it was the reply to the call under way.
+    ///
+    /// A reply to an earlier call, or of an earlier leader, is dropped.
+    pub fn accept(&mut self, reply: &rate::GrantReply, now: time::Instant) -> bool {
+        let answers = |call: &CallInFlight| call.number == reply.number;
+        if !self.in_flight.as_ref().is_some_and(answers) {
+            return false;
+        }
+        let Some(call) = self.in_flight.take() else {
+            return false;
+        };
+        for called in &call.teams {
+            let grant = reply.grants.iter().find(|grant| grant.team == called.team);
+            self.accept_team(called, grant, &call, now);
+        }
+        true
+    }
+
+    /// Notes that the call under way failed, so that the next one is due at once.
+    ///
+    /// A reply that still comes is dropped.
+    pub fn call_failed(&mut self, number: u64) {
+        let failed = |call: &CallInFlight| call.number == number;
+        if self.in_flight.as_ref().is_some_and(failed) {
+            self.lose_call();
+        }
+    }
+
+    /// Returns a team's weight in fair queues, with the fleet-wide correction.
+    #[must_use]
+    pub fn weight(&self, team: &name::TeamName) -> Option<f64> {
+        self.accounts.get(team).map(WalletAccount::weight)
+    }
+
+    /// Returns the tokens of a team that could be charged without asking.
+    #[must_use]
+    pub fn balance(&self, team: &name::TeamName) -> amount::TokenCount {
+        amount::TokenCount(self.accounts.get(team).map_or(0, WalletAccount::balance))
+    }
+
+    fn lose_call(&mut self) {
+        let Some(call) = self.in_flight.take() else {
+            return;
+        };
+        for called in call.teams {
+            if let Some(account) = self.accounts.get_mut(&called.team) {
+                account.call_lost = true;
+            }
+        }
+    }
+
+    fn accept_team(
+        &mut self,
+        called: &CalledTeam,
+        grant: Option<&rate::TokenGrant>,
+        call: &CallInFlight,
+        now: time::Instant,
+    ) {
+        let Some(account) = self.accounts.get_mut(&called.team) else {
+            return;
+        };
+        let Some(grant) = grant.filter(|grant| grant.id.term >= self.highest_term) else {
+            account.note_unknown(self.settings.call_interval, now);
+            return;
+        };
+        self.highest_term = grant.id.term;
+        account.accept(grant, call.number, called.last_refund, call.sent_at, now);
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/rate/wallet_account.rs
@@ -0,0 +1,427 @@
+//! What an instance holds of one team's tokens.
+
+use std::time;
+
+use galenahold_domain::{amount, intent, name};
+
+use crate::rate;
+use crate::rate::charge_receipt::ReceiptPart;
+
+const SPEND_MEMORY: time::Duration = time::Duration::from_millis(500);
+const FRESH_GRANT: time::Duration = time::Duration::from_millis(200);
+const STATED_AFTER_EXPIRY: time::Duration = time::Duration::from_secs(10);
+
+/// What an instance holds of one team's tokens.
+#[derive(Debug)]
+pub(super) struct WalletAccount {
+    burst: u64,
+    weight: f64,
+    grants: Vec<HeldGrant>,
+    refunds: Vec<rate::TokenRefund>,
+    refund_sequence: u64,
+    overdrawn_total: u64,
+    served_total: u64,
+    /// Tokens of all requests that were told to ask since the last reply.
+    waiting: u64,
+    first_waiting: u64,
+    retry_at: Option<time::Instant>,
+    scarce: bool,
+    spend_per_s: f64,
+    spend_updated_at: time::Instant,
+    called_at: Option<time::Instant>,
+    pub(super) call_lost: bool,
+    /// Whether the intent in force has the team; statements go on after its removal.
+    pub(super) active: bool,
+}
+
+/// A grant in hand.
+#[derive(Debug)]
+struct HeldGrant {
+    id: rate::GrantId,
+    balance: u64,
+    /// Set aside for requests that are not sent yet.
+    held: u64,
+    spent: u64,
+    received_at: time::Instant,
+    expires_at: time::Instant,
+    /// The call that stated the present end of the grant.
+    closed_in: Option<u64>,
+}
+
+impl HeldGrant {
+    fn is_closed(&self) -> bool {
+        self.balance == 0 && self.held == 0
+    }
+
+    fn is_alive(&self, now: time::Instant) -> bool {
+        now < self.expires_at
+    }
+}
+
+impl WalletAccount {
+    pub(super) fn new(team: &intent::TeamIntent, now: time::Instant) -> Self {
+        Self {
+            burst: team.burst_tokens.0,
+            weight: f64::from(team.weight),
+            grants: Vec::new(),
+            refunds: Vec::new(),
+            refund_sequence: 0,
+            overdrawn_total: 0,
+            served_total: 0,
+            waiting: 0,
+            first_waiting: 0,
+            retry_at: None,
+            scarce: false,
+            spend_per_s: 0.0,
+            spend_updated_at: now,
+            called_at: None,
+            call_lost: false,
+            active: true,
+        }
+    }
+
+    pub(super) fn set_limits(&mut self, team: &intent::TeamIntent) {
+        self.burst = team.burst_tokens.0;
+        self.active = true;
+    }
+
+    pub(super) fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    pub(super) fn balance(&self) -> u64 {
+        self.grants.iter().map(|grant| grant.balance).sum()
+    }
+
+    pub(super) fn charge(
+        &mut self,
+        team: &name::TeamName,
+        tokens: u64,
+        now: time::Instant,
+    ) -> rate::ChargeOutcome {
+        if !self.active {
+            return rate::ChargeOutcome::UnknownTeam;
+        }
+        self.expire(now);
+        if tokens > self.burst {
+            let burst = amount::TokenCount(self.burst);
+            return rate::ChargeOutcome::TooLarge { burst };
+        }
+        let balance = self.balance();
+        if tokens > balance {
+            return self.ask(tokens, balance, now);
+        }
+        self.note_spend(tokens, now);
+        rate::ChargeOutcome::Charged(rate::ChargeReceipt {
+            team: team.clone(),
+            parts: self.set_aside(tokens),
+        })
+    }
+
+    pub(super) fn confirm(
+        &mut self,
+        receipt: &mut rate::ChargeReceipt,
+        next_call: u64,
+        now: time::Instant,
+    ) -> bool {
+        self.expire(now);
+        let unsent = receipt.parts.iter().filter(|part| part.stated_in.is_none());
+        let valid = unsent
+            .into_iter()
+            .all(|part| self.held_of(part.grant) >= part.tokens);
+        if !valid {
+            self.release(receipt);
+            return false;
+        }
+        for part in &mut receipt.parts {
+            if part.stated_in.is_none() {
+                self.spend(part.grant, part.tokens);
+                part.stated_in = Some(next_call);
+            }
+        }
+        true
+    }
+
+    pub(super) fn settle(
+        &mut self,
+        mut receipt: rate::ChargeReceipt,
+        true_count: u64,
+        next_call: u64,
+        now: time::Instant,
+    ) {
+        self.expire(now);
+        self.release(&mut receipt);
+        self.served_total += true_count;
+        let charged = receipt.tokens().0;
+        if true_count > charged {
+            self.overdraw(true_count - charged);
+            return;
+        }
+        let mut left = charged - true_count;
+        while left > 0 {
+            let Some(part) = receipt.parts.pop() else {
+                return;
+            };
+            let tokens = part.tokens.min(left);
+            left -= tokens;
+            self.refund(&part, tokens, next_call, now);
+        }
+    }
+
+    /// Returns whether a call has anything to say for the team, and when at the latest it should.
+    pub(super) fn call_due(
+        &self,
+        interval: time::Duration,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        if self.call_lost {
+            return Some(now);
+        }
+        let regular = self.called_at.map_or(now, |at| at + interval);
+        if self.waiting > 0 {
+            let retry_at = self.retry_at.unwrap_or(now);
+            return Some(retry_at.min(regular));
+        }
+        let silent = self.grants.is_empty() && self.refunds.is_empty();
+        (!silent).then_some(regular)
+    }
+
+    /// Returns what a call states and asks for the team.
+    pub(super) fn request(
+        &mut self,
+        team: &name::TeamName,
+        number: u64,
+        settings: &rate::WalletSettings,
+        now: time::Instant,
+    ) -> rate::GrantRequest {
+        self.expire(now);
+        self.called_at = Some(now);
+        self.call_lost = false;
+        let target = self.target(settings, now);
+        self.return_idle(target, now);
+        let balance = self.balance();
+        let prefetch = if balance < target / 2 {
+            target - balance
+        } else {
+            0
+        };
+        for grant in &mut self.grants {
+            if grant.is_closed() {
+                grant.closed_in.get_or_insert(number);
+            }
+        }
+        rate::GrantRequest {
+            team: team.clone(),
+            first_missing: amount::TokenCount(self.first_waiting.saturating_sub(balance)),
+            missing: amount::TokenCount(self.waiting.saturating_sub(balance)),
+            prefetch: amount::TokenCount(prefetch),
+            statements: self.grants.iter().map(state_grant).collect(),
+            refunds: self.refunds.clone(),
+            overdrawn_total: amount::TokenCount(self.overdrawn_total),
+            served_total: amount::TokenCount(self.served_total),
+        }
+    }
+
+    /// Takes control's answer to the call that was built at `called_at`.
+    pub(super) fn accept(
+        &mut self,
+        grant: &rate::TokenGrant,
+        number: u64,
+        last_refund: u64,
+        called_at: time::Instant,
+        now: time::Instant,
+    ) {
+        self.grants
+            .retain(|held| held.closed_in.is_none_or(|closed_in| closed_in > number));
+        self.refunds.retain(|refund| refund.sequence > last_refund);
+        self.waiting = 0;
+        self.first_waiting = 0;
+        self.retry_at = grant.retry_after.map(|after| now + after);
+        self.scarce = grant.scarce;
+        self.weight = grant.weight;
+        if grant.tokens.0 == 0 {
+            return;
+        }
+        self.grants.push(HeldGrant {
+            id: grant.id,
+            balance: grant.tokens.0,
+            held: 0,
+            spent: 0,
+            received_at: now,
+            expires_at: called_at + grant.expiry_in,
+            closed_in: None,
+        });
+        self.expire(now);
+    }
+
+    /// Notes that control does not know the team yet: its requests ask again after a while.
+    pub(super) fn note_unknown(&mut self, retry_after: time::Duration, now: time::Instant) {
+        self.waiting = 0;
+        self.first_waiting = 0;
+        self.retry_at = Some(now + retry_after);
+    }
+
+    /// Returns the sequence number of the latest refund.
+    pub(super) fn refund_sequence(&self) -> u64 {
+        self.refund_sequence
+    }
+
+    fn ask(&mut self, tokens: u64, balance: u64, now: time::Instant) -> rate::ChargeOutcome {
+        if self.waiting == 0 {
+            self.first_waiting = tokens;
+        }
+        self.waiting += tokens;
+        let missing = amount::TokenCount(self.waiting.saturating_sub(balance));
+        let retry_at = self.retry_at;
+        let retry_after = retry_at.map(|at| at.saturating_duration_since(now));
+        rate::ChargeOutcome::Ask {
+            missing,
+            retry_after,
+        }
+    }
+
+    fn expire(&mut self, now: time::Instant) {
+        for grant in &mut self.grants {
+            if !grant.is_alive(now) {
+                grant.balance = 0;
+                grant.held = 0;
+            }
+        }
+        self.grants
+            .retain(|grant| now < grant.expires_at + STATED_AFTER_EXPIRY);
+    }
+
+    /// Takes tokens from the grants that expire first.
+    fn set_aside(&mut self, tokens: u64) -> Vec<ReceiptPart> {
+        let mut parts = Vec::with_capacity(1);
+        let mut left = tokens;
+        for grant in &mut self.grants {
+            let taken = grant.balance.min(left);
+            if taken == 0 {
+                continue;
+            }
+            grant.balance -= taken;
+            grant.held += taken;
+            left -= taken;
+            parts.push(ReceiptPart {
+                grant: grant.id,
+                tokens: taken,
+                stated_in: None,
+            });
+        }
+        parts
+    }
+
+    fn held_of(&self, id: rate::GrantId) -> u64 {
+        let grant = self.grants.iter().find(|grant| grant.id == id);
+        grant.map_or(0, |grant| grant.held)
+    }
+
+    fn grant_mut(&mut self, id: rate::GrantId) -> Option<&mut HeldGrant> {
+        self.grants.iter_mut().find(|grant| grant.id == id)
+    }
+
+    fn spend(&mut self, id: rate::GrantId, tokens: u64) {
+        if let Some(grant) = self.grant_mut(id) {
+            grant.held -= tokens;
+            grant.spent += tokens;
+        }
+    }
+
+    /// Gives back the parts of a receipt that were not sent.
+    fn release(&mut self, receipt: &mut rate::ChargeReceipt) {
+        for part in &receipt.parts {
+            if part.stated_in.is_some() {
+                continue;
+            }
+            if let Some(grant) = self.grant_mut(part.grant) {
+                let tokens = part.tokens.min(grant.held);
+                grant.held -= tokens;
+                grant.balance += tokens;
+            }
+        }
+        receipt.parts.retain(|part| part.stated_in.is_some());
+    }
+
+    fn refund(&mut self, part: &ReceiptPart, tokens: u64, next_call: u64, now: time::Instant) {
+        let stated_in = part.stated_in.unwrap_or(next_call);
+        let unstated = stated_in == next_call;
+        if unstated && let Some(grant) = self.grant_mut(part.grant) {
+            grant.spent -= tokens;
+            if grant.is_alive(now) {
+                grant.balance += tokens;
+            }
+            return;
+        }
+        self.refund_sequence += 1;
+        self.refunds.push(rate::TokenRefund {
+            sequence: self.refund_sequence,
+            grant: part.grant,
+            stated_in,
+            tokens: amount::TokenCount(tokens),
+        });
+    }
+
+    fn overdraw(&mut self, tokens: u64) {
+        let covered = tokens.min(self.balance());
+        for part in self.set_aside(covered) {
+            self.spend(part.grant, part.tokens);
+        }
+        self.overdrawn_total += tokens - covered;
+    }
+
+    fn note_spend(&mut self, tokens: u64, now: time::Instant) {
+        let recent = self.spend_rate(now);
+        self.spend_per_s = recent + to_float(tokens) / SPEND_MEMORY.as_secs_f64();
+        self.spend_updated_at = now;
+    }
+
+    fn spend_rate(&self, now: time::Instant) -> f64 {
+        let age = now.saturating_duration_since(self.spend_updated_at);
+        self.spend_per_s * (-age.as_secs_f64() / SPEND_MEMORY.as_secs_f64()).exp()
+    }
+
+    /// Returns the balance that the recent spending asks for.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is finite and not negative"
+    )]
+    fn target(&self, settings: &rate::WalletSettings, now: time::Instant) -> u64 {
+        let horizon = settings.prefetch_horizon.as_secs_f64();
+        let target = (self.spend_rate(now) * horizon) as u64;
+        target.min(self.burst)
+    }
+
+    /// Gives up tokens beyond what the recent spending asks for, the oldest first.
+    fn return_idle(&mut self, target: u64, now: time::Instant) {
+        let keep = if self.scarce { target } else { target * 2 };
+        let keep = keep.max(self.waiting);
+        let mut excess = self.balance().saturating_sub(keep);
+        for grant in &mut self.grants {
+            let fresh = now.saturating_duration_since(grant.received_at) < FRESH_GRANT;
+            if fresh {
+                continue;
+            }
+            let returned = grant.balance.min(excess);
+            grant.balance -= returned;
+            excess -= returned;
+        }
+    }
+}
+
+fn state_grant(grant: &HeldGrant) -> rate::GrantStatement {
+    rate::GrantStatement {
+        id: grant.id,
+        spent: amount::TokenCount(grant.spent),
+        kept: amount::TokenCount(grant.balance + grant.held),
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "an estimate needs no more than 52 bits"
+)]
+fn to_float(tokens: u64) -> f64 {
+    tokens as f64
+}
--- /dev/null
+++ b/galenahold_routing/src/replica/least_outstanding.rs
@@ -0,0 +1,21 @@
+//! Picks the candidate with the least outstanding tokens.
+
+use crate::replica;
+
+/// Picks the candidate with the least outstanding tokens, by the estimate.
+#[derive(Debug, Default)]
+pub struct LeastOutstanding;
+
+impl replica::ReplicaChoice for LeastOutstanding {
+    fn choose<R: rand::Rng>(
+        &mut self,
+        candidates: &[replica::ReplicaCandidate],
+        _request: &replica::ChoiceRequest<'_>,
+        _rng: &mut R,
+    ) -> Option<replica::ReplicaKey> {
+        candidates
+            .iter()
+            .min_by(|left, right| left.tokens.total_cmp(&right.tokens))
+            .map(|candidate| candidate.key)
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/replica/prefix_affinity.rs
@@ -0,0 +1,152 @@
+//! Picks the replica that holds most of the prompt's prefix.
+
+use std::collections;
+
+use galenahold_domain::{name, server};
+
+use crate::replica;
+use crate::replica::prefix_view::PrefixView;
+
+const DEFAULT_LOAD_PERCENT: u32 = 125;
+const DEFAULT_SLACK_TOKENS: f64 = 2_048.0;
+const RENDEZVOUS_BLOCKS: usize = 4;
+const MIX_FIRST: u64 = 0xbf58_476d_1ce4_e5b9;
+const MIX_SECOND: u64 = 0x94d0_49bb_1331_11eb;
+
+/// Picks the replica that holds most of the prompt's prefix, among those whose load is bounded.
+///
+/// Cache events confirm and deny what a backend server holds. Where none is confirmed, rendezvous
+/// hashing of the first blocks brings equal prompts to the same replica. A candidate counts while its
+/// load stays within a factor of the mean; a prompt without a whole block goes by two choices.
+#[derive(Debug)]
+pub struct PrefixAffinity {
+    load_percent: u32,
+    slack_tokens: f64,
+    servers: slotmap::SecondaryMap<replica::ServerKey, CacheState>,
+    fallback: replica::TwoChoices,
+}
+
+#[derive(Debug, Default)]
+struct CacheState {
+    last_sequence: Option<u64>,
+    views: collections::BTreeMap<name::ModelName, PrefixView>,
+}
+
+impl PrefixAffinity {
+    /// Returns a choice that bounds a candidate's load to so many percent of the mean plus a slack
+    /// in tokens.
+    #[must_use]
+    pub fn new(load_percent: u32, slack_tokens: f64) -> Self {
+        Self {
+            load_percent,
+            slack_tokens,
+            servers: slotmap::SecondaryMap::new(),
+            fallback: replica::TwoChoices,
+        }
+    }
+
+    /// Follows a cache event; one that is older than the last is dropped, and a gap before it empties
+    /// the view of the backend server.
+    pub fn follow(&mut self, key: replica::ServerKey, event: &server::CacheEvent) {
+        let Some(state) = self
+            .servers
+            .entry(key)
+            .map(slotmap::secondary::Entry::or_default)
+        else {
+            return;
+        };
+        if state
+            .last_sequence
+            .is_some_and(|last| event.sequence <= last)
+        {
+            return;
+        }
+        let continues = state
+            .last_sequence
+            .is_some_and(|last| event.sequence == last + 1);
+        if !continues {
+            state.views.clear();
+        }
+        state.last_sequence = Some(event.sequence);
+        let view = state.views.entry(event.model.clone()).or_default();
+        if event.cleared {
+            view.clear();
+        }
+        for block in &event.removed {
+            view.remove(*block);
+        }
+        for block in &event.stored {
+            view.store(*block);
+        }
+    }
+
+    /// Forgets an incarnation of a backend server.
+    pub fn forget(&mut self, key: replica::ServerKey) {
+        self.servers.remove(key);
+    }
+
+    /// Returns how many of a prompt's first blocks a backend server is known to hold.
+    #[must_use]
+    pub fn matched(&self, key: replica::ServerKey, request: &replica::ChoiceRequest<'_>) -> usize {
+        let view = request
+            .model
+            .and_then(|model| self.servers.get(key)?.views.get(model));
+        view.map_or(0, |view| view.matched(request.prefix.hashes()))
+    }
+
+    fn load_bound(&self, candidates: &[replica::ReplicaCandidate], added: f64) -> f64 {
+        let total: f64 = candidates.iter().map(|candidate| candidate.tokens).sum();
+        let mean = (total + added) / to_float(candidates.len().max(1));
+        mean * f64::from(self.load_percent) / 100.0 + self.slack_tokens
+    }
+}
+
+impl Default for PrefixAffinity {
+    fn default() -> Self {
+        Self::new(DEFAULT_LOAD_PERCENT, DEFAULT_SLACK_TOKENS)
+    }
+}
+
+impl replica::ReplicaChoice for PrefixAffinity {
+    fn choose<R: rand::Rng>(
+        &mut self,
+        candidates: &[replica::ReplicaCandidate],
+        request: &replica::ChoiceRequest<'_>,
+        rng: &mut R,
+    ) -> Option<replica::ReplicaKey> {
+        let hashes = request.prefix.hashes();
+        if hashes.is_empty() {
+            return self.fallback.choose(candidates, request, rng);
+        }
+        let seed = hashes[hashes.len().min(RENDEZVOUS_BLOCKS) - 1];
+        let added = to_float(usize::try_from(request.tokens.0).unwrap_or(usize::MAX));
+        let bound = self.load_bound(candidates, added);
+        let best = candidates
+            .iter()
+            .filter(|candidate| candidate.tokens <= bound)
+            .max_by_key(|candidate| {
+                let matched = self.matched(candidate.server, request);
+                (matched, rendezvous(seed, candidate.name_hash))
+            });
+        match best {
+            Some(candidate) => Some(candidate.key),
+            None => self.fallback.choose(candidates, request, rng),
+        }
+    }
+}
+
+/// Ranks a candidate for a prefix; each prefix ranks candidates in another order.
+fn rendezvous(seed: u64, name_hash: u64) -> u64 {
+    let mut mixed = seed ^ name_hash;
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(MIX_FIRST);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(MIX_SECOND);
+    mixed ^ (mixed >> 31)
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "a load estimate needs no more than 52 bits"
+)]
+fn to_float(count: usize) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/galenahold_routing/src/replica/prefix_view.rs
@@ -0,0 +1,43 @@
+//! What is known of one prefix cache.
+
+use std::collections;
+
+const MOST_BLOCKS: usize = 65_536;
+
+/// What is known of the prefix cache of one model at one backend server.
+#[derive(Debug, Default)]
+pub(super) struct PrefixView {
+    blocks: collections::HashSet<u64>,
+    order: collections::VecDeque<u64>,
+}
+
+impl PrefixView {
+    pub(super) fn store(&mut self, block: u64) {
+        if !self.blocks.insert(block) {
+            return;
+        }
+        self.order.push_back(block);
+        while self.order.len() > MOST_BLOCKS {
+            if let Some(oldest) = self.order.pop_front() {
+                self.blocks.remove(&oldest);
+            }
+        }
+    }
+
+    pub(super) fn remove(&mut self, block: u64) {
+        self.blocks.remove(&block);
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.blocks.clear();
+        self.order.clear();
+    }
+
+    /// Returns how many of the first blocks are held without a gap.
+    pub(super) fn matched(&self, hashes: &[u64]) -> usize {
+        hashes
+            .iter()
+            .take_while(|hash| self.blocks.contains(hash))
+            .count()
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/replica/server_entry.rs
@@ -0,0 +1,94 @@
+//! What the table knows of a backend server.
+
+use std::net;
+use std::time;
+
+use galenahold_domain::{amount, name, server};
+
+use crate::replica;
+
+/// What the table knows of an incarnation of a backend server.
+#[derive(Debug)]
+pub struct ServerEntry {
+    pub(super) name: name::ServerName,
+    pub(super) name_hash: u64,
+    pub(super) incarnation: amount::IncarnationNumber,
+    pub(super) sequence: u64,
+    pub(super) address: net::SocketAddr,
+    pub(super) data_centre: name::DataCentreName,
+    pub(super) leaving: bool,
+    pub(super) live: bool,
+    pub(super) seen_at: time::Instant,
+    pub(super) load: server::ServerLoad,
+    /// Own outstanding tokens and requests when the load was reported, as far as known.
+    pub(super) own_at_report: OwnWork,
+    pub(super) own: OwnWork,
+    pub(super) replicas: Vec<replica::ReplicaKey>,
+}
+
+/// What this instance has under way.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct OwnWork {
+    pub(super) tokens: u64,
+    pub(super) requests: u32,
+}
+
+impl ServerEntry {
+    /// Returns the backend server's name.
+    #[must_use]
+    pub fn name(&self) -> &name::ServerName {
+        &self.name
+    }
+
+    /// Returns the incarnation.
+    #[must_use]
+    pub fn incarnation(&self) -> amount::IncarnationNumber {
+        self.incarnation
+    }
+
+    /// Returns where it takes requests.
+    #[must_use]
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the data centre that it stands in.
+    #[must_use]
+    pub fn data_centre(&self) -> &name::DataCentreName {
+        &self.data_centre
+    }
+
+    /// Returns whether it may get new work: it is announced of late and does not leave.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.live && !self.leaving
+    }
+
+    /// Estimates the tokens outstanding at the server: own ones, and what others had by the last
+    /// report, which fades with its age.
+    pub(super) fn estimate_tokens(&self, now: time::Instant, memory: time::Duration) -> f64 {
+        let reported = self.load.outstanding_tokens.0;
+        let others = reported.saturating_sub(self.own_at_report.tokens);
+        to_float(self.own.tokens) + to_float(others) * self.fade(now, memory)
+    }
+
+    /// Estimates the requests at the server in the same way.
+    pub(super) fn estimate_requests(&self, now: time::Instant, memory: time::Duration) -> f64 {
+        let reported = self.load.running.saturating_add(self.load.queued);
+        let others = reported.saturating_sub(self.own_at_report.requests);
+        f64::from(self.own.requests) + f64::from(others) * self.fade(now, memory)
+    }
+
+    fn fade(&self, now: time::Instant, memory: time::Duration) -> f64 {
+        let age = now.saturating_duration_since(self.seen_at);
+        (-age.as_secs_f64() / memory.as_secs_f64()).exp()
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "an estimate needs no more than 52 bits"
+)]
+fn to_float(tokens: u64) -> f64 {
+    tokens as f64
+}
--- /dev/null
+++ b/galenahold_routing/src/replica/two_choices.rs
@@ -0,0 +1,43 @@
+//! Picks the less loaded of two random candidates.
+
+use rand::RngExt;
+
+use crate::replica;
+
+/// Picks the less loaded of two random candidates, so that instances with the same late reports do
+/// not all pick the same one.
+#[derive(Debug, Default)]
+pub struct TwoChoices;
+
+impl replica::ReplicaChoice for TwoChoices {
+    fn choose<R: rand::Rng>(
+        &mut self,
+        candidates: &[replica::ReplicaCandidate],
+        _request: &replica::ChoiceRequest<'_>,
+        rng: &mut R,
+    ) -> Option<replica::ReplicaKey> {
+        let [only] = candidates else {
+            return choose_of_two(candidates, rng);
+        };
+        Some(only.key)
+    }
+}
+
+fn choose_of_two<R: rand::Rng>(
+    candidates: &[replica::ReplicaCandidate],
+    rng: &mut R,
+) -> Option<replica::ReplicaKey> {
+    if candidates.is_empty() {
+        return None;
+    }
+    let first = rng.random_range(0..candidates.len());
+    let offset = rng.random_range(1..candidates.len());
+    let second = (first + offset) % candidates.len();
+    let (left, right) = (&candidates[first], &candidates[second]);
+    let key = if right.tokens < left.tokens {
+        right.key
+    } else {
+        left.key
+    };
+    Some(key)
+}
--- /dev/null
+++ b/galenahold_routing/src/retry/mod.rs
@@ -0,0 +1,11 @@
+//! When a request is sent again, how often and after which pause.
+
+mod retry_backoff;
+mod retry_budget;
+mod retry_decision;
+mod retry_rule;
+
+pub use retry_backoff::RetryBackoff;
+pub use retry_budget::RetryBudget;
+pub use retry_decision::RetryDecision;
+pub use retry_rule::RetryRule;
--- /dev/null
+++ b/galenahold_routing/src/retry/retry_backoff.rs
@@ -0,0 +1,47 @@
+//! The pause before a retry.
+
+use std::time;
+
+use rand::RngExt;
+
+const DEFAULT_BASE: time::Duration = time::Duration::from_millis(10);
+const DEFAULT_CAP: time::Duration = time::Duration::from_secs(1);
+const GROWTH: u32 = 3;
+
+/// The pause before a retry: decorrelated jitter between a base and three times the last pause.
+#[derive(Debug, Clone)]
+pub struct RetryBackoff {
+    base: time::Duration,
+    cap: time::Duration,
+    last: time::Duration,
+}
+
+impl RetryBackoff {
+    /// Returns a backoff that starts at `base` and never pauses longer than `cap`.
+    #[must_use]
+    pub fn new(base: time::Duration, cap: time::Duration) -> Self {
+        Self {
+            base,
+            cap,
+            last: base,
+        }
+    }
+
+    /// Returns the next pause.
+    pub fn next_pause(&mut self, rng: &mut impl rand::Rng) -> time::Duration {
+        let highest = self.last.saturating_mul(GROWTH).max(self.base);
+        self.last = rng.random_range(self.base..=highest).min(self.cap);
+        self.last
+    }
+
+    /// Starts from the base again.
+    pub fn reset(&mut self) {
+        self.last = self.base;
+    }
+}
+
+impl Default for RetryBackoff {
+    fn default() -> Self {
+        Self::new(DEFAULT_BASE, DEFAULT_CAP)
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/retry/retry_rule.rs
@@ -0,0 +1,56 @@
+//! Decides whether a failed request is sent again.
+
+use std::time;
+
+use galenahold_domain::verdict;
+
+use crate::retry;
+
+const DEFAULT_MOST_ATTEMPTS: u32 = 3;
+
+/// Decides whether a failed request is sent again.
+#[derive(Debug, Clone)]
+pub struct RetryRule {
+    most_attempts: u32,
+}
+
+impl RetryRule {
+    /// Returns a rule with a number of attempts, the first one included.
+    #[must_use]
+    pub fn new(most_attempts: u32) -> Self {
+        Self { most_attempts }
+    }
+
+    /// Decides after `attempts` attempts, the last of which ended with a verdict.
+    #[must_use]
+    pub fn decide(
+        &self,
+        verdict: verdict::RequestVerdict,
+        idempotent: bool,
+        attempts: u32,
+        pause: time::Duration,
+        left: time::Duration,
+    ) -> retry::RetryDecision {
+        let repeatable = match verdict {
+            verdict::RequestVerdict::NotRun => true,
+            verdict::RequestVerdict::MayHaveRun => idempotent,
+            verdict::RequestVerdict::Ran => false,
+        };
+        if !repeatable {
+            return retry::RetryDecision::NotRepeatable;
+        }
+        if attempts >= self.most_attempts {
+            return retry::RetryDecision::AttemptsExhausted;
+        }
+        if pause >= left {
+            return retry::RetryDecision::DeadlineTooNear;
+        }
+        retry::RetryDecision::Retry { pause }
+    }
+}
+
+impl Default for RetryRule {
+    fn default() -> Self {
+        Self::new(DEFAULT_MOST_ATTEMPTS)
+    }
+}
--- /dev/null
+++ b/galenahold_routing/tests/rate/fleet_model.rs
@@ -0,0 +1,268 @@
+//! A leader, its holders and the messages between them, with every fault that messages can have.
+
+use std::time;
+
+use galenahold_domain::{amount, intent, name};
+use galenahold_routing::rate;
+
+/// One step of an interleaving.
+#[derive(Debug, Clone)]
+pub(crate) enum FleetStep {
+    /// Time goes on.
+    Wait { millis: u64 },
+    /// A holder charges a request and sends it, unless it stops between the two.
+    Spend {
+        holder: usize,
+        tokens: u64,
+        pause_millis: u64,
+    },
+    /// A holder charges a request, asks for what is missing, and sends the request.
+    Trip { holder: usize, tokens: u64 },
+    /// A holder that was replaced, and does not know it, sends a request.
+    SpendReplaced { holder: usize, tokens: u64 },
+    /// A holder settles its oldest request with so many percent of its charge.
+    Settle { holder: usize, percent: u64 },
+    /// A holder makes a call if one is due.
+    Call { holder: usize },
+    /// The leader answers the oldest call that reached it.
+    Answer,
+    /// A message is lost.
+    LoseCall,
+    /// The oldest reply reaches its holder.
+    Deliver,
+    /// A reply is lost.
+    LoseReply,
+    /// A holder restarts.
+    Restart { holder: usize },
+    /// Another leader takes over.
+    ChangeLeader,
+    /// The intent gives the team another rate and burst.
+    ChangeLimits { rate: u64, burst: u64 },
+}
+
+/// Tokens that passed at a time.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PassedTokens {
+    pub(crate) at: time::Instant,
+    pub(crate) tokens: u64,
+}
+
+/// A leader, its holders and the messages between them.
+pub(crate) struct FleetModel {
+    pub(crate) now: time::Instant,
+    pub(crate) passed: Vec<PassedTokens>,
+    team: intent::TeamIntent,
+    term: u64,
+    ledger: rate::GrantLedger,
+    holders: Vec<Holder>,
+    calls: Vec<rate::GrantCall>,
+    replies: Vec<AddressedReply>,
+}
+
+struct Holder {
+    incarnation: u64,
+    wallet: rate::TokenWallet,
+    replaced: Option<rate::TokenWallet>,
+    running: Vec<Running>,
+}
+
+struct Running {
+    receipt: rate::ChargeReceipt,
+    passed: usize,
+}
+
+struct AddressedReply {
+    holder: usize,
+    incarnation: u64,
+    reply: rate::GrantReply,
+}
+
+pub(crate) fn team(rate: u64, burst: u64) -> intent::TeamIntent {
+    intent::TeamIntent {
+        name: name::TeamName::from("blue"),
+        rate_tokens_per_s: amount::TokensPerSecond(rate),
+        burst_tokens: amount::TokenCount(burst),
+        weight: 1,
+    }
+}
+
+fn wallet(index: usize, incarnation: u64) -> rate::TokenWallet {
+    rate::TokenWallet::new(
+        name::InstanceName::from(format!("entry-{index}")),
+        amount::IncarnationNumber(incarnation),
+        rate::WalletSettings::default(),
+    )
+}
+
+impl FleetModel {
+    pub(crate) fn new(holders: usize, team: intent::TeamIntent) -> Self {
+        let now = time::Instant::now();
+        let mut ledger = rate::GrantLedger::new(1, rate::LedgerSettings::default(), now);
+        ledger.set_teams(std::slice::from_ref(&team), now);
+        let holders = (0..holders).map(|index| {
+            let mut wallet = wallet(index, 1);
+            wallet.set_teams(std::slice::from_ref(&team), now);
+            Holder {
+                incarnation: 1,
+                wallet,
+                replaced: None,
+                running: Vec::new(),
+            }
+        });
+        Self {
+            now,
+            passed: Vec::new(),
+            holders: holders.collect(),
+            team,
+            term: 1,
+            ledger,
+            calls: Vec::new(),
+            replies: Vec::new(),
+        }
+    }
+
+    pub(crate) fn step(&mut self, step: &FleetStep) {
+        match *step {
+            FleetStep::Wait { millis } => self.now += time::Duration::from_millis(millis),
+            FleetStep::Spend {
+                holder,
+                tokens,
+                pause_millis,
+            } => self.spend(holder, tokens, pause_millis),
+            FleetStep::Trip { holder, tokens } => self.trip(holder, tokens),
+            FleetStep::SpendReplaced { holder, tokens } => self.spend_replaced(holder, tokens),
+            FleetStep::Settle { holder, percent } => self.settle(holder, percent),
+            FleetStep::Call { holder } => {
+                let call = self.holders[holder].wallet.call(self.now);
+                self.calls.extend(call);
+            }
+            FleetStep::Answer => self.answer(),
+            FleetStep::LoseCall => drop(self.calls.pop()),
+            FleetStep::Deliver => self.deliver(),
+            FleetStep::LoseReply => drop(self.replies.pop()),
+            FleetStep::Restart { holder } => self.restart(holder),
+            FleetStep::ChangeLeader => self.change_leader(),
+            FleetStep::ChangeLimits { rate, burst } => self.change_limits(rate, burst),
+        }
+    }
+
+    fn spend(&mut self, holder: usize, tokens: u64, pause_millis: u64) {
+        let holder = &mut self.holders[holder];
+        let tokens = amount::TokenCount(tokens);
+        let outcome = holder.wallet.charge(&self.team.name, tokens, self.now);
+        self.now += time::Duration::from_millis(pause_millis);
+        let rate::ChargeOutcome::Charged(mut receipt) = outcome else {
+            return;
+        };
+        if !holder.wallet.still_valid(&mut receipt, self.now) {
+            return;
+        }
+        holder.running.push(Running {
+            receipt,
+            passed: self.passed.len(),
+        });
+        self.passed.push(PassedTokens {
+            at: self.now,
+            tokens: tokens.0,
+        });
+    }
+
+    fn trip(&mut self, holder: usize, tokens: u64) {
+        let before = self.passed.len();
+        self.spend(holder, tokens, 0);
+        if self.passed.len() > before {
+            return;
+        }
+        self.step(&FleetStep::Call { holder });
+        while !self.calls.is_empty() {
+            self.answer();
+        }
+        while !self.replies.is_empty() {
+            self.deliver();
+        }
+        self.spend(holder, tokens, 0);
+    }
+
+    fn spend_replaced(&mut self, holder: usize, tokens: u64) {
+        let Some(wallet) = &mut self.holders[holder].replaced else {
+            return;
+        };
+        let charged = amount::TokenCount(tokens);
+        let outcome = wallet.charge(&self.team.name, charged, self.now);
+        let rate::ChargeOutcome::Charged(mut receipt) = outcome else {
+            return;
+        };
+        if wallet.still_valid(&mut receipt, self.now) {
+            let at = self.now;
+            self.passed.push(PassedTokens { at, tokens });
+        }
+    }
+
+    /// Tokens that were charged and not used never passed.
+    fn settle(&mut self, holder: usize, percent: u64) {
+        let holder = &mut self.holders[holder];
+        if holder.running.is_empty() {
+            return;
+        }
+        let running = holder.running.remove(0);
+        let used = running.receipt.tokens().0 * percent / 100;
+        self.passed[running.passed].tokens = used;
+        holder
+            .wallet
+            .settle(running.receipt, amount::TokenCount(used), self.now);
+    }
+
+    fn answer(&mut self) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let call = self.calls.remove(0);
+        let reply = self.ledger.grant(&call, self.now);
+        let index = call.instance.as_str().trim_start_matches("entry-");
+        self.replies.push(AddressedReply {
+            holder: index.parse().expect("the name ends with the index"),
+            incarnation: call.incarnation.0,
+            reply,
+        });
+    }
+
+    fn deliver(&mut self) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let addressed = self.replies.remove(0);
+        let holder = &mut self.holders[addressed.holder];
+        if holder.incarnation == addressed.incarnation {
+            holder.wallet.accept(&addressed.reply, self.now);
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let holder = &mut self.holders[index];
+        holder.incarnation += 1;
+        holder.running.clear();
+        let successor = wallet(index, holder.incarnation);
+        let replaced = std::mem::replace(&mut holder.wallet, successor);
+        holder.replaced = Some(replaced);
+        holder
+            .wallet
+            .set_teams(std::slice::from_ref(&self.team), self.now);
+    }
+
+    fn change_leader(&mut self) {
+        self.term += 1;
+        let settings = rate::LedgerSettings::default();
+        self.ledger = rate::GrantLedger::new(self.term, settings, self.now);
+        self.ledger
+            .set_teams(std::slice::from_ref(&self.team), self.now);
+    }
+
+    fn change_limits(&mut self, rate: u64, burst: u64) {
+        self.team = team(rate, burst);
+        let teams = std::slice::from_ref(&self.team);
+        self.ledger.set_teams(teams, self.now);
+        for holder in &mut self.holders {
+            holder.wallet.set_teams(teams, self.now);
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_routing/tests/rate/grant_ledger.rs
@@ -0,0 +1,109 @@
+//! What a ledger promises over a change of leader, of limits and of teams.
+
+use std::time;
+
+use galenahold_domain::{amount, name};
+use galenahold_routing::rate;
+
+use crate::fleet_model::team;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn new_ledger(now: time::Instant) -> rate::GrantLedger {
+    rate::GrantLedger::new(1, rate::LedgerSettings::default(), now)
+}
+
+fn call(instance: &str, number: u64, missing: u64) -> rate::GrantCall {
+    let missing = amount::TokenCount(missing);
+    rate::GrantCall {
+        instance: name::InstanceName::from(instance),
+        incarnation: amount::IncarnationNumber(1),
+        number,
+        teams: vec![rate::GrantRequest {
+            team: name::TeamName::from("blue"),
+            first_missing: missing,
+            missing,
+            prefetch: amount::TokenCount::ZERO,
+            statements: Vec::new(),
+            refunds: Vec::new(),
+            overdrawn_total: amount::TokenCount::ZERO,
+            served_total: amount::TokenCount::ZERO,
+        }],
+    }
+}
+
+#[test]
+fn new_leader_lends_nothing_while_earlier_grants_may_be_spent() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    ledger.set_teams(&[team(100, 1_000)], now);
+    let reply = ledger.grant(&call("entry-1", 1, 10), now + SECOND);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount::ZERO);
+    assert!(reply.grants[0].retry_after.is_some());
+}
+
+#[test]
+fn silent_holder_takes_its_tokens_with_it() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    let blue = team(0, 1_000);
+    ledger.set_teams(&[team(1_000, 1_000)], now);
+    let full_at = now + 10 * SECOND;
+    ledger.set_teams(std::slice::from_ref(&blue), full_at);
+    let reply = ledger.grant(&call("entry-1", 1, 600), full_at);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount(600));
+    let later = full_at + 60 * SECOND;
+    assert_eq!(ledger.level(&blue.name, later), amount::TokenCount(400));
+    assert_eq!(ledger.outstanding(&blue.name), amount::TokenCount::ZERO);
+}
+
+#[test]
+fn raised_burst_mints_no_tokens() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    ledger.set_teams(&[team(1_000, 1_000)], now);
+    let full_at = now + 10 * SECOND;
+    ledger.set_teams(&[team(1, 9_000)], full_at);
+    let blue = name::TeamName::from("blue");
+    assert_eq!(ledger.level(&blue, full_at), amount::TokenCount(1_000));
+}
+
+#[test]
+fn team_that_is_removed_and_added_again_gets_no_new_burst() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    let blue = team(1, 1_000);
+    ledger.set_teams(&[team(1_000, 1_000)], now);
+    let full_at = now + 10 * SECOND;
+    ledger.set_teams(std::slice::from_ref(&blue), full_at);
+    let reply = ledger.grant(&call("entry-1", 1, 1_000), full_at);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount(1_000));
+    ledger.set_teams(&[], full_at + SECOND);
+    ledger.set_teams(std::slice::from_ref(&blue), full_at + 2 * SECOND);
+    let level = ledger.level(&blue.name, full_at + 2 * SECOND);
+    assert_eq!(level, amount::TokenCount::ZERO);
+}
+
+#[test]
+fn earlier_demand_is_met_before_a_later_smaller_one() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    ledger.set_teams(&[team(100, 1_000)], now);
+    let empty_at = now + 2 * SECOND;
+    let first = ledger.grant(&call("entry-1", 1, 400), empty_at);
+    assert_eq!(first.grants[0].tokens, amount::TokenCount::ZERO);
+    let second = ledger.grant(&call("entry-2", 1, 20), empty_at);
+    assert_eq!(second.grants[0].tokens, amount::TokenCount::ZERO);
+    assert!(second.grants[0].retry_after > first.grants[0].retry_after);
+}
+
+#[test]
+fn call_that_comes_twice_is_granted_once() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    ledger.set_teams(&[team(100, 1_000)], now);
+    let full_at = now + 60 * SECOND;
+    let call = call("entry-1", 1, 300);
+    assert_eq!(ledger.grant(&call, full_at).grants.len(), 1);
+    assert!(ledger.grant(&call, full_at).grants.is_empty());
+}
--- /dev/null
+++ b/galenahold_routing/tests/rate/main.rs
@@ -0,0 +1,6 @@
+//! Promises on rates: no team gets more than its rate and burst, whatever is lost or restarted.
+
+mod fleet_model;
+mod grant_ledger;
+mod token_wallet;
+mod window_bound;
--- /dev/null
+++ b/galenahold_routing/tests/replica/replica_table.rs
@@ -0,0 +1,98 @@
+//! Announcements that are late, old or of an earlier incarnation change nothing.
+
+use std::time;
+
+use galenahold_domain::{amount, server};
+use galenahold_routing::replica;
+
+use crate::fleet_sample::{announcement, candidates};
+
+const FRESH: time::Duration = time::Duration::ZERO;
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn table() -> replica::ReplicaTable {
+    replica::ReplicaTable::new(replica::TableSettings::default())
+}
+
+#[test]
+fn leaving_lasts_when_a_late_announcement_denies_it() {
+    let now = time::Instant::now();
+    let mut table = table();
+    let mut leaving = announcement("one", 1, 2);
+    leaving.leaving = true;
+    table.announce(&leaving, FRESH, now);
+    table.announce(&announcement("one", 1, 1), FRESH, now);
+    table.announce(&announcement("one", 1, 3), FRESH, now);
+    assert!(candidates(&table, now).is_empty());
+}
+
+#[test]
+fn new_incarnation_is_not_leaving_any_more() {
+    let now = time::Instant::now();
+    let mut table = table();
+    let mut leaving = announcement("one", 1, 2);
+    leaving.leaving = true;
+    table.announce(&leaving, FRESH, now);
+    table.announce(&announcement("one", 2, 1), FRESH, now);
+    assert_eq!(candidates(&table, now).len(), 1);
+}
+
+#[test]
+fn earlier_incarnation_does_not_come_back() {
+    let now = time::Instant::now();
+    let mut table = table();
+    table.announce(&announcement("one", 2, 1), FRESH, now);
+    let change = table.announce(&announcement("one", 1, 9), FRESH, now);
+    assert_eq!(change, replica::TableChange::Stale);
+}
+
+#[test]
+fn silent_server_gets_no_new_work_and_comes_back_when_it_speaks() {
+    let now = time::Instant::now();
+    let mut table = table();
+    table.announce(&announcement("one", 1, 1), FRESH, now);
+    let later = now + 10 * SECOND;
+    assert!(candidates(&table, later).is_empty());
+    assert_eq!(table.expire(later).len(), 1);
+    table.announce(&announcement("one", 1, 2), FRESH, later);
+    assert_eq!(candidates(&table, later).len(), 1);
+}
+
+#[test]
+fn replica_that_still_loads_is_no_candidate() {
+    let now = time::Instant::now();
+    let mut table = table();
+    let mut loading = announcement("one", 1, 1);
+    loading.loaded[0].state = server::ReplicaState::Loading;
+    table.announce(&loading, FRESH, now);
+    assert!(candidates(&table, now).is_empty());
+}
+
+#[test]
+fn request_that_ends_after_its_server_restarted_is_ignored() {
+    let now = time::Instant::now();
+    let mut table = table();
+    table.announce(&announcement("one", 1, 1), FRESH, now);
+    let key = candidates(&table, now)[0].key;
+    table.begin(key, amount::TokenCount(50));
+    table.announce(&announcement("one", 2, 1), FRESH, now);
+    table.finish(key, amount::TokenCount(50));
+    let candidate = candidates(&table, now)[0];
+    assert_ne!(candidate.key, key);
+    assert_eq!(candidate.own_requests, 0);
+}
+
+#[test]
+fn own_requests_count_at_once_and_reports_fade() {
+    let now = time::Instant::now();
+    let mut table = table();
+    let mut loaded = announcement("one", 1, 1);
+    loaded.load.outstanding_tokens = amount::TokenCount(1_000);
+    table.announce(&loaded, FRESH, now);
+    let fresh = candidates(&table, now)[0];
+    let old = candidates(&table, now + 3 * SECOND)[0];
+    assert!(old.tokens < fresh.tokens);
+    table.begin(fresh.key, amount::TokenCount(500));
+    let busy = candidates(&table, now)[0];
+    assert!(busy.tokens >= fresh.tokens + 500.0);
+}
--- /dev/null
+++ b/galenahold_routing/tests/retry/main.rs
@@ -0,0 +1,4 @@
+//! Promises on retries and admission.
+
+mod admission_rule;
+mod retry_rules;
