Count requests against objectives and report the burn

Cause: the house style asks for a report on service-level burn, and the refusals inside the rate and the worst-served team are to be seen there.

Ruled out: histograms per team (the objectives need only met and missed, and histograms of all pairs and windows cost far more memory); one global lock on the request path. Wall-clock buckets: instances' windows are merged by age, so no clock has to agree.

With the age check, the reset of a reused bucket, the short windows or the check for an instance counted twice taken out, one or more of them fail.

Conclusion: the instances can record, and operators can read the burn.

--- /dev/null
+++ b/galenahold_report/src/count/objective_counts.rs
@@ -0,0 +1,76 @@
+//! Counts of requests against the objectives.
+
+use galenahold_domain::intent;
+use serde::{Deserialize, Serialize};
+
+use crate::count;
+
+/// Counts of requests against the objectives, over some time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ObjectiveCounts {
+    /// Requests that were answered whole.
+    pub answered: u64,
+    /// Requests that failed.
+    pub failed: u64,
+    /// Requests refused although they were inside their team's rate and burst.
+    pub refused_inside_rate: u64,
+    /// Answers whose first token came in time.
+    pub first_token_met: u64,
+    /// Answers whose first token came late.
+    pub first_token_missed: u64,
+    /// Gaps between tokens that met their limit.
+    pub between_tokens_met: u64,
+    /// Gaps between tokens that missed their limit.
+    pub between_tokens_missed: u64,
+    /// Sum of the requests' waits, in microseconds.
+    pub wait_total_us: u64,
+    /// The longest wait, in microseconds.
+    pub wait_max_us: u64,
+}
+
+impl ObjectiveCounts {
+    /// Counts one request; one that was refused by rule leaves the counts as they are.
+    pub(crate) fn of(
+        measurement: &count::RequestMeasurement,
+        objective: &intent::ServiceObjective,
+    ) -> Self {
+        let mut counts = Self::default();
+        match measurement.outcome {
+            count::RequestOutcome::Answered => counts.answered = 1,
+            count::RequestOutcome::Failed => counts.failed = 1,
+            count::RequestOutcome::RefusedInsideRate => counts.refused_inside_rate = 1,
+            count::RequestOutcome::RefusedByRule => return counts,
+        }
+        let wait_us = u64::try_from(measurement.wait.as_micros()).unwrap_or(u64::MAX);
+        counts.wait_total_us = wait_us;
+        counts.wait_max_us = wait_us;
+        if let Some(first_token) = measurement.first_token {
+            let met = first_token.as_millis() <= u128::from(objective.first_token_ms);
+            counts.first_token_met = u64::from(met);
+            counts.first_token_missed = u64::from(!met);
+        }
+        counts.between_tokens_met = measurement.token_gaps.met;
+        counts.between_tokens_missed = measurement.token_gaps.missed;
+        counts
+    }
+
+    /// Adds other counts to these.
+    pub fn add(&mut self, other: &Self) {
+        self.answered += other.answered;
+        self.failed += other.failed;
+        self.refused_inside_rate += other.refused_inside_rate;
+        self.first_token_met += other.first_token_met;
+        self.first_token_missed += other.first_token_missed;
+        self.between_tokens_met += other.between_tokens_met;
+        self.between_tokens_missed += other.between_tokens_missed;
+        self.wait_total_us = self.wait_total_us.saturating_add(other.wait_total_us);
+        self.wait_max_us = self.wait_max_us.max(other.wait_max_us);
+    }
+
+    /// Returns the requests counted.
+    #[must_use]
+    pub fn requests(&self) -> u64 {
+        self.answered + self.failed + self.refused_inside_rate
+    }
+}
--- /dev/null
+++ b/galenahold_report/src/report/burn_row.rs
@@ -0,0 +1,61 @@
+//! The burn of one service and team.
+
+use galenahold_domain::name;
+use serde::{Deserialize, Serialize};
+
+use crate::count;
+use crate::report;
+use crate::snapshot;
+
+const MICROSECONDS_PER_MILLISECOND: f64 = 1_000.0;
+
+/// The burn of one service and team.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BurnRow {
+    /// The service.
+    pub service: name::ServiceName,
+    /// The team.
+    pub team: name::TeamName,
+    /// Requests of the last hour.
+    pub requests: u64,
+    /// Requests of the last 3 days that were refused although they were inside the rate and burst.
+    pub refused_inside_rate: u64,
+    /// The mean wait over the last hour, in milliseconds.
+    pub wait_mean_ms: f64,
+    /// The longest wait of the last hour, in milliseconds.
+    pub wait_max_ms: f64,
+    /// The error budgets.
+    pub objectives: Vec<report::ObjectiveBurn>,
+}
+
+impl BurnRow {
+    #[allow(
+        clippy::cast_precision_loss,
+        reason = "a mean for people needs no more than 52 bits"
+    )]
+    pub(super) fn of(entry: &snapshot::BurnEntry) -> Self {
+        let hour = entry.counts(count::BurnWindow::OneHour);
+        let days = entry.counts(count::BurnWindow::ThreeDays);
+        let requests = hour.requests();
+        let wait_mean_us = hour.wait_total_us as f64 / requests.max(1) as f64;
+        Self {
+            service: entry.service.clone(),
+            team: entry.team.clone(),
+            requests,
+            refused_inside_rate: days.refused_inside_rate,
+            wait_mean_ms: wait_mean_us / MICROSECONDS_PER_MILLISECOND,
+            wait_max_ms: hour.wait_max_us as f64 / MICROSECONDS_PER_MILLISECOND,
+            objectives: report::ObjectiveKind::ALL
+                .into_iter()
+                .map(|kind| report::ObjectiveBurn::of(kind, entry))
+                .collect(),
+        }
+    }
+
+    /// Returns the worst status of the row's budgets.
+    #[must_use]
+    pub fn status(&self) -> report::BurnStatus {
+        let statuses = self.objectives.iter().map(|burn| burn.status);
+        statuses.max().unwrap_or(report::BurnStatus::NoEvents)
+    }
+}
--- /dev/null
+++ b/galenahold_report/src/report/objective_burn.rs
@@ -0,0 +1,58 @@
+//! How fast one error budget of a service and team burns.
+
+use serde::{Deserialize, Serialize};
+
+use crate::count;
+use crate::report;
+use crate::snapshot;
+
+/// How fast one error budget of a service and team burns.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ObjectiveBurn {
+    /// What the budget is for.
+    pub objective: report::ObjectiveKind,
+    /// Events per million that have to be good.
+    pub target_per_million: u32,
+    /// Whether the budget burns too fast.
+    pub status: report::BurnStatus,
+    /// The share of the last 3 days' budget that is left; below 0 where it is overdrawn.
+    pub budget_left: f64,
+    /// The burn rate of each window, the shortest first.
+    pub windows: Vec<report::WindowBurn>,
+    /// The burn rate of each 5 minutes of the past 6 hours that had events, the youngest first.
+    pub history: Vec<report::HistoryBurn>,
+}
+
+impl ObjectiveBurn {
+    pub(super) fn of(kind: report::ObjectiveKind, entry: &snapshot::BurnEntry) -> Self {
+        let windows: Vec<_> = count::BurnWindow::ALL
+            .into_iter()
+            .map(|window| {
+                let counts = entry.counts(window);
+                report::WindowBurn::of(kind, entry.targets, window, &counts)
+            })
+            .collect();
+        let longest = windows.last().map_or(0.0, |burn| burn.burn_rate);
+        Self {
+            objective: kind,
+            target_per_million: kind.target_per_million(entry.targets),
+            status: report::BurnStatus::of(&windows),
+            budget_left: 1.0 - longest,
+            windows,
+            history: history(kind, entry),
+        }
+    }
+}
+
+fn history(kind: report::ObjectiveKind, entry: &snapshot::BurnEntry) -> Vec<report::HistoryBurn> {
+    let counted = |bucket: &&snapshot::HistoryBucket| {
+        kind.good(&bucket.counts) + kind.bad(&bucket.counts) > 0
+    };
+    let buckets = entry.history.iter().filter(counted);
+    buckets
+        .map(|bucket| report::HistoryBurn {
+            age: bucket.age,
+            burn_rate: report::window_burn::burn_rate(kind, entry.targets, &bucket.counts),
+        })
+        .collect()
+}
--- /dev/null
+++ b/galenahold_report/tests/burn/main.rs
@@ -0,0 +1,11 @@
+//! Tests of the burn report: counting, merging, judging and printing.
+#![allow(
+    clippy::needless_raw_string_hashes,
+    reason = "expect-test writes its snapshots with hashes"
+)]
+
+mod counting;
+mod judging;
+mod merging;
+mod printing;
+mod sample;
