Add the galenahold command line with its operators' client

Cause: operators need to plan, confirm, give keys and look, and have to know after each failure whether something may have been changed.

Ruled out: automatic resends by the HTTP library (it cannot know which requests are idempotent; its connection pool is off, redirects and proxies too); treating a refusal after a lost answer as final (only a conflict or an invalid request under the same request id speaks about the first attempt).

Change: commands by clap's builder; a client that goes to the next address only where nothing can have been applied, and resends a lost request under the same id with jitter and bounded tries; exit statuses that tell "nothing changed" from "may have been applied"; logs as one line an event with escaped key=value fields.

Conclusion: the operators' face can be built against this client.

--- /dev/null
+++ b/galenahold/src/command/completions_command.rs
@@ -0,0 +1,48 @@
+//! `completions`: prints a script that completes command lines.
+
+use std::io;
+use std::io::Write;
+
+use clap_complete::Shell;
+use snafu::ResultExt;
+
+use crate::command;
+use crate::command::command_error;
+
+const SHELL: &str = "SHELL";
+
+/// `completions`: prints a script that completes command lines in a shell.
+#[derive(Debug)]
+pub(super) struct CompletionsCommand {
+    shell: Shell,
+}
+
+impl CompletionsCommand {
+    pub(super) const NAME: &'static str = "completions";
+
+    pub(super) fn definition() -> clap::Command {
+        clap::Command::new(Self::NAME)
+            .about("Print a script that completes command lines")
+            .arg(
+                clap::Arg::new(SHELL)
+                    .required(true)
+                    .value_parser(clap::value_parser!(Shell))
+                    .help("The shell that is to read the script"),
+            )
+    }
+
+    pub(super) fn from_matches(matches: &clap::ArgMatches) -> Self {
+        Self {
+            shell: matches.get_one(SHELL).copied().unwrap_or(Shell::Bash),
+        }
+    }
+
+    pub(super) fn run(&self) -> Result<(), command::CommandError> {
+        let mut script = Vec::new();
+        let mut definition = command::RootCommand::definition();
+        clap_complete::generate(self.shell, &mut definition, "galenahold", &mut script);
+        io::stdout()
+            .write_all(&script)
+            .context(command_error::OutputUnwritableSnafu)
+    }
+}
--- a/galenahold/src/main.rs
+++ b/galenahold/src/main.rs
@@ -1,3 +1,7 @@
-//! The galenahold binary.
+//! The galenahold binary: serves as an instance, and changes and inspects a fleet as an operator.
 
-fn main() {}
+use std::process;
+
+fn main() -> process::ExitCode {
+    galenahold::run_command_line(std::env::args_os())
+}
--- /dev/null
+++ b/galenahold/src/output/mod.rs
@@ -0,0 +1,11 @@
+//! What commands print, for people and as JSON.
+
+mod output_format;
+mod printable_text;
+mod text_table;
+mod value_text;
+
+pub(crate) use output_format::OutputFormat;
+pub(crate) use printable_text::PrintableText;
+use text_table::TextTable;
+pub(crate) use value_text::ValueText;
--- a/galenahold_settings/src/error/problem_kind.rs
+++ b/galenahold_settings/src/error/problem_kind.rs
@@ -3,7 +3,7 @@
 /// What kind of problem a settings file has at a place.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProblemKind {
-    /// The text is not JSON with comments.
+    /// The text is not JSON with comments, or not a document of the wanted form.
     Syntax,
     /// The reader does not know the field.
     UnknownField,
--- a/galenahold_settings/src/error/settings_problem.rs
+++ b/galenahold_settings/src/error/settings_problem.rs
@@ -69,7 +69,9 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let path = &self.path;
         match self.kind {
-            error::ProblemKind::Syntax => formatter.write_str("not JSON with comments")?,
+            error::ProblemKind::Syntax => {
+                formatter.write_str("cannot be read as JSON with comments")?;
+            }
             error::ProblemKind::UnknownField => write!(formatter, "unknown field `{path}`")?,
             error::ProblemKind::DuplicateField => write!(formatter, "field `{path}` stands twice")?,
             error::ProblemKind::MissingField => write!(formatter, "field `{path}` is missing")?,
--- a/galenahold_settings/src/lib.rs
+++ b/galenahold_settings/src/lib.rs
@@ -28,3 +28,4 @@
 pub use group::ReplicaChoicePolicy;
 pub use group::RetrySettings;
 pub use group::TimingSettings;
+pub use reader::parse_document;
--- a/galenahold_settings/src/reader/settings_reader.rs
+++ b/galenahold_settings/src/reader/settings_reader.rs
@@ -36,7 +36,7 @@
         let parsed = jsonc_parser::parse_to_ast(
             self.text,
             &jsonc_parser::CollectOptions::default(),
-            &parse_options(),
+            &reader::document_text::parse_options(),
         );
         match parsed {
             Ok(result) => self.read_root(group, result.value.as_ref()),
@@ -273,22 +273,6 @@
     }
 }
 
-/// Returns options that take comments and trailing commas on top of strict JSON.
-fn parse_options() -> jsonc_parser::ParseOptions {
-    jsonc_parser::ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    }
-}
-
 /// Tells whether a text stands among the elements before it.
 fn repeats(element: &reader::ReadField, earlier: &[reader::ReadField]) -> bool {
     let text = element.as_text();
--- a/galenahold_settings/tests/settings/problems.rs
+++ b/galenahold_settings/tests/settings/problems.rs
@@ -62,11 +62,11 @@
 fn text_that_is_not_json_names_the_place() {
     expect![[r#"
         1 problem in settings c1.jsonc
-        c1.jsonc:2:17: not JSON with comments: Expected comma"#]]
+        c1.jsonc:2:17: cannot be read as JSON with comments: Expected comma"#]]
     .assert_eq(&message("{\n  \"cluster\": \"a\"\n  \"peers\": []\n}"));
     expect![[r#"
         1 problem in settings c1.jsonc
-        c1.jsonc:2:1: not JSON with comments: the file does not hold an object { ... }"#]]
+        c1.jsonc:2:1: cannot be read as JSON with comments: the file does not hold an object { ... }"#]]
     .assert_eq(&message("// nothing\n[1]"));
 }
 
