Wire the instance and connect it to the serve command

Cause: parts stood side by side. Ruled out: a loopback connection to itself for the leader's own calls (a local desk answers them). Change: the instance binds its faces, starts its parts in task groups, and stops them in order; a voter that meets an unknown command stops with an error.

--- a/galenahold/src/serve/serve_error.rs
+++ b/galenahold/src/serve/serve_error.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use galenahold_instance::InstanceError;
 use snafu::Snafu;
 
 /// Why an instance did not run or did not stop in order.
@@ -14,7 +15,16 @@
         /// What the system answered.
         source: io::Error,
     },
-    /// The runtime is not linked in.
-    #[snafu(display("this build holds no instance runtime; build one that does"))]
-    NoRuntime,
+    /// The instance could not start.
+    #[snafu(display("{source}"))]
+    Start {
+        /// What was met.
+        source: InstanceError,
+    },
+    /// The instance could no longer do its work and stopped.
+    #[snafu(display("{reason}"))]
+    Fault {
+        /// What was met.
+        reason: String,
+    },
 }
--- a/galenahold/src/serve/serve_run.rs
+++ b/galenahold/src/serve/serve_run.rs
@@ -1,8 +1,11 @@
 //! Starts the instance, waits for the signal to stop and stops it.
 
+use galenahold_instance::{FleetInstance, StopReason};
 use galenahold_settings::InstanceSettings;
+use snafu::ResultExt;
 
 use crate::serve;
+use crate::serve::serve_error::{FaultSnafu, StartSnafu};
 
 /// Starts an instance, waits for SIGTERM or SIGINT and stops it in order.
 ///
@@ -16,12 +19,17 @@
         instance = settings.instance.name.as_str();
         "settings are valid"
     );
-    start(settings)?;
+    let wake = stop.waker();
+    let instance =
+        FleetInstance::start(settings.clone(), move || wake.wake()).context(StartSnafu)?;
     stop.wait();
-    Ok(())
-}
-
-/// Starts the instance.
-fn start(_settings: &InstanceSettings) -> Result<(), serve::ServeError> {
-    Err(serve::ServeError::NoRuntime)
+    let fault = instance.fault();
+    instance.stop(match fault {
+        Some(_) => StopReason::Fault,
+        None => StopReason::Planned,
+    });
+    match fault {
+        Some(reason) => FaultSnafu { reason }.fail(),
+        None => Ok(()),
+    }
 }
--- a/galenahold/src/serve/stop_signal.rs
+++ b/galenahold/src/serve/stop_signal.rs
@@ -25,7 +25,12 @@
         Ok(Self { signals })
     }
 
-    /// Waits for the first signal.
+    /// Returns what ends the wait without a signal.
+    pub(crate) fn waker(&self) -> serve::StopWaker {
+        serve::StopWaker::new(self.signals.handle())
+    }
+
+    /// Waits for the first signal, or until it is woken.
     pub(crate) fn wait(&mut self) {
         if let Some(signal) = self.signals.forever().next() {
             log::info!(signal; "stopping on a signal");
--- a/galenahold_instance/src/control/command_error.rs
+++ b/galenahold_instance/src/control/command_error.rs
@@ -16,9 +16,10 @@
 
 impl From<driver::ProposeError> for CommandError {
     fn from(error: driver::ProposeError) -> Self {
-        match error.kind().may_have_committed() {
-            true => Self::Unknown,
-            false => Self::NotCommitted,
+        if error.kind().may_have_committed() {
+            Self::Unknown
+        } else {
+            Self::NotCommitted
         }
     }
 }
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -1,6 +1,5 @@
 //! This instance's member of the control group.
 
-use std::sync;
 use std::time;
 
 use galenahold_consensus::driver;
@@ -121,6 +120,3 @@
         .map(|peer| member::MemberEndpoint::new(&peer.name, &peer.address.to_string()));
     others.chain([own]).collect()
 }
-
-/// A shared member of the control group; `None` at instances outside it.
-pub(crate) type SharedGroup = Option<sync::Arc<ControlGroup>>;
--- a/galenahold_instance/src/control/grant_desk.rs
+++ b/galenahold_instance/src/control/grant_desk.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::amount;
+use galenahold_domain::control as domain;
 use galenahold_routing::rate;
 
 use crate::control as group;
@@ -64,7 +65,7 @@
             revision: amount::RevisionNumber::ZERO,
             ledger: rate::GrantLedger::new(term, self.settings.clone(), now),
         }));
-        let view = state.read(|state| state.view());
+        let view = state.read(domain::ControlState::view);
         if current.revision != view.revision {
             current.ledger.set_teams(&view.intent.teams, now);
             current.revision = view.revision;
--- a/galenahold_instance/src/control/log_transport.rs
+++ b/galenahold_instance/src/control/log_transport.rs
@@ -21,7 +21,7 @@
 const MAX_BATCH: usize = 64;
 
 /// How long a batch may take.
-const BATCH_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const BATCH_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// Carries the log's messages to other members, in order for each.
 #[derive(Debug)]
--- a/galenahold_instance/src/control/member_desk.rs
+++ b/galenahold_instance/src/control/member_desk.rs
@@ -193,9 +193,10 @@
         driver::ChangeError::Unsettled { cause } if cause.kind().may_have_committed()
     );
     message::OperatorError {
-        kind: match unsettled {
-            true => message::OperatorErrorKind::OutcomeUnknown,
-            false => message::OperatorErrorKind::Refused,
+        kind: if unsettled {
+            message::OperatorErrorKind::OutcomeUnknown
+        } else {
+            message::OperatorErrorKind::Refused
         },
         message: error.to_string(),
         details: None,
--- a/galenahold_instance/src/control/operator_desk.rs
+++ b/galenahold_instance/src/control/operator_desk.rs
@@ -48,7 +48,7 @@
 
     async fn dispatch(&self, call: message::OperatorCall) -> Result<Value, message::OperatorError> {
         match call {
-            message::OperatorCall::Plan { intent } => self.plan(intent),
+            message::OperatorCall::Plan { intent } => self.plan(&intent),
             message::OperatorCall::Confirm {
                 request,
                 base,
@@ -99,14 +99,14 @@
         }
     }
 
-    fn plan(&self, wanted: intent::FleetIntent) -> Result<Value, message::OperatorError> {
+    fn plan(&self, wanted: &intent::FleetIntent) -> Result<Value, message::OperatorError> {
         let largest = self.largest_engine();
-        let validation = intent::IntentValidation::of(&wanted, largest);
+        let validation = intent::IntentValidation::of(wanted, largest);
         if !validation.is_valid() {
             return Err(invalid(&validation.lines()));
         }
         let view = self.member.state().read(control::ControlState::view);
-        let plan = intent::IntentPlan::between(view.revision, &view.intent, &wanted);
+        let plan = intent::IntentPlan::between(view.revision, &view.intent, wanted);
         Ok(json!({
             "base": plan.base,
             "digest": plan.digest,
--- a/galenahold_instance/src/entry/entry_desk.rs
+++ b/galenahold_instance/src/entry/entry_desk.rs
@@ -188,7 +188,6 @@
             },
             priority: service.priority,
             concurrency: model.replica_concurrency,
-            model_limit: model.max_request_tokens,
             token_bound,
             prefix: replica::PrefixBlocks::of_text(request.prompt(), MAX_PREFIX_BLOCKS),
             body: bytes::Bytes::from(
--- a/galenahold_instance/src/entry/key_guard.rs
+++ b/galenahold_instance/src/entry/key_guard.rs
@@ -42,9 +42,10 @@
     pub(crate) fn check(&self) -> Result<(), face::RefusalKind> {
         let index = self.holder.index();
         let Some(key) = self.identity.key() else {
-            return match index.may_call(&self.service, None) {
-                true => Ok(()),
-                false => Err(face::RefusalKind::Unauthorized),
+            return if index.may_call(&self.service, None) {
+                Ok(())
+            } else {
+                Err(face::RefusalKind::Unauthorized)
             };
         };
         if !self.holder.is_fresh() {
--- a/galenahold_instance/src/entry/model_call.rs
+++ b/galenahold_instance/src/entry/model_call.rs
@@ -29,8 +29,6 @@
     pub(crate) priority: i32,
     /// Requests that one replica runs at once.
     pub(crate) concurrency: u32,
-    /// The model's limit of tokens a request.
-    pub(crate) model_limit: amount::TokenCount,
     /// The most tokens that the request can take.
     pub(crate) token_bound: amount::TokenCount,
     /// Hashes of the prompt's prefix blocks.
--- a/galenahold_instance/src/entry/model_desk.rs
+++ b/galenahold_instance/src/entry/model_desk.rs
@@ -137,7 +137,7 @@
                 return Ok(self.stream(call, charge, state, opened));
             }
             match self.read(&call, opened).await? {
-                Ok(answer) => return Ok(self.finish(&call, charge, answer)),
+                Ok(answer) => return Ok(Self::finish(&call, charge, answer)),
                 Err(failed) => self.pause(&call, &mut charge, &mut state, failed).await?,
             }
         }
@@ -329,11 +329,14 @@
         } = opened;
         let reading = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline);
         let read = guarded(&call.guard, verdict::RequestVerdict::MayHaveRun, reading).await?;
-        let whole = read.and_then(|body| match exchange.is_delimited() {
-            true => Ok(body),
-            false => Err(backend::AttemptError::may_have_run(
-                backend::AttemptErrorKind::Cut,
-            )),
+        let whole = read.and_then(|body| {
+            if exchange.is_delimited() {
+                Ok(body)
+            } else {
+                Err(backend::AttemptError::may_have_run(
+                    backend::AttemptErrorKind::Cut,
+                ))
+            }
         });
         let server = slot.address().server.clone();
         let body = match whole {
@@ -352,16 +355,16 @@
     }
 
     fn finish(
-        &self,
         call: &entry::ModelCall,
         charge: Option<rate::TokenCharge>,
         mut answer: Response<face::AnswerBody>,
     ) -> Response<face::AnswerBody> {
         let usage = read_usage(answer.body());
         let ran = answer.status().is_success();
-        let spent = match ran {
-            true => call.spent(usage, 0),
-            false => amount::TokenCount::ZERO,
+        let spent = if ran {
+            call.spent(usage, 0)
+        } else {
+            amount::TokenCount::ZERO
         };
         if let Some(charge) = charge {
             charge.finish(spent);
@@ -431,9 +434,10 @@
 
 /// Marks an answer with the request's id and its verdict.
 pub(crate) fn stamp(answer: &mut Response<face::AnswerBody>, id: &name::RequestId, ran: bool) {
-    let verdict = match ran {
-        true => verdict::RequestVerdict::Ran,
-        false => verdict::RequestVerdict::MayHaveRun,
+    let verdict = if ran {
+        verdict::RequestVerdict::Ran
+    } else {
+        verdict::RequestVerdict::MayHaveRun
     };
     let headers = answer.headers_mut();
     headers.insert(
@@ -460,9 +464,10 @@
 
 fn fail(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> AttemptStop {
     let server = slot.address().server.clone();
-    slot.finish(match error.is_transport() {
-        true => dispatch::AttemptEnd::Failed,
-        false => dispatch::AttemptEnd::Answered,
+    slot.finish(if error.is_transport() {
+        dispatch::AttemptEnd::Failed
+    } else {
+        dispatch::AttemptEnd::Answered
     });
     AttemptStop::Failed(FailedAttempt { error, server })
 }
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -124,9 +124,8 @@
         } = opened;
         let mut scanner = entry::EventScanner::default();
         loop {
-            let piece = match exchange.next_piece().await {
-                Ok(Some(piece)) => piece,
-                Ok(None) | Err(_) => return Err(cut(slot)),
+            let Ok(Some(piece)) = exchange.next_piece().await else {
+                return Err(cut(slot));
             };
             if scanner.push(&piece).is_err() {
                 return Err(cut(slot));
--- a/galenahold_instance/src/entry/order_call.rs
+++ b/galenahold_instance/src/entry/order_call.rs
@@ -69,9 +69,10 @@
     order::OrderAnswer {
         status: answer.status.as_u16(),
         content_type,
-        body: match truncated {
-            true => Vec::new(),
-            false => answer.body.to_vec(),
+        body: if truncated {
+            Vec::new()
+        } else {
+            answer.body.to_vec()
         },
         truncated,
     }
--- a/galenahold_instance/src/entry/service_desk.rs
+++ b/galenahold_instance/src/entry/service_desk.rs
@@ -163,9 +163,10 @@
         let slot = self.acquire(call, state).await?;
         let attempt = name::RequestId::from(format!("{}-{}", call.id, state.count));
         let address = slot.address().clone();
-        let reuse = match call.idempotent {
-            true => backend::ConnectionUse::Pooled,
-            false => backend::ConnectionUse::Fresh,
+        let reuse = if call.idempotent {
+            backend::ConnectionUse::Pooled
+        } else {
+            backend::ConnectionUse::Fresh
         };
         let connecting = self.client.connect(&address, reuse).await;
         let connection = match connecting {
@@ -269,9 +270,10 @@
 
 fn fail(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> AttemptStop {
     let server = slot.address().server.clone();
-    slot.finish(match error.is_transport() {
-        true => dispatch::AttemptEnd::Failed,
-        false => dispatch::AttemptEnd::Answered,
+    slot.finish(if error.is_transport() {
+        dispatch::AttemptEnd::Failed
+    } else {
+        dispatch::AttemptEnd::Answered
     });
     AttemptStop::Failed { error, server }
 }
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -41,11 +41,14 @@
 /// How long connecting to a backend server may take.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// How often the replicated state is asked whether it can still follow the log.
+const FAULT_PERIOD: time::Duration = time::Duration::from_millis(100);
+
 /// How long the last calls of a stopping instance may take.
 const FAREWELL_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// How long an instance tries to say that orders of its earlier incarnations are over.
-const ABANDON_TIMEOUT: time::Duration = time::Duration::from_secs(120);
+const ABANDON_TIMEOUT: time::Duration = time::Duration::from_mins(2);
 
 /// One running instance; it owns all its threads and joins them when it stops.
 pub struct FleetInstance {
@@ -95,10 +98,15 @@
 impl FleetInstance {
     /// Starts an instance: binds its sockets, opens its data folder and starts its parts.
     ///
+    /// `on_fault` is called once if the instance can no longer do its work; it has to be stopped then.
+    ///
     /// # Errors
     ///
     /// An address cannot be listened on, or the data folder cannot be used. Nothing runs then.
-    pub fn start(settings: InstanceSettings) -> Result<Self, instance::InstanceError> {
+    pub fn start(
+        settings: InstanceSettings,
+        on_fault: impl Fn() + Send + 'static,
+    ) -> Result<Self, instance::InstanceError> {
         let runtime = runtime::Builder::new_multi_thread()
             .thread_name("galenahold")
             .enable_all()
@@ -112,6 +120,9 @@
         let drain = settings.timing.drain();
         let common = CommonParts::new(settings, event_sink, &groups.system);
         let control = common.start_control(&groups.system)?;
+        if let Some(member) = &control.member {
+            watch_fault(member, on_fault, &common.timer, &groups.system);
+        }
         common.start_parts(&groups, &control.desk, faces, events, &readiness);
         info!(
             instance:% = common.card.name,
@@ -256,14 +267,7 @@
             &self.timer,
             system,
         );
-        placement::PlacementDriver::new(
-            &self.settings,
-            self.card.clone(),
-            sync::Arc::clone(&member),
-            self.registry.clone(),
-            self.metrics.clone(),
-        )
-        .start(reports, &self.timer, system);
+        placement::PlacementDriver::start(reports, system);
         Ok(ControlParts {
             desk,
             member: Some(member),
@@ -338,9 +342,10 @@
         client: &peer::ControlClient<control::ControlDesk>,
         members: Vec<name::InstanceName>,
     ) {
-        let sources = match self.settings.relay.is_empty() {
-            true => configuration::WatchSources::Leader(members),
-            false => configuration::WatchSources::Relays(self.settings.relay.clone()),
+        let sources = if self.settings.relay.is_empty() {
+            configuration::WatchSources::Leader(members)
+        } else {
+            configuration::WatchSources::Relays(self.settings.relay.clone())
         };
         configuration::ConfigurationWatcher::new(
             self.holder.clone(),
@@ -489,6 +494,25 @@
     }
 }
 
+/// Calls `on_fault` once the replicated state can no longer follow the log.
+fn watch_fault(
+    member: &sync::Arc<control::ControlGroup>,
+    on_fault: impl Fn() + Send + 'static,
+    timer: &timer::TimerService,
+    system: &task::TaskGroup,
+) {
+    let member = sync::Arc::clone(member);
+    let mut subscription = timer.subscribe(FAULT_PERIOD);
+    system.spawn_until_stop(async move {
+        while subscription.tick().await.is_some() {
+            if member.state().fault().is_some() {
+                on_fault();
+                return;
+            }
+        }
+    });
+}
+
 fn configured_cards(settings: &InstanceSettings) -> Vec<message::InstanceCard> {
     settings
         .peers
--- a/galenahold_instance/src/order/order_desk.rs
+++ b/galenahold_instance/src/order/order_desk.rs
@@ -19,7 +19,7 @@
 const FINISH_WAIT: time::Duration = time::Duration::from_millis(500);
 
 /// How long the end of an attempt is recorded again and again.
-const FINISH_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+const FINISH_TIMEOUT: time::Duration = time::Duration::from_mins(1);
 
 /// Starts and ends attempts of orders in the control group's ledger.
 #[derive(Debug, Clone)]
--- a/galenahold_instance/src/peer/peer_directory.rs
+++ b/galenahold_instance/src/peer/peer_directory.rs
@@ -8,7 +8,7 @@
 use galenahold_wire::message;
 
 /// How long an instance is remembered after it was last heard of, unless the settings name it.
-const FORGET_AFTER: time::Duration = time::Duration::from_secs(120);
+const FORGET_AFTER: time::Duration = time::Duration::from_mins(2);
 
 /// The instances that this one knows of: those that its settings name and those it has heard of.
 #[derive(Debug, Clone)]
--- a/galenahold_instance/src/peer/peer_link.rs
+++ b/galenahold_instance/src/peer/peer_link.rs
@@ -67,17 +67,14 @@
         if state.retry_at.is_some_and(|retry_at| now < retry_at) {
             return Err(peer::CallError::NotDone);
         }
-        match self.connect().await {
-            Some(client) => {
-                state.client = Some(client.clone());
-                state.pause = time::Duration::ZERO;
-                state.retry_at = None;
-                Ok(client)
-            }
-            None => {
-                state.back_off(time::Instant::now());
-                Err(peer::CallError::NotDone)
-            }
+        if let Some(client) = self.connect().await {
+            state.client = Some(client.clone());
+            state.pause = time::Duration::ZERO;
+            state.retry_at = None;
+            Ok(client)
+        } else {
+            state.back_off(time::Instant::now());
+            Err(peer::CallError::NotDone)
         }
     }
 
--- a/galenahold_instance/src/peer/peer_network.rs
+++ b/galenahold_instance/src/peer/peer_network.rs
@@ -57,12 +57,11 @@
         let client = link.client().await?;
         let calling = method(client, peer::PeerLink::context(limit));
         let called = tokio::time::timeout(limit, calling).await;
-        match called {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(_)) | Err(_) => {
-                link.reset().await;
-                Err(peer::CallError::Unknown)
-            }
+        if let Ok(Ok(reply)) = called {
+            Ok(reply)
+        } else {
+            link.reset().await;
+            Err(peer::CallError::Unknown)
         }
     }
 
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -12,7 +12,7 @@
 use crate::registry;
 
 /// How long a silent backend server is kept, so that an older incarnation cannot come back as new.
-const FORGET_AFTER: time::Duration = time::Duration::from_secs(600);
+const FORGET_AFTER: time::Duration = time::Duration::from_mins(10);
 
 /// The backend servers that this instance knows of, by their latest announcements.
 #[derive(Debug, Clone)]
