Prove the whole path with real processes, and mend the planned stop

Cause: SIGTERM ended the instance with a panic: the notice timer was made outside the runtime, so callers' streams were cut. Ruled out: the HTTP library's shutdown. Conclusion: find why founding can take long.

--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -157,7 +157,9 @@
         info!(reason:? = reason; "instance stops");
         if reason == instance::StopReason::Planned {
             self.hand_over();
-            self.runtime.block_on(tokio::time::sleep(self.notice));
+            let notice = self.notice;
+            self.runtime
+                .block_on(async move { tokio::time::sleep(notice).await });
         }
         self.runtime.block_on(self.groups.stop(self.drain));
         if let Some(log) = self.log.take() {
--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -1,6 +1,9 @@
 //! Real instances as child processes, for tests of the product.
 
+mod caller_answer;
 mod fleet_builder;
+mod fleet_caller;
+mod fleet_operator;
 mod instance_addresses;
 mod instance_fleet;
 mod instance_plan;
@@ -10,7 +13,10 @@
 mod product_binary;
 mod settings_merge;
 
+pub use caller_answer::CallerAnswer;
 pub use fleet_builder::FleetBuilder;
+pub use fleet_caller::FleetCaller;
+pub use fleet_operator::FleetOperator;
 pub use instance_addresses::InstanceAddresses;
 pub use instance_fleet::InstanceFleet;
 pub use instance_process::InstanceProcess;
--- a/galenahold_testkit/src/testkit_error.rs
+++ b/galenahold_testkit/src/testkit_error.rs
@@ -113,4 +113,20 @@
         /// The end of its log.
         log: String,
     },
+    /// A call had no whole answer.
+    #[snafu(display("calling {url}: {source}"))]
+    Call {
+        /// Where it went.
+        url: String,
+        /// The cause.
+        source: Box<ureq::Error>,
+    },
+    /// An operator's call was not done.
+    #[snafu(display("the operators' call {path} was not done: {answer}"))]
+    Operator {
+        /// The path.
+        path: String,
+        /// The body of the answer.
+        answer: String,
+    },
 }
