Carry out the placement's decisions at the leader

Cause: demand reached the leader and nothing was loaded. Ruled out: waiting the order time limit at each change of leader (only orders of this very process need it; committed reservations show all others). Change: commits in order, orders with a lease check right before the send, demand with the work of each replica, word of orders that never left. Conclusion: measure cold starts under faults next.

--- a/galenahold_instance/src/control/control_desk.rs
+++ b/galenahold_instance/src/control/control_desk.rs
@@ -9,9 +9,7 @@
 
 use crate::control as group;
 use crate::peer;
-
-/// Demand reports that may wait for the placement; a newer one replaces what is dropped.
-pub(crate) const MAX_QUEUED_DEMAND: usize = 1_024;
+use crate::placement;
 
 /// Answers calls to the leader at an instance of the control group, and at others says who leads.
 #[derive(Debug, Clone)]
@@ -27,8 +25,8 @@
     pub(crate) grants: group::GrantDesk,
     /// Answers operators.
     pub(crate) operators: group::OperatorDesk,
-    /// Takes demand to the placement.
-    pub(crate) demand: mpsc::Sender<message::DemandReport>,
+    /// Takes news to the placement.
+    pub(crate) news: mpsc::UnboundedSender<placement::DriverNews>,
 }
 
 impl std::fmt::Debug for DeskParts {
@@ -93,9 +91,10 @@
         match call {
             message::ControlCall::Grant(call) => parts.grant(term, &call),
             message::ControlCall::Demand(report) => {
-                // A report that finds the queue full is replaced by the next one.
-                let _ = parts.demand.try_send(report);
-                message::ControlReply::DemandTaken
+                parts.tell(placement::DriverNews::Demand(report))
+            }
+            message::ControlCall::NeverLeft { id, fence } => {
+                parts.tell(placement::DriverNews::NeverLeft { id, fence })
             }
             message::ControlCall::Command(command) => parts.command(&command).await,
             message::ControlCall::Operator(call) => parts.operators.answer(call).await,
@@ -126,6 +125,12 @@
         message::ControlReply::Grant(reply)
     }
 
+    fn tell(&self, news: placement::DriverNews) -> message::ControlReply {
+        // The placement ends only with the instance.
+        let _ = self.news.send(news);
+        message::ControlReply::Taken
+    }
+
     async fn command(&self, command: &control::ControlCommand) -> message::ControlReply {
         let allowed = matches!(
             command,
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -1,5 +1,6 @@
 //! This instance's member of the control group.
 
+use std::future;
 use std::time;
 
 use galenahold_consensus::driver;
@@ -90,19 +91,24 @@
     /// # Errors
     ///
     /// Says whether the command may have been committed.
-    pub(crate) async fn command(
+    ///
+    /// The command is proposed by the call itself, so that calls are committed in their order.
+    pub(crate) fn command(
         &self,
         command: &control::ControlCommand,
-    ) -> Result<control::ControlOutcome, group::CommandError> {
+    ) -> impl future::Future<Output = Result<control::ControlOutcome, group::CommandError>> + use<>
+    {
         let (sender, receiver) = oneshot::channel();
         self.handle.propose_with(command.encode(), move |result| {
             // Whoever waited may have gone on.
             let _ = sender.send(result);
         });
-        let answered = tokio::time::timeout(PROPOSE_TIMEOUT, receiver).await;
-        match answered {
-            Ok(Ok(result)) => Ok(result?.outcome),
-            Ok(Err(_)) | Err(_) => Err(group::CommandError::Unknown),
+        async move {
+            let answered = tokio::time::timeout(PROPOSE_TIMEOUT, receiver).await;
+            match answered {
+                Ok(Ok(result)) => Ok(result?.outcome),
+                Ok(Err(_)) | Err(_) => Err(group::CommandError::Unknown),
+            }
         }
     }
 }
--- a/galenahold_instance/src/control/mod.rs
+++ b/galenahold_instance/src/control/mod.rs
@@ -13,7 +13,7 @@
 mod shared_state;
 
 pub(crate) use command_error::CommandError;
-pub(crate) use control_desk::{ControlDesk, DeskParts, MAX_QUEUED_DEMAND};
+pub(crate) use control_desk::{ControlDesk, DeskParts};
 pub(crate) use control_group::ControlGroup;
 pub(crate) use control_machine::ControlMachine;
 pub(crate) use drain_view::drain_list;
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -24,6 +24,7 @@
     queues: collections::HashMap<replica::ReplicaTarget, dispatch::TargetQueue>,
     limits: queue::QueueLimits,
     candidates: Vec<replica::ReplicaCandidate>,
+    work: collections::HashMap<dispatch::WorkKey, u32>,
 }
 
 /// A waiting request and the replica chosen for it.
@@ -52,6 +53,7 @@
             queues: collections::HashMap::new(),
             limits,
             candidates: Vec::new(),
+            work: collections::HashMap::new(),
         }
     }
 
@@ -198,6 +200,19 @@
         if let Some(queue) = self.queues.get_mut(&slot.target) {
             queue.running = queue.running.saturating_sub(1);
         }
+        self.end_work(slot);
+    }
+
+    fn end_work(&mut self, slot: &dispatch::ReplicaSlot) {
+        let Some(key) = dispatch::WorkKey::of(&slot.address.server, &slot.target) else {
+            return;
+        };
+        if let Some(count) = self.work.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.work.remove(&key);
+            }
+        }
     }
 
     /// Drops what has expired: announcements, and requests past their deadline.
@@ -216,28 +231,19 @@
     }
 
     /// Returns the demand for models and adapters, and starts to count arrivals anew.
-    pub(crate) fn take_demand(&mut self, now: time::Instant) -> Vec<message::TargetDemand> {
-        let mut demand = Vec::new();
+    pub(crate) fn take_demand(&mut self, now: time::Instant) -> dispatch::DemandSnapshot {
+        let mut snapshot = dispatch::DemandSnapshot::default();
         for (target, queue) in &mut self.queues {
             let replica::ReplicaTarget::Artifact(artifact) = target else {
                 continue;
             };
-            if queue.is_idle() {
-                continue;
+            let demand = queue.take_demand(artifact, now);
+            if demand.waiting > 0 || demand.arrivals > 0 {
+                snapshot.demands.insert(artifact.clone(), demand);
             }
-            let oldest = queue
-                .waiting_since
-                .map_or(time::Duration::ZERO, |since| now.duration_since(since));
-            demand.push(message::TargetDemand {
-                model: artifact.model.clone(),
-                adapter: artifact.adapter.clone(),
-                oldest_wait_ms: u64::try_from(oldest.as_millis()).unwrap_or(u64::MAX),
-                running: queue.running,
-                arrived: std::mem::take(&mut queue.arrived),
-                waiting: queue.team_demand(),
-            });
         }
-        demand
+        snapshot.work.clone_from(&self.work);
+        snapshot
     }
 
     fn dispatch_one(
@@ -320,6 +326,9 @@
             incarnation: entry.incarnation(),
             socket: entry.address(),
         };
+        if let Some(key) = dispatch::WorkKey::of(&address.server, &request.target) {
+            *self.work.entry(key).or_insert(0) += 1;
+        }
         self.table.begin(replica, request.tokens);
         self.breaker.begin(server, now);
         Some(Dispatched {
--- a/galenahold_instance/src/dispatch/dispatcher.rs
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -109,7 +109,7 @@
     }
 
     /// Returns the demand for models and adapters since the last call.
-    pub(crate) fn take_demand(&self, now: time::Instant) -> Vec<message::TargetDemand> {
+    pub(crate) fn take_demand(&self, now: time::Instant) -> dispatch::DemandSnapshot {
         self.lock().take_demand(now)
     }
 
--- a/galenahold_instance/src/dispatch/mod.rs
+++ b/galenahold_instance/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Waiting requests and the replicas that take them.
 
+mod demand_snapshot;
 mod dispatch_state;
 mod dispatcher;
 mod drain_set;
@@ -8,6 +9,7 @@
 mod target_queue;
 mod wait_ticket;
 
+pub(crate) use demand_snapshot::{DemandSnapshot, WorkKey};
 pub(crate) use dispatch_state::DispatchState;
 pub(crate) use dispatcher::Dispatcher;
 pub(crate) use drain_set::DrainSet;
--- a/galenahold_instance/src/dispatch/target_queue.rs
+++ b/galenahold_instance/src/dispatch/target_queue.rs
@@ -4,8 +4,9 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_domain::placement;
+use galenahold_placement::demand;
 use galenahold_routing::queue;
-use galenahold_wire::message;
 use tokio::sync::oneshot;
 
 use crate::dispatch;
@@ -83,15 +84,29 @@
         }
     }
 
-    /// Returns the waiting requests of each team.
-    pub(crate) fn team_demand(&self) -> Vec<message::TeamDemand> {
-        self.waiting
+    /// Returns the demand for the target, and starts to count arrivals anew.
+    pub(crate) fn take_demand(
+        &mut self,
+        artifact: &placement::ReplicaArtifact,
+        now: time::Instant,
+    ) -> demand::ArtifactDemand {
+        let oldest_wait = self
+            .waiting_since
+            .map_or(time::Duration::ZERO, |since| now.duration_since(since));
+        let teams = self
+            .waiting
             .iter()
-            .map(|(team, waiting)| message::TeamDemand {
+            .map(|(team, waiting)| demand::TeamDemand {
                 team: team.clone(),
                 waiting: *waiting,
-            })
-            .collect()
+            });
+        demand::ArtifactDemand {
+            artifact: artifact.clone(),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            oldest_wait,
+            arrivals: std::mem::take(&mut self.arrived),
+            teams: teams.collect(),
+        }
     }
 
     /// Returns whether there is nothing to tell or keep of the target.
--- a/galenahold_instance/src/instance/demand_reporter.rs
+++ b/galenahold_instance/src/instance/demand_reporter.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use galenahold_placement::demand;
 use galenahold_wire::message;
 
 use crate::dispatch;
@@ -24,8 +25,7 @@
     dispatcher: dispatch::Dispatcher,
     client: peer::ControlClient<Desk>,
     card: message::InstanceCard,
-    sequence: u64,
-    silent: bool,
+    told: dispatch::DemandSnapshot,
 }
 
 impl<Desk: peer::LocalDesk> DemandReporter<Desk> {
@@ -39,8 +39,7 @@
             dispatcher,
             client,
             card,
-            sequence: 0,
-            silent: true,
+            told: dispatch::DemandSnapshot::default(),
         }
     }
 
@@ -71,20 +70,51 @@
             return;
         }
         let now = time::Instant::now();
-        let targets = self.dispatcher.take_demand(now);
-        if targets.is_empty() && self.silent {
+        let snapshot = self.dispatcher.take_demand(now);
+        let report = self.compose(&snapshot);
+        if report.demands.is_empty() && report.work.is_empty() {
             return;
         }
-        self.silent = targets.is_empty();
-        self.sequence += 1;
-        let report = message::DemandReport {
-            card: self.card.clone(),
-            sequence: self.sequence,
-            full: true,
-            targets,
-        };
         let call = message::ControlCall::Demand(report);
-        // A report that does not get through is replaced by the next.
-        let _ = self.client.call(call, now + REPORT_TIMEOUT).await;
+        let reported = self.client.call(call, now + REPORT_TIMEOUT).await;
+        if reported.is_ok() {
+            self.told = snapshot;
+        } else {
+            // What was told before stays to be taken back, and so does what may have been told now.
+            self.told.demands.extend(snapshot.demands);
+            self.told.work.extend(snapshot.work);
+        }
+    }
+
+    /// Reports all that there is, and takes back what there is no more.
+    fn compose(&self, snapshot: &dispatch::DemandSnapshot) -> demand::DemandReport {
+        let ended = self
+            .told
+            .demands
+            .keys()
+            .filter(|artifact| !snapshot.demands.contains_key(*artifact))
+            .map(|artifact| demand::ArtifactDemand {
+                artifact: artifact.clone(),
+                waiting: 0,
+                oldest_wait: time::Duration::ZERO,
+                arrivals: 0,
+                teams: Vec::new(),
+            });
+        let idle = self
+            .told
+            .work
+            .keys()
+            .filter(|key| !snapshot.work.contains_key(*key))
+            .map(|key| key.work(0));
+        let busy = snapshot
+            .work
+            .iter()
+            .map(|(key, in_flight)| key.work(*in_flight));
+        demand::DemandReport {
+            instance: self.card.name.clone(),
+            incarnation: self.card.incarnation,
+            demands: snapshot.demands.values().cloned().chain(ended).collect(),
+            work: busy.chain(idle).collect(),
+        }
     }
 }
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -257,19 +257,19 @@
         let started = control::ControlGroup::start(&self.settings, folder, transport);
         let (member, log) = started.context(instance_error::DataFolderSnafu { folder })?;
         let member = sync::Arc::new(member);
-        let (demand, reports) = mpsc::channel(control::MAX_QUEUED_DEMAND);
+        let (news, inbox) = mpsc::unbounded_channel();
         let desk = control::ControlDesk::member(control::DeskParts {
             member: sync::Arc::clone(&member),
             grants: control::GrantDesk::new(ledger_settings(&self.settings.timing)),
             operators: control::OperatorDesk::new(sync::Arc::clone(&member), self.registry.clone()),
-            demand,
+            news: news.clone(),
         });
         control::LeaderTerm::new(desk.clone(), self.metrics.clone()).start(
             sync::Arc::clone(&member),
             &self.timer,
             system,
         );
-        placement::PlacementDriver::start(reports, system);
+        self.start_placement(&desk, &member, news, inbox, system);
         Ok(ControlParts {
             desk,
             member: Some(member),
@@ -277,6 +277,49 @@
         })
     }
 
+    fn start_placement(
+        &self,
+        desk: &control::ControlDesk,
+        member: &sync::Arc<control::ControlGroup>,
+        news: mpsc::UnboundedSender<placement::DriverNews>,
+        inbox: mpsc::UnboundedReceiver<placement::DriverNews>,
+        system: &task::TaskGroup,
+    ) {
+        let client = backend::BackendClient::new(system.clone(), CONNECT_TIMEOUT);
+        let orders = placement::OrderRunner {
+            client: placement::EngineClient::new(client),
+            member: sync::Arc::clone(member),
+            control: peer::ControlClient::new(
+                self.network.clone(),
+                desk.clone(),
+                self.control_members(),
+            ),
+            registry: self.registry.clone(),
+            time_limit: self.settings.placement.load_timeout(),
+            in_flight: sync::Arc::default(),
+            metrics: self.metrics.clone(),
+            news: news.clone(),
+            group: system.clone(),
+        };
+        let commands = placement::CommandRunner::new(
+            sync::Arc::clone(member),
+            self.card.clone(),
+            news,
+            system.clone(),
+        );
+        placement::PlacementDriver {
+            settings: sync::Arc::new(self.settings.clone()),
+            member: sync::Arc::clone(member),
+            registry: self.registry.clone(),
+            directory: self.network.directory().clone(),
+            commands,
+            orders,
+            metrics: self.metrics.clone(),
+            current: None,
+        }
+        .start(inbox, &self.timer, system);
+    }
+
     fn start_parts(
         &self,
         groups: &TaskGroups,
--- a/galenahold_instance/src/placement/mod.rs
+++ b/galenahold_instance/src/placement/mod.rs
@@ -1,5 +1,17 @@
 //! Carries out the placement's decisions at the leader.
 
+mod command_runner;
+mod engine_client;
+mod engine_order;
+mod engine_term;
+mod order_result;
+mod order_runner;
 mod placement_driver;
 
-pub(crate) use placement_driver::PlacementDriver;
+pub(crate) use command_runner::CommandRunner;
+pub(crate) use engine_client::EngineClient;
+pub(crate) use engine_order::{EngineOrder, OrderAction};
+pub(crate) use engine_term::EngineTerm;
+pub(crate) use order_result::OrderResult;
+pub(crate) use order_runner::OrderRunner;
+pub(crate) use placement_driver::{DriverNews, PlacementDriver};
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -68,6 +68,11 @@
         self.version.subscribe()
     }
 
+    /// Returns the entry of a backend server.
+    pub(crate) fn entry(&self, name: &name::ServerName) -> Option<registry::RegistryEntry> {
+        self.lock().entries.get(name).cloned()
+    }
+
     /// Returns all entries.
     pub(crate) fn entries(&self) -> Vec<registry::RegistryEntry> {
         self.lock().entries.values().cloned().collect()
--- a/galenahold_wire/src/message/control_call.rs
+++ b/galenahold_wire/src/message/control_call.rs
@@ -1,6 +1,9 @@
 //! A call to the control group's leader.
 
+use galenahold_domain::amount;
 use galenahold_domain::control;
+use galenahold_domain::placement;
+use galenahold_placement::demand;
 use galenahold_routing::rate;
 use serde::{Deserialize, Serialize};
 
@@ -13,7 +16,14 @@
     /// Asks for and returns token grants.
     Grant(rate::GrantCall),
     /// Reports demand.
-    Demand(message::DemandReport),
+    Demand(demand::DemandReport),
+    /// Says that an order of an earlier leadership never left and never will.
+    NeverLeft {
+        /// The order.
+        id: placement::ReservationId,
+        /// Its fencing number.
+        fence: amount::FencingNumber,
+    },
     /// Puts a command into the replicated log. Instances only do so for orders.
     Command(control::ControlCommand),
     /// A call of an operator, already authenticated.
--- a/galenahold_wire/src/message/control_reply.rs
+++ b/galenahold_wire/src/message/control_reply.rs
@@ -13,8 +13,8 @@
 pub enum ControlReply {
     /// Token grants.
     Grant(rate::GrantReply),
-    /// The demand report was taken.
-    DemandTaken,
+    /// The report was taken.
+    Taken,
     /// What the replicated state answered to the command.
     Outcome(control::ControlOutcome),
     /// The answer to an operator's call.
--- a/galenahold_wire/tests/rpc/version_skew.rs
+++ b/galenahold_wire/tests/rpc/version_skew.rs
@@ -2,6 +2,7 @@
 
 use std::pin;
 
+use galenahold_domain::amount;
 use galenahold_wire::codec;
 use galenahold_wire::message;
 use serde::{Deserialize, Serialize};
@@ -14,12 +15,9 @@
 }
 
 #[derive(Debug, Serialize)]
-struct OlderDemand {
-    model: &'static str,
-    oldest_wait_ms: u64,
-    running: u32,
-    arrived: u32,
-    waiting: Vec<u8>,
+struct OlderBatch {
+    card: message::InstanceCard,
+    announcements: Vec<u8>,
 }
 
 fn encode<Item: Serialize>(item: &Item) -> bytes::BytesMut {
@@ -43,17 +41,19 @@
 
 #[test]
 fn missing_fields_of_an_older_instance_take_their_defaults() {
-    let encoded = encode(&OlderDemand {
-        model: "m",
-        oldest_wait_ms: 9,
-        running: 1,
-        arrived: 2,
-        waiting: Vec::new(),
+    let encoded = encode(&OlderBatch {
+        card: message::InstanceCard {
+            name: "entry-1".into(),
+            incarnation: amount::IncarnationNumber(1),
+            address: "127.0.0.1:1".parse().expect("an address"),
+            data_centre: "dc-1".into(),
+        },
+        announcements: Vec::new(),
     });
     let mut codec = codec::NamedMessagePack;
-    let demand: message::TargetDemand = pin::Pin::new(&mut codec)
+    let batch: message::SpreadBatch = pin::Pin::new(&mut codec)
         .deserialize(&encoded)
         .expect("decodes");
-    assert_eq!(demand.adapter, None);
-    assert_eq!(demand.arrived, 2);
+    assert!(batch.known.is_empty());
+    assert!(batch.events.is_empty());
 }
