--- a/galenahold/src/client/call_error.rs
+++ b/galenahold/src/client/call_error.rs
@@ -21,15 +21,15 @@
     /// The call was sent and no answer came.
     #[snafu(display(
         "no answer to {path}: it may have been applied ({attempts})\n  {}",
-        repeat_advice(request.as_deref())
+        repeat_advice(repeat_options.as_deref())
     ))]
     OutcomeUnknown {
         /// The path.
         path: &'static str,
         /// What each attempt came to.
         attempts: String,
-        /// The request id, where the call carries one.
-        request: Option<String>,
+        /// The options that repeat the call under its request id, where it carries one.
+        repeat_options: Option<String>,
     },
     /// No operators' face with a leader behind it could be reached.
     #[snafu(display(
@@ -64,11 +64,11 @@
     }
 }
 
-fn repeat_advice(request: Option<&str>) -> String {
-    match request {
-        Some(request) => format!(
-            "repeat the command with --request {request}: it is applied once and answers the same"
-        ),
+fn repeat_advice(repeat_options: Option<&str>) -> String {
+    match repeat_options {
+        Some(options) => {
+            format!("repeat the command with {options}: it is applied once and answers the same")
+        }
         None => String::from("look at the state before you repeat the command"),
     }
 }
--- a/galenahold/src/client/call_history.rs
+++ b/galenahold/src/client/call_history.rs
@@ -35,7 +35,7 @@
             return client::CallError::OutcomeUnknown {
                 path: call.path,
                 attempts,
-                request: call.request.clone(),
+                repeat_options: call.repeat_options.clone(),
             };
         }
         client::CallError::Unreachable {
--- a/galenahold/src/client/operator_call.rs
+++ b/galenahold/src/client/operator_call.rs
@@ -13,8 +13,8 @@
     pub(crate) body: Option<Vec<u8>>,
     /// When the call may be sent again.
     pub(crate) repeat: client::RepeatRule,
-    /// The request id, where the call carries one.
-    pub(crate) request: Option<String>,
+    /// The options that repeat the call under its request id, where it carries one.
+    pub(crate) repeat_options: Option<String>,
 }
 
 impl OperatorCall {
@@ -24,7 +24,7 @@
             path,
             body: None,
             repeat: client::RepeatRule::Read,
-            request: None,
+            repeat_options: None,
         }
     }
 
@@ -41,7 +41,7 @@
             path,
             body: Some(serde_json::to_vec(document)?),
             repeat: client::RepeatRule::NotApplied,
-            request: None,
+            repeat_options: None,
         })
     }
 
@@ -54,12 +54,14 @@
         }
     }
 
-    /// Names the request id that the document carries, under which it may be sent again.
+    /// Marks the call as one that carries a request id, under which it may be sent again.
+    ///
+    /// `repeat_options` are the command's options that repeat it later.
     #[must_use]
-    pub(crate) fn request(self, request: &str) -> Self {
+    pub(crate) fn same_request(self, repeat_options: impl Into<String>) -> Self {
         Self {
             repeat: client::RepeatRule::SameRequest,
-            request: Some(String::from(request)),
+            repeat_options: Some(repeat_options.into()),
             ..self
         }
     }
--- a/galenahold/src/client/operator_client.rs
+++ b/galenahold/src/client/operator_client.rs
@@ -186,7 +186,7 @@
     if document.says_not_applied() && status.is_server_error() || status.as_u16() == STATUS_TOO_MANY
     {
         client::AttemptOutcome::NotApplied(reason)
-    } else if status.is_server_error() {
+    } else if status.is_server_error() && !document.says_refused() {
         client::AttemptOutcome::Lost(reason)
     } else {
         client::AttemptOutcome::Refused(status.as_u16(), Box::new(document))
--- a/galenahold/src/command/burn_command.rs
+++ b/galenahold/src/command/burn_command.rs
@@ -3,12 +3,12 @@
 use std::fs;
 use std::path;
 
-use galenahold_report::BurnReport;
 use snafu::ResultExt;
 
 use crate::client;
 use crate::command;
 use crate::command::command_error;
+use crate::document;
 use crate::output;
 
 const PATH: &str = "/v1/report/burn";
@@ -59,8 +59,9 @@
         options: &command::GlobalOptions,
     ) -> Result<(), command::CommandError> {
         let answer = options.client()?.call(&client::OperatorCall::get(PATH))?;
-        let report: BurnReport = serde_json::from_value(answer)
+        let answer: document::BurnAnswer = serde_json::from_value(answer)
             .context(command_error::AnswerUnexpectedSnafu { path: PATH })?;
+        let report = report_of(answer);
         if let Some(file) = &self.html {
             let page = report
                 .to_html()
@@ -75,3 +76,11 @@
         })
     }
 }
+
+fn report_of(answer: document::BurnAnswer) -> galenahold_report::BurnReport {
+    let mut merged = galenahold_report::BurnSnapshot::default();
+    for snapshot in &answer.snapshots {
+        merged.merge(snapshot);
+    }
+    galenahold_report::BurnReport::from_snapshot(&merged).missing(answer.missing)
+}
--- a/galenahold/src/command/check_command.rs
+++ b/galenahold/src/command/check_command.rs
@@ -2,8 +2,6 @@
 
 use std::path;
 
-use galenahold_settings::InstanceSettings;
-
 use crate::command;
 use crate::command::settings_argument;
 use crate::document;
@@ -37,7 +35,7 @@
         &self,
         options: &command::GlobalOptions,
     ) -> Result<(), command::CommandError> {
-        let settings = InstanceSettings::from_file(&self.settings)?;
+        let settings = galenahold_settings::InstanceSettings::from_file(&self.settings)?;
         let answer = document::CheckAnswer {
             valid: true,
             cluster: settings.cluster.clone(),
--- a/galenahold/src/command/command_error.rs
+++ b/galenahold/src/command/command_error.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::path;
 
-use galenahold_settings::{SettingsError, SettingsProblem};
 use snafu::Snafu;
 
 use crate::client;
@@ -18,7 +17,7 @@
     #[snafu(transparent)]
     Settings {
         /// The problems.
-        source: SettingsError,
+        source: galenahold_settings::SettingsError,
     },
     /// The instance did not run.
     #[snafu(transparent)]
@@ -73,7 +72,7 @@
         /// The file.
         file: path::PathBuf,
         /// What is wrong, and where.
-        problem: Box<SettingsProblem>,
+        problem: Box<galenahold_settings::SettingsProblem>,
     },
     /// A document could not be turned into JSON.
     #[snafu(display("cannot write a document as JSON: {source}"))]
--- a/galenahold/src/command/completions_command.rs
+++ b/galenahold/src/command/completions_command.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::io::Write;
 
-use clap_complete::Shell;
 use snafu::ResultExt;
 
 use crate::command;
@@ -14,7 +13,7 @@
 /// `completions`: prints a script that completes command lines in a shell.
 #[derive(Debug)]
 pub(super) struct CompletionsCommand {
-    shell: Shell,
+    shell: clap_complete::Shell,
 }
 
 impl CompletionsCommand {
@@ -26,14 +25,17 @@
             .arg(
                 clap::Arg::new(SHELL)
                     .required(true)
-                    .value_parser(clap::value_parser!(Shell))
+                    .value_parser(clap::value_parser!(clap_complete::Shell))
                     .help("The shell that is to read the script"),
             )
     }
 
     pub(super) fn from_matches(matches: &clap::ArgMatches) -> Self {
         Self {
-            shell: matches.get_one(SHELL).copied().unwrap_or(Shell::Bash),
+            shell: matches
+                .get_one(SHELL)
+                .copied()
+                .unwrap_or(clap_complete::Shell::Bash),
         }
     }
 
--- a/galenahold/src/command/confirm_command.rs
+++ b/galenahold/src/command/confirm_command.rs
@@ -73,7 +73,7 @@
         };
         let call = client::OperatorCall::post(PATH, &request)
             .context(command_error::DocumentUnwritableSnafu)?
-            .request(&self.request);
+            .same_request(format!("--request {}", self.request));
         let answer = options.client()?.call(&call)?;
         let mut answer: document::ConfirmAnswer = serde_json::from_value(answer)
             .context(command_error::AnswerUnexpectedSnafu { path: PATH })?;
--- a/galenahold/src/command/plan_command.rs
+++ b/galenahold/src/command/plan_command.rs
@@ -1,6 +1,5 @@
 //! `plan`: shows what an intent would change.
 
-use serde_json::Value;
 use snafu::ResultExt;
 
 use crate::client;
@@ -68,7 +67,7 @@
 }
 
 /// Returns a step as one line, whether it came as a text or as a document.
-fn step_line(step: &Value) -> String {
+fn step_line(step: &serde_json::Value) -> String {
     let text = step.as_str().map_or_else(|| step.to_string(), String::from);
     format!("- {}", output::PrintableText(&text))
 }
--- a/galenahold/src/command/serve_command.rs
+++ b/galenahold/src/command/serve_command.rs
@@ -2,8 +2,6 @@
 
 use std::path;
 
-use galenahold_settings::InstanceSettings;
-
 use crate::command;
 use crate::command::settings_argument;
 use crate::serve;
@@ -35,7 +33,7 @@
     }
 
     pub(super) fn run(&self) -> Result<(), command::CommandError> {
-        let settings = InstanceSettings::from_file(&self.settings)?;
+        let settings = galenahold_settings::InstanceSettings::from_file(&self.settings)?;
         serve::run(&settings)?;
         Ok(())
     }
--- a/galenahold/src/command/show_command.rs
+++ b/galenahold/src/command/show_command.rs
@@ -1,7 +1,5 @@
 //! `show`: shows a part of the state.
 
-use serde_json::Value;
-
 use crate::client;
 use crate::command;
 use crate::output;
@@ -50,9 +48,9 @@
         options.print(&answer, |answer| self.people_text(answer))
     }
 
-    fn people_text(&self, answer: &Value) -> String {
+    fn people_text(&self, answer: &serde_json::Value) -> String {
         if self.what == INTENT {
-            format!("{answer:#}")
+            format!("{:#}", answer.get(INTENT).unwrap_or(answer))
         } else {
             output::ValueText(answer).to_string()
         }
--- a/galenahold/src/document/refusal_body.rs
+++ b/galenahold/src/document/refusal_body.rs
@@ -3,6 +3,8 @@
 use galenahold_domain::verdict;
 use serde::Deserialize;
 
+use crate::document;
+
 /// The kind, message and verdict of an error.
 #[derive(Debug, Deserialize)]
 pub(crate) struct RefusalBody {
@@ -15,4 +17,7 @@
     /// Whether the request may have run.
     #[serde(default)]
     pub(crate) verdict: Option<verdict::RequestVerdict>,
+    /// What belongs to the kind: the conflict, or the reasons.
+    #[serde(default)]
+    pub(crate) details: Option<document::RefusalDetails>,
 }
--- a/galenahold/src/serve/serve_run.rs
+++ b/galenahold/src/serve/serve_run.rs
@@ -1,7 +1,5 @@
 //! Starts the instance, waits for the signal to stop and stops it.
 
-use galenahold_settings::InstanceSettings;
-
 use crate::serve;
 
 /// Starts an instance, waits for SIGTERM or SIGINT and stops it in order.
@@ -9,19 +7,22 @@
 /// # Errors
 ///
 /// Fails where the instance cannot start, and where it could not stop in order.
-pub(crate) fn run(settings: &InstanceSettings) -> Result<(), serve::ServeError> {
-    let mut stop = serve::StopSignal::subscribe()?;
+pub(crate) fn run(
+    settings: &galenahold_settings::InstanceSettings,
+) -> Result<(), serve::ServeError> {
+    let stop = serve::StopSignal::subscribe()?;
     log::info!(
         cluster = settings.cluster.as_str(),
         instance = settings.instance.name.as_str();
         "settings are valid"
     );
     start(settings)?;
-    stop.wait();
+    let signalled = stop.wait_while(|| true);
+    log::info!(signalled; "instance is to stop");
     Ok(())
 }
 
 /// Starts the instance.
-fn start(_settings: &InstanceSettings) -> Result<(), serve::ServeError> {
+fn start(_settings: &galenahold_settings::InstanceSettings) -> Result<(), serve::ServeError> {
     Err(serve::ServeError::NoRuntime)
 }
--- a/galenahold/src/serve/stop_signal.rs
+++ b/galenahold/src/serve/stop_signal.rs
@@ -1,16 +1,23 @@
 //! The signal that asks the process to stop.
 
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
 use signal_hook::consts;
-use signal_hook::iterator;
+use signal_hook::flag;
 use snafu::ResultExt;
 
 use crate::serve;
-use crate::serve::serve_error::SignalsSnafu;
+use crate::serve::serve_error;
+
+const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
 /// The signal that asks the process to stop: SIGTERM or SIGINT.
 #[derive(Debug)]
 pub(crate) struct StopSignal {
-    signals: iterator::Signals,
+    received: sync::Arc<atomic::AtomicBool>,
 }
 
 impl StopSignal {
@@ -20,15 +27,22 @@
     ///
     /// Fails where the system refuses the subscription.
     pub(crate) fn subscribe() -> Result<Self, serve::ServeError> {
-        let signals =
-            iterator::Signals::new([consts::SIGTERM, consts::SIGINT]).context(SignalsSnafu)?;
-        Ok(Self { signals })
+        let received = sync::Arc::<atomic::AtomicBool>::default();
+        for signal in [consts::SIGTERM, consts::SIGINT] {
+            flag::register(signal, sync::Arc::clone(&received))
+                .context(serve_error::SignalsSnafu)?;
+        }
+        Ok(Self { received })
     }
 
-    /// Waits for the first signal.
-    pub(crate) fn wait(&mut self) {
-        if let Some(signal) = self.signals.forever().next() {
-            log::info!(signal; "stopping on a signal");
+    /// Waits for the first signal, or until `healthy` is false; returns whether a signal came.
+    pub(crate) fn wait_while(&self, healthy: impl Fn() -> bool) -> bool {
+        while healthy() {
+            if self.received.load(atomic::Ordering::SeqCst) {
+                return true;
+            }
+            thread::sleep(POLL_INTERVAL);
         }
+        false
     }
 }
--- a/galenahold/tests/command_line/refusals.rs
+++ b/galenahold/tests/command_line/refusals.rs
@@ -13,7 +13,8 @@
 
 #[test]
 fn conflict_names_who_changed_what() {
-    let conflict = r#"{"conflict": {"base": 4, "current": 5, "operator": "juma", "summary": ["add team a\u001b[2J"]}}"#;
+    let conflict = r#"{"error": {"kind": "conflict", "message": "moved on", "details":
+        {"base": 4, "current": 5, "operator": "juma", "summary": ["add team a\u001b[2J"]}}}"#;
     let face = ScriptedFace::new(&[FaceStep::Answer(409, conflict)]);
     let run = CommandRun::operator(&[&face], CONFIRM);
     assert_eq!(run.exit, 3);
@@ -30,7 +31,8 @@
 
 #[test]
 fn reasons_of_an_intent_that_is_not_valid_come_as_json_too() {
-    let reasons = r#"{"reasons": ["services[0].models[0]: no such model"]}"#;
+    let reasons = r#"{"error": {"kind": "invalid", "message": "not valid", "details":
+        {"reasons": ["services[0].models[0]: no such model"]}}}"#;
     let face = ScriptedFace::new(&[FaceStep::Answer(422, reasons)]);
     let run = CommandRun::operator(
         &[&face],
@@ -38,10 +40,20 @@
     );
     assert_eq!(run.exit, 3);
     expect![[r#"
-        {"error":{"kind":"not_valid","message":"/v1/plans was refused with status 422\n  services[0].models[0]: no such model","exit":3}}
+        {"error":{"kind":"invalid","message":"/v1/plans was refused with status 422\n  services[0].models[0]: no such model","exit":3}}
     "#]].assert_eq(&run.stderr);
 }
 
+#[test]
+fn refusal_of_the_control_group_is_final_and_changed_nothing() {
+    let refused = r#"{"error": {"kind": "refused", "message": "c4 has not caught up"}}"#;
+    let face = ScriptedFace::new(&[FaceStep::Answer(503, refused)]);
+    let run = CommandRun::operator(&[&face], &["members", "promote", "c4"]);
+    assert_eq!(run.exit, 3);
+    assert!(run.stderr.contains("c4 has not caught up"));
+    assert_eq!(face.requests().len(), 1);
+}
+
 #[test]
 fn intent_file_that_is_not_valid_is_not_sent() {
     let folder = tempfile::tempdir().unwrap();
--- a/galenahold_report/src/plot/result_plot.rs
+++ b/galenahold_report/src/plot/result_plot.rs
@@ -2,11 +2,9 @@
 
 use std::io;
 
-use plotters::coord::types::RangedCoordf64;
-use plotters::prelude::{
-    Cartesian2d, ChartBuilder, ChartContext, Color, DrawingAreaErrorKind, IntoDrawingArea,
-    LineSeries, PathElement, RGBColor, SVGBackend, Text, WHITE,
-};
+use plotters::coord;
+use plotters::prelude;
+use plotters::prelude::{Color, IntoDrawingArea};
 
 use crate::error;
 use crate::plot;
@@ -22,23 +20,39 @@
 const SAMPLE_LENGTH_PX: i32 = 18;
 /// Room above the highest point.
 const HEADROOM: f64 = 1.1;
-const LEGEND_OPACITY: f64 = 0.8;
+const POINT_RADIUS_PX: u32 = 1;
+const LEGEND_WIDTH_PX: u32 = 130;
+const LEGEND_TOP_PX: i32 = 44;
+const LEGEND_LINE_PX: i32 = 18;
+/// Puts a legend's sample level with the middle of its name.
+const LEGEND_SAMPLE_DROP_PX: i32 = 6;
+const LEGEND_GAP_PX: i32 = 6;
+/// Puts a reference line's name just above the line.
+const REFERENCE_NAME_OFFSET_PX: (i32, i32) = (4, -15);
 const MIN_HEIGHT: f64 = 1e-9;
-const REFERENCE_COLOR: RGBColor = RGBColor(90, 90, 90);
+const REFERENCE_COLOR: prelude::RGBColor = prelude::RGBColor(90, 90, 90);
 /// Colours that people who see few of them tell apart (Okabe and Ito, 2008).
-const SERIES_COLORS: [RGBColor; 7] = [
-    RGBColor(0, 114, 178),
-    RGBColor(213, 94, 0),
-    RGBColor(0, 158, 115),
-    RGBColor(204, 121, 167),
-    RGBColor(230, 159, 0),
-    RGBColor(86, 180, 233),
-    RGBColor(0, 0, 0),
+const SERIES_COLORS: [prelude::RGBColor; 7] = [
+    prelude::RGBColor(0, 114, 178),
+    prelude::RGBColor(213, 94, 0),
+    prelude::RGBColor(0, 158, 115),
+    prelude::RGBColor(204, 121, 167),
+    prelude::RGBColor(230, 159, 0),
+    prelude::RGBColor(86, 180, 233),
+    prelude::RGBColor(0, 0, 0),
 ];
 
-type DrawingError = DrawingAreaErrorKind<io::Error>;
-type PlotAxes = Cartesian2d<RangedCoordf64, RangedCoordf64>;
-type PlotChart<'a> = ChartContext<'a, SVGBackend<'a>, PlotAxes>;
+type DrawingError = prelude::DrawingAreaErrorKind<io::Error>;
+type PlotArea<'a> = prelude::DrawingArea<prelude::SVGBackend<'a>, coord::Shift>;
+type PlotAxes = prelude::Cartesian2d<coord::types::RangedCoordf64, coord::types::RangedCoordf64>;
+type PlotChart<'a> = prelude::ChartContext<'a, prelude::SVGBackend<'a>, PlotAxes>;
+
+/// Returns an axis number without digits that say nothing.
+fn number_text(number: f64) -> String {
+    let text = format!("{number:.3}");
+    let text = text.trim_end_matches('0').trim_end_matches('.');
+    String::from(text)
+}
 
 /// A plot of a few lines over one axis, drawn as an SVG text.
 ///
@@ -162,10 +176,11 @@
 
     fn draw(&self, svg: &mut String) -> Result<(), DrawingError> {
         let size = (self.width_px, self.height_px);
-        let area = SVGBackend::with_string(svg, size).into_drawing_area();
-        area.fill(&WHITE)?;
+        let area = prelude::SVGBackend::with_string(svg, size).into_drawing_area();
+        area.fill(&prelude::WHITE)?;
+        let (area, legend) = area.split_horizontally(self.width_px - LEGEND_WIDTH_PX);
         let (left, right) = self.x_range();
-        let mut chart = ChartBuilder::on(&area)
+        let mut chart = prelude::ChartBuilder::on(&area)
             .caption(&self.title, TITLE_FONT)
             .margin(MARGIN_PX)
             .x_label_area_size(X_LABEL_AREA_PX)
@@ -174,6 +189,7 @@
         self.draw_axes(&mut chart)?;
         self.draw_reference_lines(&mut chart)?;
         self.draw_series(&mut chart)?;
+        self.draw_legend(&legend)?;
         area.present()
     }
 
@@ -181,9 +197,11 @@
         chart
             .configure_mesh()
             .disable_x_mesh()
-            .light_line_style(WHITE)
+            .light_line_style(prelude::WHITE)
             .x_desc(&self.x_label)
             .y_desc(&self.y_label)
+            .x_label_formatter(&|number| number_text(*number))
+            .y_label_formatter(&|number| number_text(*number))
             .label_style(LABEL_FONT)
             .axis_desc_style(LABEL_FONT)
             .draw()
@@ -197,10 +215,10 @@
                 continue;
             }
             let ends = [(left, line.level), (right, line.level)];
-            let path = PathElement::new(ends, REFERENCE_COLOR.stroke_width(1));
-            let name = Text::new(line.name.clone(), (left, line.level), LABEL_FONT);
+            let path = prelude::PathElement::new(ends, REFERENCE_COLOR.stroke_width(1));
+            let name = prelude::Text::new(line.name.clone(), REFERENCE_NAME_OFFSET_PX, LABEL_FONT);
             chart.draw_series([path])?;
-            chart.draw_series([name])?;
+            chart.draw_series([prelude::EmptyElement::at((left, line.level)) + name])?;
         }
         Ok(())
     }
@@ -209,20 +227,27 @@
         for (series, color) in self.series.iter().zip(SERIES_COLORS.iter().cycle()) {
             let points = series.points.iter().map(|point| (point.x, point.y));
             let style = color.stroke_width(LINE_WIDTH_PX);
-            chart
-                .draw_series(LineSeries::new(points, style).point_size(LINE_WIDTH_PX))?
-                .label(&series.name)
-                .legend(move |(x, y)| PathElement::new([(x, y), (x + SAMPLE_LENGTH_PX, y)], style));
+            let line = prelude::LineSeries::new(points, style).point_size(POINT_RADIUS_PX);
+            chart.draw_series(line)?;
         }
-        if self.series.is_empty() {
-            return Ok(());
+        Ok(())
+    }
+
+    /// Draws the names of the lines beside the plot, so that they cover no point.
+    fn draw_legend(&self, area: &PlotArea<'_>) -> Result<(), DrawingError> {
+        let colors = SERIES_COLORS.iter().cycle();
+        let mut top = LEGEND_TOP_PX;
+        for (series, color) in self.series.iter().zip(colors) {
+            let middle = top + LEGEND_SAMPLE_DROP_PX;
+            let sample = [(0, middle), (SAMPLE_LENGTH_PX, middle)];
+            let style = color.stroke_width(LINE_WIDTH_PX);
+            area.draw(&prelude::PathElement::new(sample, style))?;
+            let name = series.name.as_str();
+            let place = (SAMPLE_LENGTH_PX + LEGEND_GAP_PX, top);
+            area.draw(&prelude::Text::new(name, place, LABEL_FONT))?;
+            top += LEGEND_LINE_PX;
         }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE.mix(LEGEND_OPACITY))
-            .border_style(REFERENCE_COLOR)
-            .label_font(LABEL_FONT)
-            .draw()
+        Ok(())
     }
 
     fn points(&self) -> impl Iterator<Item = &plot::PlotPoint> {
--- a/galenahold_report/src/report/burn_page.rs
+++ b/galenahold_report/src/report/burn_page.rs
@@ -12,7 +12,7 @@
 use crate::snapshot;
 
 const SECONDS_PER_MINUTE: f64 = 60.0;
-const PLOT_WIDTH_PX: u32 = 560;
+const PLOT_WIDTH_PX: u32 = 580;
 const PLOT_HEIGHT_PX: u32 = 300;
 
 const STYLE: &str = "\
@@ -42,10 +42,10 @@
         Ok(format!(
             "<!DOCTYPE html>\n<html lang=\"en\">\n<head>\n<meta charset=\"utf-8\">\n\
              <title>Service-level burn</title>\n<style>{STYLE}</style>\n</head>\n<body>\n\
-             <h1>Service-level burn</h1>\n<p>Counted by {}. A burn rate of 1 uses up the error budget \
+             <h1>Service-level burn</h1>\n<p>{} A burn rate of 1 uses up the error budget \
              just in its period. Fast burn: at least {} over 1 h and 5 min, or {} over 6 h and 1 h. \
              Slow burn: at least {} over 3 d and 6 h.</p>\n{}{}{plots}</body>\n</html>\n",
-            escaped(&self.instances()),
+            escaped(&self.report.coverage()),
             report::BurnStatus::FAST_RATE,
             report::BurnStatus::MEDIUM_RATE,
             report::BurnStatus::SLOW_RATE,
@@ -54,11 +54,6 @@
         ))
     }
 
-    fn instances(self) -> String {
-        let names: Vec<_> = self.report.instances.iter().map(|name| &**name).collect();
-        names.join(", ")
-    }
-
     fn burn_table(self) -> String {
         let mut html = String::from(
             "<h2>Burn rates</h2>\n<table>\n<tr><th>service<th>team<th>objective\
--- a/galenahold_report/src/report/burn_row.rs
+++ b/galenahold_report/src/report/burn_row.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Returns the highest burn rate of the row's budgets over the last hour.
+    #[must_use]
+    pub fn hour_rate(&self) -> f64 {
+        let windows = self.objectives.iter().flat_map(|burn| &burn.windows);
+        windows
+            .filter(|burn| burn.window == count::BurnWindow::OneHour)
+            .map(|burn| burn.burn_rate)
+            .fold(0.0, f64::max)
+    }
+
     /// Returns the worst status of the row's budgets.
     #[must_use]
     pub fn status(&self) -> report::BurnStatus {
--- a/galenahold_report/src/report/burn_table.rs
+++ b/galenahold_report/src/report/burn_table.rs
@@ -46,12 +46,7 @@
 
 impl fmt::Display for BurnTable<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let instances: Vec<_> = self.report.instances.iter().map(|name| &**name).collect();
-        writeln!(
-            formatter,
-            "Service-level burn over {}",
-            instances.join(", ")
-        )?;
+        writeln!(formatter, "Service-level burn. {}", self.report.coverage())?;
         writeln!(
             formatter,
             "A burn rate of 1 uses up the error budget just in its period.\n"
--- a/galenahold_report/tests/burn/printing.rs
+++ b/galenahold_report/tests/burn/printing.rs
@@ -21,7 +21,7 @@
 fn table_puts_the_worst_first() {
     let report = sample().report(time::Duration::from_secs(61));
     expect![[r#"
-        Service-level burn over e1
+        Service-level burn. Counted by e1.
         A burn rate of 1 uses up the error budget just in its period.
 
         service  team          objective       5 min    1 h    6 h    3 d  budget left  status
