--- a/galenahold/tests/command_line/answers.rs
+++ b/galenahold/tests/command_line/answers.rs
@@ -70,7 +70,8 @@
     expect![[r#"
         id  team
         k1  a
-    "#]].assert_eq(&run(answer, &["keys", "list"]).stdout);
+    "#]]
+    .assert_eq(&run(answer, &["keys", "list"]).stdout);
 }
 
 #[test]
