--- a/galenahold/src/serve/stop_signal.rs
+++ b/galenahold/src/serve/stop_signal.rs
@@ -1,23 +1,16 @@
 //! The signal that asks the process to stop.
 
-use std::sync;
-use std::sync::atomic;
-use std::thread;
-use std::time;
-
 use signal_hook::consts;
-use signal_hook::flag;
+use signal_hook::iterator;
 use snafu::ResultExt;
 
 use crate::serve;
-use crate::serve::serve_error;
-
-const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+use crate::serve::serve_error::SignalsSnafu;
 
 /// The signal that asks the process to stop: SIGTERM or SIGINT.
 #[derive(Debug)]
 pub(crate) struct StopSignal {
-    received: sync::Arc<atomic::AtomicBool>,
+    signals: iterator::Signals,
 }
 
 impl StopSignal {
@@ -27,22 +20,20 @@
     ///
     /// Fails where the system refuses the subscription.
     pub(crate) fn subscribe() -> Result<Self, serve::ServeError> {
-        let received = sync::Arc::<atomic::AtomicBool>::default();
-        for signal in [consts::SIGTERM, consts::SIGINT] {
-            flag::register(signal, sync::Arc::clone(&received))
-                .context(serve_error::SignalsSnafu)?;
-        }
-        Ok(Self { received })
+        let signals =
+            iterator::Signals::new([consts::SIGTERM, consts::SIGINT]).context(SignalsSnafu)?;
+        Ok(Self { signals })
+    }
+
+    /// Returns what ends the wait without a signal.
+    pub(crate) fn waker(&self) -> serve::StopWaker {
+        serve::StopWaker::new(self.signals.handle())
     }
 
-    /// Waits for the first signal, or until `healthy` is false; returns whether a signal came.
-    pub(crate) fn wait_while(&self, healthy: impl Fn() -> bool) -> bool {
-        while healthy() {
-            if self.received.load(atomic::Ordering::SeqCst) {
-                return true;
-            }
-            thread::sleep(POLL_INTERVAL);
+    /// Waits for the first signal, or until it is woken.
+    pub(crate) fn wait(&mut self) {
+        if let Some(signal) = self.signals.forever().next() {
+            log::info!(signal; "stopping on a signal");
         }
-        false
     }
 }
