Test refunds and restarts against variants that broke the bound

Cause: three broken variants passed the tests: a restarted holder's open grants forgotten, the history of peaks not raised by a refund, refunds of written-off tokens credited.

--- a/galenahold_routing/tests/rate/grant_ledger.rs
+++ b/galenahold_routing/tests/rate/grant_ledger.rs
@@ -107,3 +107,18 @@
     assert_eq!(ledger.grant(&call, full_at).grants.len(), 1);
     assert!(ledger.grant(&call, full_at).grants.is_empty());
 }
+
+#[test]
+fn restarted_holder_frees_nothing_that_its_earlier_incarnation_may_still_spend() {
+    let now = time::Instant::now();
+    let mut ledger = new_ledger(now);
+    let blue = team(1_000, 1_000);
+    ledger.set_teams(std::slice::from_ref(&blue), now);
+    let full_at = now + 10 * SECOND;
+    ledger.grant(&call("entry-1", 1, 1_000), full_at);
+    let mut restarted = call("entry-1", 1, 1_000);
+    restarted.incarnation = amount::IncarnationNumber(2);
+    let reply = ledger.grant(&restarted, full_at + SECOND);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount::ZERO);
+    assert_eq!(ledger.outstanding(&blue.name), amount::TokenCount(1_000));
+}
--- a/galenahold_routing/tests/rate/token_wallet.rs
+++ b/galenahold_routing/tests/rate/token_wallet.rs
@@ -60,6 +60,21 @@
         self.charge(tokens).expect("control gave the tokens")
     }
 
+    /// Lets time go on with the calls that are due.
+    fn idle(&mut self, duration: time::Duration) {
+        let until = self.now + duration;
+        while self.now < until {
+            self.now += time::Duration::from_millis(50);
+            if self
+                .wallet
+                .call_at(self.now)
+                .is_some_and(|at| at <= self.now)
+            {
+                self.exchange();
+            }
+        }
+    }
+
     fn sum(&mut self) -> u64 {
         self.ledger.level(&self.team, self.now).0 + self.ledger.outstanding(&self.team).0
     }
@@ -188,3 +203,48 @@
     let level = pair.ledger.level(&pair.team, pair.now);
     assert_eq!(level, amount::TokenCount(1_000));
 }
+
+#[test]
+fn two_refunds_together_give_back_no_more_than_a_full_bucket_could_hold() {
+    let mut pair = Pair::with_full_bucket();
+    let mut first = pair.charge_after_asking(300);
+    assert!(pair.wallet.still_valid(&mut first, pair.now));
+    let mut second = pair.charge_after_asking(300);
+    assert!(pair.wallet.still_valid(&mut second, pair.now));
+    pair.idle(2 * SECOND);
+    assert_eq!(pair.sum(), 400 + 200);
+    let mut third = pair.charge_after_asking(500);
+    assert!(pair.wallet.still_valid(&mut third, pair.now));
+    pair.wallet
+        .settle(first, amount::TokenCount::ZERO, pair.now);
+    pair.wallet
+        .settle(second, amount::TokenCount::ZERO, pair.now);
+    pair.idle(2 * SECOND);
+    let exact = 1_000 - 500 + 200;
+    let refilled_in_a_call_interval = 10;
+    let sum = pair.sum();
+    assert!(
+        (exact - refilled_in_a_call_interval..=exact).contains(&sum),
+        "{sum}"
+    );
+}
+
+#[test]
+fn refund_of_tokens_that_were_written_off_raises_no_level() {
+    let mut pair = Pair::with_full_bucket();
+    let mut receipt = pair.charge_after_asking(1_000);
+    assert!(pair.wallet.still_valid(&mut receipt, pair.now));
+    let stated = pair
+        .wallet
+        .call(pair.now + SECOND)
+        .expect("a grant is open");
+    pair.wallet.call_failed(stated.number);
+    pair.now += 3 * SECOND;
+    pair.exchange();
+    let before = pair.sum();
+    pair.wallet
+        .settle(receipt, amount::TokenCount::ZERO, pair.now);
+    pair.now += SECOND;
+    pair.exchange();
+    assert_eq!(pair.sum(), before + 100);
+}
