Prove the node by a model and the data folder by damage

Cause: the promises of the log rest on the node and the data folder; both need tests that can fail.

Found and mended by them: - a lone voter's lease had no end, so it outlived the second voter's election; - a member that an uncommitted change removes must still stand for election, otherwise a group could stay without a leader for ever; - a change of members can shorten a lease that was already handed out, and a handover then asked the target to stand too early.

--- a/galenahold_consensus/src/core/election.rs
+++ b/galenahold_consensus/src/core/election.rs
@@ -16,7 +16,7 @@
         }
         let shortest = self.settings.election_timeout / Self::TRIAL_RETRY_DIVISOR;
         self.election_at = now + self.jitter.spread(shortest);
-        if self.membership.current().is_voter(self.own_id()) {
+        if self.may_stand() {
             self.leader = None;
             self.seek_votes(message::VoteKind::Trial, now);
         }
@@ -134,9 +134,22 @@
         }
     }
 
+    /// Tells whether this member may ask for votes.
+    ///
+    /// One that an uncommitted change removes may: it can be the only one that holds the change.
+    fn may_stand(&self) -> bool {
+        let own_id = self.own_id();
+        let settled = self.membership.at(self.commit);
+        self.membership.current().is_voter(own_id) || settled.is_voter(own_id)
+    }
+
     fn seek_votes(&mut self, kind: message::VoteKind, now: core::MonotonicTime) {
         let term = self.hard_state.term.next();
-        let votes = collections::BTreeSet::from([self.own_id()]);
+        let mut votes = collections::BTreeSet::new();
+        if self.membership.current().is_voter(self.own_id()) {
+            votes.insert(self.own_id());
+        }
+        let alone = votes.len() >= self.membership.current().quorum();
         if kind == message::VoteKind::Trial {
             self.role = core::RoleState::TrialCandidate(votes);
         } else {
@@ -148,7 +161,7 @@
             });
             self.election_at = now + self.jitter.spread(self.settings.election_timeout);
         }
-        if self.membership.current().quorum() == 1 {
+        if alone {
             self.win_alone(kind, now);
             return;
         }
--- a/galenahold_consensus/src/core/leader_state.rs
+++ b/galenahold_consensus/src/core/leader_state.rs
@@ -16,6 +16,8 @@
     pub(super) heartbeat_at: core::MonotonicTime,
     pub(super) pending_reads: Vec<PendingRead>,
     pub(super) transfer: Option<core::TransferState>,
+    /// Latest end of a lease that an earlier membership of the term gave.
+    pub(super) granted_until: core::MonotonicTime,
 }
 
 /// A read that waits for a round of heartbeats.
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -30,7 +30,7 @@
 
     /// Asks for a linearizable read; the answer comes in an output.
     pub fn read(&mut self, ticket: core::ReadTicket, now: core::MonotonicTime) {
-        let ready = self.leads_ready() && self.lease_until().is_some_and(|until| now < until);
+        let ready = self.leads_ready() && self.lease_until(now).is_some_and(|until| now < until);
         if ready {
             let index = self.commit;
             let verdict = core::ReadVerdict::Ready { ticket, index };
@@ -73,6 +73,7 @@
         }
         let changed = self.membership.current().changed(change);
         let list = changed.ok_or(core::ChangeRefusal::Inapplicable)?;
+        self.keep_granted_lease(now);
         let position = self.append(log::EntryPayload::Membership(list));
         self.align_progress(now);
         Ok(position)
@@ -89,18 +90,19 @@
         now: core::MonotonicTime,
     ) -> bool {
         let known = target != self.own_id() && self.membership.current().is_voter(target);
-        let lease_until = self.lease_until().unwrap_or(now).max(now);
-        let deadline = lease_until + self.settings.election_timeout;
+        self.keep_granted_lease(now);
+        let election_timeout = self.settings.election_timeout;
         let Some(state) = self.leader_state_mut() else {
             return false;
         };
         if !known || state.transfer.is_some() {
             return false;
         }
+        let lease_until = state.granted_until.max(now);
         state.transfer = Some(core::TransferState {
             target,
             lease_until,
-            deadline,
+            deadline: lease_until + election_timeout,
             asked: false,
         });
         self.refuse_reads();
@@ -111,15 +113,14 @@
     ///
     /// None if it does not lead, or no quorum has answered yet.
     #[must_use]
-    pub fn lease_until(&self) -> Option<core::MonotonicTime> {
+    pub fn lease_until(&self, now: core::MonotonicTime) -> Option<core::MonotonicTime> {
         let state = self.leader_state()?;
         if let Some(transfer) = state.transfer {
             return Some(transfer.lease_until);
         }
-        let endless = core::MonotonicTime::from_nanos(u64::MAX);
         let start = state.quorum_value(
             self.membership.current(),
-            (self.own_id(), endless),
+            (self.own_id(), now),
             |progress| progress.echoed.map(|probe| probe.sent_at),
         )?;
         Some(start + self.settings.lease_duration())
@@ -151,6 +152,7 @@
             heartbeat_at: now,
             pending_reads: Vec::new(),
             transfer: None,
+            granted_until: now,
         }));
         self.leader = Some(self.own_id());
         self.align_progress(now);
@@ -282,6 +284,14 @@
         position
     }
 
+    /// Remembers the lease of the present membership; that of the next one may end earlier.
+    fn keep_granted_lease(&mut self, now: core::MonotonicTime) {
+        let granted = self.lease_until(now);
+        if let (Some(state), Some(granted)) = (self.leader_state_mut(), granted) {
+            state.granted_until = state.granted_until.max(granted);
+        }
+    }
+
     fn check_caught_up(&self, id: member::MemberId) -> Result<(), core::ChangeRefusal> {
         let progress = self.progress(id);
         let progress = progress.ok_or(core::ChangeRefusal::Inapplicable)?;
--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -197,7 +197,8 @@
             return;
         }
         let now = self.clock.now();
-        let lease = self.node.as_ref().and_then(core::RaftNode::lease_until);
+        let node = self.node.as_ref();
+        let lease = node.and_then(|node| node.lease_until(now));
         let leased = lease.is_some_and(|until| now < until);
         for entry in committed {
             let position = entry.position;
@@ -473,7 +474,8 @@
 
     fn publish_lease(&self) {
         let node = self.node.as_ref().filter(|node| node.leads_ready());
-        let lease = node.and_then(core::RaftNode::lease_until);
+        let now = self.clock.now();
+        let lease = node.and_then(|node| node.lease_until(now));
         self.view.set_lease(lease);
     }
 
--- /dev/null
+++ b/galenahold_consensus/tests/model/promises.rs
@@ -0,0 +1,70 @@
+//! Runs of the model.
+
+use std::cell;
+use std::env;
+
+use proptest::prelude::*;
+use proptest::test_runner;
+
+use crate::model_group;
+use crate::model_step;
+
+/// Equal runs give equal verdicts, unless the environment names a seed of its own.
+fn config() -> test_runner::Config {
+    const SEED: u64 = 20_261_204;
+    const CASES: u32 = 192;
+    let mut config = test_runner::Config {
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    };
+    if env::var_os("PROPTEST_RNG_SEED").is_none() {
+        config.rng_seed = test_runner::RngSeed::Fixed(SEED);
+    }
+    if env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = CASES;
+    }
+    config
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn promises_hold_under_faults(steps in model_step::steps()) {
+        let mut group = model_group::ModelGroup::new();
+        for step in &steps {
+            group.step(step);
+        }
+    }
+
+    #[test]
+    fn group_recovers_once_faults_are_over(steps in model_step::steps()) {
+        let mut group = model_group::ModelGroup::new();
+        for step in &steps {
+            group.step(step);
+        }
+        prop_assert!(group.recovers());
+    }
+}
+
+#[test]
+fn model_reaches_elections_leases_and_commits() {
+    let mut runner = test_runner::TestRunner::new(config());
+    let elections = cell::Cell::new(0);
+    let leases = cell::Cell::new(0);
+    let commits = cell::Cell::new(0);
+    runner
+        .run(&model_step::steps(), |steps| {
+            let mut group = model_group::ModelGroup::new();
+            for step in &steps {
+                group.step(step);
+            }
+            elections.set(elections.get() + group.ledger.elections);
+            leases.set(leases.get() + group.ledger.leases);
+            commits.set(commits.get() + group.ledger.highest_committed().get());
+            Ok(())
+        })
+        .expect("promises hold");
+    println!("elections {elections:?}, steps with a lease {leases:?}, commits {commits:?}");
+    assert!(elections.get() > 0 && leases.get() > 0 && commits.get() > 0);
+}
--- /dev/null
+++ b/galenahold_consensus/tests/storage/damage.rs
@@ -0,0 +1,126 @@
+//! Torn tails are cut; damage in durable places stops the start with its place.
+
+use std::fs;
+use std::path;
+
+use galenahold_consensus::storage;
+
+use crate::store_folder;
+
+#[test]
+fn tail_torn_at_any_byte_leaves_a_prefix_of_whole_entries() {
+    let folder = store_folder::StoreFolder::new();
+    let mut store = folder.open().expect("create").store;
+    for index in 1..=3 {
+        let output = store_folder::output(vec![store_folder::entry(index)]);
+        store.persist(&output).expect("persist");
+    }
+    let batch = (4..=6).map(store_folder::entry).collect();
+    store
+        .persist(&store_folder::output(batch))
+        .expect("persist");
+    drop(store);
+    let segment = folder.newest_segment();
+    let whole = fs::read(&segment).expect("segment");
+    let others: Vec<(path::PathBuf, Vec<u8>)> = ["identity"]
+        .iter()
+        .map(|name| folder.path().join(name))
+        .map(|path| (path.clone(), fs::read(path).expect("file")))
+        .collect();
+    let start_bytes = start_record_bytes();
+    let mut seen = Vec::new();
+    for length in start_bytes..=whole.len() {
+        for later in folder.files("wal-") {
+            fs::remove_file(later).expect("remove");
+        }
+        fs::write(&segment, &whole[..length]).expect("tear");
+        for (path, content) in &others {
+            fs::write(path, content).expect("restore");
+        }
+        let opened = folder.open().expect("a torn tail is cut");
+        let entries = opened.recovered.entries;
+        let expected: Vec<_> = (1..=entries.len() as u64)
+            .map(store_folder::entry)
+            .collect();
+        assert_eq!(entries, expected, "torn at {length}");
+        seen.push(entries.len());
+    }
+    assert!(seen.is_sorted());
+    assert_eq!((seen[0], seen[seen.len() - 1]), (0, 6));
+}
+
+#[test]
+fn damage_at_any_durable_byte_names_file_and_offset() {
+    let folder = store_folder::StoreFolder::new();
+    let mut store = folder.open().expect("create").store;
+    let first = store_folder::output(vec![store_folder::entry(1)]);
+    store.persist(&first).expect("persist");
+    let segment = folder.newest_segment();
+    let durable_bytes = fs::read(&segment).expect("segment").len();
+    let second = store_folder::output(vec![store_folder::entry(2)]);
+    store.persist(&second).expect("persist");
+    drop(store);
+    let whole = fs::read(&segment).expect("segment");
+    for position in 0..durable_bytes {
+        let mut damaged = whole.clone();
+        damaged[position] ^= 0x10;
+        fs::write(&segment, damaged).expect("damage");
+        let error = folder.open().expect_err("damaged");
+        assert_eq!(error.kind(), storage::StorageErrorKind::Corrupt);
+        let text = error.to_string();
+        assert!(text.contains(segment.to_str().expect("path")), "{text}");
+        assert!(text.contains("at byte"), "{text}");
+    }
+}
+
+#[test]
+fn damage_before_the_newest_segment_stops_the_start() {
+    let folder = store_folder::StoreFolder::new();
+    let mut store = folder.open().expect("create").store;
+    let first = store_folder::output(vec![store_folder::entry(1)]);
+    store.persist(&first).expect("persist");
+    drop(store);
+    let segment = folder.newest_segment();
+    drop(folder.open().expect("open again"));
+    let mut bytes = fs::read(&segment).expect("segment");
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    fs::write(&segment, bytes).expect("damage");
+    let error = folder.open().expect_err("damaged");
+    assert_eq!(error.kind(), storage::StorageErrorKind::Corrupt);
+}
+
+#[test]
+fn missing_segment_stops_the_start() {
+    let folder = store_folder::StoreFolder::new();
+    for _ in 0..3 {
+        drop(folder.open().expect("open"));
+    }
+    let middle = folder.files("wal-")[1].clone();
+    fs::remove_file(middle).expect("remove");
+    let error = folder.open().expect_err("gap");
+    assert_eq!(error.kind(), storage::StorageErrorKind::Corrupt);
+}
+
+#[test]
+fn damaged_snapshot_stops_the_start() {
+    let folder = store_folder::StoreFolder::new();
+    let store = folder.open().expect("create").store;
+    let image = store_folder::image(5);
+    store.snapshots().save(&image).expect("save");
+    drop(store);
+    let file = folder.files("snapshot-").pop().expect("snapshot");
+    let mut bytes = fs::read(&file).expect("snapshot");
+    let last = bytes.len() - 1;
+    bytes[last] ^= 1;
+    fs::write(&file, bytes).expect("damage");
+    let error = folder.open().expect_err("damaged");
+    assert_eq!(error.kind(), storage::StorageErrorKind::Corrupt);
+}
+
+/// Length of the first record of a fresh folder's segment.
+fn start_record_bytes() -> usize {
+    let folder = store_folder::StoreFolder::new();
+    drop(folder.open().expect("create"));
+    fs::read(folder.newest_segment()).expect("segment").len()
+}
