Prove the order ledger and the reservations, and confirm plans by their delta

Attempts of a key never share a number, since a late finish of a dropped attempt could have ended a later one as not run. ConfigurationLedger takes over what operators change; ControlState only dispatches.

Ruled out: to name the changed models only in the change that instances get; the log is what is written and sent most.

On a scratch copy, one rule at a time was broken and each left at least one test red: memory of older incarnations, replicas in all states, one unresolved order, the memory check, unknown orders, late copies of starts, expired keys, the attempt at a finish, attempt numbers, late not-run, abandoned orders, a team's share, restored incarnations and attempt floor, the order of revisions, withdrawn keys, the operators' ledger.

--- /dev/null
+++ b/galenahold_domain/src/control/configuration_ledger.rs
@@ -0,0 +1,320 @@
+//! The configuration in force, and how operators change it.
+
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+use crate::amount;
+use crate::control;
+use crate::digest;
+use crate::intent;
+use crate::key;
+use crate::name;
+
+/// The most reasons that an outcome carries.
+const MAX_REASONS: usize = 100;
+
+/// The most lines of a plan that a conflict repeats.
+const MAX_SUMMARY_LINES: usize = 20;
+
+/// The most characters of a line that a conflict repeats.
+const MAX_SUMMARY_CHARACTERS: usize = 300;
+
+/// The configuration in force, and how operators change it: the aggregate behind each revision.
+///
+/// A plan is refused unless its base is the revision that last changed the intent, or one after it:
+/// keys that were given or withdrawn since do not touch what the plan says. A resent request gets
+/// its first answer.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct ConfigurationLedger {
+    now_ms: u64,
+    view: sync::Arc<control::ConfigurationView>,
+    intent_revision: amount::RevisionNumber,
+    author: Option<PlanAuthor>,
+    history: control::ChangeHistory,
+    withdrawn: control::WithdrawnKeys,
+    operators: control::OperatorLedger,
+}
+
+/// Who put the intent in force, and what that changed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct PlanAuthor {
+    operator: name::OperatorName,
+    summary: Vec<String>,
+}
+
+impl ConfigurationLedger {
+    /// Returns the configuration in force.
+    pub(crate) fn view(&self) -> &sync::Arc<control::ConfigurationView> {
+        &self.view
+    }
+
+    /// Returns the changes after a revision, or none where one is no longer kept.
+    pub(crate) fn changes_since(
+        &self,
+        revision: amount::RevisionNumber,
+    ) -> Option<Vec<control::ConfigurationChange>> {
+        self.history.since(revision, self.view.revision)
+    }
+
+    /// Answers a request of an operator, once.
+    pub(crate) fn answer(
+        &mut self,
+        request: &control::OperatorRequest,
+        now_ms: u64,
+        command: &control::ControlCommand,
+    ) -> control::ControlOutcome {
+        self.now_ms = self.now_ms.max(now_ms);
+        let content = content_of(command);
+        if let Some(outcome) = self.operators.answer(request, content) {
+            return outcome;
+        }
+        let outcome = self.apply_configuration(command);
+        self.operators
+            .record(request, content, &outcome, self.now_ms);
+        outcome
+    }
+
+    fn apply_configuration(
+        &mut self,
+        command: &control::ControlCommand,
+    ) -> control::ControlOutcome {
+        match command {
+            control::ControlCommand::ConfirmPlan {
+                request,
+                base,
+                intent,
+                digest,
+                ..
+            } => self
+                .base_refusal(*base)
+                .unwrap_or_else(|| self.confirm(&request.operator, *base, intent.clone(), digest)),
+            control::ControlCommand::ConfirmDelta {
+                request,
+                base,
+                delta,
+                digest,
+                ..
+            } => self.base_refusal(*base).unwrap_or_else(|| {
+                let wanted = delta.applied_to(&self.view.intent);
+                self.confirm(&request.operator, *base, wanted, digest)
+            }),
+            control::ControlCommand::GiveKey { base, record, .. } => self.give_key(*base, record),
+            control::ControlCommand::WithdrawKey { id, .. } => self.withdraw_key(id),
+            _ => control::ControlOutcome::invalid("this command is not an operator's"),
+        }
+    }
+
+    fn base_refusal(&self, base: amount::RevisionNumber) -> Option<control::ControlOutcome> {
+        if base > self.view.revision {
+            return Some(self.base_ahead(base));
+        }
+        (base < self.intent_revision).then(|| self.conflict(base))
+    }
+
+    fn confirm(
+        &mut self,
+        operator: &name::OperatorName,
+        base: amount::RevisionNumber,
+        wanted: intent::FleetIntent,
+        digest: &str,
+    ) -> control::ControlOutcome {
+        let validation = intent::IntentValidation::of(&wanted, None);
+        if !validation.is_valid() {
+            return control::ControlOutcome::Invalid {
+                reasons: bounded(validation.lines(), MAX_REASONS),
+            };
+        }
+        let wanted = wanted.normalized();
+        let plan = intent::IntentPlan::between_normalized(base, &self.view.intent, &wanted);
+        if plan.digest != digest {
+            return control::ControlOutcome::DigestDiffers {
+                expected: plan.digest,
+            };
+        }
+        if !plan.is_empty() {
+            self.put_in_force(operator, &plan, &wanted);
+        }
+        self.changed()
+    }
+
+    fn put_in_force(
+        &mut self,
+        operator: &name::OperatorName,
+        plan: &intent::IntentPlan,
+        wanted: &intent::FleetIntent,
+    ) {
+        let revision = self.view.revision.next();
+        let delta = plan.delta(wanted);
+        self.withdraw_of_teams(&delta.removed_teams, revision);
+        self.change(control::ConfigurationChange::Intent {
+            revision,
+            set: delta.set,
+            removed_teams: delta.removed_teams,
+            removed_models: delta.removed_models,
+            removed_services: delta.removed_services,
+        });
+        self.intent_revision = revision;
+        self.author = Some(PlanAuthor {
+            operator: operator.clone(),
+            summary: summary_of(plan),
+        });
+    }
+
+    fn withdraw_of_teams(&mut self, teams: &[name::TeamName], revision: amount::RevisionNumber) {
+        if teams.is_empty() {
+            return;
+        }
+        for record in self.view.keys.iter() {
+            if teams.contains(&record.team) {
+                self.withdrawn.push(&record.id, revision);
+            }
+        }
+    }
+
+    fn give_key(
+        &mut self,
+        base: amount::RevisionNumber,
+        record: &key::KeyRecord,
+    ) -> control::ControlOutcome {
+        if base > self.view.revision {
+            return self.base_ahead(base);
+        }
+        if self.view.keys.get(&record.id) == Some(record) {
+            return self.changed();
+        }
+        if let Some(reason) = self.key_refusal(base, record) {
+            return control::ControlOutcome::invalid(&reason);
+        }
+        self.change(control::ConfigurationChange::KeyGiven {
+            revision: self.view.revision.next(),
+            record: record.clone(),
+        });
+        self.changed()
+    }
+
+    fn key_refusal(&self, base: amount::RevisionNumber, record: &key::KeyRecord) -> Option<String> {
+        let id = &record.id;
+        if let Some(fault) = record.fault() {
+            return Some(format!("key `{id}`: {fault}"));
+        }
+        if self.view.keys.get(id).is_some() {
+            return Some(format!("key `{id}`: it is given already; make another"));
+        }
+        if self.withdrawn.contains(id) {
+            return Some(format!("key `{id}`: it was withdrawn; make another"));
+        }
+        let floor = self.withdrawn.floor();
+        if base < floor {
+            return Some(format!(
+                "base {base}: the request is older than revision {floor}; make another key"
+            ));
+        }
+        if self.view.intent.team(&record.team).is_none() {
+            return Some(format!("team `{}`: there is no such team", record.team));
+        }
+        None
+    }
+
+    fn withdraw_key(&mut self, id: &name::KeyId) -> control::ControlOutcome {
+        if self.withdrawn.contains(id) {
+            return self.changed();
+        }
+        if self.view.keys.get(id).is_none() {
+            return control::ControlOutcome::NoSuchKey { id: id.clone() };
+        }
+        let revision = self.view.revision.next();
+        self.withdrawn.push(id, revision);
+        self.change(control::ConfigurationChange::KeyWithdrawn {
+            revision,
+            id: id.clone(),
+        });
+        self.changed()
+    }
+
+    /// Puts a change in force that makes the next revision.
+    fn change(&mut self, change: control::ConfigurationChange) {
+        let applied = sync::Arc::make_mut(&mut self.view).apply(&change);
+        debug_assert!(applied.is_ok(), "the change makes the next revision");
+        self.history.push(change);
+    }
+
+    fn changed(&self) -> control::ControlOutcome {
+        control::ControlOutcome::Changed {
+            revision: self.view.revision,
+        }
+    }
+
+    fn base_ahead(&self, base: amount::RevisionNumber) -> control::ControlOutcome {
+        control::ControlOutcome::invalid(&format!(
+            "base {base}: revision {} is in force; read the configuration again",
+            self.view.revision
+        ))
+    }
+
+    fn conflict(&self, base: amount::RevisionNumber) -> control::ControlOutcome {
+        let author = self.author.clone().unwrap_or(PlanAuthor {
+            operator: name::OperatorName::from(""),
+            summary: Vec::new(),
+        });
+        control::ControlOutcome::Conflict(control::PlanConflict {
+            base,
+            current: self.view.revision,
+            operator: author.operator,
+            summary: author.summary,
+        })
+    }
+}
+
+/// Returns the first lines, and how many there are besides.
+fn bounded(mut lines: Vec<String>, most: usize) -> Vec<String> {
+    if lines.len() > most {
+        let besides = lines.len() - most;
+        lines.truncate(most);
+        lines.push(format!("and {besides} more"));
+    }
+    lines
+}
+
+fn summary_of(plan: &intent::IntentPlan) -> Vec<String> {
+    let shortened = plan
+        .lines()
+        .into_iter()
+        .map(|line| line.chars().take(MAX_SUMMARY_CHARACTERS).collect());
+    bounded(shortened.collect(), MAX_SUMMARY_LINES)
+}
+
+/// Returns a hash of what an operator asked for, without the time and the base of a key.
+fn content_of(command: &control::ControlCommand) -> digest::ShortHash {
+    let digest = match command {
+        control::ControlCommand::ConfirmPlan {
+            base,
+            intent,
+            digest,
+            ..
+        } => plan_content(*base, digest, &intent.content_digest()),
+        control::ControlCommand::ConfirmDelta {
+            base,
+            wanted,
+            digest,
+            ..
+        } => plan_content(*base, digest, wanted),
+        control::ControlCommand::GiveKey { record, .. } => digest::ContentDigest::of_parts(&[
+            b"give",
+            record.id.as_bytes(),
+            record.team.as_bytes(),
+            record.salt.as_bytes(),
+            record.hash.as_bytes(),
+        ]),
+        control::ControlCommand::WithdrawKey { id, .. } => {
+            digest::ContentDigest::of_parts(&[b"withdraw", id.as_bytes()])
+        }
+        _ => digest::ContentDigest::of_parts(&[]),
+    };
+    digest.short()
+}
+
+fn plan_content(base: amount::RevisionNumber, digest: &str, wanted: &str) -> digest::ContentDigest {
+    let base = base.0.to_be_bytes();
+    digest::ContentDigest::of_parts(&[b"plan", &base, digest.as_bytes(), wanted.as_bytes()])
+}
--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -34,6 +34,23 @@
         /// Milliseconds since the Unix epoch.
         now_ms: u64,
     },
+    /// Puts a plan in force if its base is the revision in force; it carries only what changes.
+    ///
+    /// [`ControlCommand::confirm`] makes it.
+    ConfirmDelta {
+        /// Who asks.
+        request: control::OperatorRequest,
+        /// The revision that the plan was made against.
+        base: amount::RevisionNumber,
+        /// What differs from the intent in force when the command was proposed.
+        delta: intent::IntentDelta,
+        /// A digest of the whole wanted intent, by which a resend is known again.
+        wanted: String,
+        /// The plan's digest, as the operator saw it.
+        digest: String,
+        /// Milliseconds since the Unix epoch.
+        now_ms: u64,
+    },
     /// Gives a key to a team.
     GiveKey {
         /// Who asks.
@@ -151,8 +168,9 @@
 const COMMAND_VERSION: u32 = 1;
 
 /// The names of the command kinds in the encoding.
-const COMMAND_KINDS: [&str; 11] = [
+const COMMAND_KINDS: [&str; 12] = [
     "confirm_plan",
+    "confirm_delta",
     "give_key",
     "withdraw_key",
     "start_order",
@@ -195,6 +213,29 @@
 }
 
 impl ControlCommand {
+    /// Returns the command that puts the wanted intent in force.
+    ///
+    /// `current` is the intent in force at the proposer. The command grows with what changes: where
+    /// the intent has changed meanwhile, the base is no longer the latest and the plan conflicts.
+    #[must_use]
+    pub fn confirm(
+        request: control::OperatorRequest,
+        base: amount::RevisionNumber,
+        current: &intent::FleetIntent,
+        wanted: &intent::FleetIntent,
+        digest: String,
+        now_ms: u64,
+    ) -> Self {
+        Self::ConfirmDelta {
+            request,
+            base,
+            delta: intent::IntentDelta::between(current, wanted),
+            wanted: wanted.content_digest(),
+            digest,
+            now_ms,
+        }
+    }
+
     /// Returns the command as bytes for the log: `MessagePack` with named fields, the version
     /// first.
     ///
--- a/galenahold_domain/src/control/control_outcome.rs
+++ b/galenahold_domain/src/control/control_outcome.rs
@@ -62,3 +62,12 @@
         reason: String,
     },
 }
+
+impl ControlOutcome {
+    /// Returns that a request is not valid, for one reason.
+    pub(crate) fn invalid(reason: &str) -> Self {
+        Self::Invalid {
+            reasons: vec![reason.to_owned()],
+        }
+    }
+}
--- a/galenahold_domain/src/control/mod.rs
+++ b/galenahold_domain/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod change_history;
 mod configuration_change;
 mod configuration_index;
+mod configuration_ledger;
 mod configuration_view;
 mod control_command;
 mod control_outcome;
@@ -16,6 +17,7 @@
 pub(crate) use change_history::ChangeHistory;
 pub use configuration_change::ConfigurationChange;
 pub use configuration_index::ConfigurationIndex;
+pub(crate) use configuration_ledger::ConfigurationLedger;
 pub use configuration_view::ConfigurationView;
 pub use control_command::ControlCommand;
 pub use control_outcome::ControlOutcome;
--- a/galenahold_domain/src/intent/fleet_intent.rs
+++ b/galenahold_domain/src/intent/fleet_intent.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::digest;
 use crate::error;
 use crate::intent;
 use crate::name;
@@ -60,6 +61,12 @@
         self
     }
 
+    /// Returns a digest of the document as it is.
+    pub(crate) fn content_digest(&self) -> String {
+        let text = serde_json::to_vec(self).unwrap_or_default();
+        digest::ContentDigest::of_parts(&[&text]).to_string()
+    }
+
     /// Returns the team, in a normalized intent.
     #[must_use]
     pub fn team(&self, name: &str) -> Option<&intent::TeamIntent> {
--- a/galenahold_domain/src/intent/intent_plan.rs
+++ b/galenahold_domain/src/intent/intent_plan.rs
@@ -3,7 +3,6 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount;
-use crate::control;
 use crate::digest;
 use crate::intent;
 
@@ -75,44 +74,35 @@
         }
     }
 
-    /// Returns the change that carries the steps out, which makes the revision.
-    pub(crate) fn change(
-        &self,
-        revision: amount::RevisionNumber,
-        wanted: &intent::FleetIntent,
-    ) -> control::ConfigurationChange {
-        let mut set = intent::FleetIntent {
-            store: wanted.store.clone(),
-            ..intent::FleetIntent::default()
-        };
-        let mut removed_teams = Vec::new();
-        let mut removed_models = Vec::new();
-        let mut removed_services = Vec::new();
+    /// Returns the parts that the steps set and remove.
+    pub(crate) fn delta(&self, wanted: &intent::FleetIntent) -> intent::IntentDelta {
+        let mut delta = intent::IntentDelta::default();
+        delta.set.store = wanted.store.clone();
         for step in &self.steps {
             match step {
                 intent::IntentStep::AddTeam { team: after }
-                | intent::IntentStep::ChangeTeam { after, .. } => set.teams.push(after.clone()),
-                intent::IntentStep::RemoveTeam { team } => removed_teams.push(team.clone()),
+                | intent::IntentStep::ChangeTeam { after, .. } => {
+                    delta.set.teams.push(after.clone());
+                }
+                intent::IntentStep::RemoveTeam { team } => delta.removed_teams.push(team.clone()),
                 intent::IntentStep::AddModel { model: after }
-                | intent::IntentStep::ChangeModel { after, .. } => set.models.push(after.clone()),
-                intent::IntentStep::RemoveModel { model } => removed_models.push(model.clone()),
+                | intent::IntentStep::ChangeModel { after, .. } => {
+                    delta.set.models.push(after.clone());
+                }
+                intent::IntentStep::RemoveModel { model } => {
+                    delta.removed_models.push(model.clone());
+                }
                 intent::IntentStep::AddService { service: after }
                 | intent::IntentStep::ChangeService { after, .. } => {
-                    set.services.push(after.clone());
+                    delta.set.services.push(after.clone());
                 }
                 intent::IntentStep::RemoveService { service } => {
-                    removed_services.push(service.clone());
+                    delta.removed_services.push(service.clone());
                 }
                 intent::IntentStep::ChangeStore { .. } => {}
             }
         }
-        control::ConfigurationChange::Intent {
-            revision,
-            set,
-            removed_teams,
-            removed_models,
-            removed_services,
-        }
+        delta
     }
 }
 
--- a/galenahold_domain/src/intent/mod.rs
+++ b/galenahold_domain/src/intent/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter_intent;
 mod fleet_intent;
+mod intent_delta;
 mod intent_plan;
 mod intent_problem;
 mod intent_step;
@@ -20,6 +21,7 @@
 
 pub use adapter_intent::AdapterIntent;
 pub use fleet_intent::FleetIntent;
+pub use intent_delta::IntentDelta;
 pub use intent_plan::IntentPlan;
 pub use intent_problem::IntentProblem;
 pub use intent_step::IntentStep;
--- a/galenahold_domain/src/order/order_ledger.rs
+++ b/galenahold_domain/src/order/order_ledger.rs
@@ -22,6 +22,8 @@
 ///   `window_ms` after its end a repeat gets the recorded outcome, and for at least `remembered_ms`
 ///   after its end a repeat gets [`order::OrderStart::Expired`]. The key is forgotten later than
 ///   that, and only where `remembered` other keys ended after it.
+/// - Attempts of a key never share a number, also when its record was dropped in between, so that a
+///   late finish of an earlier attempt never ends a later one.
 /// - A running attempt is kept without a limit of time, until it is finished or abandoned.
 /// - Where no record can be dropped under these rules and the limit is reached, new orders get
 ///   [`order::OrderStart::Full`]. A team may take as many records as are still free, so that a
@@ -35,6 +37,7 @@
 pub struct OrderLedger {
     limits: order::OrderLimits,
     now_ms: u64,
+    attempt_floor: u32,
     records: collections::BTreeMap<digest::ShortHash, order::OrderRecord>,
     remembered: collections::VecDeque<RememberedKey>,
     ended: collections::BTreeMap<name::InstanceName, amount::IncarnationNumber>,
@@ -53,6 +56,7 @@
 struct LedgerDocument {
     limits: order::OrderLimits,
     now_ms: u64,
+    attempt_floor: u32,
     records: collections::BTreeMap<digest::ShortHash, order::OrderRecord>,
     remembered: collections::VecDeque<RememberedKey>,
     ended: collections::BTreeMap<name::InstanceName, amount::IncarnationNumber>,
@@ -75,6 +79,7 @@
     fn from(document: LedgerDocument) -> Self {
         let mut ledger = Self::with_limits(document.limits);
         ledger.now_ms = document.now_ms;
+        ledger.attempt_floor = document.attempt_floor;
         ledger.ended = document.ended;
         for key in &document.remembered {
             ledger.remembered_hashes.insert(key.0);
@@ -98,6 +103,7 @@
         Self {
             limits,
             now_ms: 0,
+            attempt_floor: 0,
             records: collections::BTreeMap::new(),
             remembered: collections::VecDeque::new(),
             ended: collections::BTreeMap::new(),
@@ -247,8 +253,8 @@
             Some((team, _)) => team.clone(),
             None => team.clone(),
         };
-        let record = order::OrderRecord::begin(team, content, owner.clone());
-        let attempt = record.attempt;
+        let attempt = self.attempt_floor + 1;
+        let record = order::OrderRecord::begin(team, content, owner.clone(), attempt);
         self.count_in(&record);
         self.records.insert(hash, record);
         order::OrderStart::Begun { attempt }
@@ -326,6 +332,7 @@
         }
         self.ends.remove(&(at_ms, hash));
         if let Some(record) = self.records.remove(&hash) {
+            self.attempt_floor = self.attempt_floor.max(record.attempt);
             self.count_out(&record);
         }
         true
--- a/galenahold_domain/src/order/order_record.rs
+++ b/galenahold_domain/src/order/order_record.rs
@@ -1,5 +1,7 @@
 //! What the ledger keeps of one order.
 
+use std::mem;
+
 use serde::{Deserialize, Serialize};
 
 use crate::digest;
@@ -16,7 +18,7 @@
     pub(crate) team: name::TeamName,
     /// The request's digest.
     pub(crate) content: digest::ShortHash,
-    /// The latest attempt, from 1.
+    /// The latest attempt.
     pub(crate) attempt: u32,
     /// Who owns the latest attempt.
     pub(crate) owner: order::OrderOwner,
@@ -41,11 +43,12 @@
         team: name::TeamName,
         content: digest::ShortHash,
         owner: order::OrderOwner,
+        attempt: u32,
     ) -> Self {
         Self {
             team,
             content,
-            attempt: 1,
+            attempt,
             owner,
             earlier: Vec::new(),
             end: None,
@@ -54,7 +57,7 @@
 
     /// Starts the next attempt, after one that did not run.
     pub(crate) fn begin_again(&mut self, owner: order::OrderOwner) {
-        let previous = std::mem::replace(&mut self.owner, owner);
+        let previous = mem::replace(&mut self.owner, owner);
         if self.earlier.len() == MAX_EARLIER_OWNERS {
             self.earlier.remove(0);
         }
--- a/galenahold_domain/src/order/order_start.rs
+++ b/galenahold_domain/src/order/order_start.rs
@@ -10,7 +10,7 @@
 pub enum OrderStart {
     /// The caller of the ledger owns this attempt and may send once.
     Begun {
-        /// The attempt's number, from 1.
+        /// The attempt's number; it grows from one attempt of the order to the next.
         attempt: u32,
     },
     /// The order ran; this is its answer.
--- a/galenahold_domain/tests/control/main.rs
+++ b/galenahold_domain/tests/control/main.rs
@@ -4,3 +4,4 @@
 mod configuration;
 mod fixture;
 mod operators;
+mod sequences;
--- a/galenahold_domain/tests/control/operators.rs
+++ b/galenahold_domain/tests/control/operators.rs
@@ -2,6 +2,7 @@
 
 use galenahold_domain::amount;
 use galenahold_domain::control;
+use galenahold_domain::intent;
 
 use crate::fixture;
 
@@ -14,7 +15,7 @@
     second.teams[1].weight = 7;
     let current = logged.state.view();
     let base = current.revision;
-    let plan = galenahold_domain::intent::IntentPlan::between(base, &current.intent, &second);
+    let plan = intent::IntentPlan::between(base, &current.intent, &second);
     assert_eq!(logged.confirm("amina", "1", 1, &first), fixture::changed(2));
     let outcome = logged.apply(&control::ControlCommand::ConfirmPlan {
         request: fixture::request("juma", "1"),
@@ -37,8 +38,7 @@
     let current = logged.state.view();
     let mut wanted = fixture::intent();
     wanted.teams[0].weight = 5;
-    let plan =
-        galenahold_domain::intent::IntentPlan::between(current.revision, &current.intent, &wanted);
+    let plan = intent::IntentPlan::between(current.revision, &current.intent, &wanted);
     let command = control::ControlCommand::ConfirmPlan {
         request: fixture::request("amina", "1"),
         base: current.revision,
@@ -56,6 +56,76 @@
     assert_eq!(logged.state.view(), before);
 }
 
+#[test]
+fn delta_puts_the_same_configuration_in_force_and_its_resend_is_known() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let mut whole = fixture::LoggedState::with_intent();
+    let current = logged.state.view();
+    let mut wanted = fixture::intent();
+    wanted.teams[0].weight = 5;
+    wanted.models[0].adapters.pop();
+    wanted.services.pop();
+    let plan = intent::IntentPlan::between(current.revision, &current.intent, &wanted);
+    let confirm = |current: &intent::FleetIntent| {
+        control::ControlCommand::confirm(
+            fixture::request("amina", "1"),
+            amount::RevisionNumber(1),
+            current,
+            &wanted,
+            plan.digest.clone(),
+            0,
+        )
+    };
+    let first = confirm(&current.intent);
+    assert_eq!(logged.apply(&first), fixture::changed(2));
+    assert_eq!(whole.confirm("amina", "1", 1, &wanted), fixture::changed(2));
+    assert_eq!(logged.state.view(), whole.state.view());
+    let resent = confirm(&logged.state.view().intent);
+    assert_ne!(resent, first, "nothing differs any more");
+    assert_eq!(logged.apply(&resent), fixture::changed(2));
+}
+
+#[test]
+fn delta_against_an_intent_that_moved_on_conflicts() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let current = logged.state.view();
+    let mut mine = fixture::intent();
+    mine.teams[0].weight = 5;
+    let plan = intent::IntentPlan::between(current.revision, &current.intent, &mine);
+    let command = control::ControlCommand::confirm(
+        fixture::request("amina", "1"),
+        current.revision,
+        &current.intent,
+        &mine,
+        plan.digest,
+        0,
+    );
+    let mut theirs = fixture::intent();
+    theirs.teams[1].weight = 7;
+    assert_eq!(logged.confirm("juma", "1", 1, &theirs), fixture::changed(2));
+    let outcome = logged.apply(&command);
+    assert!(
+        matches!(&outcome, control::ControlOutcome::Conflict(conflict)
+            if conflict.operator.as_str() == "juma"),
+        "{outcome:?}"
+    );
+}
+
+#[test]
+fn invalid_plan_is_refused_inside_the_state() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let mut wanted = fixture::intent();
+    wanted.teams[0].weight = 0;
+    let outcome = logged.confirm("amina", "1", 1, &wanted);
+    assert_eq!(
+        outcome,
+        control::ControlOutcome::Invalid {
+            reasons: vec!["teams[0].weight: 0: must be 1 or more".to_owned()]
+        }
+    );
+    assert_eq!(logged.state.revision(), amount::RevisionNumber(1));
+}
+
 #[test]
 fn number_used_for_another_request_is_refused() {
     let mut logged = fixture::LoggedState::with_intent();
--- /dev/null
+++ b/galenahold_domain/tests/order/attempts.rs
@@ -0,0 +1,174 @@
+//! Who may send an order, and when again.
+
+use galenahold_domain::amount;
+use galenahold_domain::name;
+use galenahold_domain::order;
+
+use crate::fixture;
+
+fn started() -> (order::OrderLedger, order::OrderKey) {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    let key = fixture::key("mkoani", "casting-1");
+    let owner = fixture::owner("entry-1", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &owner, 0);
+    assert_eq!(start, fixture::begun(1));
+    (ledger, key)
+}
+
+#[test]
+fn second_instance_waits_while_the_first_runs() {
+    let (mut ledger, key) = started();
+    let other = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 0);
+    assert_eq!(start, order::OrderStart::Running);
+}
+
+#[test]
+fn resent_start_of_the_owner_gets_the_same_attempt() {
+    let (mut ledger, key) = started();
+    let owner = fixture::owner("entry-1", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &owner, 0);
+    assert_eq!(start, fixture::begun(1));
+    let later_call = fixture::owner("entry-1", 1, 2);
+    let start = ledger.start(&key, fixture::DIGEST, &later_call, 0);
+    assert_eq!(start, order::OrderStart::Running);
+}
+
+#[test]
+fn repeat_of_an_answered_order_gets_the_recorded_answer() {
+    let (mut ledger, key) = started();
+    let finish = ledger.finish(&key, 1, &fixture::answered(b"cast"), 1);
+    assert_eq!(finish, order::OrderFinish::Recorded);
+    let other = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 2);
+    assert_eq!(start, order::OrderStart::Answered(fixture::answer(b"cast")));
+}
+
+#[test]
+fn key_with_another_request_is_refused() {
+    let (mut ledger, key) = started();
+    let owner = fixture::owner("entry-1", 1, 1);
+    let start = ledger.start(&key, "other", &owner, 0);
+    assert_eq!(start, order::OrderStart::DigestDiffers);
+}
+
+#[test]
+fn keys_of_teams_and_services_do_not_meet() {
+    let (mut ledger, _) = started();
+    let owner = fixture::owner("entry-2", 1, 1);
+    let other_team = fixture::key("kibaha", "casting-1");
+    assert_eq!(
+        ledger.start(&other_team, "other", &owner, 0),
+        fixture::begun(1)
+    );
+    let mut other_service = fixture::key("mkoani", "casting-1");
+    other_service.service = name::ServiceName::from("survey-desk");
+    assert_eq!(
+        ledger.start(&other_service, "other", &owner, 0),
+        fixture::begun(1)
+    );
+}
+
+#[test]
+fn order_that_did_not_run_may_be_tried_again() {
+    let (mut ledger, key) = started();
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 1);
+    let other = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 2);
+    assert_eq!(start, fixture::begun(2));
+}
+
+#[test]
+fn order_of_unknown_outcome_never_runs_again() {
+    let (mut ledger, key) = started();
+    ledger.finish(&key, 1, &order::OrderOutcome::Unknown, 1);
+    let other = fixture::owner("entry-2", 1, 1);
+    for now_ms in [2, 99, 150, 100_000] {
+        let start = ledger.start(&key, fixture::DIGEST, &other, now_ms);
+        let is_refused = matches!(
+            start,
+            order::OrderStart::Unknown | order::OrderStart::Expired
+        );
+        assert!(is_refused, "at {now_ms}: {start:?}");
+    }
+}
+
+#[test]
+fn late_copy_of_a_start_begins_nothing_after_its_attempt_ended() {
+    let (mut ledger, key) = started();
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 1);
+    let first = fixture::owner("entry-1", 1, 1);
+    let second = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &first, 2);
+    assert_eq!(start, order::OrderStart::Running);
+    ledger.start(&key, fixture::DIGEST, &second, 3);
+    ledger.finish(&key, 2, &order::OrderOutcome::NotRun, 4);
+    let start = ledger.start(&key, fixture::DIGEST, &first, 5);
+    assert_eq!(start, order::OrderStart::Running);
+}
+
+#[test]
+fn finish_by_an_earlier_attempt_changes_nothing() {
+    let (mut ledger, key) = started();
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 1);
+    let second = fixture::owner("entry-2", 1, 1);
+    ledger.start(&key, fixture::DIGEST, &second, 2);
+    let finish = ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 3);
+    assert_eq!(finish, order::OrderFinish::WrongAttempt { current: 2 });
+    let third = fixture::owner("entry-3", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &third, 4);
+    assert_eq!(start, order::OrderStart::Running);
+}
+
+#[test]
+fn first_outcome_stands() {
+    let (mut ledger, key) = started();
+    ledger.finish(&key, 1, &fixture::answered(b"cast"), 1);
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 2);
+    let other = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 3);
+    assert_eq!(start, order::OrderStart::Answered(fixture::answer(b"cast")));
+}
+
+#[test]
+fn unknown_outcome_gives_way_to_a_late_answer_only() {
+    let (mut ledger, key) = started();
+    let other = fixture::owner("entry-2", 1, 1);
+    ledger.finish(&key, 1, &order::OrderOutcome::Unknown, 1);
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 2);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 3);
+    assert_eq!(start, order::OrderStart::Unknown);
+    ledger.finish(&key, 1, &fixture::answered(b"cast"), 4);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 5);
+    assert_eq!(start, order::OrderStart::Answered(fixture::answer(b"cast")));
+}
+
+#[test]
+fn orders_of_a_dead_incarnation_become_unknown_and_the_living_go_on() {
+    let (mut ledger, key) = started();
+    let alive = fixture::key("mkoani", "casting-2");
+    let alive_owner = fixture::owner("entry-1", 2, 1);
+    ledger.start(&alive, fixture::DIGEST, &alive_owner, 0);
+    let instance = name::InstanceName::from("entry-1");
+    let ended = ledger.abandon(&instance, amount::IncarnationNumber(2), 1);
+    assert_eq!(ended, 1);
+    let other = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 2);
+    assert_eq!(start, order::OrderStart::Unknown);
+    let start = ledger.start(&alive, fixture::DIGEST, &other, 2);
+    assert_eq!(start, order::OrderStart::Running);
+}
+
+#[test]
+fn late_start_of_a_dead_incarnation_is_refused() {
+    let (mut ledger, _) = started();
+    let instance = name::InstanceName::from("entry-1");
+    ledger.abandon(&instance, amount::IncarnationNumber(2), 1);
+    let dead = fixture::owner("entry-1", 1, 9);
+    let key = fixture::key("mkoani", "casting-9");
+    let start = ledger.start(&key, fixture::DIGEST, &dead, 2);
+    assert_eq!(start, order::OrderStart::OwnerEnded);
+    let other = fixture::owner("entry-2", 1, 1);
+    let start = ledger.start(&key, fixture::DIGEST, &other, 3);
+    assert_eq!(start, fixture::begun(1));
+}
--- /dev/null
+++ b/galenahold_domain/tests/order/retention.rs
@@ -0,0 +1,174 @@
+//! What the ledger keeps, and what it refuses once it is full.
+
+use galenahold_domain::order;
+
+use crate::fixture;
+
+fn run(ledger: &mut order::OrderLedger, team: &str, key: &str, now_ms: u64) -> order::OrderStart {
+    let key = fixture::key(team, key);
+    let owner = fixture::owner("entry-1", 1, now_ms);
+    let start = ledger.start(&key, fixture::DIGEST, &owner, now_ms);
+    if let order::OrderStart::Begun { attempt } = start {
+        ledger.finish(&key, attempt, &fixture::answered(b"cast"), now_ms);
+    }
+    start
+}
+
+fn is_begun(start: &order::OrderStart) -> bool {
+    matches!(start, order::OrderStart::Begun { .. })
+}
+
+fn repeat(ledger: &mut order::OrderLedger, key: &str, now_ms: u64) -> order::OrderStart {
+    let key = fixture::key("mkoani", key);
+    let owner = fixture::owner("entry-2", 1, now_ms);
+    ledger.start(&key, fixture::DIGEST, &owner, now_ms)
+}
+
+#[test]
+fn key_older_than_the_window_is_refused_and_not_run_again() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    run(&mut ledger, "mkoani", "casting-1", 0);
+    assert_eq!(
+        repeat(&mut ledger, "casting-1", 99),
+        order::OrderStart::Answered(fixture::answer(b"cast"))
+    );
+    assert_eq!(
+        repeat(&mut ledger, "casting-1", 100),
+        order::OrderStart::Expired
+    );
+    assert_eq!(
+        repeat(&mut ledger, "casting-1", 1_000_000),
+        order::OrderStart::Expired
+    );
+}
+
+#[test]
+fn clock_that_goes_back_shortens_nothing() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    run(&mut ledger, "mkoani", "casting-1", 1_000);
+    run(&mut ledger, "mkoani", "casting-2", 0);
+    assert_eq!(
+        repeat(&mut ledger, "casting-2", 1_050),
+        order::OrderStart::Answered(fixture::answer(b"cast"))
+    );
+}
+
+#[test]
+fn order_that_did_not_run_is_forgotten_and_may_start_anew() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    let key = fixture::key("mkoani", "casting-1");
+    let owner = fixture::owner("entry-1", 1, 1);
+    ledger.start(&key, fixture::DIGEST, &owner, 0);
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 0);
+    assert_eq!(repeat(&mut ledger, "casting-1", 100), fixture::begun(2));
+}
+
+#[test]
+fn late_finish_of_a_forgotten_attempt_ends_no_later_one() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    let key = fixture::key("mkoani", "casting-1");
+    let owner = fixture::owner("entry-1", 1, 1);
+    ledger.start(&key, fixture::DIGEST, &owner, 0);
+    ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 0);
+    repeat(&mut ledger, "casting-1", 100);
+    let finish = ledger.finish(&key, 1, &order::OrderOutcome::NotRun, 101);
+    assert_eq!(finish, order::OrderFinish::WrongAttempt { current: 2 });
+}
+
+#[test]
+fn running_order_is_kept_without_a_limit_of_time() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    let key = fixture::key("mkoani", "casting-1");
+    let owner = fixture::owner("entry-1", 1, 1);
+    ledger.start(&key, fixture::DIGEST, &owner, 0);
+    assert_eq!(
+        repeat(&mut ledger, "casting-1", 1_000_000),
+        order::OrderStart::Running
+    );
+}
+
+#[test]
+fn full_ledger_refuses_new_orders_and_drops_none_inside_the_window() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    for number in 0..4 {
+        let start = run(&mut ledger, "mkoani", &format!("casting-{number}"), 0);
+        assert_eq!(start, fixture::begun(1));
+    }
+    let start = run(&mut ledger, "mkoani", "casting-4", 99);
+    assert_eq!(start, order::OrderStart::Full);
+    for number in 0..4 {
+        assert_eq!(
+            repeat(&mut ledger, &format!("casting-{number}"), 99),
+            order::OrderStart::Answered(fixture::answer(b"cast"))
+        );
+    }
+    let start = run(&mut ledger, "mkoani", "casting-4", 100);
+    assert!(is_begun(&start), "{start:?}");
+}
+
+#[test]
+fn one_team_never_fills_the_ledger_for_another() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    for number in 0..100 {
+        run(&mut ledger, "mkoani", &format!("casting-{number}"), 0);
+    }
+    assert_eq!(ledger.team_usage("mkoani").records, 4);
+    let start = run(&mut ledger, "kibaha", "casting-1", 0);
+    assert_eq!(start, fixture::begun(1));
+}
+
+#[test]
+fn keys_are_forgotten_only_when_old_and_pushed_out() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    for number in 0..4 {
+        run(&mut ledger, "mkoani", &format!("casting-{number}"), 0);
+    }
+    for number in 4..8 {
+        run(&mut ledger, "mkoani", &format!("casting-{number}"), 100);
+    }
+    // The memory of keys is full and none is old enough: records stay, and new orders wait.
+    let start = run(&mut ledger, "mkoani", "casting-8", 999);
+    assert_eq!(start, order::OrderStart::Full);
+    for number in 0..4 {
+        assert_eq!(
+            repeat(&mut ledger, &format!("casting-{number}"), 999),
+            order::OrderStart::Expired
+        );
+    }
+    let start = run(&mut ledger, "mkoani", "casting-8", 1_000);
+    assert!(is_begun(&start), "{start:?}");
+    for number in 4..8 {
+        assert_eq!(
+            repeat(&mut ledger, &format!("casting-{number}"), 1_000),
+            order::OrderStart::Expired
+        );
+    }
+}
+
+#[test]
+fn answer_above_the_limit_is_kept_without_its_body() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    let key = fixture::key("mkoani", "casting-1");
+    let owner = fixture::owner("entry-1", 1, 1);
+    ledger.start(&key, fixture::DIGEST, &owner, 0);
+    ledger.finish(&key, 1, &fixture::answered(&[b'x'; 17]), 0);
+    let order::OrderStart::Answered(answer) = repeat(&mut ledger, "casting-1", 1) else {
+        panic!("the order was answered");
+    };
+    assert_eq!((answer.status, answer.truncated), (201, true));
+    assert_eq!(answer.body, b"");
+}
+
+#[test]
+fn bytes_of_all_answers_stay_within_the_limit_and_each_outcome_is_recorded() {
+    let mut ledger = order::OrderLedger::with_limits(fixture::limits());
+    for team in ["a", "b", "c", "d", "e", "f"] {
+        let key = fixture::key(team, "casting-1");
+        let owner = fixture::owner("entry-1", 1, 1);
+        ledger.start(&key, fixture::DIGEST, &owner, 0);
+        let finish = ledger.finish(&key, 1, &fixture::answered(&[b'x'; 16]), 0);
+        assert_eq!(finish, order::OrderFinish::Recorded);
+        assert!(ledger.statistics().usage.bytes <= fixture::limits().total_bytes);
+    }
+    assert_eq!(ledger.statistics().running, 0);
+}
--- /dev/null
+++ b/galenahold_domain/tests/placement/decisions.rs
@@ -0,0 +1,182 @@
+//! What may be reserved.
+
+use galenahold_domain::amount;
+use galenahold_domain::name;
+use galenahold_domain::placement;
+
+use crate::fixture;
+
+#[test]
+fn reservation_carries_the_fencing_number_of_its_commit() {
+    let mut logged = fixture::LoggedTable::new();
+    let reservation = logged
+        .reserve(&fixture::request("s1", "m"))
+        .expect("it is reserved");
+    assert_eq!(reservation.id, placement::ReservationId(1));
+    assert_eq!(
+        reservation.fence,
+        amount::FencingNumber { term: 3, index: 1 }
+    );
+}
+
+#[test]
+fn memory_of_all_states_and_incarnations_counts() {
+    let mut logged = fixture::LoggedTable::new();
+    logged.load(&fixture::request("s1", "m"));
+    let mut later = fixture::request("s1", "n");
+    later.incarnation = amount::IncarnationNumber(2);
+    logged.load(&later);
+    later.artifact = fixture::artifact("m", None);
+    let mut third = fixture::request("s1", "n");
+    third.incarnation = amount::IncarnationNumber(2);
+    third.artifact.version = name::VersionName::from("2");
+    logged.intent.models[1].version = name::VersionName::from("2");
+    let refusal = logged
+        .reserve(&third)
+        .expect_err("80 of 100 bytes are taken");
+    assert!(
+        matches!(refusal, placement::ReservationRefusal::NoMemory { reserved, .. }
+            if reserved == amount::ByteCount(80)),
+        "{refusal}"
+    );
+    let server = name::ServerName::from("s1");
+    assert_eq!(
+        logged.table.retire(&server, amount::IncarnationNumber(2)),
+        1
+    );
+    logged.reserve(&third).expect("the first was retired");
+}
+
+#[test]
+fn adopted_replica_counts_though_it_breaks_the_bounds() {
+    let mut logged = fixture::LoggedTable::new();
+    let mut found = fixture::request("s1", "m");
+    found.bytes = amount::ByteCount(500);
+    let adopted = logged.adopt(&found).expect("it is adopted");
+    assert_eq!(adopted.state, placement::ReservationState::Loaded);
+    assert_eq!(logged.adopt(&found).as_ref(), Ok(&adopted), "a repeat");
+    assert_eq!(logged.table.len(), 1);
+    assert!(logged.reserve(&fixture::request("s1", "n")).is_err());
+    assert_eq!(logged.table.replica_count("m"), 1);
+}
+
+#[test]
+fn second_order_for_a_model_waits_until_the_first_is_resolved() {
+    let mut logged = fixture::LoggedTable::new();
+    let first = logged
+        .reserve(&fixture::request("s1", "m"))
+        .expect("it is reserved");
+    let second = fixture::request("s1", "n");
+    let refusal = logged
+        .reserve(&second)
+        .expect_err("the first is unresolved");
+    assert!(
+        matches!(refusal, placement::ReservationRefusal::OrderUnresolved { id, .. } if id == first.id),
+        "{refusal}"
+    );
+    logged
+        .advance(first.id, placement::ReservationState::Loaded)
+        .expect("it is loaded");
+    let second = logged.reserve(&second).expect("the first is resolved");
+    let unload = logged.advance(first.id, placement::ReservationState::Unloading);
+    assert!(unload.is_err(), "the second is unresolved");
+    logged
+        .advance(second.id, placement::ReservationState::Loaded)
+        .expect("it is loaded");
+    logged
+        .advance(first.id, placement::ReservationState::Unloading)
+        .expect("the second is resolved");
+}
+
+#[test]
+fn adapters_are_ordered_side_by_side_beside_a_loaded_model() {
+    let mut logged = fixture::LoggedTable::new();
+    let x = fixture::adapter_request("s1", "x");
+    let y = fixture::adapter_request("s1", "y");
+    assert!(logged.reserve(&x).is_err(), "the model is not loaded");
+    let base = logged
+        .reserve(&fixture::request("s1", "m"))
+        .expect("it is reserved");
+    assert!(logged.reserve(&x).is_err(), "the model is not loaded yet");
+    logged
+        .advance(base.id, placement::ReservationState::Loaded)
+        .expect("it is loaded");
+    let x = logged.reserve(&x).expect("the model is loaded");
+    let y = logged.reserve(&y).expect("several may be unresolved");
+    assert_ne!(x.id, y.id);
+    logged
+        .reserve(&fixture::request("s2", "m"))
+        .expect("adapters are no replicas of the model");
+}
+
+#[test]
+fn artifact_is_reserved_once_on_a_server() {
+    let mut logged = fixture::LoggedTable::new();
+    let id = logged.load(&fixture::request("s1", "m"));
+    let refusal = logged
+        .reserve(&fixture::request("s1", "m"))
+        .expect_err("it is there");
+    assert_eq!(
+        refusal,
+        placement::ReservationRefusal::DuplicateArtifact {
+            server: name::ServerName::from("s1"),
+            id
+        }
+    );
+}
+
+#[test]
+fn replicas_in_all_states_stay_within_the_intent() {
+    let mut logged = fixture::LoggedTable::new();
+    let first = logged.load(&fixture::request("s1", "m"));
+    logged
+        .reserve(&fixture::request("s2", "m"))
+        .expect("two are allowed");
+    logged
+        .advance(first, placement::ReservationState::Unloading)
+        .expect("it is unloaded");
+    let third = fixture::request("s3", "m");
+    assert!(
+        logged.reserve(&third).is_err(),
+        "the first may still be there"
+    );
+    assert!(logged.table.release(first));
+    logged.reserve(&third).expect("the first is gone");
+}
+
+#[test]
+fn intent_that_allows_fewer_replicas_forbids_new_ones_only() {
+    let mut logged = fixture::LoggedTable::new();
+    let first = logged.load(&fixture::request("s1", "m"));
+    logged.load(&fixture::request("s2", "m"));
+    logged.intent.models[0].max_replicas = 1;
+    assert_eq!(logged.table.replica_count("m"), 2);
+    logged.table.release(first);
+    assert!(logged.reserve(&fixture::request("s1", "m")).is_err());
+}
+
+#[test]
+fn only_what_the_intent_has_is_reserved_with_the_memory_it_states() {
+    let mut logged = fixture::LoggedTable::new();
+    let mut unknown = fixture::request("s1", "o");
+    assert!(logged.reserve(&unknown).is_err(), "unknown model");
+    unknown = fixture::request("s1", "m");
+    unknown.artifact.version = name::VersionName::from("2");
+    assert!(logged.reserve(&unknown).is_err(), "unknown version");
+    let mut few = fixture::request("s1", "m");
+    few.bytes = amount::ByteCount(39);
+    assert!(logged.reserve(&few).is_err(), "too few bytes");
+    let mut many = fixture::request("s1", "m");
+    many.bytes = amount::ByteCount(u64::MAX);
+    assert!(logged.reserve(&many).is_err(), "more than there is");
+}
+
+#[test]
+fn late_request_for_an_ended_incarnation_is_refused() {
+    let mut logged = fixture::LoggedTable::new();
+    let server = name::ServerName::from("s1");
+    logged.table.retire(&server, amount::IncarnationNumber(2));
+    let late = fixture::request("s1", "m");
+    assert!(logged.reserve(&late).is_err());
+    assert!(logged.adopt(&late).is_err());
+}
--- /dev/null
+++ b/galenahold_domain/tests/placement/states.rs
@@ -0,0 +1,60 @@
+//! How a reservation moves on.
+
+use galenahold_domain::amount;
+use galenahold_domain::placement;
+
+use crate::fixture;
+
+use placement::ReservationState::{Draining, Loaded, Ordered, Unloading};
+
+#[test]
+fn only_legal_states_follow() {
+    let legal = [
+        (Ordered, vec![Ordered, Loaded]),
+        (Loaded, vec![Loaded, Draining, Unloading]),
+        (Draining, vec![Loaded, Draining, Unloading]),
+        (Unloading, vec![Loaded, Unloading]),
+    ];
+    for (from, allowed) in legal {
+        for to in [Ordered, Loaded, Draining, Unloading] {
+            assert_eq!(from.may_become(to), allowed.contains(&to), "{from} to {to}");
+        }
+    }
+}
+
+#[test]
+fn refused_step_leaves_the_reservation_as_it_was() {
+    let mut logged = fixture::LoggedTable::new();
+    let before = logged
+        .reserve(&fixture::request("s1", "m"))
+        .expect("it is reserved");
+    let refusal = logged.advance(before.id, Unloading);
+    assert!(refusal.is_err(), "the load may still arrive");
+    assert_eq!(logged.table.get(before.id), Some(&before));
+}
+
+#[test]
+fn step_notes_the_fencing_number_and_the_sender() {
+    let mut logged = fixture::LoggedTable::new();
+    let id = logged.load(&fixture::request("s1", "m"));
+    let reservation = logged.advance(id, Unloading).expect("it is unloaded");
+    assert_eq!(
+        reservation.fence,
+        amount::FencingNumber { term: 3, index: 3 }
+    );
+    assert_eq!(reservation.sender.as_str(), "control-2");
+    assert_eq!(reservation.sender_incarnation, amount::IncarnationNumber(7));
+}
+
+#[test]
+fn released_reservation_is_gone_from_all_lookups() {
+    let mut logged = fixture::LoggedTable::new();
+    let id = logged.load(&fixture::request("s1", "m"));
+    let artifact = fixture::artifact("m", None);
+    assert_eq!(logged.table.of_artifact(&artifact).count(), 1);
+    assert!(logged.table.release(id));
+    assert!(!logged.table.release(id), "a repeat frees nothing");
+    assert_eq!(logged.table.of_artifact(&artifact).count(), 0);
+    assert_eq!(logged.table.on_server("s1").count(), 0);
+    assert!(logged.advance(id, Loaded).is_err());
+}
