--- /dev/null
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -0,0 +1,71 @@
+//! Passes the configuration on to instances that take it from this one.
+
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::message;
+
+use crate::configuration;
+
+/// Passes the configuration on, with an age that includes this instance's own.
+#[derive(Debug, Clone)]
+pub(crate) struct WatchServer {
+    holder: configuration::ConfigurationHolder,
+}
+
+impl WatchServer {
+    /// Creates a server over the configuration in force here.
+    pub(crate) fn new(holder: configuration::ConfigurationHolder) -> Self {
+        Self { holder }
+    }
+
+    /// Waits until there is news for the request, or its hold time is over.
+    ///
+    /// `leader` goes with the answer, so that the one who waits can turn to it.
+    pub(crate) async fn watch(
+        &self,
+        request: message::WatchRequest,
+        leader: Option<name::InstanceName>,
+    ) -> message::WatchReply {
+        let started = time::Instant::now();
+        let hold = time::Duration::from_millis(request.hold_ms);
+        let mut revisions = self.holder.subscribe();
+        let news = async {
+            // The sender lives as long as the holder.
+            let _ = revisions
+                .wait_for(|revision| *revision > request.have.0)
+                .await;
+        };
+        let _ = tokio::time::timeout(hold, news).await;
+        self.reply(&request, started, leader)
+    }
+
+    fn reply(
+        &self,
+        request: &message::WatchRequest,
+        started: time::Instant,
+        leader: Option<name::InstanceName>,
+    ) -> message::WatchReply {
+        // The age is taken first: what is read after it is at least as new as it says.
+        let held = started.elapsed();
+        let Some(age) = self.holder.age().filter(|_| self.holder.is_fresh()) else {
+            return message::WatchReply::Unavailable { leader };
+        };
+        let news = self.holder.news_since(request.have);
+        let drains = self.holder.drains();
+        message::WatchReply::Current {
+            // Rounded up, so that the age never falls short on its way.
+            age_ms: millis(age) + 1,
+            held_ms: millis(held),
+            revision: news.revision,
+            update: news.update,
+            drains: (drains.version != request.drain_version)
+                .then(|| message::DrainList::clone(&drains)),
+            leader,
+        }
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
