Answer every proposal, follow moved members and hand leadership over

Cause: callers with callbacks could wait for ever when the log stopped with their request still queued; a member that starts at another address was not found by the others; a planned stop needs a successor.

Change: replies answer when they are dropped; the node learns where a member was last heard from; `hand_over_leadership` picks the voter that is best caught up; commands have a longest length (`TooLong`, certainly not committed); the driver sleeps until the node needs it.

--- a/galenahold_consensus/src/core/election.rs
+++ b/galenahold_consensus/src/core/election.rs
@@ -186,11 +186,14 @@
             .current()
             .iter()
             .filter(|member| member.standing == member::MemberStanding::Voter)
-            .filter(|member| member.profile.id != self.own_id())
-            .map(|member| core::MessageSender {
-                id: member.profile.id,
-                endpoint: member.profile.endpoint.clone(),
-                term: request.term,
+            .map(|member| member.profile.id)
+            .filter(|id| *id != self.own_id())
+            .filter_map(|id| {
+                Some(core::MessageSender {
+                    id,
+                    endpoint: self.endpoint(id)?,
+                    term: request.term,
+                })
             })
             .collect();
         for other in others {
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -109,6 +109,19 @@
         true
     }
 
+    /// Returns the other voter that holds the most of the log and was heard of last.
+    #[must_use]
+    pub fn best_successor(&self) -> Option<member::MemberId> {
+        let state = self.leader_state()?;
+        let membership = self.membership.current();
+        let best = state
+            .progress
+            .iter()
+            .filter(|(id, _)| membership.is_voter(**id))
+            .max_by_key(|(_, progress)| (progress.matched, progress.heard_at));
+        best.map(|(id, _)| *id)
+    }
+
     /// Returns until when no other member can lead, as far as this leader knows.
     ///
     /// None if it does not lead, or no quorum has answered yet.
--- a/galenahold_consensus/src/core/raft_node.rs
+++ b/galenahold_consensus/src/core/raft_node.rs
@@ -1,5 +1,6 @@
 //! [`RaftNode`].
 
+use std::collections;
 use std::mem;
 
 use crate::core;
@@ -27,6 +28,8 @@
     pub(super) snapshot: Option<log::SnapshotImage>,
     pub(super) incoming: Option<core::IncomingSnapshot>,
     pub(super) marks: core::MarkTable,
+    /// Where members were last heard from, if they have moved since the membership was written.
+    pub(super) endpoints: collections::BTreeMap<member::MemberId, member::MemberEndpoint>,
     pub(super) output: core::NodeOutput,
 }
 
@@ -65,6 +68,7 @@
             leader: None,
             leader_contact: now,
             incoming: None,
+            endpoints: collections::BTreeMap::new(),
             output: core::NodeOutput::default(),
             settings,
             log,
@@ -98,6 +102,7 @@
             self.tell_superseded(&message);
             return;
         }
+        self.learn_endpoint(&message);
         let sender = core::MessageSender {
             id: message.from,
             endpoint: message.from_endpoint,
@@ -129,6 +134,13 @@
         self.follow(term, None, now);
     }
 
+    /// Returns when the node must be ticked at the latest.
+    #[must_use]
+    pub fn wake_at(&self) -> core::MonotonicTime {
+        self.leader_state()
+            .map_or(self.election_at, |state| state.heartbeat_at)
+    }
+
     /// Returns the role.
     #[must_use]
     pub fn role(&self) -> core::NodeRole {
@@ -293,10 +305,9 @@
     }
 
     pub(super) fn send_prompt(&mut self, to: member::MemberId, body: message::MessageBody) {
-        let Some(member) = self.membership.current().get(to) else {
+        let Some(endpoint) = self.endpoint(to) else {
             return;
         };
-        let endpoint = member.profile.endpoint.clone();
         let message = self.envelope(to, body);
         self.output.prompt.push(core::OutgoingMessage {
             to: endpoint,
@@ -312,6 +323,21 @@
         });
     }
 
+    /// Returns where a member of the group is reached.
+    pub(super) fn endpoint(&self, id: member::MemberId) -> Option<member::MemberEndpoint> {
+        let member = self.membership.current().get(id)?;
+        let learned = self.endpoints.get(&id);
+        Some(learned.unwrap_or(&member.profile.endpoint).clone())
+    }
+
+    fn learn_endpoint(&mut self, message: &message::ConsensusMessage) {
+        let known = self.endpoint(message.from);
+        if known.is_some_and(|known| known != message.from_endpoint) {
+            self.endpoints
+                .insert(message.from, message.from_endpoint.clone());
+        }
+    }
+
     pub(super) fn own_id(&self) -> member::MemberId {
         self.settings.profile.id
     }
--- a/galenahold_consensus/src/driver/change_error.rs
+++ b/galenahold_consensus/src/driver/change_error.rs
@@ -21,3 +21,9 @@
         cause: driver::ProposeError,
     },
 }
+
+impl From<driver::ProposeError> for ChangeError {
+    fn from(cause: driver::ProposeError) -> Self {
+        Self::Unsettled { cause }
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/src/driver/command_reply.rs
@@ -0,0 +1,38 @@
+//! [`CommandReply`].
+
+use crate::driver;
+
+type CommandCall<T, E> = Box<dyn FnOnce(Result<T, E>) + Send>;
+
+/// Answers the caller of a proposal or membership change once.
+///
+/// A reply that is dropped unanswered tells that the outcome is unknown.
+pub(super) struct CommandReply<T, E: From<driver::ProposeError>> {
+    call: Option<CommandCall<T, E>>,
+}
+
+impl<T, E: From<driver::ProposeError>> CommandReply<T, E> {
+    pub(super) fn new(call: impl FnOnce(Result<T, E>) + Send + 'static) -> Self {
+        Self {
+            call: Some(Box::new(call)),
+        }
+    }
+
+    pub(super) fn answer(mut self, result: Result<T, E>) {
+        if let Some(call) = self.call.take() {
+            call(result);
+        }
+    }
+
+    pub(super) fn refuse(self, error: driver::ProposeError) {
+        self.answer(Err(error.into()));
+    }
+}
+
+impl<T, E: From<driver::ProposeError>> Drop for CommandReply<T, E> {
+    fn drop(&mut self) {
+        if let Some(call) = self.call.take() {
+            call(Err(driver::ProposeError::Dropped.into()));
+        }
+    }
+}
--- a/galenahold_consensus/src/driver/driver_settings.rs
+++ b/galenahold_consensus/src/driver/driver_settings.rs
@@ -1,13 +1,11 @@
 //! [`DriverSettings`].
 
-use std::time;
-
 /// Limits of the driving thread.
 #[derive(Debug, Clone)]
 pub(super) struct DriverSettings {
-    pub(super) tick_interval: time::Duration,
     pub(super) batch_inputs: usize,
     pub(super) pending_proposals: usize,
+    pub(super) command_bytes: usize,
     pub(super) snapshot_entries: u64,
     pub(super) snapshot_bytes: u64,
 }
--- a/galenahold_consensus/src/driver/log_builder.rs
+++ b/galenahold_consensus/src/driver/log_builder.rs
@@ -30,6 +30,7 @@
     snapshot_bytes: u64,
     retained_entries: u64,
     pending_proposals: usize,
+    command_bytes: usize,
     store: storage::StoreSettings,
 }
 
@@ -43,6 +44,7 @@
         const SNAPSHOT_BYTES: u64 = 16 * 1024 * 1024;
         const RETAINED_ENTRIES: u64 = 1_000;
         const PENDING_PROPOSALS: usize = 8_192;
+        const COMMAND_BYTES: usize = 1024 * 1024;
         Self {
             backend: storage::FileBackend,
             folder: folder.into(),
@@ -56,6 +58,7 @@
             snapshot_bytes: SNAPSHOT_BYTES,
             retained_entries: RETAINED_ENTRIES,
             pending_proposals: PENDING_PROPOSALS,
+            command_bytes: COMMAND_BYTES,
             store: storage::StoreSettings::default(),
         }
     }
@@ -63,7 +66,6 @@
 
 impl<B: storage::StorageBackend> LogBuilder<B> {
     const FOUNDING_INTERVAL: time::Duration = time::Duration::from_millis(50);
-    const TICK_INTERVAL: time::Duration = time::Duration::from_millis(5);
     const BATCH_INPUTS: usize = 1_024;
     const INBOX_INPUTS: usize = 65_536;
     const APPEND_BUDGET_BYTES: usize = 256 * 1024;
@@ -86,6 +88,7 @@
             snapshot_bytes: self.snapshot_bytes,
             retained_entries: self.retained_entries,
             pending_proposals: self.pending_proposals,
+            command_bytes: self.command_bytes,
             store: self.store,
         }
     }
@@ -147,6 +150,12 @@
         self
     }
 
+    /// Sets the longest command in bytes.
+    pub fn command_bytes(mut self, bytes: usize) -> Self {
+        self.command_bytes = bytes;
+        self
+    }
+
     /// Sets the limits of the data folder.
     pub fn store_settings(mut self, settings: storage::StoreSettings) -> Self {
         self.store = settings;
@@ -251,9 +260,9 @@
 
     fn driver_settings(&self) -> driver::DriverSettings {
         driver::DriverSettings {
-            tick_interval: Self::TICK_INTERVAL,
             batch_inputs: Self::BATCH_INPUTS,
             pending_proposals: self.pending_proposals,
+            command_bytes: self.command_bytes,
             snapshot_entries: self.snapshot_entries,
             snapshot_bytes: self.snapshot_bytes,
         }
--- a/galenahold_consensus/src/driver/log_handle.rs
+++ b/galenahold_consensus/src/driver/log_handle.rs
@@ -61,22 +61,10 @@
         + Send
         + 'static,
     ) {
-        let input = driver::LogInput::Propose {
+        self.submit(driver::LogInput::Propose {
             command: command.into(),
-            reply: Box::new(reply),
-        };
-        let refused = self.inbox.try_send(input).err();
-        let Some(refused) = refused else {
-            return;
-        };
-        let error = if refused.is_full() {
-            driver::ProposeError::Busy
-        } else {
-            driver::ProposeError::Stopped
-        };
-        if let driver::LogInput::Propose { reply, .. } = refused.into_inner() {
-            reply(Err(error));
-        }
+            reply: driver::CommandReply::new(reply),
+        });
     }
 
     /// Reads the state as it is after all commands that were acknowledged before the call.
@@ -108,7 +96,10 @@
     /// Like [`LogHandle::read`] without blocking; `reply` is called once, as in
     /// [`LogHandle::propose_with`].
     pub fn read_with(&self, reply: impl FnOnce(Result<&S, driver::ReadError>) + Send + 'static) {
-        self.submit_read(true, Box::new(reply));
+        self.submit(driver::LogInput::Read {
+            linearizable: true,
+            reply: driver::ReadReply::new(reply),
+        });
     }
 
     /// Like [`LogHandle::read_local`] without blocking; `reply` is called once, as in
@@ -117,7 +108,10 @@
         &self,
         reply: impl FnOnce(Result<&S, driver::ReadError>) + Send + 'static,
     ) {
-        self.submit_read(false, Box::new(reply));
+        self.submit(driver::LogInput::Read {
+            linearizable: false,
+            reply: driver::ReadReply::new(reply),
+        });
     }
 
     /// Takes in a message from another member; drops it if too many wait.
@@ -195,42 +189,36 @@
         change: member::MembershipChange,
         reply: impl FnOnce(Result<log::LogPosition, driver::ChangeError>) + Send + 'static,
     ) {
-        let input = driver::LogInput::Change {
+        self.submit(driver::LogInput::Change {
             change,
-            reply: Box::new(reply),
-        };
-        let Err(refused) = self.inbox.try_send(input) else {
-            return;
-        };
-        let cause = if refused.is_full() {
-            driver::ProposeError::Busy
-        } else {
-            driver::ProposeError::Stopped
-        };
-        if let driver::LogInput::Change { reply, .. } = refused.into_inner() {
-            reply(Err(driver::ChangeError::Unsettled { cause }));
-        }
+            reply: driver::CommandReply::new(reply),
+        });
     }
 
     /// Begins to hand leadership to another voter; false if that cannot be.
     ///
-    /// Watch [`LogHandle::subscribe`] for the result.
+    /// The lease runs out first. Watch [`LogHandle::subscribe`] for the result.
     #[must_use]
     pub fn transfer_leadership(&self, target: member::MemberId) -> bool {
-        let (sender, receiver) = crossbeam_channel::bounded(1);
-        let input = driver::LogInput::Transfer {
-            target,
-            reply: Box::new(move |begun| {
-                let _ = sender.send(begun);
-            }),
-        };
-        self.inbox.try_send(input).is_ok() && receiver.recv().unwrap_or(false)
+        self.transfer(Some(target))
+    }
+
+    /// Like [`LogHandle::transfer_leadership`], to the voter that is best caught up.
+    #[must_use]
+    pub fn hand_over_leadership(&self) -> bool {
+        self.transfer(None)
     }
 
     pub(super) fn request_stop(&self) {
         let _ = self.inbox.send(driver::LogInput::Stop);
     }
 
+    fn transfer(&self, target: Option<member::MemberId>) -> bool {
+        let (begun, answer) = crossbeam_channel::bounded(1);
+        let input = driver::LogInput::Transfer { target, begun };
+        self.inbox.try_send(input).is_ok() && answer.recv().unwrap_or(false)
+    }
+
     fn change(
         &self,
         change: member::MembershipChange,
@@ -257,27 +245,40 @@
         let reply = move |state: Result<&S, driver::ReadError>| {
             let _ = sender.send(state.map(reader));
         };
-        self.submit_read(linearizable, Box::new(reply));
+        self.submit(driver::LogInput::Read {
+            linearizable,
+            reply: driver::ReadReply::new(reply),
+        });
         receiver
             .recv_timeout(timeout)
             .unwrap_or(Err(driver::ReadError::TimedOut))
     }
 
-    fn submit_read(&self, linearizable: bool, reply: driver::log_input::ReadReply<S>) {
-        let input = driver::LogInput::Read {
-            linearizable,
-            reply,
-        };
-        let Err(refused) = self.inbox.try_send(input) else {
-            return;
-        };
-        let error = if refused.is_full() {
-            driver::ReadError::Busy
-        } else {
-            driver::ReadError::Stopped
-        };
-        if let driver::LogInput::Read { reply, .. } = refused.into_inner() {
-            reply(Err(error));
+    /// Hands an input to the log's thread, or answers it here.
+    fn submit(&self, input: driver::LogInput<S>) {
+        match self.inbox.try_send(input) {
+            Ok(()) => {}
+            Err(crossbeam_channel::TrySendError::Full(input)) => {
+                refuse(input, driver::ProposeError::Busy, driver::ReadError::Busy);
+            }
+            Err(crossbeam_channel::TrySendError::Disconnected(input)) => {
+                let error = driver::ProposeError::Stopped;
+                refuse(input, error, driver::ReadError::Stopped);
+            }
         }
     }
 }
+
+/// Answers an input that the log's thread has not taken up.
+pub(super) fn refuse<S: driver::StateMachine>(
+    input: driver::LogInput<S>,
+    propose_error: driver::ProposeError,
+    read_error: driver::ReadError,
+) {
+    match input {
+        driver::LogInput::Propose { reply, .. } => reply.refuse(propose_error),
+        driver::LogInput::Change { reply, .. } => reply.refuse(propose_error),
+        driver::LogInput::Read { reply, .. } => reply.answer(Err(read_error)),
+        _ => {}
+    }
+}
--- a/galenahold_consensus/src/driver/log_input.rs
+++ b/galenahold_consensus/src/driver/log_input.rs
@@ -6,15 +6,12 @@
 use crate::message;
 use crate::storage;
 
-/// Called once with the result of a proposal.
+/// Answers a proposal.
 pub(super) type ProposeReply<O> =
-    Box<dyn FnOnce(Result<driver::CommittedOutcome<O>, driver::ProposeError>) + Send>;
+    driver::CommandReply<driver::CommittedOutcome<O>, driver::ProposeError>;
 
-/// Called once with the state or the reason why it cannot be read.
-pub(super) type ReadReply<S> = Box<dyn FnOnce(Result<&S, driver::ReadError>) + Send>;
-
-/// Called once with the position of a committed membership change.
-pub(super) type ChangeReply = Box<dyn FnOnce(Result<log::LogPosition, driver::ChangeError>) + Send>;
+/// Answers a membership change.
+pub(super) type ChangeReply = driver::CommandReply<log::LogPosition, driver::ChangeError>;
 
 /// What reaches the driving thread.
 pub(super) enum LogInput<S: driver::StateMachine> {
@@ -25,15 +22,15 @@
     },
     Read {
         linearizable: bool,
-        reply: ReadReply<S>,
+        reply: driver::ReadReply<S>,
     },
     Change {
         change: member::MembershipChange,
         reply: ChangeReply,
     },
     Transfer {
-        target: member::MemberId,
-        reply: Box<dyn FnOnce(bool) + Send>,
+        target: Option<member::MemberId>,
+        begun: crossbeam_channel::Sender<bool>,
     },
     SnapshotWritten {
         image: log::SnapshotImage,
@@ -41,9 +38,3 @@
     },
     Stop,
 }
-
-/// A read that waits until an index is applied.
-pub(super) struct WaitingRead<S> {
-    pub(super) index: log::LogIndex,
-    pub(super) reply: ReadReply<S>,
-}
--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -2,9 +2,11 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use crate::core;
 use crate::driver;
+use crate::driver::log_handle;
 use crate::driver::log_input;
 use crate::driver::status_report;
 use crate::founding;
@@ -44,8 +46,10 @@
     T: driver::MessageTransport,
     B: storage::StorageBackend,
 {
-    const STATUS_INTERVAL: std::time::Duration = std::time::Duration::from_millis(20);
-    const MARKS_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
+    const SHORTEST_WAIT: time::Duration = time::Duration::from_millis(1);
+    const LONGEST_WAIT: time::Duration = time::Duration::from_millis(20);
+    const STATUS_INTERVAL: time::Duration = time::Duration::from_millis(20);
+    const MARKS_INTERVAL: time::Duration = time::Duration::from_secs(1);
     const KEPT_JOINERS: usize = 64;
 
     pub(super) fn new(parts: driver::ThreadParts<S, T, B>) -> Self {
@@ -85,7 +89,7 @@
 
     /// Takes up what waits, or the passing of time; false once it is to stop.
     fn turn(&mut self) -> bool {
-        match self.inbox.recv_timeout(self.settings.tick_interval) {
+        match self.inbox.recv_timeout(self.patience()) {
             Ok(driver::LogInput::Stop) | Err(crossbeam_channel::RecvTimeoutError::Disconnected) => {
                 return false;
             }
@@ -105,6 +109,14 @@
         true
     }
 
+    /// Returns how long nothing needs to be done unless something arrives.
+    fn patience(&self) -> time::Duration {
+        let now = self.clock.now();
+        let wake_at = self.node.as_ref().map(core::RaftNode::wake_at);
+        let due_in = wake_at.map_or(Self::LONGEST_WAIT, |wake_at| wake_at.since(now));
+        due_in.clamp(Self::SHORTEST_WAIT, Self::LONGEST_WAIT)
+    }
+
     fn take(&mut self, input: driver::LogInput<S>) {
         match input {
             driver::LogInput::Message(message) => self.take_message(*message),
@@ -114,10 +126,8 @@
                 reply,
             } => self.read(linearizable, reply),
             driver::LogInput::Change { change, reply } => self.change(&change, reply),
-            driver::LogInput::Transfer { target, reply } => {
-                let now = self.clock.now();
-                let node = self.node.as_mut();
-                reply(node.is_some_and(|node| node.transfer_leadership(target, now)));
+            driver::LogInput::Transfer { target, begun } => {
+                let _ = begun.send(self.transfer(target));
             }
             driver::LogInput::SnapshotWritten { image, outcome } => {
                 self.snapshot_written(image, &outcome);
@@ -209,13 +219,13 @@
                     self.unsnapshot_bytes += command.len() as u64;
                     let outcome = self.machine.apply(position.index, position.term, &command);
                     if let Some(reply) = self.proposals.take(position) {
-                        reply(acknowledged(leased, position, outcome));
+                        reply.answer(acknowledged(leased, position, outcome));
                     }
                 }
                 log::EntryPayload::Membership(list) => {
                     self.joiners.retain(|id, _| !list.contains(*id));
                     if let Some(reply) = self.proposals.take_change(position) {
-                        reply(Ok(position));
+                        reply.answer(Ok(position));
                     }
                 }
             }
@@ -233,47 +243,56 @@
     }
 
     fn propose(&mut self, command: bytes::Bytes, reply: log_input::ProposeReply<S::Outcome>) {
+        if command.len() > self.settings.command_bytes {
+            reply.refuse(driver::ProposeError::TooLong);
+            return;
+        }
         if self.proposals.len() >= self.settings.pending_proposals {
-            reply(Err(driver::ProposeError::Busy));
+            reply.refuse(driver::ProposeError::Busy);
             return;
         }
         let proposed = self.node.as_mut().map(|node| node.propose(command));
         match proposed {
             Some(Ok(position)) => self.proposals.add(position, reply),
             Some(Err(core::ProposeRefusal::Transferring)) => {
-                reply(Err(driver::ProposeError::Busy));
+                reply.refuse(driver::ProposeError::Busy);
             }
-            _ => reply(Err(self.not_leading())),
+            _ => reply.refuse(self.not_leading()),
         }
     }
 
-    fn read(&mut self, linearizable: bool, reply: log_input::ReadReply<S>) {
+    fn transfer(&mut self, target: Option<member::MemberId>) -> bool {
+        let now = self.clock.now();
+        let Some(node) = self.node.as_mut() else {
+            return false;
+        };
+        let target = target.or_else(|| node.best_successor());
+        target.is_some_and(|target| node.transfer_leadership(target, now))
+    }
+
+    fn read(&mut self, linearizable: bool, reply: driver::ReadReply<S>) {
         if self.failure.is_some() {
-            reply(Err(driver::ReadError::Storage));
+            reply.answer(Err(driver::ReadError::Storage));
         } else if !linearizable {
-            reply(Ok(&self.machine));
+            reply.answer(Ok(&self.machine));
         } else if let Some(node) = self.node.as_mut() {
             let ticket = self.reads.enqueue(reply);
             node.read(ticket, self.clock.now());
         } else {
-            reply(Err(driver::ReadError::NotLeader { hint: None }));
+            reply.answer(Err(driver::ReadError::NotLeader { hint: None }));
         }
     }
 
     fn change(&mut self, change: &member::MembershipChange, reply: log_input::ChangeReply) {
         let now = self.clock.now();
         let Some(node) = self.node.as_mut() else {
-            let cause = self.not_leading();
-            reply(Err(driver::ChangeError::Unsettled { cause }));
+            reply.refuse(self.not_leading());
             return;
         };
         match node.change_membership(change, now) {
             Ok(position) => self.proposals.add_change(position, reply),
-            Err(core::ChangeRefusal::NotLeader) => {
-                let cause = self.not_leading();
-                reply(Err(driver::ChangeError::Unsettled { cause }));
-            }
-            Err(refusal) => reply(Err(driver::ChangeError::Refused { refusal })),
+            Err(core::ChangeRefusal::NotLeader) => reply.refuse(self.not_leading()),
+            Err(refusal) => reply.answer(Err(driver::ChangeError::Refused { refusal })),
         }
     }
 
@@ -530,7 +549,8 @@
         self.proposals.drop_all();
         self.reads.fail(&driver::ReadError::Stopped);
         while let Ok(input) = self.inbox.try_recv() {
-            refuse_stopped(input);
+            let error = driver::ProposeError::Stopped;
+            log_handle::refuse(input, error, driver::ReadError::Stopped);
         }
         self.publish_status(self.clock.now());
         self.view.announce(&driver::RoleEvent::Stopped);
@@ -550,15 +570,3 @@
         Err(driver::ProposeError::Dropped)
     }
 }
-
-fn refuse_stopped<S: driver::StateMachine>(input: driver::LogInput<S>) {
-    match input {
-        driver::LogInput::Propose { reply, .. } => reply(Err(driver::ProposeError::Stopped)),
-        driver::LogInput::Read { reply, .. } => reply(Err(driver::ReadError::Stopped)),
-        driver::LogInput::Change { reply, .. } => reply(Err(driver::ChangeError::Unsettled {
-            cause: driver::ProposeError::Stopped,
-        })),
-        driver::LogInput::Transfer { reply, .. } => reply(false),
-        _ => {}
-    }
-}
--- a/galenahold_consensus/src/driver/mod.rs
+++ b/galenahold_consensus/src/driver/mod.rs
@@ -1,6 +1,7 @@
 //! The thread that drives a member, its data folder and its state machine.
 
 mod change_error;
+mod command_reply;
 mod committed_outcome;
 mod driver_clock;
 mod driver_settings;
@@ -16,6 +17,7 @@
 mod propose_error;
 mod propose_error_kind;
 mod read_error;
+mod read_reply;
 mod replicated_log;
 mod restore_error;
 mod role_event;
@@ -42,12 +44,14 @@
 pub use start_error::StartError;
 pub use state_machine::StateMachine;
 
+use command_reply::CommandReply;
 use driver_clock::DriverClock;
 use driver_settings::DriverSettings;
 use log_input::LogInput;
 use log_thread::LogThread;
 use pending_proposals::PendingProposals;
 use pending_reads::PendingReads;
+use read_reply::ReadReply;
 use shared_view::SharedView;
 use snapshot_writer::SnapshotWriter;
 use thread_parts::ThreadParts;
--- a/galenahold_consensus/src/driver/pending_proposals.rs
+++ b/galenahold_consensus/src/driver/pending_proposals.rs
@@ -54,12 +54,10 @@
     /// Tells all callers that their proposals may have been committed or may still be.
     pub(super) fn drop_all(&mut self) {
         for reply in mem::take(&mut self.proposals).into_values() {
-            reply(Err(driver::ProposeError::Dropped));
+            reply.refuse(driver::ProposeError::Dropped);
         }
         for reply in mem::take(&mut self.changes).into_values() {
-            reply(Err(driver::ChangeError::Unsettled {
-                cause: driver::ProposeError::Dropped,
-            }));
+            reply.refuse(driver::ProposeError::Dropped);
         }
     }
 }
--- a/galenahold_consensus/src/driver/pending_reads.rs
+++ b/galenahold_consensus/src/driver/pending_reads.rs
@@ -5,16 +5,21 @@
 
 use crate::core;
 use crate::driver;
-use crate::driver::log_input;
 use crate::log;
 
 /// The reads that have no answer yet.
 pub(super) struct PendingReads<S> {
-    ticketed: collections::BTreeMap<core::ReadTicket, log_input::ReadReply<S>>,
-    waiting: Vec<log_input::WaitingRead<S>>,
+    ticketed: collections::BTreeMap<core::ReadTicket, driver::ReadReply<S>>,
+    waiting: Vec<WaitingRead<S>>,
     next_ticket: u64,
 }
 
+/// A read that waits until an index is applied.
+struct WaitingRead<S> {
+    index: log::LogIndex,
+    reply: driver::ReadReply<S>,
+}
+
 impl<S> PendingReads<S> {
     pub(super) fn new() -> Self {
         Self {
@@ -24,7 +29,7 @@
         }
     }
 
-    pub(super) fn enqueue(&mut self, reply: log_input::ReadReply<S>) -> core::ReadTicket {
+    pub(super) fn enqueue(&mut self, reply: driver::ReadReply<S>) -> core::ReadTicket {
         let ticket = core::ReadTicket::new(self.next_ticket);
         self.next_ticket += 1;
         self.ticketed.insert(ticket, reply);
@@ -35,12 +40,12 @@
         match verdict {
             core::ReadVerdict::Ready { ticket, index } => {
                 if let Some(reply) = self.ticketed.remove(&ticket) {
-                    self.waiting.push(log_input::WaitingRead { index, reply });
+                    self.waiting.push(WaitingRead { index, reply });
                 }
             }
             core::ReadVerdict::Refused { ticket } => {
                 if let Some(reply) = self.ticketed.remove(&ticket) {
-                    reply(Err(refusal.clone()));
+                    reply.answer(Err(refusal.clone()));
                 }
             }
         }
@@ -52,7 +57,7 @@
             .partition::<Vec<_>, _>(|read| read.index <= applied);
         self.waiting = waiting;
         for read in ready {
-            (read.reply)(Ok(machine));
+            read.reply.answer(Ok(machine));
         }
     }
 
@@ -61,7 +66,7 @@
         let waiting = mem::take(&mut self.waiting);
         let replies = ticketed.chain(waiting.into_iter().map(|read| read.reply));
         for reply in replies {
-            reply(Err(error.clone()));
+            reply.answer(Err(error.clone()));
         }
     }
 }
--- a/galenahold_consensus/src/driver/propose_error.rs
+++ b/galenahold_consensus/src/driver/propose_error.rs
@@ -18,6 +18,9 @@
     /// Too many proposals are under way, or leadership is being handed over.
     #[snafu(display("proposing a command: the log is busy, try again later"))]
     Busy,
+    /// The command is longer than the log takes.
+    #[snafu(display("proposing a command: it is too long, split it"))]
+    TooLong,
     /// The command may have been committed, or may still be.
     #[snafu(display("proposing a command: it may have been committed, look at the state"))]
     Dropped,
@@ -36,6 +39,7 @@
         match self {
             Self::NotLeader { .. } => driver::ProposeErrorKind::NotLeader,
             Self::Busy => driver::ProposeErrorKind::Busy,
+            Self::TooLong => driver::ProposeErrorKind::TooLong,
             Self::Dropped => driver::ProposeErrorKind::Dropped,
             Self::Stopped => driver::ProposeErrorKind::Stopped,
             Self::Storage => driver::ProposeErrorKind::Storage,
--- a/galenahold_consensus/src/driver/propose_error_kind.rs
+++ b/galenahold_consensus/src/driver/propose_error_kind.rs
@@ -7,6 +7,8 @@
     NotLeader,
     /// Certainly not committed: too many proposals are under way.
     Busy,
+    /// Certainly not committed: the command is longer than the log takes.
+    TooLong,
     /// It may have been committed, or may still be.
     Dropped,
     /// Certainly not committed: the log has stopped.
--- a/galenahold_consensus/tests/driver/leadership.rs
+++ b/galenahold_consensus/tests/driver/leadership.rs
@@ -78,6 +78,52 @@
     assert_eq!(hint.expect("hint").endpoint.name.as_str(), leader);
 }
 
+#[test]
+fn too_long_command_is_refused_as_certainly_not_committed() {
+    let group = local_group::LocalGroup::found(&["a"]);
+    group.commit("one");
+    let long = vec![b'x'; 2 * 1024 * 1024];
+    let refused = group.handle("a").propose(long, local_group::PATIENCE);
+    let kind = refused.expect_err("too long").kind();
+    assert_eq!(kind, driver::ProposeErrorKind::TooLong);
+    assert!(!kind.may_have_committed());
+}
+
+#[test]
+fn proposal_after_stop_is_answered() {
+    let mut group = local_group::LocalGroup::found(&["a"]);
+    group.commit("one");
+    let handle = group.handle("a");
+    group.stop("a");
+    let refused = handle.propose(b"two".to_vec(), local_group::PATIENCE);
+    let kind = refused.expect_err("stopped").kind();
+    assert_eq!(kind, driver::ProposeErrorKind::Stopped);
+}
+
+#[test]
+fn proposals_under_way_are_all_answered_when_the_leader_stops() {
+    const PROPOSALS: usize = 500;
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (name, handle) = group.leader();
+    let (sender, answers) = crossbeam_channel::unbounded();
+    for number in 0..PROPOSALS {
+        let sender = sender.clone();
+        handle.propose_with(format!("command {number}"), move |result| {
+            let _ = sender.send(result.map(|committed| committed.position));
+        });
+    }
+    drop(sender);
+    group.stop(&name);
+    let answered: Vec<_> = answers.iter().collect();
+    assert_eq!(answered.len(), PROPOSALS);
+    let acknowledged = answered.iter().filter(|answer| answer.is_ok()).count();
+    group.commit("after");
+    let (_, leader) = group.leader();
+    let lines = leader.read(local_group::PATIENCE, |machine| machine.lines.len());
+    assert!(lines.expect("read") >= acknowledged + 2);
+}
+
 #[test]
 fn leadership_moves_to_the_asked_voter() {
     let group = local_group::LocalGroup::found(&["a", "b", "c"]);
--- a/galenahold_consensus/tests/driver/local_group.rs
+++ b/galenahold_consensus/tests/driver/local_group.rs
@@ -47,20 +47,24 @@
 
     pub(crate) fn builder(&self, name: &str) -> driver::LogBuilder {
         driver::LogBuilder::new(self.data_folder(name), name)
-            .address(name)
             .voters(self.voters.clone())
             .snapshot_entries(Self::SNAPSHOT_ENTRIES)
             .retained_entries(Self::RETAINED_ENTRIES)
     }
 
     pub(crate) fn start(&mut self, name: &str) -> Handle {
+        self.start_at(name, name)
+    }
+
+    pub(crate) fn start_at(&mut self, name: &str, address: &str) -> Handle {
         let machine = text_machine::TextMachine::default();
         let member = self
             .builder(name)
+            .address(address)
             .start(machine, self.network.clone())
             .expect("start");
         let handle = member.handle();
-        self.network.attach(name, handle.clone());
+        self.network.attach(name, address, handle.clone());
         self.members.insert(name.to_owned(), member);
         handle
     }
--- a/galenahold_consensus/tests/driver/local_network.rs
+++ b/galenahold_consensus/tests/driver/local_network.rs
@@ -19,19 +19,30 @@
 
 #[derive(Default)]
 struct NetworkState {
-    handles: collections::BTreeMap<member::MemberName, Handle>,
+    members: collections::BTreeMap<member::MemberName, AttachedMember>,
     cut: collections::BTreeSet<member::MemberName>,
 }
 
+struct AttachedMember {
+    address: member::MemberAddress,
+    handle: Handle,
+}
+
 impl LocalNetwork {
-    pub(crate) fn attach(&self, name: &str, handle: Handle) {
+    pub(crate) fn attach(&self, name: &str, address: &str, handle: Handle) {
+        let attached = AttachedMember {
+            address: member::MemberAddress::new(address),
+            handle,
+        };
         let mut state = self.state.lock().expect("network");
-        state.handles.insert(member::MemberName::new(name), handle);
+        state
+            .members
+            .insert(member::MemberName::new(name), attached);
     }
 
     pub(crate) fn detach(&self, name: &str) {
         let mut state = self.state.lock().expect("network");
-        state.handles.remove(&member::MemberName::new(name));
+        state.members.remove(&member::MemberName::new(name));
     }
 
     pub(crate) fn cut(&self, name: &str) {
@@ -50,7 +61,10 @@
             let state = self.state.lock().expect("network");
             let open =
                 !state.cut.contains(&to.name) && !state.cut.contains(&message.from_endpoint.name);
-            state.handles.get(&to.name).filter(|_| open).cloned()
+            let receiver = state.members.get(&to.name);
+            receiver
+                .filter(|receiver| open && receiver.address == to.address)
+                .map(|receiver| receiver.handle.clone())
         };
         let Some(handle) = handle else {
             return;
--- a/galenahold_consensus/tests/driver/recovery.rs
+++ b/galenahold_consensus/tests/driver/recovery.rs
@@ -35,6 +35,17 @@
     }
 }
 
+#[test]
+fn member_that_has_moved_to_another_address_is_found_again() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    group.stop("c");
+    group.commit("two");
+    group.start_at("c", "c moved");
+    group.commit("three");
+    assert_eq!(group.await_lines("c", 3), ["one", "two", "three"]);
+}
+
 #[test]
 fn lagging_member_catches_up_by_snapshot() {
     let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
