--- a/galenahold/src/client/call_history.rs
+++ b/galenahold/src/client/call_history.rs
@@ -7,6 +7,7 @@
 /// What earlier attempts of a call came to.
 #[derive(Debug, Default)]
 pub(super) struct CallHistory {
+    /// What attempts came to, each text once.
     attempts: Vec<String>,
     may_be_applied: bool,
 }
@@ -14,15 +15,22 @@
 impl CallHistory {
     /// Notes an attempt that provably changed nothing.
     pub(super) fn note_not_applied(&mut self, address: net::SocketAddr, reason: &str) {
-        self.attempts.push(format!("{address}: {reason}"));
+        self.note(address, reason);
     }
 
     /// Notes an attempt that may have been applied.
     pub(super) fn note_lost(&mut self, address: net::SocketAddr, reason: &str) {
-        self.attempts.push(format!("{address}: {reason}"));
+        self.note(address, reason);
         self.may_be_applied = true;
     }
 
+    fn note(&mut self, address: net::SocketAddr, reason: &str) {
+        let attempt = format!("{address}: {reason}");
+        if !self.attempts.contains(&attempt) {
+            self.attempts.push(attempt);
+        }
+    }
+
     /// Tells whether an attempt may have been applied.
     pub(super) fn may_be_applied(&self) -> bool {
         self.may_be_applied
--- a/galenahold/src/command/completions_command.rs
+++ b/galenahold/src/command/completions_command.rs
@@ -1,12 +1,7 @@
 //! `completions`: prints a script that completes command lines.
 
-use std::io;
-use std::io::Write;
-
-use snafu::ResultExt;
-
 use crate::command;
-use crate::command::command_error;
+use crate::command::global_options;
 
 const SHELL: &str = "SHELL";
 
@@ -43,8 +38,6 @@
         let mut script = Vec::new();
         let mut definition = command::RootCommand::definition();
         clap_complete::generate(self.shell, &mut definition, "galenahold", &mut script);
-        io::stdout()
-            .write_all(&script)
-            .context(command_error::OutputUnwritableSnafu)
+        global_options::write_output(&script)
     }
 }
--- a/galenahold/src/command/global_options.rs
+++ b/galenahold/src/command/global_options.rs
@@ -138,7 +138,15 @@
             output::OutputFormat::Json => serde_json::to_string_pretty(document)
                 .context(command_error::DocumentUnwritableSnafu)?,
         };
-        writeln!(io::stdout(), "{}", text.trim_end()).context(command_error::OutputUnwritableSnafu)
+        write_output(format!("{}\n", text.trim_end()).as_bytes())
+    }
+}
+
+/// Writes to standard output; a reader that has read enough is no failure.
+pub(super) fn write_output(bytes: &[u8]) -> Result<(), command::CommandError> {
+    match io::stdout().write_all(bytes) {
+        Err(failure) if failure.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        outcome => outcome.context(command_error::OutputUnwritableSnafu),
     }
 }
 
--- a/galenahold_report/src/report/burn_table.rs
+++ b/galenahold_report/src/report/burn_table.rs
@@ -51,6 +51,9 @@
             formatter,
             "A burn rate of 1 uses up the error budget just in its period.\n"
         )?;
+        if self.report.rows.is_empty() {
+            return writeln!(formatter, "No requests were counted.");
+        }
         write_aligned(formatter, &self.cells())?;
         writeln!(formatter, "\nLast hour (refusals: last 3 days):")?;
         for row in &self.report.rows {
