--- a/galenahold_report/src/count/objective_counts.rs
+++ b/galenahold_report/src/count/objective_counts.rs
@@ -5,27 +5,36 @@
 
 use crate::count;
 
-/// Counts of requests against the objectives, over some time.
+/// Counts of requests against the objectives, over some time. Zeros are left out of documents.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ObjectiveCounts {
     /// Requests that were answered whole.
+    #[serde(skip_serializing_if = "is_zero")]
     pub answered: u64,
     /// Requests that failed.
+    #[serde(skip_serializing_if = "is_zero")]
     pub failed: u64,
     /// Requests refused although they were inside their team's rate and burst.
+    #[serde(skip_serializing_if = "is_zero")]
     pub refused_inside_rate: u64,
     /// Answers whose first token came in time.
+    #[serde(skip_serializing_if = "is_zero")]
     pub first_token_met: u64,
     /// Answers whose first token came late.
+    #[serde(skip_serializing_if = "is_zero")]
     pub first_token_missed: u64,
     /// Gaps between tokens that met their limit.
+    #[serde(skip_serializing_if = "is_zero")]
     pub between_tokens_met: u64,
     /// Gaps between tokens that missed their limit.
+    #[serde(skip_serializing_if = "is_zero")]
     pub between_tokens_missed: u64,
     /// Sum of the requests' waits, in microseconds.
+    #[serde(skip_serializing_if = "is_zero")]
     pub wait_total_us: u64,
     /// The longest wait, in microseconds.
+    #[serde(skip_serializing_if = "is_zero")]
     pub wait_max_us: u64,
 }
 
@@ -74,3 +83,11 @@
         self.answered + self.failed + self.refused_inside_rate
     }
 }
+
+#[allow(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
