Run experiments against real instances and read the ledgers

Cause: policies are to be compared by measurement on one trace, and the promises checked on what backend servers received.

Change: `galenahold-load experiment` starts a deployment's instances with its delays, its stand-ins, states the intent, gives keys, plays a trace and writes callers' results with findings from the ledgers: overcommitted memory, models over their limit, orders run again, keys shown to backend servers, held and idle accelerator time. The harness has an operator client. Engines read chat contents in parts, lookups name their order in the path, and store switches are refused by other stand-ins.

Before: the harness had run only on a stand-in.

--- a/galenahold_testkit/src/bin/load/command_line.rs
+++ b/galenahold_testkit/src/bin/load/command_line.rs
@@ -1,11 +1,12 @@
 //! The command line of the load tool.
 
+use std::fs;
 use std::net;
 use std::path;
 use std::time;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use galenahold_testkit::load;
+use galenahold_testkit::{TestkitError, load};
 
 /// Builds the command.
 pub(crate) fn command() -> Command {
@@ -14,6 +15,7 @@
         .subcommand_required(true)
         .subcommand(trace_command())
         .subcommand(run_command())
+        .subcommand(experiment_command())
         .subcommand(
             Command::new("compare")
                 .about("Prints two result files side by side")
@@ -66,10 +68,30 @@
         straight_services: addresses(flags, "straight-service"),
         keys,
         timeout: timeout.map_or(defaults.timeout, time::Duration::from_millis),
-        speed: flags.get_one("speed").copied().unwrap_or(defaults.speed),
+        speed: flags
+            .try_get_one("speed")
+            .ok()
+            .flatten()
+            .copied()
+            .unwrap_or(defaults.speed),
     }
 }
 
+/// Reads the settings that are laid over those of every instance.
+pub(crate) fn instance_settings(flags: &ArgMatches) -> Result<serde_json::Value, TestkitError> {
+    let Some(path) = flags.get_one::<path::PathBuf>("settings") else {
+        return Ok(serde_json::json!({}));
+    };
+    let text = fs::read_to_string(path).map_err(|source| TestkitError::File {
+        path: path.clone(),
+        source,
+    })?;
+    serde_json::from_str(&text).map_err(|source| TestkitError::Json {
+        what: path.display().to_string(),
+        source,
+    })
+}
+
 fn trace_command() -> Command {
     Command::new("trace")
         .about("Generates a trace from a deployment")
@@ -125,25 +147,39 @@
             "Sends every second order to this server directly; may be repeated",
         ))
         .arg(pair("key", "TEAM=KEY", "Shows this key for a team"))
-        .arg(
-            Arg::new("label")
-                .long("label")
-                .value_name("NAME")
-                .help("Names the result [default: run]"),
-        )
-        .arg(
-            Arg::new("timeout-ms")
-                .long("timeout-ms")
-                .value_name("NUMBER")
-                .value_parser(value_parser!(u64))
-                .help("Gives a request this many milliseconds [default: 60000]"),
-        )
+        .arg(label())
+        .arg(timeout())
         .arg(number(
             "speed",
             "Plays the trace this many times faster [default: 1]",
         ))
 }
 
+fn experiment_command() -> Command {
+    Command::new("experiment")
+        .about("Starts a deployment with real instances, plays a trace and reads the ledgers")
+        .arg(file("deployment", "Reads this deployment file"))
+        .arg(file("trace", "Plays this trace file"))
+        .arg(file("out", "Writes the result to this file"))
+        .arg(
+            file(
+                "settings",
+                "Lays this JSON file over the instances' settings",
+            )
+            .required(false),
+        )
+        .arg(switch(
+            "no-delays",
+            "Leaves out the delays of the deployment",
+        ))
+        .arg(switch(
+            "preload",
+            "Has models ready at the start, as far as memory goes",
+        ))
+        .arg(label())
+        .arg(timeout())
+}
+
 fn position(name: &'static str) -> Arg {
     Arg::new(name)
         .value_name("FILE")
@@ -160,6 +196,28 @@
         .help(help)
 }
 
+fn label() -> Arg {
+    Arg::new("label")
+        .long("label")
+        .value_name("NAME")
+        .help("Names the result [default: run]")
+}
+
+fn timeout() -> Arg {
+    Arg::new("timeout-ms")
+        .long("timeout-ms")
+        .value_name("NUMBER")
+        .value_parser(value_parser!(u64))
+        .help("Gives a request this many milliseconds [default: 60000]")
+}
+
+fn switch(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .action(ArgAction::SetTrue)
+        .help(help)
+}
+
 fn number(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
@@ -186,13 +244,13 @@
 }
 
 fn addresses(flags: &ArgMatches, name: &str) -> Vec<net::SocketAddr> {
-    let given = flags.get_many(name);
+    let given = flags.try_get_many(name).ok().flatten();
     given.map_or_else(Vec::new, |given| given.copied().collect())
 }
 
 /// Splits the values of a flag at their first equals sign.
 fn pairs<'a>(flags: &'a ArgMatches, name: &str) -> impl Iterator<Item = (&'a str, &'a str)> {
-    let given = flags.get_many::<String>(name);
+    let given = flags.try_get_many::<String>(name).ok().flatten();
     given
         .into_iter()
         .flatten()
--- a/galenahold_testkit/src/bin/load/main.rs
+++ b/galenahold_testkit/src/bin/load/main.rs
@@ -5,7 +5,7 @@
 use std::path;
 use std::process;
 
-use galenahold_testkit::{TestkitError, deployment, load};
+use galenahold_testkit::{TestkitError, deployment, experiment, load};
 
 fn main() -> process::ExitCode {
     env_logger::init();
@@ -13,6 +13,7 @@
     let ended = match matches.subcommand() {
         Some(("trace", flags)) => write_trace(flags),
         Some(("run", flags)) => run(flags),
+        Some(("experiment", flags)) => run_experiment(flags),
         Some(("compare", flags)) => compare(flags),
         Some(("intent", flags)) => print_intent(flags),
         _ => Ok(()),
@@ -45,6 +46,25 @@
     Ok(())
 }
 
+/// Plays a trace against a fleet of its own and writes the result.
+fn run_experiment(flags: &clap::ArgMatches) -> Result<(), TestkitError> {
+    let trace = load::LoadTrace::read(path_of(flags, "trace"))?;
+    let plain = command_line::load_settings(flags);
+    let result = experiment::ExperimentBuilder::new(read_deployment(flags)?, &plain.label)
+        .settings(command_line::instance_settings(flags)?)
+        .delays(!flags.get_flag("no-delays"))
+        .preload(flags.get_flag("preload"))
+        .timeout(plain.timeout)
+        .run(&trace)?;
+    result.write(path_of(flags, "out"))?;
+    print!(
+        "{}",
+        load::ResultComparison::new(&result.load, &result.load)
+    );
+    println!("{:#}", serde_json::json!(result.findings));
+    Ok(())
+}
+
 /// Prints two results side by side.
 fn compare(flags: &clap::ArgMatches) -> Result<(), TestkitError> {
     let first = load::LoadResult::read(path_of(flags, "first"))?;
--- a/galenahold_testkit/src/control/control_board.rs
+++ b/galenahold_testkit/src/control/control_board.rs
@@ -53,8 +53,8 @@
 }
 
 impl ControlBoard {
-    /// Sets a switch; store switches are the store's own and are ignored here.
-    pub(crate) fn apply(&self, control: &ServerControl) {
+    /// Sets a switch; tells whether there is such a one, which those of the store are not.
+    pub(crate) fn apply(&self, control: &ServerControl) -> bool {
         let mut state = self.state.lock();
         match *control {
             ServerControl::CrashNextLoad => state.crashes = 1,
@@ -90,8 +90,9 @@
                 state.delay = time::Duration::from_millis(delay_ms);
             }
             ServerControl::RefuseNotRun { count } => state.refusals = count,
-            ServerControl::SlowStore { .. } | ServerControl::StallStore { .. } => {}
+            ServerControl::SlowStore { .. } | ServerControl::StallStore { .. } => return false,
         }
+        true
     }
 
     /// Clears all switches, as a restart does.
--- a/galenahold_testkit/src/deployment/fleet_deployment.rs
+++ b/galenahold_testkit/src/deployment/fleet_deployment.rs
@@ -10,8 +10,8 @@
 use crate::store;
 use crate::testkit_error::{FileSnafu, JsonSnafu, TestkitError};
 
-/// Output tokens beyond the usual ones that a model admits.
-const REQUEST_TOKENS_LIMIT: u64 = 16_384;
+/// Tokens of the largest request that a model admits.
+const REQUEST_TOKENS_LIMIT: u64 = 4_096;
 
 /// The size of a user's deployment.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -85,7 +85,7 @@
             serde_json::json!({
                 "name": service.name,
                 "kind": "plain",
-                "path_prefix": format!("/{}/", service.name),
+                "path_prefix": format!("/{}", service.name),
                 "idempotent_methods": ["GET", "HEAD"],
                 "call_tokens": service.call_tokens,
                 "teams": names,
--- a/galenahold_testkit/src/engine/engine_core.rs
+++ b/galenahold_testkit/src/engine/engine_core.rs
@@ -83,7 +83,13 @@
 
     /// Records what is held under `name` now.
     pub(crate) fn record_held(&self, table: &ModelTable, name: &str) {
-        self.ledger.held(name, table.copies(name), table.bytes());
+        self.ledger.held(ledger::ReplicaEvent {
+            at_us: ledger::unix_micros(),
+            model: name.to_owned(),
+            held: table.copies(name),
+            model_bytes: table.bytes_of(name),
+            memory_bytes: table.bytes(),
+        });
     }
 
     /// Ends this incarnation at once.
--- a/galenahold_testkit/src/engine/engine_face.rs
+++ b/galenahold_testkit/src/engine/engine_face.rs
@@ -100,9 +100,12 @@
             record.prompt_tokens = prompt_tokens;
             record.resume_offset = next;
         });
-        if !self.core.models.lock().begin_request(&body.model) {
+        let Some(base_model) = self.core.models.lock().begin_request(&body.model) else {
             return Err(Box::new(not_loaded(&body.model)));
-        }
+        };
+        self.core
+            .ledger
+            .amend(key, |record| record.base_model = base_model);
         let (sender, receiver) = mpsc::unbounded_channel();
         let sequence = Sequence {
             key,
--- a/galenahold_testkit/src/engine/engine_process.rs
+++ b/galenahold_testkit/src/engine/engine_process.rs
@@ -91,9 +91,9 @@
         self.core.models.lock().loaded()
     }
 
-    /// Makes the engine misbehave.
-    pub fn control(&self, control: &control::ServerControl) {
-        self.core.controls.apply(control);
+    /// Makes the engine misbehave; tells whether it has such a switch.
+    pub fn control(&self, control: &control::ServerControl) -> bool {
+        self.core.controls.apply(control)
     }
 
     /// Ends the engine at once, as a killed process would.
--- a/galenahold_testkit/src/engine/generation_body.rs
+++ b/galenahold_testkit/src/engine/generation_body.rs
@@ -11,7 +11,36 @@
     #[serde(default)]
     role: String,
     #[serde(default)]
-    content: String,
+    content: MessageContent,
+}
+
+/// Text, or a list of parts of which those with text count.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum MessageContent {
+    Text(String),
+    Parts(Vec<ContentPart>),
+}
+
+#[derive(Debug, Deserialize)]
+struct ContentPart {
+    #[serde(default)]
+    text: String,
+}
+
+impl Default for MessageContent {
+    fn default() -> Self {
+        Self::Text(String::new())
+    }
+}
+
+impl MessageContent {
+    fn text(&self) -> String {
+        match self {
+            Self::Text(text) => text.clone(),
+            Self::Parts(parts) => parts.iter().map(|part| part.text.as_str()).collect(),
+        }
+    }
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -52,7 +81,7 @@
         let lines: Vec<_> = self
             .messages
             .iter()
-            .map(|message| format!("{}: {}", message.role, message.content))
+            .map(|message| format!("{}: {}", message.role, message.content.text()))
             .collect();
         lines.join("\n")
     }
--- a/galenahold_testkit/src/engine/model_table.rs
+++ b/galenahold_testkit/src/engine/model_table.rs
@@ -68,6 +68,12 @@
         self.held.iter().map(|held| held.loaded.bytes).sum()
     }
 
+    /// Returns the bytes of the entries under a name.
+    pub(crate) fn bytes_of(&self, name: &str) -> u64 {
+        let held = self.held.iter().filter(|held| held.name() == name);
+        held.map(|held| held.loaded.bytes).sum()
+    }
+
     /// Counts the copies held under a name.
     pub(crate) fn copies(&self, name: &str) -> u64 {
         self.held.iter().filter(|held| held.name() == name).count() as u64
@@ -104,19 +110,14 @@
             .collect()
     }
 
-    /// Takes a ready model or adapter into use by one more request.
-    pub(crate) fn begin_request(&mut self, name: &str) -> bool {
-        let found = self
+    /// Takes a ready model or adapter into use by one more request and returns the base model.
+    pub(crate) fn begin_request(&mut self, name: &str) -> Option<String> {
+        let held = self
             .held
             .iter_mut()
-            .rfind(|held| held.name() == name && held.is_ready());
-        match found {
-            Some(held) => {
-                held.requests += 1;
-                true
-            }
-            None => false,
-        }
+            .rfind(|held| held.name() == name && held.is_ready())?;
+        held.requests += 1;
+        Some(held.loaded.model.clone())
     }
 
     /// Ends the use by one request.
--- /dev/null
+++ b/galenahold_testkit/src/experiment/experiment_builder.rs
@@ -0,0 +1,148 @@
+//! Running an experiment.
+
+use std::net;
+use std::thread;
+use std::time;
+
+use super::{ExperimentResult, LedgerFindings};
+use crate::deployment;
+use crate::harness;
+use crate::load;
+use crate::proxy;
+use crate::testkit_error::TestkitError;
+
+/// Time in which a fleet has to become ready.
+const READY_LIMIT: time::Duration = time::Duration::from_secs(30);
+/// Time that backend servers get to announce themselves before the load.
+const ANNOUNCE_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// Collects what an experiment is like and runs it.
+#[derive(Debug, Clone)]
+pub struct ExperimentBuilder {
+    deployment: deployment::FleetDeployment,
+    label: String,
+    settings: serde_json::Value,
+    delays: bool,
+    preload: bool,
+    timeout: time::Duration,
+}
+
+impl ExperimentBuilder {
+    /// Starts with a deployment and plain settings.
+    #[must_use]
+    pub fn new(deployment: deployment::FleetDeployment, label: &str) -> Self {
+        Self {
+            deployment,
+            label: label.to_owned(),
+            settings: serde_json::json!({}),
+            delays: true,
+            preload: false,
+            timeout: load::LoadSettings::default().timeout,
+        }
+    }
+
+    /// Lays settings over those of every instance.
+    #[must_use]
+    pub fn settings(mut self, over: serde_json::Value) -> Self {
+        self.settings = over;
+        self
+    }
+
+    /// Sets whether links have the delays of the deployment.
+    #[must_use]
+    pub fn delays(mut self, delays: bool) -> Self {
+        self.delays = delays;
+        self
+    }
+
+    /// Sets whether models are ready at the start, as far as memory goes.
+    #[must_use]
+    pub fn preload(mut self, preload: bool) -> Self {
+        self.preload = preload;
+        self
+    }
+
+    /// Sets the time that a request may take.
+    #[must_use]
+    pub fn timeout(mut self, timeout: time::Duration) -> Self {
+        self.timeout = timeout;
+        self
+    }
+
+    /// Starts everything, plays the trace and reads the ledgers.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fleet does not become ready or the intent is refused.
+    pub fn run(&self, trace: &load::LoadTrace) -> Result<ExperimentResult, TestkitError> {
+        let fleet = self.start_fleet()?;
+        let servers =
+            deployment::StandInFleet::start(&self.deployment, &fleet.backends(), self.preload)?;
+        let operator = fleet.operator();
+        operator.state_intent(&self.deployment.intent())?;
+        let teams = self.deployment.teams.iter();
+        let keys = operator.give_keys(teams.map(|team| team.name.as_str()))?;
+        thread::sleep(ANNOUNCE_TIME);
+        let proxy = proxy::FaultProxy::start()?;
+        let settings = load::LoadSettings {
+            label: self.label.clone(),
+            targets: self.caller_addresses(&proxy, &fleet)?,
+            keys: keys.clone(),
+            timeout: self.timeout,
+            ..load::LoadSettings::default()
+        };
+        let load = load::LoadRun::new(settings)?.play(trace);
+        let findings = LedgerFindings::read(&self.deployment, &servers, keys.values());
+        Ok(ExperimentResult { load, findings })
+    }
+
+    fn start_fleet(&self) -> Result<harness::InstanceFleet, TestkitError> {
+        let centres = &self.deployment.data_centres;
+        let names: Vec<_> = centres.iter().map(String::as_str).collect();
+        let control = self.deployment.control_instances;
+        let route = if self.delays {
+            harness::PeerRoute::Pairs
+        } else {
+            harness::PeerRoute::Direct
+        };
+        let fleet = harness::FleetBuilder::default()
+            .control(control)
+            .entries(self.deployment.instances.saturating_sub(control))
+            .data_centres(&names)
+            .peer_route(route)
+            .settings(&self.settings)
+            .start_ready(READY_LIMIT)?;
+        fleet.links().set_each(|from, to| self.peer_fault(from, to));
+        Ok(fleet)
+    }
+
+    /// Returns the delay between two instances; links from all count as between data centres.
+    fn peer_fault(&self, from: Option<usize>, to: usize) -> proxy::LinkFault {
+        let deployment = &self.deployment;
+        let same =
+            from.is_some_and(|from| deployment.data_centre(from) == deployment.data_centre(to));
+        if same {
+            return proxy::LinkFault::pass();
+        }
+        let delay = time::Duration::from_micros(deployment.between_data_centres_us);
+        proxy::LinkFault::pass().delay(delay)
+    }
+
+    /// Lists where callers connect: through links with the delay from clients, if asked for.
+    fn caller_addresses(
+        &self,
+        proxy: &proxy::FaultProxy,
+        fleet: &harness::InstanceFleet,
+    ) -> Result<Vec<net::SocketAddr>, TestkitError> {
+        if !self.delays {
+            return Ok(fleet.callers());
+        }
+        let delay = time::Duration::from_micros(self.deployment.from_clients_us);
+        let links = fleet.callers().into_iter().map(|address| {
+            let link = proxy.link(address)?;
+            link.set_both(proxy::LinkFault::pass().delay(delay));
+            Ok(link.address())
+        });
+        links.collect()
+    }
+}
--- a/galenahold_testkit/src/harness/instance_fleet.rs
+++ b/galenahold_testkit/src/harness/instance_fleet.rs
@@ -4,7 +4,7 @@
 use std::path;
 use std::time;
 
-use super::{InstanceProcess, PeerLinks};
+use super::{InstanceProcess, OperatorClient, PeerLinks};
 use crate::testkit_error::TestkitError;
 
 /// Holds instances, links and files until it is dropped.
@@ -56,6 +56,12 @@
         self.folder.path()
     }
 
+    /// Returns an operator of this fleet.
+    #[must_use]
+    pub fn operator(&self) -> OperatorClient {
+        OperatorClient::new(self.operators(), &self.credential)
+    }
+
     /// Returns the operator's credential.
     #[must_use]
     pub fn operator_credential(&self) -> &str {
--- a/galenahold_testkit/src/harness/peer_links.rs
+++ b/galenahold_testkit/src/harness/peer_links.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    /// Sets the fault of each link by the positions that it joins; the first is `None` for all.
+    pub fn set_each(&self, fault_of: impl Fn(Option<usize>, usize) -> proxy::LinkFault) {
+        for peer in &self.links {
+            peer.link.set_both(fault_of(peer.from, peer.to));
+        }
+    }
+
     /// Sets the fault of all links.
     pub fn set_all(&self, fault: proxy::LinkFault) {
         for peer in &self.links {
--- a/galenahold_testkit/src/host/admin_face.rs
+++ b/galenahold_testkit/src/host/admin_face.rs
@@ -30,10 +30,8 @@
 
     async fn control(&self, body: body::Incoming) -> http::Response<Full<Bytes>> {
         match read_json::<control::ServerControl>(body).await {
-            Ok(control) => {
-                self.controls.apply(&control);
-                empty_answer(http::StatusCode::OK)
-            }
+            Ok(control) if self.controls.apply(&control) => empty_answer(http::StatusCode::OK),
+            Ok(_) => empty_answer(http::StatusCode::NOT_IMPLEMENTED),
             Err(reason) => error_answer(http::StatusCode::BAD_REQUEST, "invalid", &reason),
         }
     }
--- a/galenahold_testkit/src/ledger/replica_event.rs
+++ b/galenahold_testkit/src/ledger/replica_event.rs
@@ -11,6 +11,8 @@
     pub model: String,
     /// Its copies that are loading, ready or unloading.
     pub held: u64,
+    /// Memory that these copies take.
+    pub model_bytes: u64,
     /// Memory in use by all models and adapters.
     pub memory_bytes: u64,
 }
--- a/galenahold_testkit/src/ledger/request_record.rs
+++ b/galenahold_testkit/src/ledger/request_record.rs
@@ -22,6 +22,8 @@
     pub team: Option<String>,
     /// The model or adapter, empty at plain services.
     pub model: String,
+    /// The base model that ran it, empty when none did.
+    pub base_model: String,
     /// The engine's priority value; lower runs first.
     pub priority: i64,
     /// The output tokens skipped by a resumed request.
@@ -55,6 +57,7 @@
             team: value_of(TEAM_HEADER),
             headers,
             model: String::new(),
+            base_model: String::new(),
             priority: 0,
             resume_offset: 0,
             started_us,
--- a/galenahold_testkit/src/ledger/server_ledger.rs
+++ b/galenahold_testkit/src/ledger/server_ledger.rs
@@ -69,6 +69,7 @@
                 at_us,
                 model,
                 held: 0,
+                model_bytes: 0,
                 memory_bytes: 0,
             }));
         for request in &mut snapshot.requests {
@@ -153,17 +154,12 @@
         state.snapshot.loads_in_flight = state.snapshot.loads_in_flight.saturating_sub(1);
     }
 
-    /// Records what is held of `model` and the memory in use from now on.
-    pub(crate) fn held(&self, model: &str, held: u64, memory_bytes: u64) {
+    /// Records a change of what is held.
+    pub(crate) fn held(&self, event: ReplicaEvent) {
         let mut state = self.state.lock();
         let snapshot = &mut state.snapshot;
-        snapshot.memory_bytes = memory_bytes;
-        snapshot.peak_memory_bytes = snapshot.peak_memory_bytes.max(memory_bytes);
-        snapshot.replicas.push(ReplicaEvent {
-            at_us: unix_micros(),
-            model: model.to_owned(),
-            held,
-            memory_bytes,
-        });
+        snapshot.memory_bytes = event.memory_bytes;
+        snapshot.peak_memory_bytes = snapshot.peak_memory_bytes.max(event.memory_bytes);
+        snapshot.replicas.push(event);
     }
 }
--- a/galenahold_testkit/src/lib.rs
+++ b/galenahold_testkit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod control;
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
 pub mod harness;
 mod host;
 mod http;
--- a/galenahold_testkit/src/load/team_keys.rs
+++ b/galenahold_testkit/src/load/team_keys.rs
@@ -21,4 +21,9 @@
     pub fn get(&self, team: &str) -> Option<&str> {
         self.keys.get(team).map(String::as_str)
     }
+
+    /// Lists all keys.
+    pub fn values(&self) -> impl Iterator<Item = &str> {
+        self.keys.values().map(String::as_str)
+    }
 }
--- a/galenahold_testkit/src/service/service_face.rs
+++ b/galenahold_testkit/src/service/service_face.rs
@@ -61,8 +61,12 @@
             ));
         }
         tokio::time::sleep(time::Duration::from_micros(self.core.settings.call_us)).await;
-        let order = order_name(parts, body);
         let is_lookup = parts.method == http::Method::GET || parts.method == http::Method::HEAD;
+        let order = if is_lookup {
+            last_segment(parts)
+        } else {
+            order_name(parts, body)
+        };
         if let (Some(order), false) = (&order, is_lookup) {
             self.core.ledger.order_ran(order);
         }
@@ -161,3 +165,9 @@
     let header = parts.headers.get(IDEMPOTENCY_KEY_HEADER)?;
     header.to_str().ok().map(str::to_owned)
 }
+
+/// Returns the last segment of the path, which a lookup names its order by.
+fn last_segment(parts: &http::request::Parts) -> Option<String> {
+    let (_, segment) = parts.uri.path().rsplit_once('/')?;
+    Some(segment.to_owned())
+}
--- a/galenahold_testkit/src/service/service_process.rs
+++ b/galenahold_testkit/src/service/service_process.rs
@@ -66,9 +66,9 @@
         self.core.ledger.snapshot()
     }
 
-    /// Makes the service misbehave.
-    pub fn control(&self, control: &control::ServerControl) {
-        self.core.controls.apply(control);
+    /// Makes the service misbehave; tells whether it has such a switch.
+    pub fn control(&self, control: &control::ServerControl) -> bool {
+        self.core.controls.apply(control)
     }
 
     /// Ends the service at once, as a killed process would.
--- a/galenahold_testkit/src/testkit_error.rs
+++ b/galenahold_testkit/src/testkit_error.rs
@@ -113,4 +113,23 @@
         /// The end of its log.
         log: String,
     },
+    /// A blocking HTTP call had no answer.
+    #[snafu(display("no answer from {address}; check that the server runs: {source}"))]
+    Http {
+        /// The server's address.
+        address: net::SocketAddr,
+        /// The cause.
+        #[snafu(source(from(ureq::Error, Box::new)))]
+        source: Box<ureq::Error>,
+    },
+    /// The operators' face did not do a call.
+    #[snafu(display("{path} was answered with {status}: {answer}; check the call and the logs"))]
+    Operator {
+        /// The path of the call.
+        path: String,
+        /// The status, zero without an answer.
+        status: u16,
+        /// The answer.
+        answer: String,
+    },
 }
