Bound the nesting of decoded entries and test what the state forgets

Cause: bytes that nest deeper than a thread's stack ended the process: the decoder's own bound of 1,024 levels overflows the 2 MiB stack of a test thread in a debug build. Nothing showed that forgetting is harmless.

Tests run past the kept changes, requests and withdrawn keys. An expired order may have run: only such orders leave their keys behind, and the texts say so.

Before and after: codec::deeply_nested_bytes_are_an_error aborted the test binary by a stack overflow; it passes now.

--- /dev/null
+++ b/galenahold_domain/src/codec/mod.rs
@@ -0,0 +1,5 @@
+//! The byte form of commands and snapshots.
+
+mod bounded_decoder;
+
+pub(crate) use bounded_decoder::decode;
--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount;
+use crate::codec;
 use crate::control;
 use crate::error;
 use crate::intent;
@@ -258,7 +259,7 @@
     /// Fails for a later version, an unknown kind, an unknown field and malformed bytes. A voter
     /// that gets an error must stop: to skip an entry would let its state differ from the others'.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::DomainError> {
-        let header: CommandHeader = rmp_serde::from_slice(bytes).map_err(malformed)?;
+        let header: CommandHeader = codec::decode(bytes).map_err(malformed)?;
         if header.version > COMMAND_VERSION {
             return error::CommandVersionSnafu {
                 found: header.version,
@@ -266,7 +267,7 @@
             }
             .fail();
         }
-        match rmp_serde::from_slice::<ReadCommand>(bytes) {
+        match codec::decode::<ReadCommand>(bytes) {
             Ok(read) => Ok(read.command),
             Err(source) => Err(unknown_kind(bytes).unwrap_or_else(|| malformed(source))),
         }
@@ -310,7 +311,7 @@
 
 /// Returns the error for a command of a kind that this program does not know.
 fn unknown_kind(bytes: &[u8]) -> Option<error::DomainError> {
-    let read: CommandKind = rmp_serde::from_slice(bytes).ok()?;
+    let read: CommandKind = codec::decode(bytes).ok()?;
     let kind = read.command.into_keys().next()?;
     if COMMAND_KINDS.contains(&kind.as_str()) {
         return None;
--- a/galenahold_domain/src/control/control_state.rs
+++ b/galenahold_domain/src/control/control_state.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount;
+use crate::codec;
 use crate::control;
 use crate::error;
 use crate::order;
@@ -99,7 +100,7 @@
     ///
     /// Fails for a later version than this program knows, and for bytes that are no snapshot.
     pub fn restore(bytes: &[u8]) -> Result<Self, error::DomainError> {
-        let header: SnapshotHeader = rmp_serde::from_slice(bytes).map_err(snapshot_malformed)?;
+        let header: SnapshotHeader = codec::decode(bytes).map_err(snapshot_malformed)?;
         if header.version > SNAPSHOT_VERSION {
             return error::SnapshotVersionSnafu {
                 found: header.version,
@@ -107,7 +108,7 @@
             }
             .fail();
         }
-        let snapshot: ReadSnapshot = rmp_serde::from_slice(bytes).map_err(snapshot_malformed)?;
+        let snapshot: ReadSnapshot = codec::decode(bytes).map_err(snapshot_malformed)?;
         Ok(Self {
             parts: snapshot.state,
         })
--- a/galenahold_domain/src/lib.rs
+++ b/galenahold_domain/src/lib.rs
@@ -4,6 +4,7 @@
 //! control state can be rebuilt from its log on each voter.
 
 pub mod amount;
+mod codec;
 pub mod control;
 mod digest;
 pub mod error;
--- a/galenahold_domain/src/order/order_start.rs
+++ b/galenahold_domain/src/order/order_start.rs
@@ -21,7 +21,7 @@
     Unknown,
     /// The key was used with another request.
     DigestDiffers,
-    /// The key is older than the ledger's window.
+    /// The key is older than the ledger's window: its order may have run, and never runs again.
     Expired,
     /// The asking instance's incarnation was declared ended; it may start no order.
     OwnerEnded,
--- a/galenahold_domain/tests/control/codec.rs
+++ b/galenahold_domain/tests/control/codec.rs
@@ -1,5 +1,7 @@
 //! Commands and snapshots as bytes.
 
+use std::iter;
+
 use galenahold_domain::amount;
 use galenahold_domain::control;
 use galenahold_domain::error;
@@ -111,6 +113,18 @@
     );
 }
 
+#[test]
+fn deeply_nested_bytes_are_an_error() {
+    const MAP_OF_TWO: u8 = 0x82;
+    const LIST_OF_ONE: u8 = 0x91;
+    const DEPTH: usize = 1_000_000;
+    let mut bytes = vec![MAP_OF_TWO];
+    bytes.extend(rmp_serde::to_vec("later_field").expect("it encodes"));
+    bytes.extend(iter::repeat_n(LIST_OF_ONE, DEPTH));
+    assert!(control::ControlCommand::decode(&bytes).is_err());
+    assert!(control::ControlState::restore(&bytes).is_err());
+}
+
 #[test]
 fn unknown_field_of_a_snapshot_is_left_out() {
     const MAP_OF_TWO: u8 = 0x82;
--- a/galenahold_domain/tests/control/fixture.rs
+++ b/galenahold_domain/tests/control/fixture.rs
@@ -50,6 +50,16 @@
     )
 }
 
+/// Returns a record whose public part is a number.
+pub(crate) fn numbered_record(number: usize, team: &str) -> key::KeyRecord {
+    key::KeyRecord {
+        id: name::KeyId::from(format!("key{number}")),
+        team: name::TeamName::from(team),
+        salt: "0".repeat(2 * key::CallerKey::SALT_BYTES),
+        hash: "0".repeat(64),
+    }
+}
+
 /// A state with the number of the next log entry.
 pub(crate) struct LoggedState {
     pub(crate) state: control::ControlState,
--- /dev/null
+++ b/galenahold_domain/tests/control/limits.rs
@@ -0,0 +1,83 @@
+//! What the state forgets, and that forgetting lets nothing act twice.
+
+use galenahold_domain::amount;
+use galenahold_domain::control;
+
+use crate::fixture;
+
+/// More than the changes, requests and withdrawn keys that are kept.
+const MANY: usize = 66_000;
+
+/// More than the changes that are kept.
+const MANY_CHANGES: usize = 5_000;
+
+#[test]
+fn instance_behind_the_kept_changes_gets_none() {
+    let mut logged = fixture::LoggedState::with_intent();
+    for number in 0..MANY_CHANGES {
+        let record = fixture::numbered_record(number, "mkoani");
+        logged.give(&number.to_string(), record);
+    }
+    let first = amount::RevisionNumber::ZERO;
+    assert_eq!(logged.state.changes_since(first), None);
+    let late = amount::RevisionNumber(logged.state.revision().0 - 1_000);
+    let changes = logged.state.changes_since(late).expect("they are kept");
+    assert_eq!(changes.len(), 1_000);
+    assert_eq!(changes[0].revision(), late.next());
+    let latest = changes.last().map(control::ConfigurationChange::revision);
+    assert_eq!(latest, Some(logged.state.revision()));
+}
+
+#[test]
+fn resend_of_a_forgotten_plan_conflicts() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let mut wanted = fixture::intent();
+    wanted.teams[0].weight = 5;
+    let current = logged.state.view();
+    let plan =
+        galenahold_domain::intent::IntentPlan::between(current.revision, &current.intent, &wanted);
+    let command = control::ControlCommand::ConfirmPlan {
+        request: fixture::request("juma", "1"),
+        base: current.revision,
+        intent: wanted,
+        digest: plan.digest,
+        now_ms: 0,
+    };
+    assert_eq!(logged.apply(&command), fixture::changed(2));
+    for number in 0..10_001 {
+        logged.withdraw(&number.to_string(), &"none".into());
+    }
+    let outcome = logged.apply(&command);
+    assert!(
+        matches!(outcome, control::ControlOutcome::Conflict(_)),
+        "{outcome:?}"
+    );
+}
+
+#[test]
+fn resend_of_a_key_is_refused_when_its_withdrawal_was_forgotten() {
+    let mut logged = fixture::LoggedState::with_intent();
+    let base = logged.state.revision();
+    let first = fixture::numbered_record(0, "kibaha");
+    logged.give_against("first", base, first.clone());
+    logged.withdraw("withdraw", &first.id);
+    for number in 1..MANY {
+        let record = fixture::numbered_record(number, "kibaha");
+        logged.give(&number.to_string(), record);
+    }
+    let mut without = fixture::intent();
+    without.teams.remove(1);
+    without.services[0].teams.pop();
+    let revision = logged.state.revision().0;
+    logged.confirm("juma", "1", revision, &without);
+    logged.confirm("juma", "2", revision + 1, &fixture::intent());
+    assert!(logged.state.view().keys.is_empty());
+    let outcome = logged.give_against("first", base, first.clone());
+    assert!(
+        matches!(outcome, control::ControlOutcome::Invalid { .. }),
+        "{outcome:?}"
+    );
+    let fresh = fixture::numbered_record(MANY, "kibaha");
+    let outcome = logged.give("fresh", fresh);
+    assert_eq!(outcome, fixture::changed(revision + 3));
+}
--- a/galenahold_domain/tests/control/main.rs
+++ b/galenahold_domain/tests/control/main.rs
@@ -4,5 +4,6 @@
 mod configuration;
 mod fixture;
 mod keys;
+mod limits;
 mod operators;
 mod sequences;
