--- a/galenahold_domain/tests/control/main.rs
+++ b/galenahold_domain/tests/control/main.rs
@@ -3,5 +3,7 @@
 mod codec;
 mod configuration;
 mod fixture;
+mod keys;
+mod limits;
 mod operators;
 mod sequences;
