--- a/galenahold/examples/first_fleet.rs
+++ b/galenahold/examples/first_fleet.rs
@@ -57,9 +57,9 @@
         .instances(&fleet.backends())
         .start()?;
 
-    let operator = harness::FleetOperator::new(&fleet);
+    let operator = fleet.operator();
     operate(&operator)?;
-    let key = operator.give_key("councils")?;
+    let key = operator.give_key("councils")?.key;
     println!("a key for the team councils was given (it is shown once, and not here)");
 
     call_cold_model(&fleet, &key)?;
@@ -76,7 +76,7 @@
     stop(&mut fleet)
 }
 
-fn operate(operator: &harness::FleetOperator) -> Result<(), Box<dyn error::Error>> {
+fn operate(operator: &harness::OperatorClient) -> Result<(), Box<dyn error::Error>> {
     let intent = json!({
         "teams": [{ "name": "councils", "rate_tokens_per_s": 5_000, "burst_tokens": 20_000 }],
         "models": [{
@@ -90,12 +90,12 @@
             },
         ],
     });
-    let plan = operator.change("/v1/plans", &json!({ "intent": intent }))?;
+    let plan = operator.call_any("/v1/plans", Some(&json!({ "intent": intent })))?;
     println!("the plan against revision {}:", plan["base"]);
     for step in plan["steps"].as_array().into_iter().flatten() {
         println!("  {}", step.as_str().unwrap_or_default());
     }
-    let revision = operator.put_intent(&intent)?;
+    let revision = operator.state_intent(&intent)?;
     println!("confirmed: revision {revision} is in force");
     Ok(())
 }
--- a/galenahold/tests/path/fleet_setup.rs
+++ b/galenahold/tests/path/fleet_setup.rs
@@ -42,9 +42,14 @@
             .announce_interval_ms(200)
             .start()
             .expect("the service starts");
-        let operator = harness::FleetOperator::new(&fleet);
-        operator.put_intent(&intent()).expect("the intent is valid");
-        let key = operator.give_key("councils").expect("the team is known");
+        let operator = fleet.operator();
+        operator
+            .state_intent(&intent())
+            .expect("the intent is valid");
+        let key = operator
+            .give_key("councils")
+            .expect("the team is known")
+            .key;
         let started = Self {
             fleet,
             engine,
--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount;
+use crate::codec;
 use crate::control;
 use crate::error;
 use crate::intent;
@@ -34,6 +35,23 @@
         /// Milliseconds since the Unix epoch.
         now_ms: u64,
     },
+    /// Puts a plan in force if its base is the revision in force; it carries only what changes.
+    ///
+    /// [`ControlCommand::confirm`] makes it.
+    ConfirmDelta {
+        /// Who asks.
+        request: control::OperatorRequest,
+        /// The revision that the plan was made against.
+        base: amount::RevisionNumber,
+        /// What differs from the intent in force when the command was proposed.
+        delta: intent::IntentDelta,
+        /// A digest of the whole wanted intent, by which a resend is known again.
+        wanted: String,
+        /// The plan's digest, as the operator saw it.
+        digest: String,
+        /// Milliseconds since the Unix epoch.
+        now_ms: u64,
+    },
     /// Gives a key to a team.
     GiveKey {
         /// Who asks.
@@ -151,8 +169,9 @@
 const COMMAND_VERSION: u32 = 1;
 
 /// The names of the command kinds in the encoding.
-const COMMAND_KINDS: [&str; 11] = [
+const COMMAND_KINDS: [&str; 12] = [
     "confirm_plan",
+    "confirm_delta",
     "give_key",
     "withdraw_key",
     "start_order",
@@ -195,6 +214,29 @@
 }
 
 impl ControlCommand {
+    /// Returns the command that puts the wanted intent in force.
+    ///
+    /// `current` is the intent in force at the proposer. The command grows with what changes: where
+    /// the intent has changed meanwhile, the base is no longer the latest and the plan conflicts.
+    #[must_use]
+    pub fn confirm(
+        request: control::OperatorRequest,
+        base: amount::RevisionNumber,
+        current: &intent::FleetIntent,
+        wanted: &intent::FleetIntent,
+        digest: String,
+        now_ms: u64,
+    ) -> Self {
+        Self::ConfirmDelta {
+            request,
+            base,
+            delta: intent::IntentDelta::between(current, wanted),
+            wanted: wanted.content_digest(),
+            digest,
+            now_ms,
+        }
+    }
+
     /// Returns the command as bytes for the log: `MessagePack` with named fields, the version
     /// first.
     ///
@@ -217,7 +259,7 @@
     /// Fails for a later version, an unknown kind, an unknown field and malformed bytes. A voter
     /// that gets an error must stop: to skip an entry would let its state differ from the others'.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::DomainError> {
-        let header: CommandHeader = rmp_serde::from_slice(bytes).map_err(malformed)?;
+        let header: CommandHeader = codec::decode(bytes).map_err(malformed)?;
         if header.version > COMMAND_VERSION {
             return error::CommandVersionSnafu {
                 found: header.version,
@@ -225,7 +267,7 @@
             }
             .fail();
         }
-        match rmp_serde::from_slice::<ReadCommand>(bytes) {
+        match codec::decode::<ReadCommand>(bytes) {
             Ok(read) => Ok(read.command),
             Err(source) => Err(unknown_kind(bytes).unwrap_or_else(|| malformed(source))),
         }
@@ -269,7 +311,7 @@
 
 /// Returns the error for a command of a kind that this program does not know.
 fn unknown_kind(bytes: &[u8]) -> Option<error::DomainError> {
-    let read: CommandKind = rmp_serde::from_slice(bytes).ok()?;
+    let read: CommandKind = codec::decode(bytes).ok()?;
     let kind = read.command.into_keys().next()?;
     if COMMAND_KINDS.contains(&kind.as_str()) {
         return None;
--- a/galenahold_domain/src/order/order_start.rs
+++ b/galenahold_domain/src/order/order_start.rs
@@ -10,7 +10,7 @@
 pub enum OrderStart {
     /// The caller of the ledger owns this attempt and may send once.
     Begun {
-        /// The attempt's number, from 1.
+        /// The attempt's number; it grows from one attempt of the order to the next.
         attempt: u32,
     },
     /// The order ran; this is its answer.
@@ -21,7 +21,7 @@
     Unknown,
     /// The key was used with another request.
     DigestDiffers,
-    /// The key is older than the ledger's window.
+    /// The key is older than the ledger's window: its order may have run, and never runs again.
     Expired,
     /// The asking instance's incarnation was declared ended; it may start no order.
     OwnerEnded,
