Greet peers by cluster and name, and state expired orders truly

Cause: addresses are reused, and a message could reach an instance of another cluster; an expired order was refused as not run although it was sent. Ruled out: a cluster name in each message (bytes for each). Conclusion: a test of reused addresses is still to come.

--- a/galenahold/examples/first_fleet.rs
+++ b/galenahold/examples/first_fleet.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 
 /// How long the fleet may take to become ready.
-const READY_LIMIT: time::Duration = time::Duration::from_secs(60);
+const READY_LIMIT: time::Duration = time::Duration::from_mins(1);
 
 fn main() -> process::ExitCode {
     // The example starts itself as the instances, so that it needs nothing built beside it.
--- a/galenahold/tests/path/fleet_setup.rs
+++ b/galenahold/tests/path/fleet_setup.rs
@@ -7,7 +7,7 @@
 use serde_json::{Value, json};
 
 /// How long anything that is waited for may take.
-pub(crate) const LIMIT: time::Duration = time::Duration::from_secs(60);
+pub(crate) const LIMIT: time::Duration = time::Duration::from_mins(1);
 
 /// A fleet with one engine that holds a model, and one plain service.
 pub(crate) struct PathFleet {
--- a/galenahold_instance/src/control/operator_desk.rs
+++ b/galenahold_instance/src/control/operator_desk.rs
@@ -55,13 +55,16 @@
                 digest,
                 intent,
             } => {
-                let command = control::ControlCommand::ConfirmPlan {
+                self.check(&intent)?;
+                let view = self.member.state().read(control::ControlState::view);
+                let command = control::ControlCommand::confirm(
                     request,
                     base,
-                    intent,
+                    &view.intent,
+                    &intent,
                     digest,
-                    now_ms: epoch_ms(),
-                };
+                    epoch_ms(),
+                );
                 self.command(&command).await
             }
             message::OperatorCall::GiveKey {
@@ -100,11 +103,7 @@
     }
 
     fn plan(&self, wanted: &intent::FleetIntent) -> Result<Value, message::OperatorError> {
-        let largest = self.largest_engine();
-        let validation = intent::IntentValidation::of(wanted, largest);
-        if !validation.is_valid() {
-            return Err(invalid(&validation.lines()));
-        }
+        self.check(wanted)?;
         let view = self.member.state().read(control::ControlState::view);
         let plan = intent::IntentPlan::between(view.revision, &view.intent, wanted);
         Ok(json!({
@@ -114,6 +113,15 @@
         }))
     }
 
+    /// Checks an intent against itself and the engines that announced themselves.
+    fn check(&self, wanted: &intent::FleetIntent) -> Result<(), message::OperatorError> {
+        let validation = intent::IntentValidation::of(wanted, self.largest_engine());
+        if validation.is_valid() {
+            return Ok(());
+        }
+        Err(invalid(&validation.lines()))
+    }
+
     async fn command(
         &self,
         command: &control::ControlCommand,
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -227,7 +227,7 @@
             data_centre: settings.instance.data_centre.clone(),
         };
         let directory = peer::PeerDirectory::new(card.clone(), configured_cards(&settings));
-        let network = peer::PeerNetwork::new(directory, system.clone());
+        let network = peer::PeerNetwork::new(settings.cluster.clone(), directory, system.clone());
         Self {
             timer: timer::TimerService::start(system),
             metrics: platform::FleetMetrics::new(),
@@ -370,6 +370,7 @@
         listener: tokio::net::TcpListener,
     ) {
         let service = instance::InstanceService {
+            cluster: self.settings.cluster.clone(),
             desk: desk.clone(),
             watch: configuration::WatchServer::new(self.holder.clone()),
             directory: self.network.directory().clone(),
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -17,6 +17,8 @@
 /// Answers the calls of other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct InstanceService {
+    /// The cluster that this instance belongs to.
+    pub(crate) cluster: String,
     /// The log and the leader's work.
     pub(crate) desk: control::ControlDesk,
     /// Passes the configuration on.
@@ -32,6 +34,19 @@
 }
 
 impl rpc::InstanceRpc for InstanceService {
+    async fn hello(
+        self,
+        _context: context::Context,
+        request: message::HelloRequest,
+    ) -> message::HelloReply {
+        let own = self.directory.own();
+        if request.cluster != self.cluster || request.to != own.name {
+            return message::HelloReply::Stranger;
+        }
+        self.directory.hear(&request.card, time::Instant::now());
+        message::HelloReply::Welcome { card: own.clone() }
+    }
+
     async fn consensus(
         self,
         _context: context::Context,
--- a/galenahold_instance/src/order/order_desk.rs
+++ b/galenahold_instance/src/order/order_desk.rs
@@ -146,9 +146,10 @@
             face::RefusalKind::OrderDiffers,
             "the idempotency key was used with another request; this one did not run",
         )),
-        order::OrderStart::Expired => Err(face::RequestRefusal::not_run(
+        order::OrderStart::Expired => Err(face::RequestRefusal::new(
             face::RefusalKind::OrderExpired,
-            "the idempotency key is older than the ledger keeps keys; this repeat did not run",
+            RequestVerdict::MayHaveRun,
+            "the order was sent under this idempotency key; its answer is no longer kept",
         )),
         order::OrderStart::OwnerEnded => Err(face::RequestRefusal::not_run(
             face::RefusalKind::ControlUnavailable,
--- a/galenahold_instance/src/peer/peer_link.rs
+++ b/galenahold_instance/src/peer/peer_link.rs
@@ -4,7 +4,9 @@
 use std::sync;
 use std::time;
 
+use galenahold_wire::message;
 use galenahold_wire::rpc;
+use log::warn;
 use rand::RngExt;
 use tarpc::client;
 use tarpc::context;
@@ -27,6 +29,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct PeerLink {
     address: net::SocketAddr,
+    hello: message::HelloRequest,
+    directory: peer::PeerDirectory,
     group: task::TaskGroup,
     state: sync::Arc<tokio_sync::Mutex<LinkState>>,
 }
@@ -40,9 +44,16 @@
 
 impl PeerLink {
     /// Creates a link that is not yet connected.
-    pub(crate) fn new(address: net::SocketAddr, group: task::TaskGroup) -> Self {
+    pub(crate) fn new(
+        address: net::SocketAddr,
+        hello: message::HelloRequest,
+        directory: peer::PeerDirectory,
+        group: task::TaskGroup,
+    ) -> Self {
         Self {
             address,
+            hello,
+            directory,
             group,
             state: sync::Arc::default(),
         }
@@ -107,7 +118,28 @@
             // A broken connection shows at its calls.
             let _ = dispatch.await;
         });
-        Some(new_client.client)
+        self.greet(new_client.client).await
+    }
+
+    /// Makes sure that the wanted instance is reached: addresses are reused by others.
+    async fn greet(&self, client: rpc::InstanceRpcClient) -> Option<rpc::InstanceRpcClient> {
+        let context = Self::context(CONNECT_TIMEOUT);
+        let greeting = client.hello(context, self.hello.clone());
+        let greeted = tokio::time::timeout(CONNECT_TIMEOUT, greeting).await;
+        match greeted.ok()?.ok()? {
+            message::HelloReply::Welcome { card } => {
+                self.directory.hear(&card, time::Instant::now());
+                Some(client)
+            }
+            message::HelloReply::Stranger => {
+                warn!(
+                    wanted:% = self.hello.to,
+                    address:% = self.address;
+                    "another instance answers at the address"
+                );
+                None
+            }
+        }
     }
 }
 
--- a/galenahold_instance/src/peer/peer_network.rs
+++ b/galenahold_instance/src/peer/peer_network.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_wire::message;
 use galenahold_wire::rpc;
 use tarpc::client;
 use tarpc::context;
@@ -16,6 +17,7 @@
 /// The links to all other instances, made when they are first used.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerNetwork {
+    cluster: sync::Arc<str>,
     directory: peer::PeerDirectory,
     group: task::TaskGroup,
     links: sync::Arc<sync::Mutex<LinkTable>>,
@@ -24,9 +26,14 @@
 type LinkTable = collections::HashMap<name::InstanceName, peer::PeerLink>;
 
 impl PeerNetwork {
-    /// Creates a network over the instances of `directory`.
-    pub(crate) fn new(directory: peer::PeerDirectory, group: task::TaskGroup) -> Self {
+    /// Creates a network over the instances of `directory`, all of one cluster.
+    pub(crate) fn new(
+        cluster: String,
+        directory: peer::PeerDirectory,
+        group: task::TaskGroup,
+    ) -> Self {
         Self {
+            cluster: sync::Arc::from(cluster),
             directory,
             group,
             links: sync::Arc::default(),
@@ -76,7 +83,17 @@
         {
             return Some(link.clone());
         }
-        let link = peer::PeerLink::new(card.address, self.group.clone());
+        let hello = message::HelloRequest {
+            cluster: self.cluster.to_string(),
+            card: self.directory.own().clone(),
+            to: name.clone(),
+        };
+        let link = peer::PeerLink::new(
+            card.address,
+            hello,
+            self.directory.clone(),
+            self.group.clone(),
+        );
         links.insert(name.clone(), link.clone());
         Some(link)
     }
--- a/galenahold_instance/src/registry/announcement_face.rs
+++ b/galenahold_instance/src/registry/announcement_face.rs
@@ -62,7 +62,10 @@
         let body = reader.read(request.into_body()).await?;
         match path.as_str() {
             "/v1/backend/announce" => self.announce(parse(&body)?),
-            "/v1/backend/cache-events" => self.take_event(parse(&body)?),
+            "/v1/backend/cache-events" => {
+                let document: registry::CacheEventDocument = parse(&body)?;
+                self.take_event(document.into_event())
+            }
             _ => Err(face::RequestRefusal::not_run(
                 face::RefusalKind::NotFound,
                 "there are /v1/backend/announce and /v1/backend/cache-events",
--- a/galenahold_wire/src/codec/named_message_pack.rs
+++ b/galenahold_wire/src/codec/named_message_pack.rs
@@ -8,6 +8,9 @@
 use tokio_serde::Deserializer;
 use tokio_serde::Serializer;
 
+/// The deepest nesting of a message.
+const MAX_DEPTH: usize = 64;
+
 /// The codec between instances: MessagePack whose structures carry the names of their fields.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct NamedMessagePack;
@@ -26,7 +29,10 @@
     type Error = io::Error;
 
     fn deserialize(self: pin::Pin<&mut Self>, source: &bytes::BytesMut) -> Result<Item, io::Error> {
-        rmp_serde::from_slice(source)
+        let mut reader = rmp_serde::Deserializer::from_read_ref(source.as_ref());
+        // Deeply nested bytes must not exhaust the stack.
+        reader.set_max_depth(MAX_DEPTH);
+        Item::deserialize(&mut reader)
             .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
     }
 }
--- a/galenahold_wire/src/rpc/instance_rpc.rs
+++ b/galenahold_wire/src/rpc/instance_rpc.rs
@@ -8,6 +8,9 @@
 /// The calls that each instance answers. Each caller sets a time limit for each call.
 #[tarpc::service]
 pub trait InstanceRpc {
+    /// Says who is reached, before any other call of a connection.
+    async fn hello(request: message::HelloRequest) -> message::HelloReply;
+
     /// Takes messages of the replicated log, in order.
     async fn consensus(batch: message::ConsensusBatch) -> message::ConsensusReceipt;
 
