Spread unchanged announcements as heartbeats

Cause: each announcement, with all that a backend server holds and caches, went to each instance each second, and a list of all instances ten times a second. Ruled out: announcing less often (a leaving server would be used for longer). Change: heartbeats stand for what is known; whoever lacks it says so. Before and after: not yet measured; bytes an instance and second are to be measured with the fault links. Conclusion: measure, then decide on more.

--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -89,12 +89,19 @@
             let age = time::Duration::from_millis(aged.age_ms);
             self.registry.take(aged.announcement, age, false, now);
         }
+        let missing = batch
+            .heartbeats
+            .iter()
+            .filter(|heartbeat| !self.registry.take_heartbeat(heartbeat, now))
+            .map(|heartbeat| heartbeat.name.clone())
+            .collect();
         for event in batch.events {
             // A full sink drops the event, which shows as a gap.
             let _ = self.events.try_send(event);
         }
         message::SpreadReceipt {
             card: self.directory.own().clone(),
+            missing,
         }
     }
 
--- a/galenahold_instance/src/registry/announcement_spreader.rs
+++ b/galenahold_instance/src/registry/announcement_spreader.rs
@@ -15,6 +15,12 @@
 /// How often announcements are passed on.
 const SPREAD_PERIOD: time::Duration = time::Duration::from_millis(100);
 
+/// Periods between two batches of all that one other instance at random may lack.
+const FULL_PERIODS: u64 = 5;
+
+/// Periods between two tellings of which other instances there are.
+const KNOWN_PERIODS: u64 = 50;
+
 /// How long another instance may take to take a batch.
 const SPREAD_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
@@ -66,22 +72,30 @@
         let tasks = group.clone();
         group.spawn_until_stop(async move {
             let marks = MarkTable::default();
+            let mut period = 0;
             while let Some(now) = subscription.tick().await {
+                period += 1;
                 self.network.directory().forget_silent(now);
                 self.registry.forget_silent(now);
-                self.spread(&marks, now, &tasks);
+                self.spread(&marks, period, now, &tasks);
             }
         });
     }
 
-    fn spread(&self, marks: &MarkTable, now: time::Instant, tasks: &task::TaskGroup) {
+    fn spread(&self, marks: &MarkTable, period: u64, now: time::Instant, tasks: &task::TaskGroup) {
         let others = self.network.directory().others();
         let lucky = others
             .choose(&mut rand::rng())
+            .filter(|_| period.is_multiple_of(FULL_PERIODS))
             .map(|card| card.name.clone());
+        let known = if period.is_multiple_of(KNOWN_PERIODS) {
+            others.as_slice()
+        } else {
+            &[]
+        };
         for card in &others {
             let full = lucky.as_ref() == Some(&card.name);
-            let Some(pending) = self.prepare(marks, &card.name, full, &others, now) else {
+            let Some(pending) = self.prepare(marks, &card.name, full, known, now) else {
                 continue;
             };
             let spreader = self.clone();
@@ -95,14 +109,15 @@
         marks: &MarkTable,
         target: &name::InstanceName,
         full: bool,
-        others: &[message::InstanceCard],
+        known: &[message::InstanceCard],
         now: time::Instant,
     ) -> Option<PendingBatch> {
         let mark = marks.begin(target)?;
+        let tells_known = full && !known.is_empty();
         let since = if full { mark.full } else { mark.direct };
         let delta = self.registry.since(since, !full, now);
         let events = self.events.since(mark.event);
-        if delta.announcements.is_empty() && events.events.is_empty() && !full {
+        if delta.is_empty() && events.events.is_empty() && !tells_known {
             marks.end(target, None);
             return None;
         }
@@ -114,8 +129,13 @@
         };
         let batch = message::SpreadBatch {
             card: self.network.directory().own().clone(),
-            known: if full { others.to_vec() } else { Vec::new() },
+            known: if tells_known {
+                known.to_vec()
+            } else {
+                Vec::new()
+            },
             announcements: delta.announcements,
+            heartbeats: delta.heartbeats,
             events: events.events,
         };
         Some(PendingBatch {
@@ -141,6 +161,15 @@
             Ok(receipt) => {
                 let now = time::Instant::now();
                 self.network.directory().hear(&receipt.card, now);
+                // What it lacks is told anew from the beginning.
+                let reached = if receipt.missing.is_empty() {
+                    reached
+                } else {
+                    SpreadMark {
+                        event: reached.event,
+                        ..SpreadMark::default()
+                    }
+                };
                 marks.end(&target, Some(reached));
             }
             Err(_) => marks.end(&target, None),
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -32,8 +32,17 @@
 pub(crate) struct RegistryDelta {
     /// The version that the delta leads to.
     pub(crate) version: u64,
-    /// The announcements with their ages.
+    /// Announcements that say something new.
     pub(crate) announcements: Vec<message::AgedAnnouncement>,
+    /// Announcements that say the same as before.
+    pub(crate) heartbeats: Vec<message::ServerHeartbeat>,
+}
+
+impl RegistryDelta {
+    /// Returns whether nothing came.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.announcements.is_empty() && self.heartbeats.is_empty()
+    }
 }
 
 impl ServerRegistry {
@@ -100,7 +109,9 @@
             .count()
     }
 
-    /// Returns the announcements that came after `version`, or only those sent to this instance.
+    /// Returns what came after `version`, or only what was sent to this instance.
+    ///
+    /// Announcements that say what they said at `version` become heartbeats.
     pub(crate) fn since(
         &self,
         version: u64,
@@ -108,19 +119,46 @@
         now: time::Instant,
     ) -> RegistryDelta {
         let table = self.lock();
-        let announcements = table
+        let mut delta = RegistryDelta {
+            version: table.version,
+            announcements: Vec::new(),
+            heartbeats: Vec::new(),
+        };
+        let fresh = table
             .entries
             .values()
-            .filter(|entry| entry.version > version && (entry.direct || !direct_only))
-            .map(|entry| message::AgedAnnouncement {
-                age_ms: u64::try_from(entry.age(now).as_millis()).unwrap_or(u64::MAX),
-                announcement: server::ServerAnnouncement::clone(&entry.announcement),
-            })
-            .collect();
-        RegistryDelta {
-            version: table.version,
-            announcements,
+            .filter(|entry| entry.version > version && (entry.direct || !direct_only));
+        for entry in fresh {
+            if entry.changed_version > version {
+                delta.announcements.push(entry.aged(now));
+            } else {
+                delta.heartbeats.push(entry.heartbeat(now));
+            }
         }
+        delta
+    }
+
+    /// Takes up a heartbeat; returns whether the announcement that it stands for is known.
+    pub(crate) fn take_heartbeat(
+        &self,
+        heartbeat: &message::ServerHeartbeat,
+        now: time::Instant,
+    ) -> bool {
+        let renewed = self
+            .entry(&heartbeat.name)
+            .and_then(|entry| entry.renewed_by(heartbeat));
+        let Some(announcement) = renewed else {
+            return self.knows_later(heartbeat);
+        };
+        let age = time::Duration::from_millis(heartbeat.age_ms);
+        self.take(announcement, age, false, now);
+        true
+    }
+
+    /// A heartbeat of an earlier incarnation than the one known is old news.
+    fn knows_later(&self, heartbeat: &message::ServerHeartbeat) -> bool {
+        self.entry(&heartbeat.name)
+            .is_some_and(|entry| entry.announcement.incarnation > heartbeat.incarnation)
     }
 
     /// Forgets backend servers that were silent for long.
@@ -148,15 +186,23 @@
         let Some(sent_at) = now.checked_sub(age) else {
             return false;
         };
+        let mut unchanged = None;
         if let Some(held) = self.entries.get(&announcement.name) {
             if !held.is_older_than(&announcement) {
                 return false;
             }
             let same = held.announcement.incarnation == announcement.incarnation;
             announcement.leaving |= same && held.announcement.leaving;
+            unchanged = held
+                .says_the_same(&announcement)
+                .then_some((held.unchanged_since, held.changed_version));
         }
         self.version += 1;
+        let (unchanged_since, changed_version) =
+            unchanged.unwrap_or((announcement.sequence, self.version));
         let entry = registry::RegistryEntry {
+            unchanged_since,
+            changed_version,
             version: self.version,
             sent_at,
             direct,
--- a/galenahold_wire/src/message/spread_batch.rs
+++ b/galenahold_wire/src/message/spread_batch.rs
@@ -1,5 +1,6 @@
 //! Announcements that one instance passes on to another.
 
+use galenahold_domain::name;
 use galenahold_domain::server;
 use serde::{Deserialize, Serialize};
 
@@ -13,8 +14,11 @@
     /// Other instances that the sender has heard of lately.
     #[serde(default)]
     pub known: Vec<message::InstanceCard>,
-    /// The announcements.
+    /// Announcements that say something new.
     pub announcements: Vec<AgedAnnouncement>,
+    /// Announcements that say the same as before.
+    #[serde(default)]
+    pub heartbeats: Vec<message::ServerHeartbeat>,
     /// The cache events.
     #[serde(default)]
     pub events: Vec<server::CacheEvent>,
@@ -34,4 +38,7 @@
 pub struct SpreadReceipt {
     /// Who took it.
     pub card: message::InstanceCard,
+    /// Backend servers whose heartbeats stand for announcements that it does not know.
+    #[serde(default)]
+    pub missing: Vec<name::ServerName>,
 }
