--- /dev/null
+++ b/galenahold_placement/src/budget/load_time.rs
@@ -0,0 +1,65 @@
+//! Estimates how long a load takes.
+
+use std::time;
+
+use galenahold_domain::{amount, server};
+
+const TIERS: usize = 3;
+const LEAST: time::Duration = time::Duration::from_millis(5);
+const NEW_WEIGHT: f64 = 0.2;
+const DEFAULT_BYTES_PER_S: [f64; TIERS] = [20e9, 4e9, 1.5e9];
+
+/// Estimates how long a load takes, from the loads that ended.
+#[derive(Debug, Clone)]
+pub struct LoadTime {
+    bytes_per_s: [f64; TIERS],
+}
+
+impl LoadTime {
+    /// Records how long a load took.
+    pub fn record(
+        &mut self,
+        tier: server::CheckpointTier,
+        bytes: amount::ByteCount,
+        took: time::Duration,
+    ) {
+        let observed = to_float(bytes) / took.max(LEAST).as_secs_f64();
+        let speed = &mut self.bytes_per_s[index_of(tier)];
+        *speed = *speed * (1.0 - NEW_WEIGHT) + observed * NEW_WEIGHT;
+    }
+
+    /// Returns how long a load should take.
+    #[must_use]
+    pub fn estimate(
+        &self,
+        tier: server::CheckpointTier,
+        bytes: amount::ByteCount,
+    ) -> time::Duration {
+        let seconds = to_float(bytes) / self.bytes_per_s[index_of(tier)].max(1.0);
+        LEAST + time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX)
+    }
+}
+
+impl Default for LoadTime {
+    fn default() -> Self {
+        Self {
+            bytes_per_s: DEFAULT_BYTES_PER_S,
+        }
+    }
+}
+
+fn index_of(tier: server::CheckpointTier) -> usize {
+    match tier {
+        server::CheckpointTier::Memory => 0,
+        server::CheckpointTier::Disk => 1,
+        server::CheckpointTier::Remote => 2,
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "an estimate needs no more than 52 bits"
+)]
+fn to_float(bytes: amount::ByteCount) -> f64 {
+    bytes.0 as f64
+}
--- /dev/null
+++ b/galenahold_placement/src/demand/arrival_history.rs
@@ -0,0 +1,106 @@
+//! The gaps between uses of one model or adapter.
+
+use std::time;
+
+const BINS: usize = 48;
+const BINS_PER_DOUBLING: f64 = 3.0;
+const LEAST_GAP: time::Duration = time::Duration::from_secs(1);
+const MOST_COUNT: u32 = 4_096;
+
+/// The gaps between uses of one model or adapter, as a histogram with bins that grow by a quarter.
+///
+/// A gap is the time from the end of the last request to the arrival of the next. Gaps shorter than a
+/// second do not count, since no policy unloads so fast.
+#[derive(Debug, Clone)]
+pub struct ArrivalHistory {
+    bins: [u32; BINS],
+    total: u32,
+}
+
+impl ArrivalHistory {
+    /// Records a gap. Old gaps fade: all counts are halved when there are many.
+    pub fn record(&mut self, gap: time::Duration) {
+        if gap < LEAST_GAP {
+            return;
+        }
+        self.bins[bin_of(gap)] += 1;
+        self.total += 1;
+        if self.total > MOST_COUNT {
+            self.halve();
+        }
+    }
+
+    /// Returns the number of gaps that count.
+    #[must_use]
+    pub fn total(&self) -> u32 {
+        self.total
+    }
+
+    /// Returns the share of gaps that lasted at least `idle` and ended within `horizon` after it,
+    /// among those that lasted at least `idle`.
+    #[must_use]
+    pub fn return_probability(&self, idle: time::Duration, horizon: time::Duration) -> f64 {
+        let (from, to) = (bin_of(idle), bin_of(idle + horizon));
+        let lasting: u32 = self.bins[from..].iter().sum();
+        let ending: u32 = self.bins[from..=to].iter().sum();
+        if lasting == 0 {
+            return 0.0;
+        }
+        f64::from(ending) / f64::from(lasting)
+    }
+
+    /// Returns for each bin that holds gaps its upper edge and its share of all gaps.
+    pub fn shares(&self) -> impl Iterator<Item = GapShare> {
+        let total = f64::from(self.total.max(1));
+        let held = self
+            .bins
+            .iter()
+            .enumerate()
+            .filter(|(_, count)| **count > 0);
+        held.map(move |(bin, count)| GapShare {
+            up_to: upper_edge(bin),
+            share: f64::from(*count) / total,
+        })
+    }
+
+    fn halve(&mut self) {
+        for count in &mut self.bins {
+            *count /= 2;
+        }
+        self.total = self.bins.iter().sum();
+    }
+}
+
+/// A bin of a histogram of gaps.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GapShare {
+    /// The longest gap of the bin.
+    pub up_to: time::Duration,
+    /// Its share of all gaps.
+    pub share: f64,
+}
+
+impl Default for ArrivalHistory {
+    fn default() -> Self {
+        Self {
+            bins: [0; BINS],
+            total: 0,
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is between zero and the number of bins"
+)]
+fn bin_of(gap: time::Duration) -> usize {
+    let ratio = gap.as_secs_f64() / LEAST_GAP.as_secs_f64();
+    let bin = ratio.max(1.0).log2() * BINS_PER_DOUBLING;
+    (bin as usize).min(BINS - 1)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "there are few bins")]
+fn upper_edge(bin: usize) -> time::Duration {
+    LEAST_GAP.mul_f64((((bin + 1) as f64) / BINS_PER_DOUBLING).exp2())
+}
--- /dev/null
+++ b/galenahold_placement/src/demand/demand_state.rs
@@ -0,0 +1,74 @@
+//! The demand for one model or adapter over all instances.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::name;
+
+use crate::demand;
+
+/// The demand for one model or adapter over all instances.
+#[derive(Debug, Default)]
+pub(crate) struct DemandState {
+    by_instance: collections::BTreeMap<name::InstanceName, InstanceDemand>,
+    waiting: u32,
+    oldest_at: Option<time::Instant>,
+}
+
+#[derive(Debug)]
+struct InstanceDemand {
+    waiting: u32,
+    oldest_at: time::Instant,
+    teams: Vec<demand::TeamDemand>,
+}
+
+impl DemandState {
+    /// Replaces what an instance reported before.
+    pub(crate) fn report(
+        &mut self,
+        instance: &name::InstanceName,
+        demand: &demand::ArtifactDemand,
+        now: time::Instant,
+    ) {
+        if demand.waiting == 0 {
+            self.forget(instance);
+            return;
+        }
+        let reported = InstanceDemand {
+            waiting: demand.waiting,
+            oldest_at: now.checked_sub(demand.oldest_wait).unwrap_or(now),
+            teams: demand.teams.clone(),
+        };
+        self.by_instance.insert(instance.clone(), reported);
+        self.sum_up();
+    }
+
+    /// Drops what an instance reported.
+    pub(crate) fn forget(&mut self, instance: &name::InstanceName) {
+        if self.by_instance.remove(instance).is_some() {
+            self.sum_up();
+        }
+    }
+
+    /// Returns the requests that wait.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waiting
+    }
+
+    /// Returns since when the oldest request waits.
+    pub(crate) fn oldest_at(&self) -> Option<time::Instant> {
+        self.oldest_at
+    }
+
+    /// Returns the waiting requests by team, as reported by each instance.
+    pub(crate) fn teams(&self) -> impl Iterator<Item = &demand::TeamDemand> {
+        self.by_instance.values().flat_map(|demand| &demand.teams)
+    }
+
+    fn sum_up(&mut self) {
+        let demands = self.by_instance.values();
+        self.waiting = demands.map(|demand| demand.waiting).sum();
+        let demands = self.by_instance.values();
+        self.oldest_at = demands.map(|demand| demand.oldest_at).min();
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/demand/replica_work.rs
@@ -0,0 +1,15 @@
+//! Requests under way at one replica.
+
+use galenahold_domain::{name, placement};
+use serde::{Deserialize, Serialize};
+
+/// Requests of one instance that are under way at one replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaWork {
+    /// The backend server.
+    pub server: name::ServerName,
+    /// The model or adapter.
+    pub artifact: placement::ReplicaArtifact,
+    /// Requests that were sent and have not ended.
+    pub in_flight: u32,
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/artifact_key.rs
@@ -0,0 +1,6 @@
+//! Identifies a model or adapter.
+
+slotmap::new_key_type! {
+    /// Identifies a model or adapter in the catalog.
+    pub(super) struct ArtifactKey;
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/follow_order.rs
@@ -0,0 +1,186 @@
+//! Follows orders to their end, and takes over those of earlier leaders.
+
+use std::time;
+
+use galenahold_domain::{amount, placement};
+
+use crate::engine;
+use crate::engine::order_state::OrderState;
+use crate::engine::placement_state::PlacementState;
+
+/// Follows how an order ended. An outcome of an earlier order for the same reservation is dropped.
+pub(super) fn follow(
+    state: &mut PlacementState,
+    id: placement::ReservationId,
+    fence: amount::FencingNumber,
+    outcome: engine::OrderOutcome,
+    now: time::Instant,
+) {
+    let Some(entry) = state.book.get(id) else {
+        return;
+    };
+    let OrderState::Sent { at } = entry.order else {
+        return;
+    };
+    if entry.reservation.fence != fence {
+        return;
+    }
+    match entry.reservation.state {
+        placement::ReservationState::Ordered => follow_load(state, id, outcome, at, now),
+        placement::ReservationState::Unloading => follow_unload(state, id, outcome, now),
+        placement::ReservationState::Loaded | placement::ReservationState::Draining => {}
+    }
+}
+
+/// Follows that a sender never sent an order and never will.
+pub(super) fn follow_never_left(
+    state: &mut PlacementState,
+    id: placement::ReservationId,
+    fence: amount::FencingNumber,
+) {
+    let Some(entry) = state.book.get(id) else {
+        return;
+    };
+    if entry.order != OrderState::Foreign || entry.reservation.fence != fence {
+        return;
+    }
+    if entry.is_in(placement::ReservationState::Ordered) {
+        state.ask_release(id);
+    } else {
+        take_over(state, id);
+    }
+}
+
+/// Sends again what has no answer, and takes over what can no longer be sent by another.
+pub(super) fn settle(state: &mut PlacementState, now: time::Instant) {
+    let unsettled: Vec<_> = state.book.unsettled.iter().copied().collect();
+    for id in unsettled {
+        let Some(entry) = state.book.get(id) else {
+            continue;
+        };
+        let due = match entry.order {
+            OrderState::Foreign => may_take_over(state, entry),
+            OrderState::Unknown { since } => now >= since + state.settings.order_retry,
+            OrderState::Settled | OrderState::Sent { .. } | OrderState::Doubtful { .. } => false,
+        };
+        if due {
+            take_over(state, id);
+        }
+    }
+}
+
+fn follow_load(
+    state: &mut PlacementState,
+    id: placement::ReservationId,
+    outcome: engine::OrderOutcome,
+    sent_at: time::Instant,
+    now: time::Instant,
+) {
+    match outcome {
+        engine::OrderOutcome::Loaded => {
+            record_time(state, id, now.saturating_duration_since(sent_at));
+            state.set_order(id, OrderState::Settled);
+            state.ask_commit(id, engine::PlacementEffect::MarkLoaded { id });
+        }
+        engine::OrderOutcome::Unknown | engine::OrderOutcome::Unloaded => {
+            note_doubt(state, id);
+            state.set_order(id, OrderState::Unknown { since: now });
+        }
+        engine::OrderOutcome::Refused | engine::OrderOutcome::NotSent => {
+            follow_refused_load(state, id, outcome, now);
+        }
+    }
+}
+
+/// A refusal frees the memory, unless an earlier order for the same reservation may have acted.
+fn follow_refused_load(
+    state: &mut PlacementState,
+    id: placement::ReservationId,
+    outcome: engine::OrderOutcome,
+    now: time::Instant,
+) {
+    let in_doubt = state.book.get(id).is_some_and(|entry| entry.in_doubt);
+    if !in_doubt {
+        shun(state, id, now);
+        state.ask_release(id);
+        return;
+    }
+    let order = if outcome == engine::OrderOutcome::Refused {
+        OrderState::Doubtful { since: now }
+    } else {
+        OrderState::Unknown { since: now }
+    };
+    state.set_order(id, order);
+}
+
+fn follow_unload(
+    state: &mut PlacementState,
+    id: placement::ReservationId,
+    outcome: engine::OrderOutcome,
+    now: time::Instant,
+) {
+    if outcome == engine::OrderOutcome::Unloaded {
+        state.ask_release(id);
+        return;
+    }
+    state.set_order(id, OrderState::Unknown { since: now });
+}
+
+/// An order of an earlier leader may be repeated where the server refuses the old one, or where the
+/// old sender's incarnation has ended. This process itself has ended the sends of its earlier
+/// leaderships by the end of the takeover wait.
+fn may_take_over(
+    state: &PlacementState,
+    entry: &engine::reservation_entry::ReservationEntry,
+) -> bool {
+    let Some(server) = state.servers.get(entry.server) else {
+        return false;
+    };
+    let observed = server.announced.is_some();
+    let same_incarnation = server.incarnation == entry.reservation.incarnation;
+    let alive_from = state.alive_from.get(&entry.reservation.sender);
+    let ended = alive_from.is_some_and(|from| entry.reservation.sender_incarnation < *from);
+    let own = entry.reservation.sender == state.settings.instance
+        && entry.reservation.sender_incarnation == state.settings.incarnation;
+    observed && same_incarnation && (server.checks_fencing() || ended || own)
+}
+
+fn take_over(state: &mut PlacementState, id: placement::ReservationId) {
+    note_doubt(state, id);
+    let Some(entry) = state.book.get(id) else {
+        return;
+    };
+    let effect = engine::PlacementEffect::TakeOver {
+        id,
+        state: entry.reservation.state,
+    };
+    state.ask_commit(id, effect);
+}
+
+/// Notes that an order without an answer may have acted, or may act still.
+fn note_doubt(state: &mut PlacementState, id: placement::ReservationId) {
+    if let Some(entry) = state.book.get_mut(id) {
+        entry.in_doubt = true;
+    }
+}
+
+fn shun(state: &mut PlacementState, id: placement::ReservationId, now: time::Instant) {
+    let pause = state.settings.order_retry;
+    if let Some(entry) = state.book.get(id) {
+        state.servers.alter(entry.server, |server| {
+            server.shunned_until = Some(now + pause);
+        });
+    }
+}
+
+fn record_time(state: &mut PlacementState, id: placement::ReservationId, took: time::Duration) {
+    let Some(entry) = state.book.get(id) else {
+        return;
+    };
+    let is_adapter = entry.reservation.artifact.adapter.is_some();
+    if !is_adapter && !entry.in_doubt {
+        state
+            .load_time
+            .record(entry.tier, entry.reservation.bytes, took);
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/idle_index.rs
@@ -0,0 +1,62 @@
+//! Replicas without work, by when they became idle and by when they are no longer kept.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::placement;
+
+/// Replicas without work, by when they became idle and by when they are no longer kept.
+#[derive(Debug, Default)]
+pub(super) struct IdleIndex {
+    by_since: collections::BTreeSet<TimedReplica>,
+    by_end: collections::BTreeSet<TimedReplica>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct TimedReplica {
+    at: time::Instant,
+    id: placement::ReservationId,
+}
+
+impl IdleIndex {
+    pub(super) fn insert(
+        &mut self,
+        id: placement::ReservationId,
+        since: time::Instant,
+        end: Option<time::Instant>,
+    ) {
+        self.by_since.insert(TimedReplica { at: since, id });
+        if let Some(at) = end {
+            self.by_end.insert(TimedReplica { at, id });
+        }
+    }
+
+    pub(super) fn remove(
+        &mut self,
+        id: placement::ReservationId,
+        since: Option<time::Instant>,
+        end: Option<time::Instant>,
+    ) {
+        if let Some(at) = since {
+            self.by_since.remove(&TimedReplica { at, id });
+        }
+        if let Some(at) = end {
+            self.by_end.remove(&TimedReplica { at, id });
+        }
+    }
+
+    /// Takes a replica that is no longer kept.
+    pub(super) fn pop_ended(&mut self, now: time::Instant) -> Option<placement::ReservationId> {
+        let first = *self.by_end.first()?;
+        if first.at > now {
+            return None;
+        }
+        self.by_end.remove(&first);
+        Some(first.id)
+    }
+
+    /// Lists replicas without work, the longest idle first.
+    pub(super) fn longest_idle(&self) -> impl Iterator<Item = placement::ReservationId> {
+        self.by_since.iter().map(|replica| replica.id)
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/mod.rs
@@ -0,0 +1,36 @@
+//! The placement engine: decides, asks for commits, sends orders and follows what is observed.
+
+mod artifact_catalog;
+mod artifact_entry;
+mod artifact_key;
+mod engine_settings;
+mod follow_announcement;
+mod follow_demand;
+mod follow_order;
+mod follow_reservation;
+mod idle_index;
+mod instance_entry;
+mod load_planner;
+mod order_outcome;
+mod order_state;
+mod placement_effect;
+mod placement_engine;
+mod placement_event;
+mod placement_policies;
+mod placement_state;
+mod replica_reaper;
+mod reservation_book;
+mod reservation_entry;
+mod room_planner;
+mod server_entry;
+mod server_inventory;
+mod server_key;
+mod store_charge;
+mod team_loads;
+
+pub use engine_settings::EngineSettings;
+pub use order_outcome::OrderOutcome;
+pub use placement_effect::PlacementEffect;
+pub use placement_engine::PlacementEngine;
+pub use placement_event::PlacementEvent;
+pub use placement_policies::PlacementPolicies;
--- /dev/null
+++ b/galenahold_placement/src/engine/placement_engine.rs
@@ -0,0 +1,176 @@
+//! Decides what is loaded where.
+
+use std::time;
+
+use galenahold_domain::{intent, placement};
+
+use crate::engine;
+use crate::engine::placement_state::PlacementState;
+use crate::engine::{
+    follow_announcement, follow_demand, follow_order, follow_reservation, load_planner,
+    replica_reaper,
+};
+use crate::policy;
+
+/// Decides what is loaded where, for as long as one leadership lasts.
+///
+/// Each decision is asked for as a commit; the order to the backend server leaves only once the
+/// commit is shown. An order without an answer counts as loaded until the server answers a repeat,
+/// shows the replica, or restarts. A new leader waits before it touches anything; orders that an
+/// earlier leader left open are taken over at once on servers that check fencing numbers, and
+/// otherwise only once the sender is known to have ended or never to have sent.
+#[derive(Debug)]
+pub struct PlacementEngine<
+    O = policy::WaitingWeighted,
+    K = policy::HistogramKeepAlive,
+    D = policy::NearestCheckpoint,
+> {
+    state: PlacementState,
+    policies: engine::PlacementPolicies<O, K, D>,
+}
+
+impl<O, K, D> PlacementEngine<O, K, D>
+where
+    O: policy::LoadOrder,
+    K: policy::KeepAlive,
+    D: policy::Destination,
+{
+    /// Returns the engine of a leadership that starts now.
+    #[must_use]
+    pub fn new(
+        settings: engine::EngineSettings,
+        policies: engine::PlacementPolicies<O, K, D>,
+        started_at: time::Instant,
+    ) -> Self {
+        Self {
+            state: PlacementState::new(settings, started_at),
+            policies,
+        }
+    }
+
+    /// Follows an event and returns what is to be done, in order.
+    pub fn step(
+        &mut self,
+        event: engine::PlacementEvent,
+        now: time::Instant,
+    ) -> Vec<engine::PlacementEffect> {
+        self.follow(event, now);
+        if self.state.plan_due {
+            load_planner::plan(&mut self.state, &self.policies, now);
+        }
+        std::mem::take(&mut self.state.effects)
+    }
+
+    /// Estimates how long a request for an artifact waits until a replica is loaded; zero where one
+    /// is.
+    #[must_use]
+    pub fn predict_cold_start(
+        &self,
+        artifact: &placement::ReplicaArtifact,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let state = &self.state;
+        let key = state.catalog.key(artifact)?;
+        let loading = state.loading_replicas(key, now);
+        let serving = state.serving_replicas(key, now);
+        if serving > loading {
+            return Some(time::Duration::ZERO);
+        }
+        let load = state.reload_time(key);
+        if loading > 0 {
+            return Some(load);
+        }
+        let ahead = u32::try_from(state.waiting.len()).unwrap_or(u32::MAX);
+        Some(state.budget.time_to_start(ahead) + load)
+    }
+
+    /// Returns the number of reservations that the engine knows.
+    #[must_use]
+    pub fn reservation_count(&self) -> usize {
+        self.state.book.len()
+    }
+
+    fn follow(&mut self, event: engine::PlacementEvent, now: time::Instant) {
+        let state = &mut self.state;
+        let keep_alive = &self.policies.keep_alive;
+        match event {
+            engine::PlacementEvent::IntentChanged(intent) => self.follow_intent(&intent, now),
+            engine::PlacementEvent::ServerAnnounced { announcement, age } => {
+                follow_announcement::follow(state, &announcement, age, now);
+            }
+            engine::PlacementEvent::ReservationChanged(reservation) => {
+                follow_reservation::follow(state, &reservation, keep_alive, now);
+                self.end_surplus(&reservation, now);
+            }
+            engine::PlacementEvent::ReservationReleased { id } => {
+                follow_reservation::follow_release(state, id, now);
+            }
+            engine::PlacementEvent::ReservationRefused { id } => {
+                follow_reservation::follow_refusal(state, id);
+            }
+            engine::PlacementEvent::ReserveRefused { server, artifact } => {
+                follow_reservation::follow_reserve_refusal(state, &server, &artifact, now);
+            }
+            engine::PlacementEvent::ServerRetired {
+                server,
+                incarnation,
+            } => follow_reservation::follow_retire(state, &server, incarnation, now),
+            engine::PlacementEvent::DemandReported(report) => {
+                follow_demand::follow(state, &report, keep_alive, now);
+            }
+            engine::PlacementEvent::OrderEnded { id, fence, outcome } => {
+                follow_order::follow(state, id, fence, outcome, now);
+            }
+            engine::PlacementEvent::OrderNeverLeft { id, fence } => {
+                follow_order::follow_never_left(state, id, fence);
+            }
+            engine::PlacementEvent::SenderEnded { instance, before } => {
+                let alive_from = state.alive_from.entry(instance).or_default();
+                *alive_from = before.max(*alive_from);
+            }
+            engine::PlacementEvent::Tick => self.tick(now),
+        }
+    }
+
+    fn follow_intent(&mut self, intent: &intent::FleetIntent, now: time::Instant) {
+        let state = &mut self.state;
+        state.budget.set_limits(intent.store.clone());
+        for key in state.catalog.set_intent(intent, now) {
+            state.refresh(key, now);
+            if state.is_active(now) {
+                replica_reaper::end_unwanted(state, key, now);
+            }
+        }
+        state.plan_due = true;
+    }
+
+    /// A replica that came to be loaded may be one too many, or replace an old version.
+    fn end_surplus(&mut self, reservation: &placement::MemoryReservation, now: time::Instant) {
+        let state = &mut self.state;
+        let loaded = reservation.state == placement::ReservationState::Loaded;
+        if !loaded || !state.is_active(now) {
+            return;
+        }
+        let versions: Vec<_> = state.catalog.versions_of(&reservation.artifact).collect();
+        for key in versions {
+            replica_reaper::end_unwanted(state, key, now);
+        }
+    }
+
+    fn tick(&mut self, now: time::Instant) {
+        let state = &mut self.state;
+        follow_announcement::expire(state, now);
+        follow_demand::expire(state, &self.policies.keep_alive, now);
+        let pressed: Vec<_> = state.pressed.iter().copied().collect();
+        for key in pressed {
+            state.refresh(key, now);
+        }
+        state.plan_due = true;
+        if !state.is_active(now) {
+            return;
+        }
+        follow_order::settle(state, now);
+        replica_reaper::end_idle(state, &self.policies.keep_alive, now);
+        replica_reaper::unload_drained(state, now);
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/replica_reaper.rs
@@ -0,0 +1,169 @@
+//! Ends replicas that are no longer kept, wanted or needed.
+
+use std::time;
+
+use galenahold_domain::placement;
+
+use crate::engine;
+use crate::engine::artifact_key::ArtifactKey;
+use crate::engine::placement_state::PlacementState;
+use crate::engine::reservation_entry::ReservationEntry;
+use crate::engine::server_key::ServerKey;
+use crate::policy;
+
+/// Drains replicas whose time without work is over.
+pub(super) fn end_idle<K: policy::KeepAlive>(
+    state: &mut PlacementState,
+    keep_alive: &K,
+    now: time::Instant,
+) {
+    while let Some(id) = state.idle.pop_ended(now) {
+        if let Some(entry) = state.book.get_mut(id) {
+            entry.keep_until = None;
+        }
+        if may_end(state, id, now) {
+            drain(state, id);
+        } else {
+            state.arm_idle(id, keep_alive, now);
+        }
+    }
+}
+
+/// Drains the replicas of an artifact that the intent does not have, or has too many of.
+///
+/// An old version goes once a replica of the new one is loaded, or no request waits for the old.
+pub(super) fn end_unwanted(state: &mut PlacementState, key: ArtifactKey, now: time::Instant) {
+    let Some(entry) = state.catalog.get(key) else {
+        return;
+    };
+    let wanted = entry.wanted;
+    let most = if wanted { entry.max_replicas } else { 0 };
+    if !wanted && is_still_needed(state, key, now) {
+        return;
+    }
+    let Some(entry) = state.catalog.get(key) else {
+        return;
+    };
+    let loaded: Vec<_> = entry
+        .replicas
+        .iter()
+        .copied()
+        .filter(|id| {
+            let entry = state.book.get(*id);
+            entry.is_some_and(|entry| entry.is_in(placement::ReservationState::Loaded))
+        })
+        .collect();
+    let surplus = loaded.len().saturating_sub(most as usize);
+    for id in loaded.into_iter().rev().take(surplus) {
+        drain(state, id);
+    }
+}
+
+/// Unloads what has drained: no request is under way, by reports that all instances made after they
+/// learned of it, and no adapter is left beside it.
+pub(super) fn unload_drained(state: &mut PlacementState, now: time::Instant) {
+    let reports = state.instances.values().map(|entry| entry.reported_at);
+    let oldest_report = reports.min().unwrap_or(now);
+    let notice = state.settings.drain_notice;
+    let draining: Vec<_> = state.book.draining.iter().copied().collect();
+    for id in draining {
+        let Some(entry) = state.book.get(id) else {
+            continue;
+        };
+        let told_at = entry.state_since + notice;
+        let drained = now >= told_at && oldest_report >= told_at && entry.in_flight == 0;
+        if drained && !has_adapters(state, entry) {
+            ask_unload(state, id, entry.server);
+        }
+    }
+}
+
+/// Asks to unload a replica, unless another order of the server is not settled.
+fn ask_unload(state: &mut PlacementState, id: placement::ReservationId, server: ServerKey) {
+    let is_free = state
+        .servers
+        .get(server)
+        .is_some_and(|server| server.unresolved.is_none() && server.proposal.is_none());
+    if !is_free {
+        return;
+    }
+    state
+        .servers
+        .alter(server, |server| server.unresolved = Some(id));
+    state.ask_commit(id, engine::PlacementEffect::Unload { id });
+}
+
+/// Drains a replica, and the adapters beside it.
+pub(super) fn drain(state: &mut PlacementState, id: placement::ReservationId) {
+    let Some(entry) = state.book.get(id) else {
+        return;
+    };
+    for adapter in adapters_beside(state, entry.server, entry.artifact) {
+        state.ask_drain(adapter);
+    }
+    state.ask_drain(id);
+}
+
+fn may_end(state: &PlacementState, id: placement::ReservationId, now: time::Instant) -> bool {
+    let Some(entry) = state.book.get(id) else {
+        return false;
+    };
+    let Some(artifact) = state.catalog.get(entry.artifact) else {
+        return false;
+    };
+    let serving = state.serving_replicas(entry.artifact, now);
+    let spare = serving > artifact.min_replicas || !artifact.wanted;
+    let adapters_idle = adapters_beside(state, entry.server, entry.artifact)
+        .iter()
+        .all(|id| {
+            state
+                .book
+                .get(*id)
+                .is_some_and(|entry| entry.in_flight == 0)
+        });
+    let waits = artifact.demand.waiting() > 0;
+    entry.in_flight == 0 && !waits && spare && adapters_idle
+}
+
+fn is_still_needed(state: &PlacementState, key: ArtifactKey, now: time::Instant) -> bool {
+    let Some(entry) = state.catalog.get(key) else {
+        return false;
+    };
+    let used = entry.demand.waiting() > 0 || entry.in_flight > 0;
+    used && !has_loaded_successor(state, key, now)
+}
+
+/// Returns whether another version of the same model or adapter is wanted and loaded.
+fn has_loaded_successor(state: &PlacementState, key: ArtifactKey, now: time::Instant) -> bool {
+    let Some(entry) = state.catalog.get(key) else {
+        return false;
+    };
+    state.catalog.versions_of(&entry.artifact).any(|other| {
+        let wanted = state.catalog.get(other).is_some_and(|entry| entry.wanted);
+        let loaded = state.serving_replicas(other, now) > state.loading_replicas(other, now);
+        other != key && wanted && loaded
+    })
+}
+
+fn has_adapters(state: &PlacementState, entry: &ReservationEntry) -> bool {
+    !adapters_beside(state, entry.server, entry.artifact).is_empty()
+}
+
+fn adapters_beside(
+    state: &PlacementState,
+    server: ServerKey,
+    base: ArtifactKey,
+) -> Vec<placement::ReservationId> {
+    let reservations = state
+        .servers
+        .get(server)
+        .map_or(&[][..], |server| &server.reservations);
+    let adapters = reservations.iter().copied().filter(|id| {
+        let entry = state
+            .book
+            .get(*id)
+            .and_then(|entry| state.catalog.get(entry.artifact));
+        entry.is_some_and(|entry| entry.base == Some(base))
+    });
+    adapters.collect()
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/room_planner.rs
@@ -0,0 +1,261 @@
+//! Makes room for what waits: drains replicas without work, and rarely others.
+
+use std::time;
+
+use galenahold_domain::{amount, placement};
+
+use crate::engine::artifact_key::ArtifactKey;
+use crate::engine::load_planner;
+use crate::engine::placement_state::PlacementState;
+use crate::engine::replica_reaper;
+use crate::engine::reservation_entry::ReservationEntry;
+use crate::engine::server_key::ServerKey;
+use crate::policy;
+
+/// Replicas without work that are looked at to find servers, at most.
+const MOST_IDLE: usize = 64;
+/// Servers on which making room is weighed, at most.
+const MOST_SERVERS: usize = 16;
+
+/// What would have to go on a server.
+#[derive(Debug)]
+struct RoomPlan {
+    server: ServerKey,
+    victims: Vec<placement::ReservationId>,
+    worth: f64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct RankedVictim {
+    worth: f64,
+    id: placement::ReservationId,
+    bytes: amount::ByteCount,
+}
+
+/// Drains what is worth least so that an artifact fits on a server.
+///
+/// The server is claimed for the artifact until it is loaded or no longer wanted, so what becomes
+/// free is not taken by another.
+pub(super) fn make_room<K: policy::KeepAlive>(
+    state: &mut PlacementState,
+    key: ArtifactKey,
+    keep_alive: &K,
+    now: time::Instant,
+) {
+    if is_under_way(state, key) {
+        return;
+    }
+    let servers = servers_to_weigh(state, key);
+    let plan = cheapest_plan(state, &servers, key, keep_alive, false, now);
+    let plan = plan.or_else(|| {
+        let starves = is_starving(state, key, now);
+        let busy_servers = load_planner::servers_for(state, key);
+        let all = [servers, busy_servers].concat();
+        starves
+            .then(|| cheapest_plan(state, &all, key, keep_alive, true, now))
+            .flatten()
+    });
+    let Some(plan) = plan else {
+        return;
+    };
+    state
+        .servers
+        .alter(plan.server, |server| server.claimed_by = Some(key));
+    if let Some(entry) = state.catalog.get_mut(key) {
+        entry.room_at = Some(plan.server);
+    }
+    for id in plan.victims {
+        replica_reaper::drain(state, id);
+    }
+}
+
+/// Returns whether room is being made already; a claim that came to nothing is given up.
+fn is_under_way(state: &mut PlacementState, key: ArtifactKey) -> bool {
+    let Some(server) = state.catalog.get(key).and_then(|entry| entry.room_at) else {
+        return false;
+    };
+    let going = state.servers.get(server).is_some_and(|entry| {
+        let mut replicas = entry
+            .reservations
+            .iter()
+            .filter_map(|id| state.book.get(*id));
+        !entry.is_leaving() && replicas.any(is_going)
+    });
+    if going {
+        return true;
+    }
+    if let Some(entry) = state.catalog.get_mut(key) {
+        entry.room_at = None;
+    }
+    state.servers.alter(server, |entry| {
+        if entry.claimed_by == Some(key) {
+            entry.claimed_by = None;
+        }
+    });
+    false
+}
+
+fn is_going(entry: &ReservationEntry) -> bool {
+    let drains = entry.is_in(placement::ReservationState::Draining)
+        || entry.is_in(placement::ReservationState::Unloading);
+    drains || (entry.commit_pending && entry.is_in(placement::ReservationState::Loaded))
+}
+
+fn servers_to_weigh(state: &PlacementState, key: ArtifactKey) -> Vec<ServerKey> {
+    let is_adapter = state
+        .catalog
+        .get(key)
+        .is_some_and(|entry| entry.base.is_some());
+    if is_adapter {
+        return load_planner::servers_for(state, key);
+    }
+    let mut servers = Vec::new();
+    let Some(entry) = state.catalog.get(key) else {
+        return servers;
+    };
+    let near = state
+        .servers
+        .with_checkpoint(&entry.artifact)
+        .take(MOST_SERVERS);
+    servers.extend(near);
+    for id in state.idle.longest_idle().take(MOST_IDLE) {
+        let server = state.book.get(id).map(|entry| entry.server);
+        let new = server.filter(|server| !servers.contains(server));
+        servers.extend(new);
+        if servers.len() >= MOST_SERVERS {
+            break;
+        }
+    }
+    servers
+}
+
+fn is_starving(state: &PlacementState, key: ArtifactKey, now: time::Instant) -> bool {
+    let Some(entry) = state.catalog.get(key) else {
+        return false;
+    };
+    let adapters = entry.waiting_adapters.iter();
+    let oldest = std::iter::once(&key)
+        .chain(adapters)
+        .filter_map(|key| state.catalog.get(*key)?.demand.oldest_at())
+        .min();
+    oldest.is_some_and(|at| now.saturating_duration_since(at) >= state.settings.starving_after)
+}
+
+fn cheapest_plan<K: policy::KeepAlive>(
+    state: &PlacementState,
+    servers: &[ServerKey],
+    key: ArtifactKey,
+    keep_alive: &K,
+    with_work: bool,
+    now: time::Instant,
+) -> Option<RoomPlan> {
+    servers
+        .iter()
+        .filter(|server| load_planner::is_open_to(state, **server, key, now))
+        .filter_map(|server| plan_on(state, *server, key, keep_alive, with_work, now))
+        .min_by(|left, right| left.worth.total_cmp(&right.worth))
+}
+
+/// Picks the replicas worth least until an artifact fits.
+fn plan_on<K: policy::KeepAlive>(
+    state: &PlacementState,
+    server: ServerKey,
+    key: ArtifactKey,
+    keep_alive: &K,
+    with_work: bool,
+    now: time::Instant,
+) -> Option<RoomPlan> {
+    let needed = state.catalog.get(key)?.bytes;
+    let entry = state.servers.get(server)?;
+    let base = state.catalog.get(key)?.base;
+    let mut victims: Vec<_> = entry
+        .reservations
+        .iter()
+        .filter_map(|id| state.book.get(*id))
+        .filter(|victim| Some(victim.artifact) != base)
+        .filter(|victim| may_go(state, victim, with_work, now))
+        .map(|victim| RankedVictim {
+            worth: worth_of(state, victim, keep_alive, now),
+            id: victim.reservation.id,
+            bytes: victim.reservation.bytes,
+        })
+        .collect();
+    victims.sort_unstable_by(|left, right| left.worth.total_cmp(&right.worth));
+    let mut plan = RoomPlan {
+        server,
+        victims: Vec::new(),
+        worth: 0.0,
+    };
+    let mut free = entry.free();
+    for victim in victims {
+        if free >= needed {
+            break;
+        }
+        free = free.saturating_add(victim.bytes);
+        plan.worth += victim.worth;
+        plan.victims.push(victim.id);
+    }
+    (free >= needed).then_some(plan)
+}
+
+/// Returns whether a replica may be drained for another artifact.
+///
+/// A base model goes only where no adapter beside it has work; its adapters go first.
+fn may_go(
+    state: &PlacementState,
+    victim: &ReservationEntry,
+    with_work: bool,
+    now: time::Instant,
+) -> bool {
+    let Some(artifact) = state.catalog.get(victim.artifact) else {
+        return false;
+    };
+    let loaded = victim.is_in(placement::ReservationState::Loaded) && !victim.commit_pending;
+    let serving = state.serving_replicas(victim.artifact, now);
+    let spare = serving > artifact.min_replicas || !artifact.wanted;
+    let resident = now.saturating_duration_since(victim.state_since);
+    let free_of_work = victim.in_flight == 0 && artifact.demand.waiting() == 0;
+    let may_stop = with_work && resident >= state.settings.least_residency;
+    loaded && spare && (free_of_work || may_stop) && adapters_may_go(state, victim, with_work)
+}
+
+fn adapters_may_go(state: &PlacementState, victim: &ReservationEntry, with_work: bool) -> bool {
+    let Some(server) = state.servers.get(victim.server) else {
+        return false;
+    };
+    let beside = server
+        .reservations
+        .iter()
+        .filter_map(|id| state.book.get(*id));
+    beside
+        .filter(|entry| {
+            let base = state
+                .catalog
+                .get(entry.artifact)
+                .and_then(|entry| entry.base);
+            base == Some(victim.artifact)
+        })
+        .all(|entry| {
+            let loaded = entry.is_in(placement::ReservationState::Loaded);
+            loaded && (with_work || entry.in_flight == 0)
+        })
+}
+
+fn worth_of<K: policy::KeepAlive>(
+    state: &PlacementState,
+    victim: &ReservationEntry,
+    keep_alive: &K,
+    now: time::Instant,
+) -> f64 {
+    let Some(artifact) = state.catalog.get(victim.artifact) else {
+        return 0.0;
+    };
+    let since = victim.idle_since.unwrap_or(now);
+    let kept = policy::KeptReplica {
+        history: &artifact.history,
+        idle: now.saturating_duration_since(since),
+        reload: state.reload_time(victim.artifact),
+        bytes: victim.reservation.bytes,
+    };
+    keep_alive.worth(&kept)
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/server_inventory.rs
@@ -0,0 +1,164 @@
+//! The backend servers, indexed by free memory and by cached checkpoints.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::{amount, name, placement, server};
+
+use crate::engine::server_entry::ServerEntry;
+use crate::engine::server_key::ServerKey;
+
+/// The backend servers, indexed by free memory and by cached checkpoints.
+#[derive(Debug, Default)]
+pub(super) struct ServerInventory {
+    entries: slotmap::SlotMap<ServerKey, ServerEntry>,
+    by_name: collections::BTreeMap<name::ServerName, ServerKey>,
+    by_free: collections::BTreeSet<FreeServer>,
+    indexed_free: slotmap::SecondaryMap<ServerKey, amount::ByteCount>,
+    by_checkpoint: collections::BTreeMap<CheckpointName, collections::BTreeSet<ServerKey>>,
+    by_age: collections::BTreeSet<SeenServer>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct SeenServer {
+    at: time::Instant,
+    server: ServerKey,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct FreeServer {
+    free: amount::ByteCount,
+    server: ServerKey,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct CheckpointName {
+    model: name::ModelName,
+    version: name::VersionName,
+}
+
+impl ServerInventory {
+    pub(super) fn get(&self, key: ServerKey) -> Option<&ServerEntry> {
+        self.entries.get(key)
+    }
+
+    pub(super) fn key(&self, name: &name::ServerName) -> Option<ServerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the key of a server, which is added where it is not known.
+    pub(super) fn key_or_insert(
+        &mut self,
+        name: &name::ServerName,
+        incarnation: amount::IncarnationNumber,
+    ) -> ServerKey {
+        if let Some(key) = self.key(name) {
+            return key;
+        }
+        let entry = ServerEntry::new(name.clone(), incarnation);
+        let key = self.entries.insert(entry);
+        self.by_name.insert(name.clone(), key);
+        key
+    }
+
+    /// Alters a server and keeps the index by free memory right.
+    pub(super) fn alter<T>(
+        &mut self,
+        key: ServerKey,
+        alter: impl FnOnce(&mut ServerEntry) -> T,
+    ) -> Option<T> {
+        let entry = self.entries.get_mut(key)?;
+        let altered = alter(entry);
+        let free = entry.free();
+        if let Some(before) = self.indexed_free.insert(key, free) {
+            self.by_free.remove(&FreeServer {
+                free: before,
+                server: key,
+            });
+        }
+        self.by_free.insert(FreeServer { free, server: key });
+        Some(altered)
+    }
+
+    /// Watches a server from the time of its announcement on; returns whether it was watched.
+    pub(super) fn watch(
+        &mut self,
+        key: ServerKey,
+        before: Option<time::Instant>,
+        at: time::Instant,
+    ) -> bool {
+        let watched = before.is_some_and(|before| {
+            self.by_age.remove(&SeenServer {
+                at: before,
+                server: key,
+            })
+        });
+        self.by_age.insert(SeenServer { at, server: key });
+        watched
+    }
+
+    /// Takes a server that has been silent since before a time from the watch.
+    pub(super) fn pop_silent(&mut self, limit: time::Instant) -> Option<ServerKey> {
+        let first = *self.by_age.first()?;
+        if first.at >= limit {
+            return None;
+        }
+        self.by_age.remove(&first);
+        Some(first.server)
+    }
+
+    /// Replaces a server's cached checkpoints.
+    pub(super) fn set_cached(&mut self, key: ServerKey, cached: &[server::CachedCheckpoint]) {
+        let Some(announced) = self
+            .entries
+            .get_mut(key)
+            .and_then(|entry| entry.announced.as_mut())
+        else {
+            return;
+        };
+        if announced.cached == cached {
+            return;
+        }
+        let before = std::mem::replace(&mut announced.cached, cached.to_vec());
+        for checkpoint in &before {
+            if let Some(servers) = self.by_checkpoint.get_mut(&name_of(checkpoint)) {
+                servers.remove(&key);
+            }
+        }
+        for checkpoint in cached {
+            let servers = self.by_checkpoint.entry(name_of(checkpoint));
+            servers.or_default().insert(key);
+        }
+    }
+
+    /// Lists servers that have a model's checkpoint near.
+    pub(super) fn with_checkpoint(
+        &self,
+        artifact: &placement::ReplicaArtifact,
+    ) -> impl Iterator<Item = ServerKey> {
+        let name = CheckpointName {
+            model: artifact.model.clone(),
+            version: artifact.version.clone(),
+        };
+        self.by_checkpoint.get(&name).into_iter().flatten().copied()
+    }
+
+    /// Lists servers with at least so much free memory, the tightest fit first.
+    pub(super) fn with_free(
+        &self,
+        bytes: amount::ByteCount,
+    ) -> impl DoubleEndedIterator<Item = ServerKey> {
+        let least = FreeServer {
+            free: bytes,
+            server: ServerKey::default(),
+        };
+        self.by_free.range(least..).map(|free| free.server)
+    }
+}
+
+fn name_of(checkpoint: &server::CachedCheckpoint) -> CheckpointName {
+    CheckpointName {
+        model: checkpoint.model.clone(),
+        version: checkpoint.version.clone(),
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/server_key.rs
@@ -0,0 +1,6 @@
+//! Identifies a backend server.
+
+slotmap::new_key_type! {
+    /// Identifies a backend server in the inventory, over its incarnations.
+    pub(super) struct ServerKey;
+}
--- /dev/null
+++ b/galenahold_placement/src/engine/team_loads.rs
@@ -0,0 +1,35 @@
+//! Counts the loads that were made for each team of late.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::name;
+
+const MEMORY: time::Duration = time::Duration::from_secs(30);
+
+/// Counts the loads that were made for each team of late.
+#[derive(Debug, Default)]
+pub(super) struct TeamLoads {
+    teams: collections::BTreeMap<name::TeamName, FadingCount>,
+}
+
+#[derive(Debug)]
+struct FadingCount {
+    count: f64,
+    at: time::Instant,
+}
+
+impl TeamLoads {
+    pub(super) fn record(&mut self, team: &name::TeamName, loads: f64, now: time::Instant) {
+        let count = self.count(team, now) + loads;
+        self.teams
+            .insert(team.clone(), FadingCount { count, at: now });
+    }
+
+    pub(super) fn count(&self, team: &name::TeamName, now: time::Instant) -> f64 {
+        self.teams.get(team).map_or(0.0, |fading| {
+            let age = now.saturating_duration_since(fading.at);
+            fading.count * (-age.as_secs_f64() / MEMORY.as_secs_f64()).exp()
+        })
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/policy/destination_candidate.rs
@@ -0,0 +1,20 @@
+//! A backend server that a model or adapter could be loaded on.
+
+use std::time;
+
+use galenahold_domain::{amount, server};
+
+/// A backend server that a model or adapter could be loaded on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct DestinationCandidate {
+    /// Where the checkpoint lies, seen from it.
+    pub tier: server::CheckpointTier,
+    /// How long the load should take there.
+    pub expected_load: time::Duration,
+    /// Memory that would be left.
+    pub left: amount::ByteCount,
+    /// Replicas of the same artifact in its data centre.
+    pub same_data_centre: u32,
+    /// Requests that run or wait there, as it reported.
+    pub busy: u32,
+}
--- /dev/null
+++ b/galenahold_placement/src/policy/mod.rs
@@ -0,0 +1,31 @@
+//! Policies of placement: what is loaded first, where, and how long it is kept.
+
+mod arrival_order;
+mod destination;
+mod destination_candidate;
+mod fixed_keep_alive;
+mod histogram_keep_alive;
+mod keep_alive;
+mod kept_replica;
+mod load_candidate;
+mod load_order;
+mod most_free;
+mod nearest_checkpoint;
+mod recency_keep_alive;
+mod shortest_expected;
+mod waiting_weighted;
+
+pub use arrival_order::ArrivalOrder;
+pub use destination::Destination;
+pub use destination_candidate::DestinationCandidate;
+pub use fixed_keep_alive::FixedKeepAlive;
+pub use histogram_keep_alive::HistogramKeepAlive;
+pub use keep_alive::KeepAlive;
+pub use kept_replica::KeptReplica;
+pub use load_candidate::LoadCandidate;
+pub use load_order::LoadOrder;
+pub use most_free::MostFree;
+pub use nearest_checkpoint::NearestCheckpoint;
+pub use recency_keep_alive::RecencyKeepAlive;
+pub use shortest_expected::ShortestExpected;
+pub use waiting_weighted::WaitingWeighted;
--- /dev/null
+++ b/galenahold_placement/src/policy/most_free.rs
@@ -0,0 +1,17 @@
+//! Prefers the server with the most free memory.
+
+use crate::policy;
+
+/// Prefers the server with the most free memory, wherever the checkpoint lies.
+#[derive(Debug, Default)]
+pub struct MostFree;
+
+impl policy::Destination for MostFree {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "a cost needs no more than 52 bits"
+    )]
+    fn cost(&self, candidate: &policy::DestinationCandidate) -> f64 {
+        -(candidate.left.0 as f64)
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/policy/recency_keep_alive.rs
@@ -0,0 +1,19 @@
+//! Keeps replicas until their memory is needed.
+
+use std::time;
+
+use crate::policy;
+
+/// Keeps replicas until their memory is needed; the least recently used goes first.
+#[derive(Debug, Default)]
+pub struct RecencyKeepAlive;
+
+impl policy::KeepAlive for RecencyKeepAlive {
+    fn keep_for(&self, _replica: &policy::KeptReplica<'_>) -> Option<time::Duration> {
+        None
+    }
+
+    fn worth(&self, replica: &policy::KeptReplica<'_>) -> f64 {
+        -replica.idle.as_secs_f64()
+    }
+}
--- /dev/null
+++ b/galenahold_placement/src/policy/shortest_expected.rs
@@ -0,0 +1,13 @@
+//! Loads first what is loaded soonest.
+
+use crate::policy;
+
+/// Loads first what is loaded soonest.
+#[derive(Debug, Default)]
+pub struct ShortestExpected;
+
+impl policy::LoadOrder for ShortestExpected {
+    fn score(&self, candidate: &policy::LoadCandidate) -> f64 {
+        -candidate.expected_load.as_secs_f64()
+    }
+}
--- /dev/null
+++ b/galenahold_placement/tests/placement/demand_promises.rs
@@ -0,0 +1,134 @@
+//! What becomes of demand: one decision a burst, no eviction of work, nothing starves.
+
+use std::time;
+
+use galenahold_placement::engine;
+
+use crate::fleet_model::{FleetModel, adapter, artifact, model};
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+#[test]
+fn burst_for_a_cold_model_is_one_decision() {
+    let mut many = model("a", 10, &[]);
+    many.max_replicas = 3;
+    let mut fleet = FleetModel::new(vec![many])
+        .with_server("one", 100, true)
+        .with_server("two", 100, true);
+    for waiting in 1..50 {
+        fleet.report_waiting(&artifact("a"), waiting);
+        fleet.step(engine::PlacementEvent::Tick);
+    }
+    assert_eq!(fleet.reserves, 1);
+}
+
+#[test]
+fn lasting_demand_adds_a_replica_up_to_the_most() {
+    let mut two = model("a", 10, &[]);
+    two.max_replicas = 2;
+    let mut fleet = FleetModel::new(vec![two])
+        .with_server("one", 100, true)
+        .with_server("two", 100, true)
+        .with_server("three", 100, true);
+    fleet.report_waiting(&artifact("a"), 50);
+    fleet.run(2 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")).len(), 1);
+    fleet.run(60 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")).len(), 2);
+}
+
+#[test]
+fn replica_with_work_is_not_unloaded_for_another() {
+    let mut fleet = FleetModel::new(vec![model("a", 60, &[]), model("b", 60, &[])])
+        .with_server("one", 100, true);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(SECOND);
+    fleet.report_waiting(&artifact("a"), 0);
+    fleet.report_work("one", &artifact("a"), 1);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.run(30 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    fleet.report_work("one", &artifact("a"), 0);
+    fleet.run(10 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("b")), ["one"]);
+}
+
+#[test]
+fn adapter_brings_its_base_model_and_loads_beside_it() {
+    let mut fleet = FleetModel::new(vec![model("a", 60, &["x"])])
+        .with_server("one", 100, true)
+        .with_server("two", 100, true);
+    fleet.report_waiting(&adapter("a", "x"), 1);
+    fleet.run(3 * SECOND);
+    let base = fleet.loaded_on(&artifact("a"));
+    assert_eq!(base.len(), 1);
+    assert_eq!(fleet.loaded_on(&adapter("a", "x")), base);
+}
+
+#[test]
+fn every_waiting_model_is_loaded_in_turn_when_memory_holds_one() {
+    let names = ["a", "b", "c", "d"];
+    let models = names.iter().map(|name| model(name, 60, &[])).collect();
+    let mut fleet = FleetModel::new(models).with_server("one", 100, true);
+    for name in names {
+        fleet.report_waiting(&artifact(name), 1);
+    }
+    let mut loaded = std::collections::BTreeSet::new();
+    for _ in 0..400 {
+        fleet.run(time::Duration::from_millis(250));
+        let now_loaded = names
+            .iter()
+            .filter(|name| !fleet.loaded_on(&artifact(name)).is_empty());
+        for name in now_loaded.copied().collect::<Vec<_>>() {
+            loaded.insert(name);
+            fleet.report_waiting(&artifact(name), 0);
+        }
+    }
+    assert_eq!(loaded.len(), names.len());
+}
+
+#[test]
+fn idle_replica_ends_and_the_least_number_stays() {
+    let mut kept = model("a", 10, &[]);
+    kept.min_replicas = 1;
+    let mut fleet = FleetModel::new(vec![kept, model("b", 10, &[])]).with_server("one", 100, true);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.run(SECOND);
+    fleet.report_waiting(&artifact("b"), 0);
+    fleet.run(1_200 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    assert!(fleet.loaded_on(&artifact("b")).is_empty());
+}
+
+#[test]
+fn leaving_server_gets_no_load_and_its_replicas_are_replaced() {
+    let mut kept = model("a", 10, &[]);
+    kept.min_replicas = 1;
+    kept.max_replicas = 2;
+    let mut fleet = FleetModel::new(vec![kept]).with_server("one", 100, true);
+    fleet.run(SECOND);
+    fleet.servers.get_mut("one").expect("it is there").leaving = true;
+    let mut fleet = fleet.with_server("two", 100, true);
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one", "two"]);
+}
+
+#[test]
+fn old_version_goes_once_the_new_one_is_loaded() {
+    let mut old = model("a", 10, &[]);
+    old.min_replicas = 1;
+    let mut fleet = FleetModel::new(vec![old.clone()]).with_server("one", 100, true);
+    fleet.run(SECOND);
+    let mut new = old;
+    new.version = "2".into();
+    let mut upgraded = artifact("a");
+    upgraded.version = "2".into();
+    fleet.report_work("one", &artifact("a"), 1);
+    fleet.set_intent(vec![new]);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    fleet.run(2 * SECOND);
+    fleet.report_work("one", &artifact("a"), 0);
+    fleet.run(10 * SECOND);
+    assert_eq!(fleet.loaded_on(&upgraded), ["one"]);
+    assert!(fleet.loaded_on(&artifact("a")).is_empty());
+}
--- /dev/null
+++ b/galenahold_placement/tests/placement/order_promises.rs
@@ -0,0 +1,142 @@
+//! What becomes of orders when answers are lost, leaders change and servers surprise.
+
+use std::time;
+
+use galenahold_domain::{amount, placement};
+use galenahold_placement::engine;
+
+use crate::fleet_model::{FleetModel, LoadedOrder, artifact, model};
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn fleet(checks_fencing: bool) -> FleetModel {
+    FleetModel::new(vec![model("a", 60, &[]), model("b", 60, &[])]).with_server(
+        "one",
+        100,
+        checks_fencing,
+    )
+}
+
+#[test]
+fn lost_answer_keeps_the_memory_until_the_repeat_is_answered() {
+    let mut fleet = fleet(false);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.lose(0);
+    fleet.report_waiting(&artifact("b"), 5);
+    fleet.now += time::Duration::from_millis(500);
+    fleet.step(engine::PlacementEvent::Tick);
+    assert_eq!(fleet.log.len(), 1);
+    assert!(fleet.orders.is_empty());
+    fleet.run(5 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn frozen_order_keeps_its_memory_at_a_server_without_fencing_until_its_sender_ended() {
+    let mut fleet = fleet(false);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.change_leader(SECOND);
+    fleet.report_waiting(&artifact("a"), 0);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.run(60 * SECOND);
+    assert_eq!(fleet.log.len(), 1);
+    assert!(fleet.loaded_on(&artifact("b")).is_empty());
+    fleet.thaw();
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn frozen_order_is_taken_over_at_once_where_fencing_is_checked() {
+    let mut fleet = fleet(true);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.change_leader(SECOND);
+    fleet.run(5 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    let loaded_at = fleet.log.clone();
+    fleet.thaw();
+    assert_eq!(fleet.log, loaded_at);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
+
+#[test]
+fn order_that_never_left_frees_its_memory() {
+    let mut fleet = fleet(false);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.change_leader(time::Duration::ZERO);
+    let frozen = fleet.frozen.pop().expect("an order was open");
+    fleet.step(engine::PlacementEvent::OrderNeverLeft {
+        id: frozen.reservation.id,
+        fence: frozen.reservation.fence,
+    });
+    assert!(
+        fleet
+            .log
+            .values()
+            .all(|kept| kept.id != frozen.reservation.id)
+    );
+}
+
+#[test]
+fn new_leader_decides_nothing_before_its_wait_is_over() {
+    let mut fleet = fleet(true);
+    fleet.change_leader(10 * SECOND);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(9 * SECOND);
+    assert!(fleet.log.is_empty());
+    fleet.run(2 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+}
+
+#[test]
+fn replica_that_nobody_decided_counts_at_once_and_is_unloaded() {
+    let mut fleet = fleet(true);
+    let stray = placement::ReplicaArtifact {
+        model: "unknown".into(),
+        ..artifact("a")
+    };
+    let loaded = LoadedOrder {
+        order: 77,
+        bytes: 60,
+    };
+    let server = fleet.servers.get_mut("one").expect("it is there");
+    server.loaded.insert(stray.clone(), loaded);
+    fleet.announce("one");
+    assert_eq!(fleet.alarms, 1);
+    assert_eq!(fleet.log.len(), 1);
+    fleet.run(10 * SECOND);
+    assert!(fleet.loaded_on(&stray).is_empty());
+    assert!(fleet.log.is_empty());
+}
+
+#[test]
+fn restarted_server_gives_its_memory_back() {
+    let mut fleet = fleet(false);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.lose(0);
+    fleet.restart_server("one");
+    assert!(
+        fleet
+            .log
+            .values()
+            .all(|kept| kept.incarnation == amount::IncarnationNumber(2))
+    );
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+}
+
+#[test]
+fn replica_that_a_server_lost_is_released_and_loaded_again() {
+    let mut fleet = fleet(true);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(SECOND);
+    fleet
+        .servers
+        .get_mut("one")
+        .expect("it is there")
+        .loaded
+        .clear();
+    fleet.run(3 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    assert_eq!(fleet.violations, Vec::<String>::new());
+}
--- /dev/null
+++ b/galenahold_placement/tests/placement/policy_promises.rs
@@ -0,0 +1,71 @@
+//! What policies prefer, and that aging lets nothing starve.
+
+use std::time;
+
+use galenahold_domain::{amount, intent};
+use galenahold_placement::policy::{KeepAlive, LoadOrder};
+use galenahold_placement::{budget, demand, policy};
+use proptest::prelude::*;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn candidate(waiting: u32, oldest_wait: time::Duration) -> policy::LoadCandidate {
+    policy::LoadCandidate {
+        waiting,
+        fair_waiting: f64::from(waiting),
+        oldest_wait,
+        expected_load: SECOND,
+    }
+}
+
+#[test]
+fn one_old_request_goes_before_many_new_ones_in_the_end() {
+    let order = policy::WaitingWeighted::default();
+    let crowd = order.score(&candidate(100, SECOND));
+    assert!(order.score(&candidate(1, SECOND)) < crowd);
+    assert!(order.score(&candidate(1, 30 * SECOND)) > crowd);
+}
+
+#[test]
+fn model_that_returns_regularly_is_kept_past_its_gap_and_a_rare_one_is_not() {
+    let policy = policy::HistogramKeepAlive::default();
+    let mut regular = demand::ArrivalHistory::default();
+    let mut rare = demand::ArrivalHistory::default();
+    for _ in 0..20 {
+        regular.record(60 * SECOND);
+        rare.record(20_000 * SECOND);
+    }
+    let kept = |history| policy::KeptReplica {
+        history,
+        idle: time::Duration::ZERO,
+        reload: 5 * SECOND,
+        bytes: amount::ByteCount(1),
+    };
+    assert!(policy.keep_for(&kept(&regular)) >= Some(60 * SECOND));
+    assert!(policy.keep_for(&kept(&rare)) < Some(60 * SECOND));
+    assert!(policy.worth(&kept(&regular)) > policy.worth(&kept(&rare)));
+}
+
+proptest! {
+    #[test]
+    fn store_budget_starts_no_more_in_any_second_than_it_allows(
+        pauses in prop::collection::vec(0_u64..400, 1..200),
+    ) {
+        let limits = intent::StoreLimits::default();
+        let mut budget = budget::StoreBudget::new(limits.clone());
+        let mut now = time::Instant::now();
+        let mut starts: Vec<time::Instant> = Vec::new();
+        for pause in pauses {
+            now += time::Duration::from_millis(pause);
+            if budget.allows_model(now) {
+                budget.start_model(now);
+                budget.end_model();
+                starts.push(now);
+            }
+        }
+        for first in 0..starts.len() {
+            let within = starts[first..].iter().take_while(|at| **at - starts[first] < SECOND);
+            prop_assert!(within.count() <= limits.loads_per_second as usize);
+        }
+    }
+}
