Prove placement with real processes

Cause: no test showed that decisions hold while the deciding instance dies. Ruled out: counting by the product's own metrics.

--- /dev/null
+++ b/galenahold/tests/placement/engine_faults.rs
@@ -0,0 +1,43 @@
+//! Engines die in the middle of a load and come back with other contents.
+
+use galenahold_testkit::control;
+
+use crate::fleet_setup;
+
+#[test]
+fn a_load_that_dies_with_its_engine_is_made_elsewhere_and_the_request_is_answered() {
+    let placement = fleet_setup::PlacementFleet::start(2, 1, false);
+    for engine in &placement.engines {
+        engine.control(&control::ServerControl::CrashNextLoad);
+    }
+    let asked = fleet_setup::ask(placement.caller(3), "model-0", "flood mark");
+    fleet_setup::wait_until("an engine dies in its load", || {
+        placement.engines.iter().any(|engine| engine.is_crashed())
+    });
+    // The other engine shall not die as well.
+    let mut placement = placement;
+    for engine in &mut placement.engines {
+        if engine.is_crashed() {
+            engine.restart().expect("the engine starts again");
+        } else {
+            engine.restart().expect("the engine starts again");
+        }
+    }
+    let answer = asked.join().expect("the caller ends");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    placement.assert_memory_held();
+}
+
+#[test]
+fn an_engine_that_returns_empty_under_its_name_is_loaded_again() {
+    let mut placement = fleet_setup::PlacementFleet::start(1, 1, false);
+    let first = fleet_setup::ask(placement.caller(3), "model-0", "before");
+    assert_eq!(first.join().expect("the caller ends").status, 200);
+    placement.engines[0]
+        .restart()
+        .expect("the engine starts again");
+    let second = fleet_setup::ask(placement.caller(3), "model-0", "after");
+    let answer = second.join().expect("the caller ends");
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    placement.assert_memory_held();
+}
--- /dev/null
+++ b/galenahold/tests/placement/fleet_setup.rs
@@ -0,0 +1,201 @@
+//! The fleet that the tests of placement use.
+
+use std::sync;
+use std::thread;
+use std::time;
+
+use galenahold_testkit::harness;
+use galenahold_testkit::ledger;
+use galenahold_testkit::{engine, store};
+use serde_json::{Value, json};
+
+/// How long anything that is waited for may take.
+pub(crate) const LIMIT: time::Duration = time::Duration::from_mins(1);
+
+/// Memory of each engine, in bytes.
+pub(crate) const ENGINE_BYTES: u64 = 10_000_000;
+
+/// Memory that each model takes, in bytes: two of them fit one engine.
+pub(crate) const MODEL_BYTES: u64 = 4_000_000;
+
+/// Bytes a second of one fetch from the weight store: a load takes about a second.
+const FETCH_BYTES_PER_SECOND: u64 = 4_000_000;
+
+/// Lets one fleet run at a time, so that they do not starve each other of processor time.
+static FLEETS: sync::Mutex<()> = sync::Mutex::new(());
+
+/// A fleet with engines whose loads go through one weight store.
+pub(crate) struct PlacementFleet {
+    /// The instances; the first three are the control group.
+    pub(crate) fleet: harness::InstanceFleet,
+    /// The engines.
+    pub(crate) engines: Vec<engine::EngineProcess>,
+    /// A key of the team.
+    pub(crate) key: String,
+    _turn: sync::MutexGuard<'static, ()>,
+}
+
+impl PlacementFleet {
+    /// Starts three control instances, one entry instance and engines.
+    pub(crate) fn start(engines: usize, models: usize, checks_fencing: bool) -> Self {
+        let turn = FLEETS.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let fleet = harness::FleetBuilder::default()
+            .control(3)
+            .entries(1)
+            .settings(&json!({
+                "timing": { "notice_ms": 0, "election_timeout_ms": 400, "heartbeat_ms": 60 },
+                "placement": { "load_timeout_s": 5 },
+            }))
+            .start_ready(LIMIT)
+            .expect("the fleet starts");
+        let store = sync::Arc::new(store::WeightStore::new(store_settings()));
+        let engines = (0..engines)
+            .map(|number| start_engine(number, &fleet, &store, checks_fencing))
+            .collect();
+        let operator = fleet.operator();
+        operator
+            .state_intent(&intent(models))
+            .expect("the intent is valid");
+        let key = operator
+            .give_key("councils")
+            .expect("the team is known")
+            .key;
+        let started = Self {
+            fleet,
+            engines,
+            key,
+            _turn: turn,
+        };
+        started.wait_keyed();
+        started
+    }
+
+    /// Returns a caller with the key at an instance.
+    pub(crate) fn caller(&self, instance: usize) -> harness::FleetCaller {
+        harness::FleetCaller::new(self.fleet.callers()[instance]).key(&self.key)
+    }
+
+    /// Copies all engines' ledgers.
+    pub(crate) fn ledgers(&self) -> Vec<ledger::LedgerSnapshot> {
+        self.engines
+            .iter()
+            .map(engine::EngineProcess::ledger)
+            .collect()
+    }
+
+    /// Counts the load orders that engines received for a model.
+    pub(crate) fn load_orders(&self, model: &str) -> usize {
+        self.ledgers()
+            .iter()
+            .flat_map(|ledger| &ledger.placements)
+            .filter(|placement| {
+                placement.kind == ledger::PlacementKind::LoadModel && placement.model == model
+            })
+            .count()
+    }
+
+    /// Checks that no engine ever held more than its memory.
+    pub(crate) fn assert_memory_held(&self) {
+        for ledger in self.ledgers() {
+            assert_eq!(ledger.overcommitted_bytes(), 0, "{}", ledger.name);
+        }
+    }
+
+    /// Returns the place of the leader among the instances.
+    pub(crate) fn leader(&self) -> usize {
+        let operator = self.fleet.operator();
+        let mut found = None;
+        wait_until("a leader is known", || {
+            found = operator
+                .call_any("/v1/status", None)
+                .ok()
+                .and_then(|status| status["leader"].as_str().map(str::to_owned))
+                .and_then(|leader| {
+                    let instances = self.fleet.instances();
+                    instances
+                        .iter()
+                        .position(|instance| instance.name() == leader)
+                });
+            found.is_some()
+        });
+        found.expect("a leader was found")
+    }
+
+    /// Waits until each instance takes the key.
+    fn wait_keyed(&self) {
+        for instance in 0..self.fleet.instances().len() {
+            wait_until("an instance takes the key", || {
+                let listed = self.caller(instance).get("/v1/models");
+                listed.is_ok_and(|answer| answer.status == 200)
+            });
+        }
+    }
+}
+
+/// Asks a model in the background.
+pub(crate) fn ask(
+    caller: harness::FleetCaller,
+    model: &str,
+    text: &str,
+) -> thread::JoinHandle<harness::CallerAnswer> {
+    let (model, text) = (model.to_owned(), text.to_owned());
+    thread::spawn(move || {
+        caller
+            .chat(&model, &text, 3, false)
+            .expect("an answer comes")
+    })
+}
+
+/// Waits until something holds.
+pub(crate) fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = time::Instant::now() + LIMIT;
+    while !holds() {
+        assert!(time::Instant::now() < deadline, "not in time: {what}");
+        thread::sleep(time::Duration::from_millis(20));
+    }
+}
+
+fn start_engine(
+    number: usize,
+    fleet: &harness::InstanceFleet,
+    store: &sync::Arc<store::WeightStore>,
+    checks_fencing: bool,
+) -> engine::EngineProcess {
+    engine::EngineBuilder::new(&format!("engine-{number}"))
+        .instances(&fleet.backends())
+        .announce_interval_ms(200)
+        .memory_bytes(ENGINE_BYTES)
+        .checks_fencing(checks_fencing)
+        .store(store::StoreTarget::Shared(sync::Arc::clone(store)))
+        .start()
+        .expect("the engine starts")
+}
+
+fn store_settings() -> store::StoreSettings {
+    store::StoreSettings {
+        bytes_per_second: FETCH_BYTES_PER_SECOND,
+        ..store::StoreSettings::default()
+    }
+}
+
+/// Names the models `model-0`, `model-1` and so on.
+fn intent(models: usize) -> Value {
+    let names: Vec<String> = (0..models)
+        .map(|number| format!("model-{number}"))
+        .collect();
+    let models: Vec<Value> = names
+        .iter()
+        .map(
+            |name| json!({ "name": name, "version": "1", "bytes": MODEL_BYTES, "max_replicas": 1 }),
+        )
+        .collect();
+    json!({
+        "teams": [{
+            "name": "councils", "rate_tokens_per_s": 1_000_000, "burst_tokens": 4_000_000,
+        }],
+        "models": models,
+        "services": [
+            { "name": "drafts", "kind": "models", "models": names, "teams": ["councils"] },
+        ],
+    })
+}
--- /dev/null
+++ b/galenahold/tests/placement/main.rs
@@ -0,0 +1,7 @@
+//! What is loaded where, with real processes: no more than was decided, never over the memory.
+
+mod cold_burst;
+mod deposed_leader;
+mod engine_faults;
+mod fleet_setup;
+mod memory_pressure;
