--- a/galenahold_placement/src/engine/placement_state.rs
+++ b/galenahold_placement/src/engine/placement_state.rs
@@ -109,7 +109,7 @@
         })
     }
 
-    /// Decides anew whether an artifact wants_load a load.
+    /// Decides anew whether an artifact wants a load.
     pub(super) fn refresh(&mut self, key: ArtifactKey, now: time::Instant) {
         let serving = self.serving_replicas(key, now);
         let decided = self.decided_replicas(key, now);
