Split the data folder and the driving thread by matter, deepen the model

Change: scanning, opening and requests have files of their own. The model has steps that isolate, bounce and run members, and one-entry messages.

--- /dev/null
+++ b/galenahold_consensus/src/driver/joining.rs
@@ -0,0 +1,109 @@
+//! Finding, founding and joining a group.
+
+use crate::core;
+use crate::driver;
+use crate::founding;
+use crate::log;
+use crate::member;
+use crate::message;
+use crate::storage;
+
+const KEPT_JOINERS: usize = 64;
+
+impl<S, T, B> driver::LogThread<S, T, B>
+where
+    S: driver::StateMachine,
+    T: driver::MessageTransport,
+    B: storage::StorageBackend,
+{
+    pub(super) fn take_founding(
+        &mut self,
+        from: &member::MemberEndpoint,
+        body: message::FoundingBody,
+    ) {
+        if self.node.is_none() {
+            if let Some(step) = self.founding.receive(body) {
+                self.join(step);
+            }
+            return;
+        }
+        let message::FoundingBody::Greeting(guest) = body else {
+            return;
+        };
+        if let Some(answer) = self.answer_greeting(guest) {
+            self.send_founding(from, answer);
+        }
+    }
+
+    fn answer_greeting(&mut self, guest: member::MemberProfile) -> Option<message::FoundingBody> {
+        let node = self.node.as_ref()?;
+        let cluster = node.settings().cluster;
+        if node.membership().contains(guest.id) {
+            return Some(message::FoundingBody::Welcome {
+                cluster,
+                genesis: self.store.identity().genesis.clone(),
+                guest: guest.id,
+            });
+        }
+        self.joiners
+            .retain(|_, joiner| joiner.endpoint.name != guest.endpoint.name);
+        if self.joiners.len() < KEPT_JOINERS {
+            self.joiners.insert(guest.id, guest);
+        }
+        Some(message::FoundingBody::Founded { cluster })
+    }
+
+    pub(super) fn seek_group(&mut self, now: core::MonotonicTime) {
+        for endpoint in self.founding.greetings(now) {
+            let greeting = self.founding.greeting();
+            self.send_founding(&endpoint, greeting);
+        }
+        if let Some(step) = self.founding.foundable() {
+            self.join(step);
+        }
+    }
+
+    fn send_founding(&mut self, to: &member::MemberEndpoint, body: message::FoundingBody) {
+        let settings = &self.node_settings;
+        let message = message::ConsensusMessage {
+            version: message::ConsensusMessage::VERSION,
+            cluster: self.store.identity().cluster,
+            from: settings.profile.id,
+            from_endpoint: settings.profile.endpoint.clone(),
+            to: None,
+            boot: settings.boot,
+            incarnation: settings.incarnation,
+            term: log::Term::ZERO,
+            durable: log::LogIndex::ZERO,
+            body: message::MessageBody::Founding(body),
+        };
+        self.transport.send(to, message);
+    }
+
+    fn join(&mut self, step: founding::FoundingStep) {
+        let (cluster, genesis) = match step {
+            founding::FoundingStep::Found(genesis) => {
+                (member::ClusterId::new(rand::random()), genesis)
+            }
+            founding::FoundingStep::Join { cluster, genesis } => (cluster, genesis),
+        };
+        let outcome = self.store.join(cluster, genesis);
+        if self.check(&outcome) {
+            self.start_node();
+        }
+    }
+
+    pub(super) fn start_node(&mut self) {
+        let identity = self.store.identity();
+        let Some(cluster) = identity.cluster else {
+            return;
+        };
+        self.node_settings.cluster = cluster;
+        self.node = Some(core::RaftNode::new(
+            self.node_settings.clone(),
+            identity.genesis.clone(),
+            std::mem::take(&mut self.recovered),
+            self.clock.now(),
+        ));
+    }
+}
--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -7,7 +7,6 @@
 use crate::core;
 use crate::driver;
 use crate::driver::log_handle;
-use crate::driver::log_input;
 use crate::driver::status_report;
 use crate::founding;
 use crate::log;
@@ -17,27 +16,27 @@
 
 /// The thread that owns a member: its node, data folder, state machine and transport.
 pub(super) struct LogThread<S: driver::StateMachine, T, B: storage::StorageBackend> {
-    settings: driver::DriverSettings,
-    node_settings: core::NodeSettings,
-    clock: driver::DriverClock,
-    founding: founding::GroupFounding,
-    store: storage::LogStore<B>,
-    machine: S,
-    transport: T,
-    inbox: crossbeam_channel::Receiver<driver::LogInput<S>>,
-    view: sync::Arc<driver::SharedView>,
-    writer: driver::SnapshotWriter,
-    node: Option<core::RaftNode>,
-    recovered: core::RecoveredState,
-    applied: log::LogIndex,
-    unsnapshot_bytes: u64,
-    proposals: driver::PendingProposals<S::Outcome>,
-    reads: driver::PendingReads<S>,
-    joiners: collections::BTreeMap<member::MemberId, member::MemberProfile>,
-    failure: Option<sync::Arc<str>>,
-    retired: bool,
-    marks_at: core::MonotonicTime,
-    status_at: core::MonotonicTime,
+    pub(super) settings: driver::DriverSettings,
+    pub(super) node_settings: core::NodeSettings,
+    pub(super) clock: driver::DriverClock,
+    pub(super) founding: founding::GroupFounding,
+    pub(super) store: storage::LogStore<B>,
+    pub(super) machine: S,
+    pub(super) transport: T,
+    pub(super) inbox: crossbeam_channel::Receiver<driver::LogInput<S>>,
+    pub(super) view: sync::Arc<driver::SharedView>,
+    pub(super) writer: driver::SnapshotWriter,
+    pub(super) node: Option<core::RaftNode>,
+    pub(super) recovered: core::RecoveredState,
+    pub(super) applied: log::LogIndex,
+    pub(super) unsnapshot_bytes: u64,
+    pub(super) proposals: driver::PendingProposals<S::Outcome>,
+    pub(super) reads: driver::PendingReads<S>,
+    pub(super) joiners: collections::BTreeMap<member::MemberId, member::MemberProfile>,
+    pub(super) failure: Option<sync::Arc<str>>,
+    pub(super) retired: bool,
+    pub(super) marks_at: core::MonotonicTime,
+    pub(super) status_at: core::MonotonicTime,
 }
 
 impl<S, T, B> LogThread<S, T, B>
@@ -50,7 +49,6 @@
     const LONGEST_WAIT: time::Duration = time::Duration::from_millis(20);
     const STATUS_INTERVAL: time::Duration = time::Duration::from_millis(20);
     const MARKS_INTERVAL: time::Duration = time::Duration::from_secs(1);
-    const KEPT_JOINERS: usize = 64;
 
     pub(super) fn new(parts: driver::ThreadParts<S, T, B>) -> Self {
         let now = parts.clock.now();
@@ -242,60 +240,6 @@
         self.reads.run(self.applied, &self.machine);
     }
 
-    fn propose(&mut self, command: bytes::Bytes, reply: log_input::ProposeReply<S::Outcome>) {
-        if command.len() > self.settings.command_bytes {
-            reply.refuse(driver::ProposeError::TooLong);
-            return;
-        }
-        if self.proposals.len() >= self.settings.pending_proposals {
-            reply.refuse(driver::ProposeError::Busy);
-            return;
-        }
-        let proposed = self.node.as_mut().map(|node| node.propose(command));
-        match proposed {
-            Some(Ok(position)) => self.proposals.add(position, reply),
-            Some(Err(core::ProposeRefusal::Transferring)) => {
-                reply.refuse(driver::ProposeError::Busy);
-            }
-            _ => reply.refuse(self.not_leading()),
-        }
-    }
-
-    fn transfer(&mut self, target: Option<member::MemberId>) -> bool {
-        let now = self.clock.now();
-        let Some(node) = self.node.as_mut() else {
-            return false;
-        };
-        let target = target.or_else(|| node.best_successor());
-        target.is_some_and(|target| node.transfer_leadership(target, now))
-    }
-
-    fn read(&mut self, linearizable: bool, reply: driver::ReadReply<S>) {
-        if self.failure.is_some() {
-            reply.answer(Err(driver::ReadError::Storage));
-        } else if !linearizable {
-            reply.answer(Ok(&self.machine));
-        } else if let Some(node) = self.node.as_mut() {
-            let ticket = self.reads.enqueue(reply);
-            node.read(ticket, self.clock.now());
-        } else {
-            reply.answer(Err(driver::ReadError::NotLeader { hint: None }));
-        }
-    }
-
-    fn change(&mut self, change: &member::MembershipChange, reply: log_input::ChangeReply) {
-        let now = self.clock.now();
-        let Some(node) = self.node.as_mut() else {
-            reply.refuse(self.not_leading());
-            return;
-        };
-        match node.change_membership(change, now) {
-            Ok(position) => self.proposals.add_change(position, reply),
-            Err(core::ChangeRefusal::NotLeader) => reply.refuse(self.not_leading()),
-            Err(refusal) => reply.answer(Err(driver::ChangeError::Refused { refusal })),
-        }
-    }
-
     fn take_message(&mut self, message: message::ConsensusMessage) {
         if self.failure.is_some() {
             return;
@@ -309,142 +253,6 @@
         }
     }
 
-    fn take_founding(&mut self, from: &member::MemberEndpoint, body: message::FoundingBody) {
-        if self.node.is_none() {
-            if let Some(step) = self.founding.receive(body) {
-                self.join(step);
-            }
-            return;
-        }
-        let message::FoundingBody::Greeting(guest) = body else {
-            return;
-        };
-        if let Some(answer) = self.answer_greeting(guest) {
-            self.send_founding(from, answer);
-        }
-    }
-
-    fn answer_greeting(&mut self, guest: member::MemberProfile) -> Option<message::FoundingBody> {
-        let node = self.node.as_ref()?;
-        let cluster = node.settings().cluster;
-        if node.membership().contains(guest.id) {
-            return Some(message::FoundingBody::Welcome {
-                cluster,
-                genesis: self.store.identity().genesis.clone(),
-                guest: guest.id,
-            });
-        }
-        self.joiners
-            .retain(|_, joiner| joiner.endpoint.name != guest.endpoint.name);
-        if self.joiners.len() < Self::KEPT_JOINERS {
-            self.joiners.insert(guest.id, guest);
-        }
-        Some(message::FoundingBody::Founded { cluster })
-    }
-
-    fn seek_group(&mut self, now: core::MonotonicTime) {
-        for endpoint in self.founding.greetings(now) {
-            let greeting = self.founding.greeting();
-            self.send_founding(&endpoint, greeting);
-        }
-        if let Some(step) = self.founding.foundable() {
-            self.join(step);
-        }
-    }
-
-    fn send_founding(&mut self, to: &member::MemberEndpoint, body: message::FoundingBody) {
-        let settings = &self.node_settings;
-        let message = message::ConsensusMessage {
-            version: message::ConsensusMessage::VERSION,
-            cluster: self.store.identity().cluster,
-            from: settings.profile.id,
-            from_endpoint: settings.profile.endpoint.clone(),
-            to: None,
-            boot: settings.boot,
-            incarnation: settings.incarnation,
-            term: log::Term::ZERO,
-            durable: log::LogIndex::ZERO,
-            body: message::MessageBody::Founding(body),
-        };
-        self.transport.send(to, message);
-    }
-
-    fn join(&mut self, step: founding::FoundingStep) {
-        let (cluster, genesis) = match step {
-            founding::FoundingStep::Found(genesis) => {
-                (member::ClusterId::new(rand::random()), genesis)
-            }
-            founding::FoundingStep::Join { cluster, genesis } => (cluster, genesis),
-        };
-        let outcome = self.store.join(cluster, genesis);
-        if self.check(&outcome) {
-            self.start_node();
-        }
-    }
-
-    fn start_node(&mut self) {
-        let identity = self.store.identity();
-        let Some(cluster) = identity.cluster else {
-            return;
-        };
-        self.node_settings.cluster = cluster;
-        self.node = Some(core::RaftNode::new(
-            self.node_settings.clone(),
-            identity.genesis.clone(),
-            std::mem::take(&mut self.recovered),
-            self.clock.now(),
-        ));
-    }
-
-    fn take_snapshot_if_due(&mut self) {
-        let Some(node) = &self.node else {
-            return;
-        };
-        let position = node.snapshot_position().unwrap_or_default();
-        let entries = self.applied.get().saturating_sub(position.index.get());
-        let due = entries >= self.settings.snapshot_entries
-            || self.unsnapshot_bytes >= self.settings.snapshot_bytes;
-        if !due || entries == 0 || self.writer.is_busy() {
-            return;
-        }
-        let Some(meta) = node.snapshot_meta(self.applied) else {
-            return;
-        };
-        self.unsnapshot_bytes = 0;
-        self.writer.write(log::SnapshotImage {
-            meta,
-            data: self.machine.snapshot().into(),
-        });
-    }
-
-    fn snapshot_written(
-        &mut self,
-        image: log::SnapshotImage,
-        outcome: &Result<(), storage::StorageError>,
-    ) {
-        self.writer.written();
-        if !self.check(outcome) {
-            return;
-        }
-        let Some(node) = self.node.as_mut() else {
-            return;
-        };
-        let index = image.meta.position.index;
-        node.snapshot_taken(image);
-        let outcome = self.store.release_before(index);
-        self.check(&outcome);
-    }
-
-    fn install(&mut self, image: &log::SnapshotImage) -> bool {
-        if let Err(error) = self.machine.restore(&image.data) {
-            self.fail(&error.to_string());
-            return false;
-        }
-        self.applied = image.meta.position.index;
-        self.unsnapshot_bytes = 0;
-        true
-    }
-
     fn drop_lost_proposals(&mut self) {
         let leads = self
             .node
@@ -464,7 +272,7 @@
         self.fail(reason);
     }
 
-    fn check(&mut self, outcome: &Result<(), storage::StorageError>) -> bool {
+    pub(super) fn check(&mut self, outcome: &Result<(), storage::StorageError>) -> bool {
         if let Err(error) = outcome {
             self.fail(&error.to_string());
         }
@@ -472,7 +280,7 @@
     }
 
     /// Takes no further part; nothing is sent or acknowledged any more.
-    fn fail(&mut self, reason: &str) {
+    pub(super) fn fail(&mut self, reason: &str) {
         ::log::error!("the member takes no further part: {reason}");
         self.failure = Some(reason.into());
         self.node = None;
@@ -531,7 +339,7 @@
         }
     }
 
-    fn not_leading(&self) -> driver::ProposeError {
+    pub(super) fn not_leading(&self) -> driver::ProposeError {
         if self.failure.is_some() {
             return driver::ProposeError::Storage;
         }
@@ -540,7 +348,7 @@
         }
     }
 
-    fn leader(&self) -> Option<member::MemberProfile> {
+    pub(super) fn leader(&self) -> Option<member::MemberProfile> {
         status_report::leader(self.node.as_ref()?)
     }
 
--- a/galenahold_consensus/src/storage/folder_identity.rs
+++ b/galenahold_consensus/src/storage/folder_identity.rs
@@ -33,7 +33,7 @@
     const FILE_NAME: &'static str = "identity";
     const DRAFT_NAME: &'static str = "identity.draft";
 
-    pub(super) fn new(member: member::MemberId, name: member::MemberName) -> Self {
+    fn new(member: member::MemberId, name: member::MemberName) -> Self {
         Self {
             member,
             name,
@@ -45,7 +45,33 @@
         }
     }
 
-    pub(super) fn load<B: storage::StorageBackend>(
+    /// Reads the identity of a folder, or gives an empty one the fresh identity.
+    pub(super) fn open<B: storage::StorageBackend>(
+        backend: &B,
+        folder: &path::Path,
+        name: &member::MemberName,
+        fresh: member::MemberId,
+    ) -> Result<Self, storage::StorageError> {
+        let Some(identity) = Self::load(backend, folder)? else {
+            let identity = Self::new(fresh, name.clone());
+            identity.save(backend, folder)?;
+            return Ok(identity);
+        };
+        if identity.name != *name {
+            return storage_error::ForeignSnafu {
+                path: folder,
+                expected: name.clone(),
+                found: identity.name,
+            }
+            .fail();
+        }
+        if identity.retired {
+            return storage_error::RetiredSnafu { path: folder }.fail();
+        }
+        Ok(identity)
+    }
+
+    fn load<B: storage::StorageBackend>(
         backend: &B,
         folder: &path::Path,
     ) -> Result<Option<Self>, storage::StorageError> {
@@ -61,23 +87,21 @@
             action: "reading",
             path: &path,
         })?;
-        match storage::RecordCodec::decode(&bytes, 0) {
-            Ok(framed) => match rmp_serde::from_slice(framed.payload) {
-                Ok(identity) => Ok(Some(identity)),
-                Err(_) => storage_error::NewerSnafu {
-                    path,
-                    offset: 0_u64,
-                }
-                .fail(),
-            },
-            Err(storage::RecordFlaw::Newer) => storage_error::NewerSnafu {
-                path,
-                offset: 0_u64,
-            }
-            .fail(),
+        Self::decode(&path, &bytes).map(Some)
+    }
+
+    fn decode(path: &path::Path, bytes: &[u8]) -> Result<Self, storage::StorageError> {
+        const OFFSET: u64 = 0;
+        let newer = storage_error::NewerSnafu {
+            path,
+            offset: OFFSET,
+        };
+        match storage::RecordCodec::decode(bytes, 0) {
+            Ok(framed) => rmp_serde::from_slice(framed.payload).or_else(|_| newer.fail()),
+            Err(storage::RecordFlaw::Newer) => newer.fail(),
             Err(storage::RecordFlaw::Damaged) => storage_error::CorruptSnafu {
                 path,
-                offset: 0_u64,
+                offset: OFFSET,
                 flaw: "the identity is damaged",
             }
             .fail(),
--- a/galenahold_consensus/src/storage/log_store.rs
+++ b/galenahold_consensus/src/storage/log_store.rs
@@ -24,31 +24,14 @@
     snapshots: storage::SnapshotStore<B>,
     segment: storage::SegmentFile<B::File>,
     sequence: u64,
-    closed: Vec<ClosedSegment>,
+    closed: Vec<storage::ClosedSegment>,
     hard_state: log::HardState,
     marks: Vec<message::MemberMark>,
     failed: bool,
     _lock: storage::FolderLock,
 }
 
-#[derive(Debug)]
-struct ClosedSegment {
-    path: path::PathBuf,
-    last_index: log::LogIndex,
-}
-
-/// An open data folder with what it holds.
-#[derive(Debug)]
-pub struct OpenedStore<B: storage::StorageBackend> {
-    /// The folder.
-    pub store: LogStore<B>,
-    /// Its content.
-    pub recovered: core::RecoveredState,
-}
-
 impl<B: storage::StorageBackend> LogStore<B> {
-    const SEGMENT_PREFIX: &'static str = "wal-";
-
     /// Opens a data folder, creating it where it is missing or empty.
     ///
     /// `fresh` becomes the identity of an empty folder. Each opening counts as a start.
@@ -62,7 +45,7 @@
         settings: storage::StoreSettings,
         name: &member::MemberName,
         fresh: member::MemberId,
-    ) -> Result<OpenedStore<B>, storage::StorageError> {
+    ) -> Result<storage::OpenedStore<B>, storage::StorageError> {
         backend
             .create_folder(folder)
             .context(storage_error::IoSnafu {
@@ -70,11 +53,11 @@
                 path: folder,
             })?;
         let lock = storage::FolderLock::acquire(folder)?;
-        let mut identity = open_identity(&backend, folder, name, fresh)?;
+        let mut identity = storage::FolderIdentity::open(&backend, folder, name, fresh)?;
         let snapshots = storage::SnapshotStore::new(backend.clone(), folder);
         snapshots.remove_drafts()?;
         let snapshot = snapshots.load()?;
-        let mut scan = scan_segments(&backend, folder, &identity)?;
+        let mut scan = storage::SegmentScan::run(&backend, folder, &identity)?;
         let base = snapshot
             .as_ref()
             .map(|image| image.meta.position)
@@ -100,7 +83,7 @@
             hard_state: recovered.hard_state,
             marks: recovered.marks.clone(),
         };
-        let mut segment = create_segment(&backend, folder, start)?;
+        let mut segment = storage::SegmentFile::create(&backend, folder, start)?;
         if after.outdated {
             segment.append(&[storage::WalRecord::Reset(base)])?;
         }
@@ -120,7 +103,7 @@
             settings,
             identity,
         };
-        Ok(OpenedStore { store, recovered })
+        Ok(storage::OpenedStore { store, recovered })
     }
 
     /// Returns whose folder it is.
@@ -246,10 +229,10 @@
             hard_state: self.hard_state,
             marks: self.marks.clone(),
         };
-        let segment = create_segment(&self.backend, &self.folder, start)?;
+        let segment = storage::SegmentFile::create(&self.backend, &self.folder, start)?;
         self.sequence += 1;
         let closed = std::mem::replace(&mut self.segment, segment);
-        self.closed.push(ClosedSegment {
+        self.closed.push(storage::ClosedSegment {
             path: closed.path().to_path_buf(),
             last_index: closed.last_index,
         });
@@ -272,179 +255,3 @@
         outcome
     }
 }
-
-struct SegmentScan {
-    replay: storage::WalReplay,
-    closed: Vec<ClosedSegment>,
-    next_sequence: u64,
-}
-
-fn open_identity<B: storage::StorageBackend>(
-    backend: &B,
-    folder: &path::Path,
-    name: &member::MemberName,
-    fresh: member::MemberId,
-) -> Result<storage::FolderIdentity, storage::StorageError> {
-    let Some(identity) = storage::FolderIdentity::load(backend, folder)? else {
-        let identity = storage::FolderIdentity::new(fresh, name.clone());
-        identity.save(backend, folder)?;
-        return Ok(identity);
-    };
-    if identity.name != *name {
-        return storage_error::ForeignSnafu {
-            path: folder,
-            expected: name.clone(),
-            found: identity.name,
-        }
-        .fail();
-    }
-    if identity.retired {
-        return storage_error::RetiredSnafu { path: folder }.fail();
-    }
-    Ok(identity)
-}
-
-fn scan_segments<B: storage::StorageBackend>(
-    backend: &B,
-    folder: &path::Path,
-    identity: &storage::FolderIdentity,
-) -> Result<SegmentScan, storage::StorageError> {
-    let mut names = backend.list(folder).context(storage_error::IoSnafu {
-        action: "listing",
-        path: folder,
-    })?;
-    names.retain(|name| name.starts_with(LogStore::<B>::SEGMENT_PREFIX));
-    names.sort();
-    let mut scan = SegmentScan {
-        replay: storage::WalReplay::default(),
-        closed: Vec::new(),
-        next_sequence: 1,
-    };
-    if identity.prepared && names.is_empty() {
-        return corrupt(folder, 0, "the write-ahead log is missing");
-    }
-    for (position, name) in names.iter().enumerate() {
-        let last = position + 1 == names.len();
-        scan_segment(backend, folder, name, identity, last, &mut scan)?;
-    }
-    Ok(scan)
-}
-
-fn scan_segment<B: storage::StorageBackend>(
-    backend: &B,
-    folder: &path::Path,
-    name: &str,
-    identity: &storage::FolderIdentity,
-    last: bool,
-    scan: &mut SegmentScan,
-) -> Result<(), storage::StorageError> {
-    let path = folder.join(name);
-    let bytes = backend.read(&path).context(storage_error::IoSnafu {
-        action: "reading",
-        path: &path,
-    })?;
-    let mut reader = storage::SegmentReader::new(&path, &bytes);
-    let mut last_index = log::LogIndex::ZERO;
-    let mut started = false;
-    loop {
-        let offset = reader.offset();
-        let Some(record) = reader.next()? else {
-            break;
-        };
-        match &record {
-            storage::WalRecord::Start(start) => {
-                check_start(&path, start, identity, scan)?;
-                started = true;
-            }
-            storage::WalRecord::Entry(entry) => last_index = last_index.max(entry.position.index),
-            _ => {}
-        }
-        if !scan.replay.apply(record) {
-            return corrupt(&path, offset, "entries before this one are missing");
-        }
-    }
-    let valid = reader.offset();
-    let unfinished = !started && last && (!identity.prepared || !scan.closed.is_empty());
-    if unfinished {
-        return backend.remove(&path).context(storage_error::IoSnafu {
-            action: "removing",
-            path,
-        });
-    }
-    if !started || (valid < bytes.len() && !last) {
-        return corrupt(&path, valid, "the record is damaged");
-    }
-    if valid < bytes.len() {
-        cut_tail(backend, &path, valid)?;
-    }
-    scan.closed.push(ClosedSegment { path, last_index });
-    Ok(())
-}
-
-fn check_start(
-    path: &path::Path,
-    start: &storage::SegmentStart,
-    identity: &storage::FolderIdentity,
-    scan: &mut SegmentScan,
-) -> Result<(), storage::StorageError> {
-    if start.member != identity.member {
-        return corrupt(path, 0, "the segment belongs to another member");
-    }
-    if !scan.closed.is_empty() && start.sequence != scan.next_sequence {
-        return corrupt(path, 0, "the segment before this one is missing");
-    }
-    scan.next_sequence = start.sequence + 1;
-    Ok(())
-}
-
-fn cut_tail<B: storage::StorageBackend>(
-    backend: &B,
-    path: &path::Path,
-    valid: usize,
-) -> Result<(), storage::StorageError> {
-    ::log::warn!(
-        "cutting the torn tail of {} at byte {valid}",
-        path.display()
-    );
-    backend
-        .cut(path, valid as u64)
-        .context(storage_error::IoSnafu {
-            action: "cutting",
-            path,
-        })
-}
-
-fn create_segment<B: storage::StorageBackend>(
-    backend: &B,
-    folder: &path::Path,
-    start: storage::SegmentStart,
-) -> Result<storage::SegmentFile<B::File>, storage::StorageError> {
-    let name = format!("{}{:020}", LogStore::<B>::SEGMENT_PREFIX, start.sequence);
-    let path = folder.join(name);
-    let file = backend.create(&path).context(storage_error::IoSnafu {
-        action: "creating",
-        path: &path,
-    })?;
-    let mut segment = storage::SegmentFile::new(path, file);
-    segment.append(&[storage::WalRecord::Start(start)])?;
-    backend
-        .sync_folder(folder)
-        .context(storage_error::IoSnafu {
-            action: "syncing",
-            path: folder,
-        })?;
-    Ok(segment)
-}
-
-fn corrupt<T>(
-    path: &path::Path,
-    offset: usize,
-    flaw: &'static str,
-) -> Result<T, storage::StorageError> {
-    storage_error::CorruptSnafu {
-        path,
-        offset: offset as u64,
-        flaw,
-    }
-    .fail()
-}
--- a/galenahold_consensus/src/storage/mod.rs
+++ b/galenahold_consensus/src/storage/mod.rs
@@ -1,13 +1,16 @@
 //! A member's data folder: identity, write-ahead log and snapshots.
 
+mod closed_segment;
 mod file_backend;
 mod folder_identity;
 mod folder_lock;
 mod log_store;
+mod opened_store;
 mod record_codec;
 mod record_flaw;
 mod segment_file;
 mod segment_reader;
+mod segment_scan;
 mod segment_start;
 mod snapshot_store;
 mod storage_backend;
@@ -21,7 +24,7 @@
 pub use file_backend::FileBackend;
 pub use folder_identity::FolderIdentity;
 pub use log_store::LogStore;
-pub use log_store::OpenedStore;
+pub use opened_store::OpenedStore;
 pub use snapshot_store::SnapshotStore;
 pub use storage_backend::StorageBackend;
 pub use storage_error::StorageError;
@@ -29,11 +32,13 @@
 pub use storage_file::StorageFile;
 pub use store_settings::StoreSettings;
 
+use closed_segment::ClosedSegment;
 use folder_lock::FolderLock;
 use record_codec::RecordCodec;
 use record_flaw::RecordFlaw;
 use segment_file::SegmentFile;
 use segment_reader::SegmentReader;
+use segment_scan::SegmentScan;
 use segment_start::SegmentStart;
 use wal_record::WalRecord;
 use wal_replay::WalReplay;
--- a/galenahold_consensus/src/storage/segment_file.rs
+++ b/galenahold_consensus/src/storage/segment_file.rs
@@ -18,13 +18,36 @@
 }
 
 impl<F: storage::StorageFile> SegmentFile<F> {
-    pub(super) fn new(path: path::PathBuf, file: F) -> Self {
-        Self {
+    pub(super) const NAME_PREFIX: &'static str = "wal-";
+
+    /// Creates a segment whose first record is durable, as is its name.
+    pub(super) fn create<B>(
+        backend: &B,
+        folder: &path::Path,
+        start: storage::SegmentStart,
+    ) -> Result<Self, storage::StorageError>
+    where
+        B: storage::StorageBackend<File = F>,
+    {
+        let path = folder.join(format!("{}{:020}", Self::NAME_PREFIX, start.sequence));
+        let file = backend.create(&path).context(storage_error::IoSnafu {
+            action: "creating",
+            path: &path,
+        })?;
+        let mut segment = Self {
             path,
             file,
             length_bytes: 0,
             last_index: log::LogIndex::ZERO,
-        }
+        };
+        segment.append(&[storage::WalRecord::Start(start)])?;
+        backend
+            .sync_folder(folder)
+            .context(storage_error::IoSnafu {
+                action: "syncing",
+                path: folder,
+            })?;
+        Ok(segment)
     }
 
     pub(super) fn path(&self) -> &path::Path {
--- a/galenahold_consensus/tests/model/member_state.rs
+++ b/galenahold_consensus/tests/model/member_state.rs
@@ -73,7 +73,11 @@
             election_timeout: ELECTION_TIMEOUT,
             heartbeat_interval: ELECTION_TIMEOUT / 6,
             clock_drift_permille: DRIFT_PERMILLE,
-            append_budget_bytes: 200,
+            append_budget_bytes: if self.number.is_multiple_of(2) {
+                1
+            } else {
+                200
+            },
             append_window: 3,
             chunk_bytes: 16,
             retained_entries: 2,
--- a/galenahold_consensus/tests/model/model_group.rs
+++ b/galenahold_consensus/tests/model/model_group.rs
@@ -54,6 +54,7 @@
                 self.advance(millis, Some(member % MEMBERS));
             }
             model_step::ModelStep::DeliverAll { rounds } => self.deliver_all(rounds),
+            model_step::ModelStep::Run { rounds } => self.run(rounds),
             model_step::ModelStep::Deliver { message } => {
                 if let Some(picked) = self.pick(message) {
                     let outgoing = self.under_way.remove(picked);
@@ -72,14 +73,18 @@
                 }
             }
             model_step::ModelStep::Split { sides } => self.sides = sides,
+            model_step::ModelStep::Isolate { member } => self.sides = 1 << member,
             model_step::ModelStep::Heal => self.sides = 0,
+            model_step::ModelStep::Bounce { member } => {
+                self.members[member].crash();
+                self.start(member);
+            }
             model_step::ModelStep::Crash { member } => self.members[member % MEMBERS].crash(),
             model_step::ModelStep::CrashAtSync { member, durable } => {
                 self.members[member % MEMBERS].crash_at_sync = Some(durable);
             }
             model_step::ModelStep::Restart { member } => {
-                let real_nanos = self.real_nanos;
-                self.members[member % MEMBERS].start(&self.genesis, real_nanos);
+                self.start(member % MEMBERS);
             }
             model_step::ModelStep::Propose { member } => self.propose(member),
             model_step::ModelStep::Read { member } => self.read(member),
@@ -105,20 +110,29 @@
     pub(crate) fn recovers(&mut self) -> bool {
         self.sides = 0;
         for number in 0..MEMBERS {
-            let real_nanos = self.real_nanos;
             self.members[number].crash_at_sync = None;
-            self.members[number].start(&self.genesis, real_nanos);
+            self.start(number);
         }
         let before = self.ledger.highest_committed();
         for round in 0..400 {
-            self.advance(10, None);
-            self.deliver_all(3);
+            self.run(1);
             self.propose(round);
-            self.check();
         }
         self.ledger.highest_committed() > before
     }
 
+    fn start(&mut self, number: usize) {
+        self.members[number].start(&self.genesis, self.real_nanos);
+    }
+
+    fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.advance(10, None);
+            self.deliver_all(2);
+            self.check();
+        }
+    }
+
     fn check(&mut self) {
         let real_nanos = self.real_nanos;
         self.ledger.check(&mut self.members, real_nanos);
--- a/galenahold_consensus/tests/model/model_step.rs
+++ b/galenahold_consensus/tests/model/model_step.rs
@@ -11,6 +11,8 @@
     Freeze { member: usize, millis: u64 },
     /// All messages under way arrive in order, and their answers, for some rounds.
     DeliverAll { rounds: usize },
+    /// Time passes in small pieces while all messages arrive.
+    Run { rounds: usize },
     /// One message arrives.
     Deliver { message: usize },
     /// One message is lost.
@@ -19,6 +21,10 @@
     Double { message: usize },
     /// Members of different sides don't reach each other.
     Split { sides: u32 },
+    /// One member doesn't reach the others.
+    Isolate { member: usize },
+    /// A process dies and starts again at once.
+    Bounce { member: usize },
     /// All members reach each other.
     Heal,
     /// A process dies.
@@ -46,15 +52,18 @@
 /// Makes steps, with those that let a group get on more often.
 pub(crate) fn steps() -> impl Strategy<Value = Vec<ModelStep>> {
     let step = prop_oneof![
-        12 => (1_u64..120).prop_map(|millis| ModelStep::Advance { millis }),
+        8 => (1_u64..120).prop_map(|millis| ModelStep::Advance { millis }),
         2 => (any::<usize>(), 100_u64..700)
             .prop_map(|(member, millis)| ModelStep::Freeze { member, millis }),
-        12 => (1_usize..6).prop_map(|rounds| ModelStep::DeliverAll { rounds }),
+        8 => (1_usize..6).prop_map(|rounds| ModelStep::DeliverAll { rounds }),
         8 => any::<usize>().prop_map(|message| ModelStep::Deliver { message }),
         3 => any::<usize>().prop_map(|message| ModelStep::Lose { message }),
         3 => any::<usize>().prop_map(|message| ModelStep::Double { message }),
+        6 => (1_usize..50).prop_map(|rounds| ModelStep::Run { rounds }),
         1 => any::<u32>().prop_map(|sides| ModelStep::Split { sides }),
-        2 => Just(ModelStep::Heal),
+        3 => (0_usize..3).prop_map(|member| ModelStep::Isolate { member }),
+        3 => Just(ModelStep::Heal),
+        3 => (0_usize..3).prop_map(|member| ModelStep::Bounce { member }),
         1 => any::<usize>().prop_map(|member| ModelStep::Crash { member }),
         1 => (any::<usize>(), any::<bool>())
             .prop_map(|(member, durable)| ModelStep::CrashAtSync { member, durable }),
