Test rare runs, failing disks in a group and messages between versions

Cause: random runs did not find three deliberate faults in the node: committing entries of earlier terms, confirming a read by late answers, and counting a lease from the arrival of an answer.

Change: directed runs for these three, a wider clock drift in the model, tests of a group whose leader's sync fails or whose follower's disk is full, of a record and of messages of a later version. Marks travel once a second, not with each heartbeat.

--- /dev/null
+++ b/galenahold_consensus/examples/log_figures/figure_network.rs
@@ -0,0 +1,62 @@
+//! A transport within the process that encodes and decodes each message.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use galenahold_consensus::driver;
+use galenahold_consensus::member;
+use galenahold_consensus::message;
+
+use crate::blob_machine;
+
+pub(crate) type Handle = driver::LogHandle<blob_machine::BlobMachine>;
+
+/// Joins members by their names.
+#[derive(Clone, Default)]
+pub(crate) struct FigureNetwork {
+    state: sync::Arc<sync::RwLock<NetworkState>>,
+}
+
+#[derive(Default)]
+struct NetworkState {
+    handles: collections::BTreeMap<member::MemberName, Handle>,
+    cut: Option<member::MemberName>,
+    sent_bytes: atomic::AtomicU64,
+}
+
+impl FigureNetwork {
+    pub(crate) fn attach(&self, name: &str, handle: Handle) {
+        let mut state = self.state.write().expect("network");
+        state.handles.insert(member::MemberName::new(name), handle);
+    }
+
+    /// Returns the bytes that all members have sent.
+    pub(crate) fn sent_bytes(&self) -> u64 {
+        let state = self.state.read().expect("network");
+        state.sent_bytes.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn cut(&self, name: Option<&str>) {
+        self.state.write().expect("network").cut = name.map(member::MemberName::new);
+    }
+}
+
+impl driver::MessageTransport for FigureNetwork {
+    fn send(&mut self, to: &member::MemberEndpoint, message: message::ConsensusMessage) {
+        let encoded = message.encode();
+        let state = self.state.read().expect("network");
+        let length = u64::try_from(encoded.len()).unwrap_or(u64::MAX);
+        state
+            .sent_bytes
+            .fetch_add(length, atomic::Ordering::Relaxed);
+        let cut = state.cut.as_ref();
+        if cut == Some(&to.name) || cut == Some(&message.from_endpoint.name) {
+            return;
+        }
+        if let Some(handle) = state.handles.get(&to.name) {
+            let decoded = message::ConsensusMessage::decode(&encoded);
+            handle.deliver(decoded.expect("own message"));
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/examples/log_figures/main.rs
@@ -0,0 +1,35 @@
+//! Measures the replicated log on this machine: `log_figures commits|elections|snapshots|idle [FOLDER]`.
+//!
+//! All members run in one process and are joined by channels; messages are encoded and decoded as on
+//! a network. Each member has a data folder below FOLDER, by default the temporary folder.
+
+mod blob_machine;
+mod commits;
+mod elections;
+mod figure_group;
+mod figure_network;
+mod idle;
+mod quantiles;
+mod snapshots;
+
+use std::env;
+use std::path;
+use std::process;
+
+fn main() -> process::ExitCode {
+    let mut arguments = env::args().skip(1);
+    let matter = arguments.next();
+    let folder = arguments.next().map(path::PathBuf::from);
+    let folder = folder.unwrap_or_else(env::temp_dir);
+    match matter.as_deref() {
+        Some("commits") => commits::measure(&folder),
+        Some("elections") => elections::measure(&folder),
+        Some("snapshots") => snapshots::measure(&folder),
+        Some("idle") => idle::measure(&folder),
+        _ => {
+            eprintln!("usage: log_figures commits|elections|snapshots|idle [FOLDER]");
+            return process::ExitCode::FAILURE;
+        }
+    }
+    process::ExitCode::SUCCESS
+}
--- a/galenahold_consensus/src/core/leader_state.rs
+++ b/galenahold_consensus/src/core/leader_state.rs
@@ -14,6 +14,8 @@
     pub(super) first_index: log::LogIndex,
     pub(super) sequence: u64,
     pub(super) heartbeat_at: core::MonotonicTime,
+    /// When the members' marks are to be sent along again.
+    pub(super) marks_at: core::MonotonicTime,
     pub(super) pending_reads: Vec<PendingRead>,
     pub(super) transfer: Option<core::TransferState>,
     /// Latest end of a lease that an earlier membership of the term gave.
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -163,6 +163,7 @@
             first_index,
             sequence: 0,
             heartbeat_at: now,
+            marks_at: now,
             pending_reads: Vec::new(),
             transfer: None,
             granted_until: now,
--- a/galenahold_consensus/src/core/replication.rs
+++ b/galenahold_consensus/src/core/replication.rs
@@ -1,10 +1,15 @@
 //! Replication: feeding members, and taking in entries and acknowledgements.
 
+use std::time;
+
 use crate::core;
 use crate::log;
 use crate::member;
 use crate::message;
 
+/// Interval at which a leader tells its members what it knows of their durable state.
+const MARKS_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 impl core::RaftNode {
     /// Sends what the members' windows allow.
     pub(super) fn feed_members(&mut self, now: core::MonotonicTime) {
@@ -15,7 +20,7 @@
 
     /// Sends each member a message, with entries or without, that it must answer.
     pub(super) fn send_heartbeats(&mut self, now: core::MonotonicTime) {
-        let marks: Vec<message::MemberMark> = self.marks.iter().copied().collect();
+        let marks = self.marks_due(now);
         for id in self.others() {
             self.send_heartbeat(id, &marks, now);
         }
@@ -197,6 +202,18 @@
         self.send_prompt(id, body);
     }
 
+    /// Returns all marks, once an interval.
+    fn marks_due(&mut self, now: core::MonotonicTime) -> Vec<message::MemberMark> {
+        let Some(state) = self.leader_state_mut() else {
+            return Vec::new();
+        };
+        if now < state.marks_at {
+            return Vec::new();
+        }
+        state.marks_at = now + MARKS_INTERVAL;
+        self.marks.iter().copied().collect()
+    }
+
     fn merge_marks(&mut self, marks: &[message::MemberMark]) {
         let own_id = self.own_id();
         for mark in marks.iter().filter(|mark| mark.member != own_id) {
--- a/galenahold_consensus/tests/driver/local_group.rs
+++ b/galenahold_consensus/tests/driver/local_group.rs
@@ -9,6 +9,7 @@
 use galenahold_consensus::log;
 use galenahold_consensus::member;
 
+use crate::fault_backend;
 use crate::local_network;
 use crate::text_machine;
 use crate::waiting;
@@ -22,6 +23,7 @@
     folder: tempfile::TempDir,
     network: local_network::LocalNetwork,
     members: collections::BTreeMap<String, driver::ReplicatedLog<text_machine::TextMachine>>,
+    switches: collections::BTreeMap<String, fault_backend::FaultSwitch>,
     voters: Vec<member::MemberEndpoint>,
 }
 
@@ -34,6 +36,7 @@
             folder: tempfile::tempdir().expect("temporary folder"),
             network: local_network::LocalNetwork::default(),
             members: collections::BTreeMap::new(),
+            switches: collections::BTreeMap::new(),
             voters: names
                 .iter()
                 .map(|name| member::MemberEndpoint::new(name, name))
@@ -57,13 +60,18 @@
     }
 
     pub(crate) fn start_at(&mut self, name: &str, address: &str) -> Handle {
-        let machine = text_machine::TextMachine::default();
+        let switch = fault_backend::FaultSwitch::default();
+        let backend = fault_backend::FaultBackend {
+            switch: switch.clone(),
+        };
         let member = self
             .builder(name)
             .address(address)
-            .start(machine, self.network.clone())
+            .backend(backend)
+            .start(text_machine::TextMachine::default(), self.network.clone())
             .expect("start");
         let handle = member.handle();
+        self.switches.insert(name.to_owned(), switch);
         self.network.attach(name, address, handle.clone());
         self.members.insert(name.to_owned(), member);
         handle
@@ -83,6 +91,11 @@
         self.folder.path().join(name)
     }
 
+    /// Returns the switch that lets a member's disk fail.
+    pub(crate) fn disk(&self, name: &str) -> &fault_backend::FaultSwitch {
+        self.switches.get(name).expect("started member")
+    }
+
     pub(crate) fn handle(&self, name: &str) -> Handle {
         self.members.get(name).expect("running member").handle()
     }
--- a/galenahold_consensus/tests/driver/main.rs
+++ b/galenahold_consensus/tests/driver/main.rs
@@ -1,5 +1,7 @@
 //! The driver: members in one process, joined by channels that can be cut.
 
+#[path = "../support/fault_backend.rs"]
+mod fault_backend;
 mod leadership;
 mod local_group;
 mod local_network;
--- a/galenahold_consensus/tests/driver/recovery.rs
+++ b/galenahold_consensus/tests/driver/recovery.rs
@@ -35,6 +35,53 @@
     }
 }
 
+#[test]
+fn leader_whose_sync_fails_gives_way_and_acknowledged_commands_survive() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (name, leader) = group.leader();
+    let events = leader.subscribe();
+    group.disk(&name).fail_syncs(true);
+    let lost = leader.propose(b"two".to_vec(), local_group::PATIENCE);
+    assert!(lost.expect_err("not durable").kind().may_have_committed());
+    waiting::until("the member takes no further part", || {
+        let event = events.try_recv().ok()?;
+        (event == driver::RoleEvent::Failed).then_some(())
+    });
+    group.commit("three");
+    let (new, handle) = group.leader();
+    assert_ne!(new, name);
+    let lines = handle.read(local_group::PATIENCE, |machine| machine.lines.clone());
+    let lines = lines.expect("read");
+    assert_eq!(lines.first().map(String::as_str), Some("one"));
+    assert_eq!(lines.last().map(String::as_str), Some("three"));
+    group.stop(&name);
+    group.start(&name);
+    assert_eq!(group.await_lines(&name, lines.len()), lines);
+}
+
+#[test]
+fn follower_on_a_full_disk_leaves_no_voter_to_lose() {
+    let group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (leader, handle) = group.leader();
+    let safe_to_lose = |count: usize| {
+        waiting::until("the leader counts the sound voters", || {
+            (handle.status().safe_to_lose == Some(count)).then_some(())
+        });
+    };
+    safe_to_lose(1);
+    let follower = ["a", "b", "c"]
+        .into_iter()
+        .find(|name| *name != leader)
+        .expect("follower");
+    group.disk(follower).fill_disk();
+    group.commit("two");
+    safe_to_lose(0);
+    let failure = group.handle(follower).status().failure.clone();
+    assert!(failure.expect("reason").contains("writing"));
+}
+
 #[test]
 fn member_that_has_moved_to_another_address_is_found_again() {
     let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
--- /dev/null
+++ b/galenahold_consensus/tests/message/main.rs
@@ -0,0 +1,3 @@
+//! Messages between versions.
+
+mod versions;
--- /dev/null
+++ b/galenahold_consensus/tests/message/versions.rs
@@ -0,0 +1,71 @@
+//! Older and newer members talk to each other.
+
+use galenahold_consensus::core;
+use galenahold_consensus::log;
+use galenahold_consensus::member;
+use galenahold_consensus::message;
+use serde::Serialize;
+
+/// A message of a later version: one more field, and a body that may be of a new kind.
+#[derive(Debug, Serialize)]
+struct LaterMessage<B> {
+    version: u16,
+    cluster: Option<member::ClusterId>,
+    priority: u8,
+    from: member::MemberId,
+    from_endpoint: member::MemberEndpoint,
+    to: Option<member::MemberId>,
+    boot: u64,
+    incarnation: u64,
+    term: log::Term,
+    durable: log::LogIndex,
+    body: B,
+}
+
+#[derive(Debug, Serialize)]
+enum LaterBody {
+    Heartbeat {
+        probe: message::ProbeStamp,
+        load: u32,
+    },
+    Gossip {
+        load: u32,
+    },
+}
+
+#[test]
+fn unknown_fields_of_a_later_version_are_skipped() {
+    let probe = message::ProbeStamp {
+        sequence: 3,
+        sent_at: core::MonotonicTime::from_nanos(5),
+    };
+    let later = later_message(LaterBody::Heartbeat { probe, load: 9 });
+    let decoded = message::ConsensusMessage::decode(&later).expect("a known kind");
+    assert_eq!(decoded.version, 2);
+    assert_eq!(decoded.body, message::MessageBody::Heartbeat { probe });
+    let again = message::ConsensusMessage::decode(&decoded.encode());
+    assert_eq!(again.expect("own message"), decoded);
+}
+
+#[test]
+fn unknown_kind_of_a_later_version_is_an_error_to_drop() {
+    let later = later_message(LaterBody::Gossip { load: 9 });
+    message::ConsensusMessage::decode(&later).expect_err("an unknown kind");
+}
+
+fn later_message(body: LaterBody) -> Vec<u8> {
+    let message = LaterMessage {
+        version: 2,
+        cluster: Some(member::ClusterId::new(1)),
+        priority: 4,
+        from: member::MemberId::new(u128::MAX),
+        from_endpoint: member::MemberEndpoint::new("a", "127.0.0.1:1"),
+        to: None,
+        boot: 1,
+        incarnation: 2,
+        term: log::Term::new(3),
+        durable: log::LogIndex::new(4),
+        body,
+    };
+    rmp_serde::to_vec_named(&message).expect("encode")
+}
--- a/galenahold_consensus/tests/model/main.rs
+++ b/galenahold_consensus/tests/model/main.rs
@@ -5,3 +5,4 @@
 mod model_group;
 mod model_step;
 mod promises;
+mod scenarios;
--- a/galenahold_consensus/tests/model/member_state.rs
+++ b/galenahold_consensus/tests/model/member_state.rs
@@ -7,8 +7,8 @@
 use galenahold_consensus::member;
 
 /// Rate of a member's clock in thousandths of real time.
-const CLOCK_RATES_PERMILLE: [u64; 5] = [1_010, 990, 1_000, 990, 1_010];
-const DRIFT_PERMILLE: u32 = 10;
+const CLOCK_RATES_PERMILLE: [u64; 5] = [1_100, 900, 1_000, 900, 1_100];
+const DRIFT_PERMILLE: u32 = 100;
 pub(crate) const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 
 /// A process that may be dead, with its disk.
@@ -73,11 +73,7 @@
             election_timeout: ELECTION_TIMEOUT,
             heartbeat_interval: ELECTION_TIMEOUT / 6,
             clock_drift_permille: DRIFT_PERMILLE,
-            append_budget_bytes: if self.number.is_multiple_of(2) {
-                1
-            } else {
-                200
-            },
+            append_budget_bytes: if self.boot.is_multiple_of(2) { 200 } else { 1 },
             append_window: 3,
             chunk_bytes: 16,
             retained_entries: 2,
--- a/galenahold_consensus/tests/model/model_group.rs
+++ b/galenahold_consensus/tests/model/model_group.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    fn check(&mut self) {
+    pub(crate) fn check(&mut self) {
         let real_nanos = self.real_nanos;
         self.ledger.check(&mut self.members, real_nanos);
     }
@@ -155,7 +155,12 @@
         }
     }
 
-    fn deliver(&mut self, outgoing: core::OutgoingMessage) {
+    /// Takes the messages under way out of the group's hands.
+    pub(crate) fn take_under_way(&mut self) -> Vec<core::OutgoingMessage> {
+        std::mem::take(&mut self.under_way)
+    }
+
+    pub(crate) fn deliver(&mut self, outgoing: core::OutgoingMessage) {
         let to = number_of(outgoing.message.to);
         let from = number_of(Some(outgoing.message.from));
         let (Some(to), Some(from)) = (to, from) else {
@@ -176,10 +181,21 @@
     }
 
     fn read(&mut self, member: usize) {
+        let ticket = self.new_ticket();
+        self.at_leader(member, |node, now| node.read(ticket, now));
+    }
+
+    /// Reads at one member, whether it leads or not.
+    pub(crate) fn read_at(&mut self, number: usize) {
+        let ticket = self.new_ticket();
+        self.with_node(number, |node, now| node.read(ticket, now));
+    }
+
+    fn new_ticket(&mut self) -> core::ReadTicket {
         let ticket = core::ReadTicket::new(self.reads.len() as u64);
         let floor = self.ledger.highest_committed();
         self.reads.insert(ticket, floor);
-        self.at_leader(member, |node, now| node.read(ticket, now));
+        ticket
     }
 
     fn change(&mut self, member: usize, subject: usize, kind: u8) {
--- /dev/null
+++ b/galenahold_consensus/tests/model/scenarios.rs
@@ -0,0 +1,104 @@
+//! Runs that chance rarely meets.
+
+use galenahold_consensus::core;
+use galenahold_consensus::log;
+
+use crate::model_group;
+use crate::model_step::ModelStep;
+
+const LIMIT_STEPS: usize = 2_000;
+
+/// The run of figure 8 in the Raft paper: an entry of an earlier term that a majority holds can
+/// still be replaced, so it must not count as committed.
+#[test]
+fn entry_of_an_earlier_term_is_not_committed_by_counting_copies() {
+    let mut group = model_group::ModelGroup::new();
+    until(&mut group, |group| leader(group, None).is_some());
+    group.step(&ModelStep::Run { rounds: 20 });
+    let first = leader(&group, None).expect("leader");
+    group.step(&ModelStep::Isolate { member: first });
+    group.step(&ModelStep::Propose { member: 0 });
+    let replaced = last(&group, first);
+    until(&mut group, |group| leader(group, Some(first)).is_some());
+    let second = leader(&group, Some(first)).expect("leader");
+    let third = 3 - first - second;
+    assert!(last(&group, second).term > replaced.term);
+
+    group.step(&ModelStep::Isolate { member: second });
+    until(&mut group, |group| last(group, third) == replaced);
+    group.step(&ModelStep::DeliverAll { rounds: 1 });
+    assert_eq!(last(&group, third), replaced);
+
+    group.step(&ModelStep::Isolate { member: first });
+    until(&mut group, |group| last(group, third).term > replaced.term);
+    group.step(&ModelStep::Run { rounds: 50 });
+    group.step(&ModelStep::Heal);
+    group.step(&ModelStep::Run { rounds: 200 });
+    assert!(group.ledger.highest_committed() >= replaced.index);
+}
+
+/// A deposed leader that has not noticed gets late answers to its own earlier heartbeats: they
+/// neither extend its lease nor prove anything about the time after a read was asked for.
+#[test]
+fn late_answers_neither_extend_a_lease_nor_confirm_a_later_read() {
+    let mut group = model_group::ModelGroup::new();
+    until(&mut group, |group| leader(group, None).is_some());
+    group.step(&ModelStep::Run { rounds: 20 });
+    let old = leader(&group, None).expect("leader");
+    group.take_under_way();
+    group.step(&ModelStep::Advance { millis: 60 });
+    group.step(&ModelStep::DeliverAll { rounds: 1 });
+    let late = group.take_under_way();
+    assert!(late.len() >= 2, "both followers answer");
+
+    group.step(&ModelStep::Isolate { member: old });
+    while leader(&group, Some(old)).is_none() {
+        let frozen = ModelStep::Freeze {
+            member: old,
+            millis: 10,
+        };
+        group.step(&frozen);
+        group.step(&ModelStep::DeliverAll { rounds: 1 });
+    }
+    let before = group.ledger.highest_committed();
+    while group.ledger.highest_committed() == before {
+        group.step(&ModelStep::DeliverAll { rounds: 1 });
+    }
+    group.take_under_way();
+    group.step(&ModelStep::Heal);
+    for answer in late {
+        group.deliver(answer);
+        group.check();
+        let node = group.members[old].node.as_ref().expect("live member");
+        assert_eq!(node.role(), core::NodeRole::Leader, "it has not noticed");
+        group.read_at(old);
+    }
+}
+
+/// Lets time pass and messages arrive one round at a time.
+fn until(group: &mut model_group::ModelGroup, done: impl Fn(&model_group::ModelGroup) -> bool) {
+    for _ in 0..LIMIT_STEPS {
+        if done(group) {
+            return;
+        }
+        group.step(&ModelStep::Advance { millis: 5 });
+        if done(group) {
+            return;
+        }
+        group.step(&ModelStep::DeliverAll { rounds: 1 });
+    }
+    panic!("the group did not get there");
+}
+
+fn leader(group: &model_group::ModelGroup, except: Option<usize>) -> Option<usize> {
+    let leads = |number: &usize| {
+        let node = group.members[*number].node.as_ref();
+        node.is_some_and(|node| node.role() == core::NodeRole::Leader)
+    };
+    (0..3).find(|number| Some(*number) != except && leads(number))
+}
+
+fn last(group: &model_group::ModelGroup, number: usize) -> log::LogPosition {
+    let node = group.members[number].node.as_ref();
+    node.expect("live member").last()
+}
--- a/galenahold_consensus/tests/storage/damage.rs
+++ b/galenahold_consensus/tests/storage/damage.rs
@@ -90,6 +90,28 @@
     assert_eq!(error.kind(), storage::StorageErrorKind::Corrupt);
 }
 
+#[test]
+fn record_of_a_newer_version_stops_the_start_and_is_left_alone() {
+    const VERSION_OFFSET: usize = 4;
+    const LENGTH_OFFSET: usize = 8;
+    const CHECKSUM_OFFSET: usize = 12;
+    const DURABLE_OFFSET: usize = 16;
+    let folder = store_folder::StoreFolder::new();
+    drop(folder.open().expect("create"));
+    let segment = folder.newest_segment();
+    let mut bytes = fs::read(&segment).expect("segment");
+    bytes[VERSION_OFFSET] += 1;
+    let mut checked = bytes[VERSION_OFFSET..CHECKSUM_OFFSET].to_vec();
+    assert_eq!(checked.len(), LENGTH_OFFSET);
+    checked.extend_from_slice(&bytes[DURABLE_OFFSET..]);
+    let checksum = crc32fast::hash(&checked).to_le_bytes();
+    bytes[CHECKSUM_OFFSET..DURABLE_OFFSET].copy_from_slice(&checksum);
+    fs::write(&segment, &bytes).expect("newer record");
+    let error = folder.open().expect_err("newer");
+    assert_eq!(error.kind(), storage::StorageErrorKind::Newer);
+    assert_eq!(fs::read(&segment).expect("segment"), bytes);
+}
+
 #[test]
 fn missing_segment_stops_the_start() {
     let folder = store_folder::StoreFolder::new();
--- a/galenahold_consensus/tests/storage/main.rs
+++ b/galenahold_consensus/tests/storage/main.rs
@@ -2,6 +2,7 @@
 
 mod damage;
 mod failures;
+#[path = "../support/fault_backend.rs"]
 mod fault_backend;
 mod folders;
 mod store_folder;
