--- a/galenahold_report/src/report/burn_table.rs
+++ b/galenahold_report/src/report/burn_table.rs
@@ -46,16 +46,14 @@
 
 impl fmt::Display for BurnTable<'_> {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let instances: Vec<_> = self.report.instances.iter().map(|name| &**name).collect();
-        writeln!(
-            formatter,
-            "Service-level burn over {}",
-            instances.join(", ")
-        )?;
+        writeln!(formatter, "Service-level burn. {}", self.report.coverage())?;
         writeln!(
             formatter,
             "A burn rate of 1 uses up the error budget just in its period.\n"
         )?;
+        if self.report.rows.is_empty() {
+            return writeln!(formatter, "No requests were counted.");
+        }
         write_aligned(formatter, &self.cells())?;
         writeln!(formatter, "\nLast hour (refusals: last 3 days):")?;
         for row in &self.report.rows {
