Let a trial candidate vote, and test double votes and undone changes

Cause: two more deliberate faults stayed unseen: a vote that is not made durable, and a replaced change of members that stays in force. The first directed run also showed that a member which merely asks for trial votes refused its vote in a term in which it had not voted.

Change: such a member votes and follows; directed runs for both faults.

Tested: with the faults put in, 'two leaders in term 1' and the count of voters fail; cargo test -p galenahold_consensus, 42 tests green.

--- a/galenahold_consensus/src/core/election.rs
+++ b/galenahold_consensus/src/core/election.rs
@@ -229,11 +229,10 @@
             .hard_state
             .voted_for
             .is_none_or(|candidate| candidate == sender.id);
-        let granted = request.term == self.hard_state.term
-            && matches!(self.role, core::RoleState::Follower)
-            && free
-            && request.last >= self.log.last();
+        let granted =
+            request.term == self.hard_state.term && free && request.last >= self.log.last();
         if granted && self.hard_state.voted_for.is_none() {
+            self.role = core::RoleState::Follower;
             self.set_hard_state(log::HardState {
                 term: request.term,
                 voted_for: Some(sender.id),
--- a/galenahold_consensus/tests/model/model_group.rs
+++ b/galenahold_consensus/tests/model/model_group.rs
@@ -160,6 +160,19 @@
         std::mem::take(&mut self.under_way)
     }
 
+    /// Delivers the messages from one member to another; the others are handed out.
+    pub(crate) fn deliver_between(&mut self, from: usize, to: usize) -> Vec<core::OutgoingMessage> {
+        let (picked, others) = self.take_under_way().into_iter().partition(|outgoing| {
+            number_of(Some(outgoing.message.from)) == Some(from)
+                && number_of(outgoing.message.to) == Some(to)
+        });
+        let picked: Vec<core::OutgoingMessage> = picked;
+        for outgoing in picked {
+            self.deliver(outgoing);
+        }
+        others
+    }
+
     pub(crate) fn deliver(&mut self, outgoing: core::OutgoingMessage) {
         let to = number_of(outgoing.message.to);
         let from = number_of(Some(outgoing.message.from));
--- a/galenahold_consensus/tests/model/scenarios.rs
+++ b/galenahold_consensus/tests/model/scenarios.rs
@@ -3,6 +3,7 @@
 use galenahold_consensus::core;
 use galenahold_consensus::log;
 
+use crate::member_state;
 use crate::model_group;
 use crate::model_step::ModelStep;
 
@@ -75,6 +76,59 @@
     }
 }
 
+/// A voter that has died and come back gets the request of another candidate of the same term.
+#[test]
+fn restarted_voter_does_not_vote_twice_in_a_term() {
+    let mut group = model_group::ModelGroup::new();
+    group.step(&ModelStep::Advance { millis: 700 });
+    let mut others = group.deliver_between(0, 2);
+    others.retain(|outgoing| is_between(outgoing, 1, 2));
+    for trial in others {
+        group.deliver(trial);
+    }
+    group.step(&ModelStep::DeliverAll { rounds: 1 });
+    let mut late = group.deliver_between(0, 2);
+    late.retain(|outgoing| is_between(outgoing, 1, 2));
+    assert_eq!(late.len(), 1, "the other candidate's request");
+    group.deliver_between(2, 0);
+    assert_eq!(leader(&group, None), Some(0));
+    group.check();
+
+    group.step(&ModelStep::Bounce { member: 2 });
+    group.step(&ModelStep::Freeze {
+        member: 1,
+        millis: 400,
+    });
+    for request in late {
+        group.deliver(request);
+    }
+    group.deliver_between(2, 1);
+    group.check();
+    assert_ne!(leader(&group, None), Some(1));
+}
+
+/// A deposed leader's uncommitted change of members goes away with its entry.
+#[test]
+fn replaced_change_of_members_is_undone() {
+    let mut group = model_group::ModelGroup::new();
+    until(&mut group, |group| leader(group, None).is_some());
+    group.step(&ModelStep::Run { rounds: 20 });
+    let first = leader(&group, None).expect("leader");
+    group.step(&ModelStep::Isolate { member: first });
+    let removal = ModelStep::Change {
+        member: 0,
+        subject: (first + 1) % 3,
+        kind: 2,
+    };
+    group.step(&removal);
+    assert_eq!(voters(&group, first), 2);
+    until(&mut group, |group| leader(group, Some(first)).is_some());
+    group.step(&ModelStep::Run { rounds: 30 });
+    group.step(&ModelStep::Heal);
+    group.step(&ModelStep::Run { rounds: 100 });
+    assert_eq!(voters(&group, first), 3);
+}
+
 /// Lets time pass and messages arrive one round at a time.
 fn until(group: &mut model_group::ModelGroup, done: impl Fn(&model_group::ModelGroup) -> bool) {
     for _ in 0..LIMIT_STEPS {
@@ -102,3 +156,13 @@
     let node = group.members[number].node.as_ref();
     node.expect("live member").last()
 }
+
+fn voters(group: &model_group::ModelGroup, number: usize) -> usize {
+    let node = group.members[number].node.as_ref();
+    node.expect("live member").membership().voters().count()
+}
+
+fn is_between(outgoing: &core::OutgoingMessage, from: usize, to: usize) -> bool {
+    let id = |number| member_state::MemberState::profile(number).id;
+    outgoing.message.from == id(from) && outgoing.message.to == Some(id(to))
+}
