Tell the end of the log also when the state machine panics

Cause: a panic left callers and subscribers without word; the guard against older copies was tested only where the count of starts gives the copy away.

Change: a notice that is dropped with the thread ends the lease and tells the role; tests for a copy from the last run, for the founder's rules and for a panicking state machine.

--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -80,6 +80,7 @@
     }
 
     pub(super) fn run(mut self) {
+        let _notice = driver::StopNotice::new(sync::Arc::clone(&self.view));
         self.start_node();
         while self.turn() {}
         self.finish();
@@ -353,7 +354,6 @@
     }
 
     fn finish(mut self) {
-        self.view.set_lease(None);
         self.proposals.drop_all();
         self.reads.fail(&driver::ReadError::Stopped);
         while let Ok(input) = self.inbox.try_recv() {
@@ -361,7 +361,6 @@
             log_handle::refuse(input, error, driver::ReadError::Stopped);
         }
         self.publish_status(self.clock.now());
-        self.view.announce(&driver::RoleEvent::Stopped);
         drop(self.inbox);
         self.writer.join();
     }
--- a/galenahold_consensus/src/driver/mod.rs
+++ b/galenahold_consensus/src/driver/mod.rs
@@ -29,6 +29,7 @@
 mod start_error;
 mod state_machine;
 mod status_report;
+mod stop_notice;
 mod thread_parts;
 
 pub use change_error::ChangeError;
@@ -57,4 +58,5 @@
 use read_reply::ReadReply;
 use shared_view::SharedView;
 use snapshot_writer::SnapshotWriter;
+use stop_notice::StopNotice;
 use thread_parts::ThreadParts;
--- a/galenahold_consensus/tests/driver/leadership.rs
+++ b/galenahold_consensus/tests/driver/leadership.rs
@@ -3,6 +3,7 @@
 use galenahold_consensus::driver;
 
 use crate::local_group;
+use crate::text_machine;
 use crate::waiting;
 
 #[test]
@@ -124,6 +125,26 @@
     assert!(lines.expect("read") >= acknowledged + 2);
 }
 
+#[test]
+fn proposal_is_answered_and_the_end_told_when_the_state_machine_panics() {
+    let group = local_group::LocalGroup::found(&["a"]);
+    group.commit("one");
+    let handle = group.handle("a");
+    let events = handle.subscribe();
+    let (sender, answers) = crossbeam_channel::bounded(1);
+    handle.propose_with(text_machine::TextMachine::FATAL, move |result| {
+        let _ = sender.send(result.map(|committed| committed.position));
+    });
+    let answer = answers.recv_timeout(local_group::PATIENCE);
+    let error = answer.expect("an answer").expect_err("no outcome");
+    assert!(error.kind().may_have_committed());
+    waiting::until("the end is told", || {
+        let event = events.try_recv().ok()?;
+        (event == driver::RoleEvent::Stopped).then_some(())
+    });
+    assert!(handle.lease_valid_for().is_none());
+}
+
 #[test]
 fn leadership_moves_to_the_asked_voter() {
     let group = local_group::LocalGroup::found(&["a", "b", "c"]);
--- a/galenahold_consensus/tests/driver/recovery.rs
+++ b/galenahold_consensus/tests/driver/recovery.rs
@@ -129,25 +129,36 @@
 }
 
 #[test]
-fn older_copy_of_a_folder_is_retired() {
+fn older_copy_from_before_a_restart_is_retired() {
     let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
     group.commit("one");
-    let (leader, _) = group.leader();
-    let name = ["a", "b", "c"]
-        .into_iter()
-        .find(|name| *name != leader)
-        .expect("follower");
+    let name = follower(&group);
     group.stop(name);
     let copy = group.data_folder("copy");
     copy_folder(&group.data_folder(name), &copy);
     group.start(name);
+    expect_retired_copy(&mut group, name);
+}
+
+#[test]
+fn older_copy_from_the_last_run_is_retired() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let name = follower(&group);
+    group.await_lines(name, 1);
+    copy_folder(&group.data_folder(name), &group.data_folder("copy"));
+    expect_retired_copy(&mut group, name);
+}
+
+/// Goes on with the member, then brings the copy of its folder back.
+fn expect_retired_copy(group: &mut local_group::LocalGroup, name: &str) {
     for number in 0..20 {
         group.commit(&format!("command {number}"));
     }
     group.await_lines(name, 21);
     group.stop(name);
     fs::remove_dir_all(group.data_folder(name)).expect("remove the newer folder");
-    fs::rename(&copy, group.data_folder(name)).expect("bring the older folder back");
+    fs::rename(group.data_folder("copy"), group.data_folder(name)).expect("bring the copy back");
     let handle = group.start(name);
     waiting::until("the older copy is retired", || {
         (handle.status().role == core::NodeRole::Retired).then_some(())
@@ -160,6 +171,12 @@
     assert!(matches!(again, Err(driver::StartError::Storage { .. })));
 }
 
+fn follower(group: &local_group::LocalGroup) -> &'static str {
+    let (leader, _) = group.leader();
+    let other = ["a", "b", "c"].into_iter().find(|name| *name != leader);
+    other.expect("follower")
+}
+
 fn copy_folder(from: &path::Path, to: &path::Path) {
     fs::create_dir(to).expect("create the copy");
     for entry in fs::read_dir(from).expect("list the folder") {
--- a/galenahold_consensus/tests/driver/text_machine.rs
+++ b/galenahold_consensus/tests/driver/text_machine.rs
@@ -9,10 +9,20 @@
     pub(crate) lines: Vec<String>,
 }
 
+impl TextMachine {
+    /// A command at which the machine panics.
+    pub(crate) const FATAL: &[u8] = b"fatal";
+}
+
 impl driver::StateMachine for TextMachine {
     type Outcome = usize;
 
     fn apply(&mut self, _index: log::LogIndex, _term: log::Term, command: &[u8]) -> usize {
+        assert_ne!(
+            command,
+            Self::FATAL,
+            "a command that the machine cannot bear"
+        );
         self.lines
             .push(String::from_utf8_lossy(command).into_owned());
         self.lines.len()
--- /dev/null
+++ b/galenahold_consensus/tests/founding/founders.rs
@@ -0,0 +1,90 @@
+//! Who may found a group, and when.
+
+use std::time;
+
+use galenahold_consensus::core;
+use galenahold_consensus::founding;
+use galenahold_consensus::member;
+use galenahold_consensus::message;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+#[test]
+fn founder_waits_for_all_voters() {
+    let mut founder = folder("a", 1);
+    assert_eq!(founder.foundable(), None);
+    greet(&mut founder, "b", 2);
+    assert_eq!(founder.foundable(), None);
+    greet(&mut founder, "c", 3);
+    let Some(founding::FoundingStep::Found(genesis)) = founder.foundable() else {
+        panic!("all voters have greeted");
+    };
+    let ids = [1, 2, 3].map(member::MemberId::new);
+    assert_eq!(genesis.voters().collect::<Vec<_>>(), ids);
+}
+
+#[test]
+fn other_voters_never_found() {
+    let mut other = folder("b", 2);
+    greet(&mut other, "a", 1);
+    greet(&mut other, "c", 3);
+    assert_eq!(other.foundable(), None);
+}
+
+#[test]
+fn emptied_founder_does_not_found_beside_a_group() {
+    let mut founder = folder("a", 4);
+    let cluster = member::ClusterId::new(9);
+    founder.receive(message::FoundingBody::Founded { cluster });
+    greet(&mut founder, "b", 2);
+    greet(&mut founder, "c", 3);
+    assert_eq!(founder.foundable(), None);
+}
+
+#[test]
+fn greeting_of_an_emptied_voter_replaces_its_earlier_one() {
+    let mut founder = folder("a", 1);
+    greet(&mut founder, "b", 2);
+    greet(&mut founder, "b", 5);
+    greet(&mut founder, "c", 3);
+    let Some(founding::FoundingStep::Found(genesis)) = founder.foundable() else {
+        panic!("all voters have greeted");
+    };
+    assert!(genesis.is_voter(member::MemberId::new(5)));
+    assert!(!genesis.contains(member::MemberId::new(2)));
+}
+
+#[test]
+fn welcome_for_another_folder_is_ignored() {
+    let mut other = folder("b", 2);
+    let welcome = |guest| message::FoundingBody::Welcome {
+        cluster: member::ClusterId::new(9),
+        genesis: member::MembershipList::default(),
+        guest: member::MemberId::new(guest),
+    };
+    assert_eq!(other.receive(welcome(7)), None);
+    assert!(other.receive(welcome(2)).is_some());
+}
+
+fn folder(name: &str, id: u128) -> founding::GroupFounding {
+    founding::GroupFounding::new(
+        profile(name, id),
+        NAMES
+            .map(|name| member::MemberEndpoint::new(name, name))
+            .to_vec(),
+        time::Duration::from_millis(50),
+        core::MonotonicTime::default(),
+    )
+}
+
+fn greet(folder: &mut founding::GroupFounding, name: &str, id: u128) {
+    let greeting = message::FoundingBody::Greeting(profile(name, id));
+    assert_eq!(folder.receive(greeting), None);
+}
+
+fn profile(name: &str, id: u128) -> member::MemberProfile {
+    member::MemberProfile {
+        id: member::MemberId::new(id),
+        endpoint: member::MemberEndpoint::new(name, name),
+    }
+}
--- /dev/null
+++ b/galenahold_consensus/tests/founding/main.rs
@@ -0,0 +1,3 @@
+//! Founding a group once.
+
+mod founders;
