--- a/galenahold_consensus/tests/driver/recovery.rs
+++ b/galenahold_consensus/tests/driver/recovery.rs
@@ -35,6 +35,53 @@
     }
 }
 
+#[test]
+fn leader_whose_sync_fails_gives_way_and_acknowledged_commands_survive() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (name, leader) = group.leader();
+    let events = leader.subscribe();
+    group.disk(&name).fail_syncs(true);
+    let lost = leader.propose(b"two".to_vec(), local_group::PATIENCE);
+    assert!(lost.expect_err("not durable").kind().may_have_committed());
+    waiting::until("the member takes no further part", || {
+        let event = events.try_recv().ok()?;
+        (event == driver::RoleEvent::Failed).then_some(())
+    });
+    group.commit("three");
+    let (new, handle) = group.leader();
+    assert_ne!(new, name);
+    let lines = handle.read(local_group::PATIENCE, |machine| machine.lines.clone());
+    let lines = lines.expect("read");
+    assert_eq!(lines.first().map(String::as_str), Some("one"));
+    assert_eq!(lines.last().map(String::as_str), Some("three"));
+    group.stop(&name);
+    group.start(&name);
+    assert_eq!(group.await_lines(&name, lines.len()), lines);
+}
+
+#[test]
+fn follower_on_a_full_disk_leaves_no_voter_to_lose() {
+    let group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (leader, handle) = group.leader();
+    let safe_to_lose = |count: usize| {
+        waiting::until("the leader counts the sound voters", || {
+            (handle.status().safe_to_lose == Some(count)).then_some(())
+        });
+    };
+    safe_to_lose(1);
+    let follower = ["a", "b", "c"]
+        .into_iter()
+        .find(|name| *name != leader)
+        .expect("follower");
+    group.disk(follower).fill_disk();
+    group.commit("two");
+    safe_to_lose(0);
+    let failure = group.handle(follower).status().failure.clone();
+    assert!(failure.expect("reason").contains("writing"));
+}
+
 #[test]
 fn member_that_has_moved_to_another_address_is_found_again() {
     let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
@@ -82,25 +129,36 @@
 }
 
 #[test]
-fn older_copy_of_a_folder_is_retired() {
+fn older_copy_from_before_a_restart_is_retired() {
     let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
     group.commit("one");
-    let (leader, _) = group.leader();
-    let name = ["a", "b", "c"]
-        .into_iter()
-        .find(|name| *name != leader)
-        .expect("follower");
+    let name = follower(&group);
     group.stop(name);
     let copy = group.data_folder("copy");
     copy_folder(&group.data_folder(name), &copy);
     group.start(name);
+    expect_retired_copy(&mut group, name);
+}
+
+#[test]
+fn older_copy_from_the_last_run_is_retired() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let name = follower(&group);
+    group.await_lines(name, 1);
+    copy_folder(&group.data_folder(name), &group.data_folder("copy"));
+    expect_retired_copy(&mut group, name);
+}
+
+/// Goes on with the member, then brings the copy of its folder back.
+fn expect_retired_copy(group: &mut local_group::LocalGroup, name: &str) {
     for number in 0..20 {
         group.commit(&format!("command {number}"));
     }
     group.await_lines(name, 21);
     group.stop(name);
     fs::remove_dir_all(group.data_folder(name)).expect("remove the newer folder");
-    fs::rename(&copy, group.data_folder(name)).expect("bring the older folder back");
+    fs::rename(group.data_folder("copy"), group.data_folder(name)).expect("bring the copy back");
     let handle = group.start(name);
     waiting::until("the older copy is retired", || {
         (handle.status().role == core::NodeRole::Retired).then_some(())
@@ -113,6 +171,12 @@
     assert!(matches!(again, Err(driver::StartError::Storage { .. })));
 }
 
+fn follower(group: &local_group::LocalGroup) -> &'static str {
+    let (leader, _) = group.leader();
+    let other = ["a", "b", "c"].into_iter().find(|name| *name != leader);
+    other.expect("follower")
+}
+
 fn copy_folder(from: &path::Path, to: &path::Path) {
     fs::create_dir(to).expect("create the copy");
     for entry in fs::read_dir(from).expect("list the folder") {
