--- a/galenahold/src/command/completions_command.rs
+++ b/galenahold/src/command/completions_command.rs
@@ -1,20 +1,14 @@
 //! `completions`: prints a script that completes command lines.
 
-use std::io;
-use std::io::Write;
-
-use clap_complete::Shell;
-use snafu::ResultExt;
-
 use crate::command;
-use crate::command::command_error;
+use crate::command::global_options;
 
 const SHELL: &str = "SHELL";
 
 /// `completions`: prints a script that completes command lines in a shell.
 #[derive(Debug)]
 pub(super) struct CompletionsCommand {
-    shell: Shell,
+    shell: clap_complete::Shell,
 }
 
 impl CompletionsCommand {
@@ -26,14 +20,17 @@
             .arg(
                 clap::Arg::new(SHELL)
                     .required(true)
-                    .value_parser(clap::value_parser!(Shell))
+                    .value_parser(clap::value_parser!(clap_complete::Shell))
                     .help("The shell that is to read the script"),
             )
     }
 
     pub(super) fn from_matches(matches: &clap::ArgMatches) -> Self {
         Self {
-            shell: matches.get_one(SHELL).copied().unwrap_or(Shell::Bash),
+            shell: matches
+                .get_one(SHELL)
+                .copied()
+                .unwrap_or(clap_complete::Shell::Bash),
         }
     }
 
@@ -41,8 +38,6 @@
         let mut script = Vec::new();
         let mut definition = command::RootCommand::definition();
         clap_complete::generate(self.shell, &mut definition, "galenahold", &mut script);
-        io::stdout()
-            .write_all(&script)
-            .context(command_error::OutputUnwritableSnafu)
+        global_options::write_output(&script)
     }
 }
--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -2,10 +2,11 @@
 
 use std::collections;
 use std::sync;
+use std::time;
 
 use crate::core;
 use crate::driver;
-use crate::driver::log_input;
+use crate::driver::log_handle;
 use crate::driver::status_report;
 use crate::founding;
 use crate::log;
@@ -15,27 +16,27 @@
 
 /// The thread that owns a member: its node, data folder, state machine and transport.
 pub(super) struct LogThread<S: driver::StateMachine, T, B: storage::StorageBackend> {
-    settings: driver::DriverSettings,
-    node_settings: core::NodeSettings,
-    clock: driver::DriverClock,
-    founding: founding::GroupFounding,
-    store: storage::LogStore<B>,
-    machine: S,
-    transport: T,
-    inbox: crossbeam_channel::Receiver<driver::LogInput<S>>,
-    view: sync::Arc<driver::SharedView>,
-    writer: driver::SnapshotWriter,
-    node: Option<core::RaftNode>,
-    recovered: core::RecoveredState,
-    applied: log::LogIndex,
-    unsnapshot_bytes: u64,
-    proposals: driver::PendingProposals<S::Outcome>,
-    reads: driver::PendingReads<S>,
-    joiners: collections::BTreeMap<member::MemberId, member::MemberProfile>,
-    failure: Option<sync::Arc<str>>,
-    retired: bool,
-    marks_at: core::MonotonicTime,
-    status_at: core::MonotonicTime,
+    pub(super) settings: driver::DriverSettings,
+    pub(super) node_settings: core::NodeSettings,
+    pub(super) clock: driver::DriverClock,
+    pub(super) founding: founding::GroupFounding,
+    pub(super) store: storage::LogStore<B>,
+    pub(super) machine: S,
+    pub(super) transport: T,
+    pub(super) inbox: crossbeam_channel::Receiver<driver::LogInput<S>>,
+    pub(super) view: sync::Arc<driver::SharedView>,
+    pub(super) writer: driver::SnapshotWriter,
+    pub(super) node: Option<core::RaftNode>,
+    pub(super) recovered: core::RecoveredState,
+    pub(super) applied: log::LogIndex,
+    pub(super) unsnapshot_bytes: u64,
+    pub(super) proposals: driver::PendingProposals<S::Outcome>,
+    pub(super) reads: driver::PendingReads<S>,
+    pub(super) joiners: collections::BTreeMap<member::MemberId, member::MemberProfile>,
+    pub(super) failure: Option<sync::Arc<str>>,
+    pub(super) retired: bool,
+    pub(super) marks_at: core::MonotonicTime,
+    pub(super) status_at: core::MonotonicTime,
 }
 
 impl<S, T, B> LogThread<S, T, B>
@@ -44,9 +45,10 @@
     T: driver::MessageTransport,
     B: storage::StorageBackend,
 {
-    const STATUS_INTERVAL: std::time::Duration = std::time::Duration::from_millis(20);
-    const MARKS_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
-    const KEPT_JOINERS: usize = 64;
+    const SHORTEST_WAIT: time::Duration = time::Duration::from_millis(1);
+    const LONGEST_WAIT: time::Duration = time::Duration::from_millis(20);
+    const STATUS_INTERVAL: time::Duration = time::Duration::from_millis(20);
+    const MARKS_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
     pub(super) fn new(parts: driver::ThreadParts<S, T, B>) -> Self {
         let now = parts.clock.now();
@@ -78,6 +80,7 @@
     }
 
     pub(super) fn run(mut self) {
+        let _notice = driver::StopNotice::new(sync::Arc::clone(&self.view));
         self.start_node();
         while self.turn() {}
         self.finish();
@@ -85,7 +88,7 @@
 
     /// Takes up what waits, or the passing of time; false once it is to stop.
     fn turn(&mut self) -> bool {
-        match self.inbox.recv_timeout(self.settings.tick_interval) {
+        match self.inbox.recv_timeout(self.patience()) {
             Ok(driver::LogInput::Stop) | Err(crossbeam_channel::RecvTimeoutError::Disconnected) => {
                 return false;
             }
@@ -105,6 +108,14 @@
         true
     }
 
+    /// Returns how long nothing needs to be done unless something arrives.
+    fn patience(&self) -> time::Duration {
+        let now = self.clock.now();
+        let wake_at = self.node.as_ref().map(core::RaftNode::wake_at);
+        let due_in = wake_at.map_or(Self::LONGEST_WAIT, |wake_at| wake_at.since(now));
+        due_in.clamp(Self::SHORTEST_WAIT, Self::LONGEST_WAIT)
+    }
+
     fn take(&mut self, input: driver::LogInput<S>) {
         match input {
             driver::LogInput::Message(message) => self.take_message(*message),
@@ -114,10 +125,8 @@
                 reply,
             } => self.read(linearizable, reply),
             driver::LogInput::Change { change, reply } => self.change(&change, reply),
-            driver::LogInput::Transfer { target, reply } => {
-                let now = self.clock.now();
-                let node = self.node.as_mut();
-                reply(node.is_some_and(|node| node.transfer_leadership(target, now)));
+            driver::LogInput::Transfer { target, begun } => {
+                let _ = begun.send(self.transfer(target));
             }
             driver::LogInput::SnapshotWritten { image, outcome } => {
                 self.snapshot_written(image, &outcome);
@@ -197,7 +206,8 @@
             return;
         }
         let now = self.clock.now();
-        let lease = self.node.as_ref().and_then(core::RaftNode::lease_until);
+        let node = self.node.as_ref();
+        let lease = node.and_then(|node| node.lease_until(now));
         let leased = lease.is_some_and(|until| now < until);
         for entry in committed {
             let position = entry.position;
@@ -208,13 +218,13 @@
                     self.unsnapshot_bytes += command.len() as u64;
                     let outcome = self.machine.apply(position.index, position.term, &command);
                     if let Some(reply) = self.proposals.take(position) {
-                        reply(acknowledged(leased, position, outcome));
+                        reply.answer(acknowledged(leased, position, outcome));
                     }
                 }
                 log::EntryPayload::Membership(list) => {
                     self.joiners.retain(|id, _| !list.contains(*id));
                     if let Some(reply) = self.proposals.take_change(position) {
-                        reply(Ok(position));
+                        reply.answer(Ok(position));
                     }
                 }
             }
@@ -231,51 +241,6 @@
         self.reads.run(self.applied, &self.machine);
     }
 
-    fn propose(&mut self, command: bytes::Bytes, reply: log_input::ProposeReply<S::Outcome>) {
-        if self.proposals.len() >= self.settings.pending_proposals {
-            reply(Err(driver::ProposeError::Busy));
-            return;
-        }
-        let proposed = self.node.as_mut().map(|node| node.propose(command));
-        match proposed {
-            Some(Ok(position)) => self.proposals.add(position, reply),
-            Some(Err(core::ProposeRefusal::Transferring)) => {
-                reply(Err(driver::ProposeError::Busy));
-            }
-            _ => reply(Err(self.not_leading())),
-        }
-    }
-
-    fn read(&mut self, linearizable: bool, reply: log_input::ReadReply<S>) {
-        if self.failure.is_some() {
-            reply(Err(driver::ReadError::Storage));
-        } else if !linearizable {
-            reply(Ok(&self.machine));
-        } else if let Some(node) = self.node.as_mut() {
-            let ticket = self.reads.enqueue(reply);
-            node.read(ticket, self.clock.now());
-        } else {
-            reply(Err(driver::ReadError::NotLeader { hint: None }));
-        }
-    }
-
-    fn change(&mut self, change: &member::MembershipChange, reply: log_input::ChangeReply) {
-        let now = self.clock.now();
-        let Some(node) = self.node.as_mut() else {
-            let cause = self.not_leading();
-            reply(Err(driver::ChangeError::Unsettled { cause }));
-            return;
-        };
-        match node.change_membership(change, now) {
-            Ok(position) => self.proposals.add_change(position, reply),
-            Err(core::ChangeRefusal::NotLeader) => {
-                let cause = self.not_leading();
-                reply(Err(driver::ChangeError::Unsettled { cause }));
-            }
-            Err(refusal) => reply(Err(driver::ChangeError::Refused { refusal })),
-        }
-    }
-
     fn take_message(&mut self, message: message::ConsensusMessage) {
         if self.failure.is_some() {
             return;
@@ -289,142 +254,6 @@
         }
     }
 
-    fn take_founding(&mut self, from: &member::MemberEndpoint, body: message::FoundingBody) {
-        if self.node.is_none() {
-            if let Some(step) = self.founding.receive(body) {
-                self.join(step);
-            }
-            return;
-        }
-        let message::FoundingBody::Greeting(guest) = body else {
-            return;
-        };
-        if let Some(answer) = self.answer_greeting(guest) {
-            self.send_founding(from, answer);
-        }
-    }
-
-    fn answer_greeting(&mut self, guest: member::MemberProfile) -> Option<message::FoundingBody> {
-        let node = self.node.as_ref()?;
-        let cluster = node.settings().cluster;
-        if node.membership().contains(guest.id) {
-            return Some(message::FoundingBody::Welcome {
-                cluster,
-                genesis: self.store.identity().genesis.clone(),
-                guest: guest.id,
-            });
-        }
-        self.joiners
-            .retain(|_, joiner| joiner.endpoint.name != guest.endpoint.name);
-        if self.joiners.len() < Self::KEPT_JOINERS {
-            self.joiners.insert(guest.id, guest);
-        }
-        Some(message::FoundingBody::Founded { cluster })
-    }
-
-    fn seek_group(&mut self, now: core::MonotonicTime) {
-        for endpoint in self.founding.greetings(now) {
-            let greeting = self.founding.greeting();
-            self.send_founding(&endpoint, greeting);
-        }
-        if let Some(step) = self.founding.foundable() {
-            self.join(step);
-        }
-    }
-
-    fn send_founding(&mut self, to: &member::MemberEndpoint, body: message::FoundingBody) {
-        let settings = &self.node_settings;
-        let message = message::ConsensusMessage {
-            version: message::ConsensusMessage::VERSION,
-            cluster: self.store.identity().cluster,
-            from: settings.profile.id,
-            from_endpoint: settings.profile.endpoint.clone(),
-            to: None,
-            boot: settings.boot,
-            incarnation: settings.incarnation,
-            term: log::Term::ZERO,
-            durable: log::LogIndex::ZERO,
-            body: message::MessageBody::Founding(body),
-        };
-        self.transport.send(to, message);
-    }
-
-    fn join(&mut self, step: founding::FoundingStep) {
-        let (cluster, genesis) = match step {
-            founding::FoundingStep::Found(genesis) => {
-                (member::ClusterId::new(rand::random()), genesis)
-            }
-            founding::FoundingStep::Join { cluster, genesis } => (cluster, genesis),
-        };
-        let outcome = self.store.join(cluster, genesis);
-        if self.check(&outcome) {
-            self.start_node();
-        }
-    }
-
-    fn start_node(&mut self) {
-        let identity = self.store.identity();
-        let Some(cluster) = identity.cluster else {
-            return;
-        };
-        self.node_settings.cluster = cluster;
-        self.node = Some(core::RaftNode::new(
-            self.node_settings.clone(),
-            identity.genesis.clone(),
-            std::mem::take(&mut self.recovered),
-            self.clock.now(),
-        ));
-    }
-
-    fn take_snapshot_if_due(&mut self) {
-        let Some(node) = &self.node else {
-            return;
-        };
-        let position = node.snapshot_position().unwrap_or_default();
-        let entries = self.applied.get().saturating_sub(position.index.get());
-        let due = entries >= self.settings.snapshot_entries
-            || self.unsnapshot_bytes >= self.settings.snapshot_bytes;
-        if !due || entries == 0 || self.writer.is_busy() {
-            return;
-        }
-        let Some(meta) = node.snapshot_meta(self.applied) else {
-            return;
-        };
-        self.unsnapshot_bytes = 0;
-        self.writer.write(log::SnapshotImage {
-            meta,
-            data: self.machine.snapshot().into(),
-        });
-    }
-
-    fn snapshot_written(
-        &mut self,
-        image: log::SnapshotImage,
-        outcome: &Result<(), storage::StorageError>,
-    ) {
-        self.writer.written();
-        if !self.check(outcome) {
-            return;
-        }
-        let Some(node) = self.node.as_mut() else {
-            return;
-        };
-        let index = image.meta.position.index;
-        node.snapshot_taken(image);
-        let outcome = self.store.release_before(index);
-        self.check(&outcome);
-    }
-
-    fn install(&mut self, image: &log::SnapshotImage) -> bool {
-        if let Err(error) = self.machine.restore(&image.data) {
-            self.fail(&error.to_string());
-            return false;
-        }
-        self.applied = image.meta.position.index;
-        self.unsnapshot_bytes = 0;
-        true
-    }
-
     fn drop_lost_proposals(&mut self) {
         let leads = self
             .node
@@ -444,7 +273,7 @@
         self.fail(reason);
     }
 
-    fn check(&mut self, outcome: &Result<(), storage::StorageError>) -> bool {
+    pub(super) fn check(&mut self, outcome: &Result<(), storage::StorageError>) -> bool {
         if let Err(error) = outcome {
             self.fail(&error.to_string());
         }
@@ -452,7 +281,7 @@
     }
 
     /// Takes no further part; nothing is sent or acknowledged any more.
-    fn fail(&mut self, reason: &str) {
+    pub(super) fn fail(&mut self, reason: &str) {
         ::log::error!("the member takes no further part: {reason}");
         self.failure = Some(reason.into());
         self.node = None;
@@ -473,7 +302,8 @@
 
     fn publish_lease(&self) {
         let node = self.node.as_ref().filter(|node| node.leads_ready());
-        let lease = node.and_then(core::RaftNode::lease_until);
+        let now = self.clock.now();
+        let lease = node.and_then(|node| node.lease_until(now));
         self.view.set_lease(lease);
     }
 
@@ -510,7 +340,7 @@
         }
     }
 
-    fn not_leading(&self) -> driver::ProposeError {
+    pub(super) fn not_leading(&self) -> driver::ProposeError {
         if self.failure.is_some() {
             return driver::ProposeError::Storage;
         }
@@ -519,19 +349,18 @@
         }
     }
 
-    fn leader(&self) -> Option<member::MemberProfile> {
+    pub(super) fn leader(&self) -> Option<member::MemberProfile> {
         status_report::leader(self.node.as_ref()?)
     }
 
     fn finish(mut self) {
-        self.view.set_lease(None);
         self.proposals.drop_all();
         self.reads.fail(&driver::ReadError::Stopped);
         while let Ok(input) = self.inbox.try_recv() {
-            refuse_stopped(input);
+            let error = driver::ProposeError::Stopped;
+            log_handle::refuse(input, error, driver::ReadError::Stopped);
         }
         self.publish_status(self.clock.now());
-        self.view.announce(&driver::RoleEvent::Stopped);
         drop(self.inbox);
         self.writer.join();
     }
@@ -548,15 +377,3 @@
         Err(driver::ProposeError::Dropped)
     }
 }
-
-fn refuse_stopped<S: driver::StateMachine>(input: driver::LogInput<S>) {
-    match input {
-        driver::LogInput::Propose { reply, .. } => reply(Err(driver::ProposeError::Stopped)),
-        driver::LogInput::Read { reply, .. } => reply(Err(driver::ReadError::Stopped)),
-        driver::LogInput::Change { reply, .. } => reply(Err(driver::ChangeError::Unsettled {
-            cause: driver::ProposeError::Stopped,
-        })),
-        driver::LogInput::Transfer { reply, .. } => reply(false),
-        _ => {}
-    }
-}
--- a/galenahold_consensus/src/driver/mod.rs
+++ b/galenahold_consensus/src/driver/mod.rs
@@ -1,9 +1,11 @@
 //! The thread that drives a member, its data folder and its state machine.
 
 mod change_error;
+mod command_reply;
 mod committed_outcome;
 mod driver_clock;
 mod driver_settings;
+mod joining;
 mod log_builder;
 mod log_handle;
 mod log_input;
@@ -16,14 +18,18 @@
 mod propose_error;
 mod propose_error_kind;
 mod read_error;
+mod read_reply;
 mod replicated_log;
+mod requests;
 mod restore_error;
 mod role_event;
 mod shared_view;
 mod snapshot_writer;
+mod snapshots;
 mod start_error;
 mod state_machine;
 mod status_report;
+mod stop_notice;
 mod thread_parts;
 
 pub use change_error::ChangeError;
@@ -42,12 +48,15 @@
 pub use start_error::StartError;
 pub use state_machine::StateMachine;
 
+use command_reply::CommandReply;
 use driver_clock::DriverClock;
 use driver_settings::DriverSettings;
 use log_input::LogInput;
 use log_thread::LogThread;
 use pending_proposals::PendingProposals;
 use pending_reads::PendingReads;
+use read_reply::ReadReply;
 use shared_view::SharedView;
 use snapshot_writer::SnapshotWriter;
+use stop_notice::StopNotice;
 use thread_parts::ThreadParts;
--- a/galenahold_domain/src/order/order_ledger.rs
+++ b/galenahold_domain/src/order/order_ledger.rs
@@ -1,6 +1,7 @@
 //! Which orders were started and how they ended.
 
 use std::collections;
+use std::sync;
 
 use serde::{Deserialize, Serialize};
 
@@ -22,12 +23,16 @@
 ///   `window_ms` after its end a repeat gets the recorded outcome, and for at least `remembered_ms`
 ///   after its end a repeat gets [`order::OrderStart::Expired`]. The key is forgotten later than
 ///   that, and only where `remembered` other keys ended after it.
+/// - Attempts of a key never share a number, also when its record was dropped in between, so that a
+///   late finish of an earlier attempt never ends a later one.
 /// - A running attempt is kept without a limit of time, until it is finished or abandoned.
 /// - Where no record can be dropped under these rules and the limit is reached, new orders get
 ///   [`order::OrderStart::Full`]. A team may take as many records as are still free, so that a
 ///   single team never fills the ledger for the others. The same share holds for the bytes of
 ///   answers; an answer beyond it is kept without its body.
 ///
+/// A clone shares the records, so that a snapshot can be written from it while the ledger goes on.
+///
 /// Times come from the proposers' clocks. The ledger's time never goes back; a clock that is ahead
 /// shortens the times above, but no key is forgotten before `remembered` others ended after it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -35,9 +40,10 @@
 pub struct OrderLedger {
     limits: order::OrderLimits,
     now_ms: u64,
-    records: collections::BTreeMap<digest::ShortHash, order::OrderRecord>,
+    attempt_floor: u32,
+    records: collections::BTreeMap<digest::ShortHash, sync::Arc<order::OrderRecord>>,
     remembered: collections::VecDeque<RememberedKey>,
-    ended: collections::BTreeMap<name::InstanceName, amount::IncarnationNumber>,
+    ended: amount::IncarnationFloors<name::InstanceName>,
     #[serde(skip)]
     ends: collections::BTreeSet<(u64, digest::ShortHash)>,
     #[serde(skip)]
@@ -53,9 +59,10 @@
 struct LedgerDocument {
     limits: order::OrderLimits,
     now_ms: u64,
-    records: collections::BTreeMap<digest::ShortHash, order::OrderRecord>,
+    attempt_floor: u32,
+    records: collections::BTreeMap<digest::ShortHash, sync::Arc<order::OrderRecord>>,
     remembered: collections::VecDeque<RememberedKey>,
-    ended: collections::BTreeMap<name::InstanceName, amount::IncarnationNumber>,
+    ended: amount::IncarnationFloors<name::InstanceName>,
 }
 
 /// The key of a dropped record: 64 bits of its hash, and when its order ended in milliseconds.
@@ -75,6 +82,7 @@
     fn from(document: LedgerDocument) -> Self {
         let mut ledger = Self::with_limits(document.limits);
         ledger.now_ms = document.now_ms;
+        ledger.attempt_floor = document.attempt_floor;
         ledger.ended = document.ended;
         for key in &document.remembered {
             ledger.remembered_hashes.insert(key.0);
@@ -98,9 +106,10 @@
         Self {
             limits,
             now_ms: 0,
+            attempt_floor: 0,
             records: collections::BTreeMap::new(),
             remembered: collections::VecDeque::new(),
-            ended: collections::BTreeMap::new(),
+            ended: amount::IncarnationFloors::new(),
             ends: collections::BTreeSet::new(),
             remembered_hashes: collections::BTreeSet::new(),
             usage: order::OrderUsage::default(),
@@ -173,8 +182,7 @@
         now_ms: u64,
     ) -> u64 {
         self.advance(now_ms);
-        let floor = self.ended.entry(instance.clone()).or_default();
-        *floor = before.max(*floor);
+        self.ended.raise(instance, before, |_| false);
         let hashes: Vec<digest::ShortHash> = self
             .records
             .iter()
@@ -228,6 +236,7 @@
             order::OrderOutcome::NotRun if has_ended => order::OrderStart::OwnerEnded,
             order::OrderOutcome::NotRun => {
                 self.ends.remove(&(end.at_ms, hash));
+                let record = sync::Arc::make_mut(record);
                 record.begin_again(owner.clone());
                 order::OrderStart::Begun {
                     attempt: record.attempt,
@@ -247,10 +256,10 @@
             Some((team, _)) => team.clone(),
             None => team.clone(),
         };
-        let record = order::OrderRecord::begin(team, content, owner.clone());
-        let attempt = record.attempt;
+        let attempt = self.attempt_floor + 1;
+        let record = order::OrderRecord::begin(team, content, owner.clone(), attempt);
         self.count_in(&record);
-        self.records.insert(hash, record);
+        self.records.insert(hash, sync::Arc::new(record));
         order::OrderStart::Begun { attempt }
     }
 
@@ -263,7 +272,7 @@
         }
         self.count_out(&record);
         let outcome = self.bounded(&record.team, outcome);
-        record.end = Some(order::RecordEnd {
+        sync::Arc::make_mut(&mut record).end = Some(order::RecordEnd {
             outcome,
             at_ms: self.now_ms,
         });
@@ -287,9 +296,7 @@
     }
 
     fn has_ended(&self, owner: &order::OrderOwner) -> bool {
-        self.ended
-            .get(&owner.instance)
-            .is_some_and(|floor| owner.incarnation < *floor)
+        owner.incarnation < self.ended.get(&owner.instance)
     }
 
     fn has_room_for(&self, team: &name::TeamName) -> bool {
@@ -326,6 +333,7 @@
         }
         self.ends.remove(&(at_ms, hash));
         if let Some(record) = self.records.remove(&hash) {
+            self.attempt_floor = self.attempt_floor.max(record.attempt);
             self.count_out(&record);
         }
         true
