Run stand-ins as processes and keep the files of a fleet

Cause: faults of real processes (kill, freeze, exit in a load) are to be tried on backend servers too, and logs of a failed experiment were lost.

Change: the harness starts galenahold-standin and reads its ledger from outside; one type holds, signals and reaps any child; a fleet's files are kept on demand.

--- a/galenahold_testkit/src/bin/load/command_line.rs
+++ b/galenahold_testkit/src/bin/load/command_line.rs
@@ -168,6 +168,13 @@
             )
             .required(false),
         )
+        .arg(
+            file(
+                "keep",
+                "Keeps the instances' files in a new folder below this one",
+            )
+            .required(false),
+        )
         .arg(switch(
             "no-delays",
             "Leaves out the delays of the deployment",
--- a/galenahold_testkit/src/bin/load/main.rs
+++ b/galenahold_testkit/src/bin/load/main.rs
@@ -50,7 +50,12 @@
 fn run_experiment(flags: &clap::ArgMatches) -> Result<(), TestkitError> {
     let trace = load::LoadTrace::read(path_of(flags, "trace"))?;
     let plain = command_line::load_settings(flags);
-    let result = experiment::ExperimentBuilder::new(read_deployment(flags)?, &plain.label)
+    let builder = experiment::ExperimentBuilder::new(read_deployment(flags)?, &plain.label);
+    let builder = match flags.get_one::<path::PathBuf>("keep") {
+        Some(parent) => builder.keep_files(parent),
+        None => builder,
+    };
+    let result = builder
         .settings(command_line::instance_settings(flags)?)
         .delays(!flags.get_flag("no-delays"))
         .preload(flags.get_flag("preload"))
--- a/galenahold_testkit/src/experiment/experiment_builder.rs
+++ b/galenahold_testkit/src/experiment/experiment_builder.rs
@@ -1,6 +1,7 @@
 //! Running an experiment.
 
 use std::net;
+use std::path;
 use std::thread;
 use std::time;
 
@@ -25,6 +26,7 @@
     delays: bool,
     preload: bool,
     timeout: time::Duration,
+    kept_files: Option<path::PathBuf>,
 }
 
 impl ExperimentBuilder {
@@ -38,6 +40,7 @@
             delays: true,
             preload: false,
             timeout: load::LoadSettings::default().timeout,
+            kept_files: None,
         }
     }
 
@@ -69,6 +72,13 @@
         self
     }
 
+    /// Keeps the instances' files in a new folder below `parent`.
+    #[must_use]
+    pub fn keep_files(mut self, parent: &path::Path) -> Self {
+        self.kept_files = Some(parent.to_owned());
+        self
+    }
+
     /// Starts everything, plays the trace and reads the ledgers.
     ///
     /// # Errors
@@ -105,7 +115,11 @@
         } else {
             harness::PeerRoute::Direct
         };
-        let fleet = harness::FleetBuilder::default()
+        let mut builder = harness::FleetBuilder::default();
+        if let Some(parent) = &self.kept_files {
+            builder = builder.keep_files(parent);
+        }
+        let fleet = builder
             .control(control)
             .entries(self.deployment.instances.saturating_sub(control))
             .data_centres(&names)
--- a/galenahold_testkit/src/harness/fleet_builder.rs
+++ b/galenahold_testkit/src/harness/fleet_builder.rs
@@ -1,5 +1,6 @@
 //! The way to start a fleet of instances.
 
+use std::env;
 use std::path;
 use std::time;
 
@@ -32,6 +33,7 @@
     binary: path::PathBuf,
     credential: String,
     environment: Vec<(String, String)>,
+    kept_files: Option<path::PathBuf>,
 }
 
 impl Default for FleetBuilder {
@@ -46,6 +48,7 @@
             binary: product_binary(),
             credential: "operator-credential".to_owned(),
             environment: Vec::new(),
+            kept_files: None,
         }
     }
 }
@@ -93,6 +96,13 @@
         self
     }
 
+    /// Keeps settings, logs and data in a new folder below `parent`.
+    #[must_use]
+    pub fn keep_files(mut self, parent: &path::Path) -> Self {
+        self.kept_files = Some(parent.to_owned());
+        self
+    }
+
     /// Runs another binary.
     #[must_use]
     pub fn binary(mut self, path: &path::Path) -> Self {
@@ -106,9 +116,7 @@
     ///
     /// Fails when a port, a file or the binary cannot be had.
     pub fn start(&self) -> Result<InstanceFleet, TestkitError> {
-        let folder = tempfile::tempdir().context(FileSnafu {
-            path: std::env::temp_dir(),
-        })?;
+        let folder = self.make_folder()?;
         let mut pool = PortPool::open();
         let addresses = (0..self.control + self.entries)
             .map(|_| InstanceAddresses::take(&mut pool))
@@ -145,6 +153,17 @@
         }
     }
 
+    /// Makes the folder of all files; without a wish to keep it, it goes with the fleet.
+    fn make_folder(&self) -> Result<tempfile::TempDir, TestkitError> {
+        let mut builder = tempfile::Builder::new();
+        builder.prefix("fleet-");
+        let parent = self.kept_files.clone().unwrap_or_else(env::temp_dir);
+        builder.disable_cleanup(self.kept_files.is_some());
+        builder
+            .tempdir_in(&parent)
+            .context(FileSnafu { path: parent })
+    }
+
     /// Makes the plan of one instance.
     fn plan(
         &self,
--- a/galenahold_testkit/src/harness/instance_process.rs
+++ b/galenahold_testkit/src/harness/instance_process.rs
@@ -6,15 +6,12 @@
 use std::thread;
 use std::time;
 
-use rustix::process as signals;
-use snafu::{OptionExt, ResultExt};
+use snafu::ResultExt;
 
 use super::InstanceAddresses;
+use super::child_process::ChildProcess;
 use super::instance_plan::InstancePlan;
-use super::port_pool::lock_starts;
-use crate::testkit_error::{
-    FileSnafu, NotReadySnafu, NotRunningSnafu, SignalSnafu, StartSnafu, TestkitError,
-};
+use crate::testkit_error::{FileSnafu, NotReadySnafu, TestkitError};
 
 /// Pause between looks at a process.
 const POLL_PAUSE: time::Duration = time::Duration::from_millis(10);
@@ -27,7 +24,7 @@
 #[derive(Debug)]
 pub struct InstanceProcess {
     plan: InstancePlan,
-    child: Option<process::Child>,
+    child: ChildProcess,
 }
 
 impl InstanceProcess {
@@ -42,7 +39,8 @@
         let path = plan.settings_file();
         let text = format!("{:#}\n", plan.settings);
         fs::write(&path, text).context(FileSnafu { path })?;
-        Ok(Self { plan, child: None })
+        let child = ChildProcess::new(&plan.name);
+        Ok(Self { plan, child })
     }
 
     /// Starts the process, also again after its end; its log is continued.
@@ -51,7 +49,6 @@
     ///
     /// Fails when the binary cannot be started.
     pub fn start(&mut self) -> Result<(), TestkitError> {
-        self.reap();
         let path = self.plan.log_file();
         let log = fs::OpenOptions::new()
             .create(true)
@@ -59,21 +56,16 @@
             .open(&path)
             .context(FileSnafu { path })?;
         let variables = self.plan.environment.iter();
-        let _starts = lock_starts();
-        let child = process::Command::new(&self.plan.binary)
+        let mut command = process::Command::new(&self.plan.binary);
+        command
             .arg("serve")
             .arg("--settings")
             .arg(self.plan.settings_file())
             .envs(variables.map(|(name, value)| (name, value)))
             .stdin(process::Stdio::null())
             .stdout(process::Stdio::null())
-            .stderr(log)
-            .spawn()
-            .context(StartSnafu {
-                path: &self.plan.binary,
-            })?;
-        self.child = Some(child);
-        Ok(())
+            .stderr(log);
+        self.child.start(&mut command)
     }
 
     /// Returns its name.
@@ -103,7 +95,7 @@
     /// Returns its process id while it runs.
     #[must_use]
     pub fn id(&self) -> Option<u32> {
-        self.child.as_ref().map(process::Child::id)
+        self.child.id()
     }
 
     /// Returns its whole log.
@@ -115,7 +107,7 @@
 
     /// Kills it at once and reaps it.
     pub fn kill(&mut self) {
-        self.reap();
+        self.child.kill();
     }
 
     /// Freezes it; its connections stay open.
@@ -124,7 +116,7 @@
     ///
     /// Fails when it does not run.
     pub fn freeze(&self) -> Result<(), TestkitError> {
-        self.signal(signals::Signal::STOP)
+        self.child.freeze()
     }
 
     /// Lets it go on after a freeze.
@@ -133,7 +125,7 @@
     ///
     /// Fails when it does not run.
     pub fn thaw(&self) -> Result<(), TestkitError> {
-        self.signal(signals::Signal::CONT)
+        self.child.thaw()
     }
 
     /// Asks it to stop in order.
@@ -142,23 +134,12 @@
     ///
     /// Fails when it does not run.
     pub fn terminate(&self) -> Result<(), TestkitError> {
-        self.signal(signals::Signal::TERM)
+        self.child.terminate()
     }
 
     /// Waits for its end, at most `limit`; `None` when it still runs or never ran.
     pub fn wait_exit(&mut self, limit: time::Duration) -> Option<process::ExitStatus> {
-        let deadline = time::Instant::now() + limit;
-        let child = self.child.as_mut()?;
-        loop {
-            if let Ok(Some(status)) = child.try_wait() {
-                self.child = None;
-                return Some(status);
-            }
-            if time::Instant::now() >= deadline {
-                return None;
-            }
-            thread::sleep(POLL_PAUSE);
-        }
+        self.child.wait_exit(limit)
     }
 
     /// Tells whether it says that it is ready.
@@ -178,7 +159,7 @@
     pub fn wait_ready(&mut self, limit: time::Duration) -> Result<(), TestkitError> {
         let deadline = time::Instant::now() + limit;
         while !self.is_ready() {
-            let ended = self.wait_exit(time::Duration::ZERO).is_some() || self.child.is_none();
+            let ended = self.wait_exit(time::Duration::ZERO).is_some() || self.id().is_none();
             if ended || time::Instant::now() >= deadline {
                 return NotReadySnafu {
                     name: self.name(),
@@ -191,28 +172,6 @@
         }
         Ok(())
     }
-
-    fn signal(&self, signal: signals::Signal) -> Result<(), TestkitError> {
-        let name = self.name();
-        let child = self.child.as_ref().context(NotRunningSnafu { name })?;
-        let id = signals::Pid::from_child(child);
-        signals::kill_process(id, signal).context(SignalSnafu { name })
-    }
-
-    /// Kills and reaps the process, if there is one.
-    fn reap(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // Both fail only when the process is gone.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
-impl Drop for InstanceProcess {
-    fn drop(&mut self) {
-        self.reap();
-    }
 }
 
 /// Returns the end of a log.
--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -1,5 +1,6 @@
 //! Real instances as child processes, for tests of the product.
 
+mod child_process;
 mod fleet_builder;
 mod instance_addresses;
 mod instance_fleet;
@@ -11,6 +12,7 @@
 mod port_pool;
 mod product_binary;
 mod settings_merge;
+mod standin_process;
 
 pub use fleet_builder::FleetBuilder;
 pub use instance_addresses::InstanceAddresses;
@@ -20,3 +22,4 @@
 pub use operator_client::{GivenKey, OperatorClient};
 pub use peer_links::{PeerLinks, PeerRoute};
 pub use product_binary::product_binary;
+pub use standin_process::StandInProcess;
--- a/galenahold_testkit/src/harness/product_binary.rs
+++ b/galenahold_testkit/src/harness/product_binary.rs
@@ -11,14 +11,19 @@
 /// Returns the binary that `GALENAHOLD_BIN` names, else the one that was built beside this test.
 #[must_use]
 pub fn product_binary() -> path::PathBuf {
-    if let Some(path) = env::var_os(BINARY_VARIABLE) {
+    sibling_binary(BINARY_VARIABLE, BINARY_NAME)
+}
+
+/// Returns the binary that `variable` names, else the one with `name` beside this process.
+pub(crate) fn sibling_binary(variable: &str, name: &str) -> path::PathBuf {
+    if let Some(path) = env::var_os(variable) {
         return path::PathBuf::from(path);
     }
-    let test = env::current_exe().unwrap_or_default();
+    let own = env::current_exe().unwrap_or_default();
     // Tests stand in `deps`, one folder below the binaries.
-    let folders = test.ancestors().skip(1).take(2);
+    let folders = own.ancestors().skip(1).take(2);
     folders
-        .map(|folder| folder.join(BINARY_NAME))
+        .map(|folder| folder.join(name))
         .find(|binary| binary.is_file())
-        .unwrap_or_else(|| path::PathBuf::from(BINARY_NAME))
+        .unwrap_or_else(|| path::PathBuf::from(name))
 }
--- a/galenahold_testkit/tests/harness/main.rs
+++ b/galenahold_testkit/tests/harness/main.rs
@@ -1,5 +1,7 @@
 //! Promises of the process harness, tried on a stand-in for the product.
 
+mod standins;
+
 use std::path;
 use std::time;
 
