Balance load by readiness and measure the added latency in one run

Cause: the platform's balancer sends no request to an instance that is not ready, and a planned stop cannot be judged without it; the latency that instances add was lost in the difference between two runs.

Change: targets are picked in turn while their platform address says ready. Preloading goes up to each model's replica limit. A single result is printed in one column.

Ruled out: several engines in that deployment. The two routes then meet engines under different load, and instances seemed to take 0.4 ms off.

Tests: `cargo test -p galenahold_testkit` passes. Broken variants that failed their tests: readiness ignored, refused switches taken as done.

--- a/galenahold_testkit/src/bin/load/command_line.rs
+++ b/galenahold_testkit/src/bin/load/command_line.rs
@@ -63,8 +63,14 @@
     let timeout = flags.get_one::<u64>("timeout-ms").copied();
     load::LoadSettings {
         label: label.unwrap_or(defaults.label),
-        targets: addresses(flags, "target"),
-        straight_engines: addresses(flags, "straight"),
+        targets: addresses(flags, "target")
+            .into_iter()
+            .map(load::LoadTarget::always)
+            .collect(),
+        straight_engines: addresses(flags, "straight-engine")
+            .into_iter()
+            .map(load::StraightEngine::any_model)
+            .collect(),
         straight_services: addresses(flags, "straight-service"),
         keys,
         timeout: timeout.map_or(defaults.timeout, time::Duration::from_millis),
@@ -139,7 +145,7 @@
         .arg(file("out", "Writes the result to this file"))
         .arg(address("target", "Sends to this instance; may be repeated"))
         .arg(address(
-            "straight",
+            "straight-engine",
             "Sends every second completion to this engine directly; may be repeated",
         ))
         .arg(address(
@@ -183,6 +189,10 @@
             "preload",
             "Has models ready at the start, as far as memory goes",
         ))
+        .arg(switch(
+            "straight",
+            "Sends every second request for preloaded models to an engine directly",
+        ))
         .arg(label())
         .arg(timeout())
 }
--- a/galenahold_testkit/src/bin/load/main.rs
+++ b/galenahold_testkit/src/bin/load/main.rs
@@ -42,7 +42,7 @@
     let run = load::LoadRun::new(command_line::load_settings(flags))?;
     let result = run.play(&trace);
     result.write(path_of(flags, "out"))?;
-    print!("{}", load::ResultComparison::new(&result, &result));
+    print!("{}", load::ResultComparison::single(&result));
     Ok(())
 }
 
@@ -59,13 +59,11 @@
         .settings(command_line::instance_settings(flags)?)
         .delays(!flags.get_flag("no-delays"))
         .preload(flags.get_flag("preload"))
+        .straight(flags.get_flag("straight"))
         .timeout(plain.timeout)
         .run(&trace)?;
     result.write(path_of(flags, "out"))?;
-    print!(
-        "{}",
-        load::ResultComparison::new(&result.load, &result.load)
-    );
+    print!("{}", load::ResultComparison::single(&result.load));
     println!("{:#}", serde_json::json!(result.findings));
     Ok(())
 }
--- a/galenahold_testkit/src/deployment/standin_fleet.rs
+++ b/galenahold_testkit/src/deployment/standin_fleet.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::sync;
 
-use super::FleetDeployment;
+use super::{DeployedModel, FleetDeployment};
 use crate::announce;
 use crate::engine;
 use crate::service;
@@ -21,7 +21,7 @@
 impl StandInFleet {
     /// Starts all stand-ins; they announce themselves to `instances`.
     ///
-    /// With `preload` the models are ready at the start, each on one engine, as far as memory goes.
+    /// With `preload` models are ready at the start, up to their replica limits, as far as memory goes.
     ///
     /// # Errors
     ///
@@ -119,15 +119,29 @@
     }
 }
 
-/// Gives each model to the engine with the most free memory, as long as one has room.
+/// Gives each model one replica, then further ones up to its limit, as far as memory goes.
 fn preload_models(deployment: &FleetDeployment, settings: &mut [engine::EngineSettings]) {
-    for model in &deployment.models {
-        let roomiest = settings
-            .iter_mut()
-            .max_by_key(|settings| free_bytes(settings));
-        let Some(settings) = roomiest.filter(|settings| free_bytes(settings) >= model.bytes) else {
-            continue;
-        };
+    let most = deployment
+        .models
+        .iter()
+        .map(|model| model.max_replicas)
+        .max();
+    for replica in 0..most.unwrap_or_default() {
+        let wanted = deployment.models.iter();
+        for model in wanted.filter(|model| replica < model.max_replicas) {
+            preload_model(model, settings);
+        }
+    }
+}
+
+/// Gives a model to the engine with the most free memory that does not have it.
+fn preload_model(model: &DeployedModel, settings: &mut [engine::EngineSettings]) {
+    let roomiest = settings
+        .iter_mut()
+        .filter(|settings| settings.models.iter().all(|held| held.model != model.name))
+        .filter(|settings| free_bytes(settings) >= model.bytes)
+        .max_by_key(|settings| free_bytes(settings));
+    if let Some(settings) = roomiest {
         settings.models.push(engine::InitialModel {
             model: model.name.clone(),
             version: model.version.clone(),
--- a/galenahold_testkit/src/experiment/experiment_builder.rs
+++ b/galenahold_testkit/src/experiment/experiment_builder.rs
@@ -1,6 +1,5 @@
 //! Running an experiment.
 
-use std::net;
 use std::path;
 use std::thread;
 use std::time;
@@ -25,6 +24,7 @@
     settings: serde_json::Value,
     delays: bool,
     preload: bool,
+    straight: bool,
     timeout: time::Duration,
     kept_files: Option<path::PathBuf>,
 }
@@ -39,6 +39,7 @@
             settings: serde_json::json!({}),
             delays: true,
             preload: false,
+            straight: false,
             timeout: load::LoadSettings::default().timeout,
             kept_files: None,
         }
@@ -65,6 +66,13 @@
         self
     }
 
+    /// Sets whether every second request for preloaded models goes to an engine directly.
+    #[must_use]
+    pub fn straight(mut self, straight: bool) -> Self {
+        self.straight = straight;
+        self
+    }
+
     /// Sets the time that a request may take.
     #[must_use]
     pub fn timeout(mut self, timeout: time::Duration) -> Self {
@@ -96,7 +104,12 @@
         let proxy = proxy::FaultProxy::start()?;
         let settings = load::LoadSettings {
             label: self.label.clone(),
-            targets: self.caller_addresses(&proxy, &fleet)?,
+            targets: self.targets(&proxy, &fleet)?,
+            straight_engines: if self.straight {
+                straight_engines(&servers)
+            } else {
+                Vec::new()
+            },
             keys: keys.clone(),
             timeout: self.timeout,
             ..load::LoadSettings::default()
@@ -143,20 +156,33 @@
     }
 
     /// Lists where callers connect: through links with the delay from clients, if asked for.
-    fn caller_addresses(
+    fn targets(
         &self,
         proxy: &proxy::FaultProxy,
         fleet: &harness::InstanceFleet,
-    ) -> Result<Vec<net::SocketAddr>, TestkitError> {
+    ) -> Result<Vec<load::LoadTarget>, TestkitError> {
         if !self.delays {
-            return Ok(fleet.callers());
+            return Ok(fleet.load_targets());
         }
         let delay = time::Duration::from_micros(self.deployment.from_clients_us);
-        let links = fleet.callers().into_iter().map(|address| {
-            let link = proxy.link(address)?;
+        let links = fleet.load_targets().into_iter().map(|mut target| {
+            let link = proxy.link(target.callers)?;
             link.set_both(proxy::LinkFault::pass().delay(delay));
-            Ok(link.address())
+            target.callers = link.address();
+            Ok(target)
         });
         links.collect()
     }
 }
+
+/// Lists the engines with the models that they have at the start.
+fn straight_engines(servers: &deployment::StandInFleet) -> Vec<load::StraightEngine> {
+    let engines = servers.engines().iter().map(|engine| {
+        let loaded = engine.loaded().into_iter();
+        load::StraightEngine {
+            address: engine.address(),
+            models: loaded.map(|loaded| loaded.model).collect(),
+        }
+    });
+    engines.filter(|engine| !engine.models.is_empty()).collect()
+}
--- a/galenahold_testkit/src/harness/instance_fleet.rs
+++ b/galenahold_testkit/src/harness/instance_fleet.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use super::{InstanceProcess, OperatorClient, PeerLinks};
+use crate::load;
 use crate::testkit_error::TestkitError;
 
 /// Holds instances, links and files until it is dropped.
@@ -75,6 +76,15 @@
         addresses.map(|addresses| addresses.callers).collect()
     }
 
+    /// Lists the instances as targets behind a balancer that reads their readiness.
+    #[must_use]
+    pub fn load_targets(&self) -> Vec<load::LoadTarget> {
+        let addresses = self.instances.iter().map(InstanceProcess::addresses);
+        let targets =
+            addresses.map(|known| load::LoadTarget::while_ready(known.callers, known.platform));
+        targets.collect()
+    }
+
     /// Lists the addresses for backend servers.
     #[must_use]
     pub fn backends(&self) -> Vec<net::SocketAddr> {
--- a/galenahold_testkit/src/http/http_client.rs
+++ b/galenahold_testkit/src/http/http_client.rs
@@ -38,6 +38,27 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .context(BuildRequestSnafu { path })?;
+        self.send(address, request).await
+    }
+
+    /// Gets a path and returns the status.
+    pub(crate) async fn get(
+        &self,
+        address: net::SocketAddr,
+        path: &str,
+    ) -> Result<http::StatusCode, TestkitError> {
+        let request = http::Request::get(path)
+            .header(http::header::HOST, address.to_string())
+            .body(Full::default())
+            .context(BuildRequestSnafu { path })?;
+        self.send(address, request).await
+    }
+
+    async fn send(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<http::StatusCode, TestkitError> {
         tokio_time::timeout(self.timeout, exchange(address, request))
             .await
             .ok()
--- a/galenahold_testkit/src/load/load_result.rs
+++ b/galenahold_testkit/src/load/load_result.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
-use super::{RouteKind, RouteResult};
+use super::{AddedLatency, RouteKind, RouteResult};
 use crate::testkit_error::{FileSnafu, JsonSnafu, TestkitError};
 
 /// What became of all requests of a run.
@@ -35,6 +35,14 @@
             .find(|result| result.route == Some(route) && result.team == team)
     }
 
+    /// Returns what the way through instances adds to first tokens; `None` without both routes.
+    #[must_use]
+    pub fn added_latency(&self) -> Option<AddedLatency> {
+        let through = self.route(RouteKind::Through, "")?.first_token;
+        let straight = self.route(RouteKind::Straight, "")?.first_token;
+        Some(AddedLatency::between(&through, &straight))
+    }
+
     /// Reads a result file.
     ///
     /// # Errors
--- a/galenahold_testkit/src/load/load_run.rs
+++ b/galenahold_testkit/src/load/load_run.rs
@@ -12,6 +12,7 @@
 use super::load_client::{ClientAnswer, LoadClient};
 use super::request_result::{RequestEnd, RequestResult};
 use super::result_collector::ResultCollector;
+use super::target_pool::TargetPool;
 use super::{LoadResult, LoadSettings, LoadTrace, RouteKind, TraceBody, TraceRequest};
 use crate::host;
 use crate::http::{REQUEST_ID_HEADER, VERDICT_HEADER};
@@ -27,10 +28,8 @@
 #[derive(Debug)]
 struct RunState {
     settings: LoadSettings,
-    targets: Vec<sync::Arc<LoadClient>>,
-    straight_engines: Vec<sync::Arc<LoadClient>>,
-    straight_services: Vec<sync::Arc<LoadClient>>,
-    turns: atomic::AtomicUsize,
+    pool: TargetPool,
+    straight_turns: atomic::AtomicUsize,
     results: state_lock::StateLock<ResultCollector>,
     worst_send_lag_us: atomic::AtomicU64,
 }
@@ -50,18 +49,16 @@
     /// Fails when the runtime cannot be had.
     pub fn new(settings: LoadSettings) -> Result<Self, TestkitError> {
         let host = host::StandInHost::start("load", LOAD_THREADS)?;
-        let clients = |addresses: &[std::net::SocketAddr]| {
-            addresses
-                .iter()
-                .map(|&address| sync::Arc::new(LoadClient::new(address, host.scope().clone())))
-                .collect()
-        };
+        let pool = TargetPool::new(
+            host.scope(),
+            &settings.targets,
+            &settings.straight_engines,
+            &settings.straight_services,
+        );
         let state = RunState {
-            targets: clients(&settings.targets),
-            straight_engines: clients(&settings.straight_engines),
-            straight_services: clients(&settings.straight_services),
+            pool,
             settings,
-            turns: atomic::AtomicUsize::new(0),
+            straight_turns: atomic::AtomicUsize::new(0),
             results: state_lock::StateLock::default(),
             worst_send_lag_us: atomic::AtomicU64::new(0),
         };
@@ -126,11 +123,10 @@
 
 /// Sends one request and enters its result.
 async fn run_request(state: sync::Arc<RunState>, request: TraceRequest, due: time::Instant) {
-    let turn = state.turns.fetch_add(1, atomic::Ordering::Relaxed);
-    let (route, client) = state.choose(&request, turn);
-    let result = match client {
+    let route = state.choose_route(&request);
+    let result = match state.choose_client(route, &request) {
         Some(client) => {
-            let exchange = exchange(&state, client, &request);
+            let exchange = exchange(&state, route, client, &request);
             let timeout = tokio::time::timeout(state.settings.timeout, exchange);
             let ended = timeout.await;
             ended.unwrap_or_else(|_| RequestResult::ended(RequestEnd::TimedOut))
@@ -141,35 +137,48 @@
 }
 
 impl RunState {
-    /// Chooses the route and the connection pool of a request.
-    fn choose(
+    /// Sends every second of the requests that can go both ways straight.
+    fn choose_route(&self, request: &TraceRequest) -> RouteKind {
+        if !self.pool.has_targets() {
+            return RouteKind::Straight;
+        }
+        let can_go_straight = self.choose_client(RouteKind::Straight, request).is_some();
+        let turn = |turns: &atomic::AtomicUsize| turns.fetch_add(1, atomic::Ordering::Relaxed);
+        if can_go_straight && turn(&self.straight_turns) % 2 == 1 {
+            return RouteKind::Straight;
+        }
+        RouteKind::Through
+    }
+
+    /// Chooses the connections that a request takes on a route.
+    fn choose_client(
         &self,
+        route: RouteKind,
         request: &TraceRequest,
-        turn: usize,
-    ) -> (RouteKind, Option<&sync::Arc<LoadClient>>) {
-        let straight = match request.body {
-            TraceBody::Completion { .. } => &self.straight_engines,
-            TraceBody::Order { .. } => &self.straight_services,
-        };
-        let goes_straight = self.targets.is_empty() || (!straight.is_empty() && turn % 2 == 1);
-        let (route, clients) = if goes_straight {
-            (RouteKind::Straight, straight)
-        } else {
-            (RouteKind::Through, &self.targets)
-        };
-        let choice = turn / 2 % clients.len().max(1);
-        (route, clients.get(choice))
+    ) -> Option<&sync::Arc<LoadClient>> {
+        match (route, &request.body) {
+            (RouteKind::Through, _) => self.pool.next_target(),
+            (RouteKind::Straight, TraceBody::Completion { model, .. }) => {
+                self.pool.next_engine(model)
+            }
+            (RouteKind::Straight, TraceBody::Order { .. }) => self.pool.next_service(),
+        }
     }
 }
 
-/// Sends a request and reads its answer.
+/// Sends a request and reads its answer; only instances are shown the team's key.
 async fn exchange(
     state: &RunState,
+    route: RouteKind,
     client: &sync::Arc<LoadClient>,
     request: &TraceRequest,
 ) -> RequestResult {
     let prompt = request.prompt();
-    let Ok(message) = build_message(state, client, request, &prompt) else {
+    let key = match route {
+        RouteKind::Through => state.settings.keys.get(&request.team),
+        RouteKind::Straight => None,
+    };
+    let Ok(message) = build_message(client, request, &prompt, key) else {
         return RequestResult::ended(RequestEnd::Broken);
     };
     let Ok(answer) = client.send(message).await else {
@@ -199,10 +208,10 @@
 
 /// Builds the HTTP request.
 fn build_message(
-    state: &RunState,
     client: &LoadClient,
     request: &TraceRequest,
     prompt: &str,
+    key: Option<&str>,
 ) -> http::Result<http::Request<Full<Bytes>>> {
     let (path, body) = match &request.body {
         TraceBody::Completion {
@@ -228,7 +237,7 @@
     if matches!(request.body, TraceBody::Order { .. }) {
         builder = builder.header(IDEMPOTENCY_KEY_HEADER, &request.id);
     }
-    if let Some(key) = state.settings.keys.get(&request.team) {
+    if let Some(key) = key {
         builder = builder.header(http::header::AUTHORIZATION, format!("Bearer {key}"));
     }
     builder.body(Full::new(Bytes::from(body.to_string())))
--- a/galenahold_testkit/src/load/load_settings.rs
+++ b/galenahold_testkit/src/load/load_settings.rs
@@ -3,17 +3,17 @@
 use std::net;
 use std::time;
 
-use super::TeamKeys;
+use super::{LoadTarget, StraightEngine, TeamKeys};
 
 /// Sets the targets of a run.
 #[derive(Debug, Clone)]
 pub struct LoadSettings {
     /// A name for the result.
     pub label: String,
-    /// The instances' callers' addresses, used in turn.
-    pub targets: Vec<net::SocketAddr>,
-    /// Engines that every second request goes to directly; empty for none.
-    pub straight_engines: Vec<net::SocketAddr>,
+    /// The instances, used in turn while they are ready.
+    pub targets: Vec<LoadTarget>,
+    /// Engines that every second request for their models goes to directly.
+    pub straight_engines: Vec<StraightEngine>,
     /// Plain servers for the orders that go directly.
     pub straight_services: Vec<net::SocketAddr>,
     /// The keys of the teams.
--- a/galenahold_testkit/src/load/mod.rs
+++ b/galenahold_testkit/src/load/mod.rs
@@ -1,5 +1,6 @@
 //! Open-loop load and its results.
 
+mod added_latency;
 mod answer_check;
 mod arrival_clock;
 mod event_reader;
@@ -9,24 +10,30 @@
 mod load_result;
 mod load_run;
 mod load_settings;
+mod load_target;
 mod load_trace;
 mod rate_meter;
 mod request_result;
 mod result_collector;
 mod result_comparison;
 mod route_result;
+mod straight_engine;
+mod target_pool;
 mod team_keys;
 mod trace_generator;
 mod trace_plan;
 mod trace_request;
 
+pub use added_latency::AddedLatency;
 pub use latency_summary::LatencySummary;
 pub use load_result::LoadResult;
 pub use load_run::LoadRun;
 pub use load_settings::LoadSettings;
+pub use load_target::LoadTarget;
 pub use load_trace::LoadTrace;
 pub use result_comparison::ResultComparison;
 pub use route_result::{RouteKind, RouteResult, VerdictCount};
+pub use straight_engine::StraightEngine;
 pub use team_keys::TeamKeys;
 pub use trace_generator::TraceGenerator;
 pub use trace_plan::{BurstPlan, TeamFactor, TracePlan};
--- a/galenahold_testkit/src/load/result_comparison.rs
+++ b/galenahold_testkit/src/load/result_comparison.rs
@@ -4,11 +4,11 @@
 
 use super::{LoadResult, RouteKind, RouteResult};
 
-/// Prints two results as a table with one block for each route and team.
+/// Prints one or two results as a table with one block for each route and team.
 #[derive(Debug)]
 pub struct ResultComparison<'a> {
     first: &'a LoadResult,
-    second: &'a LoadResult,
+    second: Option<&'a LoadResult>,
 }
 
 /// One line of a block.
@@ -46,43 +46,74 @@
 }
 
 impl<'a> ResultComparison<'a> {
-    /// Makes the comparison.
+    /// Makes the comparison of two results.
     #[must_use]
     pub fn new(first: &'a LoadResult, second: &'a LoadResult) -> Self {
-        Self { first, second }
+        Self {
+            first,
+            second: Some(second),
+        }
+    }
+
+    /// Makes the table of one result.
+    #[must_use]
+    pub fn single(result: &'a LoadResult) -> Self {
+        Self {
+            first: result,
+            second: None,
+        }
     }
 
     fn write_block(&self, formatter: &mut fmt::Formatter<'_>, first: &RouteResult) -> fmt::Result {
         let Some(route) = first.route else {
             return Ok(());
         };
-        let second = self.second.route(route, &first.team);
-        let empty = RouteResult::default();
-        let second = second.unwrap_or(&empty);
+        self.write_title(formatter, route, &first.team)?;
+        let second = self.second.and_then(|all| all.route(route, &first.team));
+        for row in ROWS {
+            let before = (row.value)(first);
+            let name = row.name;
+            write!(formatter, "  {name:<26} {before:>14}")?;
+            if let Some(second) = second {
+                let after = (row.value)(second);
+                let ratio = ratio(before, after);
+                write!(formatter, " {after:>14} {ratio:>9}")?;
+            }
+            writeln!(formatter)?;
+        }
+        Ok(())
+    }
+
+    fn write_title(
+        &self,
+        formatter: &mut fmt::Formatter<'_>,
+        route: RouteKind,
+        team: &str,
+    ) -> fmt::Result {
         let route = match route {
             RouteKind::Through => "through",
             RouteKind::Straight => "straight",
         };
-        let team = if first.team.is_empty() {
-            "all teams"
-        } else {
-            &first.team
-        };
+        let team = if team.is_empty() { "all teams" } else { team };
         let title = format!("{route}, {team}");
-        let (left, right) = (&self.first.label, &self.second.label);
-        writeln!(
-            formatter,
-            "{title:<28} {left:>14} {right:>14} {:>9}",
-            "ratio"
-        )?;
-        for row in ROWS {
-            let (before, after) = ((row.value)(first), (row.value)(second));
-            let ratio = ratio(before, after);
-            let name = row.name;
-            writeln!(
-                formatter,
-                "  {name:<26} {before:>14} {after:>14} {ratio:>9}"
-            )?;
+        write!(formatter, "{title:<28} {:>14}", self.first.label)?;
+        if let Some(second) = self.second {
+            write!(formatter, " {:>14} {:>9}", second.label, "ratio")?;
+        }
+        writeln!(formatter)
+    }
+
+    /// Writes what the way through instances adds, where a result has both routes.
+    fn write_added(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for result in [Some(self.first), self.second].into_iter().flatten() {
+            let label = &result.label;
+            if let Some(added) = result.added_latency() {
+                writeln!(
+                    formatter,
+                    "added by instances to the first token, {label}: p50 {} us, p90 {} us, p99 {} us",
+                    added.p50_us, added.p90_us, added.p99_us
+                )?;
+            }
         }
         Ok(())
     }
@@ -93,7 +124,7 @@
         for first in &self.first.routes {
             self.write_block(formatter, first)?;
         }
-        Ok(())
+        self.write_added(formatter)
     }
 }
 
--- a/galenahold_testkit/tests/load/runs.rs
+++ b/galenahold_testkit/tests/load/runs.rs
@@ -36,7 +36,7 @@
 
 fn play(engine: &engine::EngineProcess, requests: Vec<load::TraceRequest>) -> load::LoadResult {
     let settings = load::LoadSettings {
-        straight_engines: vec![engine.address()],
+        straight_engines: vec![load::StraightEngine::any_model(engine.address())],
         ..load::LoadSettings::default()
     };
     let run = load::LoadRun::new(settings).expect("a run");
@@ -110,8 +110,8 @@
 fn every_second_request_goes_straight_when_asked() {
     let (through, straight) = (start_engine(), start_engine());
     let settings = load::LoadSettings {
-        targets: vec![through.address()],
-        straight_engines: vec![straight.address()],
+        targets: vec![load::LoadTarget::always(through.address())],
+        straight_engines: vec![load::StraightEngine::any_model(straight.address())],
         keys: load::TeamKeys::default().with("joiners", "key-1"),
         ..load::LoadSettings::default()
     };
@@ -121,9 +121,11 @@
     assert_eq!(through.ledger().requests.len(), 5);
     assert_eq!(straight.ledger().requests.len(), 5);
     assert!(through.ledger().requests[0].mentions("Bearer key-1"));
+    assert!(!straight.ledger().requests[0].mentions("key-1"));
     let answered = result.route(load::RouteKind::Through, "joiners");
     assert_eq!(answered.expect("a result").answered, 5);
     assert_eq!(of_team(&result, "joiners").answered, 5);
+    assert!(result.added_latency().is_some());
 }
 
 #[test]
@@ -158,3 +160,25 @@
     first.write(&file).expect("a written result");
     assert_eq!(load::LoadResult::read(&file).expect("a result"), first);
 }
+
+#[test]
+fn instance_that_is_not_ready_gets_no_requests() {
+    let (ready, unready) = (start_engine(), start_engine());
+    // Nothing listens there any more.
+    let gone = std::net::TcpListener::bind("127.0.0.1:0").and_then(|gone| gone.local_addr());
+    let gone = gone.expect("an address");
+    let settings = load::LoadSettings {
+        targets: vec![
+            load::LoadTarget::always(ready.address()),
+            load::LoadTarget::while_ready(unready.address(), gone),
+        ],
+        ..load::LoadSettings::default()
+    };
+    let requests = (1_000..1_010).map(|number| completion(number, "joiners", "llm", false));
+    let run = load::LoadRun::new(settings).expect("a run");
+    let result = run.play(&load::LoadTrace::new(requests.collect()));
+    assert_eq!(ready.ledger().requests.len(), 10);
+    assert!(unready.ledger().requests.is_empty());
+    let answered = result.route(load::RouteKind::Through, "joiners");
+    assert_eq!(answered.expect("a result").answered, 10);
+}
--- a/galenahold_testkit/tests/product/main.rs
+++ b/galenahold_testkit/tests/product/main.rs
@@ -29,7 +29,7 @@
     assert!(operator.state_intent(&intent).expect("a revision") > 0);
     let keys = operator.give_keys(["joiners"]).expect("a key");
     let settings = load::LoadSettings {
-        targets: fleet.callers(),
+        targets: fleet.load_targets(),
         keys: keys.clone(),
         ..load::LoadSettings::default()
     };
