--- a/galenahold/tests/placement/engine_faults.rs
+++ b/galenahold/tests/placement/engine_faults.rs
@@ -1,27 +1,25 @@
 //! Engines die in the middle of a load and come back with other contents.
 
-use galenahold_testkit::control;
+use galenahold_testkit::{control, engine};
 
 use crate::fleet_setup;
 
 #[test]
 fn a_load_that_dies_with_its_engine_is_made_elsewhere_and_the_request_is_answered() {
-    let placement = fleet_setup::PlacementFleet::start(2, 1, false);
+    let mut placement = fleet_setup::PlacementFleet::start(2, 1, false);
     for engine in &placement.engines {
         engine.control(&control::ServerControl::CrashNextLoad);
     }
     let asked = fleet_setup::ask(placement.caller(3), "model-0", "flood mark");
     fleet_setup::wait_until("an engine dies in its load", || {
-        placement.engines.iter().any(|engine| engine.is_crashed())
+        placement
+            .engines
+            .iter()
+            .any(engine::EngineProcess::is_crashed)
     });
-    // The other engine shall not die as well.
-    let mut placement = placement;
+    // A new start forgets the control, so that neither engine dies again.
     for engine in &mut placement.engines {
-        if engine.is_crashed() {
-            engine.restart().expect("the engine starts again");
-        } else {
-            engine.restart().expect("the engine starts again");
-        }
+        engine.restart().expect("the engine starts again");
     }
     let answer = asked.join().expect("the caller ends");
     assert_eq!(answer.status, 200, "{}", answer.body);
