Leave a replica alone after its engine says that it does not hold it

Cause: between an engine's new start and its first announcement requests went to the replica that it no longer held, each refusal used up an attempt, and after three the caller got backend_unavailable. Ruled out: more attempts (the announcement takes up to a second). Change: such a replica is not chosen for 1.5 s; a 404 of an engine counts as that refusal. Before: the test of an engine that returns five times failed in round 1; after: passed.

--- a/galenahold/tests/placement/engine_faults.rs
+++ b/galenahold/tests/placement/engine_faults.rs
@@ -4,6 +4,9 @@
 
 use crate::fleet_setup;
 
+/// Times that the engine starts anew.
+const RETURNS: usize = 5;
+
 #[test]
 fn a_load_that_dies_with_its_engine_is_made_elsewhere_and_the_request_is_answered() {
     let mut placement = fleet_setup::PlacementFleet::start(2, 1, false);
@@ -29,13 +32,14 @@
 #[test]
 fn an_engine_that_returns_empty_under_its_name_is_loaded_again() {
     let mut placement = fleet_setup::PlacementFleet::start(1, 1, false);
-    let first = fleet_setup::ask(placement.caller(3), "model-0", "before");
-    assert_eq!(first.join().expect("the caller ends").status, 200);
-    placement.engines[0]
-        .restart()
-        .expect("the engine starts again");
-    let second = fleet_setup::ask(placement.caller(3), "model-0", "after");
-    let answer = second.join().expect("the caller ends");
-    assert_eq!(answer.status, 200, "{}", answer.body);
+    for round in 0..RETURNS {
+        let text = format!("round {round}");
+        let asked = fleet_setup::ask(placement.caller(3), "model-0", &text);
+        let answer = asked.join().expect("the caller ends");
+        assert_eq!(answer.status, 200, "{text}: {}", answer.body);
+        placement.engines[0]
+            .restart()
+            .expect("the engine starts again");
+    }
     placement.assert_memory_held();
 }
--- a/galenahold_instance/src/backend/attempt_error.rs
+++ b/galenahold_instance/src/backend/attempt_error.rs
@@ -3,6 +3,8 @@
 use galenahold_domain::verdict;
 use snafu::Snafu;
 
+use crate::dispatch;
+
 /// Why an attempt at a backend server failed, with the verdict on the request.
 #[derive(Debug, Snafu)]
 #[snafu(display("{kind}; verdict {verdict}"))]
@@ -59,11 +61,12 @@
         }
     }
 
-    /// Returns whether the transport failed, which counts against the backend server.
-    pub(crate) fn is_transport(&self) -> bool {
-        !matches!(
-            self.kind,
-            AttemptErrorKind::Refused | AttemptErrorKind::ServerError
-        )
+    /// Returns what the error says of the backend server.
+    pub(crate) fn attempt_end(&self) -> dispatch::AttemptEnd {
+        match self.kind {
+            AttemptErrorKind::Refused => dispatch::AttemptEnd::Denied,
+            AttemptErrorKind::ServerError => dispatch::AttemptEnd::Answered,
+            _ => dispatch::AttemptEnd::Failed,
+        }
     }
 }
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -14,6 +14,10 @@
 use crate::backend;
 use crate::dispatch;
 
+/// How long a replica is left alone after its backend server said that it does not hold it: longer
+/// than the time between two announcements, the next of which tells.
+const DENIAL: time::Duration = time::Duration::from_millis(1_500);
+
 /// The state behind the dispatcher, generic over the choice of replicas.
 #[derive(Debug)]
 pub(crate) struct DispatchState {
@@ -25,6 +29,7 @@
     limits: queue::QueueLimits,
     candidates: Vec<replica::ReplicaCandidate>,
     work: collections::HashMap<dispatch::WorkKey, u32>,
+    denied: collections::HashMap<replica::ReplicaKey, time::Instant>,
 }
 
 /// A waiting request and the replica chosen for it.
@@ -54,6 +59,7 @@
             limits,
             candidates: Vec::new(),
             work: collections::HashMap::new(),
+            denied: collections::HashMap::new(),
         }
     }
 
@@ -193,6 +199,10 @@
         match slot.end {
             dispatch::AttemptEnd::Silent => {}
             dispatch::AttemptEnd::Answered => self.breaker.succeed(slot.server),
+            dispatch::AttemptEnd::Denied => {
+                self.breaker.succeed(slot.server);
+                self.denied.insert(slot.replica, now + DENIAL);
+            }
             dispatch::AttemptEnd::Failed => {
                 self.breaker.fail(slot.server, now);
             }
@@ -218,6 +228,7 @@
     /// Drops what has expired: announcements, and requests past their deadline.
     pub(crate) fn expire(&mut self, now: time::Instant) -> Vec<dispatch::SlotWaiter> {
         self.table.expire(now);
+        self.denied.retain(|_, until| *until > now);
         let mut expired = Vec::new();
         for queue in self.queues.values_mut() {
             while let Some(item) = queue.queue.expired(now) {
@@ -272,11 +283,11 @@
     /// Lists the replicas that may take a request; returns whether there is any, full ones included.
     fn find_candidates(&mut self, target: &replica::ReplicaTarget, now: time::Instant) -> bool {
         self.table.candidates(target, now, &mut self.candidates);
-        let (table, drains) = (&self.table, &self.drains);
+        let (table, drains, denied) = (&self.table, &self.drains, &self.denied);
         self.candidates.retain(|candidate| {
-            table
-                .server(candidate.server)
-                .is_some_and(|entry| !drains.holds(entry, target))
+            let is_denied = denied.get(&candidate.key).is_some_and(|until| *until > now);
+            let server = table.server(candidate.server);
+            !is_denied && server.is_some_and(|entry| !drains.holds(entry, target))
         });
         self.breaker.admit(&mut self.candidates, now);
         !self.candidates.is_empty()
--- a/galenahold_instance/src/dispatch/replica_slot.rs
+++ b/galenahold_instance/src/dispatch/replica_slot.rs
@@ -25,6 +25,8 @@
     Silent,
     /// It answered.
     Answered,
+    /// It says that it does not hold the replica.
+    Denied,
     /// Its transport failed.
     Failed,
 }
--- a/galenahold_instance/src/entry/model_desk.rs
+++ b/galenahold_instance/src/entry/model_desk.rs
@@ -7,7 +7,7 @@
 use galenahold_domain::name;
 use galenahold_domain::verdict;
 use galenahold_routing::retry;
-use http::{HeaderValue, Method, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use log::debug;
 use serde::Deserialize;
@@ -307,6 +307,11 @@
             }
             return Err(fail(slot, error));
         }
+        // The path and the model are known here, so the engine no longer holds the replica.
+        if exchange.head().status == StatusCode::NOT_FOUND {
+            let error = backend::AttemptError::not_run(backend::AttemptErrorKind::Refused);
+            return Err(fail(slot, error));
+        }
         if exchange.head().status.is_server_error() {
             let error = backend::AttemptError::may_have_run(backend::AttemptErrorKind::ServerError);
             return Err(fail(slot, error));
@@ -464,11 +469,7 @@
 
 fn fail(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> AttemptStop {
     let server = slot.address().server.clone();
-    slot.finish(if error.is_transport() {
-        dispatch::AttemptEnd::Failed
-    } else {
-        dispatch::AttemptEnd::Answered
-    });
+    slot.finish(error.attempt_end());
     AttemptStop::Failed(FailedAttempt { error, server })
 }
 
--- a/galenahold_instance/src/entry/service_desk.rs
+++ b/galenahold_instance/src/entry/service_desk.rs
@@ -270,10 +270,10 @@
 
 fn fail(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> AttemptStop {
     let server = slot.address().server.clone();
-    slot.finish(if error.is_transport() {
-        dispatch::AttemptEnd::Failed
-    } else {
-        dispatch::AttemptEnd::Answered
+    // A plain service that refuses one call may take the next.
+    slot.finish(match error.attempt_end() {
+        dispatch::AttemptEnd::Denied => dispatch::AttemptEnd::Answered,
+        end => end,
     });
     AttemptStop::Failed { error, server }
 }
