Let relays pass confirmations on at once

Cause: each relay held quiet answers for its own hold time, so ages added up along a chain and its end went stale. Ruled out: shorter hold times (more messages at each hop). Change: a relay answers as soon as its own confirmation is renewed.

--- a/galenahold_instance/src/configuration/configuration_holder.rs
+++ b/galenahold_instance/src/configuration/configuration_holder.rs
@@ -17,6 +17,7 @@
     drains: sync::Arc<arc_swap::ArcSwap<message::DrainList>>,
     state: sync::Arc<sync::Mutex<HolderState>>,
     revision: sync::Arc<watch::Sender<u64>>,
+    confirmations: sync::Arc<watch::Sender<()>>,
     bound: time::Duration,
 }
 
@@ -63,6 +64,7 @@
             )),
             state: sync::Arc::default(),
             revision: sync::Arc::new(watch::Sender::new(0)),
+            confirmations: sync::Arc::default(),
             bound,
         }
     }
@@ -82,6 +84,11 @@
         self.revision.subscribe()
     }
 
+    /// Returns a receiver that is told of each later confirmation.
+    pub(crate) fn subscribe_confirmations(&self) -> watch::Receiver<()> {
+        self.confirmations.subscribe()
+    }
+
     /// Returns how long ago a quorum confirmed the configuration; `None` before the first time.
     pub(crate) fn age(&self) -> Option<time::Duration> {
         self.lock().confirmed_at.map(|at| at.elapsed())
@@ -120,6 +127,7 @@
                 held: state.view.revision,
             });
         }
+        let later = Some(confirmed.confirmed_at) > state.confirmed_at;
         state.confirmed_at = state.confirmed_at.max(Some(confirmed.confirmed_at));
         if state.view.revision != held {
             self.publish(&state);
@@ -128,6 +136,9 @@
         if let Some(drains) = confirmed.drains {
             self.drains.store(sync::Arc::new(drains));
         }
+        if later {
+            self.confirmations.send_replace(());
+        }
         Ok(())
     }
 
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -30,13 +30,15 @@
         let started = time::Instant::now();
         let hold = time::Duration::from_millis(request.hold_ms);
         let mut revisions = self.holder.subscribe();
-        let news = async {
-            // The sender lives as long as the holder.
-            let _ = revisions
-                .wait_for(|revision| *revision > request.have.0)
-                .await;
-        };
-        let _ = tokio::time::timeout(hold, news).await;
+        let mut confirmations = self.holder.subscribe_confirmations();
+        confirmations.mark_unchanged();
+        // The senders live as long as the holder.
+        tokio::select! {
+            _ = revisions.wait_for(|revision| *revision > request.have.0) => {}
+            // Passed on at once, so that ages do not add up from relay to relay.
+            _ = confirmations.changed() => {}
+            () = tokio::time::sleep(hold) => {}
+        }
         self.reply(&request, started, leader)
     }
 
--- a/galenahold_testkit/src/harness/fleet_builder.rs
+++ b/galenahold_testkit/src/harness/fleet_builder.rs
@@ -30,12 +30,20 @@
     region: String,
     route: PeerRoute,
     template: Value,
+    relays: Vec<RelayChoice>,
     binary: path::PathBuf,
     credential: String,
     environment: Vec<(String, String)>,
     kept_files: Option<path::PathBuf>,
 }
 
+/// Says which instance takes its configuration from which.
+#[derive(Debug, Clone, Copy)]
+struct RelayChoice {
+    instance: usize,
+    relay: usize,
+}
+
 impl Default for FleetBuilder {
     fn default() -> Self {
         Self {
@@ -45,6 +53,7 @@
             region: "region-1".to_owned(),
             route: PeerRoute::Direct,
             template: json!({}),
+            relays: Vec::new(),
             binary: product_binary(),
             credential: "operator-credential".to_owned(),
             environment: Vec::new(),
@@ -89,6 +98,13 @@
         self
     }
 
+    /// Lets an instance take its configuration from another one.
+    #[must_use]
+    pub fn relay(mut self, instance: usize, relay: usize) -> Self {
+        self.relays.push(RelayChoice { instance, relay });
+        self
+    }
+
     /// Sets an environment variable of every instance.
     #[must_use]
     pub fn variable(mut self, name: &str, value: &str) -> Self {
@@ -211,6 +227,10 @@
             plan.settings["advertise"] = json!({"peers": address});
         }
         merge_settings(&mut plan.settings, &self.template);
+        let relays = self.relays.iter().filter(|choice| choice.instance == index);
+        for choice in relays {
+            plan.settings["relay"] = json!([instance_name(choice.relay)]);
+        }
         plan
     }
 
@@ -221,7 +241,9 @@
         addresses: &[InstanceAddresses],
         links: &PeerLinks,
     ) -> Vec<Value> {
+        let relays = self.relays.iter().filter(|choice| choice.instance == index);
         (0..self.control)
+            .chain(relays.map(|choice| choice.relay))
             .filter(|&peer| peer != index)
             .map(|peer| {
                 let address = links.address(Some(index), peer);
@@ -229,7 +251,7 @@
                     "name": instance_name(peer),
                     "address": address.unwrap_or(addresses[peer].peers),
                     "data_centre": self.data_centre(peer),
-                    "control": true,
+                    "control": peer < self.control,
                 })
             })
             .collect()
