Find out an older copy of a leader's folder, bound proposals by bytes

Cause: the members noted what a follower had acknowledged, but not what the leader itself held; an older copy of the last leader's folder could vote again, and with a lagging member leave out committed entries.

Change: each append tells what the leader holds durably; a leader never truncates its log within its term, so this binds it like an acknowledgement. Proposals under way are bounded by bytes; the status tells the lease.

Tested: 'older_copy_of_a_leaders_folder_is_retired' failed before the change and passes after it; cargo test -p galenahold_consensus, 50 tests green.

--- a/galenahold_consensus/src/core/election.rs
+++ b/galenahold_consensus/src/core/election.rs
@@ -193,6 +193,7 @@
                     id,
                     endpoint: self.endpoint(id)?,
                     term: request.term,
+                    durable: log::LogIndex::ZERO,
                 })
             })
             .collect();
--- a/galenahold_consensus/src/core/message_sender.rs
+++ b/galenahold_consensus/src/core/message_sender.rs
@@ -9,4 +9,5 @@
     pub(super) id: member::MemberId,
     pub(super) endpoint: member::MemberEndpoint,
     pub(super) term: log::Term,
+    pub(super) durable: log::LogIndex,
 }
--- a/galenahold_consensus/src/core/raft_node.rs
+++ b/galenahold_consensus/src/core/raft_node.rs
@@ -107,6 +107,7 @@
             id: message.from,
             endpoint: message.from_endpoint,
             term: message.term,
+            durable: message.durable,
         };
         self.dispatch(&sender, message.body, now);
     }
--- a/galenahold_consensus/src/core/replication.rs
+++ b/galenahold_consensus/src/core/replication.rs
@@ -32,6 +32,7 @@
         request: &message::AppendRequest,
     ) {
         self.merge_marks(&request.marks);
+        self.mark_leader(sender, request.commit);
         if let Some(hint) = self.mismatch(request.previous) {
             self.answer_append(sender, request, false, hint);
             return;
@@ -214,6 +215,15 @@
         self.marks.iter().copied().collect()
     }
 
+    /// Notes what the leader itself holds: it never truncates its log within its term.
+    fn mark_leader(&mut self, leader: &core::MessageSender, commit: log::LogIndex) {
+        let position = log::LogPosition {
+            term: leader.term,
+            index: leader.durable,
+        };
+        self.marks.acknowledge(leader.id, position, commit);
+    }
+
     fn merge_marks(&mut self, marks: &[message::MemberMark]) {
         let own_id = self.own_id();
         for mark in marks.iter().filter(|mark| mark.member != own_id) {
--- a/galenahold_consensus/src/driver/log_builder.rs
+++ b/galenahold_consensus/src/driver/log_builder.rs
@@ -66,6 +66,7 @@
 
 impl<B: storage::StorageBackend> LogBuilder<B> {
     const FOUNDING_INTERVAL: time::Duration = time::Duration::from_millis(50);
+    const PENDING_BYTES: usize = 64 * 1024 * 1024;
     const BATCH_INPUTS: usize = 1_024;
     const INBOX_INPUTS: usize = 65_536;
     const APPEND_BUDGET_BYTES: usize = 256 * 1024;
@@ -262,6 +263,7 @@
         driver::DriverSettings {
             batch_inputs: Self::BATCH_INPUTS,
             pending_proposals: self.pending_proposals,
+            pending_bytes: Self::PENDING_BYTES.max(self.command_bytes),
             command_bytes: self.command_bytes,
             snapshot_entries: self.snapshot_entries,
             snapshot_bytes: self.snapshot_bytes,
--- a/galenahold_consensus/src/driver/log_status.rs
+++ b/galenahold_consensus/src/driver/log_status.rs
@@ -1,5 +1,7 @@
 //! [`LogStatus`].
 
+use std::time;
+
 use crate::core;
 use crate::driver;
 use crate::log;
@@ -16,6 +18,8 @@
     pub role: core::NodeRole,
     /// It leads and its state holds all that was committed before its term.
     pub ready: bool,
+    /// How long its lease still lasts; none if it does not lead.
+    pub lease: Option<time::Duration>,
     /// Its term.
     pub term: log::Term,
     /// The leader, where it is known.
@@ -46,6 +50,7 @@
             cluster: None,
             role: core::NodeRole::Unjoined,
             ready: false,
+            lease: None,
             term: log::Term::ZERO,
             leader: None,
             commit: log::LogIndex::ZERO,
--- a/galenahold_consensus/src/driver/pending_proposals.rs
+++ b/galenahold_consensus/src/driver/pending_proposals.rs
@@ -9,8 +9,14 @@
 
 /// The proposals and membership changes that are appended and have no answer yet.
 pub(super) struct PendingProposals<O> {
-    proposals: collections::BTreeMap<log::LogPosition, log_input::ProposeReply<O>>,
+    proposals: collections::BTreeMap<log::LogPosition, PendingProposal<O>>,
     changes: collections::BTreeMap<log::LogPosition, log_input::ChangeReply>,
+    command_bytes: usize,
+}
+
+struct PendingProposal<O> {
+    reply: log_input::ProposeReply<O>,
+    command_bytes: usize,
 }
 
 impl<O> PendingProposals<O> {
@@ -18,6 +24,7 @@
         Self {
             proposals: collections::BTreeMap::new(),
             changes: collections::BTreeMap::new(),
+            command_bytes: 0,
         }
     }
 
@@ -25,12 +32,27 @@
         self.proposals.len()
     }
 
+    /// Length of the commands without an answer, in bytes.
+    pub(super) fn command_bytes(&self) -> usize {
+        self.command_bytes
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.proposals.is_empty() && self.changes.is_empty()
     }
 
-    pub(super) fn add(&mut self, position: log::LogPosition, reply: log_input::ProposeReply<O>) {
-        self.proposals.insert(position, reply);
+    pub(super) fn add(
+        &mut self,
+        position: log::LogPosition,
+        command_bytes: usize,
+        reply: log_input::ProposeReply<O>,
+    ) {
+        self.command_bytes += command_bytes;
+        let proposal = PendingProposal {
+            reply,
+            command_bytes,
+        };
+        self.proposals.insert(position, proposal);
     }
 
     pub(super) fn add_change(&mut self, position: log::LogPosition, reply: log_input::ChangeReply) {
@@ -41,7 +63,9 @@
         &mut self,
         position: log::LogPosition,
     ) -> Option<log_input::ProposeReply<O>> {
-        self.proposals.remove(&position)
+        let proposal = self.proposals.remove(&position)?;
+        self.command_bytes -= proposal.command_bytes;
+        Some(proposal.reply)
     }
 
     pub(super) fn take_change(
@@ -53,8 +77,9 @@
 
     /// Tells all callers that their proposals may have been committed or may still be.
     pub(super) fn drop_all(&mut self) {
-        for reply in mem::take(&mut self.proposals).into_values() {
-            reply.refuse(driver::ProposeError::Dropped);
+        self.command_bytes = 0;
+        for proposal in mem::take(&mut self.proposals).into_values() {
+            proposal.reply.refuse(driver::ProposeError::Dropped);
         }
         for reply in mem::take(&mut self.changes).into_values() {
             reply.refuse(driver::ProposeError::Dropped);
--- a/galenahold_consensus/src/driver/requests.rs
+++ b/galenahold_consensus/src/driver/requests.rs
@@ -21,13 +21,16 @@
             reply.refuse(driver::ProposeError::TooLong);
             return;
         }
-        if self.proposals.len() >= self.settings.pending_proposals {
+        let command_bytes = command.len();
+        let full = self.proposals.len() >= self.settings.pending_proposals
+            || self.proposals.command_bytes() + command_bytes > self.settings.pending_bytes;
+        if full {
             reply.refuse(driver::ProposeError::Busy);
             return;
         }
         let proposed = self.node.as_mut().map(|node| node.propose(command));
         match proposed {
-            Some(Ok(position)) => self.proposals.add(position, reply),
+            Some(Ok(position)) => self.proposals.add(position, command_bytes, reply),
             Some(Err(core::ProposeRefusal::Transferring)) => {
                 reply.refuse(driver::ProposeError::Busy);
             }
--- a/galenahold_consensus/src/driver/shared_view.rs
+++ b/galenahold_consensus/src/driver/shared_view.rs
@@ -65,6 +65,7 @@
         if subscribers.last == *event {
             return;
         }
+        ::log::info!("the role of the member is now {event:?}");
         subscribers.last = event.clone();
         subscribers
             .senders
--- a/galenahold_consensus/src/driver/status_report.rs
+++ b/galenahold_consensus/src/driver/status_report.rs
@@ -14,6 +14,8 @@
     status.cluster = Some(node.settings().cluster);
     status.role = node.role();
     status.ready = node.leads_ready();
+    let lease_until = node.lease_until(now).filter(|_| node.leads_ready());
+    status.lease = lease_until.map(|until| until.since(now));
     status.term = node.term();
     status.leader = leader(node);
     status.commit = node.commit();
--- a/galenahold_consensus/tests/driver/recovery.rs
+++ b/galenahold_consensus/tests/driver/recovery.rs
@@ -150,6 +150,15 @@
     expect_retired_copy(&mut group, name);
 }
 
+#[test]
+fn older_copy_of_a_leaders_folder_is_retired() {
+    let mut group = local_group::LocalGroup::found(&["a", "b", "c"]);
+    group.commit("one");
+    let (leader, _) = group.leader();
+    copy_folder(&group.data_folder(&leader), &group.data_folder("copy"));
+    expect_retired_copy(&mut group, &leader);
+}
+
 /// Goes on with the member, then brings the copy of its folder back.
 fn expect_retired_copy(group: &mut local_group::LocalGroup, name: &str) {
     for number in 0..20 {
