Keep back all messages of a term until the term is durable

Cause: a lone voter wins its election in the very step in which it raises its term, and its appends to learners left before the term was durable. Dying in between, it would lead the same term a second time with other entries. A random run of the model showed it as a member whose own folder was taken for an older copy.

Change: while a new term or vote waits for durability, prompt messages wait with it.

Tested: a directed run fails without the change ('outgoing.message.term <= durable_term') and passes with it.

--- a/galenahold_consensus/src/core/raft_node.rs
+++ b/galenahold_consensus/src/core/raft_node.rs
@@ -113,9 +113,16 @@
     }
 
     /// Hands out what must be done, after filling the append windows of all members.
+    ///
+    /// No message of a term leaves before the term is durable: a lone voter that died in between
+    /// would lead the same term twice.
     pub fn take_output(&mut self, now: core::MonotonicTime) -> core::NodeOutput {
         self.feed_members(now);
-        mem::take(&mut self.output)
+        let mut output = mem::take(&mut self.output);
+        if output.hard_state.is_some() {
+            output.after_sync.append(&mut output.prompt);
+        }
+        output
     }
 
     /// Takes in that all entries of the outputs so far are durable.
--- a/galenahold_consensus/tests/model/scenarios.rs
+++ b/galenahold_consensus/tests/model/scenarios.rs
@@ -107,6 +107,49 @@
     assert_ne!(leader(&group, None), Some(1));
 }
 
+/// A lone voter leads by its own vote, and dies before that vote is durable.
+#[test]
+fn lone_voter_that_dies_at_its_election_tells_nobody_of_the_term() {
+    let mut group = model_group::ModelGroup::new();
+    until(&mut group, |group| leader(group, None).is_some());
+    group.step(&ModelStep::Run { rounds: 20 });
+    while let Some(subject) = (0..3).find(|number| removable(&group, *number)) {
+        group.step(&ModelStep::Change {
+            member: 0,
+            subject,
+            kind: 2,
+        });
+        group.step(&ModelStep::Run { rounds: 20 });
+    }
+    let lone = leader(&group, None).expect("the lone voter leads");
+    let learner = ModelStep::Change {
+        member: 0,
+        subject: (lone + 1) % 3,
+        kind: 0,
+    };
+    group.step(&learner);
+    group.step(&ModelStep::Run { rounds: 20 });
+    group.step(&ModelStep::Bounce { member: lone });
+    group.take_under_way();
+    group.step(&ModelStep::CrashAtSync {
+        member: lone,
+        durable: false,
+    });
+    group.step(&ModelStep::Advance { millis: 900 });
+    assert!(
+        group.members[lone].node.is_none(),
+        "it died at its election"
+    );
+    let durable_term = group.members[lone].disk.hard_state.term;
+    let told = group.take_under_way();
+    let told_by_lone = told
+        .iter()
+        .filter(|outgoing| outgoing.message.from == member_state::MemberState::profile(lone).id);
+    for outgoing in told_by_lone {
+        assert!(outgoing.message.term <= durable_term);
+    }
+}
+
 /// A deposed leader's uncommitted change of members goes away with its entry.
 #[test]
 fn replaced_change_of_members_is_undone() {
@@ -166,3 +209,13 @@
     let id = |number| member_state::MemberState::profile(number).id;
     outgoing.message.from == id(from) && outgoing.message.to == Some(id(to))
 }
+
+/// Tells whether the number is a voter beside the leader, as the leader sees it.
+fn removable(group: &model_group::ModelGroup, number: usize) -> bool {
+    let id = member_state::MemberState::profile(number).id;
+    let seen = leader(group, None).and_then(|leader| {
+        let node = group.members[leader].node.as_ref()?;
+        Some(leader != number && node.membership().is_voter(id))
+    });
+    seen.unwrap_or(false)
+}
