Make faults during experiments and count results by second

Cause: policies under faults are to be measured on a trace, with the moment of each fault beside what callers saw.

Results have a line for each second of the trace and the record of each fault.

After: `cargo test -p galenahold_testkit` passes, with an experiment on the product among them.

--- a/galenahold_testkit/src/bin/load/command_line.rs
+++ b/galenahold_testkit/src/bin/load/command_line.rs
@@ -7,6 +7,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use galenahold_testkit::{TestkitError, load};
+use serde::de;
 
 /// Builds the command.
 pub(crate) fn command() -> Command {
@@ -83,10 +84,13 @@
     }
 }
 
-/// Reads the settings that are laid over those of every instance.
-pub(crate) fn instance_settings(flags: &ArgMatches) -> Result<serde_json::Value, TestkitError> {
-    let Some(path) = flags.get_one::<path::PathBuf>("settings") else {
-        return Ok(serde_json::json!({}));
+/// Reads the JSON file that a flag names, or takes the default.
+pub(crate) fn json_file<V: de::DeserializeOwned + Default>(
+    flags: &ArgMatches,
+    name: &str,
+) -> Result<V, TestkitError> {
+    let Some(path) = flags.get_one::<path::PathBuf>(name) else {
+        return Ok(V::default());
     };
     let text = fs::read_to_string(path).map_err(|source| TestkitError::File {
         path: path.clone(),
@@ -181,6 +185,13 @@
             )
             .required(false),
         )
+        .arg(
+            file(
+                "faults",
+                "Makes the faults of this JSON file while the trace is played",
+            )
+            .required(false),
+        )
         .arg(switch(
             "no-delays",
             "Leaves out the delays of the deployment",
--- a/galenahold_testkit/src/bin/load/main.rs
+++ b/galenahold_testkit/src/bin/load/main.rs
@@ -56,14 +56,16 @@
         None => builder,
     };
     let result = builder
-        .settings(command_line::instance_settings(flags)?)
+        .settings(command_line::json_file(flags, "settings")?)
         .delays(!flags.get_flag("no-delays"))
         .preload(flags.get_flag("preload"))
         .straight(flags.get_flag("straight"))
         .timeout(plain.timeout)
+        .faults(command_line::json_file(flags, "faults")?)
         .run(&trace)?;
     result.write(path_of(flags, "out"))?;
     print!("{}", load::ResultComparison::single(&result.load));
+    println!("{:#}", serde_json::json!(result.faults));
     println!("{:#}", serde_json::json!(result.findings));
     Ok(())
 }
--- a/galenahold_testkit/src/deployment/standin_fleet.rs
+++ b/galenahold_testkit/src/deployment/standin_fleet.rs
@@ -3,12 +3,15 @@
 use std::net;
 use std::sync;
 
+use snafu::OptionExt;
+
 use super::{DeployedModel, FleetDeployment};
 use crate::announce;
+use crate::control;
 use crate::engine;
 use crate::service;
 use crate::store;
-use crate::testkit_error::TestkitError;
+use crate::testkit_error::{NotRunningSnafu, TestkitError};
 
 /// Runs the engines, plain services and weight store of a deployment until it is dropped.
 #[derive(Debug)]
@@ -79,6 +82,55 @@
         &self.services
     }
 
+    /// Ends the server with this name at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such server.
+    pub fn crash(&self, name: &str) -> Result<(), TestkitError> {
+        if let Some(engine) = self.engines.iter().find(|engine| engine.name() == name) {
+            engine.crash();
+            return Ok(());
+        }
+        let service = self.services.iter().find(|service| service.name() == name);
+        service.context(NotRunningSnafu { name })?.crash();
+        Ok(())
+    }
+
+    /// Starts the server with this name anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such server, or when its addresses were taken meanwhile.
+    pub fn restart(&mut self, name: &str) -> Result<(), TestkitError> {
+        let mut engines = self.engines.iter_mut();
+        if let Some(engine) = engines.find(|engine| engine.name() == name) {
+            return engine.restart();
+        }
+        let mut services = self.services.iter_mut();
+        let service = services.find(|service| service.name() == name);
+        service.context(NotRunningSnafu { name })?.restart()
+    }
+
+    /// Makes the server with this name misbehave; switches that it does not have are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such server.
+    pub fn control(
+        &self,
+        name: &str,
+        control: &control::ServerControl,
+    ) -> Result<(), TestkitError> {
+        if let Some(engine) = self.engines.iter().find(|engine| engine.name() == name) {
+            engine.control(control);
+            return Ok(());
+        }
+        let service = self.services.iter().find(|service| service.name() == name);
+        service.context(NotRunningSnafu { name })?.control(control);
+        Ok(())
+    }
+
     /// Returns the weight store.
     #[must_use]
     pub fn store(&self) -> &store::WeightStore {
--- a/galenahold_testkit/src/engine/engine_process.rs
+++ b/galenahold_testkit/src/engine/engine_process.rs
@@ -61,6 +61,12 @@
         Ok(Self { host, core, admin })
     }
 
+    /// Returns its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.core.settings.announce.name
+    }
+
     /// Returns the address for requests and orders.
     #[must_use]
     pub fn address(&self) -> net::SocketAddr {
--- a/galenahold_testkit/src/experiment/experiment_builder.rs
+++ b/galenahold_testkit/src/experiment/experiment_builder.rs
@@ -4,7 +4,8 @@
 use std::thread;
 use std::time;
 
-use super::{ExperimentResult, LedgerFindings};
+use super::fault_runner::{FaultRunner, TeamKey};
+use super::{ExperimentResult, LedgerFindings, PlannedFault};
 use crate::deployment;
 use crate::harness;
 use crate::load;
@@ -27,6 +28,7 @@
     straight: bool,
     timeout: time::Duration,
     kept_files: Option<path::PathBuf>,
+    faults: Vec<PlannedFault>,
 }
 
 impl ExperimentBuilder {
@@ -42,6 +44,7 @@
             straight: false,
             timeout: load::LoadSettings::default().timeout,
             kept_files: None,
+            faults: Vec::new(),
         }
     }
 
@@ -87,19 +90,25 @@
         self
     }
 
+    /// Makes these faults while the trace is played.
+    #[must_use]
+    pub fn faults(mut self, faults: Vec<PlannedFault>) -> Self {
+        self.faults = faults;
+        self
+    }
+
     /// Starts everything, plays the trace and reads the ledgers.
     ///
     /// # Errors
     ///
     /// Fails when the fleet does not become ready or the intent is refused.
     pub fn run(&self, trace: &load::LoadTrace) -> Result<ExperimentResult, TestkitError> {
-        let fleet = self.start_fleet()?;
-        let servers =
+        let mut fleet = self.start_fleet()?;
+        let mut servers =
             deployment::StandInFleet::start(&self.deployment, &fleet.backends(), self.preload)?;
         let operator = fleet.operator();
         operator.state_intent(&self.deployment.intent())?;
-        let teams = self.deployment.teams.iter();
-        let keys = operator.give_keys(teams.map(|team| team.name.as_str()))?;
+        let keys = self.give_keys(&operator)?;
         thread::sleep(ANNOUNCE_TIME);
         let proxy = proxy::FaultProxy::start()?;
         let settings = load::LoadSettings {
@@ -110,20 +119,57 @@
             } else {
                 Vec::new()
             },
-            keys: keys.clone(),
+            keys: keys.iter().fold(load::TeamKeys::default(), |keys, key| {
+                keys.with(&key.team, &key.given.key)
+            }),
             timeout: self.timeout,
             ..load::LoadSettings::default()
         };
-        let load = load::LoadRun::new(settings)?.play(trace);
-        let findings = LedgerFindings::read(&self.deployment, &servers, keys.values());
-        Ok(ExperimentResult { load, findings })
+        let run = load::LoadRun::new(settings)?;
+        let runner = FaultRunner {
+            fleet: &mut fleet,
+            servers: &mut servers,
+            keys: &keys,
+        };
+        let (load, faults) = thread::scope(|scope| {
+            let faults = scope.spawn(|| runner.run(&self.faults, |links| self.set_delays(links)));
+            let load = run.play(trace);
+            (load, faults.join().unwrap_or_default())
+        });
+        let shown = keys.iter().map(|key| key.given.key.as_str());
+        let findings = LedgerFindings::read(&self.deployment, &servers, shown);
+        Ok(ExperimentResult {
+            load,
+            faults,
+            findings,
+        })
+    }
+
+    fn give_keys(&self, operator: &harness::OperatorClient) -> Result<Vec<TeamKey>, TestkitError> {
+        let teams = self.deployment.teams.iter();
+        let keys = teams.map(|team| {
+            let given = operator.give_key(&team.name)?;
+            Ok(TeamKey {
+                team: team.name.clone(),
+                given,
+            })
+        });
+        keys.collect()
+    }
+
+    /// Sets the delays between data centres, and mends all links.
+    fn set_delays(&self, links: &harness::PeerLinks) {
+        links.heal();
+        if self.delays {
+            links.set_each(|from, to| self.peer_fault(from, to));
+        }
     }
 
     fn start_fleet(&self) -> Result<harness::InstanceFleet, TestkitError> {
         let centres = &self.deployment.data_centres;
         let names: Vec<_> = centres.iter().map(String::as_str).collect();
         let control = self.deployment.control_instances;
-        let route = if self.delays {
+        let route = if self.delays || !self.faults.is_empty() {
             harness::PeerRoute::Pairs
         } else {
             harness::PeerRoute::Direct
@@ -139,7 +185,7 @@
             .peer_route(route)
             .settings(&self.settings)
             .start_ready(READY_LIMIT)?;
-        fleet.links().set_each(|from, to| self.peer_fault(from, to));
+        self.set_delays(fleet.links());
         Ok(fleet)
     }
 
--- a/galenahold_testkit/src/experiment/experiment_result.rs
+++ b/galenahold_testkit/src/experiment/experiment_result.rs
@@ -6,16 +6,18 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
-use super::LedgerFindings;
+use super::{FaultRecord, LedgerFindings};
 use crate::load;
 use crate::testkit_error::{FileSnafu, TestkitError};
 
 /// What callers and stand-ins saw.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ExperimentResult {
     /// What callers saw; `compare` reads it from the same file.
     #[serde(flatten)]
     pub load: load::LoadResult,
+    /// The faults that were made.
+    pub faults: Vec<FaultRecord>,
     /// What the ledgers say.
     pub findings: LedgerFindings,
 }
--- a/galenahold_testkit/src/harness/settings_merge.rs
+++ b/galenahold_testkit/src/harness/settings_merge.rs
@@ -2,8 +2,11 @@
 
 use serde_json::Value;
 
-/// Lays `over` on `base`: objects merge field by field, anything else is replaced.
+/// Lays `over` on `base`: objects merge field by field, null changes nothing, anything else replaces.
 pub(crate) fn merge_settings(base: &mut Value, over: &Value) {
+    if over.is_null() {
+        return;
+    }
     let (Some(fields), Value::Object(over)) = (base.as_object_mut(), over) else {
         base.clone_from(over);
         return;
--- a/galenahold_testkit/src/load/load_result.rs
+++ b/galenahold_testkit/src/load/load_result.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
 
-use super::{AddedLatency, RouteKind, RouteResult};
+use super::{AddedLatency, RouteKind, RouteResult, SecondCount};
 use crate::testkit_error::{FileSnafu, JsonSnafu, TestkitError};
 
 /// What became of all requests of a run.
@@ -22,6 +22,8 @@
     pub tokens_per_second: u64,
     /// By how much sending fell behind the trace at worst.
     pub worst_send_lag_us: u64,
+    /// Results of all requests by second.
+    pub seconds: Vec<SecondCount>,
     /// Results by route and team.
     pub routes: Vec<RouteResult>,
 }
--- a/galenahold_testkit/src/load/load_run.rs
+++ b/galenahold_testkit/src/load/load_run.rs
@@ -84,7 +84,7 @@
     fn finish(self, duration: time::Duration) -> LoadResult {
         let duration_us = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
         let results = std::mem::take(&mut *self.state.results.lock());
-        let routes = results.finish();
+        let routes = results.routes();
         let all = routes.iter().filter(|result| result.team.is_empty());
         let (sent, tokens) = all.fold((0, 0), |(sent, tokens), result| {
             (sent + result.sent, tokens + result.tokens)
@@ -95,6 +95,7 @@
             requests_per_second: per_second(sent, duration_us),
             tokens_per_second: per_second(tokens, duration_us),
             worst_send_lag_us: self.state.worst_send_lag_us.load(atomic::Ordering::Relaxed),
+            seconds: results.seconds(),
             routes,
         }
     }
--- a/galenahold_testkit/src/load/result_collector.rs
+++ b/galenahold_testkit/src/load/result_collector.rs
@@ -5,7 +5,10 @@
 
 use super::latency_recorder::LatencyRecorder;
 use super::request_result::{RequestEnd, RequestResult};
-use super::{RouteKind, RouteResult, TraceBody, TraceRequest, VerdictCount};
+use super::{RouteKind, RouteResult, SecondCount, TraceBody, TraceRequest, VerdictCount};
+
+/// Microseconds in a second.
+const MICROS_PER_SECOND: u64 = 1_000_000;
 
 /// Names the results of a team on a route.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -27,6 +30,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct ResultCollector {
     routes: collections::BTreeMap<RouteKey, RouteRecorder>,
+    seconds: collections::BTreeMap<u64, SecondCount>,
 }
 
 impl ResultCollector {
@@ -39,6 +43,7 @@
         result: &RequestResult,
     ) {
         let now = time::Instant::now();
+        self.count_second(request, due, result);
         for team in ["", &request.team] {
             let key = RouteKey {
                 route,
@@ -49,13 +54,35 @@
         }
     }
 
-    /// Returns the results.
-    pub(crate) fn finish(self) -> Vec<RouteResult> {
-        self.routes
-            .into_iter()
-            .map(|(key, recorder)| recorder.finish(key))
+    /// Returns the results by route and team.
+    pub(crate) fn routes(&self) -> Vec<RouteResult> {
+        let routes = self.routes.iter();
+        routes
+            .map(|(key, recorder)| recorder.result_of(key))
             .collect()
     }
+
+    /// Returns the results by second.
+    pub(crate) fn seconds(&self) -> Vec<SecondCount> {
+        self.seconds.values().copied().collect()
+    }
+
+    fn count_second(&mut self, request: &TraceRequest, due: time::Instant, result: &RequestResult) {
+        let second = request.at_us / MICROS_PER_SECOND;
+        let count = self.seconds.entry(second).or_default();
+        count.second = second;
+        count.sent += 1;
+        match result.end {
+            RequestEnd::Answered => count.answered += 1,
+            RequestEnd::Refused { .. } => count.refused += 1,
+            _ => return,
+        }
+        if let Some(first_at) = result.first_at {
+            let waited = first_at.duration_since(due).as_micros();
+            let waited = u64::try_from(waited).unwrap_or(u64::MAX);
+            count.worst_first_token_us = count.worst_first_token_us.max(waited);
+        }
+    }
 }
 
 impl RouteRecorder {
@@ -114,15 +141,15 @@
         }
     }
 
-    fn finish(self, key: RouteKey) -> RouteResult {
+    fn result_of(&self, key: &RouteKey) -> RouteResult {
         RouteResult {
             route: Some(key.route),
-            team: key.team,
+            team: key.team.clone(),
             first_token: self.first_token.summary(),
             first_token_after_idle: self.after_idle.summary(),
             between_tokens: self.between_tokens.summary(),
             total: self.total.summary(),
-            ..self.result
+            ..self.result.clone()
         }
     }
 }
--- a/galenahold_testkit/src/service/service_process.rs
+++ b/galenahold_testkit/src/service/service_process.rs
@@ -42,6 +42,12 @@
         Ok(Self { host, core, admin })
     }
 
+    /// Returns its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.core.settings.announce.name
+    }
+
     /// Returns the address for calls.
     #[must_use]
     pub fn address(&self) -> net::SocketAddr {
--- a/galenahold_testkit/tests/load/runs.rs
+++ b/galenahold_testkit/tests/load/runs.rs
@@ -63,6 +63,11 @@
     let all = of_team(&result, "");
     assert_eq!((all.sent, all.answered, all.tokens), (20, 20, 120));
     assert_eq!(all.first_token.count, 20);
+    assert_eq!(result.seconds.len(), 1);
+    assert_eq!(
+        (result.seconds[0].sent, result.seconds[0].answered),
+        (20, 20)
+    );
     assert_eq!(all.between_tokens.count, 10 * 5);
 }
 
--- a/galenahold_testkit/tests/product/main.rs
+++ b/galenahold_testkit/tests/product/main.rs
@@ -1,5 +1,7 @@
 //! The harness drives the real product; needs the binary `galenahold` beside the tests.
 
+mod experiments;
+
 use std::time;
 
 use galenahold_testkit::{engine, harness, ledger, load};
