--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -1,7 +1,9 @@
 //! Real instances as child processes, for tests of the product.
 
+mod caller_answer;
 mod child_process;
 mod fleet_builder;
+mod fleet_caller;
 mod instance_addresses;
 mod instance_fleet;
 mod instance_plan;
@@ -14,7 +16,9 @@
 mod settings_merge;
 mod standin_process;
 
+pub use caller_answer::CallerAnswer;
 pub use fleet_builder::FleetBuilder;
+pub use fleet_caller::FleetCaller;
 pub use instance_addresses::InstanceAddresses;
 pub use instance_fleet::InstanceFleet;
 pub use instance_process::InstanceProcess;
--- a/galenahold_testkit/src/testkit_error.rs
+++ b/galenahold_testkit/src/testkit_error.rs
@@ -113,6 +113,14 @@
         /// The end of its log.
         log: String,
     },
+    /// A call had no whole answer.
+    #[snafu(display("calling {url}: {source}"))]
+    Call {
+        /// Where it went.
+        url: String,
+        /// The cause.
+        source: Box<ureq::Error>,
+    },
     /// A blocking HTTP call had no answer.
     #[snafu(display("no answer from {address}; check that the server runs: {source}"))]
     Http {
