--- a/galenahold_testkit/src/bin/load/command_line.rs
+++ b/galenahold_testkit/src/bin/load/command_line.rs
@@ -7,6 +7,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use galenahold_testkit::{TestkitError, load};
+use serde::de;
 
 /// Builds the command.
 pub(crate) fn command() -> Command {
@@ -63,8 +64,14 @@
     let timeout = flags.get_one::<u64>("timeout-ms").copied();
     load::LoadSettings {
         label: label.unwrap_or(defaults.label),
-        targets: addresses(flags, "target"),
-        straight_engines: addresses(flags, "straight"),
+        targets: addresses(flags, "target")
+            .into_iter()
+            .map(load::LoadTarget::always)
+            .collect(),
+        straight_engines: addresses(flags, "straight-engine")
+            .into_iter()
+            .map(load::StraightEngine::any_model)
+            .collect(),
         straight_services: addresses(flags, "straight-service"),
         keys,
         timeout: timeout.map_or(defaults.timeout, time::Duration::from_millis),
@@ -77,10 +84,13 @@
     }
 }
 
-/// Reads the settings that are laid over those of every instance.
-pub(crate) fn instance_settings(flags: &ArgMatches) -> Result<serde_json::Value, TestkitError> {
-    let Some(path) = flags.get_one::<path::PathBuf>("settings") else {
-        return Ok(serde_json::json!({}));
+/// Reads the JSON file that a flag names, or takes the default.
+pub(crate) fn json_file<V: de::DeserializeOwned + Default>(
+    flags: &ArgMatches,
+    name: &str,
+) -> Result<V, TestkitError> {
+    let Some(path) = flags.get_one::<path::PathBuf>(name) else {
+        return Ok(V::default());
     };
     let text = fs::read_to_string(path).map_err(|source| TestkitError::File {
         path: path.clone(),
@@ -139,7 +149,7 @@
         .arg(file("out", "Writes the result to this file"))
         .arg(address("target", "Sends to this instance; may be repeated"))
         .arg(address(
-            "straight",
+            "straight-engine",
             "Sends every second completion to this engine directly; may be repeated",
         ))
         .arg(address(
@@ -168,6 +178,20 @@
             )
             .required(false),
         )
+        .arg(
+            file(
+                "keep",
+                "Keeps the instances' files in a new folder below this one",
+            )
+            .required(false),
+        )
+        .arg(
+            file(
+                "faults",
+                "Makes the faults of this JSON file while the trace is played",
+            )
+            .required(false),
+        )
         .arg(switch(
             "no-delays",
             "Leaves out the delays of the deployment",
@@ -176,6 +200,10 @@
             "preload",
             "Has models ready at the start, as far as memory goes",
         ))
+        .arg(switch(
+            "straight",
+            "Sends every second request for preloaded models to an engine directly",
+        ))
         .arg(label())
         .arg(timeout())
 }
--- a/galenahold_testkit/src/bin/load/main.rs
+++ b/galenahold_testkit/src/bin/load/main.rs
@@ -42,7 +42,7 @@
     let run = load::LoadRun::new(command_line::load_settings(flags))?;
     let result = run.play(&trace);
     result.write(path_of(flags, "out"))?;
-    print!("{}", load::ResultComparison::new(&result, &result));
+    print!("{}", load::ResultComparison::single(&result));
     Ok(())
 }
 
@@ -50,17 +50,22 @@
 fn run_experiment(flags: &clap::ArgMatches) -> Result<(), TestkitError> {
     let trace = load::LoadTrace::read(path_of(flags, "trace"))?;
     let plain = command_line::load_settings(flags);
-    let result = experiment::ExperimentBuilder::new(read_deployment(flags)?, &plain.label)
-        .settings(command_line::instance_settings(flags)?)
+    let builder = experiment::ExperimentBuilder::new(read_deployment(flags)?, &plain.label);
+    let builder = match flags.get_one::<path::PathBuf>("keep") {
+        Some(parent) => builder.keep_files(parent),
+        None => builder,
+    };
+    let result = builder
+        .settings(command_line::json_file(flags, "settings")?)
         .delays(!flags.get_flag("no-delays"))
         .preload(flags.get_flag("preload"))
+        .straight(flags.get_flag("straight"))
         .timeout(plain.timeout)
+        .faults(command_line::json_file(flags, "faults")?)
         .run(&trace)?;
     result.write(path_of(flags, "out"))?;
-    print!(
-        "{}",
-        load::ResultComparison::new(&result.load, &result.load)
-    );
+    print!("{}", load::ResultComparison::single(&result.load));
+    println!("{:#}", serde_json::json!(result.faults));
     println!("{:#}", serde_json::json!(result.findings));
     Ok(())
 }
--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -1,6 +1,9 @@
 //! Real instances as child processes, for tests of the product.
 
+mod caller_answer;
+mod child_process;
 mod fleet_builder;
+mod fleet_caller;
 mod instance_addresses;
 mod instance_fleet;
 mod instance_plan;
@@ -11,8 +14,11 @@
 mod port_pool;
 mod product_binary;
 mod settings_merge;
+mod standin_process;
 
+pub use caller_answer::CallerAnswer;
 pub use fleet_builder::FleetBuilder;
+pub use fleet_caller::FleetCaller;
 pub use instance_addresses::InstanceAddresses;
 pub use instance_fleet::InstanceFleet;
 pub use instance_process::InstanceProcess;
@@ -20,3 +26,4 @@
 pub use operator_client::{GivenKey, OperatorClient};
 pub use peer_links::{PeerLinks, PeerRoute};
 pub use product_binary::product_binary;
+pub use standin_process::StandInProcess;
