--- a/galenahold_testkit/src/engine/answer_text.rs
+++ b/galenahold_testkit/src/engine/answer_text.rs
@@ -74,6 +74,11 @@
         prompt.len().div_ceil(PROMPT_BYTES_PER_TOKEN).max(1) as u64
     }
 
+    /// Returns the whole tokens in so many bytes of a prompt.
+    pub(crate) fn whole_tokens(bytes: usize) -> u64 {
+        (bytes / PROMPT_BYTES_PER_TOKEN) as u64
+    }
+
     /// Appends the token at `index`.
     pub(crate) fn write_token(self, index: u64, text: &mut String) {
         let word = mix(self.seed.wrapping_add(index)) & 0x00ff_ffff;
--- a/galenahold_testkit/src/engine/engine_core.rs
+++ b/galenahold_testkit/src/engine/engine_core.rs
@@ -61,14 +61,9 @@
         if !change.stored.is_empty() {
             self.publish_cache(&sequence.model, &change.stored, &[], false);
         }
-        let cached_bytes = change.cached_bytes.min(sequence.prompt.len());
-        let cached_tokens = if cached_bytes == 0 {
-            0
-        } else {
-            AnswerText::prompt_tokens(
-                &sequence.prompt[..floor_boundary(&sequence.prompt, cached_bytes)],
-            )
-        };
+        let cached_tokens = AnswerText::whole_tokens(change.cached_bytes);
+        self.ledger
+            .amend(sequence.key, |record| record.cached_tokens = cached_tokens);
         self.settings
             .timings
             .prefill(sequence.prompt_tokens, cached_tokens)
@@ -147,14 +142,6 @@
     }
 }
 
-/// Returns the last character boundary at or before `index`.
-fn floor_boundary(text: &str, index: usize) -> usize {
-    (0..=index)
-        .rev()
-        .find(|&end| text.is_char_boundary(end))
-        .unwrap_or(0)
-}
-
 /// Formats block hashes as 16 digits each.
 fn hexadecimal(hashes: &[u64]) -> Vec<String> {
     hashes.iter().map(|hash| format!("{hash:016x}")).collect()
--- a/galenahold_testkit/src/ledger/request_record.rs
+++ b/galenahold_testkit/src/ledger/request_record.rs
@@ -36,6 +36,8 @@
     pub outcome: RequestOutcome,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Tokens of the prompt whose prefix was cached.
+    pub cached_tokens: u64,
     /// Tokens produced for this request so far.
     pub output_tokens: u64,
 }
@@ -64,6 +66,7 @@
             ended_us: None,
             outcome: RequestOutcome::Running,
             prompt_tokens: 0,
+            cached_tokens: 0,
             output_tokens: 0,
         }
     }
--- a/galenahold_testkit/tests/engine/main.rs
+++ b/galenahold_testkit/tests/engine/main.rs
@@ -4,5 +4,6 @@
 mod caller;
 mod fencing;
 mod memory;
+mod prefixes;
 mod store_limits;
 mod streams;
--- a/galenahold_testkit/tests/ledger/main.rs
+++ b/galenahold_testkit/tests/ledger/main.rs
@@ -33,6 +33,7 @@
         ended_us,
         outcome: ledger::RequestOutcome::Finished,
         prompt_tokens: 0,
+        cached_tokens: 0,
         output_tokens: 0,
     }
 }
