Give each type of the testkit its own file

Cause: files had grown to hold up to eight types, against the house style of one type a file.

Change: types are moved to files named after them; reading of answers, building of requests and the run's shared state are apart from the run. No behaviour changes.

After: `cargo test -p galenahold_testkit` passes as before.

--- a/galenahold_testkit/src/announce/announcement.rs
+++ b/galenahold_testkit/src/announce/announcement.rs
@@ -1,80 +1,10 @@
-//! The messages from backend servers to instances.
+//! What a backend server says of itself.
 
 use std::net;
 
+use super::{CachedModel, LoadReport, LoadedModel, ServerKind};
 use serde::{Deserialize, Serialize};
 
-/// What kind of backend server announces itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ServerKind {
-    /// A model engine.
-    Engine,
-    /// A plain service.
-    Service,
-}
-
-/// Where a loaded model stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ReplicaState {
-    /// It takes requests.
-    Ready,
-    /// It is being loaded.
-    Loading,
-    /// It is being unloaded.
-    Unloading,
-}
-
-/// Where a checkpoint is cached.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum CacheTier {
-    /// In the host's memory.
-    Memory,
-    /// On the host's disk.
-    Disk,
-}
-
-/// A model or adapter that an engine holds.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadedModel {
-    /// The base model.
-    pub model: String,
-    /// Its version.
-    pub version: String,
-    /// The adapter, for entries of adapters.
-    pub adapter: Option<String>,
-    /// Memory it takes.
-    pub bytes: u64,
-    /// The number of the order that loaded it.
-    pub order: u64,
-    /// Where it stands.
-    pub state: ReplicaState,
-}
-
-/// A checkpoint that is cached near an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CachedModel {
-    /// The model.
-    pub model: String,
-    /// Its version.
-    pub version: String,
-    /// Where it is cached.
-    pub tier: CacheTier,
-}
-
-/// The load of a server, as of some time ago.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Requests that run.
-    pub running: u64,
-    /// Requests that wait.
-    pub queued: u64,
-    /// Prompt and output tokens not yet computed.
-    pub outstanding_tokens: u64,
-}
-
 /// The body of `POST /v1/backend/announce`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -106,22 +36,3 @@
     /// Whether it takes no new work soon.
     pub leaving: bool,
 }
-
-/// The body of `POST /v1/backend/cache-events`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// The engine's name.
-    pub name: String,
-    /// The engine's incarnation.
-    pub incarnation: u64,
-    /// Rises by one with every event; a gap means that events are lost.
-    pub sequence: u64,
-    /// The model whose prefixes are meant.
-    pub model: String,
-    /// Block hashes that were stored, as 16 hexadecimal digits.
-    pub stored: Vec<String>,
-    /// Block hashes that were removed.
-    pub removed: Vec<String>,
-    /// Whether all blocks of the model are gone.
-    pub cleared: bool,
-}
--- a/galenahold_testkit/src/deployment/deployed_model.rs
+++ b/galenahold_testkit/src/deployment/deployed_model.rs
@@ -1,16 +1,8 @@
 //! A model of a deployment.
 
+use super::DeployedAdapter;
 use serde::{Deserialize, Serialize};
 
-/// An adapter on a model.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct DeployedAdapter {
-    /// Its name.
-    pub name: String,
-    /// Memory it takes.
-    pub bytes: u64,
-}
-
 /// A model with its adapters.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DeployedModel {
--- a/galenahold_testkit/src/deployment/deployed_team.rs
+++ b/galenahold_testkit/src/deployment/deployed_team.rs
@@ -1,16 +1,8 @@
 //! A team of a deployment.
 
+use super::TokenRange;
 use serde::{Deserialize, Serialize};
 
-/// A range of token counts, both ends included.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TokenRange {
-    /// The least.
-    pub min: u64,
-    /// The most.
-    pub max: u64,
-}
-
 /// A team with its rate and its usual requests.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DeployedTeam {
--- a/galenahold_testkit/src/engine/batch_loop.rs
+++ b/galenahold_testkit/src/engine/batch_loop.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use super::engine_core::EngineCore;
-use super::sequence_queue::Sequence;
+use super::sequence::Sequence;
 use crate::ledger;
 
 /// Pause between looks at the switch of a paused engine.
--- a/galenahold_testkit/src/engine/load_order.rs
+++ b/galenahold_testkit/src/engine/load_order.rs
@@ -1,39 +1,10 @@
 //! The orders to load and unload.
 
-use serde::Deserialize;
-
 use super::FencingNumber;
+use super::adapter_body::AdapterBody;
+use super::repository_body::RepositoryBody;
 use crate::ledger;
 
-/// The body of a Triton-style load or unload.
-#[derive(Debug, Default, Deserialize)]
-pub(crate) struct RepositoryBody {
-    #[serde(default)]
-    parameters: RepositoryParameters,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct RepositoryParameters {
-    #[serde(default)]
-    version: String,
-    #[serde(default)]
-    bytes: u64,
-    #[serde(default)]
-    order: u64,
-}
-
-/// The body of vLLM's calls for adapters.
-#[derive(Debug, Deserialize)]
-pub(crate) struct AdapterBody {
-    lora_name: String,
-    #[serde(default)]
-    base_model_name: String,
-    #[serde(default)]
-    bytes: u64,
-    #[serde(default)]
-    order: u64,
-}
-
 /// An order in one form for both interfaces.
 #[derive(Debug, Clone)]
 pub(crate) struct LoadOrder {
--- a/galenahold_testkit/src/engine/model_table.rs
+++ b/galenahold_testkit/src/engine/model_table.rs
@@ -1,30 +1,10 @@
 //! What an engine holds in its memory.
 
-use std::collections;
-
 use super::FencingNumber;
+use super::checkpoint_cache::CheckpointCache;
+use super::held_model::HeldModel;
 use crate::announce;
 
-/// A model, or an adapter on one, in memory.
-#[derive(Debug, Clone)]
-pub(crate) struct HeldModel {
-    /// What is announced of it.
-    pub(crate) loaded: announce::LoadedModel,
-    /// Requests that run or wait on it.
-    pub(crate) requests: usize,
-}
-
-impl HeldModel {
-    /// Returns the name that requests use.
-    pub(crate) fn name(&self) -> &str {
-        self.loaded.adapter.as_deref().unwrap_or(&self.loaded.model)
-    }
-
-    fn is_ready(&self) -> bool {
-        self.loaded.state == announce::ReplicaState::Ready
-    }
-}
-
 /// Holds models, adapters, cached checkpoints and the highest fencing number.
 #[derive(Debug, Default)]
 pub(crate) struct ModelTable {
@@ -157,43 +137,3 @@
         self.memory_cache.insert(model, version);
     }
 }
-
-/// Keeps the checkpoints used last, up to a number.
-#[derive(Debug, Default)]
-struct CheckpointCache {
-    capacity: usize,
-    checkpoints: collections::VecDeque<(String, String)>,
-}
-
-impl CheckpointCache {
-    fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            checkpoints: collections::VecDeque::new(),
-        }
-    }
-
-    fn holds(&self, model: &str, version: &str) -> bool {
-        self.checkpoints
-            .iter()
-            .any(|(held_model, held_version)| held_model == model && held_version == version)
-    }
-
-    fn insert(&mut self, model: &str, version: &str) {
-        let checkpoint = (model.to_owned(), version.to_owned());
-        self.checkpoints.retain(|held| *held != checkpoint);
-        self.checkpoints.push_back(checkpoint);
-        while self.checkpoints.len() > self.capacity {
-            self.checkpoints.pop_front();
-        }
-    }
-
-    fn list(&self, tier: announce::CacheTier) -> Vec<announce::CachedModel> {
-        let cached = |(model, version): &(String, String)| announce::CachedModel {
-            model: model.clone(),
-            version: version.clone(),
-            tier,
-        };
-        self.checkpoints.iter().map(cached).collect()
-    }
-}
--- a/galenahold_testkit/src/engine/prefix_cache.rs
+++ b/galenahold_testkit/src/engine/prefix_cache.rs
@@ -4,6 +4,9 @@
 
 use sha2::Digest;
 
+use super::block_key::BlockKey;
+use super::cache_change::CacheChange;
+
 /// Bytes of prompt text in one block.
 const BLOCK_BYTES: usize = 64;
 
@@ -27,26 +30,6 @@
         .collect()
 }
 
-/// What a prompt found in the cache and changed there.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub(crate) struct CacheChange {
-    /// Prompt bytes that were cached.
-    pub(crate) cached_bytes: usize,
-    /// Blocks stored.
-    pub(crate) stored: Vec<u64>,
-    /// Blocks that made room, with their models.
-    pub(crate) removed: Vec<BlockKey>,
-}
-
-/// A block of one model.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub(crate) struct BlockKey {
-    /// The model or adapter.
-    pub(crate) model: String,
-    /// The block's hash.
-    pub(crate) hash: u64,
-}
-
 /// Keeps the blocks used last, up to a number.
 #[derive(Debug)]
 pub(crate) struct PrefixCache {
--- a/galenahold_testkit/src/experiment/experiment_builder.rs
+++ b/galenahold_testkit/src/experiment/experiment_builder.rs
@@ -4,7 +4,8 @@
 use std::thread;
 use std::time;
 
-use super::fault_runner::{FaultRunner, TeamKey};
+use super::fault_runner::FaultRunner;
+use super::team_key::TeamKey;
 use super::{ExperimentResult, LedgerFindings, PlannedFault};
 use crate::deployment;
 use crate::harness;
--- a/galenahold_testkit/src/experiment/fault_runner.rs
+++ b/galenahold_testkit/src/experiment/fault_runner.rs
@@ -5,21 +5,13 @@
 
 use snafu::OptionExt;
 
-use super::fleet_fault::{FaultRecord, FleetFault, PlannedFault};
+use super::team_key::TeamKey;
+use super::{FaultRecord, FleetFault, PlannedFault};
 use crate::deployment;
 use crate::harness;
 use crate::proxy;
 use crate::testkit_error::{NotRunningSnafu, TestkitError};
 
-/// A key that a team got.
-#[derive(Debug)]
-pub(crate) struct TeamKey {
-    /// The team.
-    pub(crate) team: String,
-    /// Its key.
-    pub(crate) given: harness::GivenKey,
-}
-
 /// What faults work on.
 #[derive(Debug)]
 pub(crate) struct FaultRunner<'a> {
--- a/galenahold_testkit/src/experiment/fleet_fault.rs
+++ b/galenahold_testkit/src/experiment/fleet_fault.rs
@@ -74,25 +74,3 @@
         team: String,
     },
 }
-
-/// A fault with its time.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PlannedFault {
-    /// Milliseconds from the start of the load.
-    pub at_ms: u64,
-    /// The fault.
-    #[serde(flatten)]
-    pub fault: FleetFault,
-}
-
-/// A fault with what came of it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct FaultRecord {
-    /// Milliseconds from the start of the load at its end.
-    pub done_ms: u64,
-    /// The fault.
-    #[serde(flatten)]
-    pub fault: FleetFault,
-    /// Why it could not be made, if so.
-    pub error: Option<String>,
-}
--- a/galenahold_testkit/src/harness/operator_client.rs
+++ b/galenahold_testkit/src/harness/operator_client.rs
@@ -8,29 +8,22 @@
 use serde_json::{Value, json};
 use snafu::{OptionExt, ResultExt};
 
-use super::OperatorAnswer;
+use super::{GivenKey, OperatorAnswer};
 use crate::load;
 use crate::testkit_error::{HttpSnafu, OperatorSnafu, TestkitError};
 
 /// Time that one call may take.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
 /// Time in which a call is tried again while no leader can be reached.
 const RETRY_LIMIT: time::Duration = time::Duration::from_secs(20);
+
 /// Pause between tries.
 const RETRY_PAUSE: time::Duration = time::Duration::from_millis(100);
 
 /// Numbers the requests of all clients of this process.
 static REQUESTS: atomic::AtomicU64 = atomic::AtomicU64::new(1);
 
-/// A key as an operator gives it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GivenKey {
-    /// The public part, by which it is withdrawn.
-    pub id: String,
-    /// The key that callers show.
-    pub key: String,
-}
-
 /// Calls the operators' face of any instance that answers.
 #[derive(Debug, Clone)]
 pub struct OperatorClient {
--- a/galenahold_testkit/src/harness/peer_links.rs
+++ b/galenahold_testkit/src/harness/peer_links.rs
@@ -2,22 +2,10 @@
 
 use std::net;
 
-use super::InstanceAddresses;
+use super::{InstanceAddresses, PeerRoute};
 use crate::proxy;
 use crate::testkit_error::TestkitError;
 
-/// How instances reach each other.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum PeerRoute {
-    /// Without a proxy.
-    #[default]
-    Direct,
-    /// Through one link for each ordered pair; learned addresses go through a link for each target.
-    Pairs,
-    /// Through one link for each target, so that all instances know the same address of it.
-    Inbound,
-}
-
 /// A link from one instance to another, or from all.
 #[derive(Debug)]
 struct PeerLink {
--- /dev/null
+++ b/galenahold_testkit/src/harness/peer_route.rs
@@ -0,0 +1,13 @@
+//! How instances reach each other.
+
+/// How instances reach each other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PeerRoute {
+    /// Without a proxy.
+    #[default]
+    Direct,
+    /// Through one link for each ordered pair; learned addresses go through a link for each target.
+    Pairs,
+    /// Through one link for each target, so that all instances know the same address of it.
+    Inbound,
+}
--- a/galenahold_testkit/src/ledger/mod.rs
+++ b/galenahold_testkit/src/ledger/mod.rs
@@ -3,6 +3,7 @@
 mod header_record;
 mod ledger_snapshot;
 mod order_count;
+mod placement_kind;
 mod placement_record;
 mod record_clock;
 mod replica_event;
@@ -14,7 +15,8 @@
 pub use header_record::HeaderRecord;
 pub use ledger_snapshot::LedgerSnapshot;
 pub use order_count::OrderCount;
-pub use placement_record::{PlacementKind, PlacementRecord};
+pub use placement_kind::PlacementKind;
+pub use placement_record::PlacementRecord;
 pub(crate) use record_clock::unix_micros;
 pub use replica_event::ReplicaEvent;
 pub use replica_use::ReplicaUse;
--- a/galenahold_testkit/src/ledger/placement_record.rs
+++ b/galenahold_testkit/src/ledger/placement_record.rs
@@ -1,21 +1,8 @@
 //! One load or unload order as an engine saw it.
 
+use super::PlacementKind;
 use serde::{Deserialize, Serialize};
 
-/// What an order asked for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PlacementKind {
-    /// Load a base model.
-    LoadModel,
-    /// Unload a base model.
-    UnloadModel,
-    /// Load an adapter.
-    LoadAdapter,
-    /// Unload an adapter.
-    UnloadAdapter,
-}
-
 /// Holds an order and the status answered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacementRecord {
--- a/galenahold_testkit/src/load/answer_check.rs
+++ b/galenahold_testkit/src/load/answer_check.rs
@@ -1,45 +1,9 @@
 //! Whether an answer is whole and belongs to its request.
 
-use serde::Deserialize;
-
+use super::answer_document::AnswerDocument;
+use super::answer_piece::AnswerPiece;
 use crate::engine;
 
-/// The fields of an event or answer that are checked.
-#[derive(Debug, Deserialize)]
-struct AnswerDocument {
-    #[serde(default)]
-    choices: Vec<AnswerChoice>,
-    error: Option<serde::de::IgnoredAny>,
-}
-
-#[derive(Debug, Deserialize)]
-struct AnswerChoice {
-    text: Option<String>,
-    delta: Option<AnswerMessage>,
-    message: Option<AnswerMessage>,
-    finish_reason: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-struct AnswerMessage {
-    content: Option<String>,
-}
-
-/// What a piece of an answer was.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AnswerPiece {
-    /// So many tokens of the expected text.
-    Tokens(u64),
-    /// Nothing of the text.
-    Other,
-    /// The end mark of a stream.
-    Done,
-    /// An error.
-    Failed,
-    /// Text that the request did not ask for.
-    Wrong,
-}
-
 /// Compares an answer with the deterministic text, piece by piece.
 #[derive(Debug)]
 pub(crate) struct AnswerCheck {
--- a/galenahold_testkit/src/load/result_collector.rs
+++ b/galenahold_testkit/src/load/result_collector.rs
@@ -4,7 +4,8 @@
 use std::time;
 
 use super::latency_recorder::LatencyRecorder;
-use super::request_result::{RequestEnd, RequestResult};
+use super::request_end::RequestEnd;
+use super::request_result::RequestResult;
 use super::{RouteKind, RouteResult, SecondCount, TraceBody, TraceRequest, VerdictCount};
 
 /// Microseconds in a second.
--- a/galenahold_testkit/src/load/route_result.rs
+++ b/galenahold_testkit/src/load/route_result.rs
@@ -2,30 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::LatencySummary;
-
-/// The way that requests took.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RouteKind {
-    /// Through an instance.
-    Through,
-    /// To a stand-in directly.
-    Straight,
-}
-
-/// Answers with one status and verdict.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VerdictCount {
-    /// The status.
-    pub status: u16,
-    /// The value of `x-verdict`, empty without one.
-    pub verdict: String,
-    /// The `type` of the error, empty without one.
-    pub kind: String,
-    /// The answers.
-    pub count: u64,
-}
+use super::{LatencySummary, RouteKind, VerdictCount};
 
 /// What became of a team's requests; the team is empty for all teams together.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/galenahold_testkit/src/load/trace_plan.rs
+++ b/galenahold_testkit/src/load/trace_plan.rs
@@ -1,27 +1,8 @@
 //! What a generated trace is like.
 
+use super::{BurstPlan, TeamFactor};
 use serde::{Deserialize, Serialize};
 
-/// A team that sends several times its usual requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct TeamFactor {
-    /// The team.
-    pub team: String,
-    /// How many times the usual.
-    pub factor: f64,
-}
-
-/// Bursts of all teams together.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct BurstPlan {
-    /// Seconds from one burst to the next.
-    pub every_s: f64,
-    /// Seconds of each burst.
-    pub length_s: f64,
-    /// How many times the usual requests come in a burst.
-    pub factor: f64,
-}
-
 /// Sets seed, length and pace of a trace.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TracePlan {
@@ -67,10 +48,3 @@
         self.scale * own.map_or(1.0, |own| own.factor) * burst
     }
 }
-
-impl BurstPlan {
-    fn factor_at(&self, at_s: f64) -> f64 {
-        let inside = at_s.rem_euclid(self.every_s.max(f64::EPSILON)) < self.length_s;
-        if inside { self.factor } else { 1.0 }
-    }
-}
--- a/galenahold_testkit/src/proxy/fault_link.rs
+++ b/galenahold_testkit/src/proxy/fault_link.rs
@@ -8,7 +8,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::link_pump::{DirectionState, LinkPump};
+use super::direction_state::DirectionState;
+use super::link_pump::LinkPump;
 use super::{LinkDirection, LinkFault};
 use crate::host;
 use crate::http;
--- a/galenahold_testkit/src/proxy/link_fault.rs
+++ b/galenahold_testkit/src/proxy/link_fault.rs
@@ -2,15 +2,6 @@
 
 use std::time;
 
-/// The way that bytes take through a link.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum LinkDirection {
-    /// From the connecting side to the target.
-    ToServer,
-    /// From the target back.
-    ToClient,
-}
-
 /// The fault of one direction; the default passes all bytes at once.
 ///
 /// Bytes are never dropped, reordered or repeated within a connection: a cut holds them, as a
--- a/galenahold_testkit/src/proxy/link_pump.rs
+++ b/galenahold_testkit/src/proxy/link_pump.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync;
-use std::sync::atomic;
 use std::time;
 
 use rand::RngExt;
@@ -11,57 +10,14 @@
 use tokio::sync::{mpsc, watch};
 
 use super::LinkFault;
+use super::direction_state::{ActiveFault, DirectionState};
 
 /// Bytes of the largest piece.
 const PIECE_BYTES: usize = 16 * 1_024;
+
 /// Pieces between reading and writing; with more the sender is held back.
 const PIECES_IN_FLIGHT: usize = 64;
 
-/// The fault of a direction and the count from which its limits run.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct ActiveFault {
-    /// The fault.
-    pub(crate) fault: LinkFault,
-    /// Bytes that had passed when it was set.
-    pub(crate) base_bytes: u64,
-}
-
-/// The present fault and the count of one direction of a link.
-#[derive(Debug)]
-pub(crate) struct DirectionState {
-    fault: watch::Sender<ActiveFault>,
-    passed_bytes: atomic::AtomicU64,
-}
-
-impl Default for DirectionState {
-    fn default() -> Self {
-        Self {
-            fault: watch::Sender::new(ActiveFault::default()),
-            passed_bytes: atomic::AtomicU64::new(0),
-        }
-    }
-}
-
-impl DirectionState {
-    /// Sets the fault from now on.
-    pub(crate) fn set(&self, fault: LinkFault) {
-        let base_bytes = self.passed_bytes();
-        self.fault.send_replace(ActiveFault { fault, base_bytes });
-    }
-
-    /// Returns the bytes that passed so far.
-    pub(crate) fn passed_bytes(&self) -> u64 {
-        self.passed_bytes.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Waits until the direction is not cut.
-    pub(crate) async fn wait_open(&self) {
-        let mut changes = self.fault.subscribe();
-        // The sender lives as long as this state.
-        let _ = changes.wait_for(|active| !active.fault.cut).await;
-    }
-}
-
 struct TimedPiece {
     read_at: time::Instant,
     bytes: Vec<u8>,
@@ -78,7 +34,7 @@
 impl<'a> LinkPump<'a> {
     /// Makes the pump into `writer`.
     pub(crate) fn new(state: sync::Arc<DirectionState>, writer: tcp::WriteHalf<'a>) -> Self {
-        let faults = state.fault.subscribe();
+        let faults = state.subscribe();
         Self {
             state,
             faults,
@@ -118,8 +74,7 @@
             let allowed = self.wait_allowed().await?;
             let count = rest.len().min(allowed);
             self.writer.write_all(&rest[..count]).await?;
-            let passed = &self.state.passed_bytes;
-            passed.fetch_add(count as u64, atomic::Ordering::Relaxed);
+            self.state.count_passed(count);
             rest = &rest[count..];
         }
         Ok(())
