Prove requests under failure, and mend what the proofs found

Cause: verdicts, orders, answers, rate, input and leaving were proved by tests of parts only. With real processes behind faulty links and misbehaving stand-ins these faults showed: - An order whose start at the control group brought no answer stayed "running" for ever: a repeat got order_running until the instance started anew (orders::lost_starts failed after 60 s). The start is now repeated in the background under its first call number, and the attempt that it names is ended as not run; the test passes in 4.2 s. An end that could not be recorded for a minute was given up in the same way; it is now recorded until the instance stops. - `limits.max_json_depth` was not enforced. - `/v1/models` took any method and answered without x-verdict and x-request-id. - An attempt that woke up after its deadline was still sent; it is now refused as not run. - A stream that was cut before its first token got two opening events, and events without output after the first token (calls of tools) were dropped. Only the opening event of a server that goes on is left out now.

Ruled out: a request with both a length and chunks can't be refused by the instance, since hyper takes the length away before (chunks decide, the connection is closed after, as RFC 9112 section 6.3 allows). The test proves that nothing can be smuggled behind it.

Change: `galenahold/tests/{orders,answers,rates,input,leaving}`, and `harness::ServingFleet` in the testkit as their shared set-up. All checks read the stand-ins' ledgers.

--- /dev/null
+++ b/galenahold/tests/answers/main.rs
@@ -0,0 +1,6 @@
+//! Answers of models reach their callers whole, or end in an error that says so.
+
+mod answer_fleet;
+mod cut_answers;
+mod cut_streams;
+mod gone_callers;
--- /dev/null
+++ b/galenahold/tests/leaving/main.rs
@@ -0,0 +1,131 @@
+//! Backend servers that leave or fall silent get no new work.
+
+use std::sync;
+use std::thread;
+use std::time;
+
+use galenahold_testkit::control::ServerControl;
+use galenahold_testkit::engine;
+use galenahold_testkit::harness;
+use galenahold_testkit::ledger;
+use galenahold_testkit::proxy;
+
+/// One fleet at a time keeps the processes' timing apart.
+static TURN: sync::Mutex<()> = sync::Mutex::new(());
+
+/// How long after its announcement a leaving backend server may still get new work.
+const LEAVING_BOUND: time::Duration = time::Duration::from_secs(3);
+
+/// How long a backend server counts after its last announcement, as the settings say.
+const ANNOUNCEMENT_TTL: time::Duration = time::Duration::from_secs(3);
+
+/// How long callers ask on after the bound.
+const WATCHED: time::Duration = time::Duration::from_secs(2);
+
+#[test]
+fn a_leaving_server_gets_no_new_work_at_any_instance() {
+    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let fleet = start(&harness::FleetBuilder::default().control(3).entries(1), &[]);
+    let left_at = leave(&fleet);
+    assert_unused(&fleet, left_at, LEAVING_BOUND);
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work_when_it_told_one_instance_and_links_are_cut() {
+    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let instances = harness::FleetBuilder::default()
+        .control(3)
+        .entries(1)
+        .peer_route(harness::PeerRoute::Pairs);
+    let fleet = start(&instances, &[0]);
+    // The instance that hears of it does not reach the entry instance, nor the other way round.
+    let links = fleet.instances().links();
+    for (from, to) in [(0, 3), (3, 0)] {
+        let link = links.link(Some(from), to).expect("pairs have links");
+        link.set_both(proxy::LinkFault::cut());
+    }
+    thread::sleep(time::Duration::from_millis(500));
+    let left_at = leave(&fleet);
+    assert_unused(&fleet, left_at, LEAVING_BOUND);
+}
+
+#[test]
+fn a_silent_server_gets_no_new_work_after_its_announcement_expired() {
+    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let fleet = start(&harness::FleetBuilder::default().control(3).entries(1), &[]);
+    let silence = ServerControl::Announce { on: false };
+    fleet.services()[0].control(&silence);
+    fleet.engines()[0].control(&silence);
+    let silent_at = unix_micros();
+    // An announcement may be under way for as long as a call between instances takes.
+    assert_unused(
+        &fleet,
+        silent_at,
+        ANNOUNCEMENT_TTL + time::Duration::from_secs(1),
+    );
+}
+
+fn start(instances: &harness::FleetBuilder, announce_to: &[usize]) -> harness::ServingFleet {
+    harness::ServingBuilder::default()
+        .instances(instances.clone())
+        .engines(2, engine::EngineTimings::default())
+        .services(2, 1_000)
+        .announce_to(announce_to)
+        .start()
+        .expect("the fleet starts")
+}
+
+/// Lets the first server of each kind announce that it leaves; returns when.
+fn leave(fleet: &harness::ServingFleet) -> u64 {
+    fleet.services()[0].control(&ServerControl::Leave);
+    fleet.engines()[0].control(&ServerControl::Leave);
+    unix_micros()
+}
+
+/// Asks at all instances, and asserts that the first servers get nothing new after the bound while
+/// every caller is served.
+fn assert_unused(fleet: &harness::ServingFleet, since_us: u64, bound: time::Duration) {
+    let bound_us = since_us + u64::try_from(bound.as_micros()).expect("fits");
+    let until_us = bound_us + u64::try_from(WATCHED.as_micros()).expect("fits");
+    thread::scope(|scope| {
+        for instance in 0..fleet.instances().instances().len() {
+            let caller = fleet.caller(instance);
+            scope.spawn(move || {
+                while unix_micros() < until_us {
+                    let read = caller.get("/foundry/records/1").expect("an answer comes");
+                    assert_eq!(read.status, 200, "{}", read.body);
+                    let chat = caller.chat(harness::SERVED_MODEL, "leaving", 2, false);
+                    let chat = chat.expect("an answer comes");
+                    assert_eq!(chat.status, 200, "{}", chat.body);
+                }
+            });
+        }
+    });
+    let gone = [fleet.services()[0].ledger(), fleet.engines()[0].ledger()];
+    for ledger in gone {
+        assert!(
+            worked_before(&ledger, since_us),
+            "{} never had work",
+            ledger.name
+        );
+        let late = ledger
+            .requests
+            .iter()
+            .filter(|request| request.started_us > bound_us);
+        assert_eq!(late.count(), 0, "{} got new work", ledger.name);
+    }
+}
+
+fn worked_before(ledger: &ledger::LedgerSnapshot, at_us: u64) -> bool {
+    ledger
+        .requests
+        .iter()
+        .any(|request| request.started_us <= at_us)
+}
+
+fn unix_micros() -> u64 {
+    let elapsed = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .expect("the clock is past 1970");
+    u64::try_from(elapsed.as_micros()).expect("fits")
+}
--- /dev/null
+++ b/galenahold/tests/orders/plain_orders.rs
@@ -0,0 +1,134 @@
+//! Orders without an idempotency key.
+
+use std::thread;
+use std::time;
+
+use galenahold_testkit::control::ServerControl;
+use galenahold_testkit::harness;
+use galenahold_testkit::proxy;
+use serde_json::json;
+
+use crate::order_fleet;
+use crate::order_fleet::{assert_true_verdict, send};
+
+/// The time that a caller gives an order whose answer will not come.
+const SHORT: time::Duration = time::Duration::from_millis(700);
+
+#[test]
+fn the_verdict_is_true_and_nothing_runs_twice_when_the_server_misbehaves() {
+    let fleet = order_fleet::OrderFleet::start(1, harness::PeerRoute::Direct);
+    let server = &fleet.serving.services()[0];
+    let faults = [
+        ("before", ServerControl::ResetBeforeBody { count: 1 }),
+        ("during", ServerControl::ResetDuringBody { count: 1 }),
+        ("after", ServerControl::ResetAfterBody { count: 1 }),
+        ("ran", ServerControl::RunThenReset { count: 1 }),
+        ("stalled", ServerControl::RunWithoutAnswer { count: 1 }),
+        ("refused", ServerControl::RefuseNotRun { count: 1 }),
+        ("refused-often", ServerControl::RefuseNotRun { count: 50 }),
+        ("crossed", ServerControl::WrongRequestId { count: 1 }),
+    ];
+    for (order, fault) in faults {
+        assert!(server.control(&ServerControl::RefuseNotRun { count: 0 }));
+        assert!(server.control(&fault));
+        let answer = send(&fleet.hasty_caller(3, SHORT), order);
+        let runs = fleet.serving.runs(order);
+        assert_true_verdict(&answer, runs, order);
+        match order {
+            "refused" => assert_eq!((answer.status, runs), (200, 1), "{}", answer.body),
+            "refused-often" => assert_eq!(answer.verdict.as_deref(), Some("not-run")),
+            _ => assert_eq!(answer.verdict.as_deref(), Some("may-have-run"), "{order}"),
+        }
+    }
+}
+
+#[test]
+fn the_verdict_is_true_when_links_refuse_cut_and_reset() {
+    let fleet = order_fleet::OrderFleet::start(0, harness::PeerRoute::Direct);
+    let linked = order_fleet::LinkedServer::start(&fleet.serving);
+    let faults: [(&str, fn(&proxy::FaultLink)); 5] = [
+        ("link-refused", |link| link.refuse(true)),
+        ("link-cut-there", |link| {
+            link.set(proxy::LinkDirection::ToServer, proxy::LinkFault::cut());
+        }),
+        ("link-cut-back", |link| {
+            link.set(proxy::LinkDirection::ToClient, proxy::LinkFault::cut());
+        }),
+        ("link-reset-there", |link| {
+            let fault = proxy::LinkFault::pass().reset_after(60);
+            link.set(proxy::LinkDirection::ToServer, fault);
+        }),
+        ("link-reset-back", |link| {
+            let fault = proxy::LinkFault::pass().reset_after(30);
+            link.set(proxy::LinkDirection::ToClient, fault);
+        }),
+    ];
+    for (order, fault) in faults {
+        fault(&linked.link);
+        let answer = send(&fleet.hasty_caller(3, SHORT), order);
+        linked.link.heal();
+        linked.link.reset_connections();
+        // What the cut held back may still arrive.
+        thread::sleep(time::Duration::from_millis(200));
+        assert_true_verdict(&answer, linked.server.ledger().runs(order), order);
+        if order == "link-refused" {
+            assert_eq!(answer.verdict.as_deref(), Some("not-run"));
+        }
+        harness::wait_until("the server is reached again", || {
+            let read = fleet.serving.caller(3).get("/foundry/records/healed");
+            read.is_ok_and(|answer| answer.status == 200)
+        });
+    }
+}
+
+#[test]
+fn an_order_without_a_key_runs_at_most_once_when_its_server_dies_in_the_middle() {
+    let call_time = time::Duration::from_millis(300);
+    let fleet = order_fleet::OrderFleet::with_call_time(2, harness::PeerRoute::Direct, call_time);
+    let caller = fleet.serving.caller(3);
+    let senders: Vec<_> = (0..16)
+        .map(|number| {
+            let caller = caller.clone();
+            thread::spawn(move || {
+                let order = format!("dying-{number}");
+                (send(&caller, &order), order)
+            })
+        })
+        .collect();
+    harness::wait_until("the first server has orders", || {
+        let requests = fleet.serving.services()[0].ledger().requests;
+        requests.iter().any(|request| request.method == "POST")
+    });
+    fleet.serving.services()[0].crash();
+    for sender in senders {
+        let (answer, order) = sender.join().expect("the sender ends");
+        assert_true_verdict(&answer, fleet.serving.runs(&order), &order);
+    }
+}
+
+#[test]
+fn the_verdict_is_true_when_the_instance_is_frozen_past_the_deadline() {
+    let call_time = time::Duration::from_millis(100);
+    let fleet = order_fleet::OrderFleet::with_call_time(1, harness::PeerRoute::Direct, call_time);
+    let caller = fleet.hasty_caller(3, SHORT);
+    let senders: Vec<_> = (0..40)
+        .map(|number| {
+            let caller = caller.clone();
+            thread::spawn(move || {
+                thread::sleep(time::Duration::from_millis(number * 10));
+                let order = format!("frozen-{number}");
+                let answer = caller.post("/foundry/orders", &json!({ "order": order }));
+                (answer.expect("an answer comes"), order)
+            })
+        })
+        .collect();
+    thread::sleep(time::Duration::from_millis(200));
+    let instance = &fleet.serving.instances().instances()[3];
+    instance.freeze().expect("it runs");
+    thread::sleep(SHORT * 2);
+    instance.thaw().expect("it runs");
+    for sender in senders {
+        let (answer, order) = sender.join().expect("the sender ends");
+        assert_true_verdict(&answer, fleet.serving.runs(&order), &order);
+    }
+}
--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -74,6 +74,12 @@
         request: Request<Full<bytes::Bytes>>,
         deadline: time::Instant,
     ) -> Result<backend::BackendExchange, backend::AttemptError> {
+        // A process that was frozen wakes up late: its caller was told, or gave up, long ago.
+        if time::Instant::now() >= deadline {
+            return Err(backend::AttemptError::not_run(
+                backend::AttemptErrorKind::Timeout,
+            ));
+        }
         let sending = connection.try_send_request(request);
         let answered = tokio::time::timeout_at(deadline.into(), sending).await;
         let answer = match answered {
--- a/galenahold_instance/src/entry/entry_desk.rs
+++ b/galenahold_instance/src/entry/entry_desk.rs
@@ -55,6 +55,8 @@
     pub(crate) ledger: ledger::OrderDesk<Desk>,
     /// Reads bodies.
     pub(crate) reader: face::BodyReader,
+    /// Levels that a model request's JSON may nest.
+    pub(crate) max_json_depth: usize,
     /// The metrics.
     pub(crate) metrics: platform::FleetMetrics,
     /// What is counted against objectives.
@@ -138,7 +140,7 @@
         };
         match arrived.head.uri.path() {
             "/v1/chat/completions" | "/v1/completions" => self.call_model(arrived, body).await,
-            "/v1/models" => Ok(list_models(&arrived)),
+            "/v1/models" => list_models(&arrived),
             _ => self.call_service(arrived, body).await,
         }
     }
@@ -148,15 +150,10 @@
         arrived: ArrivedRequest,
         body: body::Incoming,
     ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
-        if arrived.head.method != Method::POST {
-            return Err(face::RequestRefusal::not_run(
-                face::RefusalKind::MethodNotAllowed,
-                "this path takes POST",
-            ));
-        }
+        arrived.check_method(&Method::POST)?;
         let body = self.shared.reader.read(body).await?;
         arrived.check_body(&body)?;
-        let request = entry::ModelRequest::parse(&body)?;
+        let request = entry::ModelRequest::parse(&body, self.shared.max_json_depth)?;
         let call = self.prepare_model(&arrived, request)?;
         let end = call.end.clone();
         let served = self.shared.models.serve(call).await;
@@ -337,6 +334,17 @@
 }
 
 impl ArrivedRequest {
+    /// Refuses any other method than `method`.
+    fn check_method(&self, method: &Method) -> Result<(), face::RequestRefusal> {
+        if self.head.method == *method {
+            return Ok(());
+        }
+        Err(face::RequestRefusal::not_run(
+            face::RefusalKind::MethodNotAllowed,
+            format!("this path takes {method}"),
+        ))
+    }
+
     /// Refuses a body that holds a key, since the backend server would see it.
     fn check_body(&self, body: &[u8]) -> Result<(), face::RequestRefusal> {
         if self.identity.scrubber().finds_in(body) {
@@ -463,7 +471,10 @@
     )
 }
 
-fn list_models(arrived: &ArrivedRequest) -> Response<face::AnswerBody> {
+fn list_models(
+    arrived: &ArrivedRequest,
+) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+    arrived.check_method(&Method::GET)?;
     let index = &arrived.index;
     let team = arrived.identity.team();
     let names = index.view().intent.models.iter().flat_map(|model| {
@@ -484,8 +495,10 @@
         object: "list",
         data,
     };
-    face::json_answer(
+    let mut answer = face::json_answer(
         StatusCode::OK,
         serde_json::to_vec(&list).unwrap_or_default(),
-    )
+    );
+    stamp(&mut answer, &arrived.id, true);
+    Ok(answer)
 }
--- a/galenahold_instance/src/entry/model_request.rs
+++ b/galenahold_instance/src/entry/model_request.rs
@@ -3,6 +3,7 @@
 use galenahold_domain::amount;
 use serde_json::{Map, Value};
 
+use crate::entry;
 use crate::face;
 
 /// Output tokens of a request that states no limit.
@@ -24,12 +25,18 @@
 }
 
 impl ModelRequest {
-    /// Parses the body of a request to `/v1/chat/completions` or `/v1/completions`.
+    /// Parses the body of a request to `/v1/chat/completions` or `/v1/completions`, which may nest
+    /// `max_depth` levels deep.
     ///
     /// # Errors
     ///
     /// A refusal, not run, that names the field and, for broken JSON, the line and column.
-    pub(crate) fn parse(body: &[u8]) -> Result<Self, face::RequestRefusal> {
+    pub(crate) fn parse(body: &[u8], max_depth: usize) -> Result<Self, face::RequestRefusal> {
+        if entry::json_depth_exceeds(body, max_depth) {
+            return Err(refuse(format!(
+                "the body nests deeper than {max_depth} levels"
+            )));
+        }
         let document: Map<String, Value> = serde_json::from_slice(body).map_err(|error| {
             refuse(format!(
                 "the body is not a JSON object: line {}, column {}: {error}",
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -24,6 +24,7 @@
     state: AttemptState,
     opened: Option<OpenedAnswer>,
     resume: ResumePoint,
+    opening: OpeningState,
     sender: face::StreamSender,
     usage: Option<entry::UsageDocument>,
     last_token_at: Option<time::Instant>,
@@ -39,6 +40,33 @@
     Failed(face::RequestRefusal),
 }
 
+/// Which opening events the caller still gets.
+#[derive(Debug, Default)]
+struct OpeningState {
+    /// Whether the caller has the opening event of the answer.
+    passed: bool,
+    /// Whether the present backend server goes on with an answer that another one opened.
+    repeated: bool,
+}
+
+impl OpeningState {
+    /// Takes up an opening event; returns whether the caller gets it.
+    fn pass(&mut self) -> bool {
+        // A server that goes on opens anew, once; later events without output, such as calls of tools,
+        // are part of the answer.
+        if std::mem::take(&mut self.repeated) {
+            return false;
+        }
+        self.passed = true;
+        true
+    }
+
+    /// Begins the answer of the next backend server.
+    fn reopen(&mut self) {
+        self.repeated = self.passed;
+    }
+}
+
 /// What came of the events of one piece.
 struct PieceResult {
     output: bytes::BytesMut,
@@ -67,6 +95,7 @@
             state,
             opened: Some(opened),
             resume,
+            opening: OpeningState::default(),
             sender,
             usage: None,
             last_token_at: None,
@@ -158,10 +187,11 @@
             match event.kind {
                 entry::EventKind::Output => {
                     self.count_token();
+                    self.opening.repeated = false;
                     result.output.extend_from_slice(&event.bytes);
                 }
                 entry::EventKind::Opening => {
-                    if self.resume.offset == 0 {
+                    if self.opening.pass() {
                         result.output.extend_from_slice(&event.bytes);
                     }
                 }
@@ -225,6 +255,7 @@
         match reopened {
             Ok(opened) => {
                 self.desk.metrics().resumed.inc();
+                self.opening.reopen();
                 self.opened = Some(opened);
                 Ok(())
             }
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -478,6 +478,7 @@
                 max_bytes: count(limits.max_body_bytes().0),
                 timeout: limits.body_timeout(),
             },
+            max_json_depth: count(limits.max_json_depth()),
             metrics: self.metrics.clone(),
             recorder: self.recorder.clone(),
             group: groups.work.clone(),
--- a/galenahold_instance/src/order/order_desk.rs
+++ b/galenahold_instance/src/order/order_desk.rs
@@ -18,8 +18,8 @@
 /// How long an answer waits for the end of its attempt to be recorded.
 const FINISH_WAIT: time::Duration = time::Duration::from_millis(500);
 
-/// How long the end of an attempt is recorded again and again.
-const FINISH_TIMEOUT: time::Duration = time::Duration::from_mins(1);
+/// How long one round of calls goes on by which something is recorded in the background.
+const RECORD_TIMEOUT: time::Duration = time::Duration::from_mins(1);
 
 /// Starts and ends attempts of orders in the control group's ledger.
 #[derive(Debug, Clone)]
@@ -75,7 +75,7 @@
             call: self.calls.fetch_add(1, atomic::Ordering::Relaxed),
             now_ms: epoch_ms(),
         };
-        let call = message::ControlCall::Command(command);
+        let call = message::ControlCall::Command(command.clone());
         match self.client.call(call, deadline).await {
             Ok(message::ControlReply::Outcome(control::ControlOutcome::Order(start))) => {
                 judge(start)
@@ -87,13 +87,32 @@
                 ))
             }
             // Without the ledger's word nothing is sent, so this attempt has not run.
-            _ => Err(face::RequestRefusal::not_run(
-                face::RefusalKind::ControlUnavailable,
-                "the control group cannot record the order now; send it again under the same key",
-            )),
+            Err(peer::CallError::NotDone) => Err(refuse_unrecorded()),
+            _ => {
+                let desk = self.clone();
+                let key = key.clone();
+                self.group
+                    .spawn(async move { desk.undo_start(key, command).await });
+                Err(refuse_unrecorded())
+            }
         }
     }
 
+    /// Ends, as not run, an attempt that may have started without this instance hearing of it.
+    ///
+    /// The command bears its first call number, so that the ledger answers with the attempt that it began
+    /// then, if that is still under way.
+    async fn undo_start(&self, key: order::OrderKey, command: control::ControlCommand) {
+        let reply = self.call_until_stop(command).await;
+        let Some(message::ControlReply::Outcome(control::ControlOutcome::Order(
+            order::OrderStart::Begun { attempt },
+        ))) = reply
+        else {
+            return;
+        };
+        self.record(key, attempt, order::OrderOutcome::NotRun).await;
+    }
+
     /// Records how an attempt ended; goes on in the background where that takes long.
     pub(crate) async fn finish(
         &self,
@@ -118,12 +137,34 @@
             outcome,
             now_ms: epoch_ms(),
         };
-        let deadline = time::Instant::now() + FINISH_TIMEOUT;
-        let call = message::ControlCall::Command(command);
-        if self.client.call(call, deadline).await.is_err() {
-            warn!(attempt = attempt; "end of an order could not be recorded; it counts as unknown");
+        if self.call_until_stop(command).await.is_none() {
+            warn!(attempt = attempt; "end of an order could not be recorded; it counts as running");
         }
     }
+
+    /// Calls the leader until it answers, or until a round has failed after the instance began to stop.
+    async fn call_until_stop(
+        &self,
+        command: control::ControlCommand,
+    ) -> Option<message::ControlReply> {
+        loop {
+            let deadline = time::Instant::now() + RECORD_TIMEOUT;
+            let call = message::ControlCall::Command(command.clone());
+            if let Ok(reply) = self.client.call(call, deadline).await {
+                return Some(reply);
+            }
+            if self.group.token().is_cancelled() {
+                return None;
+            }
+        }
+    }
+}
+
+fn refuse_unrecorded() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::ControlUnavailable,
+        "the control group cannot record the order now; send it again under the same key",
+    )
 }
 
 fn judge(start: order::OrderStart) -> Result<OrderGate, face::RequestRefusal> {
--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -12,6 +12,8 @@
 mod peer_links;
 mod port_pool;
 mod product_binary;
+mod serving_builder;
+mod serving_fleet;
 mod settings_merge;
 
 pub use caller_answer::CallerAnswer;
@@ -24,3 +26,5 @@
 pub use operator_client::{GivenKey, OperatorClient};
 pub use peer_links::{PeerLinks, PeerRoute};
 pub use product_binary::product_binary;
+pub use serving_builder::ServingBuilder;
+pub use serving_fleet::{SERVED_MODEL, SERVED_SERVICE, ServingFleet, WAIT_LIMIT, wait_until};
