--- a/galenahold/tests/input/held_connections.rs
+++ b/galenahold/tests/input/held_connections.rs
@@ -20,7 +20,7 @@
     let held: Vec<_> = (0..HELD)
         .filter_map(|number| {
             let mut socket = connect_from(4, address).ok()?;
-            if number % 2 == 0 {
+            if number.is_multiple_of(2) {
                 // A connection over the limit is closed at once.
                 let _ = socket.write_all(b"GET /foundry/records/1 HTTP/1.1\r\nhost:");
             }
@@ -104,7 +104,7 @@
         "POST /foundry/orders HTTP/1.1\r\nhost: instance\r\nauthorization: Bearer {key}\r\n\
          content-length: 5000\r\n\r\n"
     );
-    let slow_body = number % 2 == 0;
+    let slow_body = number.is_multiple_of(2);
     if slow_body && socket.write_all(head.as_bytes()).is_err() {
         return true;
     }
--- a/galenahold/tests/orders/lost_starts.rs
+++ b/galenahold/tests/orders/lost_starts.rs
@@ -14,10 +14,9 @@
     let links = fleet.serving.instances().links();
     // What the entry instance sends arrives; what it should hear does not.
     for voter in 0..3 {
-        for link in [links.link(Some(3), voter), links.link(None, voter)] {
-            if let Some(link) = link {
-                link.set(proxy::LinkDirection::ToClient, proxy::LinkFault::cut());
-            }
+        let ways = [links.link(Some(3), voter), links.link(None, voter)];
+        for link in ways.into_iter().flatten() {
+            link.set(proxy::LinkDirection::ToClient, proxy::LinkFault::cut());
         }
     }
     let limit = time::Duration::from_millis(1_500);
--- a/galenahold/tests/orders/plain_orders.rs
+++ b/galenahold/tests/orders/plain_orders.rs
@@ -14,6 +14,9 @@
 /// The time that a caller gives an order whose answer will not come.
 const SHORT: time::Duration = time::Duration::from_millis(700);
 
+/// Makes a link fail in one way.
+type LinkBreaker = fn(&proxy::FaultLink);
+
 #[test]
 fn the_verdict_is_true_and_nothing_runs_twice_when_the_server_misbehaves() {
     let fleet = order_fleet::OrderFleet::start(1, harness::PeerRoute::Direct);
@@ -46,7 +49,7 @@
 fn the_verdict_is_true_when_links_refuse_cut_and_reset() {
     let fleet = order_fleet::OrderFleet::start(0, harness::PeerRoute::Direct);
     let linked = order_fleet::LinkedServer::start(&fleet.serving);
-    let faults: [(&str, fn(&proxy::FaultLink)); 5] = [
+    let faults: [(&str, LinkBreaker); 5] = [
         ("link-refused", |link| link.refuse(true)),
         ("link-cut-there", |link| {
             link.set(proxy::LinkDirection::ToServer, proxy::LinkFault::cut());
--- a/galenahold/tests/rates/main.rs
+++ b/galenahold/tests/rates/main.rs
@@ -42,7 +42,10 @@
         for (instance, callers) in CALLERS.into_iter().enumerate() {
             for _ in 0..callers {
                 let caller = hasty(&fleet, instance);
-                scope.spawn(|| ask_on(caller, &counts, &stop));
+                scope.spawn({
+                    let (counts, stop) = (&counts, &stop);
+                    move || ask_on(&caller, counts, stop)
+                });
             }
         }
         pause(3_000);
@@ -89,7 +92,10 @@
         for instance in (0..4).filter(|instance| *instance != leader) {
             for _ in 0..2 {
                 let caller = fleet.caller(instance);
-                scope.spawn(|| ask_on(caller, &counts, &stop));
+                scope.spawn({
+                    let (counts, stop) = (&counts, &stop);
+                    move || ask_on(&caller, counts, stop)
+                });
             }
         }
         pause(2_000);
@@ -131,7 +137,7 @@
 }
 
 /// Asks again and again until it is told to stop.
-fn ask_on(caller: harness::FleetCaller, counts: &AnswerCounts, stop: &atomic::AtomicBool) {
+fn ask_on(caller: &harness::FleetCaller, counts: &AnswerCounts, stop: &atomic::AtomicBool) {
     while !stop.load(atomic::Ordering::Relaxed) {
         let chat = caller.chat(harness::SERVED_MODEL, "rate", OUTPUT_TOKENS, false);
         let count = match chat {
--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Real instances as child processes, for tests of the product.
 
 mod caller_answer;
+mod child_process;
 mod fleet_builder;
 mod fleet_caller;
 mod instance_addresses;
@@ -15,6 +16,7 @@
 mod serving_builder;
 mod serving_fleet;
 mod settings_merge;
+mod standin_process;
 
 pub use caller_answer::CallerAnswer;
 pub use fleet_builder::FleetBuilder;
@@ -28,3 +30,4 @@
 pub use product_binary::product_binary;
 pub use serving_builder::ServingBuilder;
 pub use serving_fleet::{SERVED_MODEL, SERVED_SERVICE, ServingFleet, WAIT_LIMIT, wait_until};
+pub use standin_process::StandInProcess;
