--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -13,6 +13,8 @@
 mod peer_links;
 mod port_pool;
 mod product_binary;
+mod serving_builder;
+mod serving_fleet;
 mod settings_merge;
 mod standin_process;
 
@@ -26,4 +28,6 @@
 pub use operator_client::{GivenKey, OperatorClient};
 pub use peer_links::{PeerLinks, PeerRoute};
 pub use product_binary::product_binary;
+pub use serving_builder::ServingBuilder;
+pub use serving_fleet::{SERVED_MODEL, SERVED_SERVICE, ServingFleet, WAIT_LIMIT, wait_until};
 pub use standin_process::StandInProcess;
