Measure rates, fairness and replica choice on traces

Cause: defaults of the request path were not measured, and broken variants of placement passed its tests.

A server whose free memory equals a model's need exactly was passed over, since the null key sorts last: mended.

Tests: seven more in placement; the variants that passed before (work ignored while draining, refusal of a repeat releases, second reserve asked, least number ignored, leaving server loaded, claim not held, busy replica evicted) now fail one. Ignoring a proposal's bytes stays without effect, because a server with a proposal is closed to others.

Tested: cargo test -p galenahold_routing -p galenahold_placement.

--- a/galenahold_placement/src/engine/server_inventory.rs
+++ b/galenahold_placement/src/engine/server_inventory.rs
@@ -1,6 +1,7 @@
 //! The backend servers, indexed by free memory and by cached checkpoints.
 
 use std::collections;
+use std::ops;
 use std::time;
 
 use galenahold_domain::{amount, name, placement, server};
@@ -148,11 +149,15 @@
         &self,
         bytes: amount::ByteCount,
     ) -> impl DoubleEndedIterator<Item = ServerKey> {
-        let least = FreeServer {
-            free: bytes,
+        // The null key sorts after all others.
+        let below = bytes.0.checked_sub(1).map(|free| FreeServer {
+            free: amount::ByteCount(free),
             server: ServerKey::default(),
-        };
-        self.by_free.range(least..).map(|free| free.server)
+        });
+        let from = below.map_or(ops::Bound::Unbounded, ops::Bound::Excluded);
+        self.by_free
+            .range((from, ops::Bound::Unbounded))
+            .map(|free| free.server)
     }
 }
 
--- a/galenahold_placement/tests/placement/demand_promises.rs
+++ b/galenahold_placement/tests/placement/demand_promises.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use galenahold_domain::placement;
 use galenahold_placement::engine;
 
 use crate::fleet_model::{FleetModel, adapter, artifact, model};
@@ -98,6 +99,62 @@
     fleet.run(1_200 * SECOND);
     assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
     assert!(fleet.loaded_on(&artifact("b")).is_empty());
+    assert_eq!(fleet.reserves, 2);
+}
+
+#[test]
+fn replica_that_gets_work_while_it_drains_is_unloaded_after_the_work() {
+    let mut fleet = FleetModel::new(vec![model("a", 60, &[]), model("b", 60, &[])])
+        .with_server("one", 100, true);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(SECOND);
+    fleet.report_waiting(&artifact("a"), 0);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.report_work("one", &artifact("a"), 1);
+    fleet.run(20 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    fleet.report_work("one", &artifact("a"), 0);
+    fleet.run(5 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("b")), ["one"]);
+}
+
+#[test]
+fn busy_replica_is_not_drained_for_another_before_its_residency() {
+    let mut fleet = FleetModel::new(vec![model("a", 60, &[]), model("b", 60, &[])])
+        .with_server("one", 100, true);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(SECOND);
+    fleet.report_waiting(&artifact("a"), 0);
+    fleet.report_work("one", &artifact("a"), 1);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.run(4 * SECOND);
+    let states = fleet.log.values().map(|kept| kept.state);
+    assert!(states.eq([placement::ReservationState::Loaded]));
+}
+
+#[test]
+fn server_that_leaves_gets_no_load() {
+    let mut fleet = FleetModel::new(vec![model("a", 60, &[])]).with_server("one", 100, true);
+    fleet.servers.get_mut("one").expect("it is there").leaving = true;
+    fleet.announce("one");
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(SECOND);
+    assert_eq!(fleet.reserves, 0);
+}
+
+#[test]
+fn no_second_reserve_is_asked_for_while_the_first_is_not_answered() {
+    let mut two = model("a", 10, &[]);
+    two.max_replicas = 2;
+    let mut fleet = FleetModel::new(vec![two])
+        .with_server("one", 100, true)
+        .with_server("two", 100, true);
+    fleet.hold_reserves = true;
+    for waiting in 1..20 {
+        fleet.report_waiting(&artifact("a"), waiting);
+        fleet.step(engine::PlacementEvent::Tick);
+    }
+    assert_eq!(fleet.reserves, 1);
 }
 
 #[test]
@@ -132,3 +189,41 @@
     assert_eq!(fleet.loaded_on(&upgraded), ["one"]);
     assert!(fleet.loaded_on(&artifact("a")).is_empty());
 }
+
+#[test]
+fn idle_replica_is_drained_before_one_with_work_beside_it() {
+    let models = vec![
+        model("a", 40, &[]),
+        model("b", 60, &[]),
+        model("c", 20, &[]),
+    ];
+    let mut fleet = FleetModel::new(models).with_server("one", 100, true);
+    for name in ["a", "c"] {
+        fleet.report_waiting(&artifact(name), 1);
+        fleet.run(SECOND);
+        fleet.report_waiting(&artifact(name), 0);
+    }
+    fleet.report_work("one", &artifact("a"), 1);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.run(4 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
+    assert_eq!(fleet.loaded_on(&artifact("b")), ["one"]);
+    assert!(fleet.loaded_on(&artifact("c")).is_empty());
+}
+
+#[test]
+fn room_that_was_made_is_not_taken_by_another_model() {
+    let models = vec![
+        model("a", 60, &[]),
+        model("b", 60, &[]),
+        model("c", 45, &[]),
+    ];
+    let mut fleet = FleetModel::new(models).with_server("one", 100, true);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.run(SECOND);
+    fleet.report_waiting(&artifact("a"), 0);
+    fleet.report_waiting(&artifact("b"), 1);
+    fleet.report_waiting(&artifact("c"), 100);
+    fleet.run(4 * SECOND);
+    assert_eq!(fleet.loaded_on(&artifact("b")), ["one"]);
+}
--- a/galenahold_placement/tests/placement/fleet_model.rs
+++ b/galenahold_placement/tests/placement/fleet_model.rs
@@ -42,6 +42,8 @@
     pub(crate) alarms: u32,
     pub(crate) reserves: u32,
     pub(crate) violations: Vec<String>,
+    /// Whether reserves are left without an answer.
+    pub(crate) hold_reserves: bool,
     intent: intent::FleetIntent,
     term: u64,
     index: u64,
@@ -108,6 +110,7 @@
             alarms: 0,
             reserves: 0,
             violations: Vec::new(),
+            hold_reserves: false,
             intent: intent.clone(),
             term: 1,
             index: 0,
@@ -342,6 +345,10 @@
 
     fn carry_out(&mut self, effect: engine::PlacementEffect) -> Option<engine::PlacementEvent> {
         match effect {
+            engine::PlacementEffect::Reserve { .. } if self.hold_reserves => {
+                self.reserves += 1;
+                None
+            }
             engine::PlacementEffect::Reserve {
                 server,
                 incarnation,
--- a/galenahold_placement/tests/placement/order_promises.rs
+++ b/galenahold_placement/tests/placement/order_promises.rs
@@ -140,3 +140,21 @@
     assert_eq!(fleet.loaded_on(&artifact("a")), ["one"]);
     assert_eq!(fleet.violations, Vec::<String>::new());
 }
+
+#[test]
+fn refusal_of_a_repeat_frees_no_memory_that_the_first_order_may_have_taken() {
+    let mut fleet = fleet(false);
+    fleet.report_waiting(&artifact("a"), 1);
+    fleet.lose(0);
+    fleet.now += 2 * SECOND;
+    fleet.announce("one");
+    fleet.step(engine::PlacementEvent::Tick);
+    let repeat = fleet.orders.pop().expect("the order is repeated");
+    let (id, fence) = (repeat.reservation.id, repeat.reservation.fence);
+    let outcome = engine::OrderOutcome::Refused;
+    fleet.step(engine::PlacementEvent::OrderEnded { id, fence, outcome });
+    assert!(fleet.log.contains_key(&id));
+    fleet.now += 3 * SECOND;
+    fleet.announce("one");
+    assert!(!fleet.log.contains_key(&id));
+}
--- a/galenahold_placement/tests/placement/random_faults.rs
+++ b/galenahold_placement/tests/placement/random_faults.rs
@@ -108,7 +108,7 @@
         }
         fleet.report_waiting(&artifact(name), 1);
     }
-    fleet.run(time::Duration::from_secs(60));
+    fleet.run(time::Duration::from_mins(1));
 }
 
 proptest! {
--- /dev/null
+++ b/galenahold_routing/examples/choice_replay.rs
@@ -0,0 +1,516 @@
+//! Replays requests of many instances against choices of a replica, with lagging load reports.
+//!
+//! Prints the time to the first token and how much of the prompts was found in prefix caches.
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for a table"
+)]
+
+use std::cmp;
+use std::collections;
+use std::fmt::Write;
+use std::time;
+
+use galenahold_domain::{amount, name, placement, server};
+use galenahold_routing::replica;
+use galenahold_routing::replica::ReplicaChoice;
+use rand::{RngExt, SeedableRng};
+
+const RUN: f64 = 120.0;
+const SEEDS: [u64; 3] = [1, 2, 3];
+const MODEL: &str = "alama-llm";
+const REPORT_EVERY: f64 = 1.0;
+const REPORT_LAG: f64 = 0.5;
+const EVENT_LAG: f64 = 0.3;
+const EVENT_LOSS: f64 = 0.02;
+const PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+const DECODE_TOKENS_PER_S: f64 = 1_200.0;
+const CACHE_BLOCKS: usize = 1_500;
+const PROMPTS: usize = 60;
+const PROMPT_BLOCKS: usize = 60;
+const BLOCK_TOKENS: usize = 16;
+const UTILISATION: f64 = 0.75;
+
+#[derive(Debug, Clone, Copy)]
+struct FleetSize {
+    label: &'static str,
+    instances: usize,
+    replicas: usize,
+}
+
+const FLEETS: [FleetSize; 2] = [
+    FleetSize {
+        label: "pamoja, 9 instances, 10 replicas",
+        instances: 9,
+        replicas: 10,
+    },
+    FleetSize {
+        label: "prydderch, 6 instances, 12 replicas",
+        instances: 6,
+        replicas: 12,
+    },
+];
+
+#[derive(Debug, Clone)]
+struct Request {
+    at: f64,
+    instance: usize,
+    /// Prompt that many requests share; absent for one of its own.
+    prompt: Option<usize>,
+    own_blocks: usize,
+    output: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Event {
+    Arrive(usize),
+    Done(usize),
+    Report,
+    Deliver,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Timed {
+    at: f64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == cmp::Ordering::Equal
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        other
+            .at
+            .total_cmp(&self.at)
+            .then(other.order.cmp(&self.order))
+    }
+}
+
+/// A replica that works off its requests in order, with a prefix cache of limited size.
+#[derive(Debug, Default)]
+struct FakeReplica {
+    free_at: f64,
+    outstanding: u64,
+    requests: u32,
+    slowness: f64,
+    cache: collections::BTreeMap<u64, u64>,
+    uses: u64,
+    sequence: u64,
+}
+
+/// One instance's view of the fleet.
+struct FakeInstance<C> {
+    table: replica::ReplicaTable,
+    choice: C,
+}
+
+trait FollowsCache {
+    fn follow_event(&mut self, _key: replica::ServerKey, _event: &server::CacheEvent) {}
+}
+
+impl FollowsCache for replica::RoundRobin {}
+impl FollowsCache for replica::LeastOutstanding {}
+impl FollowsCache for replica::TwoChoices {}
+impl FollowsCache for replica::BoundedRotation {}
+impl FollowsCache for replica::PrefixAffinity {
+    fn follow_event(&mut self, key: replica::ServerKey, event: &server::CacheEvent) {
+        self.follow(key, event);
+    }
+}
+
+struct Replay<C> {
+    started: time::Instant,
+    now: f64,
+    events: collections::BinaryHeap<Timed>,
+    order: u64,
+    instances: Vec<FakeInstance<C>>,
+    replicas: Vec<FakeReplica>,
+    reports: collections::VecDeque<Vec<server::ServerAnnouncement>>,
+    cache_events: collections::VecDeque<(f64, server::CacheEvent)>,
+    sent: Vec<Option<Sent>>,
+    requests: Vec<Request>,
+    first_token: Vec<f64>,
+    hit_blocks: u64,
+    blocks: u64,
+    rng: rand::rngs::StdRng,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    key: replica::ReplicaKey,
+    replica: usize,
+    tokens: u64,
+}
+
+fn trace(fleet: FleetSize, shared: f64, seed: u64) -> Vec<Request> {
+    let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+    let mean_seconds = (PROMPT_BLOCKS * BLOCK_TOKENS) as f64 / PREFILL_TOKENS_PER_S
+        * (1.0 - shared * 0.6)
+        + 200.0 / DECODE_TOKENS_PER_S;
+    let rate = fleet.replicas as f64 * UTILISATION / mean_seconds;
+    let mut at = 0.0;
+    let mut requests = Vec::new();
+    while at < RUN {
+        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        let popular = (rng.random::<f64>().powi(2) * PROMPTS as f64) as usize;
+        let is_shared = rng.random::<f64>() < shared;
+        let long: f64 = rng.random();
+        requests.push(Request {
+            at,
+            instance: rng.random_range(0..fleet.instances),
+            prompt: is_shared.then_some(popular.min(PROMPTS - 1)),
+            own_blocks: if is_shared {
+                4
+            } else {
+                rng.random_range(10..110)
+            },
+            output: 20 + (long * long * 540.0) as u64,
+        });
+    }
+    requests
+}
+
+fn prompt_text(request: &Request, index: usize) -> String {
+    let mut text = String::new();
+    if let Some(prompt) = request.prompt {
+        for block in 0..PROMPT_BLOCKS - 4 {
+            write!(text, "{prompt:>32}{block:>32}").expect("a string takes all");
+        }
+    }
+    for block in 0..request.own_blocks {
+        write!(text, "own {index:>28}{block:>32}").expect("a string takes all");
+    }
+    text
+}
+
+impl<C: ReplicaChoice + FollowsCache> Replay<C> {
+    fn new(case: Case, requests: Vec<Request>, choice: impl Fn() -> C) -> Self {
+        let fleet = case.fleet;
+        let started = time::Instant::now();
+        let count = requests.len();
+        let mut replay = Self {
+            started,
+            now: 0.0,
+            events: collections::BinaryHeap::new(),
+            order: 0,
+            instances: (0..fleet.instances)
+                .map(|_| FakeInstance {
+                    table: replica::ReplicaTable::new(
+                        replica::TableSettings::default()
+                            .with_report_memory(time::Duration::from_millis(case.memory_ms)),
+                    ),
+                    choice: choice(),
+                })
+                .collect(),
+            replicas: (0..fleet.replicas)
+                .map(|_| FakeReplica::default())
+                .collect(),
+            reports: collections::VecDeque::new(),
+            cache_events: collections::VecDeque::new(),
+            sent: vec![None; count],
+            requests,
+            first_token: Vec::new(),
+            hit_blocks: 0,
+            blocks: 0,
+            rng: rand::rngs::StdRng::seed_from_u64(99),
+        };
+        let first = replay.announce();
+        replay.deliver(&first);
+        replay
+    }
+
+    fn at(&self) -> time::Instant {
+        self.started + time::Duration::from_secs_f64(self.now)
+    }
+
+    fn schedule(&mut self, at: f64, event: Event) {
+        self.order += 1;
+        let order = self.order;
+        self.events.push(Timed { at, order, event });
+    }
+
+    fn run(&mut self) {
+        for index in 0..self.requests.len() {
+            self.schedule(self.requests[index].at, Event::Arrive(index));
+        }
+        self.schedule(REPORT_EVERY, Event::Report);
+        while let Some(timed) = self.events.pop() {
+            self.now = timed.at;
+            match timed.event {
+                Event::Arrive(index) => self.arrive(index),
+                Event::Done(index) => self.done(index),
+                Event::Report => self.report(),
+                Event::Deliver => {
+                    if let Some(reports) = self.reports.pop_front() {
+                        self.deliver(&reports);
+                    }
+                }
+            }
+        }
+    }
+
+    fn announce(&mut self) -> Vec<server::ServerAnnouncement> {
+        let mut announcements = Vec::new();
+        for (index, fake) in self.replicas.iter_mut().enumerate() {
+            fake.sequence += 1;
+            announcements.push(server::ServerAnnouncement {
+                name: name::ServerName::from(format!("server-{index}")),
+                incarnation: amount::IncarnationNumber(1),
+                sequence: fake.sequence,
+                address: "127.0.0.1:9".parse().expect("the address is valid"),
+                data_centre: name::DataCentreName::from("a"),
+                kind: server::ServerKind::Engine,
+                checks_fencing: true,
+                memory_bytes: amount::ByteCount(1),
+                loaded: vec![server::LoadedReplica {
+                    model: name::ModelName::from(MODEL),
+                    version: name::VersionName::from("1"),
+                    adapter: None,
+                    bytes: amount::ByteCount(1),
+                    order: 1,
+                    state: server::ReplicaState::Ready,
+                }],
+                cached: Vec::new(),
+                load: server::ServerLoad {
+                    running: fake.requests,
+                    queued: 0,
+                    outstanding_tokens: amount::TokenCount(fake.outstanding),
+                },
+                leaving: false,
+                service: None,
+            });
+        }
+        announcements
+    }
+
+    fn report(&mut self) {
+        let announcements = self.announce();
+        self.reports.push_back(announcements);
+        self.schedule(self.now + REPORT_LAG, Event::Deliver);
+        if self.now < RUN {
+            self.schedule(self.now + REPORT_EVERY, Event::Report);
+        }
+    }
+
+    fn deliver(&mut self, announcements: &[server::ServerAnnouncement]) {
+        let now = self.at();
+        let age = time::Duration::from_secs_f64(REPORT_LAG.min(self.now));
+        for instance in &mut self.instances {
+            for announcement in announcements {
+                instance.table.announce(announcement, age, now);
+            }
+        }
+    }
+
+    fn deliver_cache_events(&mut self) {
+        while self
+            .cache_events
+            .front()
+            .is_some_and(|(at, _)| at + EVENT_LAG <= self.now)
+        {
+            let Some((_, event)) = self.cache_events.pop_front() else {
+                return;
+            };
+            for instance in &mut self.instances {
+                let key = instance.table.server_key(&event.name);
+                if let Some(key) = key.filter(|_| self.rng.random::<f64>() >= EVENT_LOSS) {
+                    instance.choice.follow_event(key, &event);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, index: usize) {
+        self.deliver_cache_events();
+        let now = self.at();
+        let request = self.requests[index].clone();
+        let text = prompt_text(&request, index);
+        let prefix = replica::PrefixBlocks::of_text(&text, 128);
+        let tokens = (prefix.hashes().len() * BLOCK_TOKENS) as u64 + request.output;
+        let model = name::ModelName::from(MODEL);
+        let choice_request = replica::ChoiceRequest {
+            model: Some(&model),
+            tokens: amount::TokenCount(tokens),
+            prefix: &prefix,
+        };
+        let target = replica::ReplicaTarget::Artifact(placement::ReplicaArtifact {
+            model: model.clone(),
+            version: name::VersionName::from("1"),
+            adapter: None,
+        });
+        let instance = &mut self.instances[request.instance];
+        let mut candidates = Vec::new();
+        instance.table.candidates(&target, now, &mut candidates);
+        let key = instance
+            .choice
+            .choose(&candidates, &choice_request, &mut self.rng)
+            .expect("all replicas are announced");
+        instance.table.begin(key, amount::TokenCount(tokens));
+        let server = instance.table.replica(key).expect("it was chosen").server();
+        let name = instance.table.server(server).expect("it is there").name();
+        let replica: usize = name
+            .trim_start_matches("server-")
+            .parse()
+            .expect("a number");
+        self.sent[index] = Some(Sent {
+            key,
+            replica,
+            tokens,
+        });
+        self.work(index, replica, prefix.hashes(), tokens);
+    }
+
+    fn work(&mut self, index: usize, replica: usize, hashes: &[u64], tokens: u64) {
+        let output = self.requests[index].output;
+        let fake = &mut self.replicas[replica];
+        let hits = hashes
+            .iter()
+            .take_while(|hash| fake.cache.contains_key(hash))
+            .count();
+        self.hit_blocks += hits as u64;
+        self.blocks += hashes.len() as u64;
+        let prefill = ((hashes.len() - hits) * BLOCK_TOKENS) as f64 / PREFILL_TOKENS_PER_S;
+        let start = fake.free_at.max(self.now);
+        let done = start + (prefill + output as f64 / DECODE_TOKENS_PER_S) * fake.slowness;
+        fake.free_at = done;
+        fake.outstanding += tokens;
+        fake.requests += 1;
+        self.first_token
+            .push(start + prefill - self.requests[index].at);
+        let event = self.store(replica, hashes);
+        self.cache_events.push_back((self.now, event));
+        self.schedule(done, Event::Done(index));
+    }
+
+    fn store(&mut self, replica: usize, hashes: &[u64]) -> server::CacheEvent {
+        let fake = &mut self.replicas[replica];
+        fake.uses += 1;
+        let uses = fake.uses;
+        let new = hashes.iter().filter(|hash| !fake.cache.contains_key(hash));
+        let stored: Vec<u64> = new.copied().collect();
+        fake.cache.extend(hashes.iter().map(|hash| (*hash, uses)));
+        let mut removed = Vec::new();
+        if fake.cache.len() > CACHE_BLOCKS {
+            let mut by_use: Vec<_> = fake
+                .cache
+                .iter()
+                .map(|(hash, used)| (*used, *hash))
+                .collect();
+            by_use.sort_unstable();
+            let surplus = fake.cache.len() - CACHE_BLOCKS;
+            removed.extend(by_use.iter().take(surplus).map(|(_, hash)| *hash));
+        }
+        for hash in &removed {
+            fake.cache.remove(hash);
+        }
+        server::CacheEvent {
+            name: name::ServerName::from(format!("server-{replica}")),
+            incarnation: amount::IncarnationNumber(1),
+            sequence: uses,
+            model: name::ModelName::from(MODEL),
+            stored,
+            removed,
+            cleared: false,
+        }
+    }
+
+    fn done(&mut self, index: usize) {
+        let Some(sent) = self.sent[index] else {
+            return;
+        };
+        let fake = &mut self.replicas[sent.replica];
+        fake.outstanding -= sent.tokens;
+        fake.requests -= 1;
+        let instance = &mut self.instances[self.requests[index].instance];
+        instance
+            .table
+            .finish(sent.key, amount::TokenCount(sent.tokens));
+    }
+}
+
+fn percentile(values: &mut [f64], share: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let index = ((values.len() as f64 - 1.0) * share) as usize;
+    values.get(index).copied().unwrap_or(0.0)
+}
+
+/// What a choice is tried on.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    fleet: FleetSize,
+    shared: f64,
+    one_slow: bool,
+    memory_ms: u64,
+}
+
+fn replay<C: ReplicaChoice + FollowsCache>(label: &str, case: Case, choice: impl Fn() -> C) {
+    let mut first_token = Vec::new();
+    let (mut hits, mut blocks) = (0, 0);
+    for seed in SEEDS {
+        let requests = trace(case.fleet, case.shared, seed);
+        let mut replay = Replay::new(case, requests, &choice);
+        replay.run();
+        first_token.append(&mut replay.first_token);
+        hits += replay.hit_blocks;
+        blocks += replay.blocks;
+    }
+    println!(
+        "| {} | {:.0} % | {} | {label} | {} | {:.0} / {:.0} / {:.0} | {:.0} % |",
+        case.fleet.label,
+        case.shared * 100.0,
+        if case.one_slow { "one slow" } else { "equal" },
+        case.memory_ms,
+        percentile(&mut first_token, 0.5) * 1_000.0,
+        percentile(&mut first_token, 0.95) * 1_000.0,
+        percentile(&mut first_token, 0.99) * 1_000.0,
+        hits as f64 / blocks as f64 * 100.0,
+    );
+}
+
+fn main() {
+    println!(
+        "| fleet | shared prompts | replicas | choice | report memory ms | first token p50 / p95 / p99 ms | blocks cached |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for fleet in FLEETS {
+        for (shared, one_slow) in [(0.0, false), (0.0, true), (0.7, false), (0.7, true)] {
+            let case = Case {
+                fleet,
+                shared,
+                one_slow,
+                memory_ms: 2_000,
+            };
+            replay("round robin", case, replica::RoundRobin::default);
+            replay("prefix hash, unbounded", case, || {
+                replica::PrefixAffinity::new(100_000, 1e12)
+            });
+            for memory_ms in [100, 500, 2_000] {
+                let case = Case { memory_ms, ..case };
+                replay("least outstanding", case, || replica::LeastOutstanding);
+                replay("two choices", case, || replica::TwoChoices);
+                replay("bounded rotation", case, replica::BoundedRotation::default);
+                replay("prefix affinity, 125 % + 2048", case, || {
+                    replica::PrefixAffinity::new(125, 2_048.0)
+                });
+                replay("prefix affinity, 110 % + 512", case, || {
+                    replica::PrefixAffinity::new(110, 512.0)
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_routing/examples/rate_replay.rs
@@ -0,0 +1,616 @@
+//! Replays requests of five teams against three ways to hold a rate over the fleet.
+//!
+//! Prints tokens passed beyond rate and burst, refusals inside the rate, waits and control messages.
+#![expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "figures for a table"
+)]
+
+use std::cmp;
+use std::collections;
+use std::time;
+
+use galenahold_domain::{amount, intent, name};
+use galenahold_routing::rate;
+use rand::{RngExt, SeedableRng};
+
+const RUN: f64 = 120.0;
+const CHANGE_AT: f64 = 60.0;
+const CHANGE_GAP: f64 = 1.5;
+const DEADLINE: f64 = 5.0;
+const TEAMS: usize = 5;
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+#[derive(Debug, Clone, Copy)]
+struct FleetSize {
+    label: &'static str,
+    instances: usize,
+    one_way: f64,
+}
+
+const FLEETS: [FleetSize; 2] = [
+    FleetSize {
+        label: "pamoja, 9 instances",
+        instances: 9,
+        one_way: 0.0015,
+    },
+    FleetSize {
+        label: "prydderch, 6 instances",
+        instances: 6,
+        one_way: 0.0005,
+    },
+];
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Method {
+    Leased,
+    EqualShares,
+    Central,
+}
+
+#[derive(Debug, Clone)]
+struct Request {
+    at: f64,
+    team: usize,
+    instance: usize,
+    charged: u64,
+    used: u64,
+    takes: f64,
+    inside: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Arrive(usize),
+    Finish(usize),
+    Deadline(usize),
+    Poll(usize),
+    AtControl(usize),
+    AtHolder(usize),
+    LeaderLost,
+    LeaderBack,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Timed {
+    at: f64,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == cmp::Ordering::Equal
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        other
+            .at
+            .total_cmp(&self.at)
+            .then(other.order.cmp(&self.order))
+    }
+}
+
+fn team(index: usize) -> intent::TeamIntent {
+    let rates = [20_000, 10_000, 5_000, 2_000, 1_000];
+    intent::TeamIntent {
+        name: name::TeamName::from(format!("team-{index}")),
+        rate_tokens_per_s: amount::TokensPerSecond(rates[index]),
+        burst_tokens: amount::TokenCount(rates[index] * 4),
+        weight: 1,
+    }
+}
+
+/// Team 0 sends four times its rate, the others 70 % of theirs; nine in ten requests of a team
+/// reach one instance, which changes every 20 s.
+fn trace(fleet: FleetSize, seed: u64) -> Vec<Request> {
+    let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+    let mut requests = Vec::new();
+    for index in 0..TEAMS {
+        let team = team(index);
+        let load = if index == 0 { 4.0 } else { 0.7 };
+        let mean_used = 260.0;
+        let rate = team.rate_tokens_per_s.0 as f64 * load / mean_used;
+        let mut at = 0.0;
+        while at < RUN {
+            at += -(1.0 - rng.random::<f64>()).ln() / rate;
+            let favourite = ((at / 20.0) as usize * 7 + index * 3) % fleet.instances;
+            let skewed = rng.random::<f64>() < 0.9;
+            let other = rng.random_range(0..fleet.instances);
+            let prompt = rng.random_range(20..300);
+            let output = rng.random_range(20..180);
+            requests.push(Request {
+                at,
+                team: index,
+                instance: if skewed { favourite } else { other },
+                charged: prompt + output * 2,
+                used: prompt + output,
+                takes: output as f64 * 0.02,
+                inside: false,
+            });
+        }
+    }
+    requests.sort_by(|left, right| left.at.total_cmp(&right.at));
+    mark_inside(&mut requests);
+    requests
+}
+
+/// Marks the requests of teams inside their rate that one exact bucket would take on arrival.
+fn mark_inside(requests: &mut [Request]) {
+    for index in 0..TEAMS {
+        let team = team(index);
+        let (rate, burst) = (team.rate_tokens_per_s.0 as f64, team.burst_tokens.0 as f64);
+        let mut level = burst;
+        let mut last = 0.0;
+        for request in requests.iter_mut().filter(|request| request.team == index) {
+            level = burst.min(level + (request.at - last) * rate);
+            last = request.at;
+            let fits = level >= request.charged as f64;
+            request.inside = fits && index > 0;
+            if fits {
+                level -= request.used as f64;
+            }
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct LocalBucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    last: f64,
+}
+
+impl LocalBucket {
+    fn take(&mut self, tokens: f64, now: f64) -> bool {
+        self.level = self.burst.min(self.level + (now - self.last) * self.rate);
+        self.last = now;
+        let enough = self.level >= tokens;
+        if enough {
+            self.level -= tokens;
+        }
+        enough
+    }
+}
+
+struct Replay {
+    method: Method,
+    fleet: FleetSize,
+    requests: Vec<Request>,
+    started: time::Instant,
+    now: f64,
+    events: collections::BinaryHeap<Timed>,
+    order: u64,
+    ledger: Option<rate::GrantLedger>,
+    term: u64,
+    wallets: Vec<rate::TokenWallet>,
+    polled_for: Vec<f64>,
+    calls: collections::VecDeque<rate::GrantCall>,
+    replies: Vec<Option<rate::GrantReply>>,
+    buckets: Vec<LocalBucket>,
+    waiting: Vec<collections::VecDeque<usize>>,
+    receipts: collections::BTreeMap<usize, rate::ChargeReceipt>,
+    passed: Vec<Vec<Passed>>,
+    decided: Vec<bool>,
+    waits: Vec<f64>,
+    refused_inside: u64,
+    inside: u64,
+    messages: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Passed {
+    at: f64,
+    tokens: u64,
+}
+
+impl Replay {
+    fn new(method: Method, fleet: FleetSize, horizon: u64, requests: Vec<Request>) -> Self {
+        let started = time::Instant::now() + time::Duration::from_secs(100);
+        let teams: Vec<_> = (0..TEAMS).map(team).collect();
+        let earlier = started
+            .checked_sub(time::Duration::from_mins(1))
+            .unwrap_or(started);
+        let mut ledger = rate::GrantLedger::new(1, rate::LedgerSettings::default(), earlier);
+        ledger.set_teams(&teams, earlier);
+        let wallets = (0..fleet.instances).map(|index| {
+            let mut wallet = rate::TokenWallet::new(
+                name::InstanceName::from(format!("entry-{index}")),
+                amount::IncarnationNumber(1),
+                rate::WalletSettings::default()
+                    .with_prefetch_horizon(time::Duration::from_millis(horizon)),
+            );
+            wallet.set_teams(&teams, started);
+            wallet
+        });
+        let parts = if method == Method::EqualShares {
+            fleet.instances as f64
+        } else {
+            1.0
+        };
+        let buckets = (0..fleet.instances).flat_map(|_| 0..TEAMS).map(|index| {
+            let team = team(index);
+            let burst = team.burst_tokens.0 as f64 / parts;
+            LocalBucket {
+                rate: team.rate_tokens_per_s.0 as f64 / parts,
+                burst,
+                level: burst,
+                last: 0.0,
+            }
+        });
+        let count = requests.len();
+        Self {
+            method,
+            fleet,
+            started,
+            now: 0.0,
+            events: collections::BinaryHeap::new(),
+            order: 0,
+            ledger: Some(ledger),
+            term: 1,
+            wallets: wallets.collect(),
+            polled_for: vec![f64::MAX; fleet.instances],
+            calls: collections::VecDeque::new(),
+            replies: (0..fleet.instances).map(|_| None).collect(),
+            buckets: buckets.collect(),
+            waiting: vec![collections::VecDeque::new(); fleet.instances * TEAMS],
+            receipts: collections::BTreeMap::new(),
+            passed: vec![Vec::new(); TEAMS],
+            decided: vec![false; count],
+            waits: Vec::new(),
+            refused_inside: 0,
+            inside: 0,
+            messages: 0,
+            requests,
+        }
+    }
+
+    fn at(&self, seconds: f64) -> time::Instant {
+        self.started + time::Duration::from_secs_f64(seconds)
+    }
+
+    fn schedule(&mut self, at: f64, event: Event) {
+        self.order += 1;
+        let order = self.order;
+        self.events.push(Timed { at, order, event });
+    }
+
+    fn run(&mut self, changes_leader: bool) {
+        for index in 0..self.requests.len() {
+            self.schedule(self.requests[index].at, Event::Arrive(index));
+        }
+        if changes_leader {
+            self.schedule(CHANGE_AT, Event::LeaderLost);
+            self.schedule(CHANGE_AT + CHANGE_GAP, Event::LeaderBack);
+        }
+        while let Some(timed) = self.events.pop() {
+            self.now = timed.at;
+            match timed.event {
+                Event::Arrive(index) => self.arrive(index),
+                Event::Finish(index) => self.finish(index),
+                Event::Deadline(index) => self.expire(index),
+                Event::Poll(instance) => self.poll(instance),
+                Event::AtControl(index) => self.at_control(index),
+                Event::AtHolder(instance) => self.at_holder(instance),
+                Event::LeaderLost => self.ledger = None,
+                Event::LeaderBack => self.new_leader(),
+            }
+        }
+    }
+
+    fn new_leader(&mut self) {
+        self.term += 1;
+        let now = self.at(self.now);
+        let teams: Vec<_> = (0..TEAMS).map(team).collect();
+        let settings = rate::LedgerSettings::default();
+        let mut ledger = rate::GrantLedger::new(self.term, settings, now);
+        ledger.set_teams(&teams, now);
+        self.ledger = Some(ledger);
+        if self.method == Method::Central {
+            for bucket in &mut self.buckets {
+                bucket.level = 0.0;
+                bucket.last = self.now;
+            }
+        }
+    }
+
+    fn lane(&self, index: usize) -> usize {
+        let request = &self.requests[index];
+        let instance = if self.method == Method::Central {
+            0
+        } else {
+            request.instance
+        };
+        instance * TEAMS + request.team
+    }
+
+    fn arrive(&mut self, index: usize) {
+        self.inside += u64::from(self.requests[index].inside);
+        self.schedule(self.now + DEADLINE, Event::Deadline(index));
+        match self.method {
+            Method::Central => {
+                self.messages += 2;
+                self.schedule(self.now + self.fleet.one_way, Event::AtControl(index));
+            }
+            Method::Leased | Method::EqualShares => {
+                let lane = self.lane(index);
+                self.waiting[lane].push_back(index);
+                self.serve_lane(lane);
+            }
+        }
+    }
+
+    fn serve_lane(&mut self, lane: usize) {
+        while let Some(index) = self.waiting[lane].front().copied() {
+            if !self.decided[index] && !self.take(index, lane) {
+                break;
+            }
+            self.waiting[lane].pop_front();
+        }
+        let Some(index) = self.waiting[lane].front().copied() else {
+            return;
+        };
+        if self.method == Method::Leased {
+            self.schedule_poll(self.requests[index].instance);
+        } else {
+            let bucket = &self.buckets[lane];
+            let missing = self.requests[index].charged as f64 - bucket.level;
+            let at = self.now + (missing / bucket.rate).max(1e-4);
+            if at < self.requests[index].at + DEADLINE {
+                self.schedule(at, Event::Poll(lane));
+            }
+        }
+    }
+
+    /// Tries to pass a request; a request that can never pass in time is refused.
+    fn take(&mut self, index: usize, lane: usize) -> bool {
+        let request = self.requests[index].clone();
+        if self.method != Method::Leased {
+            if !self.buckets[lane].take(request.charged as f64, self.now) {
+                return false;
+            }
+            self.pass(index);
+            return true;
+        }
+        let now = self.at(self.now);
+        let team = team(request.team);
+        let wallet = &mut self.wallets[request.instance];
+        match wallet.charge(&team.name, amount::TokenCount(request.charged), now) {
+            rate::ChargeOutcome::Charged(mut receipt) => {
+                assert!(wallet.still_valid(&mut receipt, now));
+                self.receipts.insert(index, receipt);
+                self.pass(index);
+                true
+            }
+            rate::ChargeOutcome::Ask { retry_after, .. } => {
+                let left = request.at + DEADLINE - self.now;
+                let hopeless = retry_after.is_some_and(|after| after.as_secs_f64() > left);
+                if hopeless {
+                    self.refuse(index);
+                }
+                hopeless
+            }
+            _ => {
+                self.refuse(index);
+                true
+            }
+        }
+    }
+
+    fn pass(&mut self, index: usize) {
+        self.decided[index] = true;
+        let request = self.requests[index].clone();
+        if request.inside {
+            self.waits.push(self.now - request.at);
+        }
+        self.passed[request.team].push(Passed {
+            at: self.now,
+            tokens: request.used,
+        });
+        self.schedule(self.now + request.takes, Event::Finish(index));
+    }
+
+    fn refuse(&mut self, index: usize) {
+        self.decided[index] = true;
+        self.refused_inside += u64::from(self.requests[index].inside);
+    }
+
+    fn finish(&mut self, index: usize) {
+        let request = self.requests[index].clone();
+        if let Some(receipt) = self.receipts.remove(&index) {
+            let now = self.at(self.now);
+            let used = amount::TokenCount(request.used);
+            self.wallets[request.instance].settle(receipt, used, now);
+            self.schedule_poll(request.instance);
+            return;
+        }
+        let lane = self.lane(index);
+        let bucket = &mut self.buckets[lane];
+        let refund = (request.charged - request.used) as f64;
+        bucket.level = bucket.burst.min(bucket.level + refund);
+    }
+
+    fn expire(&mut self, index: usize) {
+        if !self.decided[index] {
+            self.refuse(index);
+            let lane = self.lane(index);
+            self.serve_lane(lane);
+        }
+    }
+
+    fn schedule_poll(&mut self, instance: usize) {
+        let now = self.at(self.now);
+        let Some(due) = self.wallets[instance].call_at(now) else {
+            return;
+        };
+        let at = due
+            .saturating_duration_since(self.started)
+            .as_secs_f64()
+            .max(self.now);
+        if at < self.polled_for[instance] {
+            self.polled_for[instance] = at;
+            self.schedule(at + 1e-6, Event::Poll(instance));
+        }
+    }
+
+    fn poll(&mut self, index: usize) {
+        if self.method == Method::EqualShares {
+            self.serve_lane(index);
+            return;
+        }
+        if self.method == Method::Central {
+            self.serve_lane(index);
+            return;
+        }
+        self.polled_for[index] = f64::MAX;
+        let now = self.at(self.now);
+        if let Some(call) = self.wallets[index].call(now) {
+            self.messages += 1;
+            self.calls.push_back(call);
+            self.schedule(self.now + self.fleet.one_way, Event::AtControl(index));
+        }
+        self.schedule_poll(index);
+    }
+
+    fn at_control(&mut self, index: usize) {
+        if self.method == Method::Central {
+            if self.ledger.is_some() {
+                self.waiting[self.requests[index].team].push_back(index);
+                self.serve_lane(self.requests[index].team);
+            } else if self.requests[index].at + DEADLINE > self.now {
+                self.schedule(self.now + 0.05, Event::AtControl(index));
+            }
+            return;
+        }
+        let now = self.at(self.now);
+        let Some(call) = self.calls.pop_front() else {
+            return;
+        };
+        let Some(ledger) = &mut self.ledger else {
+            return;
+        };
+        self.replies[index] = Some(ledger.grant(&call, now));
+        self.messages += 1;
+        self.schedule(self.now + self.fleet.one_way, Event::AtHolder(index));
+    }
+
+    fn at_holder(&mut self, instance: usize) {
+        let now = self.at(self.now);
+        if let Some(reply) = self.replies[instance].take() {
+            self.wallets[instance].accept(&reply, now);
+        }
+        for team in 0..TEAMS {
+            self.serve_lane(instance * TEAMS + team);
+        }
+        self.schedule_poll(instance);
+    }
+
+    /// Returns the most tokens beyond rate and burst in any window, as a share of the burst.
+    fn excess(&self) -> f64 {
+        (0..TEAMS)
+            .map(|index| self.excess_of(index))
+            .fold(0.0, f64::max)
+    }
+
+    /// The excess of the best window that ends at each passed request, by one pass.
+    fn excess_of(&self, index: usize) -> f64 {
+        let team = team(index);
+        let (rate, burst) = (team.rate_tokens_per_s.0 as f64, team.burst_tokens.0 as f64);
+        let mut debt: f64 = 0.0;
+        let mut last = 0.0;
+        let mut most: f64 = 0.0;
+        for passed in &self.passed[index] {
+            debt = (debt - (passed.at - last) * rate).max(0.0) + passed.tokens as f64;
+            last = passed.at;
+            most = most.max(debt - burst);
+        }
+        most / burst
+    }
+
+    /// Returns the tokens that the team over its rate got, as a share of what it is entitled to.
+    fn greedy_share(&self) -> f64 {
+        let team = team(0);
+        let entitled = team.burst_tokens.0 as f64 + team.rate_tokens_per_s.0 as f64 * RUN;
+        let got: u64 = self.passed[0].iter().map(|passed| passed.tokens).sum();
+        got as f64 / entitled
+    }
+}
+
+fn percentile(values: &mut [f64], share: f64) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let index = ((values.len() as f64 - 1.0) * share) as usize;
+    values.get(index).copied().unwrap_or(0.0)
+}
+
+/// The figures of one way over all seeds.
+#[derive(Debug, Default)]
+struct Figures {
+    excess: f64,
+    refused: u64,
+    inside: u64,
+    waits: Vec<f64>,
+    greedy: f64,
+    messages: f64,
+}
+
+fn replay(method: Method, fleet: FleetSize, horizon: u64, changes_leader: bool) -> Figures {
+    let mut figures = Figures::default();
+    for seed in SEEDS {
+        let requests = trace(fleet, seed);
+        let mut replay = Replay::new(method, fleet, horizon, requests);
+        replay.run(changes_leader);
+        figures.excess = figures.excess.max(replay.excess());
+        figures.refused += replay.refused_inside;
+        figures.inside += replay.inside;
+        figures.waits.append(&mut replay.waits);
+        figures.greedy += replay.greedy_share() / SEEDS.len() as f64;
+        figures.messages += replay.messages as f64 / RUN / SEEDS.len() as f64;
+    }
+    figures
+}
+
+fn main() {
+    println!(
+        "| fleet | leader | way | beyond rate and burst | refused inside rate | wait p50 / p99 / p99.9 ms | greedy team got | messages/s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    let ways = [
+        (Method::Leased, 300),
+        (Method::Leased, 1_000),
+        (Method::EqualShares, 0),
+        (Method::Central, 0),
+    ];
+    for fleet in FLEETS {
+        for changes_leader in [false, true] {
+            for (method, horizon) in ways {
+                let mut figures = replay(method, fleet, horizon, changes_leader);
+                println!(
+                    "| {} | {} | {method:?} {horizon} | {:.1} % | {} of {} | {:.1} / {:.1} / {:.1} | {:.1} % | {:.0} |",
+                    fleet.label,
+                    if changes_leader { "changes" } else { "stays" },
+                    figures.excess * 100.0,
+                    figures.refused,
+                    figures.inside,
+                    percentile(&mut figures.waits, 0.5) * 1_000.0,
+                    percentile(&mut figures.waits, 0.99) * 1_000.0,
+                    percentile(&mut figures.waits, 0.999) * 1_000.0,
+                    figures.greedy * 100.0,
+                    figures.messages,
+                );
+            }
+        }
+    }
+}
--- a/galenahold_routing/src/rate/fairness_correction.rs
+++ b/galenahold_routing/src/rate/fairness_correction.rs
@@ -6,13 +6,13 @@
 use galenahold_domain::name;
 
 const DEFAULT_MEMORY: time::Duration = time::Duration::from_secs(2);
-const LEAST_FACTOR: f64 = 0.25;
-const GREATEST_FACTOR: f64 = 4.0;
+const LEAST_FACTOR: f64 = 0.02;
+const EXCESS_POWER: i32 = 4;
 
 /// Corrects the teams' weights by what they were served over the whole fleet.
 ///
-/// An instance sees only its own queues. A team that is served much at other instances gets a
-/// lower weight at each of them, and a team that is served little a higher one.
+/// An instance sees only its own queues. A team that is served more than its share of the whole
+/// fleet gets a lower weight at each of them, by the fourth power of its excess; the others keep theirs.
 #[derive(Debug, Default)]
 pub struct FairnessCorrection {
     teams: collections::BTreeMap<name::TeamName, ServedShare>,
@@ -67,7 +67,8 @@
         }
         let fair = own.weight / weights;
         let actual = own_served / served;
-        own.weight * (fair / actual).clamp(LEAST_FACTOR, GREATEST_FACTOR)
+        let shortfall = fair / actual;
+        own.weight * shortfall.powi(EXCESS_POWER).clamp(LEAST_FACTOR, 1.0)
     }
 
     fn share_mut(&mut self, team: &name::TeamName, now: time::Instant) -> &mut ServedShare {
--- a/galenahold_routing/src/rate/wallet_account.rs
+++ b/galenahold_routing/src/rate/wallet_account.rs
@@ -8,6 +8,7 @@
 use crate::rate::charge_receipt::ReceiptPart;
 
 const SPEND_MEMORY: time::Duration = time::Duration::from_millis(500);
+const SHORT_PAUSE: time::Duration = time::Duration::from_millis(20);
 const FRESH_GRANT: time::Duration = time::Duration::from_millis(200);
 const STATED_AFTER_EXPIRY: time::Duration = time::Duration::from_secs(10);
 
@@ -24,8 +25,9 @@
     /// Tokens of all requests that were told to ask since the last reply.
     waiting: u64,
     first_waiting: u64,
-    retry_at: Option<time::Instant>,
-    scarce: bool,
+    /// Tokens asked for in the last call.
+    asked: u64,
+    reply: LastReply,
     spend_per_s: f64,
     spend_updated_at: time::Instant,
     called_at: Option<time::Instant>,
@@ -34,6 +36,15 @@
     pub(super) active: bool,
 }
 
+/// What control's last reply said beside the grant.
+#[derive(Debug, Default)]
+struct LastReply {
+    retry_at: Option<time::Instant>,
+    /// Whether it gave less than was asked for.
+    short: bool,
+    scarce: bool,
+}
+
 /// A grant in hand.
 #[derive(Debug)]
 struct HeldGrant {
@@ -70,8 +81,8 @@
             served_total: 0,
             waiting: 0,
             first_waiting: 0,
-            retry_at: None,
-            scarce: false,
+            asked: 0,
+            reply: LastReply::default(),
             spend_per_s: 0.0,
             spend_updated_at: now,
             called_at: None,
@@ -179,8 +190,10 @@
         }
         let regular = self.called_at.map_or(now, |at| at + interval);
         if self.waiting > 0 {
-            let retry_at = self.retry_at.unwrap_or(now);
-            return Some(retry_at.min(regular));
+            let retry_at = self.reply.retry_at.unwrap_or(now).min(regular);
+            let paused = self.called_at.filter(|_| self.reply.short);
+            let pause_ends = paused.map_or(now, |at| at + SHORT_PAUSE);
+            return Some(retry_at.max(pause_ends));
         }
         let silent = self.grants.is_empty() && self.refunds.is_empty();
         (!silent).then_some(regular)
@@ -210,10 +223,12 @@
                 grant.closed_in.get_or_insert(number);
             }
         }
+        let missing = self.waiting.saturating_sub(balance);
+        self.asked = missing + prefetch;
         rate::GrantRequest {
             team: team.clone(),
             first_missing: amount::TokenCount(self.first_waiting.saturating_sub(balance)),
-            missing: amount::TokenCount(self.waiting.saturating_sub(balance)),
+            missing: amount::TokenCount(missing),
             prefetch: amount::TokenCount(prefetch),
             statements: self.grants.iter().map(state_grant).collect(),
             refunds: self.refunds.clone(),
@@ -236,8 +251,9 @@
         self.refunds.retain(|refund| refund.sequence > last_refund);
         self.waiting = 0;
         self.first_waiting = 0;
-        self.retry_at = grant.retry_after.map(|after| now + after);
-        self.scarce = grant.scarce;
+        self.reply.retry_at = grant.retry_after.map(|after| now + after);
+        self.reply.short = grant.tokens.0 < self.asked;
+        self.reply.scarce = grant.scarce;
         self.weight = grant.weight;
         if grant.tokens.0 == 0 {
             return;
@@ -258,7 +274,7 @@
     pub(super) fn note_unknown(&mut self, retry_after: time::Duration, now: time::Instant) {
         self.waiting = 0;
         self.first_waiting = 0;
-        self.retry_at = Some(now + retry_after);
+        self.reply.retry_at = Some(now + retry_after);
     }
 
     /// Returns the sequence number of the latest refund.
@@ -272,7 +288,7 @@
         }
         self.waiting += tokens;
         let missing = amount::TokenCount(self.waiting.saturating_sub(balance));
-        let retry_at = self.retry_at;
+        let retry_at = self.reply.retry_at;
         let retry_after = retry_at.map(|at| at.saturating_duration_since(now));
         rate::ChargeOutcome::Ask {
             missing,
@@ -395,7 +411,11 @@
 
     /// Gives up tokens beyond what the recent spending asks for, the oldest first.
     fn return_idle(&mut self, target: u64, now: time::Instant) {
-        let keep = if self.scarce { target } else { target * 2 };
+        let keep = if self.reply.scarce {
+            target
+        } else {
+            target * 2
+        };
         let keep = keep.max(self.waiting);
         let mut excess = self.balance().saturating_sub(keep);
         for grant in &mut self.grants {
--- a/galenahold_routing/src/replica/mod.rs
+++ b/galenahold_routing/src/replica/mod.rs
@@ -3,6 +3,7 @@
 //! The [`ReplicaTable`] holds what backend servers announced and what this instance has under way
 //! at each replica. A [`ReplicaChoice`] picks one of the candidates that the table lists.
 
+mod bounded_rotation;
 mod choice_request;
 mod least_outstanding;
 mod prefix_affinity;
@@ -21,6 +22,7 @@
 mod table_settings;
 mod two_choices;
 
+pub use bounded_rotation::BoundedRotation;
 pub use choice_request::ChoiceRequest;
 pub use least_outstanding::LeastOutstanding;
 pub use prefix_affinity::PrefixAffinity;
