--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -14,6 +14,10 @@
 use crate::backend;
 use crate::dispatch;
 
+/// How long a replica is left alone after its backend server said that it does not hold it: longer
+/// than the time between two announcements, the next of which tells.
+const DENIAL: time::Duration = time::Duration::from_millis(1_500);
+
 /// The state behind the dispatcher, generic over the choice of replicas.
 #[derive(Debug)]
 pub(crate) struct DispatchState {
@@ -24,6 +28,8 @@
     queues: collections::HashMap<replica::ReplicaTarget, dispatch::TargetQueue>,
     limits: queue::QueueLimits,
     candidates: Vec<replica::ReplicaCandidate>,
+    work: collections::HashMap<dispatch::WorkKey, u32>,
+    denied: collections::HashMap<replica::ReplicaKey, time::Instant>,
 }
 
 /// A waiting request and the replica chosen for it.
@@ -52,6 +58,8 @@
             queues: collections::HashMap::new(),
             limits,
             candidates: Vec::new(),
+            work: collections::HashMap::new(),
+            denied: collections::HashMap::new(),
         }
     }
 
@@ -191,6 +199,10 @@
         match slot.end {
             dispatch::AttemptEnd::Silent => {}
             dispatch::AttemptEnd::Answered => self.breaker.succeed(slot.server),
+            dispatch::AttemptEnd::Denied => {
+                self.breaker.succeed(slot.server);
+                self.denied.insert(slot.replica, now + DENIAL);
+            }
             dispatch::AttemptEnd::Failed => {
                 self.breaker.fail(slot.server, now);
             }
@@ -198,11 +210,25 @@
         if let Some(queue) = self.queues.get_mut(&slot.target) {
             queue.running = queue.running.saturating_sub(1);
         }
+        self.end_work(slot);
+    }
+
+    fn end_work(&mut self, slot: &dispatch::ReplicaSlot) {
+        let Some(key) = dispatch::WorkKey::of(&slot.address.server, &slot.target) else {
+            return;
+        };
+        if let Some(count) = self.work.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.work.remove(&key);
+            }
+        }
     }
 
     /// Drops what has expired: announcements, and requests past their deadline.
     pub(crate) fn expire(&mut self, now: time::Instant) -> Vec<dispatch::SlotWaiter> {
         self.table.expire(now);
+        self.denied.retain(|_, until| *until > now);
         let mut expired = Vec::new();
         for queue in self.queues.values_mut() {
             while let Some(item) = queue.queue.expired(now) {
@@ -216,28 +242,19 @@
     }
 
     /// Returns the demand for models and adapters, and starts to count arrivals anew.
-    pub(crate) fn take_demand(&mut self, now: time::Instant) -> Vec<message::TargetDemand> {
-        let mut demand = Vec::new();
+    pub(crate) fn take_demand(&mut self, now: time::Instant) -> dispatch::DemandSnapshot {
+        let mut snapshot = dispatch::DemandSnapshot::default();
         for (target, queue) in &mut self.queues {
             let replica::ReplicaTarget::Artifact(artifact) = target else {
                 continue;
             };
-            if queue.is_idle() {
-                continue;
+            let demand = queue.take_demand(artifact, now);
+            if demand.waiting > 0 || demand.arrivals > 0 {
+                snapshot.demands.insert(artifact.clone(), demand);
             }
-            let oldest = queue
-                .waiting_since
-                .map_or(time::Duration::ZERO, |since| now.duration_since(since));
-            demand.push(message::TargetDemand {
-                model: artifact.model.clone(),
-                adapter: artifact.adapter.clone(),
-                oldest_wait_ms: u64::try_from(oldest.as_millis()).unwrap_or(u64::MAX),
-                running: queue.running,
-                arrived: std::mem::take(&mut queue.arrived),
-                waiting: queue.team_demand(),
-            });
         }
-        demand
+        snapshot.work.clone_from(&self.work);
+        snapshot
     }
 
     fn dispatch_one(
@@ -266,11 +283,11 @@
     /// Lists the replicas that may take a request; returns whether there is any, full ones included.
     fn find_candidates(&mut self, target: &replica::ReplicaTarget, now: time::Instant) -> bool {
         self.table.candidates(target, now, &mut self.candidates);
-        let (table, drains) = (&self.table, &self.drains);
+        let (table, drains, denied) = (&self.table, &self.drains, &self.denied);
         self.candidates.retain(|candidate| {
-            table
-                .server(candidate.server)
-                .is_some_and(|entry| !drains.holds(entry, target))
+            let is_denied = denied.get(&candidate.key).is_some_and(|until| *until > now);
+            let server = table.server(candidate.server);
+            !is_denied && server.is_some_and(|entry| !drains.holds(entry, target))
         });
         self.breaker.admit(&mut self.candidates, now);
         !self.candidates.is_empty()
@@ -320,6 +337,9 @@
             incarnation: entry.incarnation(),
             socket: entry.address(),
         };
+        if let Some(key) = dispatch::WorkKey::of(&address.server, &request.target) {
+            *self.work.entry(key).or_insert(0) += 1;
+        }
         self.table.begin(replica, request.tokens);
         self.breaker.begin(server, now);
         Some(Dispatched {
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -17,6 +17,8 @@
 /// Answers the calls of other instances.
 #[derive(Debug, Clone)]
 pub(crate) struct InstanceService {
+    /// The cluster that this instance belongs to.
+    pub(crate) cluster: String,
     /// The log and the leader's work.
     pub(crate) desk: control::ControlDesk,
     /// Passes the configuration on.
@@ -32,6 +34,19 @@
 }
 
 impl rpc::InstanceRpc for InstanceService {
+    async fn hello(
+        self,
+        _context: context::Context,
+        request: message::HelloRequest,
+    ) -> message::HelloReply {
+        let own = self.directory.own();
+        if request.cluster != self.cluster || request.to != own.name {
+            return message::HelloReply::Stranger;
+        }
+        self.directory.hear(&request.card, time::Instant::now());
+        message::HelloReply::Welcome { card: own.clone() }
+    }
+
     async fn consensus(
         self,
         _context: context::Context,
@@ -74,12 +89,19 @@
             let age = time::Duration::from_millis(aged.age_ms);
             self.registry.take(aged.announcement, age, false, now);
         }
+        let missing = batch
+            .heartbeats
+            .iter()
+            .filter(|heartbeat| !self.registry.take_heartbeat(heartbeat, now))
+            .map(|heartbeat| heartbeat.name.clone())
+            .collect();
         for event in batch.events {
             // A full sink drops the event, which shows as a gap.
             let _ = self.events.try_send(event);
         }
         message::SpreadReceipt {
             card: self.directory.own().clone(),
+            missing,
         }
     }
 
--- a/galenahold_testkit/src/deployment/standin_fleet.rs
+++ b/galenahold_testkit/src/deployment/standin_fleet.rs
@@ -3,12 +3,15 @@
 use std::net;
 use std::sync;
 
-use super::FleetDeployment;
+use snafu::OptionExt;
+
+use super::{DeployedModel, FleetDeployment};
 use crate::announce;
+use crate::control;
 use crate::engine;
 use crate::service;
 use crate::store;
-use crate::testkit_error::TestkitError;
+use crate::testkit_error::{NotRunningSnafu, TestkitError};
 
 /// Runs the engines, plain services and weight store of a deployment until it is dropped.
 #[derive(Debug)]
@@ -21,7 +24,7 @@
 impl StandInFleet {
     /// Starts all stand-ins; they announce themselves to `instances`.
     ///
-    /// With `preload` the models are ready at the start, each on one engine, as far as memory goes.
+    /// With `preload` models are ready at the start, up to their replica limits, as far as memory goes.
     ///
     /// # Errors
     ///
@@ -79,6 +82,55 @@
         &self.services
     }
 
+    /// Ends the server with this name at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such server.
+    pub fn crash(&self, name: &str) -> Result<(), TestkitError> {
+        if let Some(engine) = self.engines.iter().find(|engine| engine.name() == name) {
+            engine.crash();
+            return Ok(());
+        }
+        let service = self.services.iter().find(|service| service.name() == name);
+        service.context(NotRunningSnafu { name })?.crash();
+        Ok(())
+    }
+
+    /// Starts the server with this name anew.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such server, or when its addresses were taken meanwhile.
+    pub fn restart(&mut self, name: &str) -> Result<(), TestkitError> {
+        let mut engines = self.engines.iter_mut();
+        if let Some(engine) = engines.find(|engine| engine.name() == name) {
+            return engine.restart();
+        }
+        let mut services = self.services.iter_mut();
+        let service = services.find(|service| service.name() == name);
+        service.context(NotRunningSnafu { name })?.restart()
+    }
+
+    /// Makes the server with this name misbehave; switches that it does not have are ignored.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such server.
+    pub fn control(
+        &self,
+        name: &str,
+        control: &control::ServerControl,
+    ) -> Result<(), TestkitError> {
+        if let Some(engine) = self.engines.iter().find(|engine| engine.name() == name) {
+            engine.control(control);
+            return Ok(());
+        }
+        let service = self.services.iter().find(|service| service.name() == name);
+        service.context(NotRunningSnafu { name })?.control(control);
+        Ok(())
+    }
+
     /// Returns the weight store.
     #[must_use]
     pub fn store(&self) -> &store::WeightStore {
@@ -119,15 +171,29 @@
     }
 }
 
-/// Gives each model to the engine with the most free memory, as long as one has room.
+/// Gives each model one replica, then further ones up to its limit, as far as memory goes.
 fn preload_models(deployment: &FleetDeployment, settings: &mut [engine::EngineSettings]) {
-    for model in &deployment.models {
-        let roomiest = settings
-            .iter_mut()
-            .max_by_key(|settings| free_bytes(settings));
-        let Some(settings) = roomiest.filter(|settings| free_bytes(settings) >= model.bytes) else {
-            continue;
-        };
+    let most = deployment
+        .models
+        .iter()
+        .map(|model| model.max_replicas)
+        .max();
+    for replica in 0..most.unwrap_or_default() {
+        let wanted = deployment.models.iter();
+        for model in wanted.filter(|model| replica < model.max_replicas) {
+            preload_model(model, settings);
+        }
+    }
+}
+
+/// Gives a model to the engine with the most free memory that does not have it.
+fn preload_model(model: &DeployedModel, settings: &mut [engine::EngineSettings]) {
+    let roomiest = settings
+        .iter_mut()
+        .filter(|settings| settings.models.iter().all(|held| held.model != model.name))
+        .filter(|settings| free_bytes(settings) >= model.bytes)
+        .max_by_key(|settings| free_bytes(settings));
+    if let Some(settings) = roomiest {
         settings.models.push(engine::InitialModel {
             model: model.name.clone(),
             version: model.version.clone(),
--- a/galenahold_testkit/src/experiment/experiment_builder.rs
+++ b/galenahold_testkit/src/experiment/experiment_builder.rs
@@ -1,10 +1,11 @@
 //! Running an experiment.
 
-use std::net;
+use std::path;
 use std::thread;
 use std::time;
 
-use super::{ExperimentResult, LedgerFindings};
+use super::fault_runner::{FaultRunner, TeamKey};
+use super::{ExperimentResult, LedgerFindings, PlannedFault};
 use crate::deployment;
 use crate::harness;
 use crate::load;
@@ -24,7 +25,10 @@
     settings: serde_json::Value,
     delays: bool,
     preload: bool,
+    straight: bool,
     timeout: time::Duration,
+    kept_files: Option<path::PathBuf>,
+    faults: Vec<PlannedFault>,
 }
 
 impl ExperimentBuilder {
@@ -37,7 +41,10 @@
             settings: serde_json::json!({}),
             delays: true,
             preload: false,
+            straight: false,
             timeout: load::LoadSettings::default().timeout,
+            kept_files: None,
+            faults: Vec::new(),
         }
     }
 
@@ -62,6 +69,13 @@
         self
     }
 
+    /// Sets whether every second request for preloaded models goes to an engine directly.
+    #[must_use]
+    pub fn straight(mut self, straight: bool) -> Self {
+        self.straight = straight;
+        self
+    }
+
     /// Sets the time that a request may take.
     #[must_use]
     pub fn timeout(mut self, timeout: time::Duration) -> Self {
@@ -69,50 +83,109 @@
         self
     }
 
+    /// Keeps the instances' files in a new folder below `parent`.
+    #[must_use]
+    pub fn keep_files(mut self, parent: &path::Path) -> Self {
+        self.kept_files = Some(parent.to_owned());
+        self
+    }
+
+    /// Makes these faults while the trace is played.
+    #[must_use]
+    pub fn faults(mut self, faults: Vec<PlannedFault>) -> Self {
+        self.faults = faults;
+        self
+    }
+
     /// Starts everything, plays the trace and reads the ledgers.
     ///
     /// # Errors
     ///
     /// Fails when the fleet does not become ready or the intent is refused.
     pub fn run(&self, trace: &load::LoadTrace) -> Result<ExperimentResult, TestkitError> {
-        let fleet = self.start_fleet()?;
-        let servers =
+        let mut fleet = self.start_fleet()?;
+        let mut servers =
             deployment::StandInFleet::start(&self.deployment, &fleet.backends(), self.preload)?;
         let operator = fleet.operator();
         operator.state_intent(&self.deployment.intent())?;
-        let teams = self.deployment.teams.iter();
-        let keys = operator.give_keys(teams.map(|team| team.name.as_str()))?;
+        let keys = self.give_keys(&operator)?;
         thread::sleep(ANNOUNCE_TIME);
         let proxy = proxy::FaultProxy::start()?;
         let settings = load::LoadSettings {
             label: self.label.clone(),
-            targets: self.caller_addresses(&proxy, &fleet)?,
-            keys: keys.clone(),
+            targets: self.targets(&proxy, &fleet)?,
+            straight_engines: if self.straight {
+                straight_engines(&servers)
+            } else {
+                Vec::new()
+            },
+            keys: keys.iter().fold(load::TeamKeys::default(), |keys, key| {
+                keys.with(&key.team, &key.given.key)
+            }),
             timeout: self.timeout,
             ..load::LoadSettings::default()
         };
-        let load = load::LoadRun::new(settings)?.play(trace);
-        let findings = LedgerFindings::read(&self.deployment, &servers, keys.values());
-        Ok(ExperimentResult { load, findings })
+        let run = load::LoadRun::new(settings)?;
+        let runner = FaultRunner {
+            fleet: &mut fleet,
+            servers: &mut servers,
+            keys: &keys,
+        };
+        let (load, faults) = thread::scope(|scope| {
+            let faults = scope.spawn(|| runner.run(&self.faults, |links| self.set_delays(links)));
+            let load = run.play(trace);
+            (load, faults.join().unwrap_or_default())
+        });
+        let shown = keys.iter().map(|key| key.given.key.as_str());
+        let findings = LedgerFindings::read(&self.deployment, &servers, shown);
+        Ok(ExperimentResult {
+            load,
+            faults,
+            findings,
+        })
+    }
+
+    fn give_keys(&self, operator: &harness::OperatorClient) -> Result<Vec<TeamKey>, TestkitError> {
+        let teams = self.deployment.teams.iter();
+        let keys = teams.map(|team| {
+            let given = operator.give_key(&team.name)?;
+            Ok(TeamKey {
+                team: team.name.clone(),
+                given,
+            })
+        });
+        keys.collect()
+    }
+
+    /// Sets the delays between data centres, and mends all links.
+    fn set_delays(&self, links: &harness::PeerLinks) {
+        links.heal();
+        if self.delays {
+            links.set_each(|from, to| self.peer_fault(from, to));
+        }
     }
 
     fn start_fleet(&self) -> Result<harness::InstanceFleet, TestkitError> {
         let centres = &self.deployment.data_centres;
         let names: Vec<_> = centres.iter().map(String::as_str).collect();
         let control = self.deployment.control_instances;
-        let route = if self.delays {
+        let route = if self.delays || !self.faults.is_empty() {
             harness::PeerRoute::Pairs
         } else {
             harness::PeerRoute::Direct
         };
-        let fleet = harness::FleetBuilder::default()
+        let mut builder = harness::FleetBuilder::default();
+        if let Some(parent) = &self.kept_files {
+            builder = builder.keep_files(parent);
+        }
+        let fleet = builder
             .control(control)
             .entries(self.deployment.instances.saturating_sub(control))
             .data_centres(&names)
             .peer_route(route)
             .settings(&self.settings)
             .start_ready(READY_LIMIT)?;
-        fleet.links().set_each(|from, to| self.peer_fault(from, to));
+        self.set_delays(fleet.links());
         Ok(fleet)
     }
 
@@ -129,20 +202,33 @@
     }
 
     /// Lists where callers connect: through links with the delay from clients, if asked for.
-    fn caller_addresses(
+    fn targets(
         &self,
         proxy: &proxy::FaultProxy,
         fleet: &harness::InstanceFleet,
-    ) -> Result<Vec<net::SocketAddr>, TestkitError> {
+    ) -> Result<Vec<load::LoadTarget>, TestkitError> {
         if !self.delays {
-            return Ok(fleet.callers());
+            return Ok(fleet.load_targets());
         }
         let delay = time::Duration::from_micros(self.deployment.from_clients_us);
-        let links = fleet.callers().into_iter().map(|address| {
-            let link = proxy.link(address)?;
+        let links = fleet.load_targets().into_iter().map(|mut target| {
+            let link = proxy.link(target.callers)?;
             link.set_both(proxy::LinkFault::pass().delay(delay));
-            Ok(link.address())
+            target.callers = link.address();
+            Ok(target)
         });
         links.collect()
     }
 }
+
+/// Lists the engines with the models that they have at the start.
+fn straight_engines(servers: &deployment::StandInFleet) -> Vec<load::StraightEngine> {
+    let engines = servers.engines().iter().map(|engine| {
+        let loaded = engine.loaded().into_iter();
+        load::StraightEngine {
+            address: engine.address(),
+            models: loaded.map(|loaded| loaded.model).collect(),
+        }
+    });
+    engines.filter(|engine| !engine.models.is_empty()).collect()
+}
--- a/galenahold_testkit/src/harness/fleet_builder.rs
+++ b/galenahold_testkit/src/harness/fleet_builder.rs
@@ -1,5 +1,6 @@
 //! The way to start a fleet of instances.
 
+use std::env;
 use std::path;
 use std::time;
 
@@ -29,9 +30,18 @@
     region: String,
     route: PeerRoute,
     template: Value,
+    relays: Vec<RelayChoice>,
     binary: path::PathBuf,
     credential: String,
     environment: Vec<(String, String)>,
+    kept_files: Option<path::PathBuf>,
+}
+
+/// Says which instance takes its configuration from which.
+#[derive(Debug, Clone, Copy)]
+struct RelayChoice {
+    instance: usize,
+    relay: usize,
 }
 
 impl Default for FleetBuilder {
@@ -43,9 +53,11 @@
             region: "region-1".to_owned(),
             route: PeerRoute::Direct,
             template: json!({}),
+            relays: Vec::new(),
             binary: product_binary(),
             credential: "operator-credential".to_owned(),
             environment: Vec::new(),
+            kept_files: None,
         }
     }
 }
@@ -86,6 +98,13 @@
         self
     }
 
+    /// Lets an instance take its configuration from another one.
+    #[must_use]
+    pub fn relay(mut self, instance: usize, relay: usize) -> Self {
+        self.relays.push(RelayChoice { instance, relay });
+        self
+    }
+
     /// Sets an environment variable of every instance.
     #[must_use]
     pub fn variable(mut self, name: &str, value: &str) -> Self {
@@ -93,6 +112,13 @@
         self
     }
 
+    /// Keeps settings, logs and data in a new folder below `parent`.
+    #[must_use]
+    pub fn keep_files(mut self, parent: &path::Path) -> Self {
+        self.kept_files = Some(parent.to_owned());
+        self
+    }
+
     /// Runs another binary.
     #[must_use]
     pub fn binary(mut self, path: &path::Path) -> Self {
@@ -106,9 +132,7 @@
     ///
     /// Fails when a port, a file or the binary cannot be had.
     pub fn start(&self) -> Result<InstanceFleet, TestkitError> {
-        let folder = tempfile::tempdir().context(FileSnafu {
-            path: std::env::temp_dir(),
-        })?;
+        let folder = self.make_folder()?;
         let mut pool = PortPool::open();
         let addresses = (0..self.control + self.entries)
             .map(|_| InstanceAddresses::take(&mut pool))
@@ -145,6 +169,17 @@
         }
     }
 
+    /// Makes the folder of all files; without a wish to keep it, it goes with the fleet.
+    fn make_folder(&self) -> Result<tempfile::TempDir, TestkitError> {
+        let mut builder = tempfile::Builder::new();
+        builder.prefix("fleet-");
+        let parent = self.kept_files.clone().unwrap_or_else(env::temp_dir);
+        builder.disable_cleanup(self.kept_files.is_some());
+        builder
+            .tempdir_in(&parent)
+            .context(FileSnafu { path: parent })
+    }
+
     /// Makes the plan of one instance.
     fn plan(
         &self,
@@ -192,6 +227,10 @@
             plan.settings["advertise"] = json!({"peers": address});
         }
         merge_settings(&mut plan.settings, &self.template);
+        let relays = self.relays.iter().filter(|choice| choice.instance == index);
+        for choice in relays {
+            plan.settings["relay"] = json!([instance_name(choice.relay)]);
+        }
         plan
     }
 
@@ -202,7 +241,9 @@
         addresses: &[InstanceAddresses],
         links: &PeerLinks,
     ) -> Vec<Value> {
+        let relays = self.relays.iter().filter(|choice| choice.instance == index);
         (0..self.control)
+            .chain(relays.map(|choice| choice.relay))
             .filter(|&peer| peer != index)
             .map(|peer| {
                 let address = links.address(Some(index), peer);
@@ -210,7 +251,7 @@
                     "name": instance_name(peer),
                     "address": address.unwrap_or(addresses[peer].peers),
                     "data_centre": self.data_centre(peer),
-                    "control": true,
+                    "control": peer < self.control,
                 })
             })
             .collect()
--- a/galenahold_testkit/tests/product/main.rs
+++ b/galenahold_testkit/tests/product/main.rs
@@ -1,5 +1,7 @@
 //! The harness drives the real product; needs the binary `galenahold` beside the tests.
 
+mod experiments;
+
 use std::time;
 
 use galenahold_testkit::{engine, harness, ledger, load};
@@ -29,7 +31,7 @@
     assert!(operator.state_intent(&intent).expect("a revision") > 0);
     let keys = operator.give_keys(["joiners"]).expect("a key");
     let settings = load::LoadSettings {
-        targets: fleet.callers(),
+        targets: fleet.load_targets(),
         keys: keys.clone(),
         ..load::LoadSettings::default()
     };
