--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -15,6 +15,8 @@
 mod peer_route;
 mod port_pool;
 mod product_binary;
+mod serving_builder;
+mod serving_fleet;
 mod settings_merge;
 mod standin_process;
 
@@ -30,4 +32,6 @@
 pub use peer_links::PeerLinks;
 pub use peer_route::PeerRoute;
 pub use product_binary::product_binary;
+pub use serving_builder::ServingBuilder;
+pub use serving_fleet::{SERVED_MODEL, SERVED_SERVICE, ServingFleet, WAIT_LIMIT, wait_until};
 pub use standin_process::StandInProcess;
