--- a/galenahold_testkit/src/engine/engine_core.rs
+++ b/galenahold_testkit/src/engine/engine_core.rs
@@ -10,7 +10,8 @@
 use super::cache_publisher::StampedEvent;
 use super::model_table::ModelTable;
 use super::prefix_cache::PrefixCache;
-use super::sequence_queue::{Sequence, SequenceQueue};
+use super::sequence::Sequence;
+use super::sequence_queue::SequenceQueue;
 use super::{AnswerText, EngineSettings};
 use crate::announce;
 use crate::control;
@@ -61,14 +62,9 @@
         if !change.stored.is_empty() {
             self.publish_cache(&sequence.model, &change.stored, &[], false);
         }
-        let cached_bytes = change.cached_bytes.min(sequence.prompt.len());
-        let cached_tokens = if cached_bytes == 0 {
-            0
-        } else {
-            AnswerText::prompt_tokens(
-                &sequence.prompt[..floor_boundary(&sequence.prompt, cached_bytes)],
-            )
-        };
+        let cached_tokens = AnswerText::whole_tokens(change.cached_bytes);
+        self.ledger
+            .amend(sequence.key, |record| record.cached_tokens = cached_tokens);
         self.settings
             .timings
             .prefill(sequence.prompt_tokens, cached_tokens)
@@ -147,14 +143,6 @@
     }
 }
 
-/// Returns the last character boundary at or before `index`.
-fn floor_boundary(text: &str, index: usize) -> usize {
-    (0..=index)
-        .rev()
-        .find(|&end| text.is_char_boundary(end))
-        .unwrap_or(0)
-}
-
 /// Formats block hashes as 16 digits each.
 fn hexadecimal(hashes: &[u64]) -> Vec<String> {
     hashes.iter().map(|hash| format!("{hash:016x}")).collect()
