Let the timer service sleep until something is due

Cause: it woke each 10 ms in every instance. Ruled out: a coarser resolution (deadlines of waiting requests would be looked at later).

--- a/galenahold_instance/src/timer/timer_service.rs
+++ b/galenahold_instance/src/timer/timer_service.rs
@@ -7,9 +7,12 @@
 use crate::task;
 use crate::timer;
 
-/// The finest period, and the delay with which a new subscription is taken up.
+/// The finest period.
 const RESOLUTION: time::Duration = time::Duration::from_millis(10);
 
+/// How long the service rests without subscribers.
+const IDLE_PERIOD: time::Duration = time::Duration::from_secs(1);
+
 /// Tells subscribers that their period is over.
 #[derive(Debug, Clone)]
 pub(crate) struct TimerService {
@@ -46,13 +49,13 @@
 }
 
 async fn run(mut inbox: mpsc::UnboundedReceiver<Subscriber>) {
-    let mut subscribers = Vec::new();
-    let mut interval = tokio::time::interval(RESOLUTION);
-    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
+    let mut subscribers: Vec<Subscriber> = Vec::new();
     loop {
-        interval.tick().await;
-        while let Ok(subscriber) = inbox.try_recv() {
-            subscribers.push(subscriber);
+        let next = subscribers.iter().map(|subscriber| subscriber.due).min();
+        let next = next.unwrap_or_else(|| time::Instant::now() + IDLE_PERIOD);
+        tokio::select! {
+            () = tokio::time::sleep_until(next.into()) => {}
+            Some(subscriber) = inbox.recv() => subscribers.push(subscriber),
         }
         let now = time::Instant::now();
         subscribers.retain_mut(|subscriber| subscriber.notify(now));
