Measure placement and take the winners as defaults

Cause: load order, keep-alive and the bounds of prefix affinity were not measured.

Prefix affinity bounds a candidate's load to 110 % of the mean plus 512 tokens and falls back to a bounded rotation. A tick looks only at artifacts that are pressed for long.

Tested: cargo test -p galenahold_placement.

--- a/galenahold_placement/src/engine/placement_engine.rs
+++ b/galenahold_placement/src/engine/placement_engine.rs
@@ -21,7 +21,7 @@
 /// otherwise only once the sender is known to have ended or never to have sent.
 #[derive(Debug)]
 pub struct PlacementEngine<
-    O = policy::WaitingWeighted,
+    O = policy::ArrivalOrder,
     K = policy::HistogramKeepAlive,
     D = policy::NearestCheckpoint,
 > {
@@ -161,8 +161,7 @@
         let state = &mut self.state;
         follow_announcement::expire(state, now);
         follow_demand::expire(state, &self.policies.keep_alive, now);
-        let pressed: Vec<_> = state.pressed.iter().copied().collect();
-        for key in pressed {
+        for key in state.long_pressed(now) {
             state.refresh(key, now);
         }
         state.plan_due = true;
--- a/galenahold_placement/src/engine/placement_policies.rs
+++ b/galenahold_placement/src/engine/placement_policies.rs
@@ -5,7 +5,7 @@
 /// The policies of an engine. The default ones are those that won the project's measurements.
 #[derive(Debug, Default)]
 pub struct PlacementPolicies<
-    O = policy::WaitingWeighted,
+    O = policy::ArrivalOrder,
     K = policy::HistogramKeepAlive,
     D = policy::NearestCheckpoint,
 > {
--- a/galenahold_placement/src/engine/placement_state.rs
+++ b/galenahold_placement/src/engine/placement_state.rs
@@ -143,6 +143,21 @@
         }
     }
 
+    /// Lists the artifacts that are pressed for so long that they want a further replica, and do not
+    /// wait for one yet.
+    pub(super) fn long_pressed(&self, now: time::Instant) -> Vec<ArtifactKey> {
+        let after = self.settings.scale_up_after;
+        let is_due = |key: &&ArtifactKey| {
+            let entry = self.catalog.get(**key);
+            let since = entry.and_then(|entry| entry.pressed_since);
+            since.is_some_and(|since| now.saturating_duration_since(since) >= after)
+        };
+        let due = self.pressed.iter().filter(is_due);
+        due.filter(|key| !self.waiting.contains(key))
+            .copied()
+            .collect()
+    }
+
     /// Stops keeping a replica by its idle time: it has work, or is no longer loaded.
     pub(super) fn disarm_idle(&mut self, id: placement::ReservationId) {
         let Some(entry) = self.book.get_mut(id) else {
--- a/galenahold_placement/src/policy/mod.rs
+++ b/galenahold_placement/src/policy/mod.rs
@@ -3,6 +3,7 @@
 mod arrival_order;
 mod destination;
 mod destination_candidate;
+mod fair_arrival;
 mod fixed_keep_alive;
 mod histogram_keep_alive;
 mod keep_alive;
@@ -18,6 +19,7 @@
 pub use arrival_order::ArrivalOrder;
 pub use destination::Destination;
 pub use destination_candidate::DestinationCandidate;
+pub use fair_arrival::FairArrival;
 pub use fixed_keep_alive::FixedKeepAlive;
 pub use histogram_keep_alive::HistogramKeepAlive;
 pub use keep_alive::KeepAlive;
--- a/galenahold_routing/src/replica/prefix_affinity.rs
+++ b/galenahold_routing/src/replica/prefix_affinity.rs
@@ -7,8 +7,8 @@
 use crate::replica;
 use crate::replica::prefix_view::PrefixView;
 
-const DEFAULT_LOAD_PERCENT: u32 = 125;
-const DEFAULT_SLACK_TOKENS: f64 = 2_048.0;
+const DEFAULT_LOAD_PERCENT: u32 = 110;
+const DEFAULT_SLACK_TOKENS: f64 = 512.0;
 const RENDEZVOUS_BLOCKS: usize = 4;
 const MIX_FIRST: u64 = 0xbf58_476d_1ce4_e5b9;
 const MIX_SECOND: u64 = 0x94d0_49bb_1331_11eb;
@@ -17,13 +17,14 @@
 ///
 /// Cache events confirm and deny what a backend server holds. Where none is confirmed, rendezvous
 /// hashing of the first blocks brings equal prompts to the same replica. A candidate counts while its
-/// load stays within a factor of the mean; a prompt without a whole block goes by two choices.
+/// load stays within a factor of the mean; a prompt without a whole block goes by rotation.
 #[derive(Debug)]
 pub struct PrefixAffinity {
     load_percent: u32,
     slack_tokens: f64,
+    hashes_unknown: bool,
     servers: slotmap::SecondaryMap<replica::ServerKey, CacheState>,
-    fallback: replica::TwoChoices,
+    fallback: replica::BoundedRotation,
 }
 
 #[derive(Debug, Default)]
@@ -40,11 +41,20 @@
         Self {
             load_percent,
             slack_tokens,
+            hashes_unknown: true,
             servers: slotmap::SecondaryMap::new(),
-            fallback: replica::TwoChoices,
+            fallback: replica::BoundedRotation::new(load_percent, slack_tokens),
         }
     }
 
+    /// Returns the choice with prompts of which no block is confirmed sent by rotation, not by
+    /// rendezvous hashing.
+    #[must_use]
+    pub fn with_rotation_of_unknown(mut self) -> Self {
+        self.hashes_unknown = false;
+        self
+    }
+
     /// Follows a cache event; one that is older than the last is dropped, and a gap before it empties
     /// the view of the backend server.
     pub fn follow(&mut self, key: replica::ServerKey, event: &server::CacheEvent) {
@@ -121,13 +131,17 @@
         let seed = hashes[hashes.len().min(RENDEZVOUS_BLOCKS) - 1];
         let added = to_float(usize::try_from(request.tokens.0).unwrap_or(usize::MAX));
         let bound = self.load_bound(candidates, added);
-        let best = candidates
+        let ranked = candidates
             .iter()
             .filter(|candidate| candidate.tokens <= bound)
-            .max_by_key(|candidate| {
-                let matched = self.matched(candidate.server, request);
-                (matched, rendezvous(seed, candidate.name_hash))
+            .map(|candidate| RankedCandidate {
+                matched: self.matched(candidate.server, request),
+                rank: rendezvous(seed, candidate.name_hash),
+                key: candidate.key,
             });
+        let best = ranked
+            .max_by_key(|candidate| (candidate.matched, candidate.rank))
+            .filter(|candidate| candidate.matched > 0 || self.hashes_unknown);
         match best {
             Some(candidate) => Some(candidate.key),
             None => self.fallback.choose(candidates, request, rng),
@@ -135,6 +149,13 @@
     }
 }
 
+#[derive(Debug, Clone, Copy)]
+struct RankedCandidate {
+    matched: usize,
+    rank: u64,
+    key: replica::ReplicaKey,
+}
+
 /// Ranks a candidate for a prefix; each prefix ranks candidates in another order.
 fn rendezvous(seed: u64, name_hash: u64) -> u64 {
     let mut mixed = seed ^ name_hash;
