--- a/galenahold_testkit/src/load/answer_check.rs
+++ b/galenahold_testkit/src/load/answer_check.rs
@@ -1,6 +1,6 @@
 //! Whether an answer is whole and belongs to its request.
 
-use super::answer_document::AnswerDocument;
+use super::answer_document::{AnswerDocument, AnswerError};
 use super::answer_piece::AnswerPiece;
 use crate::engine;
 
@@ -11,6 +11,7 @@
     expected: u64,
     received: u64,
     finished: bool,
+    error: AnswerError,
 }
 
 impl AnswerCheck {
@@ -21,6 +22,7 @@
             expected,
             received: 0,
             finished: false,
+            error: AnswerError::default(),
         }
     }
 
@@ -32,7 +34,8 @@
         let Ok(document) = serde_json::from_slice::<AnswerDocument>(data) else {
             return AnswerPiece::Wrong;
         };
-        if document.error.is_some() {
+        if let Some(error) = document.error {
+            self.error = error;
             return AnswerPiece::Failed;
         }
         let Some(choice) = document.choices.into_iter().next() else {
@@ -52,6 +55,11 @@
         self.finished && self.received == self.expected
     }
 
+    /// Returns the error that the answer ended in, empty without one.
+    pub(crate) fn error(&self) -> &AnswerError {
+        &self.error
+    }
+
     /// Returns the tokens received.
     pub(crate) fn received(&self) -> u64 {
         self.received
--- a/galenahold_testkit/src/load/answer_document.rs
+++ b/galenahold_testkit/src/load/answer_document.rs
@@ -9,7 +9,7 @@
     #[serde(default)]
     pub(crate) choices: Vec<AnswerChoice>,
     /// An error in place of answers.
-    pub(crate) error: Option<serde::de::IgnoredAny>,
+    pub(crate) error: Option<AnswerError>,
 }
 
 /// One answer.
@@ -31,3 +31,14 @@
     /// The text.
     pub(crate) content: Option<String>,
 }
+
+/// An error in a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Deserialize)]
+pub(crate) struct AnswerError {
+    /// Its kind.
+    #[serde(default, rename = "type")]
+    pub(crate) kind: String,
+    /// Whether the request may have run.
+    #[serde(default)]
+    pub(crate) verdict: String,
+}
--- a/galenahold_testkit/src/load/answer_reader.rs
+++ b/galenahold_testkit/src/load/answer_reader.rs
@@ -72,7 +72,12 @@
                 }
                 AnswerPiece::Other => {}
                 AnswerPiece::Done => done = true,
-                AnswerPiece::Failed => result.end = RequestEnd::FailedStream,
+                AnswerPiece::Failed => {
+                    result.end = RequestEnd::FailedStream {
+                        verdict: check.error().verdict.clone(),
+                        kind: check.error().kind.clone(),
+                    };
+                }
                 AnswerPiece::Wrong => result.end = RequestEnd::Wrong,
             }
         }
--- a/galenahold_testkit/src/load/request_end.rs
+++ b/galenahold_testkit/src/load/request_end.rs
@@ -17,7 +17,12 @@
         kind: String,
     },
     /// A stream that ended in an error event.
-    FailedStream,
+    FailedStream {
+        /// The `verdict` of the error.
+        verdict: String,
+        /// The `type` of the error.
+        kind: String,
+    },
     /// A connection that broke before the end.
     Broken,
     /// No end in time.
--- a/galenahold_testkit/src/load/result_collector.rs
+++ b/galenahold_testkit/src/load/result_collector.rs
@@ -125,7 +125,11 @@
         match end {
             RequestEnd::Answered => result.answered += 1,
             RequestEnd::Wrong => result.wrong += 1,
-            RequestEnd::FailedStream => result.failed_streams += 1,
+            RequestEnd::FailedStream { verdict, kind } => {
+                result.failed_streams += 1;
+                let status = http::StatusCode::OK.as_u16();
+                count_verdict(&mut result.verdicts, status, verdict, kind);
+            }
             RequestEnd::Broken => result.broken += 1,
             RequestEnd::TimedOut => result.timed_out += 1,
             RequestEnd::Refused {
@@ -155,7 +159,7 @@
     }
 }
 
-/// Counts one refusal.
+/// Counts one refusal or failed stream.
 fn count_verdict(verdicts: &mut Vec<VerdictCount>, status: u16, verdict: &str, kind: &str) {
     let known = verdicts
         .iter_mut()
--- a/galenahold_testkit/src/load/route_result.rs
+++ b/galenahold_testkit/src/load/route_result.rs
@@ -29,7 +29,7 @@
     pub timed_out: u64,
     /// Output tokens received.
     pub tokens: u64,
-    /// Refusals by status and verdict.
+    /// Refusals, and with status 200 failed streams, by status and verdict.
     pub verdicts: Vec<VerdictCount>,
     /// From the planned arrival to the first token, or to the answer of an order.
     pub first_token: LatencySummary,
--- a/galenahold_testkit/tests/deployment/main.rs
+++ b/galenahold_testkit/tests/deployment/main.rs
@@ -44,3 +44,17 @@
         assert_eq!(engine.ledger().overcommitted_bytes(), 0);
     }
 }
+
+#[test]
+fn mean_load_lets_the_store_reach_its_starts_a_second() {
+    for name in ["pamoja.json", "prydderch.json"] {
+        let read = read(name);
+        let bytes: u64 = read.models.iter().map(|model| model.bytes).sum();
+        let mean_ms = 1_000 * bytes / read.models.len() as u64 / read.store.bytes_per_second;
+        // So many loads are in flight at full speed while the store starts as many as it may.
+        let loads = f64::from(u32::try_from(read.store.full_speed_loads).expect("few loads"));
+        let allowed_ms = 1_000.0 * loads / read.store.starts_per_second;
+        let share = f64::from(u32::try_from(mean_ms).expect("a short time")) / allowed_ms;
+        assert!((0.8..1.2).contains(&share), "{name}: {share}");
+    }
+}
--- a/galenahold_testkit/tests/load/runs.rs
+++ b/galenahold_testkit/tests/load/runs.rs
@@ -1,5 +1,8 @@
 //! Played traces.
 
+use std::io::{Read, Write};
+use std::thread;
+
 use galenahold_testkit::{control, engine, load, service};
 
 fn completion(number: u64, team: &str, model: &str, stream: bool) -> load::TraceRequest {
@@ -187,3 +190,29 @@
     let answered = result.route(load::RouteKind::Through, "joiners");
     assert_eq!(answered.expect("a result").answered, 10);
 }
+
+#[test]
+fn stream_that_ends_in_an_error_is_counted_with_its_kind() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a caller");
+        let _ = stream.read(&mut [0; 4_096]).expect("a request");
+        let event = "data: {\"error\":{\"type\":\"stopping\",\"verdict\":\"ran\"}}\n\n";
+        let length = event.len();
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{event}");
+        stream.write_all(answer.as_bytes()).expect("sent");
+    });
+    let settings = load::LoadSettings {
+        straight_engines: vec![load::StraightEngine::any_model(address)],
+        ..load::LoadSettings::default()
+    };
+    let run = load::LoadRun::new(settings).expect("a run");
+    let trace = load::LoadTrace::new(vec![completion(0, "joiners", "llm", true)]);
+    let result = run.play(&trace);
+    server.join().expect("an answered caller");
+    let all = of_team(&result, "");
+    assert_eq!(all.failed_streams, 1);
+    assert_eq!(all.verdicts[0].kind, "stopping");
+    assert_eq!(all.verdicts[0].verdict, "ran");
+}
