--- a/galenahold_instance/src/entry/service_desk.rs
+++ b/galenahold_instance/src/entry/service_desk.rs
@@ -119,7 +119,7 @@
         let pause = self.rule.next_pause(
             &mut state.backoff,
             error.verdict,
-            call.idempotent,
+            false,
             state.count,
             call.deadline,
         );
--- a/galenahold_routing/src/replica/table_settings.rs
+++ b/galenahold_routing/src/replica/table_settings.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 const DEFAULT_EXPIRY: time::Duration = time::Duration::from_secs(4);
-const DEFAULT_REPORT_MEMORY: time::Duration = time::Duration::from_secs(2);
+const DEFAULT_REPORT_MEMORY: time::Duration = time::Duration::from_millis(500);
 const DEFAULT_FORGET_AFTER: time::Duration = time::Duration::from_mins(10);
 
 /// Settings of the replica table.
