Remove segments durably in order, and deafen members in the model

Cause: a crash could bring an earlier segment back whose successor stays removed, and the gap would stop the start; one-way cuts were not tried.

Change: the folder is synced after each removed segment; the model has a member that gets no messages while its own arrive.

--- a/galenahold_consensus/src/storage/log_store.rs
+++ b/galenahold_consensus/src/storage/log_store.rs
@@ -197,19 +197,28 @@
                 .iter()
                 .take_while(|segment| segment.last_index <= index)
                 .count();
-            for segment in store.closed.drain(..covered) {
-                store
-                    .backend
-                    .remove(&segment.path)
-                    .context(storage_error::IoSnafu {
-                        action: "removing",
-                        path: &segment.path,
-                    })?;
+            for _ in 0..covered {
+                let segment = store.closed.remove(0);
+                store.remove_segment(&segment)?;
             }
             store.snapshots.purge(index)
         })
     }
 
+    /// Removes a segment durably, so that no later one goes before it.
+    fn remove_segment(
+        &self,
+        segment: &storage::ClosedSegment,
+    ) -> Result<(), storage::StorageError> {
+        self.backend
+            .remove(&segment.path)
+            .and_then(|()| self.backend.sync_folder(&self.folder))
+            .context(storage_error::IoSnafu {
+                action: "removing",
+                path: &segment.path,
+            })
+    }
+
     fn write(&mut self, records: &[storage::WalRecord]) -> Result<(), storage::StorageError> {
         if records.is_empty() {
             return Ok(());
--- a/galenahold_consensus/tests/model/model_group.rs
+++ b/galenahold_consensus/tests/model/model_group.rs
@@ -23,6 +23,7 @@
     genesis: member::MembershipList,
     under_way: Vec<core::OutgoingMessage>,
     sides: u32,
+    deaf: Option<usize>,
     reads: collections::BTreeMap<core::ReadTicket, log::LogIndex>,
     commands: u64,
 }
@@ -38,6 +39,7 @@
             genesis,
             under_way: Vec::new(),
             sides: 0,
+            deaf: None,
             reads: collections::BTreeMap::new(),
             commands: 0,
         };
@@ -74,7 +76,8 @@
             }
             model_step::ModelStep::Split { sides } => self.sides = sides,
             model_step::ModelStep::Isolate { member } => self.sides = 1 << member,
-            model_step::ModelStep::Heal => self.sides = 0,
+            model_step::ModelStep::Deafen { member } => self.deaf = Some(member),
+            model_step::ModelStep::Heal => self.heal(),
             model_step::ModelStep::Bounce { member } => {
                 self.members[member].crash();
                 self.start(member);
@@ -108,7 +111,7 @@
 
     /// Heals everything and lets time pass, then returns whether a new command is committed.
     pub(crate) fn recovers(&mut self) -> bool {
-        self.sides = 0;
+        self.heal();
         for number in 0..MEMBERS {
             self.members[number].crash_at_sync = None;
             self.start(number);
@@ -121,6 +124,11 @@
         self.ledger.highest_committed() > before
     }
 
+    fn heal(&mut self) {
+        self.sides = 0;
+        self.deaf = None;
+    }
+
     fn start(&mut self, number: usize) {
         self.members[number].start(&self.genesis, self.real_nanos);
     }
@@ -180,7 +188,7 @@
             return;
         };
         let same_side = (self.sides >> to) & 1 == (self.sides >> from) & 1;
-        if same_side {
+        if same_side && self.deaf != Some(to) {
             self.with_node(to, |node, now| node.receive(outgoing.message, now));
         }
     }
--- a/galenahold_consensus/tests/model/model_step.rs
+++ b/galenahold_consensus/tests/model/model_step.rs
@@ -23,6 +23,8 @@
     Split { sides: u32 },
     /// One member doesn't reach the others.
     Isolate { member: usize },
+    /// One member gets no messages, but its own arrive.
+    Deafen { member: usize },
     /// A process dies and starts again at once.
     Bounce { member: usize },
     /// All members reach each other.
@@ -62,6 +64,7 @@
         6 => (1_usize..50).prop_map(|rounds| ModelStep::Run { rounds }),
         1 => any::<u32>().prop_map(|sides| ModelStep::Split { sides }),
         3 => (0_usize..3).prop_map(|member| ModelStep::Isolate { member }),
+        2 => (0_usize..3).prop_map(|member| ModelStep::Deafen { member }),
         3 => Just(ModelStep::Heal),
         3 => (0_usize..3).prop_map(|member| ModelStep::Bounce { member }),
         1 => any::<usize>().prop_map(|member| ModelStep::Crash { member }),
