--- a/galenahold_consensus/src/core/leader_state.rs
+++ b/galenahold_consensus/src/core/leader_state.rs
@@ -16,19 +16,12 @@
     pub(super) heartbeat_at: core::MonotonicTime,
     /// When the members' marks are to be sent along again.
     pub(super) marks_at: core::MonotonicTime,
-    pub(super) pending_reads: Vec<PendingRead>,
+    pub(super) pending_reads: Vec<core::PendingRead>,
     pub(super) transfer: Option<core::TransferState>,
     /// Latest end of a lease that an earlier membership of the term gave.
     pub(super) granted_until: core::MonotonicTime,
 }
 
-/// A read that waits for a round of heartbeats.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct PendingRead {
-    pub(super) ticket: core::ReadTicket,
-    pub(super) sequence: u64,
-}
-
 impl LeaderState {
     pub(super) fn stamp(&self, now: core::MonotonicTime) -> message::ProbeStamp {
         message::ProbeStamp {
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -4,7 +4,6 @@
 use std::time;
 
 use crate::core;
-use crate::core::leader_state;
 use crate::log;
 use crate::member;
 use crate::message;
@@ -47,7 +46,7 @@
         state.heartbeat_at = now;
         state
             .pending_reads
-            .push(leader_state::PendingRead { ticket, sequence });
+            .push(core::PendingRead { ticket, sequence });
         self.tick_leader(now);
     }
 
@@ -247,7 +246,7 @@
             .into_iter()
             .partition(|read| read.sequence <= confirmed);
         state.pending_reads = waiting;
-        let ready: Vec<leader_state::PendingRead> = ready;
+        let ready: Vec<core::PendingRead> = ready;
         let verdicts = ready.into_iter().map(|read| core::ReadVerdict::Ready {
             ticket: read.ticket,
             index,
--- a/galenahold_consensus/src/driver/joining.rs
+++ b/galenahold_consensus/src/driver/joining.rs
@@ -8,8 +8,6 @@
 use crate::message;
 use crate::storage;
 
-const KEPT_JOINERS: usize = 64;
-
 impl<S, T, B> driver::LogThread<S, T, B>
 where
     S: driver::StateMachine,
@@ -45,11 +43,7 @@
                 guest: guest.id,
             });
         }
-        self.joiners
-            .retain(|_, joiner| joiner.endpoint.name != guest.endpoint.name);
-        if self.joiners.len() < KEPT_JOINERS {
-            self.joiners.insert(guest.id, guest);
-        }
+        self.joiners.note(guest, self.clock.now());
         Some(message::FoundingBody::Founded { cluster })
     }
 
--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -1,6 +1,5 @@
 //! [`LogThread`].
 
-use std::collections;
 use std::sync;
 use std::time;
 
@@ -32,7 +31,7 @@
     pub(super) unsnapshot_bytes: u64,
     pub(super) proposals: driver::PendingProposals<S::Outcome>,
     pub(super) reads: driver::PendingReads<S>,
-    pub(super) joiners: collections::BTreeMap<member::MemberId, member::MemberProfile>,
+    pub(super) joiners: founding::JoinerTable,
     pub(super) failure: Option<sync::Arc<str>>,
     pub(super) retired: bool,
     pub(super) marks_at: core::MonotonicTime,
@@ -71,7 +70,7 @@
             unsnapshot_bytes: 0,
             proposals: driver::PendingProposals::new(),
             reads: driver::PendingReads::new(),
-            joiners: collections::BTreeMap::new(),
+            joiners: founding::JoinerTable::default(),
             failure: None,
             retired: false,
             marks_at: now,
@@ -222,7 +221,7 @@
                     }
                 }
                 log::EntryPayload::Membership(list) => {
-                    self.joiners.retain(|id, _| !list.contains(*id));
+                    self.joiners.forget_members(&list);
                     if let Some(reply) = self.proposals.take_change(position) {
                         reply.answer(Ok(position));
                     }
@@ -311,7 +310,7 @@
         let mut status = driver::LogStatus::unjoined(self.node_settings.profile.clone());
         status.cluster = self.store.identity().cluster;
         status.applied = self.applied;
-        status.joiners = self.joiners.values().cloned().collect();
+        status.joiners = self.joiners.current(now);
         status.failure.clone_from(&self.failure);
         if let Some(node) = &self.node {
             status_report::fill(&mut status, node, now);
--- /dev/null
+++ b/galenahold_consensus/src/founding/joiner_table.rs
@@ -0,0 +1,55 @@
+//! [`JoinerTable`].
+
+use std::collections;
+use std::time;
+
+use crate::core;
+use crate::member;
+
+/// The data folders that ask a group's member to join and belong to no group.
+#[derive(Debug, Clone, Default)]
+pub struct JoinerTable {
+    joiners: collections::BTreeMap<member::MemberName, SeenJoiner>,
+}
+
+#[derive(Debug, Clone)]
+struct SeenJoiner {
+    profile: member::MemberProfile,
+    greeted_at: core::MonotonicTime,
+}
+
+impl JoinerTable {
+    const CAPACITY: usize = 64;
+    const PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+    /// Takes in a greeting; a later folder of the same name replaces the earlier one.
+    pub fn note(&mut self, profile: member::MemberProfile, now: core::MonotonicTime) {
+        self.joiners
+            .retain(|_, joiner| now.since(joiner.greeted_at) < Self::PATIENCE);
+        let name = profile.endpoint.name.clone();
+        let known = self.joiners.contains_key(&name);
+        if known || self.joiners.len() < Self::CAPACITY {
+            let joiner = SeenJoiner {
+                profile,
+                greeted_at: now,
+            };
+            self.joiners.insert(name, joiner);
+        }
+    }
+
+    /// Forgets those that have become members.
+    pub fn forget_members(&mut self, list: &member::MembershipList) {
+        self.joiners
+            .retain(|_, joiner| !list.contains(joiner.profile.id));
+    }
+
+    /// Returns those that have asked lately.
+    #[must_use]
+    pub fn current(&self, now: core::MonotonicTime) -> Vec<member::MemberProfile> {
+        self.joiners
+            .values()
+            .filter(|joiner| now.since(joiner.greeted_at) < Self::PATIENCE)
+            .map(|joiner| joiner.profile.clone())
+            .collect()
+    }
+}
--- a/galenahold_consensus/src/founding/mod.rs
+++ b/galenahold_consensus/src/founding/mod.rs
@@ -2,6 +2,8 @@
 
 mod founding_step;
 mod group_founding;
+mod joiner_table;
 
 pub use founding_step::FoundingStep;
 pub use group_founding::GroupFounding;
+pub use joiner_table::JoinerTable;
--- a/galenahold_consensus/src/storage/mod.rs
+++ b/galenahold_consensus/src/storage/mod.rs
@@ -1,9 +1,11 @@
 //! A member's data folder: identity, write-ahead log and snapshots.
 
 mod closed_segment;
+mod entries_after;
 mod file_backend;
 mod folder_identity;
 mod folder_lock;
+mod framed_record;
 mod log_store;
 mod opened_store;
 mod record_codec;
@@ -33,7 +35,9 @@
 pub use store_settings::StoreSettings;
 
 use closed_segment::ClosedSegment;
+use entries_after::EntriesAfter;
 use folder_lock::FolderLock;
+use framed_record::FramedRecord;
 use record_codec::RecordCodec;
 use record_flaw::RecordFlaw;
 use segment_file::SegmentFile;
--- a/galenahold_consensus/src/storage/record_codec.rs
+++ b/galenahold_consensus/src/storage/record_codec.rs
@@ -14,14 +14,6 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RecordCodec;
 
-/// A record within the bytes of a file.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct FramedRecord<'a> {
-    pub(super) payload: &'a [u8],
-    pub(super) durable_length: u64,
-    pub(super) end: usize,
-}
-
 impl RecordCodec {
     const MAGIC: [u8; 4] = *b"GHR\x01";
     const VERSION: u32 = 1;
@@ -44,7 +36,7 @@
     pub(super) fn decode(
         bytes: &[u8],
         start: usize,
-    ) -> Result<FramedRecord<'_>, storage::RecordFlaw> {
+    ) -> Result<storage::FramedRecord<'_>, storage::RecordFlaw> {
         let damaged = storage::RecordFlaw::Damaged;
         let header = bytes
             .get(start..start + Self::HEADER_BYTES)
@@ -65,7 +57,7 @@
         }
         let mut durable = [0; 8];
         durable.copy_from_slice(&header[16..24]);
-        Ok(FramedRecord {
+        Ok(storage::FramedRecord {
             payload,
             durable_length: u64::from_le_bytes(durable),
             end,
--- a/galenahold_consensus/src/storage/snapshot_store.rs
+++ b/galenahold_consensus/src/storage/snapshot_store.rs
@@ -131,7 +131,7 @@
     path: &path::Path,
     bytes: &'a [u8],
     offset: usize,
-) -> Result<storage::record_codec::FramedRecord<'a>, storage::StorageError> {
+) -> Result<storage::FramedRecord<'a>, storage::StorageError> {
     let offset_bytes = offset as u64;
     match storage::RecordCodec::decode(bytes, offset) {
         Ok(framed) => Ok(framed),
--- a/galenahold_consensus/src/storage/wal_replay.rs
+++ b/galenahold_consensus/src/storage/wal_replay.rs
@@ -29,7 +29,10 @@
     }
 
     /// Returns the entries that follow a snapshot; none if some are missing in between.
-    pub(super) fn entries_after(&mut self, snapshot: log::LogPosition) -> Option<EntriesAfter> {
+    pub(super) fn entries_after(
+        &mut self,
+        snapshot: log::LogPosition,
+    ) -> Option<storage::EntriesAfter> {
         let mut entries = std::mem::take(&mut self.entries);
         let first = entries.first().map(|entry| entry.position.index);
         if first.is_some_and(|first| first > snapshot.index.next()) {
@@ -40,7 +43,7 @@
             entries.clear();
         }
         entries.retain(|entry| entry.position.index > snapshot.index);
-        Some(EntriesAfter { entries, outdated })
+        Some(storage::EntriesAfter { entries, outdated })
     }
 
     fn push(&mut self, entry: log::LogEntry) -> bool {
@@ -60,14 +63,6 @@
     }
 }
 
-/// The part of a log that follows a snapshot.
-#[derive(Debug)]
-pub(super) struct EntriesAfter {
-    pub(super) entries: Vec<log::LogEntry>,
-    /// The log was older than the snapshot and has been dropped.
-    pub(super) outdated: bool,
-}
-
 /// Tells whether a log doesn't lead up to the snapshot, which then came from a leader.
 fn is_outdated(entries: &[log::LogEntry], snapshot: log::LogPosition) -> bool {
     let Some(first) = entries.first() else {
--- a/galenahold_consensus/tests/founding/founders.rs
+++ b/galenahold_consensus/tests/founding/founders.rs
@@ -66,6 +66,19 @@
     assert!(other.receive(welcome(2)).is_some());
 }
 
+#[test]
+fn joiner_is_listed_only_while_it_keeps_asking() {
+    let at = |seconds| core::MonotonicTime::from(time::Duration::from_secs(seconds));
+    let mut table = founding::JoinerTable::default();
+    table.note(profile("d", 4), at(1));
+    table.note(profile("d", 5), at(2));
+    assert_eq!(table.current(at(3)), [profile("d", 5)]);
+    assert_eq!(table.current(at(9)), []);
+    table.note(profile("d", 5), at(9));
+    table.forget_members(&member::MembershipList::of_voters(vec![profile("d", 5)]));
+    assert_eq!(table.current(at(9)), []);
+}
+
 fn folder(name: &str, id: u128) -> founding::GroupFounding {
     founding::GroupFounding::new(
         profile(name, id),
