--- a/galenahold_testkit/src/load/answer_check.rs
+++ b/galenahold_testkit/src/load/answer_check.rs
@@ -1,45 +1,9 @@
 //! Whether an answer is whole and belongs to its request.
 
-use serde::Deserialize;
-
+use super::answer_document::{AnswerDocument, AnswerError};
+use super::answer_piece::AnswerPiece;
 use crate::engine;
 
-/// The fields of an event or answer that are checked.
-#[derive(Debug, Deserialize)]
-struct AnswerDocument {
-    #[serde(default)]
-    choices: Vec<AnswerChoice>,
-    error: Option<serde::de::IgnoredAny>,
-}
-
-#[derive(Debug, Deserialize)]
-struct AnswerChoice {
-    text: Option<String>,
-    delta: Option<AnswerMessage>,
-    message: Option<AnswerMessage>,
-    finish_reason: Option<String>,
-}
-
-#[derive(Debug, Deserialize)]
-struct AnswerMessage {
-    content: Option<String>,
-}
-
-/// What a piece of an answer was.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum AnswerPiece {
-    /// So many tokens of the expected text.
-    Tokens(u64),
-    /// Nothing of the text.
-    Other,
-    /// The end mark of a stream.
-    Done,
-    /// An error.
-    Failed,
-    /// Text that the request did not ask for.
-    Wrong,
-}
-
 /// Compares an answer with the deterministic text, piece by piece.
 #[derive(Debug)]
 pub(crate) struct AnswerCheck {
@@ -47,6 +11,7 @@
     expected: u64,
     received: u64,
     finished: bool,
+    error: AnswerError,
 }
 
 impl AnswerCheck {
@@ -57,6 +22,7 @@
             expected,
             received: 0,
             finished: false,
+            error: AnswerError::default(),
         }
     }
 
@@ -68,7 +34,8 @@
         let Ok(document) = serde_json::from_slice::<AnswerDocument>(data) else {
             return AnswerPiece::Wrong;
         };
-        if document.error.is_some() {
+        if let Some(error) = document.error {
+            self.error = error;
             return AnswerPiece::Failed;
         }
         let Some(choice) = document.choices.into_iter().next() else {
@@ -88,6 +55,11 @@
         self.finished && self.received == self.expected
     }
 
+    /// Returns the error that the answer ended in, empty without one.
+    pub(crate) fn error(&self) -> &AnswerError {
+        &self.error
+    }
+
     /// Returns the tokens received.
     pub(crate) fn received(&self) -> u64 {
         self.received
