--- a/galenahold/tests/rates/main.rs
+++ b/galenahold/tests/rates/main.rs
@@ -35,6 +35,8 @@
 fn a_team_never_gets_more_than_its_rate_when_the_leader_dies_and_holders_freeze_and_are_cut_off() {
     let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
     let mut fleet = start(RATE, BURST);
+    // The bucket fills, so that the burst counts as well.
+    pause(BURST * 1_000 / RATE);
     let started_us = unix_micros();
     let counts = AnswerCounts::default();
     let stop = atomic::AtomicBool::new(false);
