--- a/galenahold/tests/orders/lookups.rs
+++ b/galenahold/tests/orders/lookups.rs
@@ -7,6 +7,7 @@
 
 use galenahold_testkit::control::ServerControl;
 use galenahold_testkit::harness;
+use galenahold_testkit::proxy;
 
 use crate::order_fleet;
 
@@ -70,3 +71,24 @@
         }
     }
 }
+
+#[test]
+fn a_lookup_whose_answer_is_cut_comes_whole_from_another_server() {
+    let fleet = order_fleet::OrderFleet::start(1, harness::PeerRoute::Direct);
+    let linked = order_fleet::LinkedServer::start(&fleet.serving);
+    let whole = fleet.serving.services()[0].ledger().requests.len();
+    for passed_bytes in [20, 100, 150, 180, 200, 220] {
+        let fault = proxy::LinkFault::pass().reset_after(passed_bytes);
+        linked.link.set(proxy::LinkDirection::ToClient, fault);
+        for _ in 0..4 {
+            let answer = fleet
+                .serving
+                .caller(3)
+                .get("/foundry/records/cut")
+                .expect("an answer comes");
+            assert_eq!(answer.status, 200, "{}", answer.body);
+            assert_eq!(answer.json()["order"].as_str(), Some("cut"));
+        }
+    }
+    assert!(fleet.serving.services()[0].ledger().requests.len() > whole);
+}
--- a/galenahold/tests/orders/plain_orders.rs
+++ b/galenahold/tests/orders/plain_orders.rs
@@ -5,6 +5,7 @@
 
 use galenahold_testkit::control::ServerControl;
 use galenahold_testkit::harness;
+use galenahold_testkit::ledger;
 use galenahold_testkit::proxy;
 use serde_json::json;
 
@@ -88,19 +89,22 @@
 fn an_order_without_a_key_runs_at_most_once_when_its_server_dies_in_the_middle() {
     let call_time = time::Duration::from_millis(300);
     let fleet = order_fleet::OrderFleet::with_call_time(2, harness::PeerRoute::Direct, call_time);
+    fleet.serving.services()[0].control(&ServerControl::RunWithoutAnswer { count: 100 });
     let caller = fleet.serving.caller(3);
     let senders: Vec<_> = (0..16)
         .map(|number| {
             let caller = caller.clone();
             thread::spawn(move || {
+                thread::sleep(time::Duration::from_millis(number * 30));
                 let order = format!("dying-{number}");
                 (send(&caller, &order), order)
             })
         })
         .collect();
-    harness::wait_until("the first server has orders", || {
-        let requests = fleet.serving.services()[0].ledger().requests;
-        requests.iter().any(|request| request.method == "POST")
+    // Some of its orders have run when it dies, and others have not.
+    harness::wait_until("the first server ran an order", || {
+        let ledger = fleet.serving.services()[0].ledger();
+        ledger.count(ledger::RequestOutcome::Unanswered) > 0
     });
     fleet.serving.services()[0].crash();
     for sender in senders {
--- a/galenahold_testkit/src/deployment/fleet_deployment.rs
+++ b/galenahold_testkit/src/deployment/fleet_deployment.rs
@@ -73,7 +73,11 @@
     #[must_use]
     pub fn intent(&self) -> serde_json::Value {
         let names: Vec<_> = self.teams.iter().map(|team| &team.name).collect();
-        let models: Vec<_> = self.models.iter().map(model_intent).collect();
+        let concurrency = self.engines.max_batch;
+        let models = self.models.iter();
+        let models: Vec<_> = models
+            .map(|model| model_intent(model, concurrency))
+            .collect();
         let model_names: Vec<_> = self.models.iter().map(|model| &model.name).collect();
         let mut services = vec![serde_json::json!({
             "name": self.engines.service,
@@ -112,11 +116,13 @@
     })
 }
 
-fn model_intent(model: &DeployedModel) -> serde_json::Value {
+/// States a model whose replicas run as many requests at once as an engine batches.
+fn model_intent(model: &DeployedModel, concurrency: usize) -> serde_json::Value {
     serde_json::json!({
         "name": model.name,
         "version": model.version,
         "bytes": model.bytes,
+        "replica_concurrency": concurrency,
         "max_replicas": model.max_replicas,
         "max_request_tokens": REQUEST_TOKENS_LIMIT,
         "adapters": model.adapters,
