Report an instance that ends while a fleet waits for another

Cause: the harness waited for the instances one after the other. Where a later one ended at once, because its port was taken between choice and use, the group could not be founded, the first instance was never ready, and the wait ended after its whole limit with a fleet that looked stuck in founding. It was not tried anew either, since only an ended instance counts as a lost port.

Ruled out: delays on links, and instances that are killed and started again during founding; the founder greets until all voters have answered.

Change: each round of the wait looks first for an instance that ended.

--- a/galenahold_testkit/src/harness/instance_fleet.rs
+++ b/galenahold_testkit/src/harness/instance_fleet.rs
@@ -2,11 +2,15 @@
 
 use std::net;
 use std::path;
+use std::thread;
 use std::time;
 
 use super::{InstanceProcess, OperatorClient, PeerLinks};
 use crate::testkit_error::TestkitError;
 
+/// Pause between looks at the instances.
+const POLL_PAUSE: time::Duration = time::Duration::from_millis(10);
+
 /// Holds instances, links and files until it is dropped.
 #[derive(Debug)]
 pub struct InstanceFleet {
@@ -93,13 +97,21 @@
     ///
     /// # Errors
     ///
-    /// Fails with the first instance that ends or is not ready in time.
+    /// Fails with the first instance that ends, which the others may wait for in vain, or else with
+    /// the first that is not ready in time.
     pub fn wait_ready(&mut self, limit: time::Duration) -> Result<(), TestkitError> {
         let deadline = time::Instant::now() + limit;
-        for instance in &mut self.instances {
-            let left = deadline.saturating_duration_since(time::Instant::now());
-            instance.wait_ready(left)?;
+        loop {
+            for instance in &mut self.instances {
+                instance.check_runs()?;
+            }
+            let Some(unready) = self.instances.iter_mut().find(|one| !one.is_ready()) else {
+                return Ok(());
+            };
+            if time::Instant::now() >= deadline {
+                return unready.wait_ready(time::Duration::ZERO);
+            }
+            thread::sleep(POLL_PAUSE);
         }
-        Ok(())
     }
 }
--- a/galenahold_testkit/src/harness/instance_process.rs
+++ b/galenahold_testkit/src/harness/instance_process.rs
@@ -192,6 +192,23 @@
         Ok(())
     }
 
+    /// Makes sure that it has not ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run; the error shows the end of its log.
+    pub(crate) fn check_runs(&mut self) -> Result<(), TestkitError> {
+        if self.wait_exit(time::Duration::ZERO).is_none() && self.child.is_some() {
+            return Ok(());
+        }
+        NotReadySnafu {
+            name: self.name(),
+            ended: true,
+            log: log_tail(&self.log()),
+        }
+        .fail()
+    }
+
     fn signal(&self, signal: signals::Signal) -> Result<(), TestkitError> {
         let name = self.name();
         let child = self.child.as_ref().context(NotRunningSnafu { name })?;
--- a/galenahold_testkit/tests/harness/main.rs
+++ b/galenahold_testkit/tests/harness/main.rs
@@ -101,3 +101,15 @@
     fleet.links().isolate(0, proxy::LinkFault::cut());
     fleet.links().heal();
 }
+
+#[test]
+fn instance_that_ends_while_others_wait_for_it_is_reported_at_once() {
+    let mut fleet = builder().control(2).start().expect("a fleet");
+    fleet.instances()[0].freeze().expect("a freeze");
+    fleet.instances_mut()[1].kill();
+    let error = fleet.wait_ready(LIMIT).expect_err("no ready fleet");
+    assert!(
+        matches!(error, TestkitError::NotReady { ended: true, .. }),
+        "{error}"
+    );
+}
