Dial the address in the settings before the one an instance states

Cause: the greeting replaced the address that the settings give a peer by the one that the peer states of itself. An address may differ from place to place, behind a proxy or address translation, and then the instance went around the one that its operator had named. In tests the links of pairs were left after the first greeting, so that a cut of one instance held nothing back.

Ruled out: never taking up the stated address; a control instance that moved would be lost to the others.

Change: a link tries the address in the settings first, then the one stated.

--- a/galenahold_instance/src/peer/peer_directory.rs
+++ b/galenahold_instance/src/peer/peer_directory.rs
@@ -1,6 +1,7 @@
 //! The instances that this one knows of.
 
 use std::collections;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -22,7 +23,8 @@
 #[derive(Debug)]
 struct DirectoryEntry {
     card: message::InstanceCard,
-    configured: bool,
+    /// The address in the settings, for instances that they name.
+    configured: Option<net::SocketAddr>,
     heard: time::Instant,
 }
 
@@ -35,8 +37,8 @@
             .filter(|card| card.name != own.name)
             .map(|card| {
                 let entry = DirectoryEntry {
+                    configured: Some(card.address),
                     card: card.clone(),
-                    configured: true,
                     heard: now,
                 };
                 (card.name, entry)
@@ -61,9 +63,17 @@
             .collect()
     }
 
-    /// Returns the card of an instance.
-    pub(crate) fn card(&self, name: &name::InstanceName) -> Option<message::InstanceCard> {
-        self.lock().get(name).map(|entry| entry.card.clone())
+    /// Returns the addresses to dial an instance at, in this order.
+    ///
+    /// The address in the settings goes before the one that the instance states itself: it may differ
+    /// from place to place. The other serves an instance that has moved.
+    pub(crate) fn addresses(&self, name: &name::InstanceName) -> Vec<net::SocketAddr> {
+        let entries = self.lock();
+        let Some(entry) = entries.get(name) else {
+            return Vec::new();
+        };
+        let stated = Some(entry.card.address).filter(|stated| Some(*stated) != entry.configured);
+        entry.configured.into_iter().chain(stated).collect()
     }
 
     /// Takes up a card that the instance itself sent.
@@ -75,7 +85,7 @@
         let Some(entry) = entries.get_mut(&card.name) else {
             let entry = DirectoryEntry {
                 card: card.clone(),
-                configured: false,
+                configured: None,
                 heard: now,
             };
             entries.insert(card.name.clone(), entry);
@@ -96,7 +106,7 @@
             }
             let entry = DirectoryEntry {
                 card: card.clone(),
-                configured: false,
+                configured: None,
                 heard: now,
             };
             entries.insert(card.name.clone(), entry);
@@ -106,7 +116,7 @@
     /// Forgets instances that the settings do not name and that were silent for long.
     pub(crate) fn forget_silent(&self, now: time::Instant) {
         self.lock().retain(|_, entry| {
-            entry.configured || now.saturating_duration_since(entry.heard) < FORGET_AFTER
+            entry.configured.is_some() || now.saturating_duration_since(entry.heard) < FORGET_AFTER
         });
     }
 
--- a/galenahold_instance/src/peer/peer_link.rs
+++ b/galenahold_instance/src/peer/peer_link.rs
@@ -28,7 +28,7 @@
 /// A link to one other instance. It connects at the first call and again, with jitter, after a loss.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerLink {
-    address: net::SocketAddr,
+    addresses: sync::Arc<[net::SocketAddr]>,
     hello: message::HelloRequest,
     directory: peer::PeerDirectory,
     group: task::TaskGroup,
@@ -45,13 +45,13 @@
 impl PeerLink {
     /// Creates a link that is not yet connected.
     pub(crate) fn new(
-        address: net::SocketAddr,
+        addresses: Vec<net::SocketAddr>,
         hello: message::HelloRequest,
         directory: peer::PeerDirectory,
         group: task::TaskGroup,
     ) -> Self {
         Self {
-            address,
+            addresses: sync::Arc::from(addresses),
             hello,
             directory,
             group,
@@ -59,9 +59,9 @@
         }
     }
 
-    /// Returns the other instance's address.
-    pub(crate) fn address(&self) -> net::SocketAddr {
-        self.address
+    /// Returns the addresses that are dialled, in this order.
+    pub(crate) fn addresses(&self) -> &[net::SocketAddr] {
+        &self.addresses
     }
 
     /// Returns a connected client.
@@ -105,7 +105,16 @@
     }
 
     async fn connect(&self) -> Option<rpc::InstanceRpcClient> {
-        let connecting = tokio_net::TcpStream::connect(self.address);
+        for address in self.addresses.iter() {
+            if let Some(client) = self.connect_to(*address).await {
+                return Some(client);
+            }
+        }
+        None
+    }
+
+    async fn connect_to(&self, address: net::SocketAddr) -> Option<rpc::InstanceRpcClient> {
+        let connecting = tokio_net::TcpStream::connect(address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .ok()?
@@ -118,11 +127,15 @@
             // A broken connection shows at its calls.
             let _ = dispatch.await;
         });
-        self.greet(new_client.client).await
+        self.greet(new_client.client, address).await
     }
 
     /// Makes sure that the wanted instance is reached: addresses are reused by others.
-    async fn greet(&self, client: rpc::InstanceRpcClient) -> Option<rpc::InstanceRpcClient> {
+    async fn greet(
+        &self,
+        client: rpc::InstanceRpcClient,
+        address: net::SocketAddr,
+    ) -> Option<rpc::InstanceRpcClient> {
         let context = Self::context(CONNECT_TIMEOUT);
         let greeting = client.hello(context, self.hello.clone());
         let greeted = tokio::time::timeout(CONNECT_TIMEOUT, greeting).await;
@@ -134,7 +147,7 @@
             message::HelloReply::Stranger => {
                 warn!(
                     wanted:% = self.hello.to,
-                    address:% = self.address;
+                    address:% = address;
                     "another instance answers at the address"
                 );
                 None
--- a/galenahold_instance/src/peer/peer_network.rs
+++ b/galenahold_instance/src/peer/peer_network.rs
@@ -73,13 +73,16 @@
     }
 
     fn link(&self, name: &name::InstanceName) -> Option<peer::PeerLink> {
-        let card = self.directory.card(name)?;
+        let addresses = self.directory.addresses(name);
+        if addresses.is_empty() {
+            return None;
+        }
         let mut links = self
             .links
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
         if let Some(link) = links.get(name)
-            && link.address() == card.address
+            && link.addresses() == addresses
         {
             return Some(link.clone());
         }
@@ -88,12 +91,8 @@
             card: self.directory.own().clone(),
             to: name.clone(),
         };
-        let link = peer::PeerLink::new(
-            card.address,
-            hello,
-            self.directory.clone(),
-            self.group.clone(),
-        );
+        let link =
+            peer::PeerLink::new(addresses, hello, self.directory.clone(), self.group.clone());
         links.insert(name.clone(), link.clone());
         Some(link)
     }
