Stop an instance whose log can take no further part

Cause: only a command that the state did not know ended the process. A data folder that turned out to be an older copy, and a failed write or sync, ended the member's part in the log while its process ran on, unready, without an exit status.

Change: the watch for faults looks at the log's failure too, and the process exits with its text.

--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -60,6 +60,12 @@
         &self.handle
     }
 
+    /// Returns why this member can take no further part, if so.
+    pub(crate) fn fault(&self) -> Option<String> {
+        let failure = || self.handle.status().failure.as_deref().map(str::to_owned);
+        self.state.fault().map(str::to_owned).or_else(failure)
+    }
+
     /// Returns whether this member leads, holds a valid lease and has applied all earlier commands.
     pub(crate) fn leads(&self) -> bool {
         self.handle.lease_valid_for().is_some() && self.handle.status().ready
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -144,8 +144,7 @@
     /// Returns why the instance can no longer do its work, if so.
     #[must_use]
     pub fn fault(&self) -> Option<String> {
-        let member = self.member.as_ref()?;
-        member.state().fault().map(str::to_owned)
+        self.member.as_ref()?.fault()
     }
 
     /// Stops the instance and joins all its threads.
@@ -551,7 +550,7 @@
     let mut subscription = timer.subscribe(FAULT_PERIOD);
     system.spawn_until_stop(async move {
         while subscription.tick().await.is_some() {
-            if member.state().fault().is_some() {
+            if member.fault().is_some() {
                 on_fault();
                 return;
             }
