Forget a leader that the watch for the configuration cannot reach

Cause: the watch asks the leader that it knows, and only calls of other kinds forgot one that could not be reached. An entry instance without such calls went on asking a leader that had been cut off, and stayed unready for as long as the cut lasted. An instance that knows of no leader did not correct it either.

Change: a failed wait forgets its leader, and an instance that does not lead has its word taken, also where it knows of none.

--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -101,7 +101,10 @@
             })
             .await;
         watched
-            .inspect_err(|error| debug!(source:% = source, error:% = error; "watch failed"))
+            .inspect_err(|error| {
+                debug!(source:% = source, error:% = error; "watch failed");
+                self.client.forget_leader(&source);
+            })
             .ok()
     }
 
@@ -119,7 +122,7 @@
     fn take(&mut self, reply: message::WatchReply, sent_at: time::Instant) -> bool {
         match reply {
             message::WatchReply::Unavailable { leader } => {
-                self.client.learn_leader(leader);
+                self.client.follow_leader(leader);
                 false
             }
             message::WatchReply::Current {
--- a/galenahold_instance/src/peer/control_client.rs
+++ b/galenahold_instance/src/peer/control_client.rs
@@ -58,6 +58,19 @@
         }
     }
 
+    /// Takes up what an instance that does not lead says; `None` where it knows of no leader.
+    pub(crate) fn follow_leader(&self, leader: Option<name::InstanceName>) {
+        *self.lock() = leader;
+    }
+
+    /// Forgets a leader that could not be reached, so that others are asked.
+    pub(crate) fn forget_leader(&self, target: &name::InstanceName) {
+        let mut leader = self.lock();
+        if leader.as_ref() == Some(target) {
+            *leader = None;
+        }
+    }
+
     /// Calls the leader, again and again until `deadline`.
     ///
     /// Each call is safe to repeat: commands bear a number under which a repeat is known again.
@@ -123,7 +136,7 @@
     fn judge(&self, reply: message::ControlReply) -> AttemptResult {
         match reply {
             message::ControlReply::NotLeader { leader } => {
-                *self.lock() = leader;
+                self.follow_leader(leader);
                 AttemptResult::NotDone
             }
             message::ControlReply::OutcomeUnknown => AttemptResult::Unknown,
@@ -147,13 +160,6 @@
         Some(others[*turn % others.len()].clone())
     }
 
-    fn forget_leader(&self, target: &name::InstanceName) {
-        let mut leader = self.lock();
-        if leader.as_ref() == Some(target) {
-            *leader = None;
-        }
-    }
-
     fn lock(&self) -> sync::MutexGuard<'_, Option<name::InstanceName>> {
         self.leader
             .lock()
