--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Real instances as child processes, for tests of the product.
 
 mod caller_answer;
+mod child_process;
 mod fleet_builder;
 mod fleet_caller;
 mod fleet_permit;
@@ -17,6 +18,7 @@
 mod product_binary;
 mod revision_watch;
 mod settings_merge;
+mod standin_process;
 
 pub use caller_answer::CallerAnswer;
 pub use fleet_builder::FleetBuilder;
@@ -32,3 +34,4 @@
 pub use peer_links::{PeerLinks, PeerRoute};
 pub use product_binary::product_binary;
 pub use revision_watch::{RevisionDrop, RevisionWatch};
+pub use standin_process::StandInProcess;
