Look at freshness before the configuration that it vouches for

Cause: the guard of a request and the operators' face read the configuration first and its freshness after that. An update that came in between made the older one look confirmed: a request that had waited out a cut could have been sent under a key withdrawn meanwhile, and an instance that had just started could say that revision 0 was fresh.

Ruled out: a member that begins to lead before its log is applied; it is asked whether it leads before it reads, and applies before it says so.

Change: freshness is read first. What is in force after that is at least as new.

--- a/galenahold_instance/src/entry/key_guard.rs
+++ b/galenahold_instance/src/entry/key_guard.rs
@@ -40,6 +40,8 @@
     ///
     /// The kind of refusal where the request may not run.
     pub(crate) fn check(&self) -> Result<(), face::RefusalKind> {
+        // Freshness is looked at first: what is in force after that is at least as new.
+        let fresh = self.holder.is_fresh();
         let index = self.holder.index();
         let Some(key) = self.identity.key() else {
             return if index.may_call(&self.service, None) {
@@ -48,7 +50,7 @@
                 Err(face::RefusalKind::Unauthorized)
             };
         };
-        if !self.holder.is_fresh() {
+        if !fresh {
             return Err(face::RefusalKind::StaleConfiguration);
         }
         let team = index
--- a/galenahold_instance/src/operator/operator_face.rs
+++ b/galenahold_instance/src/operator/operator_face.rs
@@ -110,10 +110,13 @@
     }
 
     fn revision(&self) -> Response<face::AnswerBody> {
+        // Freshness and age are looked at first: what is in force after that is at least as new.
+        let fresh = self.holder.is_fresh();
+        let age = self.holder.age();
         let document = json!({
             "revision": self.holder.index().revision(),
-            "fresh": self.holder.is_fresh(),
-            "age_ms": self.holder.age().map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            "fresh": fresh,
+            "age_ms": age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
         });
         face::json_answer(StatusCode::OK, document.to_string())
     }
