Hold the ports of a fleet for as long as it lives

Cause: ports were chosen by binding port 0 and released before the instances started. Until an instance listened, and each time it was killed, the system could give its port to any outgoing connection on the machine. The instance then ended with "Address already in use": seen at a restart under load, and, together with the wait that did not look at later instances, as a fleet that was not ready within its limit.

Ruled out: ports below the system's own range; they would have to be guessed.

Change: a socket that is bound with SO_REUSEADDR and does not listen holds each port until the fleet is dropped. The system gives such a port to nobody else and lets the instance listen on it; the lock on starts goes.

--- a/galenahold_testkit/src/harness/child_process.rs
+++ b/galenahold_testkit/src/harness/child_process.rs
@@ -7,7 +7,6 @@
 use rustix::process as signals;
 use snafu::{OptionExt, ResultExt};
 
-use super::port_pool::lock_starts;
 use crate::testkit_error::{NotRunningSnafu, SignalSnafu, StartSnafu, TestkitError};
 
 /// Pause between looks at a process.
@@ -43,7 +42,6 @@
     pub(crate) fn start(&mut self, command: &mut process::Command) -> Result<(), TestkitError> {
         self.kill();
         let path = command.get_program().to_owned();
-        let _starts = lock_starts();
         let child = command.spawn().context(StartSnafu { path })?;
         self.child = Some(child);
         Ok(())
--- a/galenahold_testkit/src/harness/fleet_builder.rs
+++ b/galenahold_testkit/src/harness/fleet_builder.rs
@@ -117,7 +117,7 @@
     /// Fails when a port, a file or the binary cannot be had.
     pub fn start(&self) -> Result<InstanceFleet, TestkitError> {
         let folder = self.make_folder()?;
-        let mut pool = PortPool::open();
+        let mut pool = PortPool::default();
         let addresses = (0..self.control + self.entries)
             .map(|_| InstanceAddresses::take(&mut pool))
             .collect::<Result<Vec<_>, _>>()?;
@@ -126,12 +126,13 @@
             .map(|index| self.plan(index, &addresses, &links, folder.path()))
             .map(InstanceProcess::prepare)
             .collect::<Result<Vec<_>, _>>()?;
-        drop(pool);
         for instance in &mut instances {
             instance.start()?;
         }
         let credential = self.credential.clone();
-        Ok(InstanceFleet::new(instances, links, folder, credential))
+        Ok(InstanceFleet::new(
+            instances, links, pool, folder, credential,
+        ))
     }
 
     /// Starts all instances and waits until they are ready; a lost port is tried again.
--- a/galenahold_testkit/src/harness/instance_fleet.rs
+++ b/galenahold_testkit/src/harness/instance_fleet.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time;
 
+use super::port_pool::PortPool;
 use super::{InstanceProcess, OperatorClient, PeerLinks};
 use crate::load;
 use crate::testkit_error::TestkitError;
@@ -18,6 +19,7 @@
     // The order matters: processes end before their links and files go.
     instances: Vec<InstanceProcess>,
     links: PeerLinks,
+    _ports: PortPool,
     folder: tempfile::TempDir,
     credential: String,
 }
@@ -27,12 +29,14 @@
     pub(crate) fn new(
         instances: Vec<InstanceProcess>,
         links: PeerLinks,
+        ports: PortPool,
         folder: tempfile::TempDir,
         credential: String,
     ) -> Self {
         Self {
             instances,
             links,
+            _ports: ports,
             folder,
             credential,
         }
--- a/galenahold_testkit/src/harness/port_pool.rs
+++ b/galenahold_testkit/src/harness/port_pool.rs
@@ -1,48 +1,37 @@
 //! Free ports.
 
 use std::net;
-use std::sync;
 
 use snafu::ResultExt;
 
 use crate::testkit_error::{ListenSnafu, TestkitError};
 
-/// Keeps processes from being started while ports are held.
+/// Holds ports that no one else is given while it lives, also while no process listens on them.
 ///
-/// A child that is being started holds the open sockets of all threads for a moment.
-static START_LOCK: sync::Mutex<()> = sync::Mutex::new(());
-
-/// Waits until no thread of this process holds ports, and keeps it so.
-pub(crate) fn lock_starts() -> sync::MutexGuard<'static, ()> {
-    START_LOCK
-        .lock()
-        .unwrap_or_else(sync::PoisonError::into_inner)
-}
-
-/// Holds free ports until the processes that are to bind them start.
-///
-/// Between release and bind another process may take a port; callers retry with a new pool.
-#[derive(Debug)]
+/// A port is held by a socket that is bound to it and does not listen. The system gives such a port to
+/// no outgoing connection and to no one who asks for any port, and lets a process listen on it.
+#[derive(Debug, Default)]
 pub(crate) struct PortPool {
-    listeners: Vec<net::TcpListener>,
-    _starts: sync::MutexGuard<'static, ()>,
+    holders: Vec<socket2::Socket>,
 }
 
 impl PortPool {
-    /// Makes a pool without ports; no process is started while it lives.
-    pub(crate) fn open() -> Self {
-        Self {
-            listeners: Vec::new(),
-            _starts: lock_starts(),
-        }
-    }
-
     /// Takes a free loopback address.
     pub(crate) fn take(&mut self) -> Result<net::SocketAddr, TestkitError> {
-        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let listener = net::TcpListener::bind(address).context(ListenSnafu { address })?;
-        let address = listener.local_addr().context(ListenSnafu { address })?;
-        self.listeners.push(listener);
-        Ok(address)
+        let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let held = hold(any_port).context(ListenSnafu { address: any_port })?;
+        let address = held
+            .local_addr()
+            .context(ListenSnafu { address: any_port })?;
+        self.holders.push(held);
+        Ok(address.as_socket().unwrap_or(any_port))
     }
 }
+
+fn hold(address: net::SocketAddr) -> std::io::Result<socket2::Socket> {
+    let domain = socket2::Domain::for_address(address);
+    let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
