Let the tests of failures see the failures that they name

Cause: run against broken variants, four tests passed that should have failed. Replication over loopback was too quick for a kill to lose anything; a thawed leader heard at once that another leads; two clusters with swapped followers do not mix even without a greeting; and two tests of two fleets each waited for leave to run held by the other.

--- a/galenahold/tests/configuration/racing_operators.rs
+++ b/galenahold/tests/configuration/racing_operators.rs
@@ -54,7 +54,7 @@
 
 #[test]
 fn one_of_two_racing_operators_wins_each_round_and_resends_get_the_first_answer() {
-    let _permit = harness::FleetPermit::take();
+    let _permit = harness::FleetPermit::take(1);
     let operators =
         [0, 1].map(|one| json!({ "name": NAMES[one], "credential_sha256": DIGESTS[one] }));
     let mut fleet = harness::FleetBuilder::default()
--- a/galenahold/tests/control/acknowledged_changes.rs
+++ b/galenahold/tests/control/acknowledged_changes.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic;
 use std::thread;
 
-use galenahold_testkit::harness;
+use std::time;
+
+use galenahold_testkit::{harness, proxy};
 use serde_json::json;
 
 use crate::fleet_setup;
@@ -16,6 +18,9 @@
 /// Changes that are acknowledged between a kill and the restart, and before the next kill.
 const CHANGES_BETWEEN: usize = 10;
 
+/// Delay between instances: what a leader has told nobody when it is killed is lost.
+const LINK_DELAY: time::Duration = time::Duration::from_millis(20);
+
 /// What one operator was told.
 #[derive(Default)]
 struct WriterRecord {
@@ -53,6 +58,8 @@
 fn acknowledged_changes_are_there_once_after_kills_of_leader_and_followers() {
     let mut control = fleet_setup::ControlFleet::start();
     let first = control.probe.revision(fleet_setup::ENTRY).expect("a look");
+    let slow = proxy::LinkFault::pass().delay(LINK_DELAY);
+    control.fleet.links().set_all(slow);
     let watch = harness::RevisionWatch::start(&control.probe);
     let board = sync::Arc::new(WriterBoard::default());
     let writers: Vec<_> = (0..WRITERS)
--- a/galenahold/tests/control/damaged_folders.rs
+++ b/galenahold/tests/control/damaged_folders.rs
@@ -90,7 +90,7 @@
             let name = path.file_name().map(|name| name.to_string_lossy());
             name.is_some_and(|name| name.starts_with("wal-"))
         })
-        .max_by_key(|path| fs::metadata(path).map(|data| data.len()).unwrap_or(0))
+        .max_by_key(|path| fs::metadata(path).map_or(0, |data| data.len()))
         .expect("there is a segment")
 }
 
--- a/galenahold/tests/control/fleet_setup.rs
+++ b/galenahold/tests/control/fleet_setup.rs
@@ -19,7 +19,7 @@
     pub(crate) fleet: harness::InstanceFleet,
     /// Calls the operators' faces.
     pub(crate) probe: harness::FleetProbe,
-    _permit: harness::FleetPermit,
+    _permit: Option<harness::FleetPermit>,
 }
 
 /// A key that was given and the answer that acknowledged it.
@@ -33,14 +33,20 @@
 }
 
 impl ControlFleet {
-    /// Starts a fleet of the cluster `testkit` with its intent in force.
+    /// Starts a fleet with its intent in force.
     pub(crate) fn start() -> Self {
-        Self::start_cluster("testkit")
+        Self::start_cluster("testkit", Some(harness::FleetPermit::take(1)))
     }
 
-    /// Starts a fleet of a named cluster with its intent in force.
-    pub(crate) fn start_cluster(cluster: &str) -> Self {
-        let permit = harness::FleetPermit::take();
+    /// Starts two fleets of different clusters.
+    pub(crate) fn start_two() -> (Self, Self) {
+        let permit = harness::FleetPermit::take(2);
+        // The leave lasts until the second is dropped, which is the first to go.
+        let first = Self::start_cluster("ours", None);
+        (first, Self::start_cluster("theirs", Some(permit)))
+    }
+
+    fn start_cluster(cluster: &str, permit: Option<harness::FleetPermit>) -> Self {
         let fleet = harness::FleetBuilder::default()
             .control(CONTROL)
             .entries(1)
@@ -54,9 +60,8 @@
             _permit: permit,
         };
         let operator = started.fleet.operator();
-        operator
-            .state_intent(&intent(1))
-            .expect("the intent is valid");
+        let revision = operator.state_intent(&intent(1));
+        started.wait_revision(revision.expect("the intent is valid"));
         started
     }
 
--- a/galenahold/tests/control/full_restart.rs
+++ b/galenahold/tests/control/full_restart.rs
@@ -8,7 +8,7 @@
 /// Changes before the end.
 const CHANGES: usize = 300;
 /// Bytes that a data folder may hold after so many small changes.
-const MAX_FOLDER_BYTES: u64 = 4 * 1024 * 1024;
+const MAX_FOLDER_BYTES: u64 = 1024 * 1024;
 
 #[test]
 fn instances_killed_together_after_hundreds_of_changes_come_back_with_all_of_them() {
--- a/galenahold/tests/keys/fleet_setup.rs
+++ b/galenahold/tests/keys/fleet_setup.rs
@@ -38,7 +38,7 @@
 impl KeyFleet {
     /// Starts the fleet and waits until every instance serves the key.
     pub(crate) fn start() -> Self {
-        let permit = harness::FleetPermit::take();
+        let permit = harness::FleetPermit::take(1);
         let fleet = harness::FleetBuilder::default()
             .control(ENTRY)
             .entries(1)
--- a/galenahold_testkit/src/harness/fleet_permit.rs
+++ b/galenahold_testkit/src/harness/fleet_permit.rs
@@ -1,4 +1,4 @@
-//! Leave to run a fleet.
+//! Leave to run fleets.
 
 use std::sync;
 
@@ -10,26 +10,30 @@
 /// Told when a fleet has ended.
 static ENDED: sync::Condvar = sync::Condvar::new();
 
-/// Leave to run one fleet; few run at once, so that tests do not starve each other.
+/// Leave to run fleets; few run at once, so that tests do not starve each other.
 #[derive(Debug)]
-pub struct FleetPermit(());
+pub struct FleetPermit {
+    fleets: usize,
+}
 
 impl FleetPermit {
-    /// Waits until a fleet may run.
+    /// Waits until so many fleets may run; a test takes the leave for all of its fleets at once.
     #[must_use]
-    pub fn take() -> Self {
+    pub fn take(fleets: usize) -> Self {
         let running = RUNNING.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let mut running = ENDED
-            .wait_while(running, |running| *running >= MAX_FLEETS)
+            .wait_while(running, |running| {
+                *running > 0 && *running + fleets > MAX_FLEETS
+            })
             .unwrap_or_else(sync::PoisonError::into_inner);
-        *running += 1;
-        Self(())
+        *running += fleets;
+        Self { fleets }
     }
 }
 
 impl Drop for FleetPermit {
     fn drop(&mut self) {
-        *RUNNING.lock().unwrap_or_else(sync::PoisonError::into_inner) -= 1;
-        ENDED.notify_one();
+        *RUNNING.lock().unwrap_or_else(sync::PoisonError::into_inner) -= self.fleets;
+        ENDED.notify_all();
     }
 }
