--- a/galenahold/tests/configuration/racing_operators.rs
+++ b/galenahold/tests/configuration/racing_operators.rs
@@ -135,7 +135,7 @@
     let intent = intent(rate);
     let mut plan = Value::Null;
     let mut turn = instance;
-    harness::wait_until("a plan", LIMIT, || {
+    harness::wait_within("a plan", LIMIT, || {
         let answer = probe.post(turn, "/v1/plans", &json!({ "intent": intent }));
         turn = (turn + 1) % probe.instances();
         answer.is_ok_and(|answer| {
--- a/galenahold/tests/control/acknowledged_changes.rs
+++ b/galenahold/tests/control/acknowledged_changes.rs
@@ -48,7 +48,7 @@
     /// Waits until some more changes are acknowledged.
     fn wait_changes(&self) {
         let before = self.changes.load(atomic::Ordering::Relaxed);
-        harness::wait_until("changes are acknowledged", fleet_setup::LIMIT, || {
+        harness::wait_within("changes are acknowledged", fleet_setup::LIMIT, || {
             self.changes.load(atomic::Ordering::Relaxed) >= before + CHANGES_BETWEEN
         });
     }
--- a/galenahold/tests/control/damaged_folders.rs
+++ b/galenahold/tests/control/damaged_folders.rs
@@ -56,7 +56,7 @@
 /// Waits until a member holds all of the log.
 fn wait_caught_up(control: &fleet_setup::ControlFleet, instance: usize) {
     let name = control.fleet.instances()[instance].name().to_owned();
-    harness::wait_until("the member has caught up", fleet_setup::LIMIT, || {
+    harness::wait_within("the member has caught up", fleet_setup::LIMIT, || {
         let status = control.probe.status(fleet_setup::ENTRY).unwrap_or_default();
         let members = status["members"].as_array();
         members.is_some_and(|members| {
--- a/galenahold/tests/control/fleet_setup.rs
+++ b/galenahold/tests/control/fleet_setup.rs
@@ -77,7 +77,7 @@
     /// Returns the position of the leader.
     pub(crate) fn leader(&self) -> usize {
         let mut leader = None;
-        harness::wait_until("there is a leader", LIMIT, || {
+        harness::wait_within("there is a leader", LIMIT, || {
             leader = self.probe.leader(ENTRY);
             leader.is_some()
         });
@@ -109,7 +109,7 @@
     /// Lists the public parts of the keys in force, as the leader gives them to one instance.
     pub(crate) fn key_ids(&self, instance: usize) -> Vec<String> {
         let mut document = Value::Null;
-        harness::wait_until("the intent is shown", LIMIT, || {
+        harness::wait_within("the intent is shown", LIMIT, || {
             let answer = self.probe.get(instance, "/v1/intent");
             answer.is_ok_and(|answer| {
                 document = answer.json();
@@ -143,7 +143,7 @@
 
     /// Waits until a key is served at one instance.
     pub(crate) fn wait_served(&self, instance: usize, key: &str) {
-        harness::wait_until("the key is served", LIMIT, || {
+        harness::wait_within("the key is served", LIMIT, || {
             let answer = self.read(instance, key, "warm");
             answer.is_some_and(|answer| answer.status == 200)
         });
@@ -152,7 +152,7 @@
     /// Waits until all instances have at least a revision in force.
     pub(crate) fn wait_revision(&self, revision: u64) {
         for instance in 0..self.probe.instances() {
-            harness::wait_until("an instance follows", LIMIT, || {
+            harness::wait_within("an instance follows", LIMIT, || {
                 let look = self.probe.revision(instance);
                 look.is_some_and(|look| look.fresh && look.revision >= revision)
             });
--- a/galenahold/tests/control/frozen_leader.rs
+++ b/galenahold/tests/control/frozen_leader.rs
@@ -25,7 +25,7 @@
     control.wait_served(fleet_setup::ENTRY, &withdrawn.key);
     let watch = harness::RevisionWatch::start(&control.probe);
     control.fleet.instances()[old].freeze().expect("it runs");
-    harness::wait_until("another leads", fleet_setup::LIMIT, || {
+    harness::wait_within("another leads", fleet_setup::LIMIT, || {
         let leader = control.probe.leader(fleet_setup::ENTRY);
         leader.is_some_and(|leader| leader != old)
     });
@@ -85,7 +85,7 @@
     }
     assert!(!ids.contains(&withdrawn.id));
     let ready = &control.fleet.instances()[old];
-    harness::wait_until("it follows again", fleet_setup::LIMIT, || ready.is_ready());
+    harness::wait_within("it follows again", fleet_setup::LIMIT, || ready.is_ready());
     assert_eq!(watch.finish(), []);
 }
 
--- a/galenahold/tests/control/member_replacement.rs
+++ b/galenahold/tests/control/member_replacement.rs
@@ -14,17 +14,17 @@
     let leader = control.leader();
     let lost = (leader + 1) % fleet_setup::CONTROL;
     let other = (leader + 2) % fleet_setup::CONTROL;
-    harness::wait_until("one is safe to lose", fleet_setup::LIMIT, || {
+    harness::wait_within("one is safe to lose", fleet_setup::LIMIT, || {
         safe_to_lose(&control) == Some(1)
     });
     empty_folder(&mut control, lost);
     let name = control.fleet.instances()[lost].name().to_owned();
-    harness::wait_until("the instance asks to join", fleet_setup::LIMIT, || {
+    harness::wait_within("the instance asks to join", fleet_setup::LIMIT, || {
         let status = control.probe.status(leader).unwrap_or_default();
         let joiners = status["joiners"].as_array();
         joiners.is_some_and(|joiners| joiners.iter().any(|joiner| joiner["name"] == *name))
     });
-    harness::wait_until("nothing more is safe to lose", fleet_setup::LIMIT, || {
+    harness::wait_within("nothing more is safe to lose", fleet_setup::LIMIT, || {
         safe_to_lose(&control) == Some(0)
     });
     assert_cannot_vote(&control, leader, other);
@@ -36,7 +36,7 @@
     change_members(&control, "add", &member);
     change_members(&control, "promote", &json!({ "name": name }));
     change_members(&control, "remove", &json!({ "name": name }));
-    harness::wait_until("the repair is safe", fleet_setup::LIMIT, || {
+    harness::wait_within("the repair is safe", fleet_setup::LIMIT, || {
         let status = control.probe.status(fleet_setup::ENTRY).unwrap_or_default();
         let members = status["members"].as_array().map_or(0, Vec::len);
         members == fleet_setup::CONTROL && status["safe_to_lose"] == 1
@@ -73,7 +73,7 @@
 /// Changes the members, again and again until it is done.
 fn change_members(control: &fleet_setup::ControlFleet, change: &str, body: &Value) {
     let path = format!("/v1/members/{change}");
-    harness::wait_until(change, fleet_setup::LIMIT, || {
+    harness::wait_within(change, fleet_setup::LIMIT, || {
         let answer = control.probe.post(fleet_setup::ENTRY, &path, body);
         let answer = answer.expect("an answer");
         assert_ne!(answer.status, 504, "{answer:?}");
--- a/galenahold/tests/control/silent_cuts.rs
+++ b/galenahold/tests/control/silent_cuts.rs
@@ -52,7 +52,7 @@
     };
     control.fleet.links().set_each(cut);
     let cut_off = &control.fleet.instances()[old];
-    harness::wait_until("the cut instance is unready", FRESHNESS_LIMIT, || {
+    harness::wait_within("the cut instance is unready", FRESHNESS_LIMIT, || {
         !cut_off.is_ready()
     });
     let far = (0..fleet_setup::CONTROL).find(|one| is_far(*one, old));
@@ -87,7 +87,7 @@
     let body = json!({ "request": "withdraw", "id": first.id });
     fleet_setup::acknowledged(&control.probe, far, "/v1/keys/withdraw", &body);
     control.wait_served(fleet_setup::ENTRY, &second.key);
-    harness::wait_until("the key is refused", FRESHNESS_LIMIT, || {
+    harness::wait_within("the key is refused", FRESHNESS_LIMIT, || {
         let answer = control.read(fleet_setup::ENTRY, &first.key, "late");
         answer.is_some_and(|answer| answer.status == 401)
     });
@@ -110,7 +110,7 @@
     key: &fleet_setup::AcknowledgedKey,
 ) {
     let process = &control.fleet.instances()[instance];
-    harness::wait_until("the cut instance is unready", FRESHNESS_LIMIT, || {
+    harness::wait_within("the cut instance is unready", FRESHNESS_LIMIT, || {
         !process.is_ready()
     });
     let answer = control.read(instance, &key.key, "cut-off");
--- a/galenahold/tests/keys/fleet_setup.rs
+++ b/galenahold/tests/keys/fleet_setup.rs
@@ -106,7 +106,7 @@
                 })
             })
             .collect();
-        harness::wait_until("the engine runs the streams", LIMIT, || {
+        harness::wait_within("the engine runs the streams", LIMIT, || {
             let running = |request: &&ledger::RequestRecord| {
                 request.outcome == ledger::RequestOutcome::Running && request.output_tokens > 0
             };
@@ -127,7 +127,7 @@
     /// Waits, within the bound, until one instance refuses the key.
     pub(crate) fn wait_dead(&self, instance: usize, since: time::Instant) {
         let left = DEAD_LIMIT.saturating_sub(since.elapsed());
-        harness::wait_until("the key is dead", left, || {
+        harness::wait_within("the key is dead", left, || {
             let answer = self.caller(instance).get("/foundry/records/late");
             answer.is_ok_and(|answer| [401, 503].contains(&answer.status))
         });
@@ -157,7 +157,7 @@
                 "{tail}"
             );
         }
-        harness::wait_until("the engine cancelled all", LIMIT, || {
+        harness::wait_within("the engine cancelled all", LIMIT, || {
             let seen = self.engine.ledger();
             seen.count(ledger::RequestOutcome::Running) == 0
         });
@@ -168,11 +168,11 @@
 
     fn wait_served(&self) {
         for instance in 0..self.probe.instances() {
-            harness::wait_until("an instance serves", LIMIT, || {
+            harness::wait_within("an instance serves", LIMIT, || {
                 let read = self.caller(instance).get("/foundry/records/warm");
                 read.is_ok_and(|answer| answer.status == 200)
             });
-            harness::wait_until("an instance reaches the model", LIMIT, || {
+            harness::wait_within("an instance reaches the model", LIMIT, || {
                 let chat = self.caller(instance).chat("alama-llm", "warm", 1, false);
                 chat.is_ok_and(|answer| answer.status == 200)
             });
--- a/galenahold/tests/keys/withdrawn_keys.rs
+++ b/galenahold/tests/keys/withdrawn_keys.rs
@@ -39,7 +39,7 @@
     }
     keys.assert_cancelled(streams);
     keys.fleet.links().heal();
-    harness::wait_until("the instance follows", fleet_setup::LIMIT, || {
+    harness::wait_within("the instance follows", fleet_setup::LIMIT, || {
         let answer = keys
             .caller(fleet_setup::ENTRY)
             .get("/foundry/records/healed");
--- a/galenahold_testkit/src/harness/fleet_probe.rs
+++ b/galenahold_testkit/src/harness/fleet_probe.rs
@@ -5,21 +5,12 @@
 
 use serde_json::{Value, json};
 
-use super::{CallerAnswer, FleetCaller, InstanceFleet, InstanceProcess};
+use super::{CallerAnswer, FleetCaller, InstanceFleet, InstanceProcess, RevisionLook};
 use crate::testkit_error::TestkitError;
 
 /// Time that one look may take unless another is set.
 const LOOK_TIMEOUT: time::Duration = time::Duration::from_secs(8);
 
-/// What one instance says about the revision that it has in force.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RevisionLook {
-    /// The revision.
-    pub revision: u64,
-    /// Whether the instance says that a quorum confirmed it lately.
-    pub fresh: bool,
-}
-
 /// Calls the operators' face of one instance at a time, without trying others.
 #[derive(Debug, Clone)]
 pub struct FleetProbe {
--- a/galenahold_testkit/src/harness/fleet_wait.rs
+++ b/galenahold_testkit/src/harness/fleet_wait.rs
@@ -11,7 +11,7 @@
 /// # Panics
 ///
 /// Panics with `what` when it does not hold within `limit`.
-pub fn wait_until(what: &str, limit: time::Duration, mut holds: impl FnMut() -> bool) {
+pub fn wait_within(what: &str, limit: time::Duration, mut holds: impl FnMut() -> bool) {
     let deadline = time::Instant::now() + limit;
     while !holds() {
         assert!(time::Instant::now() < deadline, "not in time: {what}");
--- a/galenahold_testkit/src/harness/revision_watch.rs
+++ b/galenahold_testkit/src/harness/revision_watch.rs
@@ -5,24 +5,13 @@
 use std::thread;
 use std::time;
 
-use super::FleetProbe;
+use super::{FleetProbe, RevisionDrop};
 
 /// Pause between looks at one instance.
 const LOOK_PAUSE: time::Duration = time::Duration::from_millis(25);
 /// Time that one look may take.
 const LOOK_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
-/// A revision that went down.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct RevisionDrop {
-    /// The position of the instance.
-    pub instance: usize,
-    /// The revision that it had in force.
-    pub from: u64,
-    /// The lower one that it had later.
-    pub to: u64,
-}
-
 /// Polls the revision of every instance on threads of its own.
 ///
 /// An instance that has just started has none in force: it says 0 and that it is not fresh. That alone
