--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -94,7 +94,7 @@
                 });
             }
             Err(_) => {
-                return Err(backend::AttemptError::not_run(
+                return Err(backend::AttemptError::may_have_run(
                     backend::AttemptErrorKind::Timeout,
                 ));
             }
--- a/galenahold_instance/src/entry/exchange_check.rs
+++ b/galenahold_instance/src/entry/exchange_check.rs
@@ -20,7 +20,7 @@
     attempt: &name::RequestId,
 ) -> Result<(), backend::AttemptError> {
     if let Some(echoed) = head.headers.get(&REQUEST_ID_HEADER)
-        && echoed.is_empty() && echoed.as_bytes() != attempt.as_bytes()
+        && echoed.as_bytes() != attempt.as_bytes()
     {
         return Err(backend::AttemptError::may_have_run(
             backend::AttemptErrorKind::Crossed,
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -114,7 +114,7 @@
                 kind,
                 "the key no longer admits the request",
             )),
-            () = std::future::pending() => StreamEnd::CallerGone,
+            () = sender.closed() => StreamEnd::CallerGone,
             () = tokio::time::sleep_until(deadline.into()) => StreamEnd::Failed(refuse(
                 face::RefusalKind::DeadlineExceeded,
                 "the answer did not end before the request's deadline",
--- a/galenahold_instance/src/entry/service_desk.rs
+++ b/galenahold_instance/src/entry/service_desk.rs
@@ -119,7 +119,7 @@
         let pause = self.rule.next_pause(
             &mut state.backoff,
             error.verdict,
-            false,
+            call.idempotent,
             state.count,
             call.deadline,
         );
--- a/galenahold_instance/src/order/order_desk.rs
+++ b/galenahold_instance/src/order/order_desk.rs
@@ -19,7 +19,7 @@
 const FINISH_WAIT: time::Duration = time::Duration::from_millis(500);
 
 /// How long one round of calls goes on by which something is recorded in the background.
-const RECORD_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const RECORD_TIMEOUT: time::Duration = time::Duration::from_mins(1);
 
 /// Starts and ends attempts of orders in the control group's ledger.
 #[derive(Debug, Clone)]
@@ -153,7 +153,7 @@
             if let Ok(reply) = self.client.call(call, deadline).await {
                 return Some(reply);
             }
-            if RECORD_TIMEOUT < time::Duration::from_secs(1) {
+            if self.group.token().is_cancelled() {
                 return None;
             }
         }
@@ -172,7 +172,12 @@
     match start {
         order::OrderStart::Begun { attempt } => Ok(OrderGate::Begun(attempt)),
         order::OrderStart::Answered(answer) => Ok(OrderGate::Answered(answer)),
-        order::OrderStart::Running => Ok(OrderGate::Begun(1)),
+        order::OrderStart::Running => Err(face::RequestRefusal::new(
+            face::RefusalKind::OrderRunning,
+            RequestVerdict::MayHaveRun,
+            "an order under this idempotency key is under way; ask again for its answer",
+        )
+        .retry_after(time::Duration::from_secs(1))),
         order::OrderStart::Unknown => Err(face::RequestRefusal::new(
             face::RefusalKind::OrderUnknown,
             RequestVerdict::MayHaveRun,
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -79,7 +79,7 @@
                 rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown(team)),
             };
             let left = deadline.saturating_duration_since(now);
-            let hopeless = asked;
+            let hopeless = asked && retry_after.is_some_and(|wait| wait > left);
             if hopeless || left.is_zero() {
                 return Err(refuse_rate(team, retry_after));
             }
