Keep no replica for less than 30 s

Cause: the histogram's cheapest time to keep is zero for what loads in no time, so an adapter would be loaded, committed and unloaded for each use.

Ruled out: weighing idle time by bytes, which would keep everything where sizes are small; not measured.

Tested: cargo test -p galenahold_placement, with a test of the floor.

--- a/galenahold_placement/src/policy/histogram_keep_alive.rs
+++ b/galenahold_placement/src/policy/histogram_keep_alive.rs
@@ -7,6 +7,7 @@
 const DEFAULT_IDLE_PER_AVOIDED_SECOND: f64 = 60.0;
 const DEFAULT_KEEP: time::Duration = time::Duration::from_mins(10);
 const DEFAULT_LONGEST_KEEP: time::Duration = time::Duration::from_hours(1);
+const DEFAULT_LEAST_KEEP: time::Duration = time::Duration::from_secs(30);
 const LEAST_GAPS: u32 = 4;
 const RETURN_HORIZON: time::Duration = time::Duration::from_mins(5);
 
@@ -19,6 +20,7 @@
 pub struct HistogramKeepAlive {
     idle_per_avoided_second: f64,
     unknown_keep: time::Duration,
+    least_keep: time::Duration,
     longest_keep: time::Duration,
 }
 
@@ -29,6 +31,7 @@
         Self {
             idle_per_avoided_second,
             unknown_keep: DEFAULT_KEEP,
+            least_keep: DEFAULT_LEAST_KEEP,
             longest_keep: DEFAULT_LONGEST_KEEP,
         }
     }
@@ -40,6 +43,14 @@
         self
     }
 
+    /// Returns the policy with another least time to keep, so that what loads in no time is not
+    /// loaded anew for each request.
+    #[must_use]
+    pub fn with_least_keep(mut self, keep: time::Duration) -> Self {
+        self.least_keep = keep;
+        self
+    }
+
     /// Returns the policy with another longest time to keep.
     #[must_use]
     pub fn with_longest_keep(mut self, keep: time::Duration) -> Self {
@@ -83,7 +94,7 @@
         if replica.history.total() < LEAST_GAPS {
             return Some(self.unknown_keep);
         }
-        Some(self.cheapest_keep(replica))
+        Some(self.cheapest_keep(replica).max(self.least_keep))
     }
 
     #[expect(
--- a/galenahold_placement/tests/placement/policy_promises.rs
+++ b/galenahold_placement/tests/placement/policy_promises.rs
@@ -46,6 +46,22 @@
     assert!(policy.worth(&kept(&regular)) > policy.worth(&kept(&rare)));
 }
 
+#[test]
+fn adapter_that_loads_in_no_time_is_kept_for_a_while() {
+    let policy = policy::HistogramKeepAlive::default();
+    let mut history = demand::ArrivalHistory::default();
+    for _ in 0..20 {
+        history.record(600 * SECOND);
+    }
+    let kept = policy::KeptReplica {
+        history: &history,
+        idle: time::Duration::ZERO,
+        reload: time::Duration::from_millis(10),
+        bytes: amount::ByteCount(1),
+    };
+    assert!(policy.keep_for(&kept) >= Some(10 * SECOND));
+}
+
 proptest! {
     #[test]
     fn store_budget_starts_no_more_in_any_second_than_it_allows(
