--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -168,24 +168,12 @@
         info!("instance stopped");
     }
 
-    /// Hands leadership to the voter that is furthest along.
+    /// Hands leadership to the voter that is best caught up.
     fn hand_over(&self) {
         let Some(member) = self.member.as_ref().filter(|member| member.leads()) else {
             return;
         };
-        let status = member.handle().status();
-        let target = status
-            .members
-            .iter()
-            .filter(|report| report.member.profile.id != status.profile.id)
-            .filter(|report| report.silence.is_some())
-            .min_by_key(|report| (report.lag_entries, report.silence));
-        let Some(target) = target else {
-            return;
-        };
-        let begun = member
-            .handle()
-            .transfer_leadership(target.member.profile.id);
+        let begun = member.handle().hand_over_leadership();
         info!(begun = begun; "hands leadership over");
     }
 }
