--- a/galenahold_testkit/src/harness/fleet_builder.rs
+++ b/galenahold_testkit/src/harness/fleet_builder.rs
@@ -198,6 +198,7 @@
             folder,
             settings: Value::Null,
             binary: self.binary.clone(),
+            shared_routes: links.shared_routes(index),
             environment: self.environment.clone(),
         };
         let roles: &[&str] = if control {
--- a/galenahold_testkit/src/harness/instance_plan.rs
+++ b/galenahold_testkit/src/harness/instance_plan.rs
@@ -3,6 +3,7 @@
 use std::path;
 
 use super::InstanceAddresses;
+use super::shared_route::SharedRoute;
 
 /// Name, addresses, files and settings of an instance.
 #[derive(Debug, Clone)]
@@ -19,6 +20,8 @@
     pub(crate) settings: serde_json::Value,
     /// Its binary.
     pub(crate) binary: path::PathBuf,
+    /// Its ways to other instances by the addresses that all know.
+    pub(crate) shared_routes: Vec<SharedRoute>,
     /// Further environment variables.
     pub(crate) environment: Vec<(String, String)>,
 }
--- a/galenahold_testkit/src/harness/instance_process.rs
+++ b/galenahold_testkit/src/harness/instance_process.rs
@@ -65,7 +65,12 @@
             .stdin(process::Stdio::null())
             .stdout(process::Stdio::null())
             .stderr(log);
-        self.child.start(&mut command)
+        self.child.start(&mut command)?;
+        if let Some(process) = self.id() {
+            let routes = self.plan.shared_routes.iter();
+            routes.for_each(|route| route.attribute(process));
+        }
+        Ok(())
     }
 
     /// Returns its name.
--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -18,6 +18,7 @@
 mod serving_builder;
 mod serving_fleet;
 mod settings_merge;
+mod shared_route;
 mod standin_process;
 
 pub use caller_answer::CallerAnswer;
--- a/galenahold_testkit/src/harness/peer_links.rs
+++ b/galenahold_testkit/src/harness/peer_links.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use super::shared_route::SharedRoute;
 use super::{InstanceAddresses, PeerRoute};
 use crate::proxy;
 use crate::testkit_error::TestkitError;
@@ -53,6 +54,16 @@
         link.map(proxy::FaultLink::address)
     }
 
+    /// Lists the ways of one instance to all others by the addresses that all know.
+    pub(crate) fn shared_routes(&self, from: usize) -> Vec<SharedRoute> {
+        let own = self.links.iter().filter(|peer| peer.from == Some(from));
+        let routes = own.filter_map(|peer| {
+            let shared = self.link(None, peer.to)?;
+            Some(SharedRoute::new(shared, &peer.link))
+        });
+        routes.collect()
+    }
+
     /// Returns the link from `from`, or from all if `None`, to `to`.
     #[must_use]
     pub fn link(&self, from: Option<usize>, to: usize) -> Option<&proxy::FaultLink> {
--- a/galenahold_testkit/src/harness/peer_route.rs
+++ b/galenahold_testkit/src/harness/peer_route.rs
@@ -6,7 +6,7 @@
     /// Without a proxy.
     #[default]
     Direct,
-    /// Through one link for each ordered pair; learned addresses go through a link for each target.
+    /// Through one link for each ordered pair, by learned addresses too.
     Pairs,
     /// Through one link for each target, so that all instances know the same address of it.
     Inbound,
--- a/galenahold_testkit/src/proxy/fault_link.rs
+++ b/galenahold_testkit/src/proxy/fault_link.rs
@@ -10,9 +10,11 @@
 
 use super::direction_state::DirectionState;
 use super::link_pump::LinkPump;
+use super::socket_owner::find_owner;
 use super::{LinkDirection, LinkFault};
 use crate::host;
 use crate::http;
+use crate::state_lock;
 use crate::testkit_error::TestkitError;
 
 /// Pause after a failed accept or bind.
@@ -26,6 +28,40 @@
     resets: watch::Sender<u64>,
     connections: atomic::AtomicU64,
     target: net::SocketAddr,
+    sources: state_lock::StateLock<Vec<LinkSource>>,
+}
+
+/// A process whose connections belong to another link.
+#[derive(Debug)]
+struct LinkSource {
+    process: u32,
+    state: sync::Arc<LinkState>,
+}
+
+impl LinkState {
+    /// Returns the state of the link that a connection belongs to.
+    fn state_for(
+        self: &sync::Arc<Self>,
+        peer: net::SocketAddr,
+        address: net::SocketAddr,
+    ) -> sync::Arc<Self> {
+        let sources = self.sources.lock();
+        let processes = sources.iter().map(|source| source.process);
+        let owner = if sources.is_empty() {
+            None
+        } else {
+            find_owner(peer, address, processes)
+        };
+        // The last start of an instance counts, should a process id come again.
+        let source = owner.and_then(|owner| {
+            let mut sources = sources.iter().rev();
+            sources.find(|source| source.process == owner)
+        });
+        source.map_or_else(
+            || sync::Arc::clone(self),
+            |source| sync::Arc::clone(&source.state),
+        )
+    }
 }
 
 /// Stands between the clients of one address and its server.
@@ -50,6 +86,7 @@
             resets: watch::Sender::new(0),
             connections: atomic::AtomicU64::new(0),
             target,
+            sources: state_lock::StateLock::default(),
         });
         let connections = scope.clone();
         let accepted = sync::Arc::clone(&state);
@@ -93,6 +130,16 @@
         self.state.resets.send_modify(|resets| *resets += 1);
     }
 
+    /// Lets connections that a process opens to this link count as opened to `link`.
+    ///
+    /// Many processes may know one address, and still each pair has its own faults.
+    pub fn attribute(&self, process: u32, link: &Self) {
+        self.state.sources.lock().push(LinkSource {
+            process,
+            state: sync::Arc::clone(&link.state),
+        });
+    }
+
     /// Returns the connections accepted so far.
     #[must_use]
     pub fn connections(&self) -> u64 {
@@ -132,7 +179,10 @@
         };
         tokio::select! {
             accepted = open.accept() => match accepted {
-                Ok((client, _)) => scope.spawn(run_connection(client, sync::Arc::clone(&state))),
+                Ok((client, peer)) => {
+                    let state = state.state_for(peer, address);
+                    scope.spawn(run_connection(client, state));
+                }
                 Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
             },
             _ = refusing.changed() => {}
--- a/galenahold_testkit/src/proxy/mod.rs
+++ b/galenahold_testkit/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 mod link_direction;
 mod link_fault;
 mod link_pump;
+mod socket_owner;
 
 pub use fault_link::FaultLink;
 pub use fault_proxy::FaultProxy;
--- a/galenahold_testkit/tests/proxy/main.rs
+++ b/galenahold_testkit/tests/proxy/main.rs
@@ -168,3 +168,34 @@
     // The last piece is not followed by a pause.
     assert!(start.elapsed() >= time::Duration::from_millis(150));
 }
+
+#[test]
+fn process_is_cut_off_at_an_address_that_others_use_too() {
+    let listener = net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let target = listener.local_addr().expect("an address");
+    let proxy = proxy::FaultProxy::start().expect("a proxy");
+    let shared = proxy.link(target).expect("a link");
+    let own = proxy.link(target).expect("a link");
+    // No process has the id 0.
+    shared.attribute(0, &own);
+    net::TcpStream::connect(shared.address()).expect("a connection");
+    listener.accept().expect("a connection that others make");
+    assert_eq!((shared.connections(), own.connections()), (1, 0));
+    shared.attribute(std::process::id(), &own);
+    own.set_both(proxy::LinkFault::cut());
+    let mut client = net::TcpStream::connect(shared.address()).expect("a connection");
+    client.write_all(b"held").expect("sent");
+    let deadline = time::Instant::now() + WAIT_LIMIT;
+    while own.connections() == 0 {
+        assert!(time::Instant::now() < deadline, "never attributed");
+        thread::sleep(time::Duration::from_millis(5));
+    }
+    listener.set_nonblocking(true).expect("a listener");
+    thread::sleep(SILENCE);
+    assert!(listener.accept().is_err(), "the cut let a connection pass");
+    listener.set_nonblocking(false).expect("a listener");
+    own.heal();
+    let (mut server, _) = listener.accept().expect("a connection");
+    assert_eq!(read(&mut server, 4), b"held");
+    assert_eq!((shared.connections(), own.connections()), (1, 1));
+}
