--- a/galenahold_testkit/src/harness/serving_fleet.rs
+++ b/galenahold_testkit/src/harness/serving_fleet.rs
@@ -1,10 +1,9 @@
 //! A fleet that serves.
 
 use std::net;
-use std::thread;
 use std::time;
 
-use super::{FleetCaller, InstanceFleet, OperatorClient};
+use super::{FleetCaller, InstanceFleet, OperatorClient, wait_within};
 use crate::engine;
 use crate::service;
 
@@ -15,9 +14,6 @@
 /// How long anything that a test waits for may take.
 pub const WAIT_LIMIT: time::Duration = time::Duration::from_mins(1);
 
-/// Pause between looks at a condition.
-const POLL_PAUSE: time::Duration = time::Duration::from_millis(20);
-
 /// Holds instances, engines and plain servers that serve one team.
 #[derive(Debug)]
 pub struct ServingFleet {
@@ -113,10 +109,6 @@
 /// # Panics
 ///
 /// Panics with `what` when it does not hold in time.
-pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let deadline = time::Instant::now() + WAIT_LIMIT;
-    while !holds() {
-        assert!(time::Instant::now() < deadline, "not in time: {what}");
-        thread::sleep(POLL_PAUSE);
-    }
+pub fn wait_until(what: &str, holds: impl FnMut() -> bool) {
+    wait_within(what, WAIT_LIMIT, holds);
 }
