--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -24,6 +24,7 @@
 mod serving_builder;
 mod serving_fleet;
 mod settings_merge;
+mod shared_route;
 mod standin_process;
 
 pub use caller_answer::CallerAnswer;
