--- a/galenahold_instance/src/instance/demand_reporter.rs
+++ b/galenahold_instance/src/instance/demand_reporter.rs
@@ -13,19 +13,25 @@
 /// How often demand is reported while there is any.
 const REPORT_PERIOD: time::Duration = time::Duration::from_millis(200);
 
+/// How often an instance without demand says so: no replica is unloaded before all instances that had
+/// work have reported since they learned that it drains.
+const IDLE_PERIOD: time::Duration = time::Duration::from_secs(1);
+
 /// How soon demand is reported when a request arrives.
 const ARRIVAL_DELAY: time::Duration = time::Duration::from_millis(2);
 
 /// How long a report may look for the leader; the next one replaces it.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
-/// Reports demand to the leader: soon after a request arrives, and each period while there is any.
+/// Reports demand to the leader: soon after a request arrives, each period while there is any, and now
+/// and then that there is none.
 #[derive(Debug)]
 pub(crate) struct DemandReporter<Desk> {
     dispatcher: dispatch::Dispatcher,
     client: peer::ControlClient<Desk>,
     card: message::InstanceCard,
     told: dispatch::DemandSnapshot,
+    told_at: Option<time::Instant>,
 }
 
 impl<Desk: peer::LocalDesk> DemandReporter<Desk> {
@@ -40,6 +46,7 @@
             client,
             card,
             told: dispatch::DemandSnapshot::default(),
+            told_at: None,
         }
     }
 
@@ -72,13 +79,15 @@
         let now = time::Instant::now();
         let snapshot = self.dispatcher.take_demand(now);
         let report = self.compose(&snapshot);
-        if report.demands.is_empty() && report.work.is_empty() {
+        let idle = report.demands.is_empty() && report.work.is_empty();
+        if idle && self.told_within(IDLE_PERIOD, now) {
             return;
         }
         let call = message::ControlCall::Demand(report);
         let reported = self.client.call(call, now + REPORT_TIMEOUT).await;
         if reported.is_ok() {
             self.told = snapshot;
+            self.told_at = Some(now);
         } else {
             // What was told before stays to be taken back, and so does what may have been told now.
             self.told.demands.extend(snapshot.demands);
@@ -86,6 +95,11 @@
         }
     }
 
+    fn told_within(&self, period: time::Duration, now: time::Instant) -> bool {
+        self.told_at
+            .is_some_and(|at| now.saturating_duration_since(at) < period)
+    }
+
     /// Reports all that there is, and takes back what there is no more.
     fn compose(&self, snapshot: &dispatch::DemandSnapshot) -> demand::DemandReport {
         let ended = self
