Tell waiting instances of a loaded replica at once

Cause: entry instances learned of a loaded replica from the backend server's next announcement, about once a second, and its spread. Ruled out: announcing more often (the servers' choice, and a cost for all the time); changing the registry's entry (the placement takes only a backend server's own word for its memory). The change: the leader passes a notice to all instances when a load order is answered. An instance counts the replica as ready until an announcement sent after that says otherwise; one that still shows the order as loading was sent before. Notices do not reach the placement.

--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Follows a notice that a replica was loaded.
+    pub(crate) fn mark_ready(&mut self, notice: &message::ReplicaNotice) {
+        let Some(key) = self.table.server_key(&notice.server) else {
+            return;
+        };
+        let target = replica::ReplicaTarget::Artifact(notice.artifact.clone());
+        self.table.mark_ready(key, notice.incarnation, &target);
+    }
+
     /// Follows a cache event.
     pub(crate) fn follow(&mut self, event: &server::CacheEvent) {
         let Some(key) = self.table.server_key(&event.name) else {
--- a/galenahold_instance/src/dispatch/dispatcher.rs
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -72,6 +72,11 @@
         self.lock().announce(announcement, age, now);
     }
 
+    /// Follows a notice that a replica was loaded.
+    pub(crate) fn mark_ready(&self, notice: &message::ReplicaNotice) {
+        self.lock().mark_ready(notice);
+    }
+
     /// Follows a cache event.
     pub(crate) fn follow(&self, event: &server::CacheEvent) {
         self.lock().follow(event);
--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -282,6 +282,11 @@
                 self.control_members(),
             ),
             registry: self.registry.clone(),
+            notices: placement::NoticeSender::new(
+                self.network.clone(),
+                self.registry.clone(),
+                system.clone(),
+            ),
             time_limit: self.settings.placement.load_timeout(),
             in_flight: sync::Arc::default(),
             metrics: self.metrics.clone(),
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -89,6 +89,9 @@
             let age = time::Duration::from_millis(aged.age_ms);
             self.registry.take(aged.announcement, age, false, now);
         }
+        for notice in batch.notices {
+            self.registry.take_notice(notice, now);
+        }
         let missing = batch
             .heartbeats
             .iter()
--- a/galenahold_instance/src/instance/view_feeder.rs
+++ b/galenahold_instance/src/instance/view_feeder.rs
@@ -1,5 +1,6 @@
 //! Feeds the dispatcher and the wallet with what changes around them.
 
+use std::sync;
 use std::time;
 
 use galenahold_domain::server;
@@ -59,10 +60,14 @@
         let mut seen = 0;
         loop {
             let now = time::Instant::now();
+            let notices = self.registry.notices(now);
             for entry in self.registry.entries_since(seen) {
                 seen = seen.max(entry.version);
-                self.dispatcher
-                    .announce(&entry.announcement, entry.age(now), now);
+                let announcement = with_notices(&entry, &notices);
+                self.dispatcher.announce(&announcement, entry.age(now), now);
+            }
+            for held in &notices {
+                self.dispatcher.mark_ready(&held.notice);
             }
             self.dispatcher.dispatch_all();
             if versions.changed().await.is_err() {
@@ -118,6 +123,21 @@
     }
 }
 
+/// Adds the replicas of notices that still stand to what a backend server announced.
+fn with_notices(
+    entry: &registry::RegistryEntry,
+    notices: &[registry::HeldNotice],
+) -> sync::Arc<server::ServerAnnouncement> {
+    let mut announcement = sync::Arc::clone(&entry.announcement);
+    let own = notices
+        .iter()
+        .filter(|held| held.notice.server == announcement.name);
+    for held in own.collect::<Vec<_>>() {
+        held.apply(sync::Arc::make_mut(&mut announcement));
+    }
+    announcement
+}
+
 fn gauge(value: u128) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/galenahold_instance/src/placement/order_runner.rs
+++ b/galenahold_instance/src/placement/order_runner.rs
@@ -32,6 +32,8 @@
     pub(crate) control: peer::ControlClient<control::ControlDesk>,
     /// Knows where engines take orders.
     pub(crate) registry: registry::ServerRegistry,
+    /// Tells instances of loaded replicas.
+    pub(crate) notices: placement::NoticeSender,
     /// How long an order may take.
     pub(crate) time_limit: time::Duration,
     /// Orders under way.
@@ -94,7 +96,10 @@
         let may_send = || self.member.leading_term() == Some(term);
         match self.client.send(&order, may_send).await {
             placement::OrderResult::Done => match action {
-                placement::OrderAction::Load => engine::OrderOutcome::Loaded,
+                placement::OrderAction::Load => {
+                    self.notices.send(reservation);
+                    engine::OrderOutcome::Loaded
+                }
                 placement::OrderAction::Unload => engine::OrderOutcome::Unloaded,
             },
             placement::OrderResult::Refused { reason } => {
--- a/galenahold_instance/src/registry/announcement_spreader.rs
+++ b/galenahold_instance/src/registry/announcement_spreader.rs
@@ -136,6 +136,7 @@
             },
             announcements: delta.announcements,
             heartbeats: delta.heartbeats,
+            notices: Vec::new(),
             events: events.events,
         };
         Some(PendingBatch {
--- /dev/null
+++ b/galenahold_instance/src/registry/held_notice.rs
@@ -0,0 +1,76 @@
+//! A notice of a loaded replica that this instance holds.
+
+use std::time;
+
+use galenahold_domain::server;
+use galenahold_wire::message;
+
+use crate::registry;
+
+/// How long a notice is held where no announcement settles it.
+const NOTICE_LIFE: time::Duration = time::Duration::from_secs(5);
+
+/// A notice of a loaded replica, held until the backend server's own announcement settles it.
+#[derive(Debug, Clone)]
+pub(crate) struct HeldNotice {
+    /// The notice.
+    pub(crate) notice: message::ReplicaNotice,
+    /// When the order was answered, by this instance's monotonic clock.
+    pub(crate) loaded_at: time::Instant,
+}
+
+impl HeldNotice {
+    /// Returns whether the notice still says more than `entry`, what is known of its backend server.
+    pub(crate) fn stands(
+        &self,
+        entry: Option<&registry::RegistryEntry>,
+        now: time::Instant,
+    ) -> bool {
+        if now.saturating_duration_since(self.loaded_at) > NOTICE_LIFE {
+            return false;
+        }
+        let Some(entry) = entry else {
+            return true;
+        };
+        let announcement = &entry.announcement;
+        if announcement.incarnation != self.notice.incarnation {
+            return announcement.incarnation < self.notice.incarnation;
+        }
+        // An announcement that was sent before the load ended may come after the notice.
+        entry.sent_at < self.loaded_at || self.shown_loading(announcement)
+    }
+
+    /// Puts the replica among those that an announcement shows as ready.
+    pub(crate) fn apply(&self, announcement: &mut server::ServerAnnouncement) {
+        let notice = &self.notice;
+        if announcement.incarnation != notice.incarnation {
+            return;
+        }
+        announcement
+            .loaded
+            .retain(|loaded| !self.is_shown_by(loaded));
+        announcement.loaded.push(server::LoadedReplica {
+            model: notice.artifact.model.clone(),
+            version: notice.artifact.version.clone(),
+            adapter: notice.artifact.adapter.clone(),
+            bytes: notice.bytes,
+            order: notice.order.0,
+            state: server::ReplicaState::Ready,
+        });
+    }
+
+    fn shown_loading(&self, announcement: &server::ServerAnnouncement) -> bool {
+        announcement.loaded.iter().any(|loaded| {
+            self.is_shown_by(loaded)
+                && loaded.order == self.notice.order.0
+                && loaded.state == server::ReplicaState::Loading
+        })
+    }
+
+    fn is_shown_by(&self, loaded: &server::LoadedReplica) -> bool {
+        let artifact = &self.notice.artifact;
+        loaded.model == artifact.model
+            && loaded.version == artifact.version
+            && loaded.adapter == artifact.adapter
+    }
+}
--- a/galenahold_instance/src/registry/mod.rs
+++ b/galenahold_instance/src/registry/mod.rs
@@ -4,6 +4,7 @@
 mod announcement_spreader;
 mod cache_event_document;
 mod event_log;
+mod held_notice;
 mod registry_entry;
 mod server_registry;
 
@@ -11,5 +12,6 @@
 pub(crate) use announcement_spreader::AnnouncementSpreader;
 pub(crate) use cache_event_document::CacheEventDocument;
 pub(crate) use event_log::EventLog;
+pub(crate) use held_notice::HeldNotice;
 pub(crate) use registry_entry::RegistryEntry;
 pub(crate) use server_registry::ServerRegistry;
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 struct RegistryTable {
     entries: collections::HashMap<name::ServerName, registry::RegistryEntry>,
+    notices: Vec<registry::HeldNotice>,
     version: u64,
 }
 
@@ -72,7 +73,31 @@
         news
     }
 
-    /// Returns a receiver that is told of each new version.
+    /// Takes up a notice that a replica was loaded.
+    ///
+    /// It changes no entry: what a backend server holds is only what it announces.
+    pub(crate) fn take_notice(&self, notice: message::ReplicaNotice, now: time::Instant) {
+        let age = time::Duration::from_millis(notice.age_ms);
+        let Some(loaded_at) = now.checked_sub(age) else {
+            return;
+        };
+        let held = registry::HeldNotice { notice, loaded_at };
+        let mut table = self.lock();
+        table.drop_settled(now);
+        table.notices.push(held);
+        let version = table.version;
+        drop(table);
+        self.version.send_replace(version);
+    }
+
+    /// Returns the notices that say more than the announcements.
+    pub(crate) fn notices(&self, now: time::Instant) -> Vec<registry::HeldNotice> {
+        let mut table = self.lock();
+        table.drop_settled(now);
+        table.notices.clone()
+    }
+
+    /// Returns a receiver that is told of each new version and of each notice.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.version.subscribe()
     }
@@ -176,6 +201,12 @@
 }
 
 impl RegistryTable {
+    fn drop_settled(&mut self, now: time::Instant) {
+        let entries = &self.entries;
+        self.notices
+            .retain(|held| held.stands(entries.get(&held.notice.server), now));
+    }
+
     fn take(
         &mut self,
         mut announcement: server::ServerAnnouncement,
--- a/galenahold_routing/src/replica/replica_table.rs
+++ b/galenahold_routing/src/replica/replica_table.rs
@@ -92,6 +92,27 @@
         }
     }
 
+    /// Adds a replica to an incarnation of a server that takes work, until an announcement without it.
+    pub fn mark_ready(
+        &mut self,
+        key: replica::ServerKey,
+        incarnation: amount::IncarnationNumber,
+        target: &replica::ReplicaTarget,
+    ) {
+        let Some(entry) = self.servers.get(key) else {
+            return;
+        };
+        let is_known = entry
+            .replicas
+            .iter()
+            .any(|replica| self.replicas[*replica].target == *target);
+        if is_known || entry.incarnation != incarnation || !entry.takes_work() {
+            return;
+        }
+        let replica = self.insert_replica(key, target);
+        self.servers[key].replicas.push(replica);
+    }
+
     /// Lists the replicas that hold a target, into a buffer that is emptied first.
     pub fn candidates(
         &self,
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -156,6 +156,7 @@
         known: Vec::new(),
         announcements: Vec::new(),
         heartbeats: heartbeats.collect(),
+        notices: Vec::new(),
         events: Vec::new(),
     }
 }
@@ -170,6 +171,7 @@
         known: Vec::new(),
         announcements: announcements.collect(),
         heartbeats: Vec::new(),
+        notices: Vec::new(),
         events: Vec::new(),
     }
 }
--- a/galenahold_wire/src/message/spread_batch.rs
+++ b/galenahold_wire/src/message/spread_batch.rs
@@ -19,6 +19,9 @@
     /// Announcements that say the same as before.
     #[serde(default)]
     pub heartbeats: Vec<message::ServerHeartbeat>,
+    /// Replicas that orders of the sender have just loaded.
+    #[serde(default)]
+    pub notices: Vec<message::ReplicaNotice>,
     /// The cache events.
     #[serde(default)]
     pub events: Vec<server::CacheEvent>,
