Test adapters with real processes

Cause: no test with real processes asked for an adapter. The change: an adapter is loaded once beside its base model, the base is loaded first where it is cold, memory holds where more is asked for than fits, and a request is served again after the engine lost the adapter.

--- a/galenahold/tests/placement/fleet_setup.rs
+++ b/galenahold/tests/placement/fleet_setup.rs
@@ -18,6 +18,9 @@
 /// Memory that each model takes, in bytes: two of them fit one engine.
 pub(crate) const MODEL_BYTES: u64 = 4_000_000;
 
+/// Memory that each adapter takes, in bytes: two models with an adapter each fill an engine.
+pub(crate) const ADAPTER_BYTES: u64 = 1_000_000;
+
 /// Bytes a second of one fetch from the weight store: a load takes about a second.
 const FETCH_BYTES_PER_SECOND: u64 = 4_000_000;
 
@@ -38,6 +41,15 @@
 impl PlacementFleet {
     /// Starts three control instances, one entry instance and engines.
     pub(crate) fn start(engines: usize, models: usize, checks_fencing: bool) -> Self {
+        Self::start_intent(engines, &intent(models, 0), checks_fencing)
+    }
+
+    /// Starts a fleet whose models have adapters.
+    pub(crate) fn start_with_adapters(engines: usize, models: usize, adapters: usize) -> Self {
+        Self::start_intent(engines, &intent(models, adapters), false)
+    }
+
+    fn start_intent(engines: usize, intent: &Value, checks_fencing: bool) -> Self {
         let turn = FLEETS.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let fleet = harness::FleetBuilder::default()
             .control(3)
@@ -53,9 +65,7 @@
             .map(|number| start_engine(number, &fleet, &store, checks_fencing))
             .collect();
         let operator = fleet.operator();
-        operator
-            .state_intent(&intent(models))
-            .expect("the intent is valid");
+        operator.state_intent(intent).expect("the intent is valid");
         let key = operator
             .give_key("councils")
             .expect("the team is known")
@@ -83,17 +93,31 @@
             .collect()
     }
 
-    /// Counts the load orders that engines received for a model.
+    /// Counts the load orders that engines received for a model or an adapter.
     pub(crate) fn load_orders(&self, model: &str) -> usize {
         self.ledgers()
             .iter()
             .flat_map(|ledger| &ledger.placements)
             .filter(|placement| {
-                placement.kind == ledger::PlacementKind::LoadModel && placement.model == model
+                let is_load = matches!(
+                    placement.kind,
+                    ledger::PlacementKind::LoadModel | ledger::PlacementKind::LoadAdapter
+                );
+                is_load && placement.model == model
             })
             .count()
     }
 
+    /// Takes an adapter out of the first engine behind the fleet's back.
+    pub(crate) fn drop_adapter(&self, adapter: &str) {
+        let engine = harness::FleetCaller::new(self.engines[0].address());
+        let body = json!({ "lora_name": adapter });
+        let answer = engine
+            .post("/v1/unload_lora_adapter", &body)
+            .expect("the engine answers");
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+
     /// Checks that no engine ever held more than its memory.
     pub(crate) fn assert_memory_held(&self) {
         for ledger in self.ledgers() {
@@ -178,16 +202,30 @@
     }
 }
 
+/// Returns the name of an adapter of a model.
+pub(crate) fn adapter_name(model: usize, number: usize) -> String {
+    format!("adapter-{model}-{number}")
+}
+
 /// Names the models `model-0`, `model-1` and so on.
-fn intent(models: usize) -> Value {
+fn intent(models: usize, adapters: usize) -> Value {
     let names: Vec<String> = (0..models)
         .map(|number| format!("model-{number}"))
         .collect();
     let models: Vec<Value> = names
         .iter()
-        .map(
-            |name| json!({ "name": name, "version": "1", "bytes": MODEL_BYTES, "max_replicas": 1 }),
-        )
+        .enumerate()
+        .map(|(model, name)| {
+            let adapters: Vec<_> = (0..adapters)
+                .map(
+                    |number| json!({ "name": adapter_name(model, number), "bytes": ADAPTER_BYTES }),
+                )
+                .collect();
+            json!({
+                "name": name, "version": "1", "bytes": MODEL_BYTES, "max_replicas": 1,
+                "adapters": adapters,
+            })
+        })
         .collect();
     json!({
         "teams": [{
--- a/galenahold/tests/placement/main.rs
+++ b/galenahold/tests/placement/main.rs
@@ -1,5 +1,6 @@
 //! What is loaded where, with real processes: no more than was decided, never over the memory.
 
+mod adapters;
 mod cold_burst;
 mod deposed_leader;
 mod engine_faults;
