Give unspent tokens back at a planned stop, and split the instance's file

Ruled out: stating zero needs (the wallet keeps twice what it spends). Change: the wallet retires after the requests have ended, and waits half a second at most for control to hear; wiring, task groups and the instance stand in files of their own. Conclusion: none further.

--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -4,97 +4,41 @@
 use std::time;
 
 use galenahold_consensus::driver;
-use galenahold_domain::amount;
-use galenahold_domain::control as domain_control;
-use galenahold_domain::name;
-use galenahold_routing::queue;
-use galenahold_routing::rate as routing_rate;
-use galenahold_routing::replica;
-use galenahold_settings::{InstanceSettings, LimitSettings, TimingSettings};
-use galenahold_wire::message;
-use log::{info, warn};
+use galenahold_settings::InstanceSettings;
+use log::info;
 use snafu::ResultExt;
 use tokio::runtime;
 use tokio::sync::mpsc;
 
-use crate::backend;
-use crate::configuration;
 use crate::control;
-use crate::dispatch;
-use crate::entry;
-use crate::face;
 use crate::instance;
 use crate::instance::instance_error;
-use crate::operator;
-use crate::order;
-use crate::peer;
-use crate::placement;
 use crate::platform;
 use crate::rate;
-use crate::registry;
 use crate::task;
 use crate::timer;
 
 /// Cache events that may wait for the replica table.
 const MAX_QUEUED_EVENTS: usize = 4_096;
 
-/// How long connecting to a backend server may take.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
-
 /// How often the replicated state is asked whether it can still follow the log.
 const FAULT_PERIOD: time::Duration = time::Duration::from_millis(100);
 
 /// How long the last calls of a stopping instance may take.
 const FAREWELL_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
-/// How long an instance tries to say that orders of its earlier incarnations are over.
-const ABANDON_TIMEOUT: time::Duration = time::Duration::from_mins(2);
-
 /// One running instance; it owns all its threads and joins them when it stops.
 pub struct FleetInstance {
     runtime: runtime::Runtime,
-    groups: TaskGroups,
+    groups: instance::TaskGroups,
     readiness: platform::ReadinessState,
     member: Option<sync::Arc<control::ControlGroup>>,
     log: Option<driver::ReplicatedLog<control::ControlMachine>>,
+    keeper: Option<rate::RateKeeper>,
     notice: time::Duration,
     drain: time::Duration,
 }
 
-/// The tasks, in the order in which they stop.
-#[derive(Debug)]
-struct TaskGroups {
-    /// Connections of callers.
-    callers: task::TaskGroup,
-    /// Answers that stream and orders on their way.
-    work: task::TaskGroup,
-    /// Connections to backend servers.
-    backend: task::TaskGroup,
-    /// All else.
-    system: task::TaskGroup,
-}
-
-/// The parts that the wiring steps share.
-struct CommonParts {
-    settings: InstanceSettings,
-    card: message::InstanceCard,
-    timer: timer::TimerService,
-    metrics: platform::FleetMetrics,
-    recorder: platform::BurnRecorder,
-    holder: configuration::ConfigurationHolder,
-    network: peer::PeerNetwork,
-    registry: registry::ServerRegistry,
-    event_log: registry::EventLog,
-    event_sink: mpsc::Sender<galenahold_domain::server::CacheEvent>,
-}
-
-/// The control group's part of an instance.
-struct ControlParts {
-    desk: control::ControlDesk,
-    member: Option<sync::Arc<control::ControlGroup>>,
-    log: Option<driver::ReplicatedLog<control::ControlMachine>>,
-}
-
 impl FleetInstance {
     /// Starts an instance: binds its sockets, opens its data folder and starts its parts.
     ///
@@ -112,18 +56,18 @@
             .enable_all()
             .build()
             .context(instance_error::RuntimeSnafu)?;
-        let groups = TaskGroups::new(runtime.handle());
+        let groups = instance::TaskGroups::new(runtime.handle());
         let readiness = platform::ReadinessState::default();
         let faces = runtime.block_on(instance::BoundFaces::bind(&settings.listen))?;
         let (event_sink, events) = mpsc::channel(MAX_QUEUED_EVENTS);
         let notice = settings.timing.notice();
         let drain = settings.timing.drain();
-        let common = CommonParts::new(settings, event_sink, &groups.system);
+        let common = instance::InstanceWiring::new(settings, event_sink, &groups.system);
         let control = common.start_control(&groups.system)?;
         if let Some(member) = &control.member {
             watch_fault(member, on_fault, &common.timer, &groups.system);
         }
-        common.start_parts(&groups, &control.desk, faces, events, &readiness);
+        let keeper = common.start_parts(&groups, &control.desk, faces, events, &readiness);
         info!(
             instance:% = common.card.name,
             data_centre:% = common.card.data_centre,
@@ -136,6 +80,7 @@
             readiness,
             member: control.member,
             log: control.log,
+            keeper,
             notice,
             drain,
         })
@@ -160,7 +105,8 @@
             self.runtime
                 .block_on(async move { tokio::time::sleep(notice).await });
         }
-        self.runtime.block_on(self.groups.stop(self.drain));
+        let keeper = self.keeper.take();
+        self.runtime.block_on(self.groups.stop(self.drain, keeper));
         if let Some(log) = self.log.take() {
             log.stop();
         }
@@ -178,356 +124,6 @@
     }
 }
 
-impl TaskGroups {
-    fn new(runtime: &runtime::Handle) -> Self {
-        Self {
-            callers: task::TaskGroup::new(runtime.clone()),
-            work: task::TaskGroup::new(runtime.clone()),
-            backend: task::TaskGroup::new(runtime.clone()),
-            system: task::TaskGroup::new(runtime.clone()),
-        }
-    }
-
-    async fn stop(&self, drain: time::Duration) {
-        let draining = async {
-            self.callers.stop().await;
-            self.work.stop().await;
-        };
-        if tokio::time::timeout(drain, draining).await.is_err() {
-            warn!("requests were still running at the end of the drain time");
-        }
-        self.backend.stop().await;
-        self.system.stop().await;
-    }
-}
-
-impl CommonParts {
-    fn new(
-        settings: InstanceSettings,
-        event_sink: mpsc::Sender<galenahold_domain::server::CacheEvent>,
-        system: &task::TaskGroup,
-    ) -> Self {
-        let card = message::InstanceCard {
-            name: settings.instance.name.clone(),
-            incarnation: new_incarnation(),
-            address: settings.peer_address(),
-            data_centre: settings.instance.data_centre.clone(),
-        };
-        let directory = peer::PeerDirectory::new(card.clone(), configured_cards(&settings));
-        let network = peer::PeerNetwork::new(settings.cluster.clone(), directory, system.clone());
-        Self {
-            timer: timer::TimerService::start(system),
-            metrics: platform::FleetMetrics::new(),
-            recorder: platform::BurnRecorder::new(card.name.clone()),
-            holder: configuration::ConfigurationHolder::new(settings.timing.key_freshness()),
-            network,
-            registry: registry::ServerRegistry::new(),
-            event_log: registry::EventLog::default(),
-            event_sink,
-            card,
-            settings,
-        }
-    }
-
-    fn start_control(
-        &self,
-        system: &task::TaskGroup,
-    ) -> Result<ControlParts, instance::InstanceError> {
-        let Some(folder) = &self.settings.data_folder else {
-            return Ok(ControlParts {
-                desk: control::ControlDesk::outside(),
-                member: None,
-                log: None,
-            });
-        };
-        let transport = control::LogTransport::new(self.network.clone(), system.clone());
-        let started = control::ControlGroup::start(&self.settings, folder, transport);
-        let (member, log) = started.context(instance_error::DataFolderSnafu { folder })?;
-        let member = sync::Arc::new(member);
-        let (news, inbox) = mpsc::unbounded_channel();
-        let desk = control::ControlDesk::member(control::DeskParts {
-            member: sync::Arc::clone(&member),
-            grants: control::GrantDesk::new(ledger_settings(&self.settings.timing)),
-            operators: control::OperatorDesk::new(sync::Arc::clone(&member), self.registry.clone()),
-            news: news.clone(),
-        });
-        control::LeaderTerm::new(desk.clone(), self.metrics.clone()).start(
-            sync::Arc::clone(&member),
-            &self.timer,
-            system,
-        );
-        self.start_placement(&desk, &member, news, inbox, system);
-        Ok(ControlParts {
-            desk,
-            member: Some(member),
-            log: Some(log),
-        })
-    }
-
-    fn start_placement(
-        &self,
-        desk: &control::ControlDesk,
-        member: &sync::Arc<control::ControlGroup>,
-        news: mpsc::UnboundedSender<placement::DriverNews>,
-        inbox: mpsc::UnboundedReceiver<placement::DriverNews>,
-        system: &task::TaskGroup,
-    ) {
-        let client = backend::BackendClient::new(system.clone(), CONNECT_TIMEOUT);
-        let orders = placement::OrderRunner {
-            client: placement::EngineClient::new(client),
-            member: sync::Arc::clone(member),
-            control: peer::ControlClient::new(
-                self.network.clone(),
-                desk.clone(),
-                self.control_members(),
-            ),
-            registry: self.registry.clone(),
-            time_limit: self.settings.placement.load_timeout(),
-            in_flight: sync::Arc::default(),
-            metrics: self.metrics.clone(),
-            news: news.clone(),
-            group: system.clone(),
-        };
-        let commands = placement::CommandRunner::new(
-            sync::Arc::clone(member),
-            self.card.clone(),
-            news,
-            system.clone(),
-        );
-        placement::PlacementDriver {
-            settings: sync::Arc::new(self.settings.clone()),
-            member: sync::Arc::clone(member),
-            registry: self.registry.clone(),
-            directory: self.network.directory().clone(),
-            commands,
-            orders,
-            metrics: self.metrics.clone(),
-            current: None,
-        }
-        .start(inbox, &self.timer, system);
-    }
-
-    fn start_parts(
-        &self,
-        groups: &TaskGroups,
-        desk: &control::ControlDesk,
-        faces: instance::BoundFaces,
-        events: mpsc::Receiver<galenahold_domain::server::CacheEvent>,
-        readiness: &platform::ReadinessState,
-    ) {
-        let members = self.control_members();
-        let client = peer::ControlClient::new(self.network.clone(), desk.clone(), members.clone());
-        self.start_peers(groups, desk, faces.peers);
-        self.start_watcher(groups, desk, &client, members);
-        registry::AnnouncementSpreader::new(
-            self.network.clone(),
-            self.registry.clone(),
-            self.event_log.clone(),
-        )
-        .start(&self.timer, &groups.system);
-        let limits = connection_limits(&self.settings.limits);
-        if let Some(listener) = faces.callers {
-            let face = self.start_entry(groups, &client, events);
-            face::HttpListener::new(listener, limits, face).start(&groups.callers);
-        }
-        if let Some(listener) = faces.backends {
-            let face = registry::AnnouncementFace::new(
-                self.registry.clone(),
-                self.event_log.clone(),
-                self.event_sink.clone(),
-            );
-            face::HttpListener::new(listener, limits, face).start(&groups.system);
-        }
-        if let Some(listener) = faces.operators {
-            let face = self.operator_face(client.clone());
-            face::HttpListener::new(listener, limits, face).start(&groups.system);
-        }
-        let face = platform::PlatformFace::new(
-            self.metrics.clone(),
-            readiness.clone(),
-            self.holder.clone(),
-        );
-        face::HttpListener::new(faces.platform, limits, face).start(&groups.system);
-    }
-
-    fn start_peers(
-        &self,
-        groups: &TaskGroups,
-        desk: &control::ControlDesk,
-        listener: tokio::net::TcpListener,
-    ) {
-        let service = instance::InstanceService {
-            cluster: self.settings.cluster.clone(),
-            desk: desk.clone(),
-            watch: configuration::WatchServer::new(self.holder.clone()),
-            directory: self.network.directory().clone(),
-            registry: self.registry.clone(),
-            events: self.event_sink.clone(),
-            recorder: self.recorder.clone(),
-        };
-        peer::PeerServer::new(listener, service).start(&groups.system);
-    }
-
-    fn start_watcher(
-        &self,
-        groups: &TaskGroups,
-        desk: &control::ControlDesk,
-        client: &peer::ControlClient<control::ControlDesk>,
-        members: Vec<name::InstanceName>,
-    ) {
-        let sources = if self.settings.relay.is_empty() {
-            configuration::WatchSources::Leader(members)
-        } else {
-            configuration::WatchSources::Relays(self.settings.relay.clone())
-        };
-        configuration::ConfigurationWatcher::new(
-            self.holder.clone(),
-            self.network.clone(),
-            client.clone(),
-            desk.clone(),
-            sources,
-        )
-        .start(&groups.system);
-    }
-
-    fn start_entry(
-        &self,
-        groups: &TaskGroups,
-        client: &peer::ControlClient<control::ControlDesk>,
-        events: mpsc::Receiver<galenahold_domain::server::CacheEvent>,
-    ) -> entry::CallerFace<control::ControlDesk> {
-        let keeper = rate::RateKeeper::new(routing_rate::TokenWallet::new(
-            self.card.name.clone(),
-            self.card.incarnation,
-            routing_rate::WalletSettings::default(),
-        ));
-        keeper.start(client.clone(), &groups.system);
-        let dispatcher = self.dispatcher();
-        let backend = backend::BackendClient::new(groups.backend.clone(), CONNECT_TIMEOUT);
-        let feeder = instance::ViewFeeder {
-            dispatcher: dispatcher.clone(),
-            keeper: keeper.clone(),
-            holder: self.holder.clone(),
-            registry: self.registry.clone(),
-            client: backend.clone(),
-            metrics: self.metrics.clone(),
-            announcement_ttl: self.settings.timing.announcement_ttl(),
-        };
-        feeder.start(events, &self.timer, &groups.system);
-        instance::DemandReporter::new(dispatcher.clone(), client.clone(), self.card.clone())
-            .start(&self.timer, &groups.system);
-        self.abandon_orders(client, &groups.system);
-        let desk = self.entry_desk(groups, client, keeper, dispatcher, backend);
-        entry::CallerFace::new(desk)
-    }
-
-    fn dispatcher(&self) -> dispatch::Dispatcher {
-        let table =
-            replica::TableSettings::default().with_expiry(self.settings.timing.announcement_ttl());
-        let limits = &self.settings.limits;
-        let queue = queue::QueueLimits::default()
-            .with_most_items(count(limits.max_waiting_requests()))
-            .with_most_bytes(limits.max_waiting_bytes());
-        dispatch::Dispatcher::new(
-            dispatch::DispatchState::new(table, queue),
-            self.metrics.clone(),
-        )
-    }
-
-    fn entry_desk(
-        &self,
-        groups: &TaskGroups,
-        client: &peer::ControlClient<control::ControlDesk>,
-        keeper: rate::RateKeeper,
-        dispatcher: dispatch::Dispatcher,
-        backend: backend::BackendClient,
-    ) -> entry::EntryDesk<control::ControlDesk> {
-        let rule = entry::AttemptRule::new(&self.settings.retry);
-        let models = entry::ModelDesk::new(
-            keeper.clone(),
-            dispatcher.clone(),
-            backend.clone(),
-            rule.clone(),
-            self.metrics.clone(),
-            groups.work.clone(),
-        );
-        let services =
-            entry::ServiceDesk::new(keeper, dispatcher, backend, rule, self.metrics.clone());
-        let limits = &self.settings.limits;
-        entry::EntryDesk::new(entry::DeskParts {
-            id_prefix: format!("{}-{:x}", self.card.name, self.card.incarnation.0),
-            next_request: sync::atomic::AtomicU64::new(1),
-            holder: self.holder.clone(),
-            models,
-            services,
-            ledger: order::OrderDesk::new(client.clone(), &self.card, groups.work.clone()),
-            reader: face::BodyReader {
-                max_bytes: count(limits.max_body_bytes().0),
-                timeout: limits.body_timeout(),
-            },
-            max_json_depth: count(limits.max_json_depth()),
-            metrics: self.metrics.clone(),
-            recorder: self.recorder.clone(),
-            group: groups.work.clone(),
-        })
-    }
-
-    /// Says that orders which earlier incarnations of this instance began have an unknown outcome.
-    fn abandon_orders(
-        &self,
-        client: &peer::ControlClient<control::ControlDesk>,
-        system: &task::TaskGroup,
-    ) {
-        let command = domain_control::ControlCommand::AbandonOrders {
-            instance: self.card.name.clone(),
-            before_incarnation: self.card.incarnation,
-            now_ms: epoch_millis(),
-        };
-        let client = client.clone();
-        system.spawn_until_stop(async move {
-            let deadline = time::Instant::now() + ABANDON_TIMEOUT;
-            let call = message::ControlCall::Command(command);
-            if client.call(call, deadline).await.is_err() {
-                warn!("orders of earlier incarnations could not be ended in the ledger");
-            }
-        });
-    }
-
-    fn operator_face(
-        &self,
-        client: peer::ControlClient<control::ControlDesk>,
-    ) -> operator::OperatorFace<control::ControlDesk, platform::BurnRecorder> {
-        let credentials = self
-            .settings
-            .operators
-            .iter()
-            .map(|operator| (operator.name.clone(), operator.credential_sha256.clone()));
-        operator::OperatorFace::new(
-            operator::OperatorGate::new(credentials),
-            client,
-            self.holder.clone(),
-            operator::BurnCollector::new(self.network.clone()),
-            self.recorder.clone(),
-        )
-    }
-
-    /// Returns the names of the control group's members, as the settings give them.
-    fn control_members(&self) -> Vec<name::InstanceName> {
-        let own = self
-            .settings
-            .instance
-            .is_control()
-            .then(|| self.card.name.clone());
-        let others = self
-            .settings
-            .peers
-            .iter()
-            .filter(|peer| peer.control)
-            .map(|peer| peer.name.clone());
-        others.chain(own).collect()
-    }
-}
-
 /// Calls `on_fault` once the replicated state can no longer follow the log.
 fn watch_fault(
     member: &sync::Arc<control::ControlGroup>,
@@ -546,50 +142,3 @@
         }
     });
 }
-
-fn configured_cards(settings: &InstanceSettings) -> Vec<message::InstanceCard> {
-    settings
-        .peers
-        .iter()
-        .map(|peer| message::InstanceCard {
-            name: peer.name.clone(),
-            incarnation: amount::IncarnationNumber::ZERO,
-            address: peer.address,
-            data_centre: peer.data_centre.clone(),
-        })
-        .collect()
-}
-
-fn connection_limits(limits: &LimitSettings) -> face::ConnectionLimits {
-    face::ConnectionLimits {
-        max_connections: count(limits.max_connections()),
-        max_per_address: count(limits.max_connections_per_address()),
-        max_head_bytes: count(limits.max_head_bytes().0),
-        head_timeout: limits.head_timeout(),
-        write_timeout: limits.idle_timeout(),
-    }
-}
-
-fn ledger_settings(timing: &TimingSettings) -> routing_rate::LedgerSettings {
-    let lease = timing.grant_lease();
-    let drift = u32::try_from(timing.clock_drift_per_million()).unwrap_or(u32::MAX);
-    routing_rate::LedgerSettings::default()
-        .with_grant_expiry(lease)
-        .with_drift_bound(lease * drift / 1_000_000 + time::Duration::from_millis(1))
-}
-
-fn count(number: u64) -> usize {
-    usize::try_from(number).unwrap_or(usize::MAX)
-}
-
-/// Returns a number that is higher than that of any earlier start.
-fn new_incarnation() -> amount::IncarnationNumber {
-    let elapsed = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
-    amount::IncarnationNumber(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
-}
-
-fn epoch_millis() -> u64 {
-    new_incarnation().0 / 1_000
-}
--- a/galenahold_instance/src/instance/mod.rs
+++ b/galenahold_instance/src/instance/mod.rs
@@ -5,7 +5,9 @@
 mod instance_error;
 mod instance_faces;
 mod instance_service;
+mod instance_wiring;
 mod stop_reason;
+mod task_groups;
 mod view_feeder;
 
 pub use fleet_instance::FleetInstance;
@@ -15,4 +17,6 @@
 pub(crate) use demand_reporter::DemandReporter;
 pub(crate) use instance_faces::BoundFaces;
 pub(crate) use instance_service::InstanceService;
+pub(crate) use instance_wiring::InstanceWiring;
+pub(crate) use task_groups::TaskGroups;
 pub(crate) use view_feeder::ViewFeeder;
--- /dev/null
+++ b/galenahold_instance/src/instance/task_groups.rs
@@ -0,0 +1,50 @@
+//! The tasks of an instance.
+
+use std::time;
+
+use log::warn;
+use tokio::runtime;
+
+use crate::rate;
+use crate::task;
+
+/// The tasks, in the order in which they stop.
+#[derive(Debug)]
+pub(crate) struct TaskGroups {
+    /// Connections of callers.
+    pub(crate) callers: task::TaskGroup,
+    /// Answers that stream and orders on their way.
+    pub(crate) work: task::TaskGroup,
+    /// Connections to backend servers.
+    pub(crate) backend: task::TaskGroup,
+    /// All else.
+    pub(crate) system: task::TaskGroup,
+}
+
+impl TaskGroups {
+    /// Creates groups whose tasks run on `runtime`.
+    pub(crate) fn new(runtime: &runtime::Handle) -> Self {
+        Self {
+            callers: task::TaskGroup::new(runtime.clone()),
+            work: task::TaskGroup::new(runtime.clone()),
+            backend: task::TaskGroup::new(runtime.clone()),
+            system: task::TaskGroup::new(runtime.clone()),
+        }
+    }
+
+    /// Stops all tasks: requests get `drain` to their end, and unspent tokens go back.
+    pub(crate) async fn stop(&self, drain: time::Duration, keeper: Option<rate::RateKeeper>) {
+        let draining = async {
+            self.callers.stop().await;
+            self.work.stop().await;
+        };
+        if tokio::time::timeout(drain, draining).await.is_err() {
+            warn!("requests were still running at the end of the drain time");
+        }
+        if let Some(keeper) = keeper {
+            keeper.retire().await;
+        }
+        self.backend.stop().await;
+        self.system.stop().await;
+    }
+}
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -18,6 +18,9 @@
 /// How long one call to the leader may take, all its attempts together.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 
+/// How long a stopping instance waits for its tokens to be taken back.
+const FAREWELL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
 /// The longest rest of the caller of control while nothing is due.
 const MAX_REST: time::Duration = time::Duration::from_millis(200);
 
@@ -90,6 +93,15 @@
         }
     }
 
+    /// Gives back all tokens that no request holds, and waits a moment for control to hear of it.
+    pub(crate) async fn retire(&self) {
+        let mut replies = self.replies.subscribe();
+        self.lock().retire();
+        self.wanted.notify_one();
+        // Where control does not answer, the grants run out by themselves.
+        let _ = tokio::time::timeout(FAREWELL_TIMEOUT, replies.changed()).await;
+    }
+
     /// Confirms, as the last step before a send, that charged tokens may still be spent.
     pub(super) fn still_valid(&self, receipt: &mut rate::ChargeReceipt) -> bool {
         self.lock().still_valid(receipt, time::Instant::now())
--- a/galenahold_routing/src/rate/token_wallet.rs
+++ b/galenahold_routing/src/rate/token_wallet.rs
@@ -216,6 +216,15 @@
         }
     }
 
+    /// Gives back all tokens that no request holds: the next call, which is due at once, says so.
+    ///
+    /// For an instance that stops after its requests have ended.
+    pub fn retire(&mut self) {
+        for account in self.accounts.values_mut() {
+            account.retire();
+        }
+    }
+
     /// Returns a team's weight in fair queues, with the fleet-wide correction.
     #[must_use]
     pub fn weight(&self, team: &name::TeamName) -> Option<f64> {
--- a/galenahold_routing/src/rate/wallet_account.rs
+++ b/galenahold_routing/src/rate/wallet_account.rs
@@ -34,6 +34,8 @@
     pub(super) call_lost: bool,
     /// Whether the intent in force has the team; statements go on after its removal.
     pub(super) active: bool,
+    /// Whether the instance stops and holds no tokens for requests to come.
+    retired: bool,
 }
 
 /// What control's last reply said beside the grant.
@@ -88,6 +90,7 @@
             called_at: None,
             call_lost: false,
             active: true,
+            retired: false,
         }
     }
 
@@ -406,7 +409,17 @@
     fn target(&self, settings: &rate::WalletSettings, now: time::Instant) -> u64 {
         let horizon = settings.prefetch_horizon.as_secs_f64();
         let target = (self.spend_rate(now) * horizon) as u64;
-        target.min(self.burst)
+        let most = if self.retired { 0 } else { self.burst };
+        target.min(most)
+    }
+
+    /// Gives up all tokens that no request holds, and makes a call due that says so.
+    pub(super) fn retire(&mut self) {
+        for grant in &mut self.grants {
+            grant.balance = 0;
+        }
+        self.retired = true;
+        self.call_lost = true;
     }
 
     /// Gives up tokens beyond what the recent spending asks for, the oldest first.
--- a/galenahold_routing/tests/rate/token_wallet.rs
+++ b/galenahold_routing/tests/rate/token_wallet.rs
@@ -165,6 +165,22 @@
     assert_eq!(pair.sum(), 400 + 10);
 }
 
+#[test]
+fn stopping_instance_gives_back_what_no_request_holds() {
+    let mut pair = Pair::with_full_bucket();
+    let receipt = pair.charge_after_asking(800);
+    pair.wallet
+        .settle(receipt, amount::TokenCount::ZERO, pair.now);
+    assert_eq!(pair.ledger.outstanding(&pair.team), amount::TokenCount(800));
+    pair.wallet.retire();
+    pair.exchange();
+    assert_eq!(
+        pair.ledger.outstanding(&pair.team),
+        amount::TokenCount::ZERO
+    );
+    assert_eq!(pair.sum(), 1_000);
+}
+
 #[test]
 fn request_above_the_burst_is_told_so() {
     let mut pair = Pair::with_full_bucket();
