Tell who leads at the end of a wait for the configuration

Cause: a member that does not lead answered with the leader that it knew when the wait began, up to 400 ms before. After the loss of a leader an entry instance was sent to the dead one again, waited out a refused connection, and took its turn anew.

Change: who leads is asked for when the answer is made.

Its effect on the time without a leader was not measured by itself.

--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -24,16 +24,16 @@
 
     /// Waits until there is news for the request, or its hold time is over.
     ///
-    /// `leader` goes with the answer, so that the one who waits can turn to it.
+    /// Who leads is asked for at the end and goes with the answer, so that the one who waits can turn to it.
     pub(crate) async fn watch(
         &self,
         request: message::WatchRequest,
-        leader: Option<name::InstanceName>,
+        leader: impl Fn() -> Option<name::InstanceName>,
     ) -> message::WatchReply {
         let started = time::Instant::now();
         let hold = time::Duration::from_millis(request.hold_ms);
         if self.is_ahead_of(&request) {
-            return self.reply(&request, started, leader);
+            return self.reply(&request, started, leader());
         }
         let mut revisions = self.holder.subscribe();
         let mut confirmations = self.holder.subscribe_confirmations();
@@ -45,7 +45,7 @@
             _ = confirmations.changed() => {}
             () = tokio::time::sleep(hold) => {}
         }
-        self.reply(&request, started, leader)
+        self.reply(&request, started, leader())
     }
 
     /// Returns whether this instance has a later confirmation than the one who waits.
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -66,7 +66,7 @@
         if self.desk.leads() {
             return self.desk.watch(request).await;
         }
-        self.watch.watch(request, self.desk.leader()).await
+        self.watch.watch(request, || self.desk.leader()).await
     }
 
     async fn call(
