Go around a cut to the leader

Cause: an entry instance that was cut off from the leader, but reached other control instances, refused requests inside their team's rate with 429; and while control did not answer at all, the refusal said that the rate was used up. Ruled out: longer deadlines. Change: other control instances pass calls on, a leader that cannot be reached is gone around for 10 s, and a refusal without an answer of control says so; the leaving tests wait until the servers had work, since replica choice now sends idle requests to one server.

--- a/galenahold/tests/leaving/main.rs
+++ b/galenahold/tests/leaving/main.rs
@@ -19,6 +19,9 @@
 /// How long a backend server counts after its last announcement, as the settings say.
 const ANNOUNCEMENT_TTL: time::Duration = time::Duration::from_secs(3);
 
+/// How long it may take until each server had work.
+const WORK_LIMIT: time::Duration = time::Duration::from_mins(1);
+
 /// How long callers ask on after the bound.
 const WATCHED: time::Duration = time::Duration::from_secs(2);
 
@@ -53,6 +56,7 @@
 fn a_silent_server_gets_no_new_work_after_its_announcement_expired() {
     let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
     let fleet = start(&harness::FleetBuilder::default().control(3).entries(1), &[]);
+    wait_worked(&fleet);
     let silence = ServerControl::Announce { on: false };
     fleet.services()[0].control(&silence);
     fleet.engines()[0].control(&silence);
@@ -75,8 +79,26 @@
         .expect("the fleet starts")
 }
 
+/// Asks until the first server of each kind has had work, so that its later silence says something.
+fn wait_worked(fleet: &harness::ServingFleet) {
+    let deadline = time::Instant::now() + WORK_LIMIT;
+    for turn in 0_usize.. {
+        let ledgers = [fleet.services()[0].ledger(), fleet.engines()[0].ledger()];
+        if ledgers.iter().all(|ledger| !ledger.requests.is_empty()) {
+            return;
+        }
+        assert!(time::Instant::now() < deadline, "a server never had work");
+        let caller = fleet.caller(turn % fleet.instances().instances().len());
+        let read = caller.get(&format!("/foundry/records/{turn}"));
+        assert_eq!(read.expect("an answer comes").status, 200);
+        let chat = caller.chat(harness::SERVED_MODEL, &format!("turn {turn}"), 1, false);
+        assert_eq!(chat.expect("an answer comes").status, 200);
+    }
+}
+
 /// Lets the first server of each kind announce that it leaves; returns when.
 fn leave(fleet: &harness::ServingFleet) -> u64 {
+    wait_worked(fleet);
     fleet.services()[0].control(&ServerControl::Leave);
     fleet.engines()[0].control(&ServerControl::Leave);
     unix_micros()
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -107,7 +107,7 @@
         watched
             .inspect_err(|error| {
                 debug!(source:% = source, error:% = error; "watch failed");
-                self.client.forget_leader(&source);
+                self.client.avoid_leader(&source);
             })
             .ok()
     }
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -21,6 +21,8 @@
     pub(crate) cluster: String,
     /// The log and the leader's work.
     pub(crate) desk: control::ControlDesk,
+    /// Reaches the leader.
+    pub(crate) client: peer::ControlClient<control::ControlDesk>,
     /// Passes the configuration on.
     pub(crate) watch: configuration::WatchServer,
     /// The instances.
@@ -77,6 +79,14 @@
         self.desk.answer(call).await
     }
 
+    async fn forward(
+        self,
+        _context: context::Context,
+        call: message::ControlCall,
+    ) -> message::ControlReply {
+        self.client.pass_on(call).await
+    }
+
     async fn spread(
         self,
         _context: context::Context,
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -177,7 +177,7 @@
     ) -> Option<rate::RateKeeper> {
         let members = self.control_members();
         let client = peer::ControlClient::new(self.network.clone(), desk.clone(), members.clone());
-        self.start_peers(groups, desk, faces.peers);
+        self.start_peers(groups, desk, &client, faces.peers);
         self.start_watcher(groups, desk, &client, members);
         registry::AnnouncementSpreader::new(
             self.network.clone(),
@@ -218,11 +218,13 @@
         &self,
         groups: &instance::TaskGroups,
         desk: &control::ControlDesk,
+        client: &peer::ControlClient<control::ControlDesk>,
         listener: tokio::net::TcpListener,
     ) {
         let service = instance::InstanceService {
             cluster: self.settings.cluster.clone(),
             desk: desk.clone(),
+            client: client.clone(),
             watch: configuration::WatchServer::new(self.holder.clone()),
             directory: self.network.directory().clone(),
             registry: self.registry.clone(),
--- a/galenahold_instance/src/peer/control_client.rs
+++ b/galenahold_instance/src/peer/control_client.rs
@@ -12,6 +12,12 @@
 /// The longest that one attempt of a call may take.
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// How long a leader that could not be reached is gone around.
+const DETOUR_TIME: time::Duration = time::Duration::from_secs(10);
+
+/// The longest that a call may take that is passed on for another instance.
+const PASS_ON_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
 /// The longest pause between attempts.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(60);
 
@@ -21,7 +27,21 @@
     network: peer::PeerNetwork,
     desk: Desk,
     members: sync::Arc<[name::InstanceName]>,
-    leader: sync::Arc<sync::Mutex<Option<name::InstanceName>>>,
+    leader: sync::Arc<sync::Mutex<LeaderView>>,
+}
+
+/// What is known of the leader.
+#[derive(Debug, Default)]
+struct LeaderView {
+    name: Option<name::InstanceName>,
+    unreachable: Option<UnreachableLeader>,
+}
+
+/// A leader that could not be reached from here, though others may reach it.
+#[derive(Debug)]
+struct UnreachableLeader {
+    name: name::InstanceName,
+    until: time::Instant,
 }
 
 /// What one attempt of a call came to.
@@ -46,31 +66,63 @@
         }
     }
 
-    /// Returns who leads, as far as is known.
+    /// Returns who leads, as far as is known and can be reached from here.
     pub(crate) fn leader(&self) -> Option<name::InstanceName> {
-        self.lock().clone()
+        let view = self.lock();
+        let name = view.name.clone()?;
+        let unreachable = view.unreachable.as_ref();
+        let detour = unreachable
+            .is_some_and(|other| other.name == name && other.until > time::Instant::now());
+        (!detour).then_some(name)
     }
 
     /// Takes up who leads.
     pub(crate) fn learn_leader(&self, leader: Option<name::InstanceName>) {
         if leader.is_some() {
-            *self.lock() = leader;
+            self.lock().name = leader;
         }
     }
 
     /// Takes up what an instance that does not lead says; `None` where it knows of no leader.
     pub(crate) fn follow_leader(&self, leader: Option<name::InstanceName>) {
-        *self.lock() = leader;
+        self.lock().name = leader;
     }
 
-    /// Forgets a leader that could not be reached, so that others are asked.
-    pub(crate) fn forget_leader(&self, target: &name::InstanceName) {
-        let mut leader = self.lock();
-        if leader.as_ref() == Some(target) {
-            *leader = None;
+    /// Goes around a leader that could not be reached, for a while.
+    pub(crate) fn avoid_leader(&self, target: &name::InstanceName) {
+        let mut view = self.lock();
+        if view.name.as_ref() == Some(target) {
+            view.unreachable = Some(UnreachableLeader {
+                name: target.clone(),
+                until: time::Instant::now() + DETOUR_TIME,
+            });
         }
     }
 
+    /// Passes a call on for an instance that cannot reach the leader.
+    pub(crate) async fn pass_on(&self, call: message::ControlCall) -> message::ControlReply {
+        if self.desk.leads() {
+            return self.desk.answer(call).await;
+        }
+        let own = &self.network.directory().own().name;
+        let Some(leader) = self.leader().filter(|leader| leader != own) else {
+            return message::ControlReply::NotLeader { leader: None };
+        };
+        let called = self
+            .network
+            .call(&leader, PASS_ON_TIMEOUT, |client, context| async move {
+                client.call(context, call).await
+            })
+            .await;
+        called.unwrap_or_else(|error| {
+            self.avoid_leader(&leader);
+            match error {
+                peer::CallError::NotDone => message::ControlReply::NotLeader { leader: None },
+                peer::CallError::Unknown => message::ControlReply::OutcomeUnknown,
+            }
+        })
+    }
+
     /// Calls the leader, again and again until `deadline`.
     ///
     /// Each call is safe to repeat: commands bear a number under which a repeat is known again.
@@ -112,19 +164,37 @@
             let answered = tokio::time::timeout(limit, answering).await;
             return answered.map_or(AttemptResult::Unknown, |reply| self.judge(reply));
         }
-        let Some(target) = self.target(turn) else {
+        let own = &self.network.directory().own().name;
+        if let Some(leader) = self.leader().filter(|leader| leader != own) {
+            let called = self
+                .network
+                .call(&leader, limit, |client, context| async move {
+                    client.call(context, call).await
+                })
+                .await;
+            return self.follow(&leader, called);
+        }
+        let Some(member) = self.next_member(turn) else {
             return AttemptResult::NotDone;
         };
         let called = self
             .network
-            .call(&target, limit, |client, context| async move {
-                client.call(context, call).await
+            .call(&member, limit, |client, context| async move {
+                client.forward(context, call).await
             })
             .await;
+        self.follow(&member, called)
+    }
+
+    fn follow(
+        &self,
+        target: &name::InstanceName,
+        called: Result<message::ControlReply, peer::CallError>,
+    ) -> AttemptResult {
         match called {
             Ok(reply) => self.judge(reply),
             Err(error) => {
-                self.forget_leader(&target);
+                self.avoid_leader(target);
                 match error {
                     peer::CallError::NotDone => AttemptResult::NotDone,
                     peer::CallError::Unknown => AttemptResult::Unknown,
@@ -144,23 +214,22 @@
         }
     }
 
-    /// Returns the known leader or else the next member in turn.
-    fn target(&self, turn: &mut usize) -> Option<name::InstanceName> {
+    /// Returns the next member in turn that is neither this instance nor the leader gone around.
+    fn next_member(&self, turn: &mut usize) -> Option<name::InstanceName> {
         let own = &self.network.directory().own().name;
-        if let Some(leader) = self.leader()
-            && leader != *own
-        {
-            return Some(leader);
-        }
+        let known = self.lock().name.clone();
+        let others: Vec<_> = self
+            .members
+            .iter()
+            .filter(|name| *name != own && Some(*name) != known.as_ref())
+            .collect();
         *turn += 1;
-        let others: Vec<_> = self.members.iter().filter(|name| *name != own).collect();
-        if others.is_empty() {
-            return None;
-        }
-        Some(others[*turn % others.len()].clone())
+        let member = others.get(*turn % others.len().max(1));
+        // A group of one has nobody to go around by.
+        member.map(|name| (*name).clone()).or(known)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, Option<name::InstanceName>> {
+    fn lock(&self) -> sync::MutexGuard<'_, LeaderView> {
         self.leader
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -32,7 +32,14 @@
 pub(crate) struct RateKeeper {
     wallet: sync::Arc<sync::Mutex<rate::TokenWallet>>,
     wanted: sync::Arc<tokio_sync::Notify>,
-    replies: sync::Arc<tokio_sync::watch::Sender<u64>>,
+    replies: sync::Arc<tokio_sync::watch::Sender<CallCount>>,
+}
+
+/// How many calls to control have ended, and how many of them were answered.
+#[derive(Debug, Clone, Copy, Default)]
+struct CallCount {
+    ended: u64,
+    answered: u64,
 }
 
 impl RateKeeper {
@@ -41,7 +48,7 @@
         Self {
             wallet: sync::Arc::new(sync::Mutex::new(wallet)),
             wanted: sync::Arc::default(),
-            replies: sync::Arc::new(tokio_sync::watch::Sender::new(0)),
+            replies: sync::Arc::default(),
         }
     }
 
@@ -67,7 +74,7 @@
         deadline: time::Instant,
     ) -> Result<tokens::TokenCharge, face::RequestRefusal> {
         let mut replies = self.replies.subscribe();
-        let mut asked = false;
+        let before = replies.borrow_and_update().answered;
         loop {
             let now = time::Instant::now();
             let outcome = self.lock().charge(team, wanted, now);
@@ -82,14 +89,17 @@
                 rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown(team)),
             };
             let left = deadline.saturating_duration_since(now);
-            let hopeless = asked && retry_after.is_some_and(|wait| wait > left);
-            if hopeless || left.is_zero() {
+            let answered = replies.borrow_and_update().answered > before;
+            let hopeless = answered && retry_after.is_some_and(|wait| wait > left);
+            if hopeless || (left.is_zero() && answered) {
                 return Err(refuse_rate(team, retry_after));
             }
+            if left.is_zero() {
+                return Err(refuse_unanswered());
+            }
             self.wanted.notify_one();
             // A reply that comes in time is all that can change the answer.
             let _ = tokio::time::timeout_at(deadline.into(), replies.changed()).await;
-            asked = true;
         }
     }
 
@@ -146,13 +156,16 @@
         let reply = client
             .call(message::ControlCall::Grant(call), deadline)
             .await;
-        match reply {
-            Ok(message::ControlReply::Grant(reply)) => {
-                self.lock().accept(&reply, time::Instant::now());
-            }
-            _ => self.lock().call_failed(number),
+        let answered = matches!(reply, Ok(message::ControlReply::Grant(_)));
+        if let Ok(message::ControlReply::Grant(reply)) = reply {
+            self.lock().accept(&reply, time::Instant::now());
+        } else {
+            self.lock().call_failed(number);
         }
-        self.replies.send_modify(|count| *count += 1);
+        self.replies.send_modify(|count| {
+            count.ended += 1;
+            count.answered += u64::from(answered);
+        });
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, rate::TokenWallet> {
@@ -176,6 +189,15 @@
     )
 }
 
+/// Says that control did not answer, which is no word on the team's rate.
+fn refuse_unanswered() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::ControlUnavailable,
+        "this instance has no tokens for the team and cannot reach the control group; try another one",
+    )
+    .retry_after(time::Duration::from_secs(1))
+}
+
 fn refuse_rate(team: &name::TeamName, retry_after: Option<time::Duration>) -> face::RequestRefusal {
     let refusal = face::RequestRefusal::not_run(
         face::RefusalKind::RateLimited,
--- a/galenahold_wire/src/rpc/instance_rpc.rs
+++ b/galenahold_wire/src/rpc/instance_rpc.rs
@@ -20,6 +20,9 @@
     /// Answers a call to the control group's leader, or says who leads.
     async fn call(call: message::ControlCall) -> message::ControlReply;
 
+    /// Passes a call on to the leader, for an instance that cannot reach it.
+    async fn forward(call: message::ControlCall) -> message::ControlReply;
+
     /// Takes announcements of backend servers from another instance.
     async fn spread(batch: message::SpreadBatch) -> message::SpreadReceipt;
 
