--- a/galenahold/tests/orders/keyed_orders.rs
+++ b/galenahold/tests/orders/keyed_orders.rs
@@ -89,6 +89,8 @@
     let call_time = time::Duration::from_millis(400);
     let mut fleet =
         order_fleet::OrderFleet::with_call_time(1, harness::PeerRoute::Direct, call_time);
+    // Orders that ran and whose answers are lost are the ones that must not start again.
+    fleet.serving.services()[0].control(&ServerControl::RunWithoutAnswer { count: 100 });
     let orders: Vec<String> = (0..12).map(|number| format!("killed-{number}")).collect();
     let senders: Vec<_> = orders
         .iter()
@@ -106,6 +108,9 @@
     thread::sleep(time::Duration::from_millis(500));
     let process = &mut fleet.serving.instances_mut().instances_mut()[3];
     process.kill();
+    fleet.serving.services()[0].control(&ServerControl::RunWithoutAnswer { count: 0 });
+    let ran = orders.iter().filter(|order| fleet.serving.runs(order) == 1);
+    assert!(ran.count() > 0, "no order ran before the kill");
     for sender in senders {
         sender.join().expect("the sender ends");
     }
