--- a/galenahold_instance/src/instance/fleet_instance.rs
+++ b/galenahold_instance/src/instance/fleet_instance.rs
@@ -144,8 +144,7 @@
     /// Returns why the instance can no longer do its work, if so.
     #[must_use]
     pub fn fault(&self) -> Option<String> {
-        let member = self.member.as_ref()?;
-        member.state().fault().map(str::to_owned)
+        self.member.as_ref()?.fault()
     }
 
     /// Stops the instance and joins all its threads.
@@ -169,24 +168,12 @@
         info!("instance stopped");
     }
 
-    /// Hands leadership to the voter that is furthest along.
+    /// Hands leadership to the voter that is best caught up.
     fn hand_over(&self) {
         let Some(member) = self.member.as_ref().filter(|member| member.leads()) else {
             return;
         };
-        let status = member.handle().status();
-        let target = status
-            .members
-            .iter()
-            .filter(|report| report.member.profile.id != status.profile.id)
-            .filter(|report| report.silence.is_some())
-            .min_by_key(|report| (report.lag_entries, report.silence));
-        let Some(target) = target else {
-            return;
-        };
-        let begun = member
-            .handle()
-            .transfer_leadership(target.member.profile.id);
+        let begun = member.handle().hand_over_leadership();
         info!(begun = begun; "hands leadership over");
     }
 }
@@ -552,7 +539,7 @@
     let mut subscription = timer.subscribe(FAULT_PERIOD);
     system.spawn_until_stop(async move {
         while subscription.tick().await.is_some() {
-            if member.state().fault().is_some() {
+            if member.fault().is_some() {
                 on_fault();
                 return;
             }
--- a/galenahold_testkit/src/harness/instance_process.rs
+++ b/galenahold_testkit/src/harness/instance_process.rs
@@ -65,7 +65,12 @@
             .stdin(process::Stdio::null())
             .stdout(process::Stdio::null())
             .stderr(log);
-        self.child.start(&mut command)
+        self.child.start(&mut command)?;
+        if let Some(process) = self.id() {
+            let routes = self.plan.shared_routes.iter();
+            routes.for_each(|route| route.attribute(process));
+        }
+        Ok(())
     }
 
     /// Returns its name.
@@ -172,6 +177,23 @@
         }
         Ok(())
     }
+
+    /// Makes sure that it has not ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not run; the error shows the end of its log.
+    pub(crate) fn check_runs(&mut self) -> Result<(), TestkitError> {
+        if self.wait_exit(time::Duration::ZERO).is_none() && self.id().is_some() {
+            return Ok(());
+        }
+        NotReadySnafu {
+            name: self.name(),
+            ended: true,
+            log: log_tail(&self.log()),
+        }
+        .fail()
+    }
 }
 
 /// Returns the end of a log.
