--- a/galenahold/tests/answers/cut_streams.rs
+++ b/galenahold/tests/answers/cut_streams.rs
@@ -5,6 +5,7 @@
 
 use galenahold_testkit::control::ServerControl;
 use galenahold_testkit::harness;
+use galenahold_testkit::ledger::RequestOutcome;
 
 use crate::answer_fleet;
 use crate::answer_fleet::{assert_whole, events};
@@ -42,16 +43,31 @@
             })
         })
         .collect();
-    thread::sleep(time::Duration::from_millis(600));
-    fleet.serving.engines()[0].crash();
+    let dying = busy_engine(&fleet);
+    fleet.serving.engines()[dying].crash();
     for stream in streams {
         let (text, answer) = stream.join().expect("the caller ends");
         assert_eq!(answer.status, 200);
         assert_whole(&answer.body, &text, 60);
     }
-    let requests = fleet.serving.engines()[1].ledger().requests;
+    let requests = fleet.serving.engines()[1 - dying].ledger().requests;
     let resumed = requests.iter().filter(|request| request.resume_offset > 0);
-    assert!(resumed.count() > 0, "no stream ran at the engine that died");
+    assert!(resumed.count() > 0, "no stream went on at the other engine");
+}
+
+/// Waits until an engine is in the middle of a stream, and returns its place.
+fn busy_engine(fleet: &answer_fleet::AnswerFleet) -> usize {
+    let mut busy = None;
+    harness::wait_until("an engine is in the middle of a stream", || {
+        busy = fleet.serving.engines().iter().position(|engine| {
+            let requests = engine.ledger().requests;
+            requests.iter().any(|request| {
+                request.outcome == RequestOutcome::Running && request.output_tokens > 2
+            })
+        });
+        busy.is_some()
+    });
+    busy.expect("an engine was found")
 }
 
 #[test]
