Bound the wait for tokens, and make the attempts of calls in one place

Cause: requests that waited for their team's tokens were bounded by connections only, so a loud team could fill the 1,024 of one address, which behind a balancer is everybody's; and models and plain services each had their own copy of acquiring, confirming, checking and pausing. Ruled out: a queue before the charge (a second order of the same requests). Change: a team may hold as many waiting places as are free, the default for one address is that of all, AttemptDesk makes attempts for both.

--- /dev/null
+++ b/galenahold_instance/src/entry/attempt_desk.rs
@@ -0,0 +1,256 @@
+//! Makes the attempts of calls.
+
+use std::future;
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_domain::verdict;
+use http::Request;
+use http_body_util::Full;
+use log::debug;
+
+use crate::backend;
+use crate::dispatch;
+use crate::entry;
+use crate::face;
+use crate::platform;
+use crate::rate;
+
+/// Makes the attempts of calls: charges tokens, waits for a replica, checks once more, sends, and says
+/// whether another attempt may follow.
+#[derive(Debug, Clone)]
+pub(crate) struct AttemptDesk {
+    keeper: rate::RateKeeper,
+    dispatcher: dispatch::Dispatcher,
+    client: backend::BackendClient,
+    rule: entry::AttemptRule,
+    metrics: platform::FleetMetrics,
+}
+
+/// An attempt that is ready to be sent: its replica, a connection and its id.
+#[derive(Debug)]
+pub(crate) struct ReadyAttempt {
+    /// The slot.
+    pub(crate) slot: dispatch::ReplicaSlot,
+    /// The id.
+    pub(crate) attempt: name::RequestId,
+    /// The connection.
+    pub(crate) connection: backend::PooledConnection,
+}
+
+impl AttemptDesk {
+    /// Creates a desk.
+    pub(crate) fn new(
+        keeper: rate::RateKeeper,
+        dispatcher: dispatch::Dispatcher,
+        client: backend::BackendClient,
+        rule: entry::AttemptRule,
+        metrics: platform::FleetMetrics,
+    ) -> Self {
+        Self {
+            keeper,
+            dispatcher,
+            client,
+            rule,
+            metrics,
+        }
+    }
+
+    /// Returns the metrics.
+    pub(crate) fn metrics(&self) -> &platform::FleetMetrics {
+        &self.metrics
+    }
+
+    /// Returns the state before the first attempt.
+    pub(crate) fn begin(&self) -> entry::AttemptState {
+        self.rule.count_request();
+        entry::AttemptState::new(self.rule.backoff())
+    }
+
+    /// Charges the tokens of a call; nothing on an open route.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, not run.
+    pub(crate) async fn charge<Call: entry::DeskCall>(
+        &self,
+        call: &Call,
+    ) -> Result<Option<rate::TokenCharge>, face::RequestRefusal> {
+        let tokens = call.charged_tokens();
+        let Some(team) = call.identity().team().filter(|_| tokens.0 > 0) else {
+            return Ok(None);
+        };
+        let charging = self.keeper.charge(team, tokens, call.deadline());
+        let not_run = verdict::RequestVerdict::NotRun;
+        let charge = guarded(call.guard(), not_run, charging).await??;
+        Ok(Some(charge))
+    }
+
+    /// Waits for a replica and a connection to it, and checks key and charge right before the send.
+    ///
+    /// # Errors
+    ///
+    /// The call is refused, or the backend server could not be connected: not run.
+    pub(crate) async fn prepare<Call: entry::DeskCall>(
+        &self,
+        call: &Call,
+        charge: &mut Option<rate::TokenCharge>,
+        state: &mut entry::AttemptState,
+    ) -> Result<ReadyAttempt, entry::AttemptStop> {
+        state.count += 1;
+        let slot = self.acquire(call, state).await?;
+        let connecting = self
+            .client
+            .connect(slot.address(), call.connection_use())
+            .await;
+        let connection = match connecting {
+            Ok(connection) => connection,
+            Err(error) => return Err(fail(slot, error)),
+        };
+        if let Some(charge) = charge {
+            charge.confirm(call.deadline()).await?;
+        }
+        call.guard().check_before_send()?;
+        call.end().sent();
+        Ok(ReadyAttempt {
+            slot,
+            attempt: name::RequestId::from(format!("{}-{}", call.id(), state.count)),
+            connection,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// The error's verdict says whether the request may have run.
+    pub(crate) async fn send(
+        &self,
+        connection: backend::PooledConnection,
+        address: &backend::BackendAddress,
+        request: Request<Full<bytes::Bytes>>,
+        deadline: time::Instant,
+    ) -> Result<backend::BackendExchange, backend::AttemptError> {
+        self.client
+            .send(connection, address, request, deadline)
+            .await
+    }
+
+    /// Checks that an answer belongs to its attempt and does not say that it was refused.
+    ///
+    /// # Errors
+    ///
+    /// The attempt failed.
+    pub(crate) fn check(
+        &self,
+        exchange: &backend::BackendExchange,
+        attempt: &name::RequestId,
+    ) -> Result<(), backend::AttemptError> {
+        entry::check_exchange(exchange.head(), attempt).inspect_err(|error| {
+            if error.kind == backend::AttemptErrorKind::Crossed {
+                self.metrics.crossed.inc();
+            }
+        })
+    }
+
+    /// Pauses before the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// The refusal that the caller gets where there must be no further attempt.
+    pub(crate) async fn pause<Call: entry::DeskCall>(
+        &self,
+        call: &Call,
+        charge: &mut Option<rate::TokenCharge>,
+        state: &mut entry::AttemptState,
+        failed: entry::FailedAttempt,
+    ) -> Result<(), face::RequestRefusal> {
+        debug!(
+            request:% = call.id(),
+            server:% = failed.server,
+            error:% = failed.error;
+            "attempt failed"
+        );
+        state.worst = state.worst.max(failed.error.verdict);
+        if state.worst == verdict::RequestVerdict::NotRun
+            && let Some(charge) = charge
+        {
+            charge.not_run();
+        }
+        state.avoid = Some(failed.server);
+        let pause = self.rule.next_pause(
+            &mut state.backoff,
+            failed.error.verdict,
+            call.is_idempotent(),
+            state.count,
+            call.deadline(),
+        );
+        let Some(pause) = pause else {
+            return Err(state.worsen(refuse_failed(&failed.error)));
+        };
+        self.metrics.retries.inc();
+        tokio::time::sleep(pause).await;
+        Ok(())
+    }
+
+    async fn acquire<Call: entry::DeskCall>(
+        &self,
+        call: &Call,
+        state: &entry::AttemptState,
+    ) -> Result<dispatch::ReplicaSlot, entry::AttemptStop> {
+        let team = call.identity().team();
+        let weight = team
+            .and_then(|team| self.keeper.weight(team))
+            .unwrap_or(1.0);
+        let wanted = call.slot_request(weight, state.avoid.clone());
+        let acquiring = self.dispatcher.acquire(wanted);
+        let not_run = verdict::RequestVerdict::NotRun;
+        let slot = guarded(call.guard(), not_run, acquiring).await??;
+        Ok(slot)
+    }
+}
+
+/// Does work for as long as the key admits it.
+///
+/// # Errors
+///
+/// A refusal with `verdict` where the key was withdrawn or can no longer be confirmed.
+pub(crate) async fn guarded<Output>(
+    guard: &entry::KeyGuard,
+    verdict: verdict::RequestVerdict,
+    work: impl future::Future<Output = Output>,
+) -> Result<Output, face::RequestRefusal> {
+    let mut guard = guard.clone();
+    tokio::select! {
+        biased;
+        output = work => Ok(output),
+        kind = guard.revoked() => Err(face::RequestRefusal::new(
+            kind,
+            verdict,
+            "the key no longer admits the request",
+        )),
+    }
+}
+
+/// Ends a failed attempt with what its error says of the backend server.
+pub(crate) fn fail(
+    slot: dispatch::ReplicaSlot,
+    error: backend::AttemptError,
+) -> entry::AttemptStop {
+    let server = slot.address().server.clone();
+    slot.finish(error.attempt_end());
+    entry::AttemptStop::Failed(entry::FailedAttempt { error, server })
+}
+
+/// Returns the refusal that a caller gets after the last failed attempt.
+fn refuse_failed(error: &backend::AttemptError) -> face::RequestRefusal {
+    let kind = match error.kind {
+        backend::AttemptErrorKind::Timeout => face::RefusalKind::DeadlineExceeded,
+        _ if error.verdict == verdict::RequestVerdict::NotRun => {
+            face::RefusalKind::BackendUnavailable
+        }
+        _ => face::RefusalKind::BackendFailed,
+    };
+    face::RequestRefusal::new(kind, error.verdict, error.kind.to_string())
+        .retry_after(time::Duration::from_secs(1))
+}
--- a/galenahold_instance/src/entry/mod.rs
+++ b/galenahold_instance/src/entry/mod.rs
@@ -1,8 +1,11 @@
 //! The callers' face: from a request to its answer.
 
+mod attempt_desk;
 mod attempt_rule;
+mod attempt_state;
 mod caller_face;
 mod caller_identity;
+mod desk_call;
 mod entry_desk;
 mod event_scanner;
 mod exchange_check;
@@ -20,9 +23,12 @@
 mod service_call;
 mod service_desk;
 
+pub(crate) use attempt_desk::{AttemptDesk, ReadyAttempt, fail, guarded};
 pub(crate) use attempt_rule::AttemptRule;
+pub(crate) use attempt_state::{AttemptState, AttemptStop, FailedAttempt};
 pub(crate) use caller_face::CallerFace;
 pub(crate) use caller_identity::CallerIdentity;
+pub(crate) use desk_call::DeskCall;
 pub(crate) use entry_desk::{DeskParts, EntryDesk};
 pub(crate) use event_scanner::{EventKind, EventScanner, UsageDocument};
 pub(crate) use exchange_check::{REQUEST_ID_HEADER, check_exchange};
--- a/galenahold_instance/src/entry/model_call.rs
+++ b/galenahold_instance/src/entry/model_call.rs
@@ -42,12 +42,52 @@
 }
 
 impl ModelCall {
-    /// Returns what the call needs of a replica; `avoid` names the backend server of the last attempt.
-    pub(crate) fn slot_request(
+    /// Returns the tokens that the call spent, given the engine's counts and the output seen here.
+    pub(crate) fn spent(
         &self,
-        weight: f64,
-        avoid: Option<name::ServerName>,
-    ) -> dispatch::SlotRequest {
+        usage: Option<entry::UsageDocument>,
+        output_seen: u64,
+    ) -> amount::TokenCount {
+        let prompt_bound = self.request.prompt().len() as u64;
+        let spent = match usage {
+            Some(usage) => usage.prompt_tokens + usage.completion_tokens.max(output_seen),
+            None => (prompt_bound + output_seen).min(self.token_bound.0),
+        };
+        amount::TokenCount(spent)
+    }
+}
+
+impl entry::DeskCall for ModelCall {
+    fn id(&self) -> &name::RequestId {
+        &self.id
+    }
+
+    fn identity(&self) -> &entry::CallerIdentity {
+        &self.identity
+    }
+
+    fn guard(&self) -> &entry::KeyGuard {
+        &self.guard
+    }
+
+    fn end(&self) -> &entry::RequestEnd {
+        &self.end
+    }
+
+    fn deadline(&self) -> time::Instant {
+        self.deadline
+    }
+
+    fn charged_tokens(&self) -> amount::TokenCount {
+        self.token_bound
+    }
+
+    fn is_idempotent(&self) -> bool {
+        // A model's answer has no effect beyond itself, so a call to it may be repeated.
+        true
+    }
+
+    fn slot_request(&self, weight: f64, avoid: Option<name::ServerName>) -> dispatch::SlotRequest {
         dispatch::SlotRequest {
             target: replica::ReplicaTarget::Artifact(self.artifact.clone()),
             team: self.identity.team_or_empty(),
@@ -61,18 +101,4 @@
             deadline: self.deadline,
         }
     }
-
-    /// Returns the tokens that the call spent, given the engine's counts and the output seen here.
-    pub(crate) fn spent(
-        &self,
-        usage: Option<entry::UsageDocument>,
-        output_seen: u64,
-    ) -> amount::TokenCount {
-        let prompt_bound = self.request.prompt().len() as u64;
-        let spent = match usage {
-            Some(usage) => usage.prompt_tokens + usage.completion_tokens.max(output_seen),
-            None => (prompt_bound + output_seen).min(self.token_bound.0),
-        };
-        amount::TokenCount(spent)
-    }
 }
--- a/galenahold_instance/src/entry/model_desk.rs
+++ b/galenahold_instance/src/entry/model_desk.rs
@@ -1,15 +1,10 @@
 //! Answers calls to models.
 
-use std::future;
-use std::time;
-
 use galenahold_domain::amount;
 use galenahold_domain::name;
 use galenahold_domain::verdict;
-use galenahold_routing::retry;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use log::debug;
 use serde::Deserialize;
 
 use crate::backend;
@@ -35,11 +30,7 @@
 /// Answers calls to models: charges tokens, waits for a replica, sends, and sends again where allowed.
 #[derive(Debug, Clone)]
 pub(crate) struct ModelDesk {
-    keeper: rate::RateKeeper,
-    dispatcher: dispatch::Dispatcher,
-    client: backend::BackendClient,
-    rule: entry::AttemptRule,
-    metrics: platform::FleetMetrics,
+    attempts: entry::AttemptDesk,
     group: task::TaskGroup,
 }
 
@@ -63,31 +54,6 @@
     pub(crate) attempt: name::RequestId,
 }
 
-/// Why an attempt did not open an answer.
-enum AttemptStop {
-    Refused(face::RequestRefusal),
-    Failed(FailedAttempt),
-}
-
-/// An attempt that failed, and the backend server at which it did.
-#[derive(Debug)]
-pub(crate) struct FailedAttempt {
-    /// What failed.
-    pub(crate) error: backend::AttemptError,
-    /// The backend server.
-    pub(crate) server: name::ServerName,
-}
-
-/// What goes from attempt to attempt of one call.
-#[derive(Debug)]
-pub(crate) struct AttemptState {
-    /// Attempts so far.
-    pub(crate) count: u32,
-    backoff: retry::RetryBackoff,
-    avoid: Option<name::ServerName>,
-    worst: verdict::RequestVerdict,
-}
-
 #[derive(Debug, Deserialize)]
 struct AnswerDocument {
     #[serde(default)]
@@ -96,27 +62,13 @@
 
 impl ModelDesk {
     /// Creates a desk.
-    pub(crate) fn new(
-        keeper: rate::RateKeeper,
-        dispatcher: dispatch::Dispatcher,
-        client: backend::BackendClient,
-        rule: entry::AttemptRule,
-        metrics: platform::FleetMetrics,
-        group: task::TaskGroup,
-    ) -> Self {
-        Self {
-            keeper,
-            dispatcher,
-            client,
-            rule,
-            metrics,
-            group,
-        }
+    pub(crate) fn new(attempts: entry::AttemptDesk, group: task::TaskGroup) -> Self {
+        Self { attempts, group }
     }
 
     /// Returns the metrics.
     pub(crate) fn metrics(&self) -> &platform::FleetMetrics {
-        &self.metrics
+        self.attempts.metrics()
     }
 
     /// Answers a call.
@@ -128,8 +80,8 @@
         &self,
         call: entry::ModelCall,
     ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
-        let mut charge = self.charge(&call).await?;
-        let mut state = self.begin();
+        let mut charge = self.attempts.charge(&call).await?;
+        let mut state = self.attempts.begin();
         loop {
             let opened = self.open(&call, &mut charge, &mut state, None).await?;
             let status = opened.exchange.head().status;
@@ -138,7 +90,11 @@
             }
             match self.read(&call, opened).await? {
                 Ok(answer) => return Ok(Self::finish(&call, charge, answer)),
-                Err(failed) => self.pause(&call, &mut charge, &mut state, failed).await?,
+                Err(failed) => {
+                    self.attempts
+                        .pause(&call, &mut charge, &mut state, failed)
+                        .await?;
+                }
             }
         }
     }
@@ -148,16 +104,15 @@
         &self,
         call: &entry::ModelCall,
         charge: &mut Option<rate::TokenCharge>,
-        state: &mut AttemptState,
+        state: &mut entry::AttemptState,
         resume: Option<&ResumePoint>,
     ) -> Result<OpenedAnswer, face::RequestRefusal> {
         loop {
-            state.count += 1;
             match self.attempt(call, charge, state, resume).await {
                 Ok(opened) => return Ok(opened),
-                Err(AttemptStop::Refused(refusal)) => return Err(state.worsen(refusal)),
-                Err(AttemptStop::Failed(failed)) => {
-                    self.pause(call, charge, state, failed).await?;
+                Err(entry::AttemptStop::Refused(refusal)) => return Err(state.worsen(refusal)),
+                Err(entry::AttemptStop::Failed(failed)) => {
+                    self.attempts.pause(call, charge, state, failed).await?;
                 }
             }
         }
@@ -172,155 +127,46 @@
         &self,
         call: &entry::ModelCall,
         charge: &mut Option<rate::TokenCharge>,
-        state: &mut AttemptState,
-        failed: FailedAttempt,
+        state: &mut entry::AttemptState,
+        failed: entry::FailedAttempt,
         resume: Option<ResumePoint>,
     ) -> Result<OpenedAnswer, face::RequestRefusal> {
-        self.pause(call, charge, state, failed).await?;
+        self.attempts.pause(call, charge, state, failed).await?;
         self.open(call, charge, state, resume.as_ref()).await
     }
 
-    /// Pauses before the next attempt.
-    ///
-    /// # Errors
-    ///
-    /// The refusal that the caller gets where there must be no further attempt.
-    async fn pause(
-        &self,
-        call: &entry::ModelCall,
-        charge: &mut Option<rate::TokenCharge>,
-        state: &mut AttemptState,
-        failed: FailedAttempt,
-    ) -> Result<(), face::RequestRefusal> {
-        debug!(
-            request:% = call.id,
-            server:% = failed.server,
-            error:% = failed.error;
-            "attempt failed"
-        );
-        state.worst = state.worst.max(failed.error.verdict);
-        if state.worst == verdict::RequestVerdict::NotRun
-            && let Some(charge) = charge
-        {
-            charge.not_run();
-        }
-        state.avoid = Some(failed.server);
-        // A model's answer has no effect beyond itself, so a call to it is idempotent.
-        let pause = self.rule.next_pause(
-            &mut state.backoff,
-            failed.error.verdict,
-            true,
-            state.count,
-            call.deadline,
-        );
-        let Some(pause) = pause else {
-            return Err(state.worsen(refuse_failed(&failed.error)));
-        };
-        self.metrics.retries.inc();
-        tokio::time::sleep(pause).await;
-        Ok(())
-    }
-
-    /// Returns the state before the first attempt.
-    fn begin(&self) -> AttemptState {
-        self.rule.count_request();
-        AttemptState {
-            count: 0,
-            backoff: self.rule.backoff(),
-            avoid: None,
-            worst: verdict::RequestVerdict::NotRun,
-        }
-    }
-
-    async fn charge(
-        &self,
-        call: &entry::ModelCall,
-    ) -> Result<Option<rate::TokenCharge>, face::RequestRefusal> {
-        let Some(team) = call.identity.team() else {
-            return Ok(None);
-        };
-        let charging = self.keeper.charge(team, call.token_bound, call.deadline);
-        let not_run = verdict::RequestVerdict::NotRun;
-        let charge = guarded(&call.guard, not_run, charging).await??;
-        Ok(Some(charge))
-    }
-
     async fn attempt(
         &self,
         call: &entry::ModelCall,
         charge: &mut Option<rate::TokenCharge>,
-        state: &AttemptState,
+        state: &mut entry::AttemptState,
         resume: Option<&ResumePoint>,
-    ) -> Result<OpenedAnswer, AttemptStop> {
-        let slot = self.acquire(call, state).await?;
-        let attempt = name::RequestId::from(format!("{}-{}", call.id, state.count));
+    ) -> Result<OpenedAnswer, entry::AttemptStop> {
+        let ready = self.attempts.prepare(call, charge, state).await?;
+        let entry::ReadyAttempt {
+            slot,
+            attempt,
+            connection,
+        } = ready;
         let request = engine_request(call, &attempt, resume);
-        let address = slot.address().clone();
-        let connecting = self
-            .client
-            .connect(&address, backend::ConnectionUse::Pooled)
-            .await;
-        let connection = match connecting {
-            Ok(connection) => connection,
-            Err(error) => return Err(fail(slot, error)),
-        };
-        if let Some(charge) = charge {
-            charge.confirm(call.deadline).await?;
-        }
-        call.guard.check_before_send()?;
-        call.end.sent();
         let sending = self
-            .client
-            .send(connection, &address, request, call.deadline);
-        let sent = guarded(&call.guard, verdict::RequestVerdict::MayHaveRun, sending).await?;
-        let exchange = match sent {
-            Ok(exchange) => exchange,
-            Err(error) => return Err(fail(slot, error)),
-        };
-        self.check(slot, exchange, attempt)
-    }
-
-    async fn acquire(
-        &self,
-        call: &entry::ModelCall,
-        state: &AttemptState,
-    ) -> Result<dispatch::ReplicaSlot, AttemptStop> {
-        let team = call.identity.team();
-        let weight = team
-            .and_then(|team| self.keeper.weight(team))
-            .unwrap_or(1.0);
-        let wanted = call.slot_request(weight, state.avoid.clone());
-        let acquiring = self.dispatcher.acquire(wanted);
-        let slot = guarded(&call.guard, verdict::RequestVerdict::NotRun, acquiring).await??;
-        Ok(slot)
-    }
-
-    fn check(
-        &self,
-        slot: dispatch::ReplicaSlot,
-        exchange: backend::BackendExchange,
-        attempt: name::RequestId,
-    ) -> Result<OpenedAnswer, AttemptStop> {
-        if let Err(error) = entry::check_exchange(exchange.head(), &attempt) {
-            if error.kind == backend::AttemptErrorKind::Crossed {
-                self.metrics.crossed.inc();
-            }
-            return Err(fail(slot, error));
-        }
-        // The path and the model are known here, so the engine no longer holds the replica.
-        if exchange.head().status == StatusCode::NOT_FOUND {
-            let error = backend::AttemptError::not_run(backend::AttemptErrorKind::Refused);
-            return Err(fail(slot, error));
-        }
-        if exchange.head().status.is_server_error() {
-            let error = backend::AttemptError::may_have_run(backend::AttemptErrorKind::ServerError);
-            return Err(fail(slot, error));
+            .attempts
+            .send(connection, slot.address(), request, call.deadline);
+        let may_have_run = verdict::RequestVerdict::MayHaveRun;
+        let sent = entry::guarded(&call.guard, may_have_run, sending).await?;
+        let checked = sent.and_then(|exchange| {
+            self.attempts.check(&exchange, &attempt)?;
+            check_status(exchange.head().status)?;
+            Ok(exchange)
+        });
+        match checked {
+            Ok(exchange) => Ok(OpenedAnswer {
+                slot,
+                exchange,
+                attempt,
+            }),
+            Err(error) => Err(entry::fail(slot, error)),
         }
-        Ok(OpenedAnswer {
-            slot,
-            exchange,
-            attempt,
-        })
     }
 
     /// Reads an answer that is not streamed to its end.
@@ -328,12 +174,14 @@
         &self,
         call: &entry::ModelCall,
         opened: OpenedAnswer,
-    ) -> Result<Result<Response<face::AnswerBody>, FailedAttempt>, face::RequestRefusal> {
+    ) -> Result<Result<Response<face::AnswerBody>, entry::FailedAttempt>, face::RequestRefusal>
+    {
         let OpenedAnswer {
             slot, mut exchange, ..
         } = opened;
         let reading = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline);
-        let read = guarded(&call.guard, verdict::RequestVerdict::MayHaveRun, reading).await?;
+        let read =
+            entry::guarded(&call.guard, verdict::RequestVerdict::MayHaveRun, reading).await?;
         let whole = read.and_then(|body| {
             if exchange.is_delimited() {
                 Ok(body)
@@ -348,7 +196,7 @@
             Ok(body) => body,
             Err(error) => {
                 slot.finish(dispatch::AttemptEnd::Failed);
-                return Ok(Err(FailedAttempt { error, server }));
+                return Ok(Err(entry::FailedAttempt { error, server }));
             }
         };
         slot.finish(dispatch::AttemptEnd::Answered);
@@ -384,7 +232,7 @@
         &self,
         call: entry::ModelCall,
         charge: Option<rate::TokenCharge>,
-        state: AttemptState,
+        state: entry::AttemptState,
         opened: OpenedAnswer,
     ) -> Response<face::AnswerBody> {
         let (sender, body) = face::AnswerBody::stream();
@@ -401,42 +249,6 @@
     }
 }
 
-impl AttemptState {
-    /// Gives a refusal the worst verdict of all attempts.
-    fn worsen(&self, mut refusal: face::RequestRefusal) -> face::RequestRefusal {
-        refusal.verdict = refusal.verdict.max(self.worst);
-        refusal
-    }
-}
-
-impl From<face::RequestRefusal> for AttemptStop {
-    fn from(refusal: face::RequestRefusal) -> Self {
-        Self::Refused(refusal)
-    }
-}
-
-/// Does work for as long as the key admits it.
-///
-/// # Errors
-///
-/// A refusal with `verdict` where the key was withdrawn or can no longer be confirmed.
-pub(crate) async fn guarded<Output>(
-    guard: &entry::KeyGuard,
-    verdict: verdict::RequestVerdict,
-    work: impl future::Future<Output = Output>,
-) -> Result<Output, face::RequestRefusal> {
-    let mut guard = guard.clone();
-    tokio::select! {
-        biased;
-        output = work => Ok(output),
-        kind = guard.revoked() => Err(face::RequestRefusal::new(
-            kind,
-            verdict,
-            "the key no longer admits the request",
-        )),
-    }
-}
-
 /// Marks an answer with the request's id and its verdict.
 pub(crate) fn stamp(answer: &mut Response<face::AnswerBody>, id: &name::RequestId, ran: bool) {
     let verdict = if ran {
@@ -454,23 +266,20 @@
     }
 }
 
-/// Returns the refusal that a caller gets after the last failed attempt.
-pub(crate) fn refuse_failed(error: &backend::AttemptError) -> face::RequestRefusal {
-    let kind = match error.kind {
-        backend::AttemptErrorKind::Timeout => face::RefusalKind::DeadlineExceeded,
-        _ if error.verdict == verdict::RequestVerdict::NotRun => {
-            face::RefusalKind::BackendUnavailable
-        }
-        _ => face::RefusalKind::BackendFailed,
-    };
-    face::RequestRefusal::new(kind, error.verdict, error.kind.to_string())
-        .retry_after(time::Duration::from_secs(1))
-}
-
-fn fail(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> AttemptStop {
-    let server = slot.address().server.clone();
-    slot.finish(error.attempt_end());
-    AttemptStop::Failed(FailedAttempt { error, server })
+/// Refuses answers that say that the engine no longer holds the replica, or that it failed.
+fn check_status(status: StatusCode) -> Result<(), backend::AttemptError> {
+    // The path and the model are known here, so the engine no longer holds the replica.
+    if status == StatusCode::NOT_FOUND {
+        return Err(backend::AttemptError::not_run(
+            backend::AttemptErrorKind::Refused,
+        ));
+    }
+    if status.is_server_error() {
+        return Err(backend::AttemptError::may_have_run(
+            backend::AttemptErrorKind::ServerError,
+        ));
+    }
+    Ok(())
 }
 
 fn engine_request(
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -8,7 +8,7 @@
 use crate::backend;
 use crate::dispatch;
 use crate::entry;
-use crate::entry::model_desk::{AttemptState, FailedAttempt, OpenedAnswer, ResumePoint};
+use crate::entry::model_desk::{OpenedAnswer, ResumePoint};
 use crate::face;
 use crate::rate;
 
@@ -21,7 +21,7 @@
     desk: entry::ModelDesk,
     call: entry::ModelCall,
     charge: Option<rate::TokenCharge>,
-    state: AttemptState,
+    state: entry::AttemptState,
     opened: Option<OpenedAnswer>,
     resume: ResumePoint,
     opening: OpeningState,
@@ -80,7 +80,7 @@
         desk: entry::ModelDesk,
         call: entry::ModelCall,
         charge: Option<rate::TokenCharge>,
-        state: AttemptState,
+        state: entry::AttemptState,
         opened: OpenedAnswer,
         sender: face::StreamSender,
     ) -> Self {
@@ -147,7 +147,10 @@
     /// # Errors
     ///
     /// It was cut short.
-    async fn relay_segment(&mut self, opened: OpenedAnswer) -> Result<StreamEnd, FailedAttempt> {
+    async fn relay_segment(
+        &mut self,
+        opened: OpenedAnswer,
+    ) -> Result<StreamEnd, entry::FailedAttempt> {
         let OpenedAnswer {
             slot, mut exchange, ..
         } = opened;
@@ -240,7 +243,7 @@
     }
 
     /// Opens the rest of the answer after a cut.
-    async fn reopen(&mut self, failed: FailedAttempt) -> Result<(), face::RequestRefusal> {
+    async fn reopen(&mut self, failed: entry::FailedAttempt) -> Result<(), face::RequestRefusal> {
         let resume = (self.resume.offset > 0).then(|| self.resume.clone());
         let reopened = self
             .desk
@@ -288,11 +291,11 @@
     }
 }
 
-fn cut(slot: dispatch::ReplicaSlot) -> FailedAttempt {
+fn cut(slot: dispatch::ReplicaSlot) -> entry::FailedAttempt {
     let server = slot.address().server.clone();
     slot.finish(dispatch::AttemptEnd::Failed);
     let error = backend::AttemptError::may_have_run(backend::AttemptErrorKind::Cut);
-    FailedAttempt { error, server }
+    entry::FailedAttempt { error, server }
 }
 
 fn refuse(kind: face::RefusalKind, message: &str) -> face::RequestRefusal {
--- a/galenahold_instance/src/entry/service_call.rs
+++ b/galenahold_instance/src/entry/service_call.rs
@@ -49,26 +49,6 @@
 }
 
 impl ServiceCall {
-    /// Returns what the call needs of a backend server; `avoid` names that of the last attempt.
-    pub(crate) fn slot_request(
-        &self,
-        weight: f64,
-        avoid: Option<name::ServerName>,
-    ) -> dispatch::SlotRequest {
-        dispatch::SlotRequest {
-            target: replica::ReplicaTarget::Service(self.service.clone()),
-            team: self.identity.team_or_empty(),
-            weight,
-            tokens: amount::TokenCount(self.tokens.0.max(1)),
-            bytes: amount::ByteCount(self.body.len() as u64),
-            priority: self.priority,
-            concurrency: SERVICE_CONCURRENCY,
-            prefix: replica::PrefixBlocks::default(),
-            avoid,
-            deadline: self.deadline,
-        }
-    }
-
     /// Returns the request of one attempt.
     pub(crate) fn request(&self, attempt: &name::RequestId) -> Request<Full<bytes::Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -88,3 +68,48 @@
         request
     }
 }
+
+impl entry::DeskCall for ServiceCall {
+    fn id(&self) -> &name::RequestId {
+        &self.id
+    }
+
+    fn identity(&self) -> &entry::CallerIdentity {
+        &self.identity
+    }
+
+    fn guard(&self) -> &entry::KeyGuard {
+        &self.guard
+    }
+
+    fn end(&self) -> &entry::RequestEnd {
+        &self.end
+    }
+
+    fn deadline(&self) -> time::Instant {
+        self.deadline
+    }
+
+    fn charged_tokens(&self) -> amount::TokenCount {
+        self.tokens
+    }
+
+    fn is_idempotent(&self) -> bool {
+        self.idempotent
+    }
+
+    fn slot_request(&self, weight: f64, avoid: Option<name::ServerName>) -> dispatch::SlotRequest {
+        dispatch::SlotRequest {
+            target: replica::ReplicaTarget::Service(self.service.clone()),
+            team: self.identity.team_or_empty(),
+            weight,
+            tokens: amount::TokenCount(self.tokens.0.max(1)),
+            bytes: amount::ByteCount(self.body.len() as u64),
+            priority: self.priority,
+            concurrency: SERVICE_CONCURRENCY,
+            prefix: replica::PrefixBlocks::default(),
+            avoid,
+            deadline: self.deadline,
+        }
+    }
+}
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -284,11 +284,12 @@
     }
 
     fn rate_keeper(&self) -> rate::RateKeeper {
-        rate::RateKeeper::new(routing_rate::TokenWallet::new(
+        let wallet = routing_rate::TokenWallet::new(
             self.card.name.clone(),
             self.card.incarnation,
             routing_rate::WalletSettings::default(),
-        ))
+        );
+        rate::RateKeeper::new(wallet, count(self.settings.limits.max_waiting_requests()))
     }
 
     fn dispatcher(&self) -> dispatch::Dispatcher {
@@ -313,16 +314,10 @@
         backend: backend::BackendClient,
     ) -> entry::EntryDesk<control::ControlDesk> {
         let rule = entry::AttemptRule::new(&self.settings.retry);
-        let models = entry::ModelDesk::new(
-            keeper.clone(),
-            dispatcher.clone(),
-            backend.clone(),
-            rule.clone(),
-            self.metrics.clone(),
-            groups.work.clone(),
-        );
-        let services =
-            entry::ServiceDesk::new(keeper, dispatcher, backend, rule, self.metrics.clone());
+        let attempts =
+            entry::AttemptDesk::new(keeper, dispatcher, backend, rule, self.metrics.clone());
+        let models = entry::ModelDesk::new(attempts.clone(), groups.work.clone());
+        let services = entry::ServiceDesk::new(attempts);
         let limits = &self.settings.limits;
         entry::EntryDesk::new(entry::DeskParts {
             id_prefix: format!("{}-{:x}", self.card.name, self.card.incarnation.0),
--- a/galenahold_instance/src/rate/mod.rs
+++ b/galenahold_instance/src/rate/mod.rs
@@ -2,6 +2,8 @@
 
 mod rate_keeper;
 mod token_charge;
+mod waiting_room;
 
 pub(crate) use rate_keeper::RateKeeper;
 pub(crate) use token_charge::TokenCharge;
+pub(crate) use waiting_room::WaitingRoom;
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -31,6 +31,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RateKeeper {
     wallet: sync::Arc<sync::Mutex<rate::TokenWallet>>,
+    room: tokens::WaitingRoom,
     wanted: sync::Arc<tokio_sync::Notify>,
     replies: sync::Arc<tokio_sync::watch::Sender<CallCount>>,
 }
@@ -43,10 +44,11 @@
 }
 
 impl RateKeeper {
-    /// Creates a keeper with an empty wallet.
-    pub(crate) fn new(wallet: rate::TokenWallet) -> Self {
+    /// Creates a keeper with an empty wallet, for whose tokens `most_waiting` requests may wait.
+    pub(crate) fn new(wallet: rate::TokenWallet, most_waiting: usize) -> Self {
         Self {
             wallet: sync::Arc::new(sync::Mutex::new(wallet)),
+            room: tokens::WaitingRoom::new(most_waiting),
             wanted: sync::Arc::default(),
             replies: sync::Arc::default(),
         }
@@ -75,6 +77,7 @@
     ) -> Result<tokens::TokenCharge, face::RequestRefusal> {
         let mut replies = self.replies.subscribe();
         let before = replies.borrow_and_update().answered;
+        let mut place = None;
         loop {
             let now = time::Instant::now();
             let outcome = self.lock().charge(team, wanted, now);
@@ -97,6 +100,9 @@
             if left.is_zero() {
                 return Err(refuse_unanswered());
             }
+            if place.is_none() {
+                place = Some(self.room.enter(team).ok_or_else(|| refuse_crowd(team))?);
+            }
             self.wanted.notify_one();
             // A reply that comes in time is all that can change the answer.
             let _ = tokio::time::timeout_at(deadline.into(), replies.changed()).await;
@@ -198,6 +204,14 @@
     .retry_after(time::Duration::from_secs(1))
 }
 
+fn refuse_crowd(team: &name::TeamName) -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::QueueFull,
+        format!("too many requests of the team {team} wait for tokens here"),
+    )
+    .retry_after(time::Duration::from_secs(1))
+}
+
 fn refuse_rate(team: &name::TeamName, retry_after: Option<time::Duration>) -> face::RequestRefusal {
     let refusal = face::RequestRefusal::not_run(
         face::RefusalKind::RateLimited,
--- a/galenahold_settings/src/group/limit_settings.rs
+++ b/galenahold_settings/src/group/limit_settings.rs
@@ -9,8 +9,9 @@
         max_body_bytes: "max_body_bytes", Bytes, 1_024..=1_073_741_824, default 8_388_608;
         /// Most connections open to callers at once.
         max_connections: "max_connections", Count, 1..=1_000_000, default 4_096;
-        /// Most connections from one IP address; a balancer that hides its callers counts as one.
-        max_connections_per_address: "max_connections_per_address", Count, 1..=1_000_000, default 1_024;
+        /// Most connections from one IP address; a balancer that hides its callers counts as one, so
+        /// set it lower only where callers connect by themselves.
+        max_connections_per_address: "max_connections_per_address", Count, 1..=1_000_000, default 4_096;
         /// Time in which a caller has to send the whole head of a request.
         head_timeout: "head_timeout_ms", Milliseconds, 10..=600_000, default 10_000;
         /// Time in which a caller has to send the whole body of a request.
