Test that a loaded replica is known before its engine announces it

Cause: no test guarded the notices of loaded replicas. Change: a fleet whose engine announces itself once and then not before the request's deadline.

--- a/galenahold/tests/placement/fleet_setup.rs
+++ b/galenahold/tests/placement/fleet_setup.rs
@@ -24,6 +24,25 @@
 /// Bytes a second of one fetch from the weight store: a load takes about a second.
 const FETCH_BYTES_PER_SECOND: u64 = 4_000_000;
 
+/// How often engines announce themselves, and how long an announcement counts.
+#[derive(Debug, Clone, Copy)]
+struct AnnouncePace {
+    interval_ms: u64,
+    ttl_ms: u64,
+}
+
+/// The pace of most tests.
+const USUAL_PACE: AnnouncePace = AnnouncePace {
+    interval_ms: 200,
+    ttl_ms: 3_000,
+};
+
+/// The second announcement comes after the deadline of 30 s of a request.
+const RARE_PACE: AnnouncePace = AnnouncePace {
+    interval_ms: 90_000,
+    ttl_ms: 300_000,
+};
+
 /// Lets one fleet run at a time, so that they do not starve each other of processor time.
 static FLEETS: sync::Mutex<()> = sync::Mutex::new(());
 
@@ -41,28 +60,41 @@
 impl PlacementFleet {
     /// Starts three control instances, one entry instance and engines.
     pub(crate) fn start(engines: usize, models: usize, checks_fencing: bool) -> Self {
-        Self::start_intent(engines, &intent(models, 0), checks_fencing)
+        Self::start_intent(engines, &intent(models, 0), checks_fencing, USUAL_PACE)
     }
 
     /// Starts a fleet whose models have adapters.
     pub(crate) fn start_with_adapters(engines: usize, models: usize, adapters: usize) -> Self {
-        Self::start_intent(engines, &intent(models, adapters), false)
+        Self::start_intent(engines, &intent(models, adapters), false, USUAL_PACE)
+    }
+
+    /// Starts a fleet whose engines announce themselves once and then not before a request's deadline.
+    pub(crate) fn start_rarely_announced(engines: usize, models: usize) -> Self {
+        Self::start_intent(engines, &intent(models, 0), false, RARE_PACE)
     }
 
-    fn start_intent(engines: usize, intent: &Value, checks_fencing: bool) -> Self {
+    fn start_intent(
+        engines: usize,
+        intent: &Value,
+        checks_fencing: bool,
+        pace: AnnouncePace,
+    ) -> Self {
         let turn = FLEETS.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let fleet = harness::FleetBuilder::default()
             .control(3)
             .entries(1)
             .settings(&json!({
-                "timing": { "notice_ms": 0, "election_timeout_ms": 400, "heartbeat_ms": 60 },
+                "timing": {
+                    "notice_ms": 0, "election_timeout_ms": 400, "heartbeat_ms": 60,
+                    "announcement_ttl_ms": pace.ttl_ms,
+                },
                 "placement": { "load_timeout_s": 5 },
             }))
             .start_ready(LIMIT)
             .expect("the fleet starts");
         let store = sync::Arc::new(store::WeightStore::new(store_settings()));
         let engines = (0..engines)
-            .map(|number| start_engine(number, &fleet, &store, checks_fencing))
+            .map(|number| start_engine(number, &fleet, &store, checks_fencing, pace))
             .collect();
         let operator = fleet.operator();
         operator.state_intent(intent).expect("the intent is valid");
@@ -184,10 +216,11 @@
     fleet: &harness::InstanceFleet,
     store: &sync::Arc<store::WeightStore>,
     checks_fencing: bool,
+    pace: AnnouncePace,
 ) -> engine::EngineProcess {
     engine::EngineBuilder::new(&format!("engine-{number}"))
         .instances(&fleet.backends())
-        .announce_interval_ms(200)
+        .announce_interval_ms(pace.interval_ms)
         .memory_bytes(ENGINE_BYTES)
         .checks_fencing(checks_fencing)
         .store(store::StoreTarget::Shared(sync::Arc::clone(store)))
--- a/galenahold/tests/placement/main.rs
+++ b/galenahold/tests/placement/main.rs
@@ -5,4 +5,5 @@
 mod deposed_leader;
 mod engine_faults;
 mod fleet_setup;
+mod loaded_notices;
 mod memory_pressure;
