Change nothing before the first intent, and wait for another replica

Cause: engines that announced replicas before operators had confirmed any intent had them drained and unloaded as undecided, since idle instances began to report; a request then had one engine only, and when that died its retries went to the dead one, three times, and ended in 503. Ruled out: more attempts; replica choice. Change: placement begins with the first intent; a retry waits for a full replica elsewhere rather than go to the failed server again; one that cannot be connected is left alone for 1.5 s.

--- a/galenahold_instance/src/backend/attempt_error.rs
+++ b/galenahold_instance/src/backend/attempt_error.rs
@@ -65,6 +65,7 @@
     pub(crate) fn attempt_end(&self) -> dispatch::AttemptEnd {
         match self.kind {
             AttemptErrorKind::Refused => dispatch::AttemptEnd::Denied,
+            AttemptErrorKind::Connect => dispatch::AttemptEnd::Unreachable,
             AttemptErrorKind::ServerError => dispatch::AttemptEnd::Answered,
             _ => dispatch::AttemptEnd::Failed,
         }
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -14,8 +14,8 @@
 use crate::backend;
 use crate::dispatch;
 
-/// How long a replica is left alone after its backend server said that it does not hold it: longer
-/// than the time between two announcements, the next of which tells.
+/// How long a replica is left alone after its backend server could not be connected or said that it
+/// does not hold it: longer than the time between two announcements, the next of which tells.
 const DENIAL: time::Duration = time::Duration::from_millis(1_500);
 
 /// The state behind the dispatcher, generic over the choice of replicas.
@@ -212,6 +212,10 @@
                 self.breaker.succeed(slot.server);
                 self.denied.insert(slot.replica, now + DENIAL);
             }
+            dispatch::AttemptEnd::Unreachable => {
+                self.breaker.fail(slot.server, now);
+                self.denied.insert(slot.replica, now + DENIAL);
+            }
             dispatch::AttemptEnd::Failed => {
                 self.breaker.fail(slot.server, now);
             }
@@ -274,17 +278,17 @@
         let present = self.find_candidates(target, now);
         let queue = self.queues.get_mut(target)?;
         queue.note_replica(present, now);
-        let candidates = &mut self.candidates;
+        let (table, candidates) = (&self.table, &mut self.candidates);
         let popped = queue.queue.pop(now, |_, waiter| {
             candidates
                 .iter()
-                .any(|candidate| candidate.has_room(waiter.request.concurrency))
+                .any(|candidate| is_usable(table, candidates, &waiter.request, candidate))
         })?;
         queue.count_out(&popped.entry.team, now);
         queue.running += 1;
         let dispatch::SlotWaiter { request, sender } = popped.item;
-        candidates.retain(|candidate| candidate.has_room(request.concurrency));
-        self.avoid_last(&request);
+        let known = candidates.clone();
+        candidates.retain(|candidate| is_usable(table, &known, &request, candidate));
         let replica = self.choose(&request)?;
         self.assign(request, sender, replica, now)
     }
@@ -302,22 +306,6 @@
         !self.candidates.is_empty()
     }
 
-    /// Leaves out the backend server of the last attempt, if there is another.
-    fn avoid_last(&mut self, request: &dispatch::SlotRequest) {
-        let Some(avoid) = &request.avoid else {
-            return;
-        };
-        let table = &self.table;
-        let is_other = |candidate: &replica::ReplicaCandidate| {
-            table
-                .server(candidate.server)
-                .is_some_and(|entry| entry.name() != avoid)
-        };
-        if self.candidates.iter().any(is_other) {
-            self.candidates.retain(is_other);
-        }
-    }
-
     fn choose(&mut self, request: &dispatch::SlotRequest) -> Option<replica::ReplicaKey> {
         let model = match &request.target {
             replica::ReplicaTarget::Artifact(artifact) => Some(&artifact.model),
@@ -360,3 +348,25 @@
         })
     }
 }
+
+/// Returns whether a request may go to a candidate: there is room, and it is not the backend server of
+/// the last attempt, unless there is no other; a full one is worth the wait.
+fn is_usable(
+    table: &replica::ReplicaTable,
+    candidates: &[replica::ReplicaCandidate],
+    request: &dispatch::SlotRequest,
+    candidate: &replica::ReplicaCandidate,
+) -> bool {
+    if !candidate.has_room(request.concurrency) {
+        return false;
+    }
+    let Some(avoid) = &request.avoid else {
+        return true;
+    };
+    let is_avoided = |candidate: &replica::ReplicaCandidate| {
+        table
+            .server(candidate.server)
+            .is_some_and(|entry| entry.name() == avoid)
+    };
+    !is_avoided(candidate) || candidates.iter().all(is_avoided)
+}
--- a/galenahold_instance/src/dispatch/replica_slot.rs
+++ b/galenahold_instance/src/dispatch/replica_slot.rs
@@ -27,6 +27,8 @@
     Answered,
     /// It says that it does not hold the replica.
     Denied,
+    /// It could not be connected.
+    Unreachable,
     /// Its transport failed.
     Failed,
 }
--- a/galenahold_instance/src/placement/placement_driver.rs
+++ b/galenahold_instance/src/placement/placement_driver.rs
@@ -3,6 +3,8 @@
 use std::sync;
 use std::time;
 
+use galenahold_domain::amount;
+use galenahold_domain::control::ControlState;
 use galenahold_placement::demand;
 use galenahold_placement::engine;
 use galenahold_settings::InstanceSettings;
@@ -108,7 +110,7 @@
 
     /// Begins and ends the engine with the leadership.
     fn follow_leadership(&mut self, now: time::Instant) {
-        let term = self.member.leading_term();
+        let term = self.member.leading_term().filter(|_| self.has_intent());
         let held = self.current.as_ref().map(placement::EngineTerm::term);
         if term == held {
             return;
@@ -122,6 +124,13 @@
         });
     }
 
+    /// Returns whether operators have confirmed anything yet: before that nothing is to be changed, and
+    /// what engines hold is no surplus.
+    fn has_intent(&self) -> bool {
+        let revision = self.member.state().read(ControlState::revision);
+        revision > amount::RevisionNumber::ZERO
+    }
+
     /// Tells the engine what is new; returns whether it is to be kept.
     fn follow(
         &self,
