--- a/galenahold/tests/placement/fleet_setup.rs
+++ b/galenahold/tests/placement/fleet_setup.rs
@@ -79,7 +79,7 @@
         checks_fencing: bool,
         pace: AnnouncePace,
     ) -> Self {
-        let turn = FLEETS.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let turn = take_turn();
         let fleet = harness::FleetBuilder::default()
             .control(3)
             .entries(1)
@@ -188,6 +188,11 @@
     }
 }
 
+/// Waits until no other fleet of this binary runs.
+pub(crate) fn take_turn() -> sync::MutexGuard<'static, ()> {
+    FLEETS.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
 /// Asks a model in the background.
 pub(crate) fn ask(
     caller: harness::FleetCaller,
