--- a/galenahold_consensus/src/driver/joining.rs
+++ b/galenahold_consensus/src/driver/joining.rs
@@ -28,11 +28,23 @@
         let message::FoundingBody::Greeting(guest) = body else {
             return;
         };
+        self.pass_greeting_on(from, &guest);
         if let Some(answer) = self.answer_greeting(guest) {
             self.send_founding(from, answer);
         }
     }
 
+    /// Tells the leader of a guest that greets this member: only the leader can take it in.
+    fn pass_greeting_on(&mut self, from: &member::MemberEndpoint, guest: &member::MemberProfile) {
+        let greeted_directly = guest.endpoint == *from;
+        let leader = self.leader();
+        let leader = leader.filter(|leader| leader.id != self.node_settings.profile.id);
+        if let Some(leader) = leader.filter(|_| greeted_directly) {
+            let body = message::FoundingBody::Greeting(guest.clone());
+            self.send_founding(&leader.endpoint, body);
+        }
+    }
+
     fn answer_greeting(&mut self, guest: member::MemberProfile) -> Option<message::FoundingBody> {
         let node = self.node.as_ref()?;
         let cluster = node.settings().cluster;
--- a/galenahold_consensus/src/driver/log_builder.rs
+++ b/galenahold_consensus/src/driver/log_builder.rs
@@ -23,6 +23,7 @@
     name: member::MemberName,
     address: Option<member::MemberAddress>,
     voters: Vec<member::MemberEndpoint>,
+    may_found: bool,
     election_timeout: time::Duration,
     heartbeat_interval: time::Duration,
     clock_drift_permille: u32,
@@ -51,6 +52,7 @@
             name: member::MemberName::new(name),
             address: None,
             voters: Vec::new(),
+            may_found: true,
             election_timeout: ELECTION_TIMEOUT,
             heartbeat_interval: HEARTBEAT_INTERVAL,
             clock_drift_permille: CLOCK_DRIFT_PERMILLE,
@@ -82,6 +84,7 @@
             name: self.name,
             address: self.address,
             voters: self.voters,
+            may_found: self.may_found,
             election_timeout: self.election_timeout,
             heartbeat_interval: self.heartbeat_interval,
             clock_drift_permille: self.clock_drift_permille,
@@ -103,6 +106,14 @@
         self
     }
 
+    /// Sets whether an empty data folder may found a group; otherwise it only joins one.
+    ///
+    /// A folder that was emptied later must not found a second group beside the one that it left.
+    pub fn may_found(mut self, may_found: bool) -> Self {
+        self.may_found = may_found;
+        self
+    }
+
     /// Sets this member's address, where the voters do not list it.
     pub fn address(mut self, address: &str) -> Self {
         self.address = Some(member::MemberAddress::new(address));
@@ -210,7 +221,8 @@
             self.voters.clone(),
             Self::FOUNDING_INTERVAL,
             clock.now(),
-        );
+        )
+        .with_may_found(self.may_found);
         let thread = driver::LogThread::new(driver::ThreadParts {
             settings: self.driver_settings(),
             node_settings,
--- /dev/null
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -0,0 +1,117 @@
+//! [`MembershipPlanner`].
+
+use std::time;
+
+use crate::driver;
+use crate::member;
+
+/// Decides how a group that runs by itself takes in empty data folders and lets dead ones go.
+///
+/// It makes one change at a time. A folder that was lost and comes back under its old name is first
+/// taken out under its old identity and then joins as a new member, so that it never votes twice. A
+/// silent voter is taken out only where enough others are left, since a machine that is cut off may
+/// come back.
+#[derive(Debug, Clone)]
+pub struct MembershipPlanner {
+    seats: usize,
+    silence: time::Duration,
+}
+
+impl MembershipPlanner {
+    /// Creates a planner for a group of at least `seats` voters, in which a member counts as gone after
+    /// `silence`.
+    #[must_use]
+    pub fn new(seats: usize, silence: time::Duration) -> Self {
+        Self { seats, silence }
+    }
+
+    /// Returns the next change that the leader should make, from its own view of the group.
+    #[must_use]
+    pub fn next_change(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        self.lost_folder(status)
+            .or_else(|| self.dead_learner(status))
+            .or_else(|| self.dead_voter(status))
+            .or_else(|| self.caught_up_learner(status))
+            .or_else(|| Self::new_joiner(status))
+    }
+
+    /// Finds a member whose name a folder with another identity bears now.
+    fn lost_folder(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        let replaced = |report: &&driver::MemberReport| {
+            let profile = &report.member.profile;
+            let returned = status.joiners.iter().any(|joiner| {
+                joiner.endpoint.name == profile.endpoint.name && joiner.id != profile.id
+            });
+            returned && profile.id != status.profile.id
+        };
+        let report = status.members.iter().find(replaced)?;
+        Some(member::MembershipChange::Remove(report.member.profile.id))
+    }
+
+    fn dead_learner(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        let report = status
+            .members
+            .iter()
+            .filter(|report| report.member.standing == member::MemberStanding::Learner)
+            .find(|report| self.is_silent(report))?;
+        Some(member::MembershipChange::Remove(report.member.profile.id))
+    }
+
+    fn dead_voter(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        let voters = voters(status).count();
+        let learner_waits = status.members.iter().any(|report| {
+            report.member.standing == member::MemberStanding::Learner && !self.is_silent(report)
+        });
+        if voters <= self.seats && !(voters == self.seats && learner_waits) {
+            return None;
+        }
+        let report = voters_by_silence(status).find(|report| self.is_silent(report))?;
+        Some(member::MembershipChange::Remove(report.member.profile.id))
+    }
+
+    fn caught_up_learner(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        let report = status
+            .members
+            .iter()
+            .filter(|report| report.member.standing == member::MemberStanding::Learner)
+            .find(|report| !self.is_silent(report) && is_caught_up(report))?;
+        Some(member::MembershipChange::Promote(report.member.profile.id))
+    }
+
+    fn new_joiner(status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        let known = |joiner: &&member::MemberProfile| {
+            status
+                .members
+                .iter()
+                .any(|report| report.member.profile.endpoint.name == joiner.endpoint.name)
+        };
+        let joiner = status.joiners.iter().find(|joiner| !known(joiner))?;
+        Some(member::MembershipChange::AddLearner(joiner.clone()))
+    }
+
+    fn is_silent(&self, report: &driver::MemberReport) -> bool {
+        report
+            .silence
+            .is_some_and(|silence| silence >= self.silence)
+    }
+}
+
+fn voters(status: &driver::LogStatus) -> impl Iterator<Item = &driver::MemberReport> {
+    status
+        .members
+        .iter()
+        .filter(|report| report.member.standing == member::MemberStanding::Voter)
+}
+
+fn voters_by_silence(status: &driver::LogStatus) -> impl Iterator<Item = &driver::MemberReport> {
+    let mut reports: Vec<_> = voters(status).collect();
+    reports.sort_by_key(|report| std::cmp::Reverse(report.silence));
+    reports.into_iter()
+}
+
+fn is_caught_up(report: &driver::MemberReport) -> bool {
+    /// Entries that a learner may still lack; the leader checks its own bound again.
+    const LAG_ENTRIES: u64 = 16;
+    report.matched.is_some_and(|matched| matched.get() > 0)
+        && report.lag_entries.is_some_and(|lag| lag <= LAG_ENTRIES)
+}
--- a/galenahold_consensus/src/founding/group_founding.rs
+++ b/galenahold_consensus/src/founding/group_founding.rs
@@ -20,6 +20,7 @@
     voters: Vec<member::MemberEndpoint>,
     seen: collections::BTreeMap<member::MemberName, member::MemberProfile>,
     founded: Option<member::ClusterId>,
+    may_found: bool,
     greet_at: core::MonotonicTime,
     interval: time::Duration,
 }
@@ -39,10 +40,18 @@
             interval,
             seen: collections::BTreeMap::new(),
             founded: None,
+            may_found: true,
             greet_at: now,
         }
     }
 
+    /// Sets whether the folder may found a group, or only join one.
+    #[must_use]
+    pub fn with_may_found(mut self, may_found: bool) -> Self {
+        self.may_found = may_found;
+        self
+    }
+
     /// Returns a group that exists and to which the folder doesn't belong, where one was met.
     #[must_use]
     pub fn founded(&self) -> Option<member::ClusterId> {
@@ -89,7 +98,7 @@
     pub fn foundable(&self) -> Option<founding::FoundingStep> {
         let name = &self.profile.endpoint.name;
         let founder = self.voters.iter().map(|voter| &voter.name).min();
-        if founder != Some(name) || self.founded.is_some() {
+        if !self.may_found || founder != Some(name) || self.founded.is_some() {
             return None;
         }
         let mut profiles = vec![self.profile.clone()];
--- a/galenahold_domain/src/control/change_history.rs
+++ b/galenahold_domain/src/control/change_history.rs
@@ -23,6 +23,11 @@
 impl ChangeHistory {
     /// Adds the change that made the latest revision.
     pub(crate) fn push(&mut self, change: control::ConfigurationChange) {
+        if matches!(change, control::ConfigurationChange::Declared { .. }) {
+            // A whole document replaces all before it: whoever lags takes the view instead.
+            *self = Self::default();
+            return;
+        }
         self.parts += change.part_count();
         self.changes.push_back(sync::Arc::new(change));
         while self.changes.len() > MAX_CHANGES || self.parts > MAX_PARTS {
--- a/galenahold_domain/src/control/configuration_change.rs
+++ b/galenahold_domain/src/control/configuration_change.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::amount;
+use crate::declaration;
 use crate::intent;
 use crate::key;
 use crate::name;
@@ -38,6 +39,13 @@
         /// The key's public part.
         id: name::KeyId,
     },
+    /// An operator's whole document took the place of the one before.
+    Declared {
+        /// The revision that the change makes.
+        revision: amount::RevisionNumber,
+        /// The document.
+        document: declaration::DeclaredDocument,
+    },
 }
 
 impl ConfigurationChange {
@@ -47,7 +55,8 @@
         match self {
             Self::Intent { revision, .. }
             | Self::KeyGiven { revision, .. }
-            | Self::KeyWithdrawn { revision, .. } => *revision,
+            | Self::KeyWithdrawn { revision, .. }
+            | Self::Declared { revision, .. } => *revision,
         }
     }
 }
--- a/galenahold_domain/src/control/configuration_ledger.rs
+++ b/galenahold_domain/src/control/configuration_ledger.rs
@@ -6,6 +6,7 @@
 
 use crate::amount;
 use crate::control;
+use crate::declaration;
 use crate::digest;
 use crate::intent;
 use crate::key;
@@ -75,6 +76,25 @@
         outcome
     }
 
+    /// Puts a whole document in force if its number is higher than that of the one in force.
+    pub(crate) fn declare(
+        &mut self,
+        document: &declaration::DeclaredDocument,
+    ) -> control::ControlOutcome {
+        let held = self.view.declared.as_ref().map(|held| held.number);
+        let newest = held.is_none_or(|held| document.number > held);
+        if newest {
+            self.change(control::ConfigurationChange::Declared {
+                revision: self.view.revision.next(),
+                document: document.clone(),
+            });
+        }
+        control::ControlOutcome::Declared {
+            in_force: held.max(Some(document.number)).unwrap_or(document.number),
+            changed: newest,
+        }
+    }
+
     fn apply_configuration(
         &mut self,
         command: &control::ControlCommand,
--- a/galenahold_domain/src/control/configuration_view.rs
+++ b/galenahold_domain/src/control/configuration_view.rs
@@ -6,6 +6,7 @@
 
 use crate::amount;
 use crate::control;
+use crate::declaration;
 use crate::error;
 use crate::intent;
 use crate::key;
@@ -21,6 +22,9 @@
     pub intent: sync::Arc<intent::FleetIntent>,
     /// The keys, ordered by their public part.
     pub keys: key::KeyTable,
+    /// The document that an operator declared whole, if one did.
+    #[serde(default)]
+    pub declared: Option<declaration::DeclaredDocument>,
 }
 
 impl ConfigurationView {
@@ -72,6 +76,9 @@
             control::ConfigurationChange::KeyWithdrawn { id, .. } => {
                 self.keys.remove(id);
             }
+            control::ConfigurationChange::Declared { document, .. } => {
+                self.declared = Some(document.clone());
+            }
         }
     }
 }
--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -8,6 +8,7 @@
 use crate::amount;
 use crate::codec;
 use crate::control;
+use crate::declaration;
 use crate::error;
 use crate::intent;
 use crate::key;
@@ -73,6 +74,11 @@
         /// Milliseconds since the Unix epoch.
         now_ms: u64,
     },
+    /// Puts an operator's whole document in force, if its number is higher than that in force.
+    Declare {
+        /// The document.
+        document: declaration::DeclaredDocument,
+    },
     /// Starts an attempt of an order.
     StartOrder {
         /// The order.
@@ -169,11 +175,12 @@
 const COMMAND_VERSION: u32 = 1;
 
 /// The names of the command kinds in the encoding.
-const COMMAND_KINDS: [&str; 12] = [
+const COMMAND_KINDS: [&str; 13] = [
     "confirm_plan",
     "confirm_delta",
     "give_key",
     "withdraw_key",
+    "declare",
     "start_order",
     "finish_order",
     "abandon_orders",
--- a/galenahold_domain/src/control/control_outcome.rs
+++ b/galenahold_domain/src/control/control_outcome.rs
@@ -36,6 +36,13 @@
         /// The key's public part.
         id: name::KeyId,
     },
+    /// The document is in force, or one with a higher or the same number was before.
+    Declared {
+        /// The number of the document in force.
+        in_force: u64,
+        /// Whether the command changed anything.
+        changed: bool,
+    },
     /// The ledger's answer to the start of an order.
     Order(order::OrderStart),
     /// The outcome of an order is recorded, or was before.
--- a/galenahold_domain/src/control/control_state.rs
+++ b/galenahold_domain/src/control/control_state.rs
@@ -176,6 +176,7 @@
             | control::ControlCommand::WithdrawKey {
                 request, now_ms, ..
             } => self.configuration.answer(request, *now_ms, command),
+            control::ControlCommand::Declare { document } => self.configuration.declare(document),
             control::ControlCommand::StartOrder { .. }
             | control::ControlCommand::FinishOrder { .. }
             | control::ControlCommand::AbandonOrders { .. } => self.apply_order(command),
--- /dev/null
+++ b/galenahold_domain/src/declaration/declaration_fault.rs
@@ -0,0 +1,69 @@
+//! Why a declaration is not valid.
+
+use snafu::Snafu;
+
+use crate::name;
+
+/// Why a declaration is not valid.
+#[derive(Debug, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum DeclarationFault {
+    /// A route names a service that is not declared.
+    #[snafu(display("route \"{route}\": service \"{service}\" is not declared"))]
+    UnknownService {
+        /// The route.
+        route: name::RouteName,
+        /// The service.
+        service: name::ServiceName,
+    },
+    /// Two routes have the same host and path prefix.
+    #[snafu(display(
+        "routes \"{first}\" and \"{second}\" both serve host \"{host}\" under \"{path_prefix}\""
+    ))]
+    SamePlace {
+        /// The route that stands first.
+        first: name::RouteName,
+        /// The other route.
+        second: name::RouteName,
+        /// Their host.
+        host: String,
+        /// Their path prefix.
+        path_prefix: String,
+    },
+    /// The weights of a route's services add up to zero.
+    #[snafu(display("route \"{route}\": the weights of its services add up to 0"))]
+    NoWeight {
+        /// The route.
+        route: name::RouteName,
+    },
+    /// A route has no time.
+    #[snafu(display("route \"{route}\": its timeout is 0"))]
+    NoTimeout {
+        /// The route.
+        route: name::RouteName,
+    },
+    /// A path prefix does not begin and end with a slash.
+    #[snafu(display(
+        "route \"{route}\": path prefix \"{path_prefix}\" does not begin and end with /"
+    ))]
+    OpenPrefix {
+        /// The route.
+        route: name::RouteName,
+        /// The prefix.
+        path_prefix: String,
+    },
+    /// Two teams hold the same key, or one team holds it twice.
+    #[snafu(display("teams \"{first}\" and \"{second}\" share a key"))]
+    SharedKey {
+        /// The team that stands first.
+        first: name::TeamName,
+        /// The other team.
+        second: name::TeamName,
+    },
+    /// Two services have the same name.
+    #[snafu(display("service \"{service}\" is declared twice"))]
+    SameService {
+        /// The service.
+        service: name::ServiceName,
+    },
+}
--- /dev/null
+++ b/galenahold_domain/src/declaration/declaration_index.rs
@@ -0,0 +1,88 @@
+//! Lookups in a declaration.
+
+use std::collections;
+use std::sync;
+
+use crate::declaration;
+use crate::name;
+
+/// Lookups in a declaration, immutable and cheap to share.
+#[derive(Debug)]
+pub struct DeclarationIndex {
+    declaration: declaration::FleetDeclaration,
+    routes: collections::HashMap<sync::Arc<str>, HostRoutes>,
+    teams: collections::HashMap<declaration::CallerSecret, usize>,
+    services: collections::HashMap<name::ServiceName, usize>,
+}
+
+/// The routes of one host by their path prefix.
+type HostRoutes = collections::HashMap<sync::Arc<str>, usize>;
+
+impl DeclarationIndex {
+    /// Builds the index of a checked declaration.
+    #[must_use]
+    pub fn new(declaration: declaration::FleetDeclaration) -> Self {
+        let mut routes: collections::HashMap<sync::Arc<str>, HostRoutes> =
+            collections::HashMap::new();
+        for (place, route) in declaration.routes.iter().enumerate() {
+            routes
+                .entry(sync::Arc::clone(&route.host))
+                .or_default()
+                .insert(sync::Arc::clone(&route.path_prefix), place);
+        }
+        let teams = declaration.teams.iter().enumerate();
+        let teams = teams
+            .flat_map(|(place, team)| team.secrets.iter().map(move |key| (key.clone(), place)))
+            .collect();
+        let services = declaration.services.iter().enumerate();
+        let services = services
+            .map(|(place, service)| (service.name.clone(), place))
+            .collect();
+        Self {
+            declaration,
+            routes,
+            teams,
+            services,
+        }
+    }
+
+    /// Returns the declaration.
+    #[must_use]
+    pub fn declaration(&self) -> &declaration::FleetDeclaration {
+        &self.declaration
+    }
+
+    /// Returns the route of the host with the longest prefix that begins the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&declaration::DeclaredRoute> {
+        let routes = self.routes.get(host)?;
+        let mut rest = path;
+        loop {
+            let end = rest.rfind('/')?;
+            if let Some(place) = routes.get(&rest[..=end]) {
+                return self.declaration.routes.get(*place);
+            }
+            rest = &rest[..end];
+        }
+    }
+
+    /// Returns the team that holds the key.
+    #[must_use]
+    pub fn team(&self, secret: &str) -> Option<&declaration::DeclaredTeam> {
+        let place = self.teams.get(secret)?;
+        self.declaration.teams.get(*place)
+    }
+
+    /// Returns the service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&declaration::DeclaredService> {
+        let place = self.services.get(name)?;
+        self.declaration.services.get(*place)
+    }
+
+    /// Returns whether calls need keys at all.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        !self.declaration.teams.is_empty()
+    }
+}
--- /dev/null
+++ b/galenahold_domain/src/declaration/fleet_declaration.rs
@@ -0,0 +1,128 @@
+//! A whole configuration.
+
+use std::collections;
+
+use crate::declaration;
+use crate::declaration::declaration_fault;
+
+/// A whole configuration, as an operator declares it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetDeclaration {
+    /// The operator's number; the highest is in force.
+    pub number: u64,
+    /// The routes.
+    pub routes: Vec<declaration::DeclaredRoute>,
+    /// The services.
+    pub services: Vec<declaration::DeclaredService>,
+    /// The teams; where there are none, no call needs a key.
+    pub teams: Vec<declaration::DeclaredTeam>,
+    /// What callers may send.
+    pub limits: declaration::CallerLimits,
+}
+
+impl FleetDeclaration {
+    /// Checks what holds between the parts.
+    ///
+    /// # Errors
+    ///
+    /// The first fault that is found, with the names of the parts.
+    pub fn check(&self) -> Result<(), declaration::DeclarationFault> {
+        self.check_services()?;
+        self.check_routes()?;
+        self.check_teams()
+    }
+
+    /// Returns the service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&declaration::DeclaredService> {
+        self.services
+            .iter()
+            .find(|service| service.name.as_str() == name)
+    }
+
+    fn check_services(&self) -> Result<(), declaration::DeclarationFault> {
+        let mut seen = collections::HashSet::new();
+        for service in &self.services {
+            if !seen.insert(&service.name) {
+                return declaration_fault::SameServiceSnafu {
+                    service: service.name.clone(),
+                }
+                .fail();
+            }
+        }
+        Ok(())
+    }
+
+    fn check_routes(&self) -> Result<(), declaration::DeclarationFault> {
+        let services: collections::HashSet<_> =
+            self.services.iter().map(|service| &service.name).collect();
+        let mut places = collections::HashMap::new();
+        for route in &self.routes {
+            check_route(route, &services)?;
+            let place = (&route.host, &route.path_prefix);
+            if let Some(first) = places.insert(place, &route.name) {
+                return declaration_fault::SamePlaceSnafu {
+                    first: first.clone(),
+                    second: route.name.clone(),
+                    host: route.host.to_string(),
+                    path_prefix: route.path_prefix.to_string(),
+                }
+                .fail();
+            }
+        }
+        Ok(())
+    }
+
+    fn check_teams(&self) -> Result<(), declaration::DeclarationFault> {
+        let mut holders = collections::HashMap::new();
+        for team in &self.teams {
+            for secret in &team.secrets {
+                if let Some(first) = holders.insert(secret, &team.name) {
+                    return declaration_fault::SharedKeySnafu {
+                        first: first.clone(),
+                        second: team.name.clone(),
+                    }
+                    .fail();
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_route(
+    route: &declaration::DeclaredRoute,
+    services: &collections::HashSet<&crate::name::ServiceName>,
+) -> Result<(), declaration::DeclarationFault> {
+    let unknown = route
+        .shares
+        .iter()
+        .find(|share| !services.contains(&share.service));
+    if let Some(share) = unknown {
+        return declaration_fault::UnknownServiceSnafu {
+            route: route.name.clone(),
+            service: share.service.clone(),
+        }
+        .fail();
+    }
+    if route.shares.iter().all(|share| share.weight == 0) {
+        return declaration_fault::NoWeightSnafu {
+            route: route.name.clone(),
+        }
+        .fail();
+    }
+    if route.timeout.is_zero() {
+        return declaration_fault::NoTimeoutSnafu {
+            route: route.name.clone(),
+        }
+        .fail();
+    }
+    if !(route.path_prefix.starts_with('/') && route.path_prefix.ends_with('/')) {
+        return declaration_fault::OpenPrefixSnafu {
+            route: route.name.clone(),
+            path_prefix: route.path_prefix.to_string(),
+        }
+        .fail();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/galenahold_domain/src/declaration/mod.rs
@@ -0,0 +1,34 @@
+//! A configuration that an operator declares whole, under a number of the operator's own.
+//!
+//! The highest number is in force. The replicated log holds the operator's document as it came; each
+//! instance reads it into a [`FleetDeclaration`] once.
+
+mod call_kind;
+mod caller_limits;
+mod caller_secret;
+mod declaration_fault;
+mod declaration_index;
+mod declared_document;
+mod declared_engine;
+mod declared_model;
+mod declared_route;
+mod declared_service;
+mod declared_team;
+mod fleet_declaration;
+mod route_share;
+mod team_charge;
+
+pub use call_kind::CallKind;
+pub use caller_limits::CallerLimits;
+pub use caller_secret::CallerSecret;
+pub use declaration_fault::DeclarationFault;
+pub use declaration_index::DeclarationIndex;
+pub use declared_document::DeclaredDocument;
+pub use declared_engine::DeclaredEngine;
+pub use declared_model::DeclaredModel;
+pub use declared_route::DeclaredRoute;
+pub use declared_service::DeclaredService;
+pub use declared_team::DeclaredTeam;
+pub use fleet_declaration::FleetDeclaration;
+pub use route_share::RouteShare;
+pub use team_charge::TeamCharge;
--- /dev/null
+++ b/galenahold_domain/src/fleet/held_model.rs
@@ -0,0 +1,17 @@
+//! A model in an engine's memory.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name;
+
+/// A model in an engine's memory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldModel {
+    /// The model.
+    pub name: name::ModelName,
+    /// The version of its weights.
+    pub version: u64,
+    /// Whether it is about to be unloaded and takes no new requests.
+    #[serde(default)]
+    pub retiring: bool,
+}
--- /dev/null
+++ b/galenahold_domain/src/fleet/mod.rs
@@ -0,0 +1,29 @@
+//! The backend servers of declared services, as they state themselves and as instances know them.
+//!
+//! The control group's leader keeps the [`ServerRoster`]; entry instances hold a [`RosterView`] that
+//! follows it by updates. A view outlives its leader: it keeps what it knows until the next leader has
+//! had the time to hear from all servers.
+
+mod held_adapter;
+mod held_model;
+mod model_loading;
+mod notice_outcome;
+mod roster_mark;
+mod roster_update;
+mod roster_view;
+mod server_notice;
+mod server_record;
+mod server_roster;
+mod server_stage;
+
+pub use held_adapter::HeldAdapter;
+pub use held_model::HeldModel;
+pub use model_loading::ModelLoading;
+pub use notice_outcome::NoticeOutcome;
+pub use roster_mark::RosterMark;
+pub use roster_update::RosterUpdate;
+pub use roster_view::RosterView;
+pub use server_notice::ServerNotice;
+pub use server_record::ServerRecord;
+pub use server_roster::ServerRoster;
+pub use server_stage::ServerStage;
--- /dev/null
+++ b/galenahold_domain/src/fleet/server_record.rs
@@ -0,0 +1,79 @@
+//! What the group knows of a backend server.
+
+use std::net;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet;
+use crate::name;
+
+/// What the group knows of a backend server of a declared service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerRecord {
+    /// Its name.
+    pub name: name::ServerName,
+    /// The Unix millisecond of its start, by its own clock.
+    pub started_ms: u64,
+    /// The service that it belongs to.
+    pub service: name::ServiceName,
+    /// Where it takes requests.
+    pub address: net::SocketAddr,
+    /// Its data centre.
+    pub data_centre: name::DataCentreName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub stage: fleet::ServerStage,
+    /// Whether its notices stay away. It may still serve: it may only be cut off from the group.
+    pub silent: bool,
+    /// Whether it was told to go at short notice.
+    pub leaves_soon: bool,
+    /// The models that it holds.
+    pub models: Vec<fleet::HeldModel>,
+    /// The load that is under way there.
+    pub loading: Option<fleet::ModelLoading>,
+    /// Models whose weights lie in its host's memory.
+    pub in_memory: Vec<name::ModelName>,
+    /// Models whose weights lie on its disk.
+    pub on_disk: Vec<name::ModelName>,
+}
+
+impl ServerRecord {
+    /// Returns the model, if the server holds it.
+    #[must_use]
+    pub fn model(&self, name: &name::ModelName) -> Option<&fleet::HeldModel> {
+        self.models.iter().find(|model| model.name == *name)
+    }
+
+    /// Returns whether new requests for the model may be sent there.
+    #[must_use]
+    pub fn serves_model(&self, name: &name::ModelName) -> bool {
+        self.model(name).is_some_and(|model| !model.retiring)
+    }
+
+    /// Returns whether the server takes new requests.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.stage == fleet::ServerStage::Ready
+    }
+}
+
+impl From<fleet::ServerNotice> for ServerRecord {
+    fn from(notice: fleet::ServerNotice) -> Self {
+        Self {
+            name: notice.name,
+            started_ms: notice.started_ms,
+            service: notice.service,
+            address: notice.address,
+            data_centre: notice.data_centre,
+            slots: notice.slots,
+            stage: notice.stage,
+            silent: false,
+            leaves_soon: notice.removal_in.is_some(),
+            models: notice.models,
+            loading: None,
+            in_memory: notice.in_memory,
+            on_disk: notice.on_disk,
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -0,0 +1,272 @@
+//! The backend servers as the leader knows them.
+
+use std::collections;
+use std::time;
+
+use crate::fleet;
+use crate::name;
+
+/// The backend servers as the control group's leader knows them, from their own notices.
+///
+/// A notice counts only if it is newer than what is known: of one name, the latest start and its
+/// highest sequence; of one address, the latest start of all servers that stated it. A server that left
+/// stays gone until it starts anew.
+#[derive(Debug)]
+pub struct ServerRoster {
+    term: u64,
+    version: u64,
+    settles_at: time::Instant,
+    silent_after: time::Duration,
+    entries: collections::BTreeMap<name::ServerName, RosterEntry>,
+    departed: collections::BTreeMap<name::ServerName, DepartedServer>,
+}
+
+#[derive(Debug)]
+struct RosterEntry {
+    record: fleet::ServerRecord,
+    sequence: u64,
+    heard_at: time::Instant,
+    changed_in: u64,
+}
+
+#[derive(Debug)]
+struct DepartedServer {
+    started_ms: u64,
+    gone_in: u64,
+    gone_at: time::Instant,
+}
+
+impl ServerRoster {
+    /// How long a departed or silent server is remembered.
+    const MEMORY: time::Duration = time::Duration::from_secs(90);
+
+    /// Periods of silence after which a server counts as silent.
+    const SILENT_PERIODS: u32 = 4;
+
+    /// Periods that a new leader waits until it counts as having heard from all servers.
+    const SETTLING_PERIODS: u32 = 4;
+
+    /// Creates an empty roster for a leadership that begins now; servers state themselves about once a
+    /// `period`.
+    #[must_use]
+    pub fn new(term: u64, period: time::Duration, now: time::Instant) -> Self {
+        Self {
+            term,
+            version: 1,
+            settles_at: now + period * Self::SETTLING_PERIODS,
+            silent_after: period * Self::SILENT_PERIODS,
+            entries: collections::BTreeMap::new(),
+            departed: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Returns how far the roster has come.
+    #[must_use]
+    pub fn mark(&self, now: time::Instant) -> fleet::RosterMark {
+        fleet::RosterMark {
+            term: self.term,
+            version: self.version,
+            settled: self.is_settled(now),
+        }
+    }
+
+    /// Returns whether all servers have had the time to state themselves.
+    #[must_use]
+    pub fn is_settled(&self, now: time::Instant) -> bool {
+        now >= self.settles_at
+    }
+
+    /// Returns the servers.
+    pub fn records(&self) -> impl Iterator<Item = &fleet::ServerRecord> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+
+    /// Returns the server.
+    #[must_use]
+    pub fn get(&self, name: &name::ServerName) -> Option<&fleet::ServerRecord> {
+        self.entries.get(name).map(|entry| &entry.record)
+    }
+
+    /// Takes a server's notice.
+    pub fn take(
+        &mut self,
+        notice: fleet::ServerNotice,
+        now: time::Instant,
+    ) -> fleet::NoticeOutcome {
+        if self.is_late(&notice) {
+            return fleet::NoticeOutcome::Late;
+        }
+        self.remove_others_at(&notice, now);
+        let sequence = notice.sequence;
+        let mut record = fleet::ServerRecord::from(notice);
+        let known = self.entries.get(&record.name);
+        let known = known.filter(|known| known.record.started_ms == record.started_ms);
+        if let Some(known) = known {
+            follow_known(&mut record, &known.record);
+            if known.record == record {
+                self.confirm(&record.name, sequence, now);
+                return fleet::NoticeOutcome::Confirmed;
+            }
+        }
+        let outcome = match known {
+            Some(_) => fleet::NoticeOutcome::Changed,
+            None => fleet::NoticeOutcome::Joined,
+        };
+        self.put(record, sequence, now);
+        outcome
+    }
+
+    /// Takes a server out that says that it leaves; returns whether it was known.
+    pub fn leave(&mut self, name: &name::ServerName, now: time::Instant) -> bool {
+        let Some(entry) = self.entries.remove(name) else {
+            return false;
+        };
+        self.version += 1;
+        let departed = DepartedServer {
+            started_ms: entry.record.started_ms,
+            gone_in: self.version,
+            gone_at: now,
+        };
+        self.departed.insert(name.clone(), departed);
+        true
+    }
+
+    /// Marks servers whose notices stay away, and forgets those that are long gone.
+    pub fn expire(&mut self, now: time::Instant) {
+        let silent: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| {
+                !entry.record.silent
+                    && now.saturating_duration_since(entry.heard_at) >= self.silent_after
+            })
+            .map(|entry| entry.record.name.clone())
+            .collect();
+        for name in silent {
+            self.change(&name, |record| record.silent = true);
+        }
+        let lost: Vec<_> = self
+            .entries
+            .values()
+            .filter(|entry| now.saturating_duration_since(entry.heard_at) >= Self::MEMORY)
+            .map(|entry| entry.record.name.clone())
+            .collect();
+        for name in lost {
+            self.leave(&name, now);
+        }
+        self.departed
+            .retain(|_, departed| now.saturating_duration_since(departed.gone_at) < Self::MEMORY);
+    }
+
+    /// Changes what is known of a server, where the leader itself knows better than its last notice.
+    pub fn change(
+        &mut self,
+        name: &name::ServerName,
+        change: impl FnOnce(&mut fleet::ServerRecord),
+    ) {
+        let Some(entry) = self.entries.get_mut(name) else {
+            return;
+        };
+        let before = entry.record.clone();
+        change(&mut entry.record);
+        if entry.record != before {
+            self.version += 1;
+            entry.changed_in = self.version;
+        }
+    }
+
+    /// Returns what is new to a view at `mark`.
+    #[must_use]
+    pub fn update_since(
+        &self,
+        mark: fleet::RosterMark,
+        followers: u32,
+        now: time::Instant,
+    ) -> fleet::RosterUpdate {
+        let own = self.mark(now);
+        let whole = mark.term != own.term || mark.version == 0 || mark.settled != own.settled;
+        let since = if whole { 0 } else { mark.version };
+        let records = self
+            .entries
+            .values()
+            .filter(|entry| entry.changed_in > since)
+            .map(|entry| entry.record.clone())
+            .collect();
+        let gone = self
+            .departed
+            .iter()
+            .filter(|(_, departed)| departed.gone_in > since)
+            .map(|(name, _)| name.clone())
+            .collect();
+        fleet::RosterUpdate {
+            mark: own,
+            whole,
+            records,
+            gone,
+            followers,
+        }
+    }
+
+    fn is_late(&self, notice: &fleet::ServerNotice) -> bool {
+        let departed = self.departed.get(&notice.name);
+        if departed.is_some_and(|departed| notice.started_ms <= departed.started_ms) {
+            return true;
+        }
+        let known = self.entries.get(&notice.name).is_some_and(|known| {
+            let started = known.record.started_ms;
+            let later = notice.started_ms > started;
+            let next = notice.started_ms == started && notice.sequence > known.sequence;
+            !(later || next)
+        });
+        let taken_over = self.entries.values().any(|entry| {
+            entry.record.address == notice.address
+                && entry.record.name != notice.name
+                && entry.record.started_ms > notice.started_ms
+        });
+        known || taken_over
+    }
+
+    fn remove_others_at(&mut self, notice: &fleet::ServerNotice, now: time::Instant) {
+        let others: Vec<_> = self
+            .entries
+            .values()
+            .map(|entry| &entry.record)
+            .filter(|record| record.address == notice.address && record.name != notice.name)
+            .map(|record| record.name.clone())
+            .collect();
+        for name in others {
+            self.leave(&name, now);
+        }
+    }
+
+    fn confirm(&mut self, name: &name::ServerName, sequence: u64, now: time::Instant) {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.sequence = sequence;
+            entry.heard_at = now;
+        }
+    }
+
+    fn put(&mut self, record: fleet::ServerRecord, sequence: u64, now: time::Instant) {
+        self.version += 1;
+        self.departed.remove(&record.name);
+        let entry = RosterEntry {
+            sequence,
+            heard_at: now,
+            changed_in: self.version,
+            record,
+        };
+        self.entries.insert(entry.record.name.clone(), entry);
+    }
+}
+
+/// Keeps what a notice cannot know: draining lasts, and what the leader has begun there goes on.
+fn follow_known(record: &mut fleet::ServerRecord, known: &fleet::ServerRecord) {
+    if known.stage == fleet::ServerStage::Draining {
+        record.stage = fleet::ServerStage::Draining;
+    }
+    record.loading.clone_from(&known.loading);
+    for model in &mut record.models {
+        let held = known.model(&model.name);
+        model.retiring = held.is_some_and(|held| held.retiring);
+    }
+}
--- a/galenahold_domain/src/lib.rs
+++ b/galenahold_domain/src/lib.rs
@@ -6,8 +6,10 @@
 pub mod amount;
 mod codec;
 pub mod control;
+pub mod declaration;
 mod digest;
 pub mod error;
+pub mod fleet;
 pub mod intent;
 pub mod key;
 pub mod name;
--- a/galenahold_domain/src/name/mod.rs
+++ b/galenahold_domain/src/name/mod.rs
@@ -68,6 +68,8 @@
     VersionName,
     /// Names a service that the intent offers to teams.
     ServiceName,
+    /// Names a route of a declared configuration.
+    RouteName,
     /// Names an instance of galenahold.
     InstanceName,
     /// Names a backend server.
--- a/galenahold_instance/src/configuration/configuration_holder.rs
+++ b/galenahold_instance/src/configuration/configuration_holder.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::configuration;
+use crate::timer;
 
 /// The configuration in force at this instance, with the time at which a quorum confirmed it.
 #[derive(Debug, Clone)]
@@ -25,14 +26,14 @@
 struct HolderState {
     view: sync::Arc<control::ConfigurationView>,
     history: Vec<control::ConfigurationChange>,
-    confirmed_at: Option<time::Instant>,
+    confirmed_at: Option<timer::BootInstant>,
 }
 
 /// An update that another instance sent.
 #[derive(Debug)]
 pub(crate) struct ConfirmedUpdate {
     /// The latest moment at which a quorum has surely confirmed it, by this instance's clock.
-    pub(crate) confirmed_at: time::Instant,
+    pub(crate) confirmed_at: timer::BootInstant,
     /// The revision that was confirmed.
     pub(crate) revision: amount::RevisionNumber,
     /// What is new.
@@ -101,7 +102,8 @@
 
     /// Returns when the configuration stops being fresh unless it is confirmed again.
     pub(crate) fn fresh_until(&self) -> Option<time::Instant> {
-        self.lock().confirmed_at.map(|at| at + self.bound)
+        let left = self.bound.checked_sub(self.age()?)?;
+        Some(time::Instant::now() + left)
     }
 
     /// Takes an update.
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -10,6 +10,7 @@
 use crate::configuration;
 use crate::peer;
 use crate::task;
+use crate::timer;
 
 /// How long an answer without news may be held back.
 const HOLD: time::Duration = time::Duration::from_millis(400);
@@ -24,23 +25,24 @@
 #[derive(Debug, Clone)]
 pub(crate) enum WatchSources {
     /// The control group's leader.
-    Leader(Vec<name::InstanceName>),
+    Leader,
     /// Named instances that pass it on; the first that answers is kept.
     Relays(Vec<name::InstanceName>),
 }
 
 /// Keeps the configuration fresh by waiting, again and again, at one source.
 #[derive(Debug)]
-pub(crate) struct ConfigurationWatcher<Desk> {
+pub(crate) struct ConfigurationWatcher<Desk, Sink> {
     holder: configuration::ConfigurationHolder,
     network: peer::PeerNetwork,
     client: peer::ControlClient<Desk>,
     desk: Desk,
     sources: WatchSources,
+    sink: Sink,
     turn: usize,
 }
 
-impl<Desk: peer::LocalDesk> ConfigurationWatcher<Desk> {
+impl<Desk: peer::LocalDesk, Sink: configuration::RosterSink> ConfigurationWatcher<Desk, Sink> {
     /// Creates a watcher.
     pub(crate) fn new(
         holder: configuration::ConfigurationHolder,
@@ -48,6 +50,7 @@
         client: peer::ControlClient<Desk>,
         desk: Desk,
         sources: WatchSources,
+        sink: Sink,
     ) -> Self {
         Self {
             holder,
@@ -55,6 +58,7 @@
             client,
             desk,
             sources,
+            sink,
             turn: rand::rng().random_range(0..64),
         }
     }
@@ -82,9 +86,10 @@
                 .age()
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             drain_version: self.holder.drains().version,
+            roster: self.sink.mark(),
             hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
         };
-        let sent_at = time::Instant::now();
+        let sent_at = timer::BootInstant::now();
         let Some(reply) = self.ask(request).await else {
             return false;
         };
@@ -93,7 +98,7 @@
 
     async fn ask(&self, request: message::WatchRequest) -> Option<message::WatchReply> {
         let limit = HOLD + WATCH_SLACK;
-        if matches!(self.sources, WatchSources::Leader(_)) && self.desk.leads() {
+        if matches!(self.sources, WatchSources::Leader) && self.desk.leads() {
             let watching = self.desk.watch(request);
             return tokio::time::timeout(limit, watching).await.ok();
         }
@@ -115,15 +120,15 @@
     fn source(&self) -> Option<name::InstanceName> {
         let own = &self.network.directory().own().name;
         match &self.sources {
-            WatchSources::Leader(members) => {
+            WatchSources::Leader => {
                 let leader = self.client.leader().filter(|leader| leader != own);
-                leader.or_else(|| pick(members, own, self.turn))
+                leader.or_else(|| pick(&self.client.members(), own, self.turn))
             }
             WatchSources::Relays(relays) => pick(relays, own, self.turn),
         }
     }
 
-    fn take(&mut self, reply: message::WatchReply, sent_at: time::Instant) -> bool {
+    fn take(&mut self, reply: message::WatchReply, sent_at: timer::BootInstant) -> bool {
         match reply {
             message::WatchReply::Unavailable { leader } => {
                 self.client.follow_leader(leader);
@@ -135,9 +140,19 @@
                 revision,
                 update,
                 drains,
+                roster,
+                members,
                 leader,
             } => {
                 self.client.learn_leader(leader);
+                if !members.is_empty() {
+                    self.client
+                        .learn_members(members.iter().map(|member| member.name.clone()));
+                    self.sink.take_members(&members);
+                }
+                if let Some(update) = roster {
+                    self.sink.take(update);
+                }
                 let confirmed = configuration::ConfirmedUpdate {
                     confirmed_at: confirmed_at(sent_at, held_ms, age_ms),
                     revision,
@@ -171,12 +186,11 @@
 ///
 /// The answer was made no earlier than `held_ms` after the request was sent; how long it travelled
 /// is unknown, so the earliest such moment counts.
-fn confirmed_at(sent_at: time::Instant, held_ms: u64, age_ms: u64) -> time::Instant {
-    let made_at = sent_at + time::Duration::from_millis(held_ms);
+fn confirmed_at(sent_at: timer::BootInstant, held_ms: u64, age_ms: u64) -> timer::BootInstant {
+    let made_at = sent_at.after(time::Duration::from_millis(held_ms));
     made_at
-        .checked_sub(time::Duration::from_millis(age_ms))
-        .unwrap_or(sent_at)
-        .min(time::Instant::now())
+        .before(time::Duration::from_millis(age_ms))
+        .min(timer::BootInstant::now())
 }
 
 fn pick(
--- a/galenahold_instance/src/configuration/mod.rs
+++ b/galenahold_instance/src/configuration/mod.rs
@@ -3,9 +3,11 @@
 mod configuration_holder;
 mod configuration_watcher;
 mod holder_error;
+mod roster_sink;
 mod watch_server;
 
 pub(crate) use configuration_holder::{ConfigurationHolder, ConfirmedUpdate};
 pub(crate) use configuration_watcher::{ConfigurationWatcher, WatchSources};
 pub(crate) use holder_error::HolderError;
+pub(crate) use roster_sink::{NoRoster, RosterSink};
 pub(crate) use watch_server::WatchServer;
--- /dev/null
+++ b/galenahold_instance/src/configuration/roster_sink.rs
@@ -0,0 +1,30 @@
+//! Takes what comes with the configuration.
+
+use galenahold_domain::fleet;
+use galenahold_wire::message;
+
+/// Takes what comes with the configuration: the roster of declared services and the control members.
+pub(crate) trait RosterSink: Send + Sync + 'static {
+    /// Returns how far the roster was followed; none where it is not wanted.
+    fn mark(&self) -> Option<fleet::RosterMark>;
+
+    /// Takes what is new of the roster.
+    fn take(&self, update: fleet::RosterUpdate);
+
+    /// Takes the members of the control group, as the leader knows them.
+    fn take_members(&self, members: &[message::ControlMember]);
+}
+
+/// Wants no roster.
+#[derive(Debug)]
+pub(crate) struct NoRoster;
+
+impl RosterSink for NoRoster {
+    fn mark(&self) -> Option<fleet::RosterMark> {
+        None
+    }
+
+    fn take(&self, _update: fleet::RosterUpdate) {}
+
+    fn take_members(&self, _members: &[message::ControlMember]) {}
+}
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -78,6 +78,8 @@
             update: news.update,
             drains: (drains.version != request.drain_version)
                 .then(|| message::DrainList::clone(&drains)),
+            roster: None,
+            members: Vec::new(),
             leader,
         }
     }
--- a/galenahold_instance/src/control/control_desk.rs
+++ b/galenahold_instance/src/control/control_desk.rs
@@ -51,7 +51,8 @@
     /// Begins a leadership.
     pub(crate) fn begin_term(&self, term: u64) {
         if let Some(parts) = &self.parts {
-            parts.grants.begin(term, parts.member.state());
+            let view = parts.member.state().read(control::ControlState::view);
+            parts.grants.begin(term, teams_of(&view));
         }
     }
 
@@ -97,6 +98,9 @@
                 parts.tell(placement::DriverNews::NeverLeft { id, fence })
             }
             message::ControlCall::Command(command) => parts.command(&command).await,
+            message::ControlCall::Fleet(_) => message::ControlReply::Refused {
+                reason: "this control group keeps no declared services".to_owned(),
+            },
             message::ControlCall::Operator(call) => parts.operators.answer(call).await,
         }
     }
@@ -115,7 +119,8 @@
         term: u64,
         call: &galenahold_routing::rate::GrantCall,
     ) -> message::ControlReply {
-        let reply = self.grants.grant(term, self.member.state(), call);
+        let view = self.member.state().read(control::ControlState::view);
+        let reply = self.grants.grant(term, teams_of(&view), call);
         // Tokens lent after the lease's end could be lent again by the next leader.
         if self.member.leading_term() != Some(term) {
             return message::ControlReply::NotLeader {
@@ -189,6 +194,8 @@
                 revision: state.revision(),
                 update: update_since(state, request),
                 drains: (drains.version != request.drain_version).then_some(drains),
+                roster: None,
+                members: Vec::new(),
                 leader: self.member.leader(),
             }
         });
@@ -201,7 +208,15 @@
     }
 }
 
-fn update_since(
+fn teams_of(view: &control::ConfigurationView) -> group::TeamsInForce<'_> {
+    group::TeamsInForce {
+        revision: view.revision,
+        teams: &view.intent.teams,
+    }
+}
+
+/// Returns what is new of the configuration to the one who asks.
+pub(crate) fn update_since(
     state: &control::ControlState,
     request: &message::WatchRequest,
 ) -> message::ConfigurationUpdate {
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -4,11 +4,9 @@
 use std::time;
 
 use galenahold_consensus::driver;
-use galenahold_consensus::member;
 use galenahold_consensus::message as raft_message;
 use galenahold_domain::control;
 use galenahold_domain::name;
-use galenahold_settings::InstanceSettings;
 use tokio::sync::oneshot;
 
 use crate::control as group;
@@ -16,6 +14,9 @@
 /// How long a proposal may take.
 const PROPOSE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
+/// The longest command: a declared document has to fit, which may have 4 MiB.
+const MAX_COMMAND_BYTES: usize = 8 * 1024 * 1024;
+
 /// This instance's member of the control group: its log and the state that the log makes.
 pub(crate) struct ControlGroup {
     handle: driver::LogHandle<group::ControlMachine>,
@@ -29,19 +30,19 @@
     ///
     /// The data folder is unusable or the log does not know what it holds.
     pub(crate) fn start(
-        settings: &InstanceSettings,
-        folder: &std::path::Path,
+        settings: group::MemberSettings,
         transport: group::LogTransport,
     ) -> Result<(Self, driver::ReplicatedLog<group::ControlMachine>), driver::StartError> {
         let state = group::SharedState::new();
         let machine = group::ControlMachine::new(state.clone());
-        let permille = settings.timing.clock_drift_per_million().div_ceil(1_000);
-        let log = driver::LogBuilder::new(folder, &settings.instance.name)
-            .voters(voters(settings))
-            .address(&settings.peer_address().to_string())
-            .election_timeout(settings.timing.election_timeout())
-            .heartbeat_interval(settings.timing.heartbeat())
-            .clock_drift_permille(u32::try_from(permille).unwrap_or(u32::MAX))
+        let log = driver::LogBuilder::new(settings.folder, &settings.name)
+            .voters(settings.founders)
+            .may_found(settings.may_found)
+            .address(&settings.address.to_string())
+            .election_timeout(settings.election_timeout)
+            .heartbeat_interval(settings.heartbeat)
+            .clock_drift_permille(settings.clock_drift_permille)
+            .command_bytes(MAX_COMMAND_BYTES)
             .start(machine, transport)?;
         let member = Self {
             handle: log.handle(),
@@ -118,17 +119,3 @@
         }
     }
 }
-
-/// Returns the members with which the group is founded, this one included.
-fn voters(settings: &InstanceSettings) -> Vec<member::MemberEndpoint> {
-    let own = member::MemberEndpoint::new(
-        &settings.instance.name,
-        &settings.peer_address().to_string(),
-    );
-    let others = settings
-        .peers
-        .iter()
-        .filter(|peer| peer.control && peer.name != settings.instance.name)
-        .map(|peer| member::MemberEndpoint::new(&peer.name, &peer.address.to_string()));
-    others.chain([own]).collect()
-}
--- a/galenahold_instance/src/control/grant_desk.rs
+++ b/galenahold_instance/src/control/grant_desk.rs
@@ -4,11 +4,9 @@
 use std::time;
 
 use galenahold_domain::amount;
-use galenahold_domain::control as domain;
+use galenahold_domain::intent;
 use galenahold_routing::rate;
 
-use crate::control as group;
-
 /// Lends tokens to instances while this one leads.
 #[derive(Debug)]
 pub(crate) struct GrantDesk {
@@ -16,6 +14,15 @@
     ledger: sync::Mutex<Option<TermLedger>>,
 }
 
+/// The teams that may be lent tokens.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TeamsInForce<'a> {
+    /// The revision of the configuration that names them.
+    pub(crate) revision: amount::RevisionNumber,
+    /// The teams.
+    pub(crate) teams: &'a [intent::TeamIntent],
+}
+
 #[derive(Debug)]
 struct TermLedger {
     term: u64,
@@ -33,20 +40,20 @@
     }
 
     /// Begins the ledger of a leadership, unless it has begun.
-    pub(crate) fn begin(&self, term: u64, state: &group::SharedState) {
+    pub(crate) fn begin(&self, term: u64, teams: TeamsInForce<'_>) {
         let mut ledger = self.lock();
-        self.current(&mut ledger, term, state);
+        self.current(&mut ledger, term, teams);
     }
 
     /// Answers a call of an instance in the given term.
     pub(crate) fn grant(
         &self,
         term: u64,
-        state: &group::SharedState,
+        teams: TeamsInForce<'_>,
         call: &rate::GrantCall,
     ) -> rate::GrantReply {
         let mut ledger = self.lock();
-        self.current(&mut ledger, term, state)
+        self.current(&mut ledger, term, teams)
             .grant(call, time::Instant::now())
     }
 
@@ -55,7 +62,7 @@
         &self,
         held: &'a mut Option<TermLedger>,
         term: u64,
-        state: &group::SharedState,
+        teams: TeamsInForce<'_>,
     ) -> &'a mut rate::GrantLedger {
         let now = time::Instant::now();
         // A ledger of another term does not know what was lent since.
@@ -65,10 +72,9 @@
             revision: amount::RevisionNumber::ZERO,
             ledger: rate::GrantLedger::new(term, self.settings.clone(), now),
         }));
-        let view = state.read(domain::ControlState::view);
-        if current.revision != view.revision {
-            current.ledger.set_teams(&view.intent.teams, now);
-            current.revision = view.revision;
+        if current.revision != teams.revision {
+            current.ledger.set_teams(teams.teams, now);
+            current.revision = teams.revision;
         }
         &mut current.ledger
     }
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -2,9 +2,13 @@
 
 use std::time;
 
+use futures::StreamExt;
 use galenahold_wire::message;
 use galenahold_wire::rpc;
 use tarpc::context;
+use tarpc::server;
+use tarpc::server::Channel;
+use tokio::net;
 
 use crate::configuration;
 use crate::control;
@@ -35,6 +39,15 @@
     pub(crate) recorder: platform::BurnRecorder,
 }
 
+impl peer::PeerService for InstanceService {
+    async fn answer(self, stream: net::TcpStream) {
+        server::BaseChannel::with_defaults(rpc::frame_transport(stream))
+            .execute(rpc::InstanceRpc::serve(self))
+            .for_each_concurrent(peer::CALLS_IN_FLIGHT, |answering| answering)
+            .await;
+    }
+}
+
 impl rpc::InstanceRpc for InstanceService {
     async fn hello(
         self,
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -101,7 +101,8 @@
             });
         };
         let transport = control::LogTransport::new(self.network.clone(), system.clone());
-        let started = control::ControlGroup::start(&self.settings, folder, transport);
+        let settings = control::MemberSettings::of_instance(&self.settings, folder);
+        let started = control::ControlGroup::start(settings, transport);
         let (member, log) = started.context(instance_error::DataFolderSnafu { folder })?;
         let member = sync::Arc::new(member);
         let (news, inbox) = mpsc::unbounded_channel();
@@ -181,9 +182,9 @@
         readiness: &platform::ReadinessState,
     ) -> Option<rate::RateKeeper> {
         let members = self.control_members();
-        let client = peer::ControlClient::new(self.network.clone(), desk.clone(), members.clone());
+        let client = peer::ControlClient::new(self.network.clone(), desk.clone(), members);
         self.start_peers(groups, desk, &client, faces.peers);
-        self.start_watcher(groups, desk, &client, members);
+        self.start_watcher(groups, desk, &client);
         registry::AnnouncementSpreader::new(
             self.network.clone(),
             self.registry.clone(),
@@ -244,10 +245,9 @@
         groups: &instance::TaskGroups,
         desk: &control::ControlDesk,
         client: &peer::ControlClient<control::ControlDesk>,
-        members: Vec<name::InstanceName>,
     ) {
         let sources = if self.settings.relay.is_empty() {
-            configuration::WatchSources::Leader(members)
+            configuration::WatchSources::Leader
         } else {
             configuration::WatchSources::Relays(self.settings.relay.clone())
         };
@@ -257,6 +257,7 @@
             client.clone(),
             desk.clone(),
             sources,
+            configuration::NoRoster,
         )
         .start(&groups.system);
     }
--- a/galenahold_instance/src/peer/control_client.rs
+++ b/galenahold_instance/src/peer/control_client.rs
@@ -26,7 +26,7 @@
 pub(crate) struct ControlClient<Desk> {
     network: peer::PeerNetwork,
     desk: Desk,
-    members: sync::Arc<[name::InstanceName]>,
+    members: sync::Arc<sync::Mutex<Vec<name::InstanceName>>>,
     leader: sync::Arc<sync::Mutex<LeaderView>>,
 }
 
@@ -61,11 +61,21 @@
         Self {
             network,
             desk,
-            members: sync::Arc::from(members),
+            members: sync::Arc::new(sync::Mutex::new(members)),
             leader: sync::Arc::default(),
         }
     }
 
+    /// Returns the members that calls may go to.
+    pub(crate) fn members(&self) -> Vec<name::InstanceName> {
+        self.lock_members().clone()
+    }
+
+    /// Takes up the members, instead of those known so far.
+    pub(crate) fn learn_members(&self, members: impl Iterator<Item = name::InstanceName>) {
+        *self.lock_members() = members.collect();
+    }
+
     /// Returns who leads, as far as is known and can be reached from here.
     pub(crate) fn leader(&self) -> Option<name::InstanceName> {
         let view = self.lock();
@@ -136,7 +146,7 @@
         deadline: time::Instant,
     ) -> Result<message::ControlReply, peer::CallError> {
         let mut doubt = peer::CallError::NotDone;
-        let mut turn = rand::rng().random_range(0..self.members.len().max(1));
+        let mut turn = rand::rng().random_range(0..self.members().len().max(1));
         loop {
             let now = time::Instant::now();
             let limit = deadline.saturating_duration_since(now).min(ATTEMPT_TIMEOUT);
@@ -218,8 +228,8 @@
     fn next_member(&self, turn: &mut usize) -> Option<name::InstanceName> {
         let own = &self.network.directory().own().name;
         let known = self.lock().name.clone();
-        let others: Vec<_> = self
-            .members
+        let members = self.members();
+        let others: Vec<_> = members
             .iter()
             .filter(|name| *name != own && Some(*name) != known.as_ref())
             .collect();
@@ -229,6 +239,12 @@
         member.map(|name| (*name).clone()).or(known)
     }
 
+    fn lock_members(&self) -> sync::MutexGuard<'_, Vec<name::InstanceName>> {
+        self.members
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, LeaderView> {
         self.leader
             .lock()
--- a/galenahold_instance/src/peer/mod.rs
+++ b/galenahold_instance/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod peer_link;
 mod peer_network;
 mod peer_server;
+mod peer_service;
 
 pub(crate) use call_error::CallError;
 pub(crate) use control_client::ControlClient;
@@ -15,3 +16,4 @@
 pub(crate) use peer_link::PeerLink;
 pub(crate) use peer_network::PeerNetwork;
 pub(crate) use peer_server::PeerServer;
+pub(crate) use peer_service::{CALLS_IN_FLIGHT, PeerService};
--- a/galenahold_instance/src/peer/peer_directory.rs
+++ b/galenahold_instance/src/peer/peer_directory.rs
@@ -70,7 +70,8 @@
     pub(crate) fn addresses(&self, name: &name::InstanceName) -> Vec<net::SocketAddr> {
         let entries = self.lock();
         let Some(entry) = entries.get(name) else {
-            return Vec::new();
+            // An instance without a configured name is named by its address.
+            return name.parse().into_iter().collect();
         };
         let stated = Some(entry.card.address).filter(|stated| Some(*stated) != entry.configured);
         entry.configured.into_iter().chain(stated).collect()
--- a/galenahold_instance/src/peer/peer_server.rs
+++ b/galenahold_instance/src/peer/peer_server.rs
@@ -2,33 +2,25 @@
 
 use std::time;
 
-use futures::StreamExt;
-use galenahold_wire::rpc;
-use galenahold_wire::rpc::InstanceRpc;
 use log::{debug, warn};
-use tarpc::server;
-use tarpc::server::Channel;
 use tokio::net;
 
-use crate::instance;
+use crate::peer;
 use crate::task;
 
 /// How long accepting rests after an error such as too many open files.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
-/// Calls of one connection that are answered at once.
-const CALLS_IN_FLIGHT: usize = 1_024;
-
 /// Accepts connections of other instances and answers their calls with a service.
 #[derive(Debug)]
-pub(crate) struct PeerServer {
+pub(crate) struct PeerServer<Service> {
     listener: net::TcpListener,
-    service: instance::InstanceService,
+    service: Service,
 }
 
-impl PeerServer {
+impl<Service: peer::PeerService> PeerServer<Service> {
     /// Creates a server over a bound socket.
-    pub(crate) fn new(listener: net::TcpListener, service: instance::InstanceService) -> Self {
+    pub(crate) fn new(listener: net::TcpListener, service: Service) -> Self {
         Self { listener, service }
     }
 
@@ -47,7 +39,7 @@
             Ok((stream, peer)) => {
                 debug!(peer:% = peer; "instance connected");
                 let _ = stream.set_nodelay(true);
-                group.spawn_until_stop(answer(stream, self.service.clone()));
+                group.spawn_until_stop(self.service.clone().answer(stream));
             }
             Err(error) => {
                 warn!(error:% = error; "accept failed");
@@ -56,11 +48,3 @@
         }
     }
 }
-
-async fn answer(stream: net::TcpStream, service: instance::InstanceService) {
-    let channel = server::BaseChannel::with_defaults(rpc::frame_transport(stream));
-    channel
-        .execute(service.serve())
-        .for_each_concurrent(CALLS_IN_FLIGHT, |answering| answering)
-        .await;
-}
--- /dev/null
+++ b/galenahold_placement/src/fleet/engine_order.rs
@@ -0,0 +1,22 @@
+//! An order to an engine.
+
+use std::net;
+
+use galenahold_domain::name;
+
+use crate::fleet;
+
+/// An order to an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EngineOrder {
+    /// Numbers the order at its planner.
+    pub number: u64,
+    /// The engine.
+    pub server: name::ServerName,
+    /// Which of its starts.
+    pub started_ms: u64,
+    /// Where it takes orders.
+    pub address: net::SocketAddr,
+    /// What it is to do.
+    pub action: fleet::OrderAction,
+}
--- /dev/null
+++ b/galenahold_placement/src/fleet/mod.rs
@@ -0,0 +1,30 @@
+//! What the engines of declared services load and unload, by what is asked for.
+//!
+//! [`FleetPlanner`] decides for the leader from the roster and the entry instances' reports of demand.
+//! It sends nothing itself: its orders go to [`EngineOrder`]s, and it follows their receipts.
+
+mod adapter_decision;
+mod adapter_table;
+mod demand_counts;
+mod engine_order;
+mod fleet_planner;
+mod model_interest;
+mod open_order;
+mod order_action;
+mod order_receipt;
+mod plan_step;
+mod server_plan;
+mod store_window;
+
+pub use adapter_decision::AdapterDecision;
+use adapter_table::AdapterTable;
+pub use demand_counts::DemandCounts;
+pub use engine_order::EngineOrder;
+pub use fleet_planner::FleetPlanner;
+use model_interest::ModelInterest;
+use open_order::OpenOrder;
+pub use order_action::OrderAction;
+pub use order_receipt::OrderReceipt;
+pub use plan_step::PlanStep;
+use server_plan::ServerPlan;
+use store_window::StoreWindow;
--- /dev/null
+++ b/galenahold_placement/src/fleet/open_order.rs
@@ -0,0 +1,16 @@
+//! An order whose end has not been seen.
+
+use std::time;
+
+use crate::fleet;
+
+/// An order about a model whose end has not been seen.
+#[derive(Debug)]
+pub(super) struct OpenOrder {
+    pub(super) number: u64,
+    pub(super) action: fleet::OrderAction,
+    /// Whether it fetches weights from the store.
+    pub(super) from_store: bool,
+    /// When its end should have been seen.
+    pub(super) due_at: time::Instant,
+}
--- /dev/null
+++ b/galenahold_placement/src/fleet/server_plan.rs
@@ -0,0 +1,76 @@
+//! What the planner knows of an engine besides its record.
+
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::name;
+
+use crate::fleet;
+
+/// What the planner knows of an engine besides its record.
+#[derive(Debug)]
+pub(super) struct ServerPlan {
+    pub(super) started_ms: u64,
+    /// The order about a model that is under way.
+    pub(super) order: Option<fleet::OpenOrder>,
+    /// The model for which room is being made.
+    pub(super) next: Option<name::ModelName>,
+    /// When orders about models may be sent again.
+    pub(super) rests_until: Option<time::Instant>,
+    pub(super) adapters: fleet::AdapterTable,
+    /// When each model was first seen there.
+    pub(super) held_since: std::collections::HashMap<name::ModelName, time::Instant>,
+    doubtful: Vec<DoubtfulLoad>,
+}
+
+/// A load that was ordered and not answered: its memory may be taken until then.
+#[derive(Debug)]
+struct DoubtfulLoad {
+    model: name::ModelName,
+    bytes: amount::ByteCount,
+    until: time::Instant,
+}
+
+impl ServerPlan {
+    pub(super) fn new(started_ms: u64) -> Self {
+        Self {
+            started_ms,
+            order: None,
+            next: None,
+            rests_until: None,
+            adapters: fleet::AdapterTable::default(),
+            held_since: std::collections::HashMap::new(),
+            doubtful: Vec::new(),
+        }
+    }
+
+    /// Notes a load that may still be carried out.
+    pub(super) fn doubt(
+        &mut self,
+        model: name::ModelName,
+        bytes: amount::ByteCount,
+        until: time::Instant,
+    ) {
+        self.doubtful.push(DoubtfulLoad {
+            model,
+            bytes,
+            until,
+        });
+    }
+
+    /// Returns the memory that unanswered loads may take, except for models that the record shows.
+    pub(super) fn doubtful_bytes(
+        &mut self,
+        holds: impl Fn(&name::ModelName) -> bool,
+        now: time::Instant,
+    ) -> u64 {
+        self.doubtful
+            .retain(|load| now < load.until && !holds(&load.model));
+        self.doubtful.iter().map(|load| load.bytes.0).sum()
+    }
+
+    /// Returns whether an order about a model may be sent now.
+    pub(super) fn is_free(&self, now: time::Instant) -> bool {
+        self.order.is_none() && self.rests_until.is_none_or(|until| now >= until)
+    }
+}
--- a/galenahold_placement/src/lib.rs
+++ b/galenahold_placement/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod budget;
 pub mod demand;
 pub mod engine;
+pub mod fleet;
 pub mod policy;
--- /dev/null
+++ b/galenahold_routing/src/fleet/board_server.rs
@@ -0,0 +1,147 @@
+//! A backend server as one entry instance sees it.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::fleet as domain;
+
+use crate::fleet;
+
+/// How long a server that shed a call is passed over, so that it can work off what it has.
+const SHED_PAUSE: time::Duration = time::Duration::from_millis(30);
+
+/// How long a server is passed over after its first failure to connect; doubles with each further one.
+const UNREACHABLE_PAUSE: time::Duration = time::Duration::from_millis(400);
+
+/// The longest time for which a server is passed over.
+const MAX_PAUSE: time::Duration = time::Duration::from_secs(3);
+
+/// Broken connections in a row after which a server is passed over.
+const MAX_BROKEN: u32 = 2;
+
+/// The weight of the latest observation in the moving averages.
+const LATEST_WEIGHT: f64 = 0.2;
+
+/// How long a success speaks for a server whose notices stay away.
+const TRUST_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// By how much a server that fails every call counts as busier than it is.
+const FAILURE_FACTOR: f64 = 8.0;
+
+/// A backend server as one entry instance sees it.
+#[derive(Debug)]
+pub(super) struct BoardServer {
+    pub(super) record: domain::ServerRecord,
+    /// Calls of this instance that are under way there.
+    pub(super) in_flight: u32,
+    /// When the load that is under way there was first seen.
+    pub(super) loading_since: Option<time::Instant>,
+    /// Adapters that it is known to hold.
+    pub(super) adapters: collections::HashSet<domain::HeldAdapter>,
+    avoided_until: Option<time::Instant>,
+    failures_in_row: u32,
+    failure_share: f64,
+    latency_s: Option<f64>,
+    succeeded_at: Option<time::Instant>,
+}
+
+impl BoardServer {
+    pub(super) fn new(record: domain::ServerRecord, now: time::Instant) -> Self {
+        Self {
+            loading_since: record.loading.is_some().then_some(now),
+            record,
+            in_flight: 0,
+            adapters: collections::HashSet::new(),
+            avoided_until: None,
+            failures_in_row: 0,
+            failure_share: 0.0,
+            latency_s: None,
+            succeeded_at: None,
+        }
+    }
+
+    /// Takes up what the roster says; a new start of the server begins anew.
+    pub(super) fn update(&mut self, record: domain::ServerRecord, now: time::Instant) {
+        if record.started_ms != self.record.started_ms {
+            let in_flight = self.in_flight;
+            *self = Self::new(record, now);
+            self.in_flight = in_flight;
+            return;
+        }
+        if record.loading != self.record.loading {
+            self.loading_since = record.loading.is_some().then_some(now);
+        }
+        self.adapters
+            .retain(|adapter| record.serves_model(&adapter.model));
+        self.record = record;
+    }
+
+    /// Returns whether new calls may go there at all.
+    pub(super) fn is_open(&self, now: time::Instant) -> bool {
+        let trusted = !self.record.silent
+            || self
+                .succeeded_at
+                .is_some_and(|at| now.saturating_duration_since(at) < TRUST_TIME);
+        self.record.is_open() && trusted
+    }
+
+    /// Returns whether the server is passed over for now.
+    pub(super) fn is_avoided(&self, now: time::Instant) -> bool {
+        self.avoided_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns how busy the server seems; the lowest goes first.
+    pub(super) fn busyness(&self, least_latency: f64) -> f64 {
+        let latency = self.latency_s.unwrap_or(least_latency);
+        let slowness = (latency / least_latency.max(f64::EPSILON)).max(1.0);
+        let failing = 1.0 + self.failure_share * FAILURE_FACTOR;
+        f64::from(self.in_flight + 1) * slowness * failing
+    }
+
+    /// Returns the time to the first byte that calls took lately, in seconds.
+    pub(super) fn latency_s(&self) -> Option<f64> {
+        self.latency_s
+    }
+
+    /// Takes up how an attempt ended.
+    pub(super) fn observe(&mut self, report: fleet::AttemptReport, now: time::Instant) {
+        match report {
+            fleet::AttemptReport::Answered(took) => {
+                self.succeeded_at = Some(now);
+                self.failures_in_row = 0;
+                self.failure_share *= 1.0 - LATEST_WEIGHT;
+                let took = took.as_secs_f64();
+                let known = self.latency_s.unwrap_or(took);
+                self.latency_s = Some(known + (took - known) * LATEST_WEIGHT);
+            }
+            fleet::AttemptReport::Failed => self.count_failure(),
+            fleet::AttemptReport::Slow => {
+                self.count_failure();
+                self.pause(SHED_PAUSE * 4, now);
+            }
+            fleet::AttemptReport::Shed => self.pause(SHED_PAUSE, now),
+            fleet::AttemptReport::Unreachable => {
+                self.count_failure();
+                let doubled = UNREACHABLE_PAUSE * 2_u32.pow(self.failures_in_row.min(4));
+                self.failures_in_row += 1;
+                self.pause(doubled.min(MAX_PAUSE), now);
+            }
+            fleet::AttemptReport::Broken => {
+                self.count_failure();
+                self.failures_in_row += 1;
+                if self.failures_in_row >= MAX_BROKEN {
+                    self.pause(UNREACHABLE_PAUSE, now);
+                }
+            }
+            fleet::AttemptReport::Misplaced | fleet::AttemptReport::Abandoned => {}
+        }
+    }
+
+    fn count_failure(&mut self) {
+        self.failure_share += (1.0 - self.failure_share) * LATEST_WEIGHT;
+    }
+
+    fn pause(&mut self, pause: time::Duration, now: time::Instant) {
+        self.avoided_until = self.avoided_until.max(Some(now + pause));
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/fleet/dispatch_board.rs
@@ -0,0 +1,389 @@
+//! Places the calls of declared services.
+
+use std::collections;
+use std::hash::{Hash, Hasher};
+use std::time;
+
+use galenahold_domain::declaration;
+use galenahold_domain::fleet as domain;
+use galenahold_domain::name;
+
+use crate::fleet;
+
+/// Calls that may wait at one instance.
+const MAX_WAITING: usize = 1_024;
+
+/// Entry instances that are assumed before the roster tells.
+const ASSUMED_FOLLOWERS: u32 = 8;
+
+/// How many times its even share of a server's places one instance may take, since load is uneven.
+const SHARE_FACTOR: f64 = 2.5;
+
+/// Fewest places that one instance may take at a server.
+const MIN_SHARE: u32 = 2;
+
+/// How much busier than the least busy one the server may be that holds a call's shared prompt parts.
+const AFFINITY_FACTOR: f64 = 2.0;
+
+/// Calls that the server with the shared prompt parts may have more, whatever the factor.
+const AFFINITY_SLACK: f64 = 3.0;
+
+/// How long a place is expected to stay taken where all are.
+const PLACE_TIME: time::Duration = time::Duration::from_millis(150);
+
+/// When a call is told to come back that finds no server at all.
+const NO_SERVER_RETRY: time::Duration = time::Duration::from_millis(700);
+
+/// The least time after which a refused call is told to come back.
+const MIN_RETRY: time::Duration = time::Duration::from_millis(200);
+
+/// Places the calls of declared services at backend servers, for one entry instance.
+///
+/// A call goes to the least busy server that can run it; calls with the same shared prompt parts meet
+/// at one server as long as it is not much busier than others. Where no server can take it, the call
+/// waits if a place is expected before its caller gives up, and is refused at once otherwise.
+#[derive(Debug, Default)]
+pub struct DispatchBoard {
+    servers: collections::BTreeMap<name::ServerName, fleet::BoardServer>,
+    line: fleet::WaitLine,
+    tallies: collections::HashMap<(name::ServiceName, name::ModelName), fleet::ModelTally>,
+    estimate: fleet::LoadEstimate,
+    used_adapters: collections::HashSet<(name::ServerName, domain::HeldAdapter)>,
+    followers: u32,
+}
+
+impl DispatchBoard {
+    /// Puts a declaration in force.
+    pub fn declare(&mut self, declaration: &declaration::FleetDeclaration) {
+        self.estimate = fleet::LoadEstimate::new(&declaration.services);
+    }
+
+    /// Sets how many entry instances share the servers.
+    pub fn set_followers(&mut self, followers: u32) {
+        self.followers = followers;
+    }
+
+    /// Takes up what the roster says of a server.
+    pub fn update_server(&mut self, record: domain::ServerRecord, now: time::Instant) {
+        if let Some(server) = self.servers.get_mut(&record.name) {
+            server.update(record, now);
+            return;
+        }
+        let server = fleet::BoardServer::new(record, now);
+        self.servers.insert(server.record.name.clone(), server);
+    }
+
+    /// Forgets a server that is gone.
+    pub fn remove_server(&mut self, name: &name::ServerName) {
+        self.servers.remove(name);
+    }
+
+    /// Places a new call, lets it wait, or refuses it.
+    pub fn submit(&mut self, need: fleet::CallNeed, now: time::Instant) -> fleet::CallSubmission {
+        if let Some(tally) = self.tally(&need) {
+            tally.arrivals += 1;
+        }
+        self.resubmit(need, now)
+    }
+
+    /// Places a call again whose last attempt provably did not run.
+    pub fn resubmit(&mut self, need: fleet::CallNeed, now: time::Instant) -> fleet::CallSubmission {
+        let ahead = self.ahead(&need);
+        if ahead == 0
+            && let Some(placement) = self.place(&need, now)
+        {
+            return fleet::CallSubmission::Placed(placement);
+        }
+        if let Some(refusal) = self.refusal(&need, ahead, now) {
+            return fleet::CallSubmission::Refused(refusal);
+        }
+        if let Some(tally) = self.tally(&need) {
+            tally.waiting += 1;
+        }
+        fleet::CallSubmission::Waiting(self.line.push(need))
+    }
+
+    /// Takes a call out of the line whose caller has left.
+    pub fn withdraw(&mut self, ticket: fleet::CallTicket) {
+        if let Some(call) = self.line.remove(ticket) {
+            self.stop_waiting(&call.need);
+        }
+    }
+
+    /// Places or refuses waiting calls, as far as that can be said now.
+    pub fn poll(&mut self, now: time::Instant) -> Vec<fleet::PlacedCall> {
+        let mut settled = Vec::new();
+        let mut blocked = collections::HashSet::new();
+        let waiting: Vec<_> = self
+            .line
+            .iter()
+            .map(|call| (call.ticket, call.need.clone()))
+            .collect();
+        for (ticket, need) in waiting {
+            let key = (need.service.clone(), need.target.clone());
+            let placement = if blocked.contains(&key) {
+                None
+            } else {
+                self.place(&need, now)
+            };
+            let result = if let Some(placement) = placement {
+                Ok(placement)
+            } else {
+                blocked.insert(key);
+                let Some(refusal) = self.refusal(&need, 0, now) else {
+                    continue;
+                };
+                Err(refusal)
+            };
+            self.withdraw(ticket);
+            settled.push(fleet::PlacedCall { ticket, result });
+        }
+        settled
+    }
+
+    /// Returns whether calls wait.
+    #[must_use]
+    pub fn has_waiting(&self) -> bool {
+        self.line.len() > 0
+    }
+
+    /// Frees the place of an attempt that has ended.
+    pub fn finish(
+        &mut self,
+        server: &name::ServerName,
+        target: Option<&fleet::ModelTarget>,
+        service: &name::ServiceName,
+    ) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+        if let Some(target) = target {
+            let key = (service.clone(), target.model.clone());
+            if let Some(tally) = self.tallies.get_mut(&key) {
+                tally.running = tally.running.saturating_sub(1);
+            }
+        }
+    }
+
+    /// Takes up what an attempt showed of its server.
+    pub fn observe(
+        &mut self,
+        server: &name::ServerName,
+        target: Option<&fleet::ModelTarget>,
+        report: fleet::AttemptReport,
+        now: time::Instant,
+    ) {
+        let Some(known) = self.servers.get_mut(server) else {
+            return;
+        };
+        known.observe(report, now);
+        if report == fleet::AttemptReport::Misplaced
+            && let Some(adapter) = target.and_then(fleet::ModelTarget::held_adapter)
+        {
+            known.adapters.remove(&adapter);
+        }
+    }
+
+    /// Takes up that a server holds an adapter.
+    pub fn learn_adapter(&mut self, server: &name::ServerName, adapter: domain::HeldAdapter) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.adapters.insert(adapter);
+        }
+    }
+
+    /// Takes out which models were asked for since the last time; those with nothing to say are left out.
+    pub fn take_tallies(
+        &mut self,
+    ) -> Vec<((name::ServiceName, name::ModelName), fleet::ModelTally)> {
+        let taken = self
+            .tallies
+            .iter()
+            .filter(|(_, tally)| !tally.is_idle())
+            .map(|(key, tally)| (key.clone(), *tally))
+            .collect();
+        for tally in self.tallies.values_mut() {
+            tally.arrivals = 0;
+        }
+        self.tallies.retain(|_, tally| !tally.is_idle());
+        taken
+    }
+
+    /// Takes out which adapters were used since the last time.
+    pub fn take_used_adapters(&mut self) -> Vec<(name::ServerName, domain::HeldAdapter)> {
+        self.used_adapters.drain().collect()
+    }
+
+    /// Finds a server that can take the call now and takes a place there.
+    fn place(
+        &mut self,
+        need: &fleet::CallNeed,
+        now: time::Instant,
+    ) -> Option<fleet::CallPlacement> {
+        let name = self.choose(need, now)?;
+        let server = self.servers.get_mut(&name)?;
+        server.in_flight += 1;
+        let adapter = need
+            .target
+            .as_ref()
+            .and_then(fleet::ModelTarget::held_adapter);
+        let placement = fleet::CallPlacement {
+            server: name.clone(),
+            started_ms: server.record.started_ms,
+            address: server.record.address,
+            needs_adapter: adapter
+                .as_ref()
+                .is_some_and(|adapter| !server.adapters.contains(adapter)),
+        };
+        if let Some(adapter) = adapter {
+            self.used_adapters.insert((name, adapter));
+        }
+        if let Some(tally) = self.tally(need) {
+            tally.running += 1;
+        }
+        Some(placement)
+    }
+
+    fn choose(&self, need: &fleet::CallNeed, now: time::Instant) -> Option<name::ServerName> {
+        let candidates: Vec<_> = self
+            .able(need, now)
+            .filter(|server| !server.is_avoided(now) && server.in_flight < self.share(server))
+            .collect();
+        let untried: Vec<_> = candidates
+            .iter()
+            .copied()
+            .filter(|server| !need.tried.contains(&server.record.name))
+            .collect();
+        let candidates = if untried.is_empty() {
+            candidates
+        } else {
+            untried
+        };
+        let least_latency = candidates
+            .iter()
+            .filter_map(|server| server.latency_s())
+            .min_by(f64::total_cmp)
+            .unwrap_or(1.0);
+        let rated =
+            |server: &&fleet::BoardServer| (server.busyness(least_latency), affinity(need, server));
+        let least = candidates
+            .iter()
+            .copied()
+            .min_by(|one, other| compare(rated(one), rated(other)))?;
+        let bound = rated(&least).0 * AFFINITY_FACTOR + AFFINITY_SLACK;
+        if need.target.is_none() {
+            return Some(least.record.name.clone());
+        }
+        // The server with the least rank by hash is the same for all calls with these parts.
+        let preferred = candidates
+            .iter()
+            .copied()
+            .min_by_key(|server| affinity(need, server))
+            .filter(|server| rated(server).0 <= bound);
+        Some(preferred.unwrap_or(least).record.name.clone())
+    }
+
+    /// Iterates over the servers that hold what the call needs and take requests.
+    fn able<'a>(
+        &'a self,
+        need: &'a fleet::CallNeed,
+        now: time::Instant,
+    ) -> impl Iterator<Item = &'a fleet::BoardServer> {
+        self.servers.values().filter(move |server| {
+            server.record.service == need.service
+                && server.is_open(now)
+                && need
+                    .target
+                    .as_ref()
+                    .is_none_or(|target| server.record.serves_model(&target.model))
+        })
+    }
+
+    /// Says why a call that cannot be placed now should not wait either.
+    fn refusal(
+        &self,
+        need: &fleet::CallNeed,
+        ahead: usize,
+        now: time::Instant,
+    ) -> Option<fleet::BoardRefusal> {
+        let left = need.patience_until.saturating_duration_since(now);
+        let able = self.able(need, now).count();
+        let (cause, expected) = match ahead.checked_div(able) {
+            Some(turns) => {
+                let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+                (fleet::RefusalCause::Full, PLACE_TIME.saturating_mul(turns))
+            }
+            None => self.until_able(need, now),
+        };
+        let refused = expected >= left || self.line.len() >= MAX_WAITING;
+        refused.then(|| fleet::BoardRefusal {
+            cause,
+            retry_after: expected.max(MIN_RETRY),
+        })
+    }
+
+    /// Estimates when some server can take the call, where none can now.
+    fn until_able(
+        &self,
+        need: &fleet::CallNeed,
+        now: time::Instant,
+    ) -> (fleet::RefusalCause, time::Duration) {
+        let mut of_service = self
+            .servers
+            .values()
+            .filter(|server| server.record.service == need.service && server.record.is_open())
+            .peekable();
+        let Some(target) = need.target.as_ref().filter(|_| of_service.peek().is_some()) else {
+            return (fleet::RefusalCause::NoServer, NO_SERVER_RETRY);
+        };
+        let expected = self
+            .estimate
+            .until_loaded(&need.service, &target.model, of_service, now);
+        (fleet::RefusalCause::NotLoaded, expected)
+    }
+
+    fn ahead(&self, need: &fleet::CallNeed) -> usize {
+        let model = need.target.as_ref().map(|target| &target.model);
+        self.line.ahead(&need.service, model, need.rank)
+    }
+
+    /// Returns how many calls this instance may have at a server at once.
+    fn share(&self, server: &fleet::BoardServer) -> u32 {
+        let followers = if self.followers == 0 {
+            ASSUMED_FOLLOWERS
+        } else {
+            self.followers
+        };
+        let even = f64::from(server.record.slots) / f64::from(followers);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a few hundred at most, and not negative"
+        )]
+        let share = (even * SHARE_FACTOR).ceil() as u32;
+        share.clamp(MIN_SHARE, server.record.slots.max(MIN_SHARE))
+    }
+
+    fn tally(&mut self, need: &fleet::CallNeed) -> Option<&mut fleet::ModelTally> {
+        let target = need.target.as_ref()?;
+        let key = (need.service.clone(), target.model.clone());
+        Some(self.tallies.entry(key).or_default())
+    }
+
+    fn stop_waiting(&mut self, need: &fleet::CallNeed) {
+        if let Some(tally) = self.tally(need) {
+            tally.waiting = tally.waiting.saturating_sub(1);
+        }
+    }
+}
+
+/// Ranks a server for the shared prompt parts of a call; the lowest rank is where they are kept.
+fn affinity(need: &fleet::CallNeed, server: &fleet::BoardServer) -> u64 {
+    let mut hasher = collections::hash_map::DefaultHasher::new();
+    need.affinity.hash(&mut hasher);
+    server.record.name.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn compare(one: (f64, u64), other: (f64, u64)) -> std::cmp::Ordering {
+    one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
+}
--- /dev/null
+++ b/galenahold_routing/src/fleet/load_estimate.rs
@@ -0,0 +1,77 @@
+//! How long loads take.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::declaration;
+use galenahold_domain::name;
+
+use crate::fleet;
+
+/// How long it takes, beyond the load itself, until a load begins and its end is known.
+const ORDER_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// How long a load is taken for where the declaration does not tell.
+const UNKNOWN_LOAD: time::Duration = time::Duration::from_secs(8);
+
+/// How long loads take, from the declaration in force.
+#[derive(Debug, Default)]
+pub(super) struct LoadEstimate {
+    models: collections::HashMap<(name::ServiceName, name::ModelName), LoadTimes>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct LoadTimes {
+    memory: time::Duration,
+    disk: time::Duration,
+    store: time::Duration,
+}
+
+impl LoadEstimate {
+    pub(super) fn new(services: &[declaration::DeclaredService]) -> Self {
+        let mut models = collections::HashMap::new();
+        for service in services {
+            let declared = service.engine.iter().flat_map(|engine| &engine.models);
+            for model in declared {
+                let times = LoadTimes {
+                    memory: model.memory_load,
+                    disk: model.disk_load,
+                    store: model.store_load,
+                };
+                models.insert((service.name.clone(), model.name.clone()), times);
+            }
+        }
+        Self { models }
+    }
+
+    /// Estimates when a model that no open server holds can be served.
+    pub(super) fn until_loaded<'a>(
+        &self,
+        service: &name::ServiceName,
+        model: &name::ModelName,
+        servers: impl Iterator<Item = &'a fleet::BoardServer>,
+        now: time::Instant,
+    ) -> time::Duration {
+        let Some(times) = self.models.get(&(service.clone(), model.clone())) else {
+            return UNKNOWN_LOAD;
+        };
+        let mut best = times.store + ORDER_TIME;
+        for server in servers {
+            let record = &server.record;
+            let underway = record
+                .loading
+                .as_ref()
+                .filter(|loading| loading.model == *model);
+            if let (Some(loading), Some(since)) = (underway, server.loading_since) {
+                let expected = time::Duration::from_millis(loading.expected_ms);
+                return expected.saturating_sub(now.saturating_duration_since(since));
+            }
+            if record.in_memory.contains(model) {
+                best = best.min(times.memory + ORDER_TIME);
+            } else if record.on_disk.contains(model) {
+                best = best.min(times.disk + ORDER_TIME);
+            }
+        }
+        best
+    }
+}
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -323,6 +323,8 @@
         revision: amount::RevisionNumber(81_234),
         update,
         drains: None,
+        roster: None,
+        members: Vec::new(),
         leader: Some("control-1".into()),
     }
 }
--- a/galenahold_wire/src/message/control_call.rs
+++ b/galenahold_wire/src/message/control_call.rs
@@ -26,6 +26,8 @@
     },
     /// Puts a command into the replicated log. Instances only do so for orders.
     Command(control::ControlCommand),
+    /// A call about the backend servers of declared services.
+    Fleet(message::FleetCall),
     /// A call of an operator, already authenticated.
     Operator(message::OperatorCall),
 }
--- a/galenahold_wire/src/message/control_reply.rs
+++ b/galenahold_wire/src/message/control_reply.rs
@@ -17,6 +17,8 @@
     Taken,
     /// What the replicated state answered to the command.
     Outcome(control::ControlOutcome),
+    /// The answer to a call about the backend servers of declared services.
+    Fleet(message::FleetReply),
     /// The answer to an operator's call.
     Operator(message::OperatorReply),
     /// The answering instance does not lead; nothing was done.
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -1,6 +1,7 @@
 //! The answer to a wait for the configuration.
 
 use galenahold_domain::amount;
+use galenahold_domain::fleet;
 use galenahold_domain::name;
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +23,12 @@
         update: message::ConfigurationUpdate,
         /// The drain list, if it is newer than the one known.
         drains: Option<message::DrainList>,
+        /// What is new of the roster of declared services.
+        #[serde(default)]
+        roster: Option<fleet::RosterUpdate>,
+        /// The members of the control group that an instance without configured peers may turn to.
+        #[serde(default)]
+        members: Vec<message::ControlMember>,
         /// The name of the leader, for calls to it.
         leader: Option<name::InstanceName>,
     },
--- a/galenahold_wire/src/message/watch_request.rs
+++ b/galenahold_wire/src/message/watch_request.rs
@@ -1,6 +1,7 @@
 //! A wait for the configuration to move on.
 
 use galenahold_domain::amount;
+use galenahold_domain::fleet;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -17,6 +18,9 @@
     pub age_ms: Option<u64>,
     /// The version of the drain list that it has; zero for none.
     pub drain_version: u64,
+    /// How far it follows the roster of declared services; none where it does not.
+    #[serde(default)]
+    pub roster: Option<fleet::RosterMark>,
     /// How long the answer may be held back, in milliseconds.
     pub hold_ms: u64,
 }
