--- a/galenahold/src/command/command_error.rs
+++ b/galenahold/src/command/command_error.rs
@@ -25,6 +25,12 @@
         /// Why.
         source: serve::ServeError,
     },
+    /// The instance on the platform did not run.
+    #[snafu(transparent)]
+    Platform {
+        /// Why.
+        source: galenahold_platform::PlatformError,
+    },
     /// The operators' face refused or did not answer.
     #[snafu(transparent)]
     Call {
@@ -116,6 +122,7 @@
             | Self::CredentialInvalid { .. }
             | Self::IntentInvalid { .. } => status::ExitStatus::Invalid,
             Self::Serve { .. }
+            | Self::Platform { .. }
             | Self::FileUnwritable { .. }
             | Self::DocumentUnwritable { .. }
             | Self::AnswerUnexpected { .. }
--- a/galenahold/src/command/root_command.rs
+++ b/galenahold/src/command/root_command.rs
@@ -30,6 +30,7 @@
             .disable_help_subcommand(false)
             .args(command::GlobalOptions::definitions())
             .subcommand(command::ServeCommand::definition())
+            .subcommand(command::PlatformCommand::definition())
             .subcommand(command::CheckCommand::definition())
             .subcommand(command::PlanCommand::definition())
             .subcommand(command::ConfirmCommand::definition())
@@ -62,14 +63,15 @@
     let Some((name, matches)) = matches.subcommand() else {
         unreachable!("clap requires a subcommand");
     };
-    let default_filter = if name == command::ServeCommand::NAME {
-        "info"
-    } else {
-        "warn"
+    let (default_filter, output) = match name {
+        command::ServeCommand::NAME => ("info", logging::LogOutput::Error),
+        command::PlatformCommand::NAME => ("info", logging::LogOutput::Standard),
+        _ => ("warn", logging::LogOutput::Error),
     };
-    logging::start_logging(options.log_filter(default_filter));
+    logging::start_logging(options.log_filter(default_filter), output);
     match name {
         command::ServeCommand::NAME => command::ServeCommand::from_matches(matches).run(),
+        command::PlatformCommand::NAME => command::PlatformCommand::run(),
         command::CheckCommand::NAME => command::CheckCommand::from_matches(matches).run(options),
         command::PlanCommand::NAME => command::PlanCommand::from_matches(matches).run(options),
         command::ConfirmCommand::NAME => {
--- a/galenahold/src/logging/log_setup.rs
+++ b/galenahold/src/logging/log_setup.rs
@@ -7,11 +7,30 @@
 /// The library between instances, which says each call at the level of information.
 const RPC_LIBRARY: &str = "tarpc";
 
-/// Starts logging to standard error; `filter` is a level, or levels by module.
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LogOutput {
+    /// Standard error, for a person's command.
+    Error,
+    /// Standard output, without ever blocking, for an instance.
+    Standard,
+}
+
+/// Starts logging; `filter` is a level, or levels by module.
 ///
 /// A second call changes nothing.
-pub(crate) fn start_logging(filter: &str) {
-    let started = env_logger::Builder::new()
+pub(crate) fn start_logging(filter: &str, output: LogOutput) {
+    let mut builder = env_logger::Builder::new();
+    if output == LogOutput::Standard {
+        match logging::BoundedWriter::start(std::io::stdout()) {
+            Ok(writer) => {
+                builder.target(env_logger::Target::Pipe(Box::new(writer)));
+            }
+            // Lines go to standard error then, as they do by default.
+            Err(error) => eprintln!("cannot start the log output: {error}"),
+        }
+    }
+    let started = builder
         .filter_module(RPC_LIBRARY, log::LevelFilter::Warn)
         .parse_filters(filter)
         .format(|buffer, record| {
--- a/galenahold/src/logging/mod.rs
+++ b/galenahold/src/logging/mod.rs
@@ -1,7 +1,9 @@
-//! Logs: one line per event on standard error.
+//! Logs: one line per event.
 
+mod bounded_writer;
 mod log_line;
 mod log_setup;
 
+use bounded_writer::BoundedWriter;
 pub use log_line::LogLine;
-pub(crate) use log_setup::start_logging;
+pub(crate) use log_setup::{LogOutput, start_logging};
--- a/galenahold_domain/src/fleet/roster_update.rs
+++ b/galenahold_domain/src/fleet/roster_update.rs
@@ -17,6 +17,4 @@
     pub records: Vec<fleet::ServerRecord>,
     /// Servers that are gone.
     pub gone: Vec<name::ServerName>,
-    /// Entry instances that follow the roster now.
-    pub followers: u32,
 }
--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -116,14 +116,17 @@
         outcome
     }
 
-    /// Takes a server out that says that it leaves; returns whether it was known.
+    /// Takes a server out that says that it leaves; returns whether it was not known to be gone.
+    ///
+    /// One that this leader has not heard from counts too: views may know it from the leader before.
     pub fn leave(&mut self, name: &name::ServerName, now: time::Instant) -> bool {
-        let Some(entry) = self.entries.remove(name) else {
+        let entry = self.entries.remove(name);
+        if entry.is_none() && self.departed.contains_key(name) {
             return false;
-        };
+        }
         self.version += 1;
         let departed = DepartedServer {
-            started_ms: entry.record.started_ms,
+            started_ms: entry.map_or(0, |entry| entry.record.started_ms),
             gone_in: self.version,
             gone_at: now,
         };
@@ -175,15 +178,17 @@
         }
     }
 
-    /// Returns what is new to a view at `mark`.
+    /// Returns what is new to a view at `mark`, if anything is.
     #[must_use]
     pub fn update_since(
         &self,
         mark: fleet::RosterMark,
-        followers: u32,
         now: time::Instant,
-    ) -> fleet::RosterUpdate {
+    ) -> Option<fleet::RosterUpdate> {
         let own = self.mark(now);
+        if mark == own {
+            return None;
+        }
         let whole = mark.term != own.term || mark.version == 0 || mark.settled != own.settled;
         let since = if whole { 0 } else { mark.version };
         let records = self
@@ -198,13 +203,12 @@
             .filter(|(_, departed)| departed.gone_in > since)
             .map(|(name, _)| name.clone())
             .collect();
-        fleet::RosterUpdate {
+        Some(fleet::RosterUpdate {
             mark: own,
             whole,
             records,
             gone,
-            followers,
-        }
+        })
     }
 
     fn is_late(&self, notice: &fleet::ServerNotice) -> bool {
--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -17,10 +17,19 @@
 pub(crate) enum ConnectionUse {
     /// An idle connection, if there is one.
     Pooled,
+    /// An idle connection that served another request just before, if there is one: the longer it was
+    /// idle, the likelier the server closes it at this very moment, which leaves the outcome unknown.
+    Young,
     /// Always a new connection: a closed idle one would leave the outcome unknown.
     Fresh,
 }
 
+/// How long a connection may have been idle to count as young.
+const MAX_YOUNG_IDLE: time::Duration = time::Duration::from_millis(800);
+
+/// How long sent bytes may stay unacknowledged until a connection counts as broken.
+const UNACKNOWLEDGED_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
 /// Sends single attempts to backend servers. It never sends a request twice.
 #[derive(Debug, Clone)]
 pub(crate) struct BackendClient {
@@ -54,8 +63,13 @@
         address: &backend::BackendAddress,
         reuse: ConnectionUse,
     ) -> Result<backend::PooledConnection, backend::AttemptError> {
-        if reuse == ConnectionUse::Pooled
-            && let Some(connection) = self.pool.take(address).await
+        let max_idle = match reuse {
+            ConnectionUse::Pooled => Some(time::Duration::MAX),
+            ConnectionUse::Young => Some(MAX_YOUNG_IDLE),
+            ConnectionUse::Fresh => None,
+        };
+        if let Some(max_idle) = max_idle
+            && let Some(connection) = self.pool.take(address, max_idle).await
         {
             return Ok(connection);
         }
@@ -120,7 +134,10 @@
                 backend::AttemptErrorKind::Connect,
             ));
         };
-        let _ = stream.set_nodelay(true);
+        if let Err(error) = prepare(&stream) {
+            // The connection works without these options, only less well.
+            debug!(server:% = address.server, error:% = error; "connection options not set");
+        }
         let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
         let (sender, connection) = handshake
             .map_err(|_| backend::AttemptError::not_run(backend::AttemptErrorKind::Connect))?;
@@ -133,3 +150,9 @@
         Ok(sender)
     }
 }
+
+/// Sets a connection up so that small requests leave at once and a silent peer shows.
+fn prepare(stream: &net::TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
--- a/galenahold_instance/src/backend/backend_exchange.rs
+++ b/galenahold_instance/src/backend/backend_exchange.rs
@@ -80,12 +80,16 @@
     }
 
     /// Gives the connection back for the next request, after the body was read to its end.
-    pub(crate) fn finish(self) {
+    ///
+    /// Returns the status and headers.
+    pub(crate) fn finish(self) -> response::Parts {
         // An answer that ends with its connection cannot be told from one that was cut, and its
         // connection serves nobody else.
         if self.is_delimited() {
-            self.pool.put(&self.address, self.connection);
+            let idle_timeout = idle_timeout(&self.head.headers);
+            self.pool.put(&self.address, self.connection, idle_timeout);
         }
+        self.head
     }
 
     /// Returns whether the answer's end can be told from a cut: it has a length or is chunked.
@@ -97,3 +101,12 @@
             || self.head.status == http::StatusCode::NOT_MODIFIED
     }
 }
+
+/// Returns how long the server keeps an idle connection, where it says so.
+fn idle_timeout(headers: &http::HeaderMap) -> Option<time::Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(time::Duration::from_secs)
+}
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -12,9 +12,6 @@
 use crate::task;
 use crate::timer;
 
-/// How long an answer without news may be held back.
-const HOLD: time::Duration = time::Duration::from_millis(400);
-
 /// How much longer than the hold time a wait may take.
 const WATCH_SLACK: time::Duration = time::Duration::from_millis(600);
 
@@ -39,11 +36,12 @@
     desk: Desk,
     sources: WatchSources,
     sink: Sink,
+    hold: time::Duration,
     turn: usize,
 }
 
 impl<Desk: peer::LocalDesk, Sink: configuration::RosterSink> ConfigurationWatcher<Desk, Sink> {
-    /// Creates a watcher.
+    /// Creates a watcher whose waits without news may be held back for `hold`.
     pub(crate) fn new(
         holder: configuration::ConfigurationHolder,
         network: peer::PeerNetwork,
@@ -51,6 +49,7 @@
         desk: Desk,
         sources: WatchSources,
         sink: Sink,
+        hold: time::Duration,
     ) -> Self {
         Self {
             holder,
@@ -59,6 +58,7 @@
             desk,
             sources,
             sink,
+            hold,
             turn: rand::rng().random_range(0..64),
         }
     }
@@ -87,7 +87,7 @@
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             drain_version: self.holder.drains().version,
             roster: self.sink.mark(),
-            hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
+            hold_ms: u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX),
         };
         let sent_at = timer::BootInstant::now();
         let Some(reply) = self.ask(request).await else {
@@ -97,7 +97,7 @@
     }
 
     async fn ask(&self, request: message::WatchRequest) -> Option<message::WatchReply> {
-        let limit = HOLD + WATCH_SLACK;
+        let limit = self.hold + WATCH_SLACK;
         if matches!(self.sources, WatchSources::Leader) && self.desk.leads() {
             let watching = self.desk.watch(request);
             return tokio::time::timeout(limit, watching).await.ok();
@@ -141,6 +141,7 @@
                 update,
                 drains,
                 roster,
+                followers,
                 members,
                 leader,
             } => {
@@ -150,9 +151,7 @@
                         .learn_members(members.iter().map(|member| member.name.clone()));
                     self.sink.take_members(&members);
                 }
-                if let Some(update) = roster {
-                    self.sink.take(update);
-                }
+                self.sink.take(roster, followers);
                 let confirmed = configuration::ConfirmedUpdate {
                     confirmed_at: confirmed_at(sent_at, held_ms, age_ms),
                     revision,
--- a/galenahold_instance/src/configuration/roster_sink.rs
+++ b/galenahold_instance/src/configuration/roster_sink.rs
@@ -8,8 +8,8 @@
     /// Returns how far the roster was followed; none where it is not wanted.
     fn mark(&self) -> Option<fleet::RosterMark>;
 
-    /// Takes what is new of the roster.
-    fn take(&self, update: fleet::RosterUpdate);
+    /// Takes what is new of the roster, and how many instances follow it.
+    fn take(&self, update: Option<fleet::RosterUpdate>, followers: u32);
 
     /// Takes the members of the control group, as the leader knows them.
     fn take_members(&self, members: &[message::ControlMember]);
@@ -24,7 +24,7 @@
         None
     }
 
-    fn take(&self, _update: fleet::RosterUpdate) {}
+    fn take(&self, _update: Option<fleet::RosterUpdate>, _followers: u32) {}
 
     fn take_members(&self, _members: &[message::ControlMember]) {}
 }
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -79,6 +79,7 @@
             drains: (drains.version != request.drain_version)
                 .then(|| message::DrainList::clone(&drains)),
             roster: None,
+            followers: 0,
             members: Vec::new(),
             leader,
         }
--- a/galenahold_instance/src/control/control_desk.rs
+++ b/galenahold_instance/src/control/control_desk.rs
@@ -195,6 +195,7 @@
                 update: update_since(state, request),
                 drains: (drains.version != request.drain_version).then_some(drains),
                 roster: None,
+                followers: 0,
                 members: Vec::new(),
                 leader: self.member.leader(),
             }
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -17,6 +17,9 @@
 /// The longest command: a declared document has to fit, which may have 4 MiB.
 const MAX_COMMAND_BYTES: usize = 8 * 1024 * 1024;
 
+/// The outcome of a command and its position in the log.
+pub(crate) type CommittedOutcome = driver::CommittedOutcome<control::ControlOutcome>;
+
 /// This instance's member of the control group: its log and the state that the log makes.
 pub(crate) struct ControlGroup {
     handle: driver::LogHandle<group::ControlMachine>,
@@ -105,6 +108,19 @@
         command: &control::ControlCommand,
     ) -> impl future::Future<Output = Result<control::ControlOutcome, group::CommandError>> + use<>
     {
+        let committing = self.command_at(command);
+        async move { Ok(committing.await?.outcome) }
+    }
+
+    /// Commits a command and returns its outcome with its position in the log.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the command may have been committed.
+    pub(crate) fn command_at(
+        &self,
+        command: &control::ControlCommand,
+    ) -> impl future::Future<Output = Result<CommittedOutcome, group::CommandError>> + use<> {
         let (sender, receiver) = oneshot::channel();
         self.handle.propose_with(command.encode(), move |result| {
             // Whoever waited may have gone on.
@@ -113,7 +129,7 @@
         async move {
             let answered = tokio::time::timeout(PROPOSE_TIMEOUT, receiver).await;
             match answered {
-                Ok(Ok(result)) => Ok(result?.outcome),
+                Ok(Ok(result)) => Ok(result?),
                 Ok(Err(_)) | Err(_) => Err(group::CommandError::Unknown),
             }
         }
--- a/galenahold_instance/src/entry/event_scanner.rs
+++ b/galenahold_instance/src/entry/event_scanner.rs
@@ -118,7 +118,7 @@
 }
 
 /// Returns the length of the first whole event with its blank line.
-fn event_length(buffer: &[u8]) -> Option<usize> {
+pub(crate) fn event_length(buffer: &[u8]) -> Option<usize> {
     let mut start = 0;
     while let Some(offset) = buffer[start..].iter().position(|byte| *byte == b'\n') {
         let next = start + offset + 1;
--- a/galenahold_instance/src/entry/mod.rs
+++ b/galenahold_instance/src/entry/mod.rs
@@ -33,7 +33,7 @@
 pub(crate) use caller_identity::CallerIdentity;
 pub(crate) use desk_call::DeskCall;
 pub(crate) use entry_desk::{DeskParts, EntryDesk};
-pub(crate) use event_scanner::{EventKind, EventScanner, UsageDocument};
+pub(crate) use event_scanner::{EventKind, EventScanner, UsageDocument, event_length};
 pub(crate) use exchange_check::{REQUEST_ID_HEADER, check_exchange};
 pub(crate) use header_filter::{IDEMPOTENCY_HEADER, headers_to_backend, headers_to_caller};
 pub(crate) use json_depth::json_depth_exceeds;
--- /dev/null
+++ b/galenahold_instance/src/gateway/control/control_face.rs
@@ -0,0 +1,270 @@
+//! The control face: the operator's documents and the notices of backend servers.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use galenahold_consensus::driver;
+use galenahold_domain::control as domain;
+use galenahold_domain::declaration;
+use galenahold_domain::name;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body;
+use log::{info, warn};
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use crate::face;
+use crate::gateway;
+use crate::gateway::control;
+
+/// The largest document of an operator, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
+
+/// The longest time for a body.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// How long a document may take until enough data folders hold it.
+const SPREAD_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+
+/// How often it is looked at how many data folders hold a document.
+const SPREAD_LOOK: time::Duration = time::Duration::from_millis(10);
+
+/// How long a read may take until a quorum has confirmed it.
+const READ_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// The control face: the operator's documents and the notices of backend servers.
+#[derive(Debug)]
+pub(crate) struct ControlFace<Dialect> {
+    dialect: Dialect,
+    parts: sync::Arc<control::DeskParts<Dialect>>,
+    /// Where this instance takes such requests.
+    own: net::SocketAddr,
+    /// Data folders that have to hold a document before it is acknowledged.
+    copies: usize,
+}
+
+impl<Dialect: Clone> Clone for ControlFace<Dialect> {
+    fn clone(&self) -> Self {
+        Self {
+            dialect: self.dialect.clone(),
+            parts: sync::Arc::clone(&self.parts),
+            own: self.own,
+            copies: self.copies,
+        }
+    }
+}
+
+impl<Dialect: gateway::FleetDialect> ControlFace<Dialect> {
+    /// Creates the face; an acknowledged document survives the loss of `losses_borne` data folders.
+    pub(crate) fn new(
+        dialect: Dialect,
+        parts: sync::Arc<control::DeskParts<Dialect>>,
+        own: net::SocketAddr,
+        losses_borne: usize,
+    ) -> Self {
+        Self {
+            dialect,
+            parts,
+            own,
+            copies: losses_borne + 1,
+        }
+    }
+
+    async fn declare(&self, path: &str, body: body::Incoming) -> Response<face::AnswerBody> {
+        let content = match read_body(body).await {
+            Ok(content) => content,
+            Err(refusal) => return refusal.answer(),
+        };
+        let declaration = match self.read_valid(&content) {
+            Ok(declaration) => declaration,
+            Err(reason) => {
+                info!(reason = reason.as_str(); "declaration refused");
+                return problem(StatusCode::BAD_REQUEST, &reason);
+            }
+        };
+        if !self.parts.member.leads() {
+            return self.to_leader(path);
+        }
+        let number = declaration.number;
+        match self.commit(number, &content).await {
+            Ok(outcome) => {
+                info!(number = number, outcome:? = outcome; "declaration acknowledged");
+                let document = json!({ "version": number }).to_string();
+                face::json_answer(StatusCode::OK, document)
+            }
+            Err(reason) => {
+                warn!(number = number, reason = reason; "declaration has no known end");
+                problem(StatusCode::SERVICE_UNAVAILABLE, reason)
+            }
+        }
+    }
+
+    fn read_valid(&self, content: &[u8]) -> Result<declaration::FleetDeclaration, String> {
+        let declaration = self
+            .dialect
+            .read_document(content)
+            .map_err(|error| error.to_string())?;
+        declaration.check().map_err(|fault| fault.to_string())?;
+        Ok(declaration)
+    }
+
+    /// Commits a document and waits until enough data folders hold it.
+    async fn commit(
+        &self,
+        number: u64,
+        content: &[u8],
+    ) -> Result<domain::ControlOutcome, &'static str> {
+        let command = domain::ControlCommand::Declare {
+            document: declaration::DeclaredDocument {
+                number,
+                content: sync::Arc::new(serde_bytes::ByteBuf::from(content)),
+            },
+        };
+        let committed = self
+            .parts
+            .member
+            .command_at(&command)
+            .await
+            .map_err(|_| "the document may or may not have been taken; send it again")?;
+        let spread = self.wait_spread(committed.position.index.get());
+        tokio::time::timeout(SPREAD_TIMEOUT, spread)
+            .await
+            .map_err(|_| "too few data folders hold the document; send it again")?;
+        Ok(committed.outcome)
+    }
+
+    async fn wait_spread(&self, index: u64) {
+        loop {
+            let status = self.parts.member.handle().status();
+            let holding = status
+                .members
+                .iter()
+                .filter(|report| report.matched.is_some_and(|matched| matched.get() >= index))
+                .count();
+            if holding >= self.copies {
+                return;
+            }
+            tokio::time::sleep(SPREAD_LOOK).await;
+        }
+    }
+
+    async fn read_back(&self, path: &str) -> Response<face::AnswerBody> {
+        if !self.parts.member.leads() {
+            return self.to_leader(path);
+        }
+        match self.confirmed_view().await {
+            Some(view) => match &view.declared {
+                Some(document) => face::json_answer(
+                    StatusCode::OK,
+                    bytes::Bytes::copy_from_slice(&document.content),
+                ),
+                None => problem(StatusCode::NOT_FOUND, "no configuration was declared"),
+            },
+            None => problem(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no quorum has confirmed in time which configuration is the newest",
+            ),
+        }
+    }
+
+    /// Reads the configuration as it is after all that was acknowledged before this call.
+    async fn confirmed_view(&self) -> Option<sync::Arc<domain::ConfigurationView>> {
+        let (sender, receiver) = oneshot::channel();
+        let state = self.parts.member.state().clone();
+        self.parts
+            .member
+            .handle()
+            .read_with(move |confirmed: Result<_, driver::ReadError>| {
+                let view = confirmed.map(|_| state.read(domain::ControlState::view));
+                // Whoever waited may have gone on.
+                let _ = sender.send(view);
+            });
+        let read = tokio::time::timeout(READ_TIMEOUT, receiver).await;
+        read.ok()?.ok()?.ok()
+    }
+
+    async fn notice(
+        &self,
+        server: &str,
+        path: &str,
+        body: body::Incoming,
+    ) -> Response<face::AnswerBody> {
+        let content = match read_body(body).await {
+            Ok(content) => content,
+            Err(refusal) => return refusal.answer(),
+        };
+        let notice = match self.dialect.read_notice(server, &content) {
+            Ok(notice) => notice,
+            Err(error) => {
+                warn!(server = server, error:% = error; "notice of a backend server cannot be read");
+                return problem(StatusCode::BAD_REQUEST, &error.to_string());
+            }
+        };
+        match self.parts.take_notice(notice) {
+            Some(_) => {
+                let next = self.dialect.notice_answer(Some(self.own));
+                face::json_answer(StatusCode::OK, next)
+            }
+            None => self.to_leader(path),
+        }
+    }
+
+    fn leave(&self, server: &str, path: &str) -> Response<face::AnswerBody> {
+        match self.parts.take_leave(&name::ServerName::from(server)) {
+            Some(_) => face::json_answer(StatusCode::OK, "{}"),
+            None => self.to_leader(path),
+        }
+    }
+
+    /// Sends the caller on to the leader, where it is known.
+    fn to_leader(&self, path: &str) -> Response<face::AnswerBody> {
+        let leader = self.parts.member.leader();
+        let address = leader.and_then(|leader| leader.parse::<net::SocketAddr>().ok());
+        let address = address.filter(|address| address.ip() != self.own.ip());
+        let Some(address) = address else {
+            return problem(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "this instance knows of no leader",
+            );
+        };
+        let target = net::SocketAddr::new(address.ip(), self.own.port());
+        let mut answer = problem(StatusCode::TEMPORARY_REDIRECT, "another instance leads");
+        if let Ok(location) = HeaderValue::from_str(&format!("http://{target}{path}")) {
+            answer.headers_mut().insert(header::LOCATION, location);
+        }
+        answer
+    }
+}
+
+impl<Dialect: gateway::FleetDialect> face::HttpHandler for ControlFace<Dialect> {
+    async fn handle(
+        self,
+        request: Request<body::Incoming>,
+        _peer: net::SocketAddr,
+    ) -> Response<face::AnswerBody> {
+        let (head, body) = request.into_parts();
+        let path = head.uri.path();
+        match self.dialect.control_request(&head.method, path) {
+            gateway::ControlRequest::Declare => self.declare(path, body).await,
+            gateway::ControlRequest::ReadBack => self.read_back(path).await,
+            gateway::ControlRequest::Notice(server) => self.notice(&server, path, body).await,
+            gateway::ControlRequest::Leave(server) => self.leave(&server, path),
+            gateway::ControlRequest::Unknown => {
+                problem(StatusCode::NOT_FOUND, "there is nothing at this path")
+            }
+        }
+    }
+}
+
+async fn read_body(body: body::Incoming) -> Result<bytes::Bytes, face::RequestRefusal> {
+    let reader = face::BodyReader {
+        max_bytes: MAX_DOCUMENT_BYTES,
+        timeout: BODY_TIMEOUT,
+    };
+    reader.read(body).await
+}
+
+fn problem(status: StatusCode, reason: &str) -> Response<face::AnswerBody> {
+    face::json_answer(status, json!({ "error": reason }).to_string())
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -0,0 +1,369 @@
+//! What a member of the control group answers calls with.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::control as domain;
+use galenahold_domain::declaration;
+use galenahold_domain::fleet;
+use galenahold_domain::name;
+use galenahold_placement::fleet as placement;
+use galenahold_routing::rate;
+use galenahold_wire::message;
+use log::info;
+use tokio::sync as tokio_sync;
+
+use crate::control as group;
+use crate::gateway;
+use crate::gateway::control;
+
+/// How long a follower counts after its last wait for the configuration.
+const FOLLOWER_LIFE: time::Duration = time::Duration::from_secs(3);
+
+/// How long changes of the roster are gathered before followers are told.
+const GATHER_TIME: time::Duration = time::Duration::from_millis(10);
+
+/// What a member of the control group answers calls with.
+pub(crate) struct DeskParts<Dialect> {
+    /// The member.
+    pub(crate) member: sync::Arc<group::ControlGroup>,
+    /// Lends tokens.
+    pub(crate) grants: group::GrantDesk,
+    /// The declaration in force.
+    pub(crate) declared: gateway::DeclarationHolder<Dialect>,
+    /// Sends orders to engines.
+    pub(crate) orders: control::OrderSender<Dialect>,
+    /// Says that the placement should look again.
+    pub(crate) planning: tokio_sync::Notify,
+    /// Time between two notices of a backend server.
+    pub(crate) notice_period: time::Duration,
+    /// How long a new leader gives no orders.
+    pub(crate) order_lease: time::Duration,
+    /// What is kept while this member leads.
+    pub(crate) leadership: sync::Mutex<Option<control::FleetLeadership>>,
+    /// Says that the roster moved on.
+    pub(crate) roster_moves: tokio_sync::watch::Sender<()>,
+    /// Instances that follow the roster, and when they last asked.
+    pub(crate) followers: sync::Mutex<collections::HashMap<name::InstanceName, time::Instant>>,
+}
+
+impl<Dialect> std::fmt::Debug for DeskParts<Dialect> {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("DeskParts").finish_non_exhaustive()
+    }
+}
+
+impl<Dialect: gateway::FleetDialect> DeskParts<Dialect> {
+    /// Acts on what is kept for the leadership; `None` where this member does not lead.
+    pub(crate) fn lead<Output>(
+        &self,
+        act: impl FnOnce(&mut control::FleetLeadership) -> Output,
+    ) -> Option<Output> {
+        let term = self.member.leading_term()?;
+        let mut held = self
+            .leadership
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let kept = held.take().filter(|leadership| leadership.term == term);
+        let leadership = held.insert(kept.unwrap_or_else(|| self.new_leadership(term)));
+        Some(act(leadership))
+    }
+
+    /// Returns the declaration in force, as this member's state has it.
+    pub(crate) fn declaration(&self) -> Option<sync::Arc<declaration::DeclarationIndex>> {
+        let view = self.member.state().read(domain::ControlState::view);
+        self.declared.take(&view).or_else(|| self.declared.index())
+    }
+
+    /// Takes a backend server's notice; `None` where this member does not lead.
+    pub(crate) fn take_notice(&self, notice: fleet::ServerNotice) -> Option<fleet::NoticeOutcome> {
+        let now = time::Instant::now();
+        let server = notice.name.clone();
+        let stage = notice.stage;
+        let outcome = self.lead(|leadership| {
+            let started_ms = notice.started_ms;
+            let adapters = notice.adapters.clone();
+            let outcome = leadership.roster.take(notice, now);
+            if outcome != fleet::NoticeOutcome::Late {
+                leadership
+                    .planner
+                    .note_adapters(&server, started_ms, &adapters, now);
+            }
+            outcome
+        })?;
+        if matches!(
+            outcome,
+            fleet::NoticeOutcome::Joined | fleet::NoticeOutcome::Changed
+        ) {
+            info!(server:% = server, outcome:? = outcome, stage:? = stage; "backend server stated itself");
+            self.roster_moved();
+        }
+        Some(outcome)
+    }
+
+    /// Takes a backend server out that leaves; `None` where this member does not lead.
+    pub(crate) fn take_leave(&self, server: &name::ServerName) -> Option<bool> {
+        let now = time::Instant::now();
+        let known = self.lead(|leadership| leadership.roster.leave(server, now))?;
+        if known {
+            info!(server:% = server; "backend server left");
+            self.roster_moved();
+        }
+        Some(known)
+    }
+
+    /// Tells followers and the placement that the roster moved on.
+    pub(crate) fn roster_moved(&self) {
+        self.roster_moves.send_replace(());
+        self.planning.notify_one();
+    }
+
+    /// Lends tokens.
+    pub(crate) fn grant(&self, term: u64, call: &rate::GrantCall) -> message::ControlReply {
+        let Some(index) = self.declaration() else {
+            return message::ControlReply::Refused {
+                reason: "no configuration was declared".to_owned(),
+            };
+        };
+        let declaration = index.declaration();
+        let teams: Vec<_> = declaration
+            .teams
+            .iter()
+            .filter(|team| team.is_limited())
+            .map(declaration::DeclaredTeam::rate_intent)
+            .collect();
+        let teams = group::TeamsInForce {
+            revision: amount::RevisionNumber(declaration.number),
+            teams: &teams,
+        };
+        let reply = self.grants.grant(term, teams, call);
+        // Tokens lent after the lease's end could be lent again by the next leader.
+        if self.member.leading_term() != Some(term) {
+            return message::ControlReply::NotLeader {
+                leader: self.member.leader(),
+            };
+        }
+        message::ControlReply::Grant(reply)
+    }
+
+    /// Answers a call about backend servers.
+    pub(crate) async fn answer_fleet(&self, call: message::FleetCall) -> message::FleetReply {
+        match call {
+            message::FleetCall::Demand(demand) => {
+                self.take_demand(demand);
+                message::FleetReply::Taken
+            }
+            message::FleetCall::Adapter { server, adapter } => {
+                self.bring_adapter(&server, &adapter).await
+            }
+        }
+    }
+
+    /// Waits until there is news for the one who asks, or its hold time is over.
+    pub(crate) async fn watch(&self, request: &message::WatchRequest) -> message::WatchReply {
+        let started = time::Instant::now();
+        let hold = time::Duration::from_millis(request.hold_ms);
+        let mut applied = self.member.state().subscribe();
+        let mut roster_moves = self.roster_moves.subscribe();
+        loop {
+            applied.mark_unchanged();
+            roster_moves.mark_unchanged();
+            let left = hold.saturating_sub(started.elapsed());
+            let news = self.news(request, started);
+            if !is_quiet(&news) || left.is_zero() {
+                return news;
+            }
+            tokio::select! {
+                _ = applied.changed() => {}
+                _ = roster_moves.changed() => tokio::time::sleep(GATHER_TIME).await,
+                () = tokio::time::sleep(left) => {}
+            }
+        }
+    }
+
+    /// Returns what is new to the one who asks, confirmed by this member's lease.
+    fn news(&self, request: &message::WatchRequest, started: time::Instant) -> message::WatchReply {
+        // What is read here is confirmed by the lease only if that is valid after the reading.
+        let held = started.elapsed();
+        let now = time::Instant::now();
+        let followers = self.count_followers(request, now);
+        let roster = request
+            .roster
+            .and_then(|mark| self.lead(|leadership| leadership.roster.update_since(mark, now))?);
+        let members = self.members();
+        let reply = self
+            .member
+            .state()
+            .read(|state| message::WatchReply::Current {
+                age_ms: 0,
+                held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
+                revision: state.revision(),
+                update: group::update_since(state, request),
+                drains: None,
+                roster,
+                followers,
+                members,
+                leader: self.member.leader(),
+            });
+        if self.member.leads() {
+            return reply;
+        }
+        message::WatchReply::Unavailable {
+            leader: self.member.leader(),
+        }
+    }
+
+    fn members(&self) -> Vec<message::ControlMember> {
+        let status = self.member.handle().status();
+        let members = status.members.iter().map(|report| &report.member.profile);
+        members
+            .map(|profile| message::ControlMember {
+                name: name::InstanceName::from(profile.endpoint.name.as_str()),
+                folder: profile.id.to_string(),
+            })
+            .collect()
+    }
+
+    fn count_followers(&self, request: &message::WatchRequest, now: time::Instant) -> u32 {
+        let mut followers = self
+            .followers
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if request.roster.is_some() {
+            followers.insert(request.card.name.clone(), now);
+        }
+        followers.retain(|_, asked_at| now.saturating_duration_since(*asked_at) < FOLLOWER_LIFE);
+        u32::try_from(followers.len()).unwrap_or(u32::MAX)
+    }
+
+    fn take_demand(&self, demand: message::ModelDemand) {
+        let now = time::Instant::now();
+        let urgent = demand.models.iter().any(|count| count.waiting > 0);
+        self.lead(|leadership| {
+            for count in demand.models {
+                let counts = placement::DemandCounts {
+                    arrivals: count.arrivals,
+                    waiting: count.waiting,
+                    running: count.running,
+                };
+                let key = (count.service, count.model);
+                leadership
+                    .planner
+                    .note_demand(&demand.instance, key, counts, now);
+            }
+            for used in &demand.adapters {
+                leadership
+                    .planner
+                    .note_adapter_use(&used.server, &used.adapter, now);
+            }
+        });
+        if urgent {
+            self.planning.notify_one();
+        }
+    }
+
+    async fn bring_adapter(
+        &self,
+        server: &name::ServerName,
+        adapter: &fleet::HeldAdapter,
+    ) -> message::FleetReply {
+        let Some(index) = self.declaration() else {
+            return refused("no configuration was declared");
+        };
+        let now = time::Instant::now();
+        let decided = self.lead(|leadership| {
+            if now < leadership.orders_from {
+                return Err("the leader is new and gives no orders yet");
+            }
+            let record = leadership.roster.get(server).cloned();
+            let record = record.ok_or("the engine is not known")?;
+            let service = index.service(&record.service);
+            let engine = service.and_then(|service| service.engine.as_ref());
+            let engine = engine.ok_or("its service has no engines")?;
+            let decision = leadership
+                .planner
+                .want_adapter(&record, engine, adapter, now);
+            Ok((leadership.term, decision))
+        });
+        let Some(decided) = decided else {
+            return refused("this member no longer leads");
+        };
+        match decided {
+            Err(reason) => refused(reason),
+            Ok((_, placement::AdapterDecision::Refused { reason })) => refused(reason),
+            Ok((_, placement::AdapterDecision::Comes { ready_in })) => comes(ready_in),
+            Ok((term, placement::AdapterDecision::Order { orders, ready_in })) => {
+                self.order_adapter(term, orders, ready_in).await
+            }
+        }
+    }
+
+    /// Sends the orders that bring an adapter; a failed one ends the sequence.
+    async fn order_adapter(
+        &self,
+        term: u64,
+        orders: Vec<placement::EngineOrder>,
+        ready_in: time::Duration,
+    ) -> message::FleetReply {
+        let mut failed = None;
+        for order in orders {
+            let receipt = match failed {
+                Some(_) => placement::OrderReceipt::NotSent,
+                None => self.orders.send(term, &order).await,
+            };
+            if !matches!(
+                receipt,
+                placement::OrderReceipt::Accepted | placement::OrderReceipt::Done
+            ) {
+                failed.get_or_insert(receipt);
+            }
+            let now = time::Instant::now();
+            self.lead(|leadership| {
+                leadership
+                    .planner
+                    .settle(&order, receipt, amount::ByteCount(0), now);
+            });
+        }
+        match failed {
+            None => comes(ready_in),
+            Some(receipt) => refused(&format!("the engine's answer to the order: {receipt:?}")),
+        }
+    }
+
+    fn new_leadership(&self, term: u64) -> control::FleetLeadership {
+        let now = time::Instant::now();
+        info!(term = term; "begins to lead declared services");
+        control::FleetLeadership {
+            term,
+            roster: fleet::ServerRoster::new(term, self.notice_period, now),
+            planner: placement::FleetPlanner::default(),
+            orders_from: now + self.order_lease,
+        }
+    }
+}
+
+fn is_quiet(news: &message::WatchReply) -> bool {
+    matches!(
+        news,
+        message::WatchReply::Current {
+            update: message::ConfigurationUpdate::Nothing,
+            drains: None,
+            roster: None,
+            ..
+        }
+    )
+}
+
+fn comes(ready_in: time::Duration) -> message::FleetReply {
+    message::FleetReply::AdapterComes {
+        ready_in_ms: u64::try_from(ready_in.as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn refused(reason: &str) -> message::FleetReply {
+    message::FleetReply::AdapterRefused {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/control/gateway_service.rs
@@ -0,0 +1,130 @@
+//! Answers the calls of other instances at a member of the control group.
+
+use std::time;
+
+use futures::StreamExt;
+use galenahold_wire::message;
+use galenahold_wire::rpc;
+use tarpc::context;
+use tarpc::server;
+use tarpc::server::Channel;
+use tokio::net;
+
+use crate::gateway;
+use crate::gateway::control;
+use crate::operator::OwnBurn;
+use crate::peer;
+use crate::peer::LocalDesk;
+use crate::platform;
+
+/// Answers the calls of other instances at a member of the control group.
+#[derive(Debug)]
+pub(crate) struct GatewayService<Dialect> {
+    /// The fleet that this instance belongs to.
+    pub(crate) cluster: &'static str,
+    /// The log and the leader's work.
+    pub(crate) desk: control::FleetDesk<Dialect>,
+    /// Reaches the leader.
+    pub(crate) client: peer::ControlClient<control::FleetDesk<Dialect>>,
+    /// The instances.
+    pub(crate) directory: peer::PeerDirectory,
+    /// What was counted against objectives.
+    pub(crate) recorder: platform::BurnRecorder,
+}
+
+impl<Dialect> Clone for GatewayService<Dialect> {
+    fn clone(&self) -> Self {
+        Self {
+            cluster: self.cluster,
+            desk: self.desk.clone(),
+            client: self.client.clone(),
+            directory: self.directory.clone(),
+            recorder: self.recorder.clone(),
+        }
+    }
+}
+
+impl<Dialect: gateway::FleetDialect> rpc::InstanceRpc for GatewayService<Dialect> {
+    async fn hello(
+        self,
+        _context: context::Context,
+        request: message::HelloRequest,
+    ) -> message::HelloReply {
+        let own = self.directory.own();
+        if request.cluster != self.cluster || request.to != own.name {
+            return message::HelloReply::Stranger;
+        }
+        self.directory.hear(&request.card, time::Instant::now());
+        message::HelloReply::Welcome { card: own.clone() }
+    }
+
+    async fn consensus(
+        self,
+        _context: context::Context,
+        batch: message::ConsensusBatch,
+    ) -> message::ConsensusReceipt {
+        message::ConsensusReceipt {
+            taken: self.desk.deliver(&batch.messages),
+        }
+    }
+
+    async fn watch(
+        self,
+        _context: context::Context,
+        request: message::WatchRequest,
+    ) -> message::WatchReply {
+        if self.desk.leads() {
+            return self.desk.watch(request).await;
+        }
+        message::WatchReply::Unavailable {
+            leader: self.desk.leader(),
+        }
+    }
+
+    async fn call(
+        self,
+        _context: context::Context,
+        call: message::ControlCall,
+    ) -> message::ControlReply {
+        self.desk.answer(call).await
+    }
+
+    async fn forward(
+        self,
+        _context: context::Context,
+        call: message::ControlCall,
+    ) -> message::ControlReply {
+        self.client.pass_on(call).await
+    }
+
+    async fn spread(
+        self,
+        _context: context::Context,
+        _batch: message::SpreadBatch,
+    ) -> message::SpreadReceipt {
+        // Announcements do not spread here: the leader's roster takes their place.
+        message::SpreadReceipt {
+            card: self.directory.own().clone(),
+            missing: Vec::new(),
+        }
+    }
+
+    async fn burn(
+        self,
+        _context: context::Context,
+        _request: message::BurnRequest,
+    ) -> message::BurnReply {
+        message::BurnReply {
+            snapshot: self.recorder.snapshot(),
+        }
+    }
+}
+
+impl<Dialect: gateway::FleetDialect> peer::PeerService for GatewayService<Dialect> {
+    async fn answer(self, stream: net::TcpStream) {
+        server::BaseChannel::with_defaults(rpc::frame_transport(stream))
+            .execute(rpc::InstanceRpc::serve(self))
+            .for_each_concurrent(peer::CALLS_IN_FLIGHT, |answering| answering)
+            .await;
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/control/member_keeper.rs
@@ -0,0 +1,75 @@
+//! Keeps the control group whole while this member leads it.
+
+use std::sync;
+use std::time;
+
+use galenahold_consensus::driver;
+use log::{info, warn};
+use tokio::sync::oneshot;
+
+use crate::control as group;
+use crate::task;
+use crate::timer;
+
+/// How often the members are looked at.
+const LOOK_PERIOD: time::Duration = time::Duration::from_millis(200);
+
+/// How long a member may be silent before it counts as gone.
+const MEMBER_SILENCE: time::Duration = time::Duration::from_secs(6);
+
+/// How long a change of the members may take.
+const CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(4);
+
+/// Keeps the control group whole while this member leads it: it takes in new members and lets those go
+/// that are gone for good.
+pub(crate) struct MemberKeeper {
+    member: sync::Arc<group::ControlGroup>,
+    planner: driver::MembershipPlanner,
+}
+
+impl MemberKeeper {
+    /// Creates a keeper of a group that bears the loss of `losses_borne` data folders at once.
+    pub(crate) fn new(member: sync::Arc<group::ControlGroup>, losses_borne: usize) -> Self {
+        Self {
+            member,
+            planner: driver::MembershipPlanner::new(2 * losses_borne + 1, MEMBER_SILENCE),
+        }
+    }
+
+    /// Keeps the group until the tasks stop.
+    pub(crate) fn start(self, timer: &timer::TimerService, tasks: &task::TaskGroup) {
+        let mut subscription = timer.subscribe(LOOK_PERIOD);
+        tasks.spawn_until_stop(async move {
+            while subscription.tick().await.is_some() {
+                self.look().await;
+            }
+        });
+    }
+
+    async fn look(&self) {
+        if !self.member.leads() {
+            return;
+        }
+        let status = self.member.handle().status();
+        let Some(change) = self.planner.next_change(&status) else {
+            return;
+        };
+        let described = format!("{change:?}");
+        let (sender, receiver) = oneshot::channel();
+        self.member.handle().change_with(change, move |result| {
+            // Whoever waited may have gone on.
+            let _ = sender.send(result);
+        });
+        match tokio::time::timeout(CHANGE_TIMEOUT, receiver).await {
+            Ok(Ok(Ok(position))) => {
+                info!(change = described.as_str(), index = position.index.get(); "members of the control group changed");
+            }
+            Ok(Ok(Err(error))) => {
+                warn!(change = described.as_str(), error:% = error; "members of the control group not changed");
+            }
+            Ok(Err(_)) | Err(_) => {
+                warn!(change = described.as_str(); "a change of the control group's members has no known end");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/control/member_watch.rs
@@ -0,0 +1,63 @@
+//! Notices that this member was taken out of the control group.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::fleet;
+use galenahold_wire::message;
+
+use crate::configuration;
+use crate::control as group;
+
+/// How long the leader's list of members has to lack this one before it counts as taken out.
+const PATIENCE: time::Duration = time::Duration::from_secs(3);
+
+/// Notices that this member was taken out of the control group while it was cut off or down.
+///
+/// A data folder that was taken out never votes again; the member has to join with an empty one.
+#[derive(Clone)]
+pub(crate) struct MemberWatch {
+    member: sync::Arc<group::ControlGroup>,
+    missing_since: sync::Arc<sync::Mutex<Option<time::Instant>>>,
+}
+
+impl MemberWatch {
+    /// Creates a watch over a member.
+    pub(crate) fn new(member: sync::Arc<group::ControlGroup>) -> Self {
+        Self {
+            member,
+            missing_since: sync::Arc::default(),
+        }
+    }
+
+    /// Returns whether this member was taken out.
+    pub(crate) fn is_taken_out(&self) -> bool {
+        self.lock().is_some_and(|since| since.elapsed() >= PATIENCE)
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, Option<time::Instant>> {
+        self.missing_since
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl configuration::RosterSink for MemberWatch {
+    fn mark(&self) -> Option<fleet::RosterMark> {
+        None
+    }
+
+    fn take(&self, _update: Option<fleet::RosterUpdate>, _followers: u32) {}
+
+    fn take_members(&self, members: &[message::ControlMember]) {
+        let status = self.member.handle().status();
+        let own = status.profile.id.to_string();
+        let missing = status.cluster.is_some() && members.iter().all(|member| member.folder != own);
+        let mut since = self.lock();
+        if missing {
+            since.get_or_insert_with(time::Instant::now);
+        } else {
+            *since = None;
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -0,0 +1,170 @@
+//! Sends orders to engines.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::name;
+use galenahold_placement::fleet as placement;
+use http::Request;
+use http_body_util::Full;
+use log::{info, warn};
+use tokio::sync as tokio_sync;
+
+use crate::backend;
+use crate::control as group;
+use crate::gateway;
+use crate::gateway::control;
+
+/// How long an engine may take to answer an order or a call for its report.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+
+/// The largest report of an engine, in bytes.
+const MAX_REPORT_BYTES: usize = 1024 * 1024;
+
+/// Sends orders to engines, one at a time to each, and only while this member leads.
+pub(crate) struct OrderSender<Dialect> {
+    dialect: Dialect,
+    client: backend::BackendClient,
+    member: sync::Arc<group::ControlGroup>,
+    holder: name::InstanceName,
+    lines: sync::Mutex<LineTable>,
+}
+
+type LineTable =
+    collections::HashMap<name::ServerName, sync::Arc<tokio_sync::Mutex<control::OrderLine>>>;
+
+impl<Dialect: gateway::FleetDialect> OrderSender<Dialect> {
+    /// Creates a sender that orders in the name of `holder`.
+    pub(crate) fn new(
+        dialect: Dialect,
+        client: backend::BackendClient,
+        member: sync::Arc<group::ControlGroup>,
+        holder: name::InstanceName,
+    ) -> Self {
+        Self {
+            dialect,
+            client,
+            member,
+            holder,
+            lines: sync::Mutex::default(),
+        }
+    }
+
+    /// Sends an order of the given term and returns its receipt.
+    pub(crate) async fn send(
+        &self,
+        term: u64,
+        order: &placement::EngineOrder,
+    ) -> placement::OrderReceipt {
+        let line = self.line(&order.server);
+        let mut line = line.lock().await;
+        line.enter(term, order.started_ms);
+        if !line.is_open(time::Instant::now()) {
+            return placement::OrderReceipt::NotSent;
+        }
+        let about_model = order.action.is_about_model();
+        if about_model && line.taken.is_none() {
+            line.taken = self.ask_orders_taken(order).await;
+            if line.taken.is_none() {
+                return placement::OrderReceipt::NotSent;
+            }
+        }
+        let after = line.taken.filter(|_| about_model);
+        let receipt = self.send_once(term, order, after).await;
+        line.count(&order.action, receipt, time::Instant::now());
+        info!(
+            server:% = order.server,
+            order = order.number,
+            action:? = order.action,
+            term = term,
+            after:? = after,
+            receipt:? = receipt;
+            "order sent to engine"
+        );
+        receipt
+    }
+
+    async fn send_once(
+        &self,
+        term: u64,
+        order: &placement::EngineOrder,
+        after: Option<u64>,
+    ) -> placement::OrderReceipt {
+        let address = backend_address(order);
+        let connecting = self
+            .client
+            .connect(&address, backend::ConnectionUse::Fresh)
+            .await;
+        let Ok(connection) = connecting else {
+            return placement::OrderReceipt::NotSent;
+        };
+        // An instance that was frozen may have lost its lease meanwhile.
+        if self.member.leading_term() != Some(term) {
+            return placement::OrderReceipt::NotSent;
+        }
+        let head = gateway::OrderHead {
+            holder: &self.holder,
+            fence: term,
+            after,
+        };
+        let request = self.dialect.order_request(order, &head).map(Full::new);
+        let deadline = time::Instant::now() + ANSWER_TIMEOUT;
+        let sent = self
+            .client
+            .send(connection, &address, request, deadline)
+            .await;
+        match sent {
+            Ok(exchange) => self.dialect.read_receipt(exchange.head().status),
+            Err(error) if error.kind == backend::AttemptErrorKind::Unsent => {
+                placement::OrderReceipt::NotSent
+            }
+            Err(_) => placement::OrderReceipt::Unanswered,
+        }
+    }
+
+    /// Asks an engine how many orders it has taken since its start.
+    async fn ask_orders_taken(&self, order: &placement::EngineOrder) -> Option<u64> {
+        let address = backend_address(order);
+        let request: Request<_> = self.dialect.report_request(&order.server).map(Full::new);
+        let deadline = time::Instant::now() + ANSWER_TIMEOUT;
+        let connection = self
+            .client
+            .connect(&address, backend::ConnectionUse::Fresh)
+            .await
+            .ok()?;
+        let mut exchange = self
+            .client
+            .send(connection, &address, request, deadline)
+            .await
+            .ok()?;
+        if !exchange.head().status.is_success() {
+            return None;
+        }
+        let content = exchange.read_rest(MAX_REPORT_BYTES, deadline).await.ok()?;
+        match self.dialect.read_report(&content) {
+            Ok(report) => Some(report.orders_taken),
+            Err(error) => {
+                warn!(server:% = order.server, error:% = error; "report of an engine cannot be read");
+                None
+            }
+        }
+    }
+
+    fn line(&self, server: &name::ServerName) -> sync::Arc<tokio_sync::Mutex<control::OrderLine>> {
+        let mut lines = self
+            .lines
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        sync::Arc::clone(lines.entry(server.clone()).or_default())
+    }
+}
+
+fn backend_address(order: &placement::EngineOrder) -> backend::BackendAddress {
+    backend::BackendAddress {
+        server: order.server.clone(),
+        incarnation: amount::IncarnationNumber(order.started_ms),
+        socket: order.address,
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/declaration_holder.rs
@@ -0,0 +1,62 @@
+//! The declaration in force, read.
+
+use std::sync;
+
+use galenahold_domain::control;
+use galenahold_domain::declaration;
+use log::{error, info};
+
+use crate::gateway;
+
+/// The declaration in force at this instance, read once from the operator's document.
+#[derive(Debug, Clone)]
+pub(crate) struct DeclarationHolder<Dialect> {
+    dialect: Dialect,
+    index: sync::Arc<arc_swap::ArcSwapOption<declaration::DeclarationIndex>>,
+}
+
+impl<Dialect: gateway::FleetDialect> DeclarationHolder<Dialect> {
+    /// Creates a holder without a declaration.
+    pub(crate) fn new(dialect: Dialect) -> Self {
+        Self {
+            dialect,
+            index: sync::Arc::default(),
+        }
+    }
+
+    /// Returns the declaration in force, if there is one.
+    pub(crate) fn index(&self) -> Option<sync::Arc<declaration::DeclarationIndex>> {
+        self.index.load_full()
+    }
+
+    /// Takes the document of a view; returns the declaration if it is a new one.
+    pub(crate) fn take(
+        &self,
+        view: &control::ConfigurationView,
+    ) -> Option<sync::Arc<declaration::DeclarationIndex>> {
+        let document = view.declared.as_ref()?;
+        let held = self.index().map(|index| index.declaration().number);
+        if held == Some(document.number) {
+            return None;
+        }
+        match self.dialect.read_document(&document.content) {
+            Ok(declaration) => {
+                info!(
+                    number = document.number,
+                    routes = declaration.routes.len(),
+                    services = declaration.services.len(),
+                    teams = declaration.teams.len();
+                    "declaration in force"
+                );
+                let index = sync::Arc::new(declaration::DeclarationIndex::new(declaration));
+                self.index.store(Some(sync::Arc::clone(&index)));
+                Some(index)
+            }
+            Err(reason) => {
+                // It was read by the leader that took it, so this program is older than the leader's.
+                error!(number = document.number, reason:% = reason; "declaration cannot be read");
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -0,0 +1,160 @@
+//! Sends attempts to backend servers.
+
+use std::time;
+
+use galenahold_routing::fleet;
+use http::Request;
+use http_body_util::Full;
+
+use crate::backend;
+use crate::gateway;
+use crate::gateway::entry;
+
+/// The largest answer that is read whole before it is passed on, in bytes.
+const MAX_WHOLE_BYTES: usize = 4 * 1024 * 1024;
+
+/// The least time that is worth an attempt.
+const MIN_TIME_LEFT: time::Duration = time::Duration::from_millis(5);
+
+/// Ranks of urgency at engines: 0 goes first, this is the last.
+const LAST_URGENCY: u32 = 9;
+
+/// Ranks of routes within one rank of teams that engines tell apart.
+const ROUTE_URGENCIES: u32 = 16;
+
+impl<Dialect: gateway::FleetDialect> entry::EntryParts<Dialect> {
+    /// Sends a call to the server of `lease` once and waits for its answer.
+    ///
+    /// The head has to come until `head_until`. A stream goes on after the event `resume_after`.
+    pub(super) async fn attempt(
+        &self,
+        call: &entry::RoutedCall,
+        lease: &entry::PlaceLease,
+        head_until: time::Instant,
+        resume_after: Option<&str>,
+    ) -> entry::AttemptEnd {
+        let reuse = if call.route.kind.may_repeat() {
+            backend::ConnectionUse::Pooled
+        } else {
+            backend::ConnectionUse::Young
+        };
+        let address = lease.address();
+        let Ok(connection) = self.backend.connect(&address, reuse).await else {
+            lease.observe(fleet::AttemptReport::Unreachable);
+            return entry::AttemptEnd::NotRun("unreachable");
+        };
+        let sent_at = time::Instant::now();
+        let time_left = call.deadline.saturating_duration_since(sent_at);
+        if time_left < MIN_TIME_LEFT {
+            return entry::AttemptEnd::NotRun("no_time_left");
+        }
+        let request = self.request(call, lease, time_left, resume_after);
+        let sent = self
+            .backend
+            .send(connection, &address, request, head_until)
+            .await;
+        match sent {
+            Ok(exchange) => self.judge(call, lease, exchange, sent_at).await,
+            Err(error) => judge_error(lease, &error),
+        }
+    }
+
+    fn request(
+        &self,
+        call: &entry::RoutedCall,
+        lease: &entry::PlaceLease,
+        time_left: time::Duration,
+        resume_after: Option<&str>,
+    ) -> Request<Full<bytes::Bytes>> {
+        let rank = call.rank();
+        let urgency = (rank / ROUTE_URGENCIES + rank % ROUTE_URGENCIES).min(LAST_URGENCY);
+        let head = gateway::AttemptHead {
+            server: lease.server(),
+            time_left,
+            team: call.team.as_ref().map(|team| &team.name),
+            urgency: call
+                .target()
+                .map(|_| u8::try_from(urgency).unwrap_or(u8::MAX)),
+            resume_after,
+        };
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.head.method.clone();
+        *request.uri_mut() = call.head.uri.clone();
+        *request.headers_mut() = self.dialect.attempt_headers(&call.head.headers, &head);
+        request
+    }
+
+    async fn judge(
+        &self,
+        call: &entry::RoutedCall,
+        lease: &entry::PlaceLease,
+        exchange: backend::BackendExchange,
+        sent_at: time::Instant,
+    ) -> entry::AttemptEnd {
+        let head = exchange.head();
+        let id = call.call.id.as_deref();
+        let facts = self.dialect.read_answer(id, head.status, &head.headers);
+        if facts.crossed {
+            self.metrics.crossed.inc();
+            lease.observe(fleet::AttemptReport::Broken);
+            return entry::AttemptEnd::MayHaveRun("crossed_answer");
+        }
+        if facts.misplaced {
+            lease.observe(fleet::AttemptReport::Misplaced);
+            self.drain(exchange, call.deadline).await;
+            return entry::AttemptEnd::NotRun("misplaced");
+        }
+        if facts.not_run {
+            lease.observe(fleet::AttemptReport::Shed);
+            self.drain(exchange, call.deadline).await;
+            return entry::AttemptEnd::NotRun("refused_by_server");
+        }
+        if head.status.is_server_error() {
+            lease.observe(fleet::AttemptReport::Failed);
+        } else {
+            lease.observe_answer(sent_at);
+        }
+        if call.route.kind.is_stream() && head.status.is_success() {
+            return entry::AttemptEnd::Stream(exchange);
+        }
+        read_whole(call, lease, exchange).await
+    }
+
+    /// Reads a refusal to its end, so that its connection can serve others.
+    async fn drain(&self, mut exchange: backend::BackendExchange, deadline: time::Instant) {
+        if exchange.read_rest(MAX_WHOLE_BYTES, deadline).await.is_ok() {
+            exchange.finish();
+        }
+    }
+}
+
+async fn read_whole(
+    call: &entry::RoutedCall,
+    lease: &entry::PlaceLease,
+    mut exchange: backend::BackendExchange,
+) -> entry::AttemptEnd {
+    match exchange.read_rest(MAX_WHOLE_BYTES, call.deadline).await {
+        Ok(body) => {
+            let head = exchange.finish();
+            entry::AttemptEnd::Whole(entry::WholeAnswer { head, body })
+        }
+        Err(_) => {
+            lease.observe(fleet::AttemptReport::Broken);
+            entry::AttemptEnd::MayHaveRun("answer_cut")
+        }
+    }
+}
+
+fn judge_error(lease: &entry::PlaceLease, error: &backend::AttemptError) -> entry::AttemptEnd {
+    use galenahold_domain::verdict::RequestVerdict;
+    let (report, note) = match error.kind {
+        backend::AttemptErrorKind::Timeout => (fleet::AttemptReport::Slow, "no_answer_in_time"),
+        backend::AttemptErrorKind::Unsent => (fleet::AttemptReport::Abandoned, "stale_connection"),
+        _ => (fleet::AttemptReport::Broken, "connection_broken"),
+    };
+    if error.verdict == RequestVerdict::NotRun {
+        return entry::AttemptEnd::NotRun(note);
+    }
+    lease.observe(report);
+    entry::AttemptEnd::MayHaveRun(note)
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -0,0 +1,305 @@
+//! Serves callers' requests.
+
+use std::sync;
+use std::time;
+
+use galenahold_domain::declaration;
+use http::{Response, header, request};
+use hyper::body;
+
+use crate::face;
+use crate::gateway;
+use crate::gateway::entry;
+use crate::gateway::entry::call_answer;
+use crate::rate;
+
+/// How long a request may wait for its team's tokens.
+const CHARGE_PATIENCE: time::Duration = time::Duration::from_millis(400);
+
+/// Engines that are asked for an adapter at most.
+const MAX_ADAPTER_TRIES: usize = 3;
+
+/// When a request is told to come back that met only servers which did not run it.
+const UNRUN_RETRY: time::Duration = time::Duration::from_millis(300);
+
+/// When a request is told to come back where this instance cannot confirm its configuration.
+const STALE_RETRY: time::Duration = time::Duration::from_millis(800);
+
+/// Serves callers' requests: finds route, team and server, and passes request and answer on.
+pub(crate) struct CallDesk<Dialect> {
+    pub(super) parts: sync::Arc<entry::EntryParts<Dialect>>,
+}
+
+impl<Dialect> Clone for CallDesk<Dialect> {
+    fn clone(&self) -> Self {
+        Self {
+            parts: sync::Arc::clone(&self.parts),
+        }
+    }
+}
+
+impl<Dialect: gateway::FleetDialect> CallDesk<Dialect> {
+    /// Creates a desk.
+    pub(crate) fn new(parts: sync::Arc<entry::EntryParts<Dialect>>) -> Self {
+        Self { parts }
+    }
+
+    /// Serves one request.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, with the verdict on the request.
+    pub(super) async fn serve(
+        &self,
+        head: request::Parts,
+        body: body::Incoming,
+        log: &mut entry::CallLog,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let call = self.route(head, body, log).await?;
+        let charge = self.charge(&call).await?;
+        self.parts.earn_retry();
+        self.run(call, charge, log).await
+    }
+
+    /// Finds the route and team of a request and reads its body.
+    async fn route(
+        &self,
+        head: request::Parts,
+        body: body::Incoming,
+        log: &mut entry::CallLog,
+    ) -> Result<entry::RoutedCall, face::RequestRefusal> {
+        let arrived = time::Instant::now();
+        let call = self.parts.dialect.read_call(&head);
+        log.id = call.id.clone().unwrap_or_default();
+        let fresh = self.parts.holder.is_fresh();
+        let index = self.parts.declared.index().ok_or_else(stale_refusal)?;
+        log.declaration = index.declaration().number;
+        log.confirmed_ago = self.parts.holder.age().unwrap_or(time::Duration::MAX);
+        let route = find_route(&index, &head).ok_or_else(|| known_to(fresh, no_route()))?;
+        let route = route.clone();
+        log.route = Some(route.name.clone());
+        let team = if route.open || !index.needs_keys() {
+            None
+        } else if fresh {
+            Some(find_team(&index, &call)?)
+        } else {
+            return Err(stale_refusal());
+        };
+        log.team = team.as_ref().map(|team| team.name.clone());
+        log.model = model_text(&call);
+        let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + patience;
+        let reader = face::BodyReader {
+            max_bytes: usize::try_from(index.declaration().limits.body.0).unwrap_or(usize::MAX),
+            timeout: patience,
+        };
+        let body = reader.read(body).await?;
+        let service = route.service_at(point_of(&log.id)).clone();
+        Ok(entry::RoutedCall {
+            head,
+            body,
+            call,
+            index,
+            route,
+            service,
+            team,
+            arrived,
+            deadline,
+        })
+    }
+
+    /// Charges the team, if it has a limit.
+    async fn charge(
+        &self,
+        call: &entry::RoutedCall,
+    ) -> Result<Option<rate::TokenCharge>, face::RequestRefusal> {
+        let Some(team) = call.team.as_ref().filter(|team| team.is_limited()) else {
+            return Ok(None);
+        };
+        let tokens = team.charge.of(call.call.tokens);
+        let until = call.deadline.min(time::Instant::now() + CHARGE_PATIENCE);
+        let charge = self.parts.keeper.charge(&team.name, tokens, until).await?;
+        Ok(Some(charge))
+    }
+
+    /// Sends a call until it has an answer or no attempt is left.
+    async fn run(
+        &self,
+        call: entry::RoutedCall,
+        mut charge: Option<rate::TokenCharge>,
+        log: &mut entry::CallLog,
+    ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
+        let mut plan = entry::AttemptPlan::new(&call.route);
+        loop {
+            let lease = self.take_place(&call, &mut plan, log).await?;
+            if let Some(charge) = &mut charge {
+                charge.confirm(call.deadline).await?;
+            }
+            let head_until = plan.answer_until(time::Instant::now(), call.deadline);
+            plan.begin_send(lease.server());
+            log.sends = plan.sends();
+            let end = self.parts.attempt(&call, &lease, head_until, None).await;
+            match end {
+                entry::AttemptEnd::Stream(exchange) => {
+                    let relay = entry::StreamRelay::new(
+                        sync::Arc::clone(&self.parts),
+                        call,
+                        plan,
+                        charge,
+                        lease,
+                        exchange,
+                    );
+                    return Ok(relay.start());
+                }
+                entry::AttemptEnd::Whole(answer) => {
+                    plan.may_have_run();
+                    let repeats = answer.is_failure() && plan.may_repeat();
+                    if !repeats || !self.parts.spend_retry() {
+                        return Ok(self.whole_answer(answer));
+                    }
+                    log.notes.push("failed_at_server");
+                }
+                entry::AttemptEnd::NotRun(note) => {
+                    log.notes.push(note);
+                    if let Some(charge) = &mut charge {
+                        charge.not_run();
+                    }
+                    if !plan.may_send_unrun() || !self.parts.spend_retry() {
+                        return Err(call_answer::not_run(note, UNRUN_RETRY));
+                    }
+                }
+                entry::AttemptEnd::MayHaveRun(note) => {
+                    log.notes.push(note);
+                    plan.may_have_run();
+                    if time::Instant::now() >= call.deadline {
+                        return Err(call_answer::deadline_refusal());
+                    }
+                    if !plan.may_repeat() || !self.parts.spend_retry() {
+                        return Err(call_answer::lost_answer(note));
+                    }
+                }
+            }
+            if plan.has_run() && time::Instant::now() >= call.deadline {
+                return Err(call_answer::deadline_refusal());
+            }
+        }
+    }
+
+    /// Takes a place at a server that holds all that the call needs.
+    async fn take_place(
+        &self,
+        call: &entry::RoutedCall,
+        plan: &mut entry::AttemptPlan,
+        log: &mut entry::CallLog,
+    ) -> Result<entry::PlaceLease, face::RequestRefusal> {
+        let mut refused = 0;
+        loop {
+            let began = time::Instant::now();
+            let need = call.need(plan.tried().to_vec());
+            let again = plan.sends() > 0 || refused > 0;
+            let placed = self.parts.dispatcher.place(need, again).await;
+            log.waited += began.elapsed();
+            let lease = placed.map_err(|refusal| {
+                if plan.has_run() {
+                    return call_answer::lost_answer(refusal.cause.as_str());
+                }
+                call_answer::board_refusal(refusal)
+            })?;
+            log.server = Some(lease.server().clone());
+            let Some(adapter) = lease.wanted_adapter() else {
+                return Ok(lease);
+            };
+            let desk = entry::AdapterDesk::new(&self.parts.client);
+            let patience_until = call.patience_until();
+            match desk.bring(lease.server(), &adapter, patience_until).await {
+                Ok(()) => {
+                    lease.learn_adapter(adapter);
+                    return Ok(lease);
+                }
+                Err(reason) => {
+                    log::info!(
+                        request = log.id.as_str(),
+                        server:% = lease.server(),
+                        adapter:? = adapter,
+                        reason = reason.as_str();
+                        "adapter does not come"
+                    );
+                    log.notes.push("no_adapter");
+                    plan.pass_over(lease.server());
+                    refused += 1;
+                    if refused >= MAX_ADAPTER_TRIES {
+                        return Err(call_answer::not_run(&reason, UNRUN_RETRY));
+                    }
+                }
+            }
+        }
+    }
+
+    fn whole_answer(&self, answer: entry::WholeAnswer) -> Response<face::AnswerBody> {
+        let mut response = Response::new(face::AnswerBody::whole(answer.body));
+        *response.status_mut() = answer.head.status;
+        *response.headers_mut() = self.parts.dialect.answer_headers(&answer.head.headers);
+        response
+    }
+}
+
+fn find_route<'a>(
+    index: &'a declaration::DeclarationIndex,
+    head: &request::Parts,
+) -> Option<&'a declaration::DeclaredRoute> {
+    let host = head.headers.get(header::HOST)?.to_str().ok()?;
+    index.route(host, head.uri.path())
+}
+
+fn find_team(
+    index: &declaration::DeclarationIndex,
+    call: &gateway::CallerCall,
+) -> Result<declaration::DeclaredTeam, face::RequestRefusal> {
+    let secret = call.secret.as_deref();
+    let team = secret.and_then(|secret| index.team(secret));
+    team.cloned().ok_or_else(|| {
+        face::RequestRefusal::not_run(
+            face::RefusalKind::Unauthorized,
+            "the request shows no key that is in force",
+        )
+    })
+}
+
+fn model_text(call: &gateway::CallerCall) -> String {
+    let Some(target) = &call.target else {
+        return "-".to_owned();
+    };
+    match &target.adapter {
+        Some(adapter) => format!("{}/{adapter}", target.model),
+        None => target.model.to_string(),
+    }
+}
+
+fn no_route() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::NotFound,
+        "no route takes this host and path",
+    )
+}
+
+/// Returns the refusal of an instance that may not know the newest configuration.
+fn stale_refusal() -> face::RequestRefusal {
+    face::RequestRefusal::not_run(
+        face::RefusalKind::StaleConfiguration,
+        "this instance cannot confirm its configuration; try another one",
+    )
+    .retry_after(STALE_RETRY)
+}
+
+/// Returns a refusal that only an instance with the newest configuration may give.
+fn known_to(fresh: bool, refusal: face::RequestRefusal) -> face::RequestRefusal {
+    if fresh { refusal } else { stale_refusal() }
+}
+
+/// Spreads calls evenly over numbers by their ids, so that a repeat of one goes the same way.
+fn point_of(id: &str) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -0,0 +1,247 @@
+//! Hands calls their places at backend servers.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use galenahold_domain::declaration;
+use galenahold_domain::fleet as domain;
+use galenahold_domain::name;
+use galenahold_routing::fleet;
+use tokio::sync as tokio_sync;
+
+use crate::gateway::entry;
+use crate::platform;
+use crate::task;
+use crate::timer;
+
+/// How often waiting calls are looked at where nothing else happens.
+const LOOK_PERIOD: time::Duration = time::Duration::from_millis(50);
+
+/// Hands calls their places at backend servers, as the board decides.
+#[derive(Debug, Clone)]
+pub(crate) struct CallDispatcher {
+    state: sync::Arc<sync::Mutex<DispatcherState>>,
+    /// Says that a call waits for a model, which the leader should hear of.
+    demand: sync::Arc<tokio_sync::Notify>,
+    metrics: platform::FleetMetrics,
+}
+
+#[derive(Debug, Default)]
+struct DispatcherState {
+    board: fleet::DispatchBoard,
+    waiters: collections::HashMap<fleet::CallTicket, PlaceSender>,
+}
+
+type PlaceResult = Result<fleet::CallPlacement, fleet::BoardRefusal>;
+type PlaceSender = tokio_sync::oneshot::Sender<PlaceResult>;
+
+/// A call that waits; dropping it takes the call out of the line.
+struct WaitingPlace {
+    dispatcher: CallDispatcher,
+    service: name::ServiceName,
+    target: Option<fleet::ModelTarget>,
+    ticket: fleet::CallTicket,
+    receiver: tokio_sync::oneshot::Receiver<PlaceResult>,
+}
+
+impl CallDispatcher {
+    /// Creates a dispatcher that knows no servers.
+    pub(crate) fn new(metrics: platform::FleetMetrics) -> Self {
+        Self {
+            state: sync::Arc::default(),
+            demand: sync::Arc::default(),
+            metrics,
+        }
+    }
+
+    /// Looks at waiting calls now and then until the tasks stop.
+    pub(crate) fn start(&self, timer: &timer::TimerService, tasks: &task::TaskGroup) {
+        let dispatcher = self.clone();
+        let mut subscription = timer.subscribe(LOOK_PERIOD);
+        tasks.spawn_until_stop(async move {
+            while subscription.tick().await.is_some() {
+                dispatcher.change(|_| {});
+            }
+        });
+    }
+
+    /// Takes a place for a call, waiting for one if that is worth while.
+    ///
+    /// # Errors
+    ///
+    /// Why there is none, and when there may be.
+    pub(super) async fn place(
+        &self,
+        need: fleet::CallNeed,
+        again: bool,
+    ) -> Result<entry::PlaceLease, fleet::BoardRefusal> {
+        let now = time::Instant::now();
+        let target = need.target.clone();
+        let service = need.service.clone();
+        let waiting = {
+            let mut state = self.lock();
+            let submission = if again {
+                state.board.resubmit(need, now)
+            } else {
+                state.board.submit(need, now)
+            };
+            match submission {
+                fleet::CallSubmission::Placed(placement) => {
+                    return Ok(self.lease(placement, service, target));
+                }
+                fleet::CallSubmission::Refused(refusal) => {
+                    self.demand.notify_one();
+                    return Err(refusal);
+                }
+                fleet::CallSubmission::Waiting(ticket) => {
+                    let (sender, receiver) = tokio_sync::oneshot::channel();
+                    state.waiters.insert(ticket, sender);
+                    WaitingPlace {
+                        dispatcher: self.clone(),
+                        service: service.clone(),
+                        target: target.clone(),
+                        ticket,
+                        receiver,
+                    }
+                }
+            }
+        };
+        self.demand.notify_one();
+        self.metrics.waiting.inc();
+        let placed = waiting.wait().await;
+        self.metrics.waiting.dec();
+        placed.map(|placement| self.lease(placement, service, target))
+    }
+
+    /// Takes up what an attempt showed of its server.
+    pub(super) fn observe(
+        &self,
+        server: &name::ServerName,
+        target: Option<&fleet::ModelTarget>,
+        report: fleet::AttemptReport,
+    ) {
+        let now = time::Instant::now();
+        self.lock().board.observe(server, target, report, now);
+    }
+
+    /// Frees the place of an attempt that has ended.
+    pub(super) fn finish(
+        &self,
+        server: &name::ServerName,
+        target: Option<&fleet::ModelTarget>,
+        service: &name::ServiceName,
+    ) {
+        self.change(|board| board.finish(server, target, service));
+    }
+
+    /// Takes up that a server holds an adapter.
+    pub(super) fn learn_adapter(&self, server: &name::ServerName, adapter: domain::HeldAdapter) {
+        self.lock().board.learn_adapter(server, adapter);
+    }
+
+    /// Puts a declaration in force.
+    pub(crate) fn declare(&self, declaration: &declaration::FleetDeclaration) {
+        self.change(|board| board.declare(declaration));
+    }
+
+    /// Takes up what the roster says: servers that changed, those that went, and the followers.
+    pub(super) fn follow(
+        &self,
+        changed: Vec<domain::ServerRecord>,
+        gone: &[name::ServerName],
+        followers: u32,
+    ) {
+        let now = time::Instant::now();
+        self.change(|board| {
+            board.set_followers(followers);
+            for name in gone {
+                board.remove_server(name);
+            }
+            for record in changed {
+                board.update_server(record, now);
+            }
+        });
+    }
+
+    /// Takes out what the leader should hear of demand.
+    pub(super) fn take_demand(&self) -> DemandNews {
+        let mut state = self.lock();
+        DemandNews {
+            tallies: state.board.take_tallies(),
+            adapters: state.board.take_used_adapters(),
+        }
+    }
+
+    /// Waits until a call waits for a model or is refused for one.
+    pub(super) async fn demand(&self) {
+        self.demand.notified().await;
+    }
+
+    /// Changes the board and hands out the places that follow.
+    fn change(&self, change: impl FnOnce(&mut fleet::DispatchBoard)) {
+        let now = time::Instant::now();
+        let mut state = self.lock();
+        change(&mut state.board);
+        if !state.board.has_waiting() {
+            return;
+        }
+        for placed in state.board.poll(now) {
+            if let Some(sender) = state.waiters.remove(&placed.ticket) {
+                // A call whose caller left at this moment gives its place back when it is dropped.
+                let _ = sender.send(placed.result);
+            }
+        }
+    }
+
+    fn lease(
+        &self,
+        placement: fleet::CallPlacement,
+        service: name::ServiceName,
+        target: Option<fleet::ModelTarget>,
+    ) -> entry::PlaceLease {
+        entry::PlaceLease::new(self.clone(), placement, service, target)
+    }
+
+    fn withdraw(&self, ticket: fleet::CallTicket) {
+        let mut state = self.lock();
+        state.waiters.remove(&ticket);
+        state.board.withdraw(ticket);
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, DispatcherState> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// What the leader should hear of demand.
+#[derive(Debug)]
+pub(super) struct DemandNews {
+    /// How models were asked for.
+    pub(super) tallies: Vec<((name::ServiceName, name::ModelName), fleet::ModelTally)>,
+    /// Adapters that were used.
+    pub(super) adapters: Vec<(name::ServerName, domain::HeldAdapter)>,
+}
+
+impl WaitingPlace {
+    async fn wait(mut self) -> PlaceResult {
+        let received = (&mut self.receiver).await;
+        received.unwrap_or(Err(fleet::BoardRefusal {
+            cause: fleet::RefusalCause::NoServer,
+            retry_after: time::Duration::from_secs(1),
+        }))
+    }
+}
+
+impl Drop for WaitingPlace {
+    fn drop(&mut self) {
+        self.dispatcher.withdraw(self.ticket);
+        // A place that was handed out at this very moment goes back.
+        if let Ok(Ok(placement)) = self.receiver.try_recv() {
+            self.dispatcher
+                .finish(&placement.server, self.target.as_ref(), &self.service);
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/demand_reporter.rs
@@ -0,0 +1,93 @@
+//! Reports to the leader which models are asked for.
+
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::message;
+use log::debug;
+
+use crate::gateway;
+use crate::gateway::control;
+use crate::gateway::entry;
+use crate::peer;
+use crate::task;
+
+/// How often demand is reported where no call waits.
+const REPORT_PERIOD: time::Duration = time::Duration::from_millis(400);
+
+/// The shortest time between two reports.
+const MIN_REST: time::Duration = time::Duration::from_millis(60);
+
+/// How long the leader may take to answer.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Reports to the leader which models are asked for.
+pub(crate) struct DemandReporter<Dialect> {
+    instance: name::InstanceName,
+    dispatcher: entry::CallDispatcher,
+    client: peer::ControlClient<control::FleetDesk<Dialect>>,
+}
+
+impl<Dialect: gateway::FleetDialect> DemandReporter<Dialect> {
+    /// Creates a reporter.
+    pub(crate) fn new(
+        instance: name::InstanceName,
+        dispatcher: entry::CallDispatcher,
+        client: peer::ControlClient<control::FleetDesk<Dialect>>,
+    ) -> Self {
+        Self {
+            instance,
+            dispatcher,
+            client,
+        }
+    }
+
+    /// Reports until the tasks stop.
+    pub(crate) fn start(self, tasks: &task::TaskGroup) {
+        tasks.spawn_until_stop(async move {
+            let mut reported_at = time::Instant::now();
+            loop {
+                tokio::select! {
+                    () = tokio::time::sleep(REPORT_PERIOD) => {}
+                    () = self.dispatcher.demand() => {}
+                }
+                self.report(reported_at.elapsed()).await;
+                reported_at = time::Instant::now();
+                tokio::time::sleep(MIN_REST).await;
+            }
+        });
+    }
+
+    async fn report(&self, span: time::Duration) {
+        let news = self.dispatcher.take_demand();
+        if news.tallies.is_empty() && news.adapters.is_empty() {
+            return;
+        }
+        let models =
+            news.tallies
+                .into_iter()
+                .map(|((service, model), tally)| message::ModelCount {
+                    service,
+                    model,
+                    arrivals: tally.arrivals,
+                    waiting: tally.waiting,
+                    running: tally.running,
+                });
+        let adapters = news
+            .adapters
+            .into_iter()
+            .map(|(server, adapter)| message::AdapterUse { server, adapter });
+        let demand = message::ModelDemand {
+            instance: self.instance.clone(),
+            span_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
+            models: models.collect(),
+            adapters: adapters.collect(),
+        };
+        let call = message::ControlCall::Fleet(message::FleetCall::Demand(demand));
+        let deadline = time::Instant::now() + ANSWER_TIMEOUT;
+        if let Err(error) = self.client.call(call, deadline).await {
+            // The next report carries what waits; a lost one only delays a load.
+            debug!(error:% = error; "report of demand lost");
+        }
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -0,0 +1,63 @@
+//! What an entry instance serves callers with.
+
+use std::sync;
+
+use galenahold_routing::fleet;
+
+use crate::backend;
+use crate::configuration;
+use crate::gateway;
+use crate::gateway::control;
+use crate::gateway::entry;
+use crate::peer;
+use crate::platform;
+use crate::rate;
+use crate::task;
+
+/// What an entry instance serves callers with.
+pub(crate) struct EntryParts<Dialect> {
+    /// The platform's words.
+    pub(crate) dialect: Dialect,
+    /// The configuration with its confirmation.
+    pub(crate) holder: configuration::ConfigurationHolder,
+    /// The declaration in force.
+    pub(crate) declared: gateway::DeclarationHolder<Dialect>,
+    /// Finds backend servers.
+    pub(crate) dispatcher: entry::CallDispatcher,
+    /// Tokens of teams.
+    pub(crate) keeper: rate::RateKeeper,
+    /// Reaches the leader.
+    pub(crate) client: peer::ControlClient<control::FleetDesk<Dialect>>,
+    /// Reaches backend servers.
+    pub(crate) backend: backend::BackendClient,
+    /// Attempts beyond the first of each call.
+    pub(crate) purse: sync::Arc<sync::Mutex<fleet::RetryPurse>>,
+    /// Metrics.
+    pub(crate) metrics: platform::FleetMetrics,
+    /// Whether a planned stop is under way.
+    pub(crate) readiness: platform::ReadinessState,
+    /// The tasks that relay streams.
+    pub(crate) work: task::TaskGroup,
+}
+
+impl<Dialect> EntryParts<Dialect> {
+    /// Counts a first attempt.
+    pub(crate) fn earn_retry(&self) {
+        self.lock_purse().earn();
+    }
+
+    /// Takes a further attempt out of the budget; false if there is none.
+    pub(crate) fn spend_retry(&self) -> bool {
+        let spent = self.lock_purse().spend();
+        if spent {
+            self.metrics.retries.inc();
+        }
+        spent
+    }
+
+    fn lock_purse(&self) -> sync::MutexGuard<'_, fleet::RetryPurse> {
+        self.purse
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/mod.rs
@@ -0,0 +1,35 @@
+//! The callers' side of a gateway instance.
+
+mod adapter_desk;
+mod attempt_end;
+mod attempt_plan;
+mod attempt_sender;
+mod call_answer;
+mod call_desk;
+mod call_dispatcher;
+mod call_face;
+mod call_log;
+mod demand_reporter;
+mod entry_parts;
+mod event_splitter;
+mod place_lease;
+mod ready_face;
+mod roster_follower;
+mod routed_call;
+mod stream_relay;
+
+use adapter_desk::AdapterDesk;
+use attempt_end::{AttemptEnd, WholeAnswer};
+use attempt_plan::AttemptPlan;
+pub(crate) use call_desk::CallDesk;
+pub(crate) use call_dispatcher::CallDispatcher;
+pub(crate) use call_face::CallFace;
+use call_log::CallLog;
+pub(crate) use demand_reporter::DemandReporter;
+pub(crate) use entry_parts::EntryParts;
+use event_splitter::EventSplitter;
+use place_lease::PlaceLease;
+pub(crate) use ready_face::ReadyFace;
+pub(crate) use roster_follower::RosterFollower;
+use routed_call::RoutedCall;
+use stream_relay::StreamRelay;
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/roster_follower.rs
@@ -0,0 +1,88 @@
+//! Follows the leader's roster.
+
+use std::sync;
+
+use galenahold_domain::fleet;
+use galenahold_routing::fleet as routing;
+use galenahold_wire::message;
+use log::info;
+
+use crate::configuration;
+use crate::gateway::entry;
+
+/// Follows the leader's roster and tells the dispatcher of it.
+#[derive(Debug, Clone)]
+pub(crate) struct RosterFollower {
+    view: sync::Arc<sync::Mutex<fleet::RosterView>>,
+    dispatcher: entry::CallDispatcher,
+    purse: sync::Arc<sync::Mutex<routing::RetryPurse>>,
+    /// Attempts beyond the share of calls that all instances together may make.
+    shared_retries: f64,
+}
+
+impl RosterFollower {
+    /// Creates a follower that knows no servers.
+    pub(crate) fn new(
+        dispatcher: entry::CallDispatcher,
+        purse: sync::Arc<sync::Mutex<routing::RetryPurse>>,
+        shared_retries: f64,
+    ) -> Self {
+        Self {
+            view: sync::Arc::default(),
+            dispatcher,
+            purse,
+            shared_retries,
+        }
+    }
+
+    /// Splits the retries that all instances share evenly among them.
+    fn split_retries(&self, followers: u32) {
+        if followers > 0 {
+            let most = self.shared_retries / f64::from(followers);
+            let mut purse = self
+                .purse
+                .lock()
+                .unwrap_or_else(sync::PoisonError::into_inner);
+            purse.set_most(most.max(1.0));
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, fleet::RosterView> {
+        self.view
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl configuration::RosterSink for RosterFollower {
+    fn mark(&self) -> Option<fleet::RosterMark> {
+        Some(self.lock().mark())
+    }
+
+    fn take(&self, update: Option<fleet::RosterUpdate>, followers: u32) {
+        self.split_retries(followers);
+        let Some(update) = update else {
+            self.dispatcher.follow(Vec::new(), &[], followers);
+            return;
+        };
+        let mut view = self.lock();
+        let term = view.mark().term;
+        let touched = view.take(update);
+        let mark = view.mark();
+        if mark.term != term {
+            info!(term = mark.term, version = mark.version; "follows the roster of another leader");
+        }
+        let changed: Vec<_> = touched
+            .iter()
+            .filter_map(|name| view.get(name).cloned())
+            .collect();
+        let gone: Vec<_> = touched
+            .into_iter()
+            .filter(|name| view.get(name).is_none())
+            .collect();
+        drop(view);
+        self.dispatcher.follow(changed, &gone, followers);
+    }
+
+    fn take_members(&self, _members: &[message::ControlMember]) {}
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -0,0 +1,197 @@
+//! Relays a stream of events.
+
+use std::sync;
+use std::time;
+
+use galenahold_routing::fleet;
+use http::Response;
+use log::info;
+
+use crate::backend;
+use crate::face;
+use crate::gateway;
+use crate::gateway::entry;
+use crate::rate;
+
+/// Relays a stream of events to its caller, and goes on at another server where that may be done.
+///
+/// Only whole events are passed on, so that a run that goes on elsewhere joins without a seam. Dropping
+/// the exchange with the server cancels the run there.
+pub(super) struct StreamRelay<Dialect> {
+    parts: sync::Arc<entry::EntryParts<Dialect>>,
+    call: entry::RoutedCall,
+    plan: entry::AttemptPlan,
+    /// Settles the team's tokens when the stream ends.
+    _charge: Option<rate::TokenCharge>,
+    lease: entry::PlaceLease,
+    exchange: backend::BackendExchange,
+    splitter: entry::EventSplitter,
+    last_id: Option<String>,
+    events: u64,
+}
+
+/// What came of the next piece.
+enum RelayStep {
+    Go,
+    Ended,
+    Cut(&'static str),
+    CallerLeft,
+}
+
+impl<Dialect: gateway::FleetDialect> StreamRelay<Dialect> {
+    /// Takes over an answer that has begun.
+    pub(super) fn new(
+        parts: sync::Arc<entry::EntryParts<Dialect>>,
+        call: entry::RoutedCall,
+        plan: entry::AttemptPlan,
+        charge: Option<rate::TokenCharge>,
+        lease: entry::PlaceLease,
+        exchange: backend::BackendExchange,
+    ) -> Self {
+        Self {
+            parts,
+            call,
+            plan,
+            _charge: charge,
+            lease,
+            exchange,
+            splitter: entry::EventSplitter::default(),
+            last_id: None,
+            events: 0,
+        }
+    }
+
+    /// Starts the relay and returns the caller's answer.
+    pub(super) fn start(self) -> Response<face::AnswerBody> {
+        let (sender, body) = face::AnswerBody::stream();
+        let mut response = Response::new(body);
+        let head = self.exchange.head();
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.parts.dialect.answer_headers(&head.headers);
+        // The events may go on elsewhere, so their length is not that server's to say.
+        response.headers_mut().remove(http::header::CONTENT_LENGTH);
+        let work = self.parts.work.clone();
+        work.spawn(self.relay(sender));
+        response
+    }
+
+    async fn relay(mut self, sender: face::StreamSender) {
+        loop {
+            match self.step(&sender).await {
+                RelayStep::Go => {}
+                RelayStep::Ended => {
+                    self.log("complete");
+                    self.exchange.finish();
+                    return;
+                }
+                RelayStep::CallerLeft => {
+                    self.log("caller_left");
+                    return;
+                }
+                RelayStep::Cut(reason) => {
+                    if self.resume(reason).await {
+                        continue;
+                    }
+                    self.log(reason);
+                    // The caller's connection is closed without the end of the answer.
+                    let _ = sender.send(Err(face::StreamCut)).await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn step(&mut self, sender: &face::StreamSender) -> RelayStep {
+        let piece = tokio::select! {
+            piece = self.exchange.next_piece() => piece,
+            () = sender.closed() => return RelayStep::CallerLeft,
+            () = tokio::time::sleep_until(self.call.deadline.into()) => {
+                return RelayStep::Cut("deadline");
+            }
+        };
+        match piece {
+            Ok(Some(piece)) => {
+                if !self.splitter.push(&piece) {
+                    return RelayStep::Cut("event_too_large");
+                }
+                self.pass_on(sender).await
+            }
+            Ok(None) if self.splitter.is_empty() => RelayStep::Ended,
+            Ok(None) => RelayStep::Cut("ended_within_event"),
+            Err(_) => RelayStep::Cut("connection_broken"),
+        }
+    }
+
+    async fn pass_on(&mut self, sender: &face::StreamSender) -> RelayStep {
+        while let Some(event) = self.splitter.next_event() {
+            self.events += 1;
+            if event.id.is_some() {
+                self.last_id = event.id;
+            }
+            if sender.send(Ok(event.bytes)).await.is_err() {
+                return RelayStep::CallerLeft;
+            }
+        }
+        RelayStep::Go
+    }
+
+    /// Goes on at another server after a cut; false where that cannot be.
+    async fn resume(&mut self, reason: &'static str) -> bool {
+        self.lease.observe(fleet::AttemptReport::Broken);
+        self.plan.may_have_run();
+        let in_time = time::Instant::now() < self.call.deadline;
+        if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry() {
+            return false;
+        }
+        let need = self.call.need(self.plan.tried().to_vec());
+        let Ok(lease) = self.parts.dispatcher.place(need, true).await else {
+            return false;
+        };
+        if let Some(adapter) = lease.wanted_adapter() {
+            let desk = entry::AdapterDesk::new(&self.parts.client);
+            let brought = desk.bring(lease.server(), &adapter, self.call.deadline);
+            if brought.await.is_err() {
+                return false;
+            }
+            lease.learn_adapter(adapter);
+        }
+        self.plan.begin_send(lease.server());
+        let resume_after = self.last_id.clone();
+        let end = self
+            .parts
+            .attempt(
+                &self.call,
+                &lease,
+                self.call.deadline,
+                resume_after.as_deref(),
+            )
+            .await;
+        let entry::AttemptEnd::Stream(exchange) = end else {
+            return false;
+        };
+        info!(
+            request = self.call.call.id.as_deref().unwrap_or("-"),
+            from:% = self.lease.server(),
+            to:% = lease.server(),
+            after = self.last_id.as_deref().unwrap_or("-"),
+            reason = reason;
+            "stream goes on at another server"
+        );
+        self.parts.metrics.resumed.inc();
+        self.exchange = exchange;
+        self.lease = lease;
+        self.splitter = entry::EventSplitter::default();
+        true
+    }
+
+    fn log(&self, reason: &str) {
+        info!(
+            request = self.call.call.id.as_deref().unwrap_or("-"),
+            server:% = self.lease.server(),
+            events = self.events,
+            took_ms = u64::try_from(self.call.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+            reason = reason;
+            "stream ended"
+        );
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/gateway_settings.rs
@@ -0,0 +1,66 @@
+//! Settings of a gateway instance.
+
+use std::net;
+use std::path;
+use std::time;
+
+use galenahold_domain::name;
+
+/// Settings of an instance of a fleet that is declared whole.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GatewaySettings {
+    /// Its name in logs.
+    pub name: name::InstanceName,
+    /// Its data centre.
+    pub data_centre: name::DataCentreName,
+    /// Its own address.
+    pub address: net::IpAddr,
+    /// Where callers reach it; none where it takes no callers.
+    pub callers: Option<net::SocketAddr>,
+    /// Where the balancer asks for readiness.
+    pub readiness: Option<net::SocketAddr>,
+    /// Where operators and backend servers reach it; none where it is no member of the control group.
+    pub control: Option<net::SocketAddr>,
+    /// The port for other instances, the same at all of them.
+    pub peer_port: u16,
+    /// The port for metrics.
+    pub metrics_port: u16,
+    /// Control addresses of instances that may know the control group.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Its data folder, for a member of the control group.
+    pub data_folder: Option<path::PathBuf>,
+    /// Whether the whole fleet starts for the first time, so that a control group may be founded.
+    pub may_found: bool,
+    /// Data folders that may be lost at once without losing what was acknowledged.
+    pub losses_borne: usize,
+    /// Time between two notices of a backend server.
+    pub notice_period: time::Duration,
+    /// How old the confirmation of a key may be.
+    pub key_freshness: time::Duration,
+    /// How long a planned stop may take.
+    pub stop_grace: time::Duration,
+    /// Attempts beyond the first of each call, as a share of calls, over all instances.
+    pub retry_share: f64,
+    /// Such attempts that all instances together may make besides.
+    pub retry_extra: f64,
+    /// How long a new leader waits until it gives orders to engines.
+    pub order_lease: time::Duration,
+}
+
+impl GatewaySettings {
+    /// Returns where other instances reach this one; its name among them is this address.
+    pub(crate) fn peer_address(&self) -> net::SocketAddr {
+        net::SocketAddr::new(self.address, self.peer_port)
+    }
+
+    /// Returns the names of the instances that may know the control group.
+    pub(crate) fn seed_names(&self) -> Vec<name::InstanceName> {
+        let addresses = self
+            .seeds
+            .iter()
+            .map(|seed| net::SocketAddr::new(seed.ip(), self.peer_port));
+        addresses
+            .map(|address| name::InstanceName::from(address.to_string()))
+            .collect()
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -0,0 +1,392 @@
+//! Makes the parts of a gateway instance and starts them.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::time;
+
+use galenahold_consensus::driver;
+use galenahold_consensus::member;
+use galenahold_domain::amount;
+use galenahold_domain::declaration;
+use galenahold_domain::name;
+use galenahold_routing::fleet;
+use galenahold_routing::rate as routing_rate;
+use galenahold_wire::message;
+use snafu::ResultExt;
+use tokio::net as tokio_net;
+use tokio::sync as tokio_sync;
+
+use crate::backend;
+use crate::configuration;
+use crate::control as group;
+use crate::face;
+use crate::gateway;
+use crate::gateway::control;
+use crate::gateway::entry;
+use crate::gateway::gateway_error;
+use crate::instance;
+use crate::peer;
+use crate::platform;
+use crate::rate;
+use crate::timer;
+
+/// Tells the instances of declared fleets from others when they connect.
+const CLUSTER: &str = "declared-fleet";
+
+/// How long connecting to a backend server may take: links of one region take a few milliseconds.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(350);
+
+/// How long a wait for the configuration may be held back without news; well below the time for which
+/// a confirmation of keys counts.
+const WATCH_HOLD: time::Duration = time::Duration::from_millis(700);
+
+/// Shortest time without a leader after which a member asks for an election.
+const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+
+/// Time between the leader's heartbeats.
+const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(120);
+
+/// How much clock rates may differ, in thousandths.
+const CLOCK_DRIFT_PERMILLE: u32 = 10;
+
+/// Requests that may wait for tokens of their teams.
+const MAX_WAITING_FOR_TOKENS: usize = 512;
+
+/// The share of the allowed retries that is used: windows at different instances do not begin together.
+const RETRY_USE: f64 = 0.6;
+
+/// Instances that are assumed to share the allowed retries before the roster tells.
+const ASSUMED_INSTANCES: f64 = 32.0;
+
+/// What callers' connections may hold.
+const CALLER_LIMITS: face::ConnectionLimits = face::ConnectionLimits {
+    // Descriptors of a small machine are about 4,000, and each call may need a second one.
+    max_connections: 1_800,
+    // The balancer's connections may come from one address.
+    max_per_address: 1_800,
+    max_head_bytes: 32 * 1024,
+    // Longer than callers keep a connection idle that they use again.
+    head_timeout: time::Duration::from_secs(20),
+    write_timeout: time::Duration::from_secs(10),
+};
+
+/// Makes the parts of a gateway instance and starts them.
+pub(crate) struct GatewayWiring<'a, Dialect> {
+    pub(super) settings: &'a gateway::GatewaySettings,
+    pub(super) dialect: Dialect,
+    pub(super) groups: &'a instance::TaskGroups,
+    pub(super) timer: timer::TimerService,
+    pub(super) metrics: platform::FleetMetrics,
+    pub(super) readiness: platform::ReadinessState,
+    pub(super) network: peer::PeerNetwork,
+}
+
+/// What a running instance has to be stopped with.
+pub(super) struct RunningParts<Dialect> {
+    pub(super) member: Option<sync::Arc<group::ControlGroup>>,
+    pub(super) log: Option<driver::ReplicatedLog<group::ControlMachine>>,
+    pub(super) watch: Option<control::MemberWatch>,
+    pub(super) keeper: Option<rate::RateKeeper>,
+    pub(super) client: peer::ControlClient<control::FleetDesk<Dialect>>,
+    pub(super) holder: configuration::ConfigurationHolder,
+}
+
+/// The member of the control group, before its faces are open.
+struct MemberParts<Dialect> {
+    parts: sync::Arc<control::DeskParts<Dialect>>,
+    log: driver::ReplicatedLog<group::ControlMachine>,
+}
+
+impl<'a, Dialect: gateway::FleetDialect> GatewayWiring<'a, Dialect> {
+    pub(super) fn new(
+        settings: &'a gateway::GatewaySettings,
+        dialect: Dialect,
+        groups: &'a instance::TaskGroups,
+    ) -> Self {
+        let card = message::InstanceCard {
+            name: name::InstanceName::from(settings.peer_address().to_string()),
+            incarnation: amount::IncarnationNumber::ZERO,
+            address: settings.peer_address(),
+            data_centre: settings.data_centre.clone(),
+        };
+        let directory = peer::PeerDirectory::new(card, Vec::new());
+        Self {
+            settings,
+            dialect,
+            timer: timer::TimerService::start(&groups.system),
+            metrics: platform::FleetMetrics::new(),
+            readiness: platform::ReadinessState::default(),
+            network: peer::PeerNetwork::new(CLUSTER.to_owned(), directory, groups.system.clone()),
+            groups,
+        }
+    }
+
+    /// Binds the faces and starts all parts.
+    pub(super) async fn start(&self) -> Result<RunningParts<Dialect>, gateway::GatewayError> {
+        let holder = configuration::ConfigurationHolder::new(self.settings.key_freshness);
+        let member = self.start_member()?;
+        let desk = match &member {
+            Some(member) => control::FleetDesk::member(sync::Arc::clone(&member.parts)),
+            None => control::FleetDesk::outside(),
+        };
+        let client = peer::ControlClient::new(
+            self.network.clone(),
+            desk.clone(),
+            self.settings.seed_names(),
+        );
+        let mut running = RunningParts {
+            member: None,
+            log: None,
+            watch: None,
+            keeper: None,
+            client: client.clone(),
+            holder: holder.clone(),
+        };
+        if let Some(member) = member {
+            let group = sync::Arc::clone(&member.parts.member);
+            let watch = control::MemberWatch::new(sync::Arc::clone(&group));
+            self.start_control(member.parts, &desk, &client).await?;
+            if self.settings.callers.is_none() {
+                self.start_watcher(holder.clone(), &client, &desk, watch.clone());
+            }
+            running.member = Some(group);
+            running.log = Some(member.log);
+            running.watch = Some(watch);
+        }
+        if let Some(callers) = self.settings.callers {
+            let listener = bind(callers, "callers").await?;
+            let keeper = self.start_entry(listener, &holder, &client, &desk).await?;
+            running.keeper = Some(keeper);
+        }
+        self.start_metrics(holder).await?;
+        Ok(running)
+    }
+
+    fn start_member(&self) -> Result<Option<MemberParts<Dialect>>, gateway::GatewayError> {
+        let Some(folder) = &self.settings.data_folder else {
+            return Ok(None);
+        };
+        let transport = group::LogTransport::new(self.network.clone(), self.groups.system.clone());
+        let settings = group::MemberSettings {
+            folder: folder.clone(),
+            name: self.network.directory().own().name.clone(),
+            address: self.settings.peer_address(),
+            founders: self.founders(),
+            may_found: self.settings.may_found,
+            election_timeout: ELECTION_TIMEOUT,
+            heartbeat: LEADER_HEARTBEAT,
+            clock_drift_permille: CLOCK_DRIFT_PERMILLE,
+        };
+        let started = group::ControlGroup::start(settings, transport);
+        let (member, log) = started.context(gateway_error::DataFolderSnafu { folder })?;
+        let member = sync::Arc::new(member);
+        let backend = backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT);
+        let parts = control::DeskParts {
+            grants: group::GrantDesk::new(routing_rate::LedgerSettings::default()),
+            declared: gateway::DeclarationHolder::new(self.dialect.clone()),
+            orders: control::OrderSender::new(
+                self.dialect.clone(),
+                backend,
+                sync::Arc::clone(&member),
+                self.settings.name.clone(),
+            ),
+            planning: tokio_sync::Notify::new(),
+            notice_period: self.settings.notice_period,
+            order_lease: self.settings.order_lease,
+            leadership: sync::Mutex::new(None),
+            roster_moves: tokio_sync::watch::Sender::new(()),
+            followers: sync::Mutex::new(collections::HashMap::new()),
+            member,
+        };
+        Ok(Some(MemberParts {
+            parts: sync::Arc::new(parts),
+            log,
+        }))
+    }
+
+    /// Returns the members with which the group is founded: the seeds.
+    fn founders(&self) -> Vec<member::MemberEndpoint> {
+        let names = self.settings.seed_names();
+        names
+            .iter()
+            .map(|name| member::MemberEndpoint::new(name, name))
+            .collect()
+    }
+
+    async fn start_control(
+        &self,
+        parts: sync::Arc<control::DeskParts<Dialect>>,
+        desk: &control::FleetDesk<Dialect>,
+        client: &peer::ControlClient<control::FleetDesk<Dialect>>,
+    ) -> Result<(), gateway::GatewayError> {
+        let listener = bind(self.settings.peer_address(), "other instances").await?;
+        let service = control::GatewayService {
+            cluster: CLUSTER,
+            desk: desk.clone(),
+            client: client.clone(),
+            directory: self.network.directory().clone(),
+            recorder: platform::BurnRecorder::new(self.settings.name.clone()),
+        };
+        peer::PeerServer::new(listener, service).start(&self.groups.system);
+        control::MemberKeeper::new(sync::Arc::clone(&parts.member), self.settings.losses_borne)
+            .start(&self.timer, &self.groups.system);
+        control::PlacementLoop::new(sync::Arc::clone(&parts), self.groups.system.clone())
+            .start(&self.timer);
+        if let Some(address) = self.settings.control {
+            let listener = bind(address, "operators and backend servers").await?;
+            let face = control::ControlFace::new(
+                self.dialect.clone(),
+                parts,
+                address,
+                self.settings.losses_borne,
+            );
+            face::HttpListener::new(listener, CALLER_LIMITS, face).start(&self.groups.system);
+        }
+        Ok(())
+    }
+
+    fn start_watcher(
+        &self,
+        holder: configuration::ConfigurationHolder,
+        client: &peer::ControlClient<control::FleetDesk<Dialect>>,
+        desk: &control::FleetDesk<Dialect>,
+        sink: impl configuration::RosterSink,
+    ) {
+        configuration::ConfigurationWatcher::new(
+            holder,
+            self.network.clone(),
+            client.clone(),
+            desk.clone(),
+            configuration::WatchSources::Leader,
+            sink,
+            WATCH_HOLD,
+        )
+        .start(&self.groups.system);
+    }
+
+    async fn start_entry(
+        &self,
+        listener: tokio_net::TcpListener,
+        holder: &configuration::ConfigurationHolder,
+        client: &peer::ControlClient<control::FleetDesk<Dialect>>,
+        desk: &control::FleetDesk<Dialect>,
+    ) -> Result<rate::RateKeeper, gateway::GatewayError> {
+        let keeper = self.rate_keeper();
+        keeper.start(client.clone(), &self.groups.system);
+        let dispatcher = entry::CallDispatcher::new(self.metrics.clone());
+        dispatcher.start(&self.timer, &self.groups.system);
+        let shared_retries = self.settings.retry_extra * RETRY_USE;
+        let purse = fleet::RetryPurse::new(
+            self.settings.retry_share * RETRY_USE,
+            (shared_retries / ASSUMED_INSTANCES).max(1.0),
+        );
+        let purse = sync::Arc::new(sync::Mutex::new(purse));
+        let follower = entry::RosterFollower::new(
+            dispatcher.clone(),
+            sync::Arc::clone(&purse),
+            shared_retries,
+        );
+        self.start_watcher(holder.clone(), client, desk, follower);
+        entry::DemandReporter::new(
+            self.settings.name.clone(),
+            dispatcher.clone(),
+            client.clone(),
+        )
+        .start(&self.groups.system);
+        let declared = gateway::DeclarationHolder::new(self.dialect.clone());
+        self.follow_declarations(holder, &declared, &keeper, &dispatcher);
+        let parts = entry::EntryParts {
+            dialect: self.dialect.clone(),
+            holder: holder.clone(),
+            declared: declared.clone(),
+            dispatcher,
+            keeper: keeper.clone(),
+            client: client.clone(),
+            backend: backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT),
+            purse,
+            metrics: self.metrics.clone(),
+            readiness: self.readiness.clone(),
+            work: self.groups.work.clone(),
+        };
+        let desk = entry::CallDesk::new(sync::Arc::new(parts));
+        let face = entry::CallFace::new(desk);
+        face::HttpListener::new(listener, CALLER_LIMITS, face).start(&self.groups.callers);
+        if let Some(address) = self.settings.readiness {
+            let listener = bind(address, "readiness").await?;
+            let face = entry::ReadyFace {
+                dialect: self.dialect.clone(),
+                readiness: self.readiness.clone(),
+                holder: holder.clone(),
+                declared,
+            };
+            face::HttpListener::new(listener, CALLER_LIMITS, face).start(&self.groups.system);
+        }
+        Ok(keeper)
+    }
+
+    /// Reads each new document and puts it in force at this instance.
+    fn follow_declarations(
+        &self,
+        holder: &configuration::ConfigurationHolder,
+        declared: &gateway::DeclarationHolder<Dialect>,
+        keeper: &rate::RateKeeper,
+        dispatcher: &entry::CallDispatcher,
+    ) {
+        let holder = holder.clone();
+        let declared = declared.clone();
+        let keeper = keeper.clone();
+        let dispatcher = dispatcher.clone();
+        let mut revisions = holder.subscribe();
+        self.groups.system.spawn_until_stop(async move {
+            while revisions.changed().await.is_ok() {
+                let Some(index) = declared.take(holder.index().view()) else {
+                    continue;
+                };
+                let limited = index
+                    .declaration()
+                    .teams
+                    .iter()
+                    .filter(|team| team.is_limited());
+                let teams: Vec<_> = limited
+                    .map(declaration::DeclaredTeam::rate_intent)
+                    .collect();
+                keeper.set_teams(&teams);
+                dispatcher.declare(index.declaration());
+            }
+        });
+    }
+
+    /// Creates a wallet under a name of its own: what an earlier start was lent is not its to spend.
+    fn rate_keeper(&self) -> rate::RateKeeper {
+        let own = &self.network.directory().own().name;
+        let holder = format!("{own}#{:016x}", rand::random::<u64>());
+        let wallet = routing_rate::TokenWallet::new(
+            name::InstanceName::from(holder),
+            amount::IncarnationNumber(1),
+            routing_rate::WalletSettings::default(),
+        );
+        rate::RateKeeper::new(wallet, MAX_WAITING_FOR_TOKENS)
+    }
+
+    async fn start_metrics(
+        &self,
+        holder: configuration::ConfigurationHolder,
+    ) -> Result<(), gateway::GatewayError> {
+        let address = net::SocketAddr::new(self.settings.address, self.settings.metrics_port);
+        let listener = bind(address, "metrics").await?;
+        let face =
+            platform::PlatformFace::new(self.metrics.clone(), self.readiness.clone(), holder);
+        face::HttpListener::new(listener, CALLER_LIMITS, face).start(&self.groups.system);
+        Ok(())
+    }
+}
+
+async fn bind(
+    address: net::SocketAddr,
+    face: &'static str,
+) -> Result<tokio_net::TcpListener, gateway::GatewayError> {
+    tokio_net::TcpListener::bind(address)
+        .await
+        .context(gateway_error::ListenSnafu { address, face })
+}
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -37,6 +37,9 @@
 /// How long connecting to a backend server may take.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
+/// How long a wait for the configuration may be held back without news.
+const WATCH_HOLD: time::Duration = time::Duration::from_millis(400);
+
 /// How long an instance tries to say that orders of its earlier incarnations are over.
 const ABANDON_TIMEOUT: time::Duration = time::Duration::from_mins(2);
 
@@ -258,6 +261,7 @@
             desk.clone(),
             sources,
             configuration::NoRoster,
+            WATCH_HOLD,
         )
         .start(&groups.system);
     }
--- a/galenahold_instance/src/lib.rs
+++ b/galenahold_instance/src/lib.rs
@@ -8,6 +8,7 @@
 mod dispatch;
 mod entry;
 mod face;
+pub mod gateway;
 mod instance;
 mod operator;
 mod order;
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -324,6 +324,7 @@
         update,
         drains: None,
         roster: None,
+        followers: 0,
         members: Vec::new(),
         leader: Some("control-1".into()),
     }
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -26,6 +26,9 @@
         /// What is new of the roster of declared services.
         #[serde(default)]
         roster: Option<fleet::RosterUpdate>,
+        /// Entry instances that follow the roster.
+        #[serde(default)]
+        followers: u32,
         /// The members of the control group that an instance without configured peers may turn to.
         #[serde(default)]
         members: Vec<message::ControlMember>,
