--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -8,6 +8,7 @@
 use galenahold_domain::control as domain;
 use galenahold_domain::declaration;
 use galenahold_domain::fleet;
+use galenahold_domain::intent;
 use galenahold_domain::name;
 use galenahold_placement::fleet as placement;
 use galenahold_routing::rate;
@@ -122,20 +123,9 @@
 
     /// Lends tokens.
     pub(crate) fn grant(&self, term: u64, call: &rate::GrantCall) -> message::ControlReply {
-        let Some(index) = self.declaration() else {
-            return message::ControlReply::Refused {
-                reason: "no configuration was declared".to_owned(),
-            };
-        };
-        let declaration = index.declaration();
-        let teams: Vec<_> = declaration
-            .teams
-            .iter()
-            .filter(|team| team.is_limited())
-            .map(declaration::DeclaredTeam::rate_intent)
-            .collect();
+        let (revision, teams) = self.teams();
         let teams = group::TeamsInForce {
-            revision: amount::RevisionNumber(declaration.number),
+            revision,
             teams: &teams,
         };
         let reply = self.grants.grant(term, teams, call);
@@ -148,6 +138,17 @@
         message::ControlReply::Grant(reply)
     }
 
+    /// Returns the teams that have a limit, and the revision of their declaration.
+    fn teams(&self) -> (amount::RevisionNumber, Vec<intent::TeamIntent>) {
+        let Some(index) = self.declaration() else {
+            return (amount::RevisionNumber::ZERO, Vec::new());
+        };
+        let declaration = index.declaration();
+        let limited = declaration.teams.iter().filter(|team| team.is_limited());
+        let teams = limited.map(declaration::DeclaredTeam::rate_intent);
+        (amount::RevisionNumber(declaration.number), teams.collect())
+    }
+
     /// Answers a call about backend servers.
     pub(crate) async fn answer_fleet(&self, call: message::FleetCall) -> message::FleetReply {
         match call {
@@ -335,6 +336,13 @@
     fn new_leadership(&self, term: u64) -> control::FleetLeadership {
         let now = time::Instant::now();
         info!(term = term; "begins to lead declared services");
+        // Rates refill from the begin of the leadership, not from the first request after it.
+        let (revision, teams) = self.teams();
+        let teams = group::TeamsInForce {
+            revision,
+            teams: &teams,
+        };
+        self.grants.begin(term, teams);
         control::FleetLeadership {
             term,
             roster: fleet::ServerRoster::new(term, self.notice_period, now),
--- a/galenahold_instance/src/gateway/declaration_holder.rs
+++ b/galenahold_instance/src/gateway/declaration_holder.rs
@@ -41,7 +41,13 @@
         }
         match self.dialect.read_document(&document.content) {
             Ok(declaration) => {
+                let limits: Vec<_> = declaration
+                    .teams
+                    .iter()
+                    .map(|team| format!("{}:{}+{}", team.name, team.rate_per_s, team.burst))
+                    .collect();
                 info!(
+                    limits = limits.join(",").as_str(),
                     number = document.number,
                     routes = declaration.routes.len(),
                     services = declaration.services.len(),
