Load an adapter only into a place that is free, and keep two places free

Change: the second order goes out only after the first is done; two places are kept free between loads; the stop keeps 1.1 s for its last steps.

--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -314,10 +314,7 @@
                 Some(_) => placement::OrderReceipt::NotSent,
                 None => self.orders.send(term, &order).await,
             };
-            if !matches!(
-                receipt,
-                placement::OrderReceipt::Accepted | placement::OrderReceipt::Done
-            ) {
+            if !order.action.is_settled_by(receipt) {
                 failed.get_or_insert(receipt);
             }
             let now = time::Instant::now();
--- a/galenahold_instance/src/gateway/gateway_instance.rs
+++ b/galenahold_instance/src/gateway/gateway_instance.rs
@@ -24,7 +24,7 @@
 const NOTICE: time::Duration = time::Duration::from_millis(2_300);
 
 /// The part of the grace time that is kept for the last steps of a stop.
-const LAST_STEPS: time::Duration = time::Duration::from_millis(600);
+const LAST_STEPS: time::Duration = time::Duration::from_millis(1_100);
 
 /// How long a member that hands leadership over stays.
 const HAND_OVER_TIME: time::Duration = time::Duration::from_millis(400);
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -44,6 +44,9 @@
 /// How long an unload may take, which waits for runs to end.
 const UNLOAD_TIME: time::Duration = time::Duration::from_secs(12);
 
+/// Adapter places of an engine that are kept free for adapters that are asked for next.
+const FREE_ADAPTER_PLACES: usize = 2;
+
 /// The part of an adapter's load that does not depend on its size.
 const ADAPTER_BASE: time::Duration = time::Duration::from_millis(5);
 
@@ -197,6 +200,9 @@
         for record in &round.records {
             self.follow(&round, record, &mut step);
         }
+        for record in round.records.iter().filter(|record| is_usable(record)) {
+            step.orders.extend(self.free_adapter_place(&round, record));
+        }
         let mut taken = collections::HashSet::new();
         self.load_into_made_room(&round, &mut taken, &mut step);
         for need in self.needs(&round) {
@@ -310,6 +316,25 @@
         }
     }
 
+    /// Unloads the adapter that was unused for longest where too few places are free.
+    ///
+    /// While an engine loads a model, which takes seconds, it unloads no adapter: only free places serve
+    /// new adapters then.
+    fn free_adapter_place(
+        &mut self,
+        round: &PlanRound<'_>,
+        record: &domain::ServerRecord,
+    ) -> Option<fleet::EngineOrder> {
+        let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
+        let plan = self.plan_of(&record.name, record.started_ms);
+        if !plan.is_free(round.now) || plan.adapters.len() + FREE_ADAPTER_PLACES <= slots {
+            return None;
+        }
+        let victim = plan.adapters.victim(round.now)?;
+        plan.adapters.free(&victim);
+        Some(self.order(record, fleet::OrderAction::UnloadAdapter(victim)))
+    }
+
     /// Goes on where a model was unloaded to make room for another.
     fn load_into_made_room(
         &mut self,
--- a/galenahold_placement/src/fleet/order_action.rs
+++ b/galenahold_placement/src/fleet/order_action.rs
@@ -1,8 +1,10 @@
 //! What an engine is to do.
 
-use galenahold_domain::fleet;
+use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 
+use crate::fleet;
+
 /// What an engine is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderAction {
@@ -11,9 +13,9 @@
     /// Unload a model once its runs have ended.
     UnloadModel(name::ModelName),
     /// Load an adapter of a model that it holds.
-    LoadAdapter(fleet::HeldAdapter),
+    LoadAdapter(domain::HeldAdapter),
     /// Unload an adapter.
-    UnloadAdapter(fleet::HeldAdapter),
+    UnloadAdapter(domain::HeldAdapter),
 }
 
 impl OrderAction {
@@ -26,6 +28,20 @@
         }
     }
 
+    /// Returns whether an engine that gave this receipt has done what the next order builds on.
+    ///
+    /// An unload that was only accepted waits for runs to end: its place is still taken.
+    #[must_use]
+    pub fn is_settled_by(&self, receipt: fleet::OrderReceipt) -> bool {
+        match self {
+            Self::LoadModel(_) | Self::LoadAdapter(_) => matches!(
+                receipt,
+                fleet::OrderReceipt::Accepted | fleet::OrderReceipt::Done
+            ),
+            Self::UnloadModel(_) | Self::UnloadAdapter(_) => receipt == fleet::OrderReceipt::Done,
+        }
+    }
+
     /// Returns whether it is about a model rather than an adapter.
     #[must_use]
     pub fn is_about_model(&self) -> bool {
