Feel a change of leader less: hear of it early, hold and lend tokens across it

Change: entry instances wait at a member that does not lead to hear of another leader, and drop calls to the one before; a new leader of a declared fleet refills at once from zero, entry instances hold 0.9 s of tokens for 2.5 s; where engines check fencing numbers a new leader waits only until each engine has stated itself; the roster carries adapters; a request whose adapter cannot be asked for is sent to the engine that should hold it, which refuses it unrun otherwise. Ruled out: readiness and key freshness, which stayed good through the change.

--- a/galenahold_consensus/src/driver/membership_planner.rs
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -28,7 +28,7 @@
     /// Returns the next change that the leader should make, from its own view of the group.
     #[must_use]
     pub fn next_change(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
-        self.lost_folder(status)
+        Self::lost_folder(status)
             .or_else(|| self.dead_learner(status))
             .or_else(|| self.dead_voter(status))
             .or_else(|| self.caught_up_learner(status))
@@ -36,7 +36,7 @@
     }
 
     /// Finds a member whose name a folder with another identity bears now.
-    fn lost_folder(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+    fn lost_folder(status: &driver::LogStatus) -> Option<member::MembershipChange> {
         let replaced = |report: &&driver::MemberReport| {
             let profile = &report.member.profile;
             let returned = status.joiners.iter().any(|joiner| {
--- a/galenahold_domain/src/fleet/server_record.rs
+++ b/galenahold_domain/src/fleet/server_record.rs
@@ -30,6 +30,9 @@
     pub leaves_soon: bool,
     /// The models that it holds.
     pub models: Vec<fleet::HeldModel>,
+    /// The adapters that it held when its record last changed otherwise; they come and go by the second.
+    #[serde(default)]
+    pub adapters: Vec<fleet::HeldAdapter>,
     /// The load that is under way there.
     pub loading: Option<fleet::ModelLoading>,
     /// Models whose weights lie in its host's memory.
@@ -71,6 +74,7 @@
             silent: false,
             leaves_soon: notice.removal_in.is_some(),
             models: notice.models,
+            adapters: notice.adapters,
             loading: None,
             in_memory: notice.in_memory,
             on_disk: notice.on_disk,
--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -103,8 +103,10 @@
         let known = known.filter(|known| known.record.started_ms == record.started_ms);
         if let Some(known) = known {
             follow_known(&mut record, &known.record);
-            if known.record == record {
-                self.confirm(&record.name, sequence, now);
+            let mut before = known.record.clone();
+            before.adapters.clone_from(&record.adapters);
+            if before == record {
+                self.confirm(record, sequence, now);
                 return fleet::NoticeOutcome::Confirmed;
             }
         }
@@ -243,8 +245,9 @@
         }
     }
 
-    fn confirm(&mut self, name: &name::ServerName, sequence: u64, now: time::Instant) {
-        if let Some(entry) = self.entries.get_mut(name) {
+    fn confirm(&mut self, record: fleet::ServerRecord, sequence: u64, now: time::Instant) {
+        if let Some(entry) = self.entries.get_mut(&record.name) {
+            entry.record = record;
             entry.sequence = sequence;
             entry.heard_at = now;
         }
--- a/galenahold_instance/src/configuration/configuration_holder.rs
+++ b/galenahold_instance/src/configuration/configuration_holder.rs
@@ -92,7 +92,7 @@
 
     /// Returns how long ago a quorum confirmed the configuration; `None` before the first time.
     pub(crate) fn age(&self) -> Option<time::Duration> {
-        self.lock().confirmed_at.map(|at| at.elapsed())
+        self.lock().confirmed_at.map(timer::BootInstant::elapsed)
     }
 
     /// Returns whether a quorum confirmed the configuration lately.
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -87,6 +87,7 @@
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             drain_version: self.holder.drains().version,
             roster: self.sink.mark(),
+            leader_known: None,
             hold_ms: u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX),
         };
         let sent_at = timer::BootInstant::now();
@@ -103,12 +104,16 @@
             return tokio::time::timeout(limit, watching).await.ok();
         }
         let source = self.source()?;
-        let watched = self
+        let watching = self
             .network
             .call(&source, limit, |client, context| async move {
                 client.watch(context, request).await
-            })
-            .await;
+            });
+        let watched = tokio::select! {
+            watched = watching => watched,
+            // Another leader was heard of: what this one still says may be long in coming.
+            () = self.client.leader_moved(&source) => return None,
+        };
         watched
             .inspect_err(|error| {
                 debug!(source:% = source, error:% = error; "watch failed");
@@ -151,7 +156,7 @@
                         .learn_members(members.iter().map(|member| member.name.clone()));
                     self.sink.take_members(&members);
                 }
-                self.sink.take(roster, followers);
+                self.sink.take(roster.map(|update| *update), followers);
                 let confirmed = configuration::ConfirmedUpdate {
                     confirmed_at: confirmed_at(sent_at, held_ms, age_ms),
                     revision,
--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -41,11 +41,13 @@
     /// Time between two notices of a backend server.
     pub(crate) notice_period: time::Duration,
     /// How long a new leader gives no orders.
-    pub(crate) order_lease: time::Duration,
+    pub(crate) order_pause: time::Duration,
     /// What is kept while this member leads.
     pub(crate) leadership: sync::Mutex<Option<control::FleetLeadership>>,
     /// Says that the roster moved on.
     pub(crate) roster_moves: tokio_sync::watch::Sender<()>,
+    /// Who leads, as far as this member knows.
+    pub(crate) leaders: tokio_sync::watch::Sender<Option<name::InstanceName>>,
     /// Instances that follow the roster, and when they last asked.
     pub(crate) followers: sync::Mutex<collections::HashMap<name::InstanceName, time::Instant>>,
 }
@@ -192,7 +194,8 @@
         let followers = self.count_followers(request, now);
         let roster = request
             .roster
-            .and_then(|mark| self.lead(|leadership| leadership.roster.update_since(mark, now))?);
+            .and_then(|mark| self.lead(|leadership| leadership.roster.update_since(mark, now))?)
+            .map(Box::new);
         let members = self.members();
         let reply = self
             .member
@@ -292,8 +295,9 @@
             return refused("this member no longer leads");
         };
         match decided {
-            Err(reason) => refused(reason),
-            Ok((_, placement::AdapterDecision::Refused { reason })) => refused(reason),
+            Err(reason) | Ok((_, placement::AdapterDecision::Refused { reason })) => {
+                refused(reason)
+            }
             Ok((_, placement::AdapterDecision::Comes { ready_in })) => comes(ready_in),
             Ok((term, placement::AdapterDecision::Order { orders, ready_in })) => {
                 self.order_adapter(term, orders, ready_in).await
@@ -344,7 +348,7 @@
             term,
             roster: fleet::ServerRoster::new(term, self.notice_period, now),
             planner: placement::FleetPlanner::default(),
-            orders_from: now + self.order_lease,
+            orders_from: now + self.order_pause,
         }
     }
 }
--- a/galenahold_instance/src/gateway/control/fleet_desk.rs
+++ b/galenahold_instance/src/gateway/control/fleet_desk.rs
@@ -1,6 +1,7 @@
 //! Answers calls to the leader of a fleet that is declared whole.
 
 use std::sync;
+use std::time;
 
 use galenahold_domain::name;
 use galenahold_wire::message;
@@ -45,6 +46,17 @@
         true
     }
 
+    /// Waits until another instance than `known` leads, for `hold` at most.
+    pub(crate) async fn other_leader(&self, known: &name::InstanceName, hold: time::Duration) {
+        let Some(parts) = &self.parts else {
+            return;
+        };
+        let mut leaders = parts.leaders.subscribe();
+        let moved = leaders.wait_for(|leader| leader.as_ref().is_some_and(|name| name != known));
+        // The sender lives as long as the desk; without news the time ends the wait.
+        let _ = tokio::time::timeout(hold, moved).await;
+    }
+
     /// Returns who leads, as far as this instance knows from the log itself.
     pub(crate) fn leader(&self) -> Option<name::InstanceName> {
         self.parts.as_ref()?.member.leader()
--- a/galenahold_instance/src/gateway/control/gateway_service.rs
+++ b/galenahold_instance/src/gateway/control/gateway_service.rs
@@ -73,7 +73,13 @@
         _context: context::Context,
         request: message::WatchRequest,
     ) -> message::WatchReply {
-        if self.desk.leads() {
+        if !self.desk.leads()
+            && let Some(known) = &request.leader_known
+        {
+            let hold = time::Duration::from_millis(request.hold_ms);
+            self.desk.other_leader(known, hold).await;
+        }
+        if self.desk.leads() && request.leader_known.is_none() {
             return self.desk.watch(request).await;
         }
         message::WatchReply::Unavailable {
--- a/galenahold_instance/src/gateway/control/order_sender.rs
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -18,7 +18,7 @@
 use crate::gateway::control;
 
 /// How long an engine may take to answer an order or a call for its report.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 /// The largest report of an engine, in bytes.
 const MAX_REPORT_BYTES: usize = 1024 * 1024;
--- a/galenahold_instance/src/gateway/entry/adapter_desk.rs
+++ b/galenahold_instance/src/gateway/entry/adapter_desk.rs
@@ -10,12 +10,24 @@
 use crate::gateway::control;
 use crate::peer;
 
-/// How long the leader may take to answer.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
+/// How long the leader may take to answer: it sends at most two orders to the engine.
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// What is added to the expected time of an adapter's load.
 const LOAD_MARGIN: time::Duration = time::Duration::from_millis(3);
 
+/// What came of asking for an adapter.
+#[derive(Debug)]
+pub(super) enum AdapterAnswer {
+    /// It is there.
+    Comes,
+    /// The leader could not be asked: the engine may hold the adapter all the same, and refuses the
+    /// request otherwise.
+    Unasked(String),
+    /// It does not come.
+    Refused(String),
+}
+
 /// Asks the leader for adapters, which alone gives orders to engines.
 #[derive(Debug)]
 pub(super) struct AdapterDesk<'a, Dialect> {
@@ -29,16 +41,12 @@
     }
 
     /// Has an adapter loaded and waits until it should be there.
-    ///
-    /// # Errors
-    ///
-    /// Why it does not come.
     pub(super) async fn bring(
         &self,
         server: &name::ServerName,
         adapter: &fleet::HeldAdapter,
         patience_until: time::Instant,
-    ) -> Result<(), String> {
+    ) -> AdapterAnswer {
         let call = message::ControlCall::Fleet(message::FleetCall::Adapter {
             server: server.clone(),
             adapter: adapter.clone(),
@@ -50,13 +58,13 @@
                     let rest = time::Duration::from_millis(ready_in_ms) + LOAD_MARGIN;
                     tokio::time::sleep(rest).await;
                 }
-                Ok(())
+                AdapterAnswer::Comes
             }
             Ok(message::ControlReply::Fleet(message::FleetReply::AdapterRefused { reason })) => {
-                Err(reason)
+                AdapterAnswer::Refused(reason)
             }
-            Ok(other) => Err(format!("the leader answered {other:?}")),
-            Err(error) => Err(error.to_string()),
+            Ok(other) => AdapterAnswer::Unasked(format!("the leader answered {other:?}")),
+            Err(error) => AdapterAnswer::Unasked(error.to_string()),
         }
     }
 }
--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -13,7 +13,7 @@
 use crate::gateway::entry::call_answer;
 use crate::rate;
 
-/// How long a request may wait for its team's tokens.
+/// How long a request may wait for its team's tokens where they are short.
 const CHARGE_PATIENCE: time::Duration = time::Duration::from_millis(400);
 
 /// Engines that are asked for an adapter at most.
@@ -117,8 +117,16 @@
             return Ok(None);
         };
         let tokens = team.charge.of(call.call.tokens);
-        let until = call.deadline.min(time::Instant::now() + CHARGE_PATIENCE);
-        let charge = self.parts.keeper.charge(&team.name, tokens, until).await?;
+        let for_control = call.patience_until();
+        let patience = rate::ChargePatience {
+            for_rate: for_control.min(time::Instant::now() + CHARGE_PATIENCE),
+            for_control,
+        };
+        let charge = self
+            .parts
+            .keeper
+            .charge(&team.name, tokens, patience)
+            .await?;
         Ok(Some(charge))
     }
 
@@ -212,11 +220,16 @@
             let desk = entry::AdapterDesk::new(&self.parts.client);
             let patience_until = call.patience_until();
             match desk.bring(lease.server(), &adapter, patience_until).await {
-                Ok(()) => {
+                entry::AdapterAnswer::Comes => {
                     lease.learn_adapter(adapter);
                     return Ok(lease);
                 }
-                Err(reason) => {
+                entry::AdapterAnswer::Unasked(reason) => {
+                    log.notes.push("adapter_unasked");
+                    log::debug!(server:% = lease.server(), reason = reason.as_str(); "leader not asked");
+                    return Ok(lease);
+                }
+                entry::AdapterAnswer::Refused(reason) => {
                     log::info!(
                         request = log.id.as_str(),
                         server:% = lease.server(),
--- /dev/null
+++ b/galenahold_instance/src/gateway/entry/leader_scout.rs
@@ -0,0 +1,94 @@
+//! Hears early of another leader.
+
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_wire::message;
+use log::info;
+use rand::RngExt;
+
+use crate::gateway;
+use crate::gateway::control;
+use crate::peer;
+use crate::task;
+
+/// How long a member may hold its answer back without news.
+const HOLD: time::Duration = time::Duration::from_millis(2_000);
+
+/// How much longer than that a call may take.
+const SLACK: time::Duration = time::Duration::from_millis(500);
+
+/// The longest pause after a failed call.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(300);
+
+/// Hears early of another leader: it waits at a member that does not lead, which notices the loss of
+/// the leader long before calls to the lost one run out of time.
+pub(crate) struct LeaderScout<Dialect> {
+    network: peer::PeerNetwork,
+    client: peer::ControlClient<control::FleetDesk<Dialect>>,
+}
+
+impl<Dialect: gateway::FleetDialect> LeaderScout<Dialect> {
+    /// Creates a scout.
+    pub(crate) fn new(
+        network: peer::PeerNetwork,
+        client: peer::ControlClient<control::FleetDesk<Dialect>>,
+    ) -> Self {
+        Self { network, client }
+    }
+
+    /// Waits at one member after the other until the tasks stop.
+    pub(crate) fn start(self, tasks: &task::TaskGroup) {
+        tasks.spawn_until_stop(async move {
+            loop {
+                if !self.wait_once().await {
+                    let pause = MAX_PAUSE.mul_f64(rand::rng().random_range(0.3..1.0));
+                    tokio::time::sleep(pause).await;
+                }
+            }
+        });
+    }
+
+    /// Waits once; returns whether the member answered.
+    async fn wait_once(&self) -> bool {
+        let Some(leader) = self.client.leader() else {
+            return false;
+        };
+        let Some(member) = self.other_member(&leader) else {
+            return false;
+        };
+        let request = message::WatchRequest {
+            card: self.network.directory().own().clone(),
+            have: galenahold_domain::amount::RevisionNumber::ZERO,
+            age_ms: None,
+            drain_version: 0,
+            roster: None,
+            leader_known: Some(leader.clone()),
+            hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
+        };
+        let waited = self
+            .network
+            .call(&member, HOLD + SLACK, |client, context| async move {
+                client.watch(context, request).await
+            })
+            .await;
+        let Ok(message::WatchReply::Unavailable { leader: heard }) = waited else {
+            return false;
+        };
+        if let Some(heard) = heard.filter(|heard| *heard != leader) {
+            info!(before:% = leader, leader:% = heard, told_by:% = member; "another instance leads");
+            self.client.follow_leader(Some(heard));
+        }
+        true
+    }
+
+    fn other_member(&self, leader: &name::InstanceName) -> Option<name::InstanceName> {
+        let mut members = self.client.members();
+        members.retain(|member| member != leader);
+        if members.is_empty() {
+            return None;
+        }
+        let place = rand::rng().random_range(0..members.len());
+        Some(members.swap_remove(place))
+    }
+}
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -150,7 +150,7 @@
         if let Some(adapter) = lease.wanted_adapter() {
             let desk = entry::AdapterDesk::new(&self.parts.client);
             let brought = desk.bring(lease.server(), &adapter, self.call.deadline);
-            if brought.await.is_err() {
+            if let entry::AdapterAnswer::Refused(_) = brought.await {
                 return false;
             }
             lease.learn_adapter(adapter);
--- a/galenahold_instance/src/gateway/gateway_settings.rs
+++ b/galenahold_instance/src/gateway/gateway_settings.rs
@@ -43,11 +43,26 @@
     pub retry_share: f64,
     /// Such attempts that all instances together may make besides.
     pub retry_extra: f64,
-    /// How long a new leader waits until it gives orders to engines.
+    /// Whether engines refuse orders with a lower fencing number than they have seen.
+    pub engines_check_fences: bool,
+    /// How long orders of two instances have to be apart where engines do not check.
     pub order_lease: time::Duration,
 }
 
+/// Periods of notices within which each engine has stated itself to a new leader.
+const HEARING_PERIODS: f64 = 1.25;
+
 impl GatewaySettings {
+    /// Returns how long a new leader gives no orders: until it knows what each engine holds, and until an
+    /// earlier leader's orders no longer arrive where engines would not refuse them.
+    pub(crate) fn order_pause(&self) -> time::Duration {
+        let hearing = self.notice_period.mul_f64(HEARING_PERIODS);
+        if self.engines_check_fences {
+            return hearing;
+        }
+        hearing.max(self.order_lease)
+    }
+
     /// Returns where other instances reach this one; its name among them is this address.
     pub(crate) fn peer_address(&self) -> net::SocketAddr {
         net::SocketAddr::new(self.address, self.peer_port)
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -42,14 +42,20 @@
 const WATCH_HOLD: time::Duration = time::Duration::from_millis(700);
 
 /// Shortest time without a leader after which a member asks for an election.
-const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(600);
+const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(450);
 
 /// Time between the leader's heartbeats.
-const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(120);
+const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(100);
 
 /// How much clock rates may differ, in thousandths.
 const CLOCK_DRIFT_PERMILLE: u32 = 10;
 
+/// How long lent tokens may be spent: longer than a change of leader takes.
+const GRANT_EXPIRY: time::Duration = time::Duration::from_millis(2_500);
+
+/// For how long an instance holds tokens ahead of its requests, so that a change of leader is not felt.
+const PREFETCH_HORIZON: time::Duration = time::Duration::from_millis(900);
+
 /// Requests that may wait for tokens of their teams.
 const MAX_WAITING_FOR_TOKENS: usize = 512;
 
@@ -183,7 +189,7 @@
         let member = sync::Arc::new(member);
         let backend = backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT);
         let parts = control::DeskParts {
-            grants: group::GrantDesk::new(routing_rate::LedgerSettings::default()),
+            grants: group::GrantDesk::new(ledger_settings()),
             declared: gateway::DeclarationHolder::new(self.dialect.clone()),
             orders: control::OrderSender::new(
                 self.dialect.clone(),
@@ -193,9 +199,10 @@
             ),
             planning: tokio_sync::Notify::new(),
             notice_period: self.settings.notice_period,
-            order_lease: self.settings.order_lease,
+            order_pause: self.settings.order_pause(),
             leadership: sync::Mutex::new(None),
             roster_moves: tokio_sync::watch::Sender::new(()),
+            leaders: tokio_sync::watch::Sender::new(None),
             followers: sync::Mutex::new(collections::HashMap::new()),
             member,
         };
@@ -231,6 +238,8 @@
         peer::PeerServer::new(listener, service).start(&self.groups.system);
         control::MemberKeeper::new(sync::Arc::clone(&parts.member), self.settings.losses_borne)
             .start(&self.timer, &self.groups.system);
+        control::LeaderLookout::new(sync::Arc::clone(&parts))
+            .start(&self.timer, &self.groups.system);
         control::PlacementLoop::new(sync::Arc::clone(&parts), self.groups.system.clone())
             .start(&self.timer);
         if let Some(address) = self.settings.control {
@@ -288,6 +297,7 @@
             shared_retries,
         );
         self.start_watcher(holder.clone(), client, desk, follower);
+        entry::LeaderScout::new(self.network.clone(), client.clone()).start(&self.groups.system);
         entry::DemandReporter::new(
             self.settings.name.clone(),
             dispatcher.clone(),
@@ -364,7 +374,7 @@
         let wallet = routing_rate::TokenWallet::new(
             name::InstanceName::from(holder),
             amount::IncarnationNumber(1),
-            routing_rate::WalletSettings::default(),
+            routing_rate::WalletSettings::default().with_prefetch_horizon(PREFETCH_HORIZON),
         );
         rate::RateKeeper::new(wallet, MAX_WAITING_FOR_TOKENS)
     }
@@ -382,6 +392,12 @@
     }
 }
 
+fn ledger_settings() -> routing_rate::LedgerSettings {
+    routing_rate::LedgerSettings::default()
+        .with_grant_expiry(GRANT_EXPIRY)
+        .with_refill_at_once()
+}
+
 async fn bind(
     address: net::SocketAddr,
     face: &'static str,
--- a/galenahold_instance/src/peer/control_client.rs
+++ b/galenahold_instance/src/peer/control_client.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::name;
 use galenahold_wire::message;
 use rand::RngExt;
+use tokio::sync::watch;
 
 use crate::peer;
 
@@ -28,6 +29,7 @@
     desk: Desk,
     members: sync::Arc<sync::Mutex<Vec<name::InstanceName>>>,
     leader: sync::Arc<sync::Mutex<LeaderView>>,
+    moves: sync::Arc<watch::Sender<()>>,
 }
 
 /// What is known of the leader.
@@ -63,6 +65,7 @@
             desk,
             members: sync::Arc::new(sync::Mutex::new(members)),
             leader: sync::Arc::default(),
+            moves: sync::Arc::default(),
         }
     }
 
@@ -89,13 +92,33 @@
     /// Takes up who leads.
     pub(crate) fn learn_leader(&self, leader: Option<name::InstanceName>) {
         if leader.is_some() {
-            self.lock().name = leader;
+            self.follow_leader(leader);
         }
     }
 
     /// Takes up what an instance that does not lead says; `None` where it knows of no leader.
     pub(crate) fn follow_leader(&self, leader: Option<name::InstanceName>) {
-        self.lock().name = leader;
+        let mut view = self.lock();
+        let moved = leader.is_some() && view.name != leader;
+        view.name = leader;
+        drop(view);
+        if moved {
+            self.moves.send_replace(());
+        }
+    }
+
+    /// Waits until another instance than `target` is known to lead.
+    pub(crate) async fn leader_moved(&self, target: &name::InstanceName) {
+        let mut moves = self.moves.subscribe();
+        loop {
+            if self.lock().name.as_ref().is_some_and(|name| name != target) {
+                return;
+            }
+            if moves.changed().await.is_err() {
+                // The sender lives as long as this client.
+                return;
+            }
+        }
     }
 
     /// Goes around a leader that could not be reached, for a while.
@@ -176,13 +199,15 @@
         }
         let own = &self.network.directory().own().name;
         if let Some(leader) = self.leader().filter(|leader| leader != own) {
-            let called = self
+            let calling = self
                 .network
                 .call(&leader, limit, |client, context| async move {
                     client.call(context, call).await
-                })
-                .await;
-            return self.follow(&leader, called);
+                });
+            return tokio::select! {
+                called = calling => self.follow(&leader, called),
+                () = self.leader_moved(&leader) => AttemptResult::Unknown,
+            };
         }
         let Some(member) = self.next_member(turn) else {
             return AttemptResult::NotDone;
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -64,7 +64,7 @@
         self.lock().weight(team)
     }
 
-    /// Charges tokens, asking the leader for them where they are missing, until `deadline`.
+    /// Charges tokens, asking the leader for them where they are missing, as long as `patience` says.
     ///
     /// # Errors
     ///
@@ -73,8 +73,9 @@
         &self,
         team: &name::TeamName,
         wanted: amount::TokenCount,
-        deadline: time::Instant,
+        patience: impl Into<tokens::ChargePatience>,
     ) -> Result<tokens::TokenCharge, face::RequestRefusal> {
+        let patience = patience.into();
         let mut replies = self.replies.subscribe();
         let before = replies.borrow_and_update().answered;
         let mut place = None;
@@ -91,8 +92,9 @@
                 }
                 rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown(team)),
             };
-            let left = deadline.saturating_duration_since(now);
             let answered = replies.borrow_and_update().answered > before;
+            let until = patience.until(answered);
+            let left = until.saturating_duration_since(now);
             let hopeless = answered && retry_after.is_some_and(|wait| wait > left);
             if hopeless || (left.is_zero() && answered) {
                 return Err(refuse_rate(team, retry_after));
@@ -105,7 +107,7 @@
             }
             self.wanted.notify_one();
             // A reply that comes in time is all that can change the answer.
-            let _ = tokio::time::timeout_at(deadline.into(), replies.changed()).await;
+            let _ = tokio::time::timeout_at(until.into(), replies.changed()).await;
         }
     }
 
--- a/galenahold_routing/src/fleet/board_server.rs
+++ b/galenahold_routing/src/fleet/board_server.rs
@@ -49,9 +49,9 @@
     pub(super) fn new(record: domain::ServerRecord, now: time::Instant) -> Self {
         Self {
             loading_since: record.loading.is_some().then_some(now),
+            adapters: record.adapters.iter().cloned().collect(),
             record,
             in_flight: 0,
-            adapters: collections::HashSet::new(),
             avoided_until: None,
             failures_in_row: 0,
             failure_share: 0.0,
@@ -71,6 +71,7 @@
         if record.loading != self.record.loading {
             self.loading_since = record.loading.is_some().then_some(now);
         }
+        self.adapters.extend(record.adapters.iter().cloned());
         self.adapters
             .retain(|adapter| record.serves_model(&adapter.model));
         self.record = record;
--- a/galenahold_routing/src/rate/grant_ledger.rs
+++ b/galenahold_routing/src/rate/grant_ledger.rs
@@ -36,7 +36,7 @@
     pub fn new(term: u64, settings: rate::LedgerSettings, started_at: time::Instant) -> Self {
         Self {
             term,
-            refills_from: started_at + settings.write_off_after(),
+            refills_from: started_at + settings.refill_delay(),
             settings,
             next_grant: 1,
             buckets: collections::BTreeMap::new(),
--- a/galenahold_routing/src/rate/ledger_settings.rs
+++ b/galenahold_routing/src/rate/ledger_settings.rs
@@ -12,6 +12,7 @@
     pub(super) grant_expiry: time::Duration,
     pub(super) drift_bound: time::Duration,
     pub(super) pending_expiry: time::Duration,
+    pub(super) refill_at_once: bool,
 }
 
 impl LedgerSettings {
@@ -37,6 +38,26 @@
         self
     }
 
+    /// Returns the settings with which a new leadership refills its buckets, from zero, at once.
+    ///
+    /// Otherwise it waits until all that the leader before it lent can no longer be spent. Without the
+    /// wait a span across a change of leader may hold more than rate and burst, by what was lent and
+    /// not yet spent at the change; instances hold little more than they spend in their prefetch
+    /// horizon.
+    #[must_use]
+    pub fn with_refill_at_once(mut self) -> Self {
+        self.refill_at_once = true;
+        self
+    }
+
+    /// Returns how long after its begin a leadership starts to refill.
+    pub(super) fn refill_delay(&self) -> time::Duration {
+        if self.refill_at_once {
+            return time::Duration::ZERO;
+        }
+        self.write_off_after()
+    }
+
     /// Returns the time after which a grant can no longer be spent, by the ledger's clock.
     pub(super) fn write_off_after(&self) -> time::Duration {
         self.grant_expiry + self.drift_bound
@@ -49,6 +70,7 @@
             grant_expiry: DEFAULT_GRANT_EXPIRY,
             drift_bound: DEFAULT_DRIFT_BOUND,
             pending_expiry: DEFAULT_PENDING_EXPIRY,
+            refill_at_once: false,
         }
     }
 }
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -25,7 +25,7 @@
         drains: Option<message::DrainList>,
         /// What is new of the roster of declared services.
         #[serde(default)]
-        roster: Option<fleet::RosterUpdate>,
+        roster: Option<Box<fleet::RosterUpdate>>,
         /// Entry instances that follow the roster.
         #[serde(default)]
         followers: u32,
--- a/galenahold_wire/src/message/watch_request.rs
+++ b/galenahold_wire/src/message/watch_request.rs
@@ -2,6 +2,7 @@
 
 use galenahold_domain::amount;
 use galenahold_domain::fleet;
+use galenahold_domain::name;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -21,6 +22,10 @@
     /// How far it follows the roster of declared services; none where it does not.
     #[serde(default)]
     pub roster: Option<fleet::RosterMark>,
+    /// Who leads as far as the one who waits knows. An instance that does not lead then holds its answer
+    /// back until it knows of another leader.
+    #[serde(default)]
+    pub leader_known: Option<name::InstanceName>,
     /// How long the answer may be held back, in milliseconds.
     pub hold_ms: u64,
 }
