Look before ordering on top of an earlier leader's loads; bring adapters and rare models early

Change: the first order of a leadership asks for the engine's report and goes out only if the engine is idle and holds what its notices say; adapters that no engine holds are loaded into free places; models without any copy are fetched while the store is idle, in place of further copies only.

--- a/galenahold_domain/src/declaration/declared_model.rs
+++ b/galenahold_domain/src/declaration/declared_model.rs
@@ -14,6 +14,8 @@
     pub weights: amount::ByteCount,
     /// Memory for one of its adapters.
     pub adapter: amount::ByteCount,
+    /// Its adapters.
+    pub adapters: Vec<name::AdapterName>,
     /// How long a load from the weight store takes.
     pub store_load: time::Duration,
     /// How long a load from the engine's own disk takes.
--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -85,6 +85,11 @@
         let now = time::Instant::now();
         let server = notice.name.clone();
         let stage = notice.stage;
+        let models: Vec<_> = notice
+            .models
+            .iter()
+            .map(|held| held.name.to_string())
+            .collect();
         let outcome = self.lead(|leadership| {
             let started_ms = notice.started_ms;
             let adapters = notice.adapters.clone();
@@ -100,7 +105,7 @@
             outcome,
             fleet::NoticeOutcome::Joined | fleet::NoticeOutcome::Changed
         ) {
-            info!(server:% = server, outcome:? = outcome, stage:? = stage; "backend server stated itself");
+            info!(server:% = server, outcome:? = outcome, stage:? = stage, models = models.join(",").as_str(); "backend server stated itself");
             self.roster_moved();
         }
         Some(outcome)
--- a/galenahold_instance/src/gateway/control/mod.rs
+++ b/galenahold_instance/src/gateway/control/mod.rs
@@ -8,7 +8,6 @@
 mod leader_lookout;
 mod member_keeper;
 mod member_watch;
-mod order_line;
 mod order_sender;
 mod placement_loop;
 
@@ -20,6 +19,5 @@
 pub(crate) use leader_lookout::LeaderLookout;
 pub(crate) use member_keeper::MemberKeeper;
 pub(crate) use member_watch::MemberWatch;
-use order_line::OrderLine;
 pub(crate) use order_sender::OrderSender;
 pub(crate) use placement_loop::PlacementLoop;
--- a/galenahold_instance/src/gateway/control/order_sender.rs
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -15,7 +15,6 @@
 use crate::backend;
 use crate::control as group;
 use crate::gateway;
-use crate::gateway::control;
 
 /// How long an engine may take to answer an order or a call for its report.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -33,7 +32,7 @@
 }
 
 type LineTable =
-    collections::HashMap<name::ServerName, sync::Arc<tokio_sync::Mutex<control::OrderLine>>>;
+    collections::HashMap<name::ServerName, sync::Arc<tokio_sync::Mutex<placement::OrderLine>>>;
 
 impl<Dialect: gateway::FleetDialect> OrderSender<Dialect> {
     /// Creates a sender that orders in the name of `holder`.
@@ -65,13 +64,25 @@
             return placement::OrderReceipt::NotSent;
         }
         let about_model = order.action.is_about_model();
-        if about_model && line.taken.is_none() {
-            line.taken = self.ask_orders_taken(order).await;
-            if line.taken.is_none() {
+        if about_model && line.taken().is_none() {
+            let report = self.ask_report(order).await;
+            let now = time::Instant::now();
+            let sound = report
+                .as_ref()
+                .is_some_and(|report| line.take_report(report, &order.held, now));
+            if !sound {
+                info!(
+                    server:% = order.server,
+                    order = order.number,
+                    term = term,
+                    report:? = report,
+                    held:? = order.held;
+                    "order not sent: the engine is busy or holds other models than known"
+                );
                 return placement::OrderReceipt::NotSent;
             }
         }
-        let after = line.taken.filter(|_| about_model);
+        let after = line.taken().filter(|_| about_model);
         let receipt = self.send_once(term, order, after).await;
         line.count(&order.action, receipt, time::Instant::now());
         info!(
@@ -124,8 +135,8 @@
         }
     }
 
-    /// Asks an engine how many orders it has taken since its start.
-    async fn ask_orders_taken(&self, order: &placement::EngineOrder) -> Option<u64> {
+    /// Asks an engine for its report.
+    async fn ask_report(&self, order: &placement::EngineOrder) -> Option<placement::EngineReport> {
         let address = backend_address(order);
         let request: Request<_> = self.dialect.report_request(&order.server).map(Full::new);
         let deadline = time::Instant::now() + ANSWER_TIMEOUT;
@@ -144,7 +155,7 @@
         }
         let content = exchange.read_rest(MAX_REPORT_BYTES, deadline).await.ok()?;
         match self.dialect.read_report(&content) {
-            Ok(report) => Some(report.orders_taken),
+            Ok(report) => Some(report),
             Err(error) => {
                 warn!(server:% = order.server, error:% = error; "report of an engine cannot be read");
                 None
@@ -152,7 +163,10 @@
         }
     }
 
-    fn line(&self, server: &name::ServerName) -> sync::Arc<tokio_sync::Mutex<control::OrderLine>> {
+    fn line(
+        &self,
+        server: &name::ServerName,
+    ) -> sync::Arc<tokio_sync::Mutex<placement::OrderLine>> {
         let mut lines = self
             .lines
             .lock()
--- a/galenahold_instance/src/gateway/dialect/fleet_dialect.rs
+++ b/galenahold_instance/src/gateway/dialect/fleet_dialect.rs
@@ -78,5 +78,6 @@
     /// # Errors
     ///
     /// The report cannot be read; the error names the field.
-    fn read_report(&self, content: &[u8]) -> Result<dialect::EngineReport, dialect::DialectError>;
+    fn read_report(&self, content: &[u8])
+    -> Result<placement::EngineReport, dialect::DialectError>;
 }
--- a/galenahold_instance/src/gateway/dialect/mod.rs
+++ b/galenahold_instance/src/gateway/dialect/mod.rs
@@ -5,7 +5,6 @@
 mod caller_call;
 mod control_request;
 mod dialect_error;
-mod engine_report;
 mod fleet_dialect;
 mod order_head;
 
@@ -14,6 +13,5 @@
 pub use caller_call::{CallerCall, PromptPart};
 pub use control_request::ControlRequest;
 pub use dialect_error::DialectError;
-pub use engine_report::EngineReport;
 pub use fleet_dialect::FleetDialect;
 pub use order_head::OrderHead;
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -133,16 +133,12 @@
     lease: &entry::PlaceLease,
     mut exchange: backend::BackendExchange,
 ) -> entry::AttemptEnd {
-    match exchange.read_rest(MAX_WHOLE_BYTES, call.deadline).await {
-        Ok(body) => {
-            let head = exchange.finish();
-            entry::AttemptEnd::Whole(entry::WholeAnswer { head, body })
-        }
-        Err(_) => {
-            lease.observe(fleet::AttemptReport::Broken);
-            entry::AttemptEnd::MayHaveRun("answer_cut")
-        }
-    }
+    let Ok(body) = exchange.read_rest(MAX_WHOLE_BYTES, call.deadline).await else {
+        lease.observe(fleet::AttemptReport::Broken);
+        return entry::AttemptEnd::MayHaveRun("answer_cut");
+    };
+    let head = exchange.finish();
+    entry::AttemptEnd::Whole(entry::WholeAnswer { head, body })
 }
 
 fn judge_error(lease: &entry::PlaceLease, error: &backend::AttemptError) -> entry::AttemptEnd {
--- a/galenahold_instance/src/gateway/entry/leader_scout.rs
+++ b/galenahold_instance/src/gateway/entry/leader_scout.rs
@@ -13,7 +13,7 @@
 use crate::task;
 
 /// How long a member may hold its answer back without news.
-const HOLD: time::Duration = time::Duration::from_millis(2_000);
+const HOLD: time::Duration = time::Duration::from_secs(2);
 
 /// How much longer than that a call may take.
 const SLACK: time::Duration = time::Duration::from_millis(500);
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -88,7 +88,7 @@
         let patience = (self.route.objective * PATIENCE_OBJECTIVES)
             .max(gaps)
             .max(STREAM_PATIENCE);
-        (self.arrived + patience - PATIENCE_MARGIN).min(self.deadline)
+        (self.arrived + patience.saturating_sub(PATIENCE_MARGIN)).min(self.deadline)
     }
 
     /// Names what the call shares with others: its adapter, or the last part of its prompt but its own.
--- a/galenahold_instance/src/gateway/gateway_instance.rs
+++ b/galenahold_instance/src/gateway/gateway_instance.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix as signals;
 
 use crate::gateway;
+use crate::gateway::control;
 use crate::gateway::gateway_error;
 use crate::gateway::gateway_wiring;
 use crate::instance;
@@ -101,7 +102,7 @@
         let taken_out = running
             .watch
             .as_ref()
-            .is_some_and(|watch| watch.is_taken_out());
+            .is_some_and(control::MemberWatch::is_taken_out);
         if let Some(log) = running.log.take() {
             log.stop();
         }
@@ -205,7 +206,7 @@
     let taken_out = running
         .watch
         .as_ref()
-        .is_some_and(|watch| watch.is_taken_out());
+        .is_some_and(control::MemberWatch::is_taken_out);
     fault.or_else(|| taken_out.then(|| "taken out of the control group".to_owned()))
 }
 
--- a/galenahold_instance/src/gateway/mod.rs
+++ b/galenahold_instance/src/gateway/mod.rs
@@ -13,8 +13,8 @@
 mod gateway_wiring;
 
 pub use dialect::{
-    AnswerFacts, AttemptHead, CallerCall, ControlRequest, DialectError, EngineReport, FleetDialect,
-    OrderHead, PromptPart,
+    AnswerFacts, AttemptHead, CallerCall, ControlRequest, DialectError, FleetDialect, OrderHead,
+    PromptPart,
 };
 pub use gateway_error::GatewayError;
 pub use gateway_instance::GatewayInstance;
--- a/galenahold_placement/src/fleet/adapter_table.rs
+++ b/galenahold_placement/src/fleet/adapter_table.rs
@@ -64,6 +64,11 @@
         self.held.len()
     }
 
+    /// Returns whether the adapter is there, comes, or may be there.
+    pub(super) fn may_hold(&self, adapter: &domain::HeldAdapter) -> bool {
+        self.held.contains_key(adapter)
+    }
+
     /// Returns how long it takes until the adapter is there, if it is or comes.
     pub(super) fn ready_in(
         &self,
--- a/galenahold_placement/src/fleet/engine_order.rs
+++ b/galenahold_placement/src/fleet/engine_order.rs
@@ -17,6 +17,8 @@
     pub started_ms: u64,
     /// Where it takes orders.
     pub address: net::SocketAddr,
+    /// The models that it holds as far as its leader knows.
+    pub held: Vec<name::ModelName>,
     /// What it is to do.
     pub action: fleet::OrderAction,
 }
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -47,6 +47,15 @@
 /// Adapter places of an engine that are kept free for adapters that are asked for next.
 const FREE_ADAPTER_PLACES: usize = 2;
 
+/// Loads from the store under way at once up to which models are fetched that nobody asks for.
+const EARLY_LOADS_AT_ONCE: usize = STORE_LOADS_AT_ONCE - 1;
+
+/// Copies of a model that stay when models are fetched that nobody asks for.
+const KEPT_COPIES: usize = 3;
+
+/// By how much longer a load counts at an engine that holds adapters.
+const ADAPTER_HOST_FACTOR: f64 = 1.5;
+
 /// The part of an adapter's load that does not depend on its size.
 const ADAPTER_BASE: time::Duration = time::Duration::from_millis(5);
 
@@ -79,8 +88,19 @@
 struct ModelNeed<'a> {
     model: &'a declaration::DeclaredModel,
     worth: f64,
-    /// Whether other models may be unloaded for it.
-    may_evict: bool,
+    /// Which other models may be unloaded for it.
+    may_evict: Eviction,
+}
+
+/// Which models may be unloaded for another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Eviction {
+    /// None.
+    None,
+    /// Those of which many copies are loaded.
+    FurtherCopies,
+    /// Those that are worth less.
+    WorthLess,
 }
 
 /// A way to load a model at an engine.
@@ -159,6 +179,11 @@
             plan.adapters.touch(adapter, now);
             return fleet::AdapterDecision::Comes { ready_in };
         }
+        if plan.order.is_some() {
+            return fleet::AdapterDecision::Refused {
+                reason: "the engine carries an order about a model out",
+            };
+        }
         let slots = usize::try_from(engine.adapter_slots).unwrap_or(usize::MAX);
         let mut actions = Vec::new();
         if plan.adapters.len() >= slots {
@@ -202,6 +227,7 @@
         }
         for record in round.records.iter().filter(|record| is_usable(record)) {
             step.orders.extend(self.free_adapter_place(&round, record));
+            step.orders.extend(self.early_adapter(&round, record));
         }
         let mut taken = collections::HashSet::new();
         self.load_into_made_room(&round, &mut taken, &mut step);
@@ -212,6 +238,7 @@
             taken.insert(option.record.name.clone());
             self.take_option(&round, &need, &option, &mut step);
         }
+        self.load_early(&round, &taken, &mut step);
         step
     }
 
@@ -335,6 +362,73 @@
         Some(self.order(record, fleet::OrderAction::UnloadAdapter(victim)))
     }
 
+    /// Loads an adapter that no engine holds, before it is asked for, where places are free.
+    fn early_adapter(
+        &mut self,
+        round: &PlanRound<'_>,
+        record: &domain::ServerRecord,
+    ) -> Option<fleet::EngineOrder> {
+        let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
+        let plan = self.servers.get(&record.name)?;
+        if !plan.is_free(round.now) || plan.adapters.len() + FREE_ADAPTER_PLACES >= slots {
+            return None;
+        }
+        let wanted = record
+            .models
+            .iter()
+            .filter(|held| !held.retiring)
+            .filter_map(|held| round.engine.model(&held.name))
+            .flat_map(declared_adapters)
+            .find(|adapter| {
+                let held = |plan: &fleet::ServerPlan| plan.adapters.may_hold(adapter);
+                !self.servers.values().any(held)
+            })?;
+        let ready_in = adapter_time(round.engine.model(&wanted.model)?);
+        let plan = self.plan_of(&record.name, record.started_ms);
+        plan.adapters.reserve(wanted.clone(), ready_in, round.now);
+        Some(self.order(record, fleet::OrderAction::LoadAdapter(wanted)))
+    }
+
+    /// Fetches models from the weight store of which no engine has a copy, before they are asked for.
+    ///
+    /// Only further copies of other models make way for them, and some of the store's pace is left to
+    /// models that are asked for.
+    fn load_early(
+        &mut self,
+        round: &PlanRound<'_>,
+        taken: &collections::HashSet<name::ServerName>,
+        step: &mut fleet::PlanStep,
+    ) {
+        if self.store_loads() + self.rooms_in_making() >= EARLY_LOADS_AT_ONCE {
+            return;
+        }
+        let missing = round.engine.models.iter().find(|model| {
+            let copied = round.records.iter().any(|record| {
+                record.model(&model.name).is_some()
+                    || record.in_memory.contains(&model.name)
+                    || record.on_disk.contains(&model.name)
+            });
+            !copied && self.copies(round, &model.name).1 == 0
+        });
+        let Some(model) = missing else {
+            return;
+        };
+        let need = ModelNeed {
+            model,
+            worth: 0.0,
+            may_evict: Eviction::FurtherCopies,
+        };
+        if let Some(option) = self.best_option(round, &need, taken) {
+            self.take_option(round, &need, &option, step);
+        }
+    }
+
+    /// Counts the engines where a model makes way for another one.
+    fn rooms_in_making(&self) -> usize {
+        let plans = self.servers.values();
+        plans.filter(|plan| plan.next.is_some()).count()
+    }
+
     /// Goes on where a model was unloaded to make room for another.
     fn load_into_made_room(
         &mut self,
@@ -360,7 +454,7 @@
             let need = ModelNeed {
                 model,
                 worth: 0.0,
-                may_evict: false,
+                may_evict: Eviction::None,
             };
             if let Some(option) = self.option(round, &need, record, self.store_loads()) {
                 taken.insert(record.name.clone());
@@ -397,7 +491,11 @@
             return Some(ModelNeed {
                 model,
                 worth: self.worth(round, &model.name),
-                may_evict: wanted,
+                may_evict: if wanted {
+                    Eviction::WorthLess
+                } else {
+                    Eviction::None
+                },
             });
         }
         let load = interest.running(now) + interest.waiting(now);
@@ -405,7 +503,7 @@
         (coming == 0 && load > full).then(|| ModelNeed {
             model,
             worth: self.worth(round, &model.name) * FURTHER_COPY_SHARE,
-            may_evict: true,
+            may_evict: Eviction::WorthLess,
         })
     }
 
@@ -479,14 +577,19 @@
         }
         let free = free_bytes(round.engine, record).saturating_sub(doubtful);
         let mut cost = takes.as_secs_f64();
+        if self
+            .servers
+            .get(&record.name)
+            .is_some_and(|plan| plan.adapters.len() > 0)
+        {
+            // No adapter is loaded there meanwhile.
+            cost *= ADAPTER_HOST_FACTOR;
+        }
         let mut victim = None;
         if free < need.model.weights.0 {
-            if !need.may_evict {
-                return None;
-            }
             let missing = need.model.weights.0 - free;
-            let (model, worth) = self.victim(round, record, missing)?;
-            if worth * EVICTION_MARGIN >= need.worth {
+            let (model, worth) = self.victim(round, record, missing, need.may_evict)?;
+            if need.may_evict == Eviction::WorthLess && worth * EVICTION_MARGIN >= need.worth {
                 return None;
             }
             cost += worth;
@@ -507,12 +610,13 @@
         round: &PlanRound<'_>,
         record: &domain::ServerRecord,
         missing: u64,
+        eviction: Eviction,
     ) -> Option<(name::ModelName, f64)> {
         let plan = self.servers.get(&record.name)?;
         record
             .models
             .iter()
-            .filter(|held| !held.retiring)
+            .filter(|held| !held.retiring && self.may_go(round, &held.name, eviction))
             .filter(|held| {
                 let kept = plan.held_since.get(&held.name);
                 kept.is_none_or(|since| {
@@ -527,6 +631,14 @@
             .min_by(|one, other| one.1.total_cmp(&other.1))
     }
 
+    fn may_go(&self, round: &PlanRound<'_>, model: &name::ModelName, eviction: Eviction) -> bool {
+        match eviction {
+            Eviction::None => false,
+            Eviction::FurtherCopies => self.copies(round, model).0 > KEPT_COPIES,
+            Eviction::WorthLess => true,
+        }
+    }
+
     /// Returns what one copy of a model is worth.
     fn worth_there(&self, round: &PlanRound<'_>, model: &name::ModelName) -> f64 {
         let worth = self.worth(round, model);
@@ -592,6 +704,7 @@
             server: record.name.clone(),
             started_ms: record.started_ms,
             address: record.address,
+            held: record.models.iter().map(|held| held.name.clone()).collect(),
             action,
         }
     }
@@ -654,6 +767,15 @@
         .saturating_sub(adapters)
 }
 
+fn declared_adapters(
+    model: &declaration::DeclaredModel,
+) -> impl Iterator<Item = domain::HeldAdapter> {
+    model.adapters.iter().map(|adapter| domain::HeldAdapter {
+        model: model.name.clone(),
+        adapter: adapter.clone(),
+    })
+}
+
 fn adapter_time(model: &declaration::DeclaredModel) -> time::Duration {
     const BYTES_PER_MB: f64 = 1_000_000.0;
     #[expect(clippy::cast_precision_loss, reason = "an adapter has far fewer bytes")]
--- /dev/null
+++ b/galenahold_placement/src/fleet/order_line.rs
@@ -0,0 +1,103 @@
+//! The orders to one engine.
+
+use std::time;
+
+use galenahold_domain::name;
+
+use crate::fleet;
+
+/// How long an engine gets no order after one whose end is not clear: its report lags.
+const QUIET_TIME: time::Duration = time::Duration::from_millis(700);
+
+/// The orders to one engine, which go out one after the other.
+#[derive(Debug, Default)]
+pub struct OrderLine {
+    /// The leadership and the engine's start that the counts are of.
+    key: (u64, u64),
+    /// Orders that the engine has taken since its start, where that is known.
+    taken: Option<u64>,
+    quiet_until: Option<time::Instant>,
+}
+
+impl OrderLine {
+    /// Begins anew where the leadership or the engine's start is another.
+    pub fn enter(&mut self, term: u64, started_ms: u64) {
+        if self.key != (term, started_ms) {
+            *self = Self {
+                key: (term, started_ms),
+                taken: None,
+                quiet_until: None,
+            };
+        }
+    }
+
+    /// Returns how many orders the engine has taken since its start, where that is known.
+    #[must_use]
+    pub fn taken(&self) -> Option<u64> {
+        self.taken
+    }
+
+    /// Takes up an engine's report; false where its count cannot be built on.
+    ///
+    /// An engine that is busy carries out an order that an earlier leader gave, and one that holds other
+    /// models than `held` has carried one out that is not known here: what is ordered on top could be
+    /// more than it has room for.
+    #[must_use]
+    pub fn take_report(
+        &mut self,
+        report: &fleet::EngineReport,
+        held: &[name::ModelName],
+        now: time::Instant,
+    ) -> bool {
+        let known = report.models.len() == held.len()
+            && report.models.iter().all(|model| held.contains(model));
+        let sound = known && !report.busy;
+        if sound {
+            self.taken = Some(report.orders_taken);
+        } else {
+            self.quiet_until = Some(now + QUIET_TIME);
+        }
+        sound
+    }
+
+    /// Returns whether orders may go out.
+    #[must_use]
+    pub fn is_open(&self, now: time::Instant) -> bool {
+        self.quiet_until.is_none_or(|until| now >= until)
+    }
+
+    /// Counts an order by its receipt.
+    pub fn count(
+        &mut self,
+        action: &fleet::OrderAction,
+        receipt: fleet::OrderReceipt,
+        now: time::Instant,
+    ) {
+        match receipt {
+            fleet::OrderReceipt::Accepted => self.advance(),
+            fleet::OrderReceipt::Done => {
+                // An unload that was done at once counts as an order; what held already does not.
+                if matches!(
+                    action,
+                    fleet::OrderAction::UnloadAdapter(_) | fleet::OrderAction::UnloadModel(_)
+                ) {
+                    self.advance();
+                }
+            }
+            // Orders about adapters say nothing of earlier ones: the engine only has no hand free.
+            fleet::OrderReceipt::Busy if !action.is_about_model() => {}
+            fleet::OrderReceipt::Busy | fleet::OrderReceipt::Unanswered => {
+                self.taken = None;
+                self.quiet_until = Some(now + QUIET_TIME);
+            }
+            fleet::OrderReceipt::Fenced
+            | fleet::OrderReceipt::Misplaced
+            | fleet::OrderReceipt::Refused
+            | fleet::OrderReceipt::NotSent => {}
+        }
+    }
+
+    fn advance(&mut self) {
+        self.taken = self.taken.map(|taken| taken + 1);
+    }
+}
--- a/galenahold_routing/src/fleet/dispatch_board.rs
+++ b/galenahold_routing/src/fleet/dispatch_board.rs
@@ -258,6 +258,7 @@
         } else {
             untried
         };
+        let candidates = prefer_adapter(need, candidates);
         let least_latency = candidates
             .iter()
             .filter_map(|server| server.latency_s())
@@ -376,6 +377,34 @@
     }
 }
 
+/// Keeps the servers that hold the call's adapter, if there are any, or those that can load it now.
+fn prefer_adapter<'a>(
+    need: &fleet::CallNeed,
+    candidates: Vec<&'a fleet::BoardServer>,
+) -> Vec<&'a fleet::BoardServer> {
+    let adapter = need
+        .target
+        .as_ref()
+        .and_then(fleet::ModelTarget::held_adapter);
+    let Some(adapter) = adapter else {
+        return candidates;
+    };
+    let holding: Vec<_> = candidates
+        .iter()
+        .copied()
+        .filter(|server| server.adapters.contains(&adapter))
+        .collect();
+    if !holding.is_empty() {
+        return holding;
+    }
+    let able: Vec<_> = candidates
+        .iter()
+        .copied()
+        .filter(|server| server.record.loading.is_none())
+        .collect();
+    if able.is_empty() { candidates } else { able }
+}
+
 /// Ranks a server for the shared prompt parts of a call; the lowest rank is where they are kept.
 fn affinity(need: &fleet::CallNeed, server: &fleet::BoardServer) -> u64 {
     let mut hasher = collections::hash_map::DefaultHasher::new();
