Wait for the engine with a copy, and fetch from the store only what lies nowhere

Ruled out: too few loads a second (the store was under its limit), copies on disk (19 on each engine). Change: the planner weighs waiting for a busy engine with a copy; models without any copy are fetched in place of idle ones that come back from disk; models whose runs are under way are unloaded last.

--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -85,6 +85,7 @@
         let now = time::Instant::now();
         let server = notice.name.clone();
         let stage = notice.stage;
+        let on_disk = notice.on_disk.len();
         let models: Vec<_> = notice
             .models
             .iter()
@@ -105,7 +106,7 @@
             outcome,
             fleet::NoticeOutcome::Joined | fleet::NoticeOutcome::Changed
         ) {
-            info!(server:% = server, outcome:? = outcome, stage:? = stage, models = models.join(",").as_str(); "backend server stated itself");
+            info!(server:% = server, outcome:? = outcome, stage:? = stage, on_disk = on_disk, models = models.join(",").as_str(); "backend server stated itself");
             self.roster_moved();
         }
         Some(outcome)
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -21,7 +21,7 @@
 const RECENT: time::Duration = time::Duration::from_secs(3);
 
 /// How long a model is kept after its load, so that those who waited for it are served.
-const KEEP_AFTER_LOAD: time::Duration = time::Duration::from_secs(3);
+const KEEP_AFTER_LOAD: time::Duration = time::Duration::from_millis(1_200);
 
 /// How much more a model has to be worth than the one that is unloaded for it.
 const EVICTION_MARGIN: f64 = 1.5;
@@ -50,8 +50,14 @@
 /// Loads from the store under way at once up to which models are fetched that nobody asks for.
 const EARLY_LOADS_AT_ONCE: usize = STORE_LOADS_AT_ONCE - 1;
 
-/// Copies of a model that stay when models are fetched that nobody asks for.
-const KEPT_COPIES: usize = 3;
+/// Requests a second below which a model counts as idle.
+const IDLE_RATE: f64 = 0.06;
+
+/// How long an unload is expected to take at an engine where no run of the model is under way.
+const IDLE_UNLOAD: time::Duration = time::Duration::from_millis(60);
+
+/// What a run under way adds to what it costs to unload its model, which waits for the run to end.
+const RUNNING_COST: f64 = 0.4;
 
 /// By how much longer a load counts at an engine that holds adapters.
 const ADAPTER_HOST_FACTOR: f64 = 1.5;
@@ -97,8 +103,8 @@
 enum Eviction {
     /// None.
     None,
-    /// Those of which many copies are loaded.
-    FurtherCopies,
+    /// Idle ones that can be loaded again without the weight store.
+    Idle,
     /// Those that are worth less.
     WorthLess,
 }
@@ -238,7 +244,7 @@
             taken.insert(option.record.name.clone());
             self.take_option(&round, &need, &option, &mut step);
         }
-        self.load_early(&round, &taken, &mut step);
+        self.load_early(&round, &mut taken, &mut step);
         step
     }
 
@@ -391,35 +397,36 @@
 
     /// Fetches models from the weight store of which no engine has a copy, before they are asked for.
     ///
-    /// Only further copies of other models make way for them, and some of the store's pace is left to
-    /// models that are asked for.
+    /// Only idle models make way that come back from the engine's own disk: whichever of the two is asked
+    /// for next, nobody waits for the weight store any more. Once requests come, some of the store's pace
+    /// is left to models that are asked for.
     fn load_early(
         &mut self,
         round: &PlanRound<'_>,
-        taken: &collections::HashSet<name::ServerName>,
+        taken: &mut collections::HashSet<name::ServerName>,
         step: &mut fleet::PlanStep,
     ) {
-        if self.store_loads() + self.rooms_in_making() >= EARLY_LOADS_AT_ONCE {
-            return;
-        }
-        let missing = round.engine.models.iter().find(|model| {
-            let copied = round.records.iter().any(|record| {
-                record.model(&model.name).is_some()
-                    || record.in_memory.contains(&model.name)
-                    || record.on_disk.contains(&model.name)
-            });
-            !copied && self.copies(round, &model.name).1 == 0
-        });
-        let Some(model) = missing else {
-            return;
-        };
-        let need = ModelNeed {
-            model,
-            worth: 0.0,
-            may_evict: Eviction::FurtherCopies,
+        let most = if self.interest.is_empty() {
+            STORE_LOADS_AT_ONCE
+        } else {
+            EARLY_LOADS_AT_ONCE
         };
-        if let Some(option) = self.best_option(round, &need, taken) {
-            self.take_option(round, &need, &option, step);
+        for model in &round.engine.models {
+            if self.store_loads() + self.rooms_in_making() >= most {
+                return;
+            }
+            if has_copy(round, &model.name) || self.copies(round, &model.name).1 > 0 {
+                continue;
+            }
+            let need = ModelNeed {
+                model,
+                worth: 0.0,
+                may_evict: Eviction::Idle,
+            };
+            if let Some(option) = self.best_option(round, &need, taken) {
+                taken.insert(option.record.name.clone());
+                self.take_option(round, &need, &option, step);
+            }
         }
     }
 
@@ -552,7 +559,28 @@
                 best = Some(option);
             }
         }
-        best
+        // An engine that is busy now may still have the model loaded first.
+        let waiting = self.cost_of_waiting(round, need);
+        best.filter(|best| waiting.is_none_or(|waiting| best.takes <= waiting))
+    }
+
+    /// Returns when a busy engine with a copy near by could have the model loaded.
+    fn cost_of_waiting(
+        &self,
+        round: &PlanRound<'_>,
+        need: &ModelNeed<'_>,
+    ) -> Option<time::Duration> {
+        round
+            .records
+            .iter()
+            .filter(|record| is_usable(record))
+            .filter_map(|record| {
+                let (takes, from_store) = load_time(need.model, record);
+                let order = self.servers.get(&record.name)?.order.as_ref()?;
+                let rest = order.ends_at.saturating_duration_since(round.now);
+                (!from_store).then_some(rest + takes)
+            })
+            .min()
     }
 
     fn option<'a>(
@@ -616,7 +644,7 @@
         record
             .models
             .iter()
-            .filter(|held| !held.retiring && self.may_go(round, &held.name, eviction))
+            .filter(|held| !held.retiring && self.may_go(round, record, &held.name, eviction))
             .filter(|held| {
                 let kept = plan.held_since.get(&held.name);
                 kept.is_none_or(|since| {
@@ -627,18 +655,55 @@
                 let model = round.engine.model(&held.name);
                 model.is_none_or(|model| model.weights.0 >= missing)
             })
-            .map(|held| (held.name.clone(), self.worth_there(round, &held.name)))
+            .map(|held| (held.name.clone(), self.cost_of_unload(round, &held.name)))
             .min_by(|one, other| one.1.total_cmp(&other.1))
     }
 
-    fn may_go(&self, round: &PlanRound<'_>, model: &name::ModelName, eviction: Eviction) -> bool {
+    fn may_go(
+        &self,
+        round: &PlanRound<'_>,
+        record: &domain::ServerRecord,
+        model: &name::ModelName,
+        eviction: Eviction,
+    ) -> bool {
         match eviction {
             Eviction::None => false,
-            Eviction::FurtherCopies => self.copies(round, model).0 > KEPT_COPIES,
+            Eviction::Idle => self.is_spare(round, record, model),
             Eviction::WorthLess => true,
         }
     }
 
+    /// Returns whether a model is idle and comes back without the weight store.
+    ///
+    /// Models with adapters are left alone: they are the ones that many ask for.
+    fn is_spare(
+        &self,
+        round: &PlanRound<'_>,
+        record: &domain::ServerRecord,
+        name: &name::ModelName,
+    ) -> bool {
+        let near = record.in_memory.contains(name) || record.on_disk.contains(name);
+        let model = round.engine.model(name);
+        let plain = model.is_none_or(|model| model.adapters.is_empty());
+        let interest = self.interest.get(&(round.service.clone(), name.clone()));
+        let idle = interest.is_none_or(|interest| {
+            interest.rate(round.now) < IDLE_RATE
+                && interest.waiting(round.now) == 0
+                && interest.running(round.now) == 0
+        });
+        near && plain && idle
+    }
+
+    /// Returns what it costs to unload one copy of a model now.
+    fn cost_of_unload(&self, round: &PlanRound<'_>, model: &name::ModelName) -> f64 {
+        let key = (round.service.clone(), model.clone());
+        let interest = self.interest.get(&key);
+        let running = interest.map_or(0, |interest| interest.running(round.now));
+        let (held, _) = self.copies(round, model);
+        let there = f64::from(running) / f64::from(u32::try_from(held.max(1)).unwrap_or(u32::MAX));
+        self.worth_there(round, model) + there * RUNNING_COST
+    }
+
     /// Returns what one copy of a model is worth.
     fn worth_there(&self, round: &PlanRound<'_>, model: &name::ModelName) -> f64 {
         let worth = self.worth(round, model);
@@ -683,6 +748,12 @@
             number: order.number,
             action,
             from_store: option.from_store && option.victim.is_none(),
+            ends_at: round.now
+                + if option.victim.is_some() {
+                    IDLE_UNLOAD + option.takes
+                } else {
+                    option.takes
+                },
             due_at: round.now + takes + ORDER_SLACK,
         });
         step.orders.push(order);
@@ -767,6 +838,15 @@
         .saturating_sub(adapters)
 }
 
+/// Returns whether an engine holds the model, or its weights near by.
+fn has_copy(round: &PlanRound<'_>, name: &name::ModelName) -> bool {
+    round.records.iter().any(|record| {
+        record.model(name).is_some()
+            || record.in_memory.contains(name)
+            || record.on_disk.contains(name)
+    })
+}
+
 fn declared_adapters(
     model: &declaration::DeclaredModel,
 ) -> impl Iterator<Item = domain::HeldAdapter> {
--- a/galenahold_placement/src/fleet/open_order.rs
+++ b/galenahold_placement/src/fleet/open_order.rs
@@ -11,6 +11,8 @@
     pub(super) action: fleet::OrderAction,
     /// Whether it fetches weights from the store.
     pub(super) from_store: bool,
+    /// When it is expected to end.
+    pub(super) ends_at: time::Instant,
     /// When its end should have been seen.
     pub(super) due_at: time::Instant,
 }
