--- /dev/null
+++ b/galenahold_domain/tests/declaration/main.rs
@@ -0,0 +1,6 @@
+//! Promises on configurations that an operator declares whole.
+
+mod faults;
+mod fixture;
+mod lookups;
+mod numbers;
--- /dev/null
+++ b/galenahold_domain/tests/fleet/fixture.rs
@@ -0,0 +1,40 @@
+//! Notices of servers.
+
+use std::net;
+use std::time;
+
+use galenahold_domain::{fleet, name};
+
+pub(crate) const PERIOD: time::Duration = time::Duration::from_secs(1);
+
+pub(crate) fn address(host: u8) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, host], 8_080))
+}
+
+pub(crate) fn notice(server: &str, started_ms: u64, sequence: u64) -> fleet::ServerNotice {
+    fleet::ServerNotice {
+        name: name::ServerName::from(server),
+        started_ms,
+        sequence,
+        service: name::ServiceName::from("desk"),
+        address: address(1),
+        data_centre: name::DataCentreName::from("one"),
+        slots: 4,
+        stage: fleet::ServerStage::Ready,
+        removal_in: None,
+        models: Vec::new(),
+        adapters: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+pub(crate) fn at(mut notice: fleet::ServerNotice, host: u8) -> fleet::ServerNotice {
+    notice.address = address(host);
+    notice
+}
+
+pub(crate) fn draining(mut notice: fleet::ServerNotice) -> fleet::ServerNotice {
+    notice.stage = fleet::ServerStage::Draining;
+    notice
+}
--- /dev/null
+++ b/galenahold_domain/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Promises on the roster of backend servers.
+
+mod fixture;
+mod notices;
+mod views;
--- /dev/null
+++ b/galenahold_domain/tests/fleet/notices.rs
@@ -0,0 +1,94 @@
+//! A notice counts only if it is newer than what is known.
+
+use std::time;
+
+use galenahold_domain::{fleet, name};
+
+use crate::fixture;
+
+fn roster(now: time::Instant) -> fleet::ServerRoster {
+    fleet::ServerRoster::new(1, fixture::PERIOD, now)
+}
+
+fn names(roster: &fleet::ServerRoster) -> Vec<String> {
+    roster.records().map(|record| record.name.to_string()).collect()
+}
+
+#[test]
+fn late_notice_of_a_server_changes_nothing() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::draining(fixture::notice("a", 10, 5)), now);
+    let late = roster.take(fixture::notice("a", 10, 4), now);
+    assert_eq!(late, fleet::NoticeOutcome::Late);
+    assert!(!roster.records().next().expect("it is known").is_open());
+}
+
+#[test]
+fn draining_lasts_until_the_next_start() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::draining(fixture::notice("a", 10, 5)), now);
+    roster.take(fixture::notice("a", 10, 6), now);
+    assert!(!roster.records().next().expect("it is known").is_open());
+    roster.take(fixture::notice("a", 11, 1), now);
+    assert!(roster.records().next().expect("it is known").is_open());
+}
+
+#[test]
+fn earlier_start_never_replaces_a_later_one() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::notice("a", 11, 1), now);
+    let late = roster.take(fixture::notice("a", 10, 99), now);
+    assert_eq!(late, fleet::NoticeOutcome::Late);
+}
+
+#[test]
+fn server_that_left_stays_gone_until_it_starts_anew() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    assert!(roster.leave(&name::ServerName::from("a"), now));
+    roster.take(fixture::notice("a", 10, 2), now);
+    assert_eq!(names(&roster), Vec::<String>::new());
+    roster.take(fixture::notice("a", 11, 1), now);
+    assert_eq!(names(&roster), ["a"]);
+}
+
+#[test]
+fn address_belongs_to_the_latest_start() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::notice("old", 10, 1), now);
+    roster.take(fixture::notice("new", 20, 1), now);
+    assert_eq!(names(&roster), ["new"]);
+    let delayed = roster.take(fixture::notice("old", 10, 2), now);
+    assert_eq!(delayed, fleet::NoticeOutcome::Late);
+    assert_eq!(names(&roster), ["new"]);
+}
+
+#[test]
+fn silent_server_is_marked_and_not_dropped() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    let before = roster.mark(now);
+    let later = now + fixture::PERIOD * 5;
+    roster.expire(later);
+    assert!(roster.records().next().expect("it is kept").silent);
+    assert!(roster.update_since(before, later).is_some());
+    roster.take(fixture::notice("a", 10, 2), later);
+    assert!(!roster.records().next().expect("it is kept").silent);
+}
+
+#[test]
+fn notice_that_says_nothing_new_is_no_news_to_followers() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    let mark = roster.mark(now);
+    let outcome = roster.take(fixture::notice("a", 10, 2), now);
+    assert_eq!(outcome, fleet::NoticeOutcome::Confirmed);
+    assert_eq!(roster.update_since(mark, now), None);
+}
--- /dev/null
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -0,0 +1,74 @@
+//! A view outlives its leader, and a leader that knows little erases nothing.
+
+use std::time;
+
+use galenahold_domain::{fleet, name};
+
+use crate::fixture;
+
+fn names(view: &fleet::RosterView) -> Vec<String> {
+    view.records().map(|record| record.name.to_string()).collect()
+}
+
+fn follow(view: &mut fleet::RosterView, roster: &fleet::ServerRoster, now: time::Instant) {
+    if let Some(update) = roster.update_since(view.mark(), now) {
+        view.take(update);
+    }
+}
+
+/// Returns a view that knows the servers `a` and `b` from the leadership of term 1.
+fn filled(now: time::Instant) -> fleet::RosterView {
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    roster.take(fixture::at(fixture::notice("b", 10, 1), 2), now);
+    let mut view = fleet::RosterView::default();
+    follow(&mut view, &roster, now);
+    view
+}
+
+#[test]
+fn new_leader_erases_nothing_until_it_has_heard_from_all() {
+    let now = time::Instant::now();
+    let mut view = filled(now);
+    let mut roster = fleet::ServerRoster::new(2, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 2), now);
+    follow(&mut view, &roster, now);
+    assert_eq!(names(&view), ["a", "b"]);
+    let settled = now + fixture::PERIOD * 10;
+    follow(&mut view, &roster, settled);
+    assert_eq!(names(&view), ["a"]);
+}
+
+#[test]
+fn leave_reaches_views_also_from_a_leader_that_never_heard_of_the_server() {
+    let now = time::Instant::now();
+    let mut view = filled(now);
+    let mut roster = fleet::ServerRoster::new(2, fixture::PERIOD, now);
+    assert!(roster.leave(&name::ServerName::from("b"), now));
+    follow(&mut view, &roster, now);
+    assert_eq!(names(&view), ["a"]);
+}
+
+#[test]
+fn earlier_start_from_another_leader_does_not_replace_a_later_one() {
+    let now = time::Instant::now();
+    let mut view = filled(now);
+    let mut roster = fleet::ServerRoster::new(2, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 9, 50), now);
+    follow(&mut view, &roster, now);
+    let server = view.get(&name::ServerName::from("a")).expect("it is known");
+    assert_eq!(server.started_ms, 10);
+}
+
+#[test]
+fn updates_carry_only_what_changed() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    let mark = roster.mark(now);
+    roster.take(fixture::at(fixture::notice("b", 10, 1), 2), now);
+    let update = roster.update_since(mark, now).expect("there is news");
+    assert!(!update.whole);
+    let changed: Vec<_> = update.records.iter().map(|record| &*record.name).collect();
+    assert_eq!(changed, ["b"]);
+}
