--- /dev/null
+++ b/galenahold_placement/tests/fleet/adapters.rs
@@ -0,0 +1,108 @@
+//! An engine is never ordered to hold more adapters than it has places.
+
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_placement::fleet;
+
+use crate::fixture;
+
+const NO_BYTES: amount::ByteCount = amount::ByteCount(0);
+
+fn want(
+    planner: &mut fleet::FleetPlanner,
+    adapter: &str,
+    now: time::Instant,
+) -> fleet::AdapterDecision {
+    let record = fixture::record("s1", &["a"], &["a"]);
+    let wanted = fixture::adapter("a", adapter);
+    planner.want_adapter(&record, &fixture::engine(), &wanted, now)
+}
+
+fn orders(decision: fleet::AdapterDecision) -> Vec<fleet::EngineOrder> {
+    match decision {
+        fleet::AdapterDecision::Order { orders, .. } => orders,
+        other => panic!("orders expected, got {other:?}"),
+    }
+}
+
+fn bring(planner: &mut fleet::FleetPlanner, adapter: &str, now: time::Instant) {
+    for order in orders(want(planner, adapter, now)) {
+        planner.settle(&order, fleet::OrderReceipt::Accepted, NO_BYTES, now);
+    }
+}
+
+#[test]
+fn unload_that_waits_for_runs_does_not_free_the_place_for_the_next_order() {
+    let held = fixture::adapter("a", "x");
+    let unload = fleet::OrderAction::UnloadAdapter(held.clone());
+    assert!(!unload.is_settled_by(fleet::OrderReceipt::Accepted));
+    assert!(unload.is_settled_by(fleet::OrderReceipt::Done));
+    let load = fleet::OrderAction::LoadAdapter(held);
+    assert!(load.is_settled_by(fleet::OrderReceipt::Accepted));
+    assert!(!load.is_settled_by(fleet::OrderReceipt::Unanswered));
+}
+
+#[test]
+fn adapter_that_was_just_used_does_not_make_way() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    bring(&mut planner, "x", now);
+    bring(&mut planner, "y", now);
+    let decision = want(&mut planner, "z", now);
+    assert!(matches!(decision, fleet::AdapterDecision::Refused { .. }));
+}
+
+#[test]
+fn unused_adapter_makes_way_before_the_new_one_is_loaded() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    bring(&mut planner, "x", now);
+    bring(&mut planner, "y", now);
+    let later = now + time::Duration::from_secs(2);
+    planner.note_adapter_use(
+        &galenahold_domain::name::ServerName::from("s1"),
+        &fixture::adapter("a", "y"),
+        later,
+    );
+    let orders = orders(want(&mut planner, "z", later));
+    let actions: Vec<_> = orders.iter().map(|order| order.action.clone()).collect();
+    assert_eq!(
+        actions,
+        [
+            fleet::OrderAction::UnloadAdapter(fixture::adapter("a", "x")),
+            fleet::OrderAction::LoadAdapter(fixture::adapter("a", "z")),
+        ]
+    );
+}
+
+#[test]
+fn unanswered_orders_keep_their_places_taken() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    for adapter in ["x", "y"] {
+        for order in orders(want(&mut planner, adapter, now)) {
+            planner.settle(&order, fleet::OrderReceipt::Unanswered, NO_BYTES, now);
+        }
+    }
+    let later = now + time::Duration::from_secs(5);
+    let decision = want(&mut planner, "z", later);
+    assert!(matches!(decision, fleet::AdapterDecision::Refused { .. }));
+    let much_later = now + time::Duration::from_secs(20);
+    let record = fixture::record("s1", &["a"], &["a"]);
+    planner.note_adapters(&record.name, record.started_ms, &[], much_later);
+    let decision = want(&mut planner, "z", much_later);
+    assert!(matches!(decision, fleet::AdapterDecision::Order { .. }));
+}
+
+#[test]
+fn engine_that_loads_a_model_is_not_asked_for_an_adapter() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records = [fixture::record("s1", &["a"], &["a", "b"])];
+    fixture::wait_for(&mut planner, "b", now);
+    let step = fixture::plan(&mut planner, &records, now);
+    assert_eq!(fixture::actions(&step), [fixture::load("s1", "b")]);
+    let decision = want(&mut planner, "x", now);
+    assert!(matches!(decision, fleet::AdapterDecision::Refused { .. }));
+}
--- /dev/null
+++ b/galenahold_placement/tests/fleet/loads.rs
@@ -0,0 +1,114 @@
+//! Which model is loaded where, and what makes way.
+
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_placement::fleet;
+
+use crate::fixture;
+
+#[test]
+fn model_that_requests_wait_for_goes_where_its_weights_lie_near() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records = [
+        fixture::record("s1", &["a"], &["a"]),
+        fixture::record("s2", &["b"], &["b", "c"]),
+    ];
+    fixture::plan(&mut planner, &records, now);
+    fixture::wait_for(&mut planner, "c", now);
+    let step = fixture::plan(&mut planner, &records, now);
+    assert!(fixture::actions(&step).contains(&fixture::load("s2", "c")));
+}
+
+/// Load pattern: rare models are asked for all day, and an engine that has one on its disk is busy with
+/// another load for a moment.
+#[test]
+fn busy_engine_with_a_copy_is_waited_for_rather_than_the_weight_store() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records = [
+        fixture::record("s1", &["a"], &["a"]),
+        fixture::record("s2", &["a"], &["b", "c", "d"]),
+    ];
+    fixture::wait_for(&mut planner, "b", now);
+    let first = fixture::plan(&mut planner, &records, now);
+    assert_eq!(fixture::actions(&first), [fixture::load("s2", "b")]);
+    let soon = now + time::Duration::from_millis(100);
+    fixture::wait_for(&mut planner, "c", soon);
+    let second = fixture::plan(&mut planner, &records, soon);
+    assert_eq!(fixture::actions(&second), []);
+}
+
+#[test]
+fn unanswered_load_keeps_its_memory_taken() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records = [fixture::record("s1", &["a"], &["a", "b", "c"])];
+    fixture::wait_for(&mut planner, "b", now);
+    let step = fixture::plan(&mut planner, &records, now);
+    assert_eq!(fixture::actions(&step), [fixture::load("s1", "b")]);
+    let bytes = amount::ByteCount(fixture::WEIGHTS);
+    planner.settle(&step.orders[0], fleet::OrderReceipt::Unanswered, bytes, now);
+    // The load may still be carried out: `c` only fits in once `a` has gone.
+    let later = now + time::Duration::from_secs(3);
+    fixture::wait_for(&mut planner, "c", later);
+    let step = fixture::plan(&mut planner, &records, later);
+    let loads = |order: &fleet::EngineOrder| {
+        matches!(order.action, fleet::OrderAction::LoadModel(_))
+    };
+    assert!(!step.orders.iter().any(loads), "{step:?}");
+}
+
+#[test]
+fn room_is_made_before_the_load_goes_out() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let full = [fixture::record("s1", &["a", "b"], &["a", "b", "c"])];
+    fixture::plan(&mut planner, &full, now);
+    let later = now + time::Duration::from_secs(5);
+    fixture::wait_for(&mut planner, "c", later);
+    let step = fixture::plan(&mut planner, &full, later);
+    assert_eq!(step.orders.len(), 1);
+    assert!(matches!(
+        step.orders[0].action,
+        fleet::OrderAction::UnloadModel(_)
+    ));
+    assert_eq!(step.retiring.len(), 1);
+    let gone = step.orders[0].action.model().to_string();
+    let stays = if gone == "a" { "b" } else { "a" };
+    let freed = [fixture::record("s1", &[stays], &["a", "b", "c"])];
+    let step = fixture::plan(&mut planner, &freed, later);
+    assert_eq!(fixture::actions(&step), [fixture::load("s1", "c")]);
+}
+
+#[test]
+fn silent_or_leaving_engine_gets_no_order() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let mut silent = fixture::record("s1", &["a"], &["c"]);
+    silent.silent = true;
+    let mut leaving = fixture::record("s2", &["a"], &["c"]);
+    leaving.leaves_soon = true;
+    fixture::wait_for(&mut planner, "c", now);
+    let step = fixture::plan(&mut planner, &[silent, leaving], now);
+    assert_eq!(fixture::actions(&step), []);
+}
+
+#[test]
+fn loads_from_the_store_keep_to_what_it_does_at_full_speed() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records: Vec<_> = (0..8)
+        .map(|number| fixture::record(&format!("s{number}"), &[], &[]))
+        .collect();
+    for model in ["a", "b", "c", "d"] {
+        fixture::wait_for(&mut planner, model, now);
+    }
+    let mut loads = 0;
+    for round in 0..20 {
+        let at = now + time::Duration::from_millis(round * 20);
+        loads += fixture::plan(&mut planner, &records, at).orders.len();
+    }
+    assert_eq!(loads, 4);
+}
