--- /dev/null
+++ b/galenahold_consensus/tests/membership/main.rs
@@ -0,0 +1,130 @@
+//! Promises on how a group that runs by itself changes its members.
+
+use std::time;
+
+use galenahold_consensus::{core, driver, log, member};
+
+const SILENCE: time::Duration = time::Duration::from_secs(5);
+
+fn profile(id: u128, name: &str) -> member::MemberProfile {
+    member::MemberProfile {
+        id: member::MemberId::new(id),
+        endpoint: member::MemberEndpoint::new(name, name),
+    }
+}
+
+fn report(
+    id: u128,
+    standing: member::MemberStanding,
+    silence: time::Duration,
+) -> driver::MemberReport {
+    driver::MemberReport {
+        member: member::GroupMember {
+            profile: profile(id, &format!("m{id}")),
+            standing,
+        },
+        matched: Some(log::LogIndex::new(10)),
+        lag_entries: Some(0),
+        silence: Some(silence),
+    }
+}
+
+/// Returns the status of leader 1 among voters 1 to `voters`.
+fn status(voters: u128) -> driver::LogStatus {
+    let voter = member::MemberStanding::Voter;
+    driver::LogStatus {
+        profile: profile(1, "m1"),
+        cluster: Some(member::ClusterId::new(1)),
+        role: core::NodeRole::Leader,
+        ready: true,
+        lease: Some(time::Duration::from_secs(1)),
+        term: log::Term::ZERO,
+        leader: Some(profile(1, "m1")),
+        commit: log::LogIndex::new(10),
+        applied: log::LogIndex::new(10),
+        last: log::LogPosition::default(),
+        snapshot: None,
+        members: (1..=voters)
+            .map(|id| report(id, voter, time::Duration::ZERO))
+            .collect(),
+        joiners: Vec::new(),
+        safe_to_lose: None,
+        failure: None,
+    }
+}
+
+fn next(status: &driver::LogStatus) -> Option<member::MembershipChange> {
+    driver::MembershipPlanner::new(5, SILENCE).next_change(status)
+}
+
+fn remove(id: u128) -> Option<member::MembershipChange> {
+    Some(member::MembershipChange::Remove(member::MemberId::new(id)))
+}
+
+fn promote(id: u128) -> Option<member::MembershipChange> {
+    Some(member::MembershipChange::Promote(member::MemberId::new(id)))
+}
+
+#[test]
+fn whole_group_is_left_alone() {
+    assert_eq!(next(&status(5)), None);
+}
+
+#[test]
+fn empty_folder_joins_as_a_learner_first() {
+    let mut status = status(3);
+    status.joiners.push(profile(9, "m9"));
+    assert_eq!(
+        next(&status),
+        Some(member::MembershipChange::AddLearner(profile(9, "m9")))
+    );
+}
+
+#[test]
+fn lost_folder_leaves_under_its_old_identity_before_it_joins_anew() {
+    let mut status = status(5);
+    status.joiners.push(profile(9, "m3"));
+    assert_eq!(next(&status), remove(3));
+    status
+        .members
+        .retain(|report| report.member.profile.id != member::MemberId::new(3));
+    assert_eq!(
+        next(&status),
+        Some(member::MembershipChange::AddLearner(profile(9, "m3")))
+    );
+}
+
+#[test]
+fn learner_votes_once_it_has_caught_up() {
+    let mut status = status(4);
+    let mut learner = report(9, member::MemberStanding::Learner, time::Duration::ZERO);
+    learner.lag_entries = Some(1_000);
+    status.members.push(learner);
+    assert_eq!(next(&status), None);
+    status.members[4].lag_entries = Some(0);
+    assert_eq!(next(&status), promote(9));
+}
+
+#[test]
+fn silent_voter_of_a_group_without_a_successor_stays() {
+    let mut status = status(5);
+    status.members[2].silence = Some(SILENCE * 10);
+    assert_eq!(next(&status), None);
+}
+
+#[test]
+fn silent_voter_makes_way_for_a_learner_that_is_there() {
+    let mut status = status(5);
+    status.members[2].silence = Some(SILENCE);
+    let learner = report(9, member::MemberStanding::Learner, time::Duration::ZERO);
+    status.members.push(learner);
+    assert_eq!(next(&status), remove(3));
+}
+
+#[test]
+fn voter_beyond_the_seats_goes_once_it_is_silent() {
+    let mut status = status(6);
+    assert_eq!(next(&status), None);
+    status.members[5].silence = Some(SILENCE);
+    assert_eq!(next(&status), remove(6));
+}
--- a/galenahold_domain/tests/declaration/faults.rs
+++ b/galenahold_domain/tests/declaration/faults.rs
@@ -36,7 +36,10 @@
 #[test]
 fn weights_that_add_up_to_nothing_are_a_fault() {
     let fault = fault(|declaration| declaration.routes[0].shares = vec![fixture::share("desk", 0)]);
-    assert_eq!(fault, r#"route "orders": the weights of its services add up to 0"#);
+    assert_eq!(
+        fault,
+        r#"route "orders": the weights of its services add up to 0"#
+    );
 }
 
 #[test]
--- a/galenahold_domain/tests/declaration/lookups.rs
+++ b/galenahold_domain/tests/declaration/lookups.rs
@@ -18,15 +18,26 @@
 }
 
 fn found(host: &str, path: &str) -> Option<String> {
-    index().route(host, path).map(|route| route.name.to_string())
+    index()
+        .route(host, path)
+        .map(|route| route.name.to_string())
 }
 
 #[test]
 fn longest_prefix_of_the_host_takes_the_path() {
-    assert_eq!(found("desk.example", "/orders/large/7").as_deref(), Some("deep"));
-    assert_eq!(found("desk.example", "/orders/large").as_deref(), Some("orders"));
+    assert_eq!(
+        found("desk.example", "/orders/large/7").as_deref(),
+        Some("deep")
+    );
+    assert_eq!(
+        found("desk.example", "/orders/large").as_deref(),
+        Some("orders")
+    );
     assert_eq!(found("desk.example", "/orders/").as_deref(), Some("orders"));
-    assert_eq!(found("records.example", "/orders/large/7").as_deref(), Some("root"));
+    assert_eq!(
+        found("records.example", "/orders/large/7").as_deref(),
+        Some("root")
+    );
 }
 
 #[test]
@@ -54,7 +65,9 @@
     ];
     let mut counts = collections::BTreeMap::new();
     for point in 0..400 {
-        *counts.entry(route.service_at(point).to_string()).or_insert(0) += 1;
+        *counts
+            .entry(route.service_at(point).to_string())
+            .or_insert(0) += 1;
     }
     let wanted = [("desk".to_owned(), 300), ("records".to_owned(), 100)];
     assert_eq!(counts, collections::BTreeMap::from(wanted));
--- a/galenahold_domain/tests/fleet/notices.rs
+++ b/galenahold_domain/tests/fleet/notices.rs
@@ -11,7 +11,10 @@
 }
 
 fn names(roster: &fleet::ServerRoster) -> Vec<String> {
-    roster.records().map(|record| record.name.to_string()).collect()
+    roster
+        .records()
+        .map(|record| record.name.to_string())
+        .collect()
 }
 
 #[test]
--- a/galenahold_domain/tests/fleet/views.rs
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -7,7 +7,9 @@
 use crate::fixture;
 
 fn names(view: &fleet::RosterView) -> Vec<String> {
-    view.records().map(|record| record.name.to_string()).collect()
+    view.records()
+        .map(|record| record.name.to_string())
+        .collect()
 }
 
 fn follow(view: &mut fleet::RosterView, roster: &fleet::ServerRoster, now: time::Instant) {
--- a/galenahold_placement/tests/fleet/loads.rs
+++ b/galenahold_placement/tests/fleet/loads.rs
@@ -54,9 +54,8 @@
     let later = now + time::Duration::from_secs(3);
     fixture::wait_for(&mut planner, "c", later);
     let step = fixture::plan(&mut planner, &records, later);
-    let loads = |order: &fleet::EngineOrder| {
-        matches!(order.action, fleet::OrderAction::LoadModel(_))
-    };
+    let loads =
+        |order: &fleet::EngineOrder| matches!(order.action, fleet::OrderAction::LoadModel(_));
     assert!(!step.orders.iter().any(loads), "{step:?}");
 }
 
--- a/galenahold_placement/tests/fleet/order_lines.rs
+++ b/galenahold_placement/tests/fleet/order_lines.rs
@@ -10,7 +10,10 @@
     fleet::EngineReport {
         orders_taken,
         busy,
-        models: models.iter().map(|name| fixture::model_name(name)).collect(),
+        models: models
+            .iter()
+            .map(|name| fixture::model_name(name))
+            .collect(),
     }
 }
 
--- /dev/null
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -0,0 +1,124 @@
+//! Servers and calls.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use galenahold_domain::{amount, declaration, fleet as domain, name};
+use galenahold_routing::fleet;
+
+pub(crate) fn service() -> name::ServiceName {
+    name::ServiceName::from("models")
+}
+
+pub(crate) fn record(server: &str, models: &[&str]) -> domain::ServerRecord {
+    let host = server.bytes().last().unwrap_or_default();
+    domain::ServerRecord {
+        name: name::ServerName::from(server),
+        started_ms: 1,
+        service: service(),
+        address: net::SocketAddr::from(([10, 0, 0, host], 80)),
+        data_centre: name::DataCentreName::from("one"),
+        slots: 2,
+        stage: domain::ServerStage::Ready,
+        silent: false,
+        leaves_soon: false,
+        models: models.iter().map(|name| held(name)).collect(),
+        adapters: Vec::new(),
+        loading: None,
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn held(name: &str) -> domain::HeldModel {
+    domain::HeldModel {
+        name: name::ModelName::from(name),
+        version: 1,
+        retiring: false,
+    }
+}
+
+pub(crate) fn need(model: &str, patience: time::Duration, now: time::Instant) -> fleet::CallNeed {
+    fleet::CallNeed {
+        service: service(),
+        target: Some(fleet::ModelTarget {
+            model: name::ModelName::from(model),
+            adapter: None,
+        }),
+        rank: 1,
+        affinity: 0,
+        patience_until: now + patience,
+        tried: Vec::new(),
+    }
+}
+
+pub(crate) fn plain_need(now: time::Instant) -> fleet::CallNeed {
+    fleet::CallNeed {
+        target: None,
+        ..need("", time::Duration::from_secs(1), now)
+    }
+}
+
+/// Returns a board of one service whose model `m` takes 6 s from the store and 2 s from disk.
+pub(crate) fn board(records: &[domain::ServerRecord], now: time::Instant) -> fleet::DispatchBoard {
+    let mut board = fleet::DispatchBoard::default();
+    board.set_followers(1);
+    board.declare(&declaration());
+    for record in records {
+        board.update_server(record.clone(), now);
+    }
+    board
+}
+
+fn declaration() -> declaration::FleetDeclaration {
+    let model = declaration::DeclaredModel {
+        name: name::ModelName::from("m"),
+        weights: amount::ByteCount(1),
+        adapter: amount::ByteCount(1),
+        adapters: Vec::new(),
+        store_load: time::Duration::from_secs(6),
+        disk_load: time::Duration::from_secs(2),
+        memory_load: time::Duration::from_secs(1),
+    };
+    let engine = declaration::DeclaredEngine {
+        slots: 2,
+        cache_tokens: amount::TokenCount(1),
+        weight_memory: amount::ByteCount(1),
+        adapter_slots: 1,
+        store_loads_per_s: 1.0,
+        tokens_per_event: 1,
+        models: vec![model],
+    };
+    declaration::FleetDeclaration {
+        number: 1,
+        routes: Vec::new(),
+        services: vec![declaration::DeclaredService {
+            name: service(),
+            health_path: sync::Arc::from("/health"),
+            max_connections: 1,
+            engine: Some(engine),
+        }],
+        teams: Vec::new(),
+        limits: declaration::CallerLimits {
+            head: amount::ByteCount(1),
+            body: amount::ByteCount(1),
+            head_timeout: time::Duration::ZERO,
+            idle_timeout: time::Duration::ZERO,
+        },
+    }
+}
+
+pub(crate) fn placed(submission: fleet::CallSubmission) -> fleet::CallPlacement {
+    match submission {
+        fleet::CallSubmission::Placed(placement) => placement,
+        other => panic!("a place expected, got {other:?}"),
+    }
+}
+
+pub(crate) fn waiting(submission: &fleet::CallSubmission) -> fleet::CallTicket {
+    match submission {
+        fleet::CallSubmission::Waiting(ticket) => *ticket,
+        other => panic!("a wait expected, got {other:?}"),
+    }
+}
--- /dev/null
+++ b/galenahold_routing/tests/fleet/placing.rs
@@ -0,0 +1,133 @@
+//! Which server takes a call.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::{fleet as domain, name};
+use galenahold_routing::fleet;
+
+use crate::fixture;
+
+const PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+fn server(submission: fleet::CallSubmission) -> String {
+    fixture::placed(submission).server.to_string()
+}
+
+#[test]
+fn calls_spread_over_servers_that_are_equally_busy() {
+    let now = time::Instant::now();
+    let records = [fixture::record("s1", &[]), fixture::record("s2", &[])];
+    let mut board = fixture::board(&records, now);
+    let taken: collections::BTreeSet<_> = (0..2)
+        .map(|_| server(board.submit(fixture::plain_need(now), now)))
+        .collect();
+    assert_eq!(taken.len(), 2);
+}
+
+#[test]
+fn only_a_server_that_holds_the_model_takes_the_call() {
+    let now = time::Instant::now();
+    let records = [
+        fixture::record("s1", &["other"]),
+        fixture::record("s2", &["m"]),
+    ];
+    let mut board = fixture::board(&records, now);
+    let need = fixture::need("m", PATIENCE, now);
+    assert_eq!(server(board.submit(need, now)), "s2");
+}
+
+#[test]
+fn draining_server_and_retiring_model_take_no_new_call() {
+    let now = time::Instant::now();
+    let mut draining = fixture::record("s1", &["m"]);
+    draining.stage = domain::ServerStage::Draining;
+    let mut retiring = fixture::record("s2", &["m"]);
+    retiring.models[0].retiring = true;
+    let records = [draining, retiring, fixture::record("s3", &["m"])];
+    let mut board = fixture::board(&records, now);
+    let need = fixture::need("m", PATIENCE, now);
+    assert_eq!(server(board.submit(need, now)), "s3");
+}
+
+#[test]
+fn server_that_holds_the_adapter_goes_before_one_that_would_load_it() {
+    let now = time::Instant::now();
+    let adapter = domain::HeldAdapter {
+        model: name::ModelName::from("m"),
+        adapter: name::AdapterName::from("x"),
+    };
+    for holder in ["s1", "s2"] {
+        let records = [fixture::record("s1", &["m"]), fixture::record("s2", &["m"])];
+        let mut board = fixture::board(&records, now);
+        board.learn_adapter(&name::ServerName::from(holder), adapter.clone());
+        let mut need = fixture::need("m", PATIENCE, now);
+        need.target = Some(fleet::ModelTarget {
+            model: adapter.model.clone(),
+            adapter: Some(adapter.adapter.clone()),
+        });
+        let placement = fixture::placed(board.submit(need, now));
+        assert_eq!(&*placement.server, holder);
+        assert!(!placement.needs_adapter);
+    }
+}
+
+#[test]
+fn server_without_connection_is_passed_over_for_a_while() {
+    let now = time::Instant::now();
+    let records = [fixture::record("s1", &[]), fixture::record("s2", &[])];
+    let mut board = fixture::board(&records, now);
+    let down = name::ServerName::from("s1");
+    board.observe(&down, None, fleet::AttemptReport::Unreachable, now);
+    for _ in 0..2 {
+        assert_eq!(server(board.submit(fixture::plain_need(now), now)), "s2");
+    }
+    let later = now + time::Duration::from_secs(5);
+    let again = server(board.submit(fixture::plain_need(later), later));
+    assert_eq!(again, "s1");
+}
+
+/// Load pattern: one server of a service fails most of its calls while its notices stay good.
+#[test]
+fn server_that_fails_gets_fewer_calls_than_a_busier_one() {
+    let now = time::Instant::now();
+    let records = [fixture::record("s1", &[]), fixture::record("s2", &[])];
+    let mut board = fixture::board(&records, now);
+    let failing = name::ServerName::from("s1");
+    for _ in 0..10 {
+        board.observe(&failing, None, fleet::AttemptReport::Failed, now);
+    }
+    for _ in 0..2 {
+        assert_eq!(server(board.submit(fixture::plain_need(now), now)), "s2");
+    }
+}
+
+#[test]
+fn silent_server_serves_on_as_long_as_it_answers() {
+    let now = time::Instant::now();
+    let mut record = fixture::record("s1", &[]);
+    let mut board = fixture::board(std::slice::from_ref(&record), now);
+    let server = record.name.clone();
+    let took = fleet::AttemptReport::Answered(time::Duration::from_millis(5));
+    board.observe(&server, None, took, now);
+    record.silent = true;
+    board.update_server(record, now);
+    let soon = now + time::Duration::from_secs(1);
+    fixture::placed(board.submit(fixture::plain_need(soon), soon));
+    let later = now + time::Duration::from_secs(10);
+    let refused = board.submit(fixture::plain_need(later), later);
+    assert!(
+        matches!(refused, fleet::CallSubmission::Refused(_)),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn server_that_was_tried_is_the_last_choice() {
+    let now = time::Instant::now();
+    let records = [fixture::record("s1", &[]), fixture::record("s2", &[])];
+    let mut board = fixture::board(&records, now);
+    let mut need = fixture::plain_need(now);
+    need.tried = vec![name::ServerName::from("s1")];
+    assert_eq!(server(board.resubmit(need, now)), "s2");
+}
--- /dev/null
+++ b/galenahold_routing/tests/fleet/waiting.rs
@@ -0,0 +1,122 @@
+//! Which calls wait, which are refused at once, and who goes first.
+
+use std::time;
+
+use galenahold_domain::{fleet as domain, name};
+use galenahold_routing::fleet;
+
+use crate::fixture;
+
+const SHORT: time::Duration = time::Duration::from_secs(3);
+const LONG: time::Duration = time::Duration::from_secs(10);
+
+fn refusal(submission: fleet::CallSubmission) -> fleet::BoardRefusal {
+    match submission {
+        fleet::CallSubmission::Refused(refusal) => refusal,
+        other => panic!("a refusal expected, got {other:?}"),
+    }
+}
+
+/// Load pattern: rare models are asked for at once, whose weights lie in the store only.
+#[test]
+fn call_that_cannot_wait_for_the_load_is_refused_at_once_with_the_time_of_the_load() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["other"])], now);
+    let refused = refusal(board.submit(fixture::need("m", SHORT, now), now));
+    assert_eq!(refused.cause, fleet::RefusalCause::NotLoaded);
+    assert!(
+        refused.retry_after >= time::Duration::from_secs(6),
+        "{refused:?}"
+    );
+}
+
+#[test]
+fn call_that_can_wait_for_the_load_waits_and_goes_where_the_model_comes() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["other"])], now);
+    let ticket = fixture::waiting(&board.submit(fixture::need("m", LONG, now), now));
+    assert_eq!(board.poll(now), []);
+    board.update_server(fixture::record("s1", &["other", "m"]), now);
+    let placed = board.poll(now);
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].ticket, ticket);
+    assert!(placed[0].result.is_ok());
+}
+
+#[test]
+fn weights_on_a_disk_shorten_the_expected_wait() {
+    let now = time::Instant::now();
+    let mut record = fixture::record("s1", &["other"]);
+    record.on_disk = vec![name::ModelName::from("m")];
+    let mut board = fixture::board(&[record], now);
+    fixture::waiting(&board.submit(fixture::need("m", SHORT, now), now));
+}
+
+#[test]
+fn load_under_way_counts_from_when_it_began() {
+    let now = time::Instant::now();
+    let mut record = fixture::record("s1", &["other"]);
+    record.loading = Some(domain::ModelLoading {
+        model: name::ModelName::from("m"),
+        expected_ms: 6_000,
+    });
+    let mut board = fixture::board(&[record], now);
+    refusal(board.submit(fixture::need("m", SHORT, now), now));
+    let later = now + time::Duration::from_secs(4);
+    fixture::waiting(&board.submit(fixture::need("m", SHORT, later), later));
+}
+
+#[test]
+fn full_servers_let_calls_wait_and_the_urgent_one_goes_first() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["m"])], now);
+    let first = fixture::placed(board.submit(fixture::need("m", SHORT, now), now));
+    fixture::placed(board.submit(fixture::need("m", SHORT, now), now));
+    let early = fixture::waiting(&board.submit(fixture::need("m", SHORT, now), now));
+    let mut need = fixture::need("m", SHORT, now);
+    need.rank = 0;
+    let urgent = fixture::waiting(&board.submit(need, now));
+    let target = fixture::need("m", SHORT, now).target;
+    board.finish(&first.server, target.as_ref(), &fixture::service());
+    let placed: Vec<_> = board.poll(now).iter().map(|call| call.ticket).collect();
+    assert_eq!(placed, [urgent]);
+    board.finish(&first.server, target.as_ref(), &fixture::service());
+    let placed: Vec<_> = board.poll(now).iter().map(|call| call.ticket).collect();
+    assert_eq!(placed, [early]);
+}
+
+#[test]
+fn waiting_call_is_refused_before_its_caller_gives_up() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["other"])], now);
+    let ticket = fixture::waiting(&board.submit(fixture::need("m", LONG, now), now));
+    let settled = board.poll(now + LONG);
+    assert_eq!(settled.len(), 1);
+    assert_eq!(settled[0].ticket, ticket);
+    assert!(settled[0].result.is_err());
+}
+
+#[test]
+fn call_whose_caller_left_holds_no_place_in_the_line() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["other"])], now);
+    let ticket = fixture::waiting(&board.submit(fixture::need("m", LONG, now), now));
+    board.withdraw(ticket);
+    assert!(!board.has_waiting());
+    let tallies = board.take_tallies();
+    assert_eq!(tallies.len(), 1);
+    assert_eq!(tallies[0].1.arrivals, 1);
+    assert_eq!(tallies[0].1.waiting, 0);
+}
+
+#[test]
+fn service_without_servers_refuses_at_once() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[], now);
+    let mut need = fixture::plain_need(now);
+    need.patience_until = now + time::Duration::from_millis(500);
+    assert_eq!(
+        refusal(board.submit(need, now)).cause,
+        fleet::RefusalCause::NoServer
+    );
+}
