--- a/galenahold_consensus/tests/membership/main.rs
+++ b/galenahold_consensus/tests/membership/main.rs
@@ -57,12 +57,12 @@
     driver::MembershipPlanner::new(5, SILENCE).next_change(status)
 }
 
-fn remove(id: u128) -> Option<member::MembershipChange> {
-    Some(member::MembershipChange::Remove(member::MemberId::new(id)))
+fn remove(id: u128) -> member::MembershipChange {
+    member::MembershipChange::Remove(member::MemberId::new(id))
 }
 
-fn promote(id: u128) -> Option<member::MembershipChange> {
-    Some(member::MembershipChange::Promote(member::MemberId::new(id)))
+fn promote(id: u128) -> member::MembershipChange {
+    member::MembershipChange::Promote(member::MemberId::new(id))
 }
 
 #[test]
@@ -84,7 +84,7 @@
 fn lost_folder_leaves_under_its_old_identity_before_it_joins_anew() {
     let mut status = status(5);
     status.joiners.push(profile(9, "m3"));
-    assert_eq!(next(&status), remove(3));
+    assert_eq!(next(&status), Some(remove(3)));
     status
         .members
         .retain(|report| report.member.profile.id != member::MemberId::new(3));
@@ -102,7 +102,7 @@
     status.members.push(learner);
     assert_eq!(next(&status), None);
     status.members[4].lag_entries = Some(0);
-    assert_eq!(next(&status), promote(9));
+    assert_eq!(next(&status), Some(promote(9)));
 }
 
 #[test]
@@ -118,7 +118,7 @@
     status.members[2].silence = Some(SILENCE);
     let learner = report(9, member::MemberStanding::Learner, time::Duration::ZERO);
     status.members.push(learner);
-    assert_eq!(next(&status), remove(3));
+    assert_eq!(next(&status), Some(remove(3)));
 }
 
 #[test]
@@ -126,5 +126,5 @@
     let mut status = status(6);
     assert_eq!(next(&status), None);
     status.members[5].silence = Some(SILENCE);
-    assert_eq!(next(&status), remove(6));
+    assert_eq!(next(&status), Some(remove(6)));
 }
--- a/galenahold_placement/tests/fleet/fixture.rs
+++ b/galenahold_placement/tests/fleet/fixture.rs
@@ -107,10 +107,3 @@
         fleet::OrderAction::LoadModel(model_name(model)),
     )
 }
-
-pub(crate) fn unload(server: &str, model: &str) -> (String, fleet::OrderAction) {
-    (
-        server.to_owned(),
-        fleet::OrderAction::UnloadModel(model_name(model)),
-    )
-}
