Spread hot models, end waits before a stop, and leave detours alone

Change: copies by rate and requests under way, two at a time, a rate over 4 s; calls meet at one engine only while it is no busier; a stopping instance lets no call wait beyond 2.5 s; only waits at the leader itself end when another leader is heard of. The log says each stream's longest pause and each call's tokens.

--- a/galenahold/src/command/global_options.rs
+++ b/galenahold/src/command/global_options.rs
@@ -61,7 +61,7 @@
             clap::Arg::new(LOG)
                 .long(LOG)
                 .value_name("FILTER")
-                .help("Log level, or levels by module [default: info for serve, warn for the others]"),
+                .help("Log level, or levels by module [default: info for serve and platform, warn for the others]"),
         ]
         .map(|argument| argument.global(true).help_heading("Global options"))
     }
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -104,6 +104,7 @@
             return tokio::time::timeout(limit, watching).await.ok();
         }
         let source = self.source()?;
+        let asks_leader = self.client.leader().as_ref() == Some(&source);
         let watching = self
             .network
             .call(&source, limit, |client, context| async move {
@@ -111,8 +112,9 @@
             });
         let watched = tokio::select! {
             watched = watching => watched,
-            // Another leader was heard of: what this one still says may be long in coming.
-            () = self.client.leader_moved(&source) => return None,
+            // Another leader was heard of: what this one still says may be long in coming. A member that is
+            // asked in the leader's place answers as long as it can be reached.
+            () = self.client.leader_moved(&source), if asks_leader => return None,
         };
         watched
             .inspect_err(|error| {
--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -16,6 +16,9 @@
 /// How long a request may wait for its team's tokens where they are short.
 const CHARGE_PATIENCE: time::Duration = time::Duration::from_millis(400);
 
+/// How long a request may wait where the leader does not answer: a change of leader takes 2 s.
+const CONTROL_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+
 /// Engines that are asked for an adapter at most.
 const MAX_ADAPTER_TRIES: usize = 3;
 
@@ -119,10 +122,11 @@
         };
         let tokens = team.charge.of(call.call.tokens);
         log.tokens = tokens.0;
-        let for_control = call.patience_until();
+        let now = time::Instant::now();
+        let patience_until = call.patience_until();
         let patience = rate::ChargePatience {
-            for_rate: for_control.min(time::Instant::now() + CHARGE_PATIENCE),
-            for_control,
+            for_rate: patience_until.min(now + CHARGE_PATIENCE),
+            for_control: patience_until.min(now + CONTROL_PATIENCE),
         };
         let charge = self
             .parts
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -144,6 +144,11 @@
         self.lock().board.learn_adapter(server, adapter);
     }
 
+    /// Lets no call wait beyond a moment, since the instance stops.
+    pub(crate) fn close_at(&self, moment: time::Instant) {
+        self.change(|board| board.close_at(moment));
+    }
+
     /// Puts a declaration in force.
     pub(crate) fn declare(&self, declaration: &declaration::FleetDeclaration) {
         self.change(|board| board.declare(declaration));
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -28,6 +28,8 @@
     splitter: entry::EventSplitter,
     last_id: Option<String>,
     events: u64,
+    last_event: Option<time::Instant>,
+    longest_pause: time::Duration,
 }
 
 /// What came of the next piece.
@@ -58,6 +60,8 @@
             splitter: entry::EventSplitter::default(),
             last_id: None,
             events: 0,
+            last_event: None,
+            longest_pause: time::Duration::ZERO,
         }
     }
 
@@ -124,7 +128,7 @@
 
     async fn pass_on(&mut self, sender: &face::StreamSender) -> RelayStep {
         while let Some(event) = self.splitter.next_event() {
-            self.events += 1;
+            self.count_event();
             if event.id.is_some() {
                 self.last_id = event.id;
             }
@@ -135,6 +139,16 @@
         RelayStep::Go
     }
 
+    fn count_event(&mut self) {
+        let now = time::Instant::now();
+        let pause = self
+            .last_event
+            .map_or(time::Duration::ZERO, |last| now - last);
+        self.longest_pause = self.longest_pause.max(pause);
+        self.last_event = Some(now);
+        self.events += 1;
+    }
+
     /// Goes on at another server after a cut; false where that cannot be.
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.lease.observe(fleet::AttemptReport::Broken);
@@ -189,6 +203,7 @@
             request = self.call.call.id.as_deref().unwrap_or("-"),
             server:% = self.lease.server(),
             events = self.events,
+            longest_pause_ms = u64::try_from(self.longest_pause.as_millis()).unwrap_or(u64::MAX),
             took_ms = u64::try_from(self.call.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
             reason = reason;
             "stream ended"
--- a/galenahold_instance/src/gateway/gateway_instance.rs
+++ b/galenahold_instance/src/gateway/gateway_instance.rs
@@ -24,6 +24,9 @@
 /// second and believes the second answer.
 const NOTICE: time::Duration = time::Duration::from_millis(2_300);
 
+/// How long calls may still wait for a place at an instance that stops; others can serve them.
+const WAITING_TIME: time::Duration = time::Duration::from_millis(2_500);
+
 /// The part of the grace time that is kept for the last steps of a stop.
 const LAST_STEPS: time::Duration = time::Duration::from_millis(1_100);
 
@@ -157,7 +160,8 @@
             info!(begun = begun; "hands leadership over");
             tokio::time::sleep(HAND_OVER_TIME).await;
         }
-        if self.settings.callers.is_some() {
+        if let Some(dispatcher) = &running.dispatcher {
+            dispatcher.close_at(time::Instant::now() + WAITING_TIME);
             tokio::time::sleep(NOTICE).await;
         }
     }
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -98,6 +98,7 @@
     pub(super) log: Option<driver::ReplicatedLog<group::ControlMachine>>,
     pub(super) watch: Option<control::MemberWatch>,
     pub(super) keeper: Option<rate::RateKeeper>,
+    pub(super) dispatcher: Option<entry::CallDispatcher>,
     pub(super) client: peer::ControlClient<control::FleetDesk<Dialect>>,
     pub(super) holder: configuration::ConfigurationHolder,
 }
@@ -150,6 +151,7 @@
             log: None,
             watch: None,
             keeper: None,
+            dispatcher: None,
             client: client.clone(),
             holder: holder.clone(),
         };
@@ -166,8 +168,9 @@
         }
         if let Some(callers) = self.settings.callers {
             let listener = bind(callers, "callers").await?;
-            let keeper = self.start_entry(listener, &holder, &client, &desk).await?;
+            let (keeper, dispatcher) = self.start_entry(listener, &holder, &client, &desk).await?;
             running.keeper = Some(keeper);
+            running.dispatcher = Some(dispatcher);
         }
         self.start_metrics(holder).await?;
         Ok(running)
@@ -284,7 +287,7 @@
         holder: &configuration::ConfigurationHolder,
         client: &peer::ControlClient<control::FleetDesk<Dialect>>,
         desk: &control::FleetDesk<Dialect>,
-    ) -> Result<rate::RateKeeper, gateway::GatewayError> {
+    ) -> Result<(rate::RateKeeper, entry::CallDispatcher), gateway::GatewayError> {
         let keeper = self.rate_keeper();
         keeper.start(client.clone(), &self.groups.system);
         let dispatcher =
@@ -315,7 +318,7 @@
             dialect: self.dialect.clone(),
             holder: holder.clone(),
             declared: declared.clone(),
-            dispatcher,
+            dispatcher: dispatcher.clone(),
             keeper: keeper.clone(),
             client: client.clone(),
             backend: backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT),
@@ -337,7 +340,7 @@
             };
             face::HttpListener::new(listener, CALLER_LIMITS, face).start(&self.groups.system);
         }
-        Ok(keeper)
+        Ok((keeper, dispatcher))
     }
 
     /// Reads each new document and puts it in force at this instance.
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -14,8 +14,16 @@
 /// Loads from the weight store that are under way at once: further ones only slow each other down.
 const STORE_LOADS_AT_ONCE: usize = 4;
 
-/// Requests at one copy of a model beyond which another copy is worth its memory.
-const REQUESTS_PER_COPY: u32 = 16;
+/// Requests under way at one copy of a model beyond which another copy is worth its memory.
+const REQUESTS_PER_COPY: u32 = 6;
+
+/// Requests a second at one copy of a model beyond which another copy is worth its memory: an engine
+/// reads prompts between the tokens of its runs, and three long prompts in a row make a pause that
+/// callers notice.
+const RATE_PER_COPY: f64 = 3.0;
+
+/// Further copies of one model that are loaded at once.
+const COPIES_COMING: usize = 2;
 
 /// How long ago a request may have asked for a model that is loaded nowhere and still count as wanting it.
 const RECENT: time::Duration = time::Duration::from_secs(3);
@@ -506,8 +514,10 @@
             });
         }
         let load = interest.running(now) + interest.waiting(now);
-        let full = u32::try_from(copies).unwrap_or(u32::MAX) * REQUESTS_PER_COPY;
-        (coming == 0 && load > full).then(|| ModelNeed {
+        let copies = u32::try_from(copies).unwrap_or(u32::MAX);
+        let full = load > copies * REQUESTS_PER_COPY
+            || interest.rate(now) > f64::from(copies) * RATE_PER_COPY;
+        (coming < COPIES_COMING && full).then(|| ModelNeed {
             model,
             worth: self.worth(round, &model.name) * FURTHER_COPY_SHARE,
             may_evict: Eviction::WorthLess,
--- a/galenahold_routing/src/fleet/dispatch_board.rs
+++ b/galenahold_routing/src/fleet/dispatch_board.rs
@@ -23,14 +23,14 @@
 const MIN_SHARE: u32 = 2;
 
 /// How much busier than the least busy one the server may be that holds a call's shared prompt parts.
-const AFFINITY_FACTOR: f64 = 2.0;
+const AFFINITY_FACTOR: f64 = 1.2;
 
 /// Calls that the server with the shared prompt parts may have more, whatever the factor.
-const AFFINITY_SLACK: f64 = 3.0;
+const AFFINITY_SLACK: f64 = 0.5;
 
 /// How much busier a server in another data centre counts: bytes between data centres cost, and a
 /// millisecond or two each way.
-const DISTANCE_FACTOR: f64 = 1.3;
+const DISTANCE_FACTOR: f64 = 1.15;
 
 /// How long a place is expected to stay taken where all are.
 const PLACE_TIME: time::Duration = time::Duration::from_millis(150);
@@ -55,6 +55,7 @@
     used_adapters: collections::HashSet<(name::ServerName, domain::HeldAdapter)>,
     followers: u32,
     data_centre: Option<name::DataCentreName>,
+    closes_at: Option<time::Instant>,
 }
 
 impl DispatchBoard {
@@ -67,6 +68,11 @@
         }
     }
 
+    /// Lets no call wait beyond a moment: the instance stops, and others can still serve the call.
+    pub fn close_at(&mut self, moment: time::Instant) {
+        self.closes_at = Some(moment);
+    }
+
     /// Puts a declaration in force.
     pub fn declare(&mut self, declaration: &declaration::FleetDeclaration) {
         self.estimate = fleet::LoadEstimate::new(&declaration.services);
@@ -331,7 +337,9 @@
         ahead: usize,
         now: time::Instant,
     ) -> Option<fleet::BoardRefusal> {
-        let left = need.patience_until.saturating_duration_since(now);
+        let closes_at = self.closes_at.unwrap_or(need.patience_until);
+        let until = need.patience_until.min(closes_at);
+        let left = until.saturating_duration_since(now);
         let able = self.able(need, now).count();
         let (cause, expected) = match ahead.checked_div(able) {
             Some(turns) => {
--- a/galenahold_routing/tests/fleet/waiting.rs
+++ b/galenahold_routing/tests/fleet/waiting.rs
@@ -120,3 +120,16 @@
         fleet::RefusalCause::NoServer
     );
 }
+
+/// Replays trouble-3 of asennau-cymru: an instance is told to stop while a call waits for a load.
+#[test]
+fn call_that_waits_at_a_stopping_instance_is_refused_before_the_instance_ends() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["other"])], now);
+    let ticket = fixture::waiting(&board.submit(fixture::need("m", LONG, now), now));
+    board.close_at(now + time::Duration::from_secs(2));
+    let settled = board.poll(now);
+    assert_eq!(settled.len(), 1);
+    assert_eq!(settled[0].ticket, ticket);
+    assert!(settled[0].result.is_err());
+}
