--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -15,12 +15,12 @@
 const STORE_LOADS_AT_ONCE: usize = 4;
 
 /// Requests under way at one copy of a model beyond which another copy is worth its memory.
-const REQUESTS_PER_COPY: u32 = 6;
+const REQUESTS_PER_COPY: u32 = 10;
 
 /// Requests a second at one copy of a model beyond which another copy is worth its memory: an engine
 /// reads prompts between the tokens of its runs, and three long prompts in a row make a pause that
 /// callers notice.
-const RATE_PER_COPY: f64 = 3.0;
+const RATE_PER_COPY: f64 = 4.5;
 
 /// Further copies of one model that are loaded at once.
 const COPIES_COMING: usize = 2;
