--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -29,7 +29,7 @@
     pub(super) async fn attempt(
         &self,
         call: &entry::RoutedCall,
-        lease: &entry::PlaceLease,
+        lease: &mut entry::PlaceLease,
         head_until: time::Instant,
         resume_after: Option<&str>,
     ) -> entry::AttemptEnd {
@@ -49,10 +49,12 @@
             return entry::AttemptEnd::NotRun("no_time_left");
         }
         let request = self.request(call, lease, time_left, resume_after);
+        lease.expect_from(sent_at);
         let sent = self
             .backend
             .send(connection, &address, request, head_until)
             .await;
+        lease.expect_nothing();
         match sent {
             Ok(exchange) => self.judge(call, lease, exchange, sent_at).await,
             Err(error) => judge_error(lease, &error),
--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -145,14 +145,17 @@
     ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
         let mut plan = entry::AttemptPlan::new(&call.route);
         loop {
-            let lease = self.take_place(&call, &mut plan, log).await?;
+            let mut lease = self.take_place(&call, &mut plan, log).await?;
             if let Some(charge) = &mut charge {
                 charge.confirm(call.deadline).await?;
             }
             let head_until = plan.answer_until(time::Instant::now(), call.deadline);
             plan.begin_send(lease.server());
             log.sends = plan.sends();
-            let end = self.parts.attempt(&call, &lease, head_until, None).await;
+            let end = self
+                .parts
+                .attempt(&call, &mut lease, head_until, None)
+                .await;
             match end {
                 entry::AttemptEnd::Stream(exchange) => {
                     let relay = entry::StreamRelay::new(
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -10,9 +10,17 @@
 use crate::backend;
 use crate::gateway::entry;
 
+/// How long a server may be silent until it, rather than its caller, is held to have given up.
+const SILENCE: time::Duration = time::Duration::from_millis(1_200);
+
 /// A call's place at a backend server; dropping it frees the place.
+///
+/// A call that is dropped after a long silence of its server, since its caller has left, counts against
+/// the server.
 #[derive(Debug)]
 pub(super) struct PlaceLease {
+    /// When the server was last heard of, or the call was sent; `None` while nothing is expected of it.
+    heard_at: Option<time::Instant>,
     dispatcher: entry::CallDispatcher,
     placement: fleet::CallPlacement,
     service: name::ServiceName,
@@ -28,6 +36,7 @@
         target: Option<fleet::ModelTarget>,
     ) -> Self {
         Self {
+            heard_at: None,
             dispatcher,
             placement,
             service,
@@ -58,6 +67,16 @@
         }
     }
 
+    /// Says that something is expected of the server from now on.
+    pub(super) fn expect_from(&mut self, moment: time::Instant) {
+        self.heard_at = Some(moment);
+    }
+
+    /// Says that nothing more is expected of the server.
+    pub(super) fn expect_nothing(&mut self) {
+        self.heard_at = None;
+    }
+
     /// Says what the attempt showed of the server.
     pub(super) fn observe(&self, report: fleet::AttemptReport) {
         self.dispatcher
@@ -78,6 +97,9 @@
 
 impl Drop for PlaceLease {
     fn drop(&mut self) {
+        if self.heard_at.is_some_and(|at| at.elapsed() >= SILENCE) {
+            self.observe(fleet::AttemptReport::Slow);
+        }
         self.dispatcher
             .finish(&self.placement.server, self.target.as_ref(), &self.service);
     }
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -80,11 +80,13 @@
     }
 
     async fn relay(mut self, sender: face::StreamSender) {
+        self.lease.expect_from(time::Instant::now());
         loop {
             match self.step(&sender).await {
                 RelayStep::Go => {}
                 RelayStep::Ended => {
                     self.log("complete");
+                    self.lease.expect_nothing();
                     self.exchange.finish();
                     return;
                 }
@@ -146,6 +148,7 @@
             .map_or(time::Duration::ZERO, |last| now - last);
         self.longest_pause = self.longest_pause.max(pause);
         self.last_event = Some(now);
+        self.lease.expect_from(now);
         self.events += 1;
     }
 
@@ -158,7 +161,7 @@
             return false;
         }
         let need = self.call.need(self.plan.tried().to_vec());
-        let Ok(lease) = self.parts.dispatcher.place(need, true).await else {
+        let Ok(mut lease) = self.parts.dispatcher.place(need, true).await else {
             return false;
         };
         if let Some(adapter) = lease.wanted_adapter() {
@@ -175,7 +178,7 @@
             .parts
             .attempt(
                 &self.call,
-                &lease,
+                &mut lease,
                 self.call.deadline,
                 resume_after.as_deref(),
             )
@@ -193,6 +196,8 @@
         );
         self.parts.metrics.resumed.inc();
         self.exchange = exchange;
+        lease.expect_from(time::Instant::now());
+        self.lease.expect_nothing();
         self.lease = lease;
         self.splitter = entry::EventSplitter::default();
         true
