--- /dev/null
+++ b/galenahold_routing/tests/rate/hot_team.rs
@@ -0,0 +1,98 @@
+//! A team that asks for far more than its rate still gets its whole rate.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::{amount, intent, name};
+use galenahold_routing::rate;
+
+const INSTANCES: usize = 9;
+const RATE: u64 = 14_700;
+const REQUEST: u64 = 1_400;
+const STEP: time::Duration = time::Duration::from_millis(10);
+/// How long a request waits for tokens that are short.
+const PATIENCE: time::Duration = time::Duration::from_millis(400);
+const SPAN: time::Duration = time::Duration::from_secs(12);
+
+fn team() -> intent::TeamIntent {
+    intent::TeamIntent {
+        name: name::TeamName::from("hot"),
+        rate_tokens_per_s: amount::TokensPerSecond(RATE),
+        burst_tokens: amount::TokenCount(RATE),
+        weight: 1,
+    }
+}
+
+fn wallet(number: usize, settings: &rate::WalletSettings) -> rate::TokenWallet {
+    let instance = name::InstanceName::from(format!("entry-{number}"));
+    let incarnation = amount::IncarnationNumber(1);
+    rate::TokenWallet::new(instance, incarnation, settings.clone())
+}
+
+/// Returns the tokens that were spent while each instance asks for four times its part of the rate.
+fn spent(settings: &rate::WalletSettings) -> u64 {
+    let begin = time::Instant::now();
+    let team = team();
+    let ledger_settings = rate::LedgerSettings::default()
+        .with_grant_expiry(time::Duration::from_millis(2_500))
+        .with_refill_at_once();
+    let mut ledger = rate::GrantLedger::new(1, ledger_settings, begin);
+    ledger.set_teams(std::slice::from_ref(&team), begin);
+    let mut wallets: Vec<_> = (0..INSTANCES)
+        .map(|number| wallet(number, settings))
+        .collect();
+    for wallet in &mut wallets {
+        wallet.set_teams(std::slice::from_ref(&team), begin);
+    }
+    let mut spent = 0;
+    let mut waiting = vec![collections::VecDeque::new(); INSTANCES];
+    let steps = u64::try_from(SPAN.as_millis() / STEP.as_millis()).expect("a small number");
+    for step in 0..steps {
+        let now = begin + STEP * u32::try_from(step).expect("a small number");
+        // Four requests for each that the rate allows, spread evenly over time and instances.
+        let due = |step: u64| step * 4 * RATE / REQUEST / 100;
+        for request in due(step)..due(step + 1) {
+            let place = usize::try_from(request).expect("a small number") % INSTANCES;
+            match ask(&mut wallets[place], &team.name, now) {
+                0 => waiting[place].push_back(now + PATIENCE),
+                tokens => spent += tokens,
+            }
+        }
+        for (wallet, waiting) in wallets.iter_mut().zip(&mut waiting) {
+            let Some(call) = wallet.call(now) else {
+                continue;
+            };
+            let reply = ledger.grant(&call, now);
+            assert!(wallet.accept(&reply, now));
+            waiting.retain(|until| {
+                let tokens = ask(wallet, &team.name, now);
+                spent += tokens;
+                tokens == 0 && now < *until
+            });
+        }
+    }
+    spent
+}
+
+fn ask(wallet: &mut rate::TokenWallet, team: &name::TeamName, now: time::Instant) -> u64 {
+    let tokens = amount::TokenCount(REQUEST);
+    let rate::ChargeOutcome::Charged(mut receipt) = wallet.charge(team, tokens, now) else {
+        return 0;
+    };
+    assert!(wallet.still_valid(&mut receipt, now));
+    wallet.settle(receipt, tokens, now);
+    REQUEST
+}
+
+/// The load of incident inc-4c3f of pamoja-alama. Here calls for tokens are answered at once; the shortfall
+/// that was seen there does not show without the delays between processes.
+#[test]
+fn team_that_asks_for_four_times_its_rate_gets_all_of_its_rate() {
+    let settings = rate::WalletSettings::default()
+        .with_call_interval(time::Duration::from_millis(150))
+        .with_prefetch_horizon(time::Duration::from_millis(450));
+    let allowed = RATE * SPAN.as_secs() + RATE;
+    let spent = spent(&settings);
+    assert!(spent <= allowed, "{spent} of {allowed} tokens");
+    assert!(spent * 10 >= allowed * 9, "{spent} of {allowed} tokens");
+}
