--- /dev/null
+++ b/galenahold_placement/src/fleet/adapter_wishes.rs
@@ -0,0 +1,130 @@
+//! Brings adapters to engines that hold their models.
+
+use std::time;
+
+use galenahold_domain::declaration;
+use galenahold_domain::fleet as domain;
+
+use crate::fleet;
+
+/// Adapter places of an engine that are kept free for adapters that are asked for next.
+const FREE_ADAPTER_PLACES: usize = 2;
+
+/// The part of an adapter's load that does not depend on its size.
+const ADAPTER_BASE: time::Duration = time::Duration::from_millis(5);
+
+/// Milliseconds that a megabyte of an adapter takes to load.
+const ADAPTER_MS_PER_MB: f64 = 0.25;
+
+impl fleet::FleetPlanner {
+    /// Decides on a wish for an adapter at an engine that holds its model.
+    pub fn want_adapter(
+        &mut self,
+        record: &domain::ServerRecord,
+        engine: &declaration::DeclaredEngine,
+        adapter: &domain::HeldAdapter,
+        now: time::Instant,
+    ) -> fleet::AdapterDecision {
+        let Some(model) = engine.model(&adapter.model) else {
+            return fleet::AdapterDecision::Refused {
+                reason: "the model is not declared",
+            };
+        };
+        if !record.serves_model(&adapter.model) {
+            return fleet::AdapterDecision::Refused {
+                reason: "the engine does not hold the model",
+            };
+        }
+        let plan = self.plan_of(&record.name, record.started_ms);
+        if let Some(ready_in) = plan.adapters.ready_in(adapter, now) {
+            plan.adapters.touch(adapter, now);
+            return fleet::AdapterDecision::Comes { ready_in };
+        }
+        if plan.order.is_some() {
+            return fleet::AdapterDecision::Refused {
+                reason: "the engine carries an order about a model out",
+            };
+        }
+        let slots = usize::try_from(engine.adapter_slots).unwrap_or(usize::MAX);
+        let mut actions = Vec::new();
+        if plan.adapters.len() >= slots {
+            let Some(victim) = plan.adapters.victim(now) else {
+                return fleet::AdapterDecision::Refused {
+                    reason: "all adapter places of the engine are in use",
+                };
+            };
+            plan.adapters.free(&victim);
+            actions.push(fleet::OrderAction::UnloadAdapter(victim));
+        }
+        let ready_in = adapter_time(model);
+        plan.adapters.reserve(adapter.clone(), ready_in, now);
+        actions.push(fleet::OrderAction::LoadAdapter(adapter.clone()));
+        let orders = actions
+            .into_iter()
+            .map(|action| self.order(record, action))
+            .collect();
+        fleet::AdapterDecision::Order { orders, ready_in }
+    }
+
+    /// Unloads the adapter that was unused for longest where too few places are free.
+    ///
+    /// While an engine loads a model, which takes seconds, it unloads no adapter: only free places serve
+    /// new adapters then.
+    pub(super) fn free_adapter_place(
+        &mut self,
+        round: &fleet::PlanRound<'_>,
+        record: &domain::ServerRecord,
+    ) -> Option<fleet::EngineOrder> {
+        let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
+        let plan = self.plan_of(&record.name, record.started_ms);
+        if !plan.is_free(round.now) || plan.adapters.len() + FREE_ADAPTER_PLACES <= slots {
+            return None;
+        }
+        let victim = plan.adapters.victim(round.now)?;
+        plan.adapters.free(&victim);
+        Some(self.order(record, fleet::OrderAction::UnloadAdapter(victim)))
+    }
+
+    /// Loads an adapter that no engine holds, before it is asked for, where places are free.
+    pub(super) fn early_adapter(
+        &mut self,
+        round: &fleet::PlanRound<'_>,
+        record: &domain::ServerRecord,
+    ) -> Option<fleet::EngineOrder> {
+        let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
+        let plan = self.servers.get(&record.name)?;
+        if !plan.is_free(round.now) || plan.adapters.len() + FREE_ADAPTER_PLACES >= slots {
+            return None;
+        }
+        let wanted = record
+            .models
+            .iter()
+            .filter(|held| !held.retiring)
+            .filter_map(|held| round.engine.model(&held.name))
+            .flat_map(declared_adapters)
+            .find(|adapter| {
+                let held = |plan: &fleet::ServerPlan| plan.adapters.may_hold(adapter);
+                !self.servers.values().any(held)
+            })?;
+        let ready_in = adapter_time(round.engine.model(&wanted.model)?);
+        let plan = self.plan_of(&record.name, record.started_ms);
+        plan.adapters.reserve(wanted.clone(), ready_in, round.now);
+        Some(self.order(record, fleet::OrderAction::LoadAdapter(wanted)))
+    }
+}
+
+pub(super) fn declared_adapters(
+    model: &declaration::DeclaredModel,
+) -> impl Iterator<Item = domain::HeldAdapter> {
+    model.adapters.iter().map(|adapter| domain::HeldAdapter {
+        model: model.name.clone(),
+        adapter: adapter.clone(),
+    })
+}
+
+pub(super) fn adapter_time(model: &declaration::DeclaredModel) -> time::Duration {
+    const BYTES_PER_MB: f64 = 1_000_000.0;
+    #[expect(clippy::cast_precision_loss, reason = "an adapter has far fewer bytes")]
+    let megabytes = model.adapter.0 as f64 / BYTES_PER_MB;
+    ADAPTER_BASE + time::Duration::from_secs_f64(megabytes * ADAPTER_MS_PER_MB / 1_000.0)
+}
--- /dev/null
+++ b/galenahold_placement/src/fleet/model_need.rs
@@ -0,0 +1,22 @@
+//! A model that should be loaded once more.
+
+use galenahold_domain::declaration;
+
+/// A model that should be loaded once more.
+pub(super) struct ModelNeed<'a> {
+    pub(super) model: &'a declaration::DeclaredModel,
+    pub(super) worth: f64,
+    /// Which other models may be unloaded for it.
+    pub(super) may_evict: Eviction,
+}
+
+/// Which models may be unloaded for another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Eviction {
+    /// None.
+    None,
+    /// Idle ones that can be loaded again without the weight store.
+    Idle,
+    /// Those that are worth less.
+    WorthLess,
+}
--- /dev/null
+++ b/galenahold_placement/src/fleet/order_receipts.rs
@@ -0,0 +1,132 @@
+//! Follows what engines answered and did.
+
+use std::time;
+
+use galenahold_domain::amount;
+use galenahold_domain::fleet as domain;
+
+use crate::fleet;
+use crate::fleet::adapter_table;
+
+/// How long a server rests after an order that it could not take.
+const BUSY_REST: time::Duration = time::Duration::from_millis(700);
+
+/// How long a server rests after an order that it does not know.
+const REFUSED_REST: time::Duration = time::Duration::from_secs(5);
+
+impl fleet::FleetPlanner {
+    /// Takes up the receipt of an order.
+    pub fn settle(
+        &mut self,
+        order: &fleet::EngineOrder,
+        receipt: fleet::OrderReceipt,
+        bytes: amount::ByteCount,
+        now: time::Instant,
+    ) {
+        let Some(plan) = self.servers.get_mut(&order.server) else {
+            return;
+        };
+        if plan.started_ms != order.started_ms {
+            return;
+        }
+        match &order.action {
+            fleet::OrderAction::LoadAdapter(adapter) => match receipt {
+                fleet::OrderReceipt::Accepted | fleet::OrderReceipt::Done => {}
+                fleet::OrderReceipt::Unanswered => plan.adapters.doubt(adapter, now),
+                _ => plan.adapters.free(adapter),
+            },
+            fleet::OrderAction::UnloadAdapter(adapter) => {
+                if receipt != fleet::OrderReceipt::Done {
+                    // It may still be there and takes its place until a notice shows otherwise.
+                    plan.adapters
+                        .reserve(adapter.clone(), time::Duration::ZERO, now);
+                    plan.adapters.doubt(adapter, now);
+                }
+            }
+            fleet::OrderAction::LoadModel(model) => {
+                settle_model_order(plan, order, receipt, now);
+                if receipt == fleet::OrderReceipt::Unanswered {
+                    let until = now + adapter_table::LATE_ORDER_TIME;
+                    plan.doubt(model.clone(), bytes, until);
+                }
+            }
+            fleet::OrderAction::UnloadModel(_) => settle_model_order(plan, order, receipt, now),
+        }
+    }
+
+    /// Compares an engine's record with the order under way there.
+    pub(super) fn follow(
+        &mut self,
+        round: &fleet::PlanRound<'_>,
+        record: &domain::ServerRecord,
+        step: &mut fleet::PlanStep,
+    ) {
+        let now = round.now;
+        let plan = self.plan_of(&record.name, record.started_ms);
+        plan.held_since
+            .retain(|model, _| record.model(model).is_some());
+        for model in &record.models {
+            plan.held_since.entry(model.name.clone()).or_insert(now);
+        }
+        let Some(order) = &plan.order else {
+            if record.loading.is_some() {
+                step.loading.push((record.name.clone(), None));
+            }
+            for model in record.models.iter().filter(|model| model.retiring) {
+                step.retiring
+                    .push((record.name.clone(), model.name.clone(), false));
+            }
+            return;
+        };
+        let model = order.action.model().clone();
+        let loads = matches!(order.action, fleet::OrderAction::LoadModel(_));
+        let held = record.model(&model).is_some();
+        if held == loads {
+            if !loads {
+                plan.adapters.free_model(&model);
+            }
+            plan.order = None;
+        } else if now >= order.due_at {
+            let bytes = round
+                .engine
+                .model(&model)
+                .map_or(amount::ByteCount(0), |model| model.weights);
+            if loads {
+                let until = now + adapter_table::LATE_ORDER_TIME;
+                plan.doubt(model, bytes, until);
+            }
+            plan.order = None;
+            plan.next = None;
+        } else {
+            return;
+        }
+        if record.loading.is_some() {
+            step.loading.push((record.name.clone(), None));
+        }
+    }
+}
+
+pub(super) fn settle_model_order(
+    plan: &mut fleet::ServerPlan,
+    order: &fleet::EngineOrder,
+    receipt: fleet::OrderReceipt,
+    now: time::Instant,
+) {
+    let open = plan.order.as_ref();
+    if open.is_none_or(|open| open.number != order.number) {
+        return;
+    }
+    let rest = match receipt {
+        // The engine's next notices show what it holds.
+        fleet::OrderReceipt::Accepted | fleet::OrderReceipt::Done => return,
+        fleet::OrderReceipt::Refused => REFUSED_REST,
+        fleet::OrderReceipt::Busy
+        | fleet::OrderReceipt::Fenced
+        | fleet::OrderReceipt::Misplaced
+        | fleet::OrderReceipt::Unanswered
+        | fleet::OrderReceipt::NotSent => BUSY_REST,
+    };
+    plan.order = None;
+    plan.next = None;
+    plan.rests_until = Some(now + rest);
+}
