Never say of a request that an attempt may have run that it has not

Cause, found by reading: a repeatable request whose first attempt broke off and whose second was refused got 503 with the verdict not-run. Change: once an attempt may have run, refusals of later ones become 502 without a promise.

--- a/galenahold_instance/src/gateway/entry/attempt_plan.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_plan.rs
@@ -12,7 +12,7 @@
 const SLOW_OBJECTIVES: u32 = 2;
 
 /// Which attempts of a call may still be made.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct AttemptPlan {
     kind: declaration::CallKind,
     max_runs: u32,
--- a/galenahold_instance/src/gateway/entry/call_answer.rs
+++ b/galenahold_instance/src/gateway/entry/call_answer.rs
@@ -67,6 +67,14 @@
     )
 }
 
+/// Returns a refusal as it has to be after an attempt that may have run: without a promise.
+pub(super) fn after_a_run(refusal: face::RequestRefusal) -> face::RequestRefusal {
+    if refusal.verdict == verdict::RequestVerdict::NotRun {
+        return lost_answer(&refusal.message);
+    }
+    refusal
+}
+
 /// Returns the refusal of a request that no attempt could run, with the time after which to come back.
 pub(super) fn not_run(message: &str, retry_after: time::Duration) -> face::RequestRefusal {
     face::RequestRefusal::not_run(face::RefusalKind::BackendUnavailable, message)
--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -61,7 +61,15 @@
         let call = self.route(head, body, log).await?;
         let charge = self.charge(&call, log).await?;
         self.parts.earn_retry();
-        self.run(call, charge, log).await
+        let mut plan = entry::AttemptPlan::new(&call.route);
+        let answered = self.run(call, charge, &mut plan, log).await;
+        // No refusal of a later attempt may say of the request that it has not run.
+        answered.map_err(|refusal| {
+            if plan.has_run() {
+                return call_answer::after_a_run(refusal);
+            }
+            refusal
+        })
     }
 
     /// Finds the route and team of a request and reads its body.
@@ -141,11 +149,11 @@
         &self,
         call: entry::RoutedCall,
         mut charge: Option<rate::TokenCharge>,
+        plan: &mut entry::AttemptPlan,
         log: &mut entry::CallLog,
     ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
-        let mut plan = entry::AttemptPlan::new(&call.route);
         loop {
-            let mut lease = self.take_place(&call, &mut plan, log).await?;
+            let mut lease = self.take_place(&call, plan, log).await?;
             if let Some(charge) = &mut charge {
                 charge.confirm(call.deadline).await?;
             }
@@ -161,7 +169,7 @@
                     let relay = entry::StreamRelay::new(
                         sync::Arc::clone(&self.parts),
                         call,
-                        plan,
+                        plan.clone(),
                         charge,
                         lease,
                         exchange,
@@ -216,12 +224,7 @@
             let again = plan.sends() > 0 || refused > 0;
             let placed = self.parts.dispatcher.place(need, again).await;
             log.waited += began.elapsed();
-            let lease = placed.map_err(|refusal| {
-                if plan.has_run() {
-                    return call_answer::lost_answer(refusal.cause.as_str());
-                }
-                call_answer::board_refusal(refusal)
-            })?;
+            let lease = placed.map_err(call_answer::board_refusal)?;
             log.server = Some(lease.server().clone());
             let Some(adapter) = lease.wanted_adapter() else {
                 return Ok(lease);
