Tell followers of the roster of changes together, and only what is new

Cause: bytes between data centres are the largest price on grown sites.

Change: a follower at which no request waits hears of changes at most each 400 ms, one at which a request waits at once, and asks anew when one begins to wait. Changes carry a server's origin and its copies only where the view lacks them; members only where the list is another.

--- a/galenahold_domain/src/fleet/held_model.rs
+++ b/galenahold_domain/src/fleet/held_model.rs
@@ -12,6 +12,6 @@
     /// The version of its weights.
     pub version: u64,
     /// Whether it is about to be unloaded and takes no new requests.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub retiring: bool,
 }
--- a/galenahold_domain/src/fleet/roster_update.rs
+++ b/galenahold_domain/src/fleet/roster_update.rs
@@ -14,7 +14,7 @@
     /// Whether the records are all that the roster knows, rather than what changed.
     pub whole: bool,
     /// Servers that are new or changed.
-    pub records: Vec<fleet::ServerRecord>,
+    pub records: Vec<fleet::RecordChange>,
     /// Servers that are gone.
     pub gone: Vec<name::ServerName>,
 }
--- a/galenahold_domain/src/fleet/roster_view.rs
+++ b/galenahold_domain/src/fleet/roster_view.rs
@@ -43,7 +43,7 @@
         let mut touched = Vec::new();
         if update.whole && update.mark.settled {
             let named: collections::BTreeSet<_> =
-                update.records.iter().map(|record| &record.name).collect();
+                update.records.iter().map(|change| &change.name).collect();
             let gone = self.records.keys().filter(|name| !named.contains(name));
             touched.extend(gone.cloned());
         }
@@ -51,7 +51,13 @@
         for name in &touched {
             self.records.remove(name);
         }
-        for record in update.records {
+        let mut complete = true;
+        for change in update.records {
+            let known = self.records.get(&change.name);
+            let Some(record) = change.into_record(known) else {
+                complete = false;
+                continue;
+            };
             self.drop_others_at(&record, &mut touched);
             if self.is_older(&record) {
                 continue;
@@ -60,6 +66,10 @@
             self.records.insert(record.name.clone(), record);
         }
         self.mark = update.mark;
+        if !complete {
+            // What the change left out is not known here: the next update has to be a whole one.
+            self.mark.version = 0;
+        }
         touched
     }
 
--- a/galenahold_domain/src/fleet/server_notice.rs
+++ b/galenahold_domain/src/fleet/server_notice.rs
@@ -31,8 +31,6 @@
     pub models: Vec<fleet::HeldModel>,
     /// The adapters that it holds or fetches.
     pub adapters: Vec<fleet::HeldAdapter>,
-    /// Models whose weights lie in its host's memory.
-    pub in_memory: Vec<name::ModelName>,
-    /// Models whose weights lie on its disk.
-    pub on_disk: Vec<name::ModelName>,
+    /// Where weights lie near it.
+    pub copies: fleet::WeightCopies,
 }
--- a/galenahold_domain/src/fleet/server_record.rs
+++ b/galenahold_domain/src/fleet/server_record.rs
@@ -2,13 +2,11 @@
 
 use std::net;
 
-use serde::{Deserialize, Serialize};
-
 use crate::fleet;
 use crate::name;
 
 /// What the group knows of a backend server of a declared service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerRecord {
     /// Its name.
     pub name: name::ServerName,
@@ -31,17 +29,34 @@
     /// The models that it holds.
     pub models: Vec<fleet::HeldModel>,
     /// The adapters that it held when its record last changed otherwise; they come and go by the second.
-    #[serde(default)]
     pub adapters: Vec<fleet::HeldAdapter>,
     /// The load that is under way there.
     pub loading: Option<fleet::ModelLoading>,
-    /// Models whose weights lie in its host's memory.
-    pub in_memory: Vec<name::ModelName>,
-    /// Models whose weights lie on its disk.
-    pub on_disk: Vec<name::ModelName>,
+    /// Where weights lie near it.
+    pub copies: fleet::WeightCopies,
 }
 
 impl ServerRecord {
+    /// Returns what does not change in this start of the server.
+    pub(super) fn origin(&self) -> fleet::ServerOrigin {
+        fleet::ServerOrigin {
+            service: self.service.clone(),
+            address: self.address,
+            data_centre: self.data_centre.clone(),
+            slots: self.slots,
+            adapters: self.adapters.clone(),
+        }
+    }
+
+    /// Returns whether another record tells of the same start of the server at the same place.
+    pub(super) fn has_origin_of(&self, other: &Self) -> bool {
+        self.started_ms == other.started_ms
+            && self.service == other.service
+            && self.address == other.address
+            && self.data_centre == other.data_centre
+            && self.slots == other.slots
+    }
+
     /// Returns the model, if the server holds it.
     #[must_use]
     pub fn model(&self, name: &name::ModelName) -> Option<&fleet::HeldModel> {
@@ -76,8 +91,7 @@
             models: notice.models,
             adapters: notice.adapters,
             loading: None,
-            in_memory: notice.in_memory,
-            on_disk: notice.on_disk,
+            copies: notice.copies,
         }
     }
 }
--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -27,6 +27,28 @@
     sequence: u64,
     heard_at: time::Instant,
     changed_in: u64,
+    /// The version in which the server's origin was last new.
+    origin_in: u64,
+    /// The version in which the copies of weights last changed.
+    copies_in: u64,
+}
+
+impl RosterEntry {
+    /// Returns the record as a view needs it that has followed up to version `since`.
+    fn change_since(&self, since: u64) -> fleet::RecordChange {
+        let record = self.record.clone();
+        fleet::RecordChange {
+            origin: (self.origin_in > since).then(|| record.origin()),
+            copies: (self.copies_in > since).then_some(record.copies),
+            name: record.name,
+            started_ms: record.started_ms,
+            stage: record.stage,
+            silent: record.silent,
+            leaves_soon: record.leaves_soon,
+            models: record.models,
+            loading: record.loading,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -197,7 +219,7 @@
             .entries
             .values()
             .filter(|entry| entry.changed_in > since)
-            .map(|entry| entry.record.clone())
+            .map(|entry| entry.change_since(since))
             .collect();
         let gone = self
             .departed
@@ -256,10 +278,17 @@
     fn put(&mut self, record: fleet::ServerRecord, sequence: u64, now: time::Instant) {
         self.version += 1;
         self.departed.remove(&record.name);
+        let known = self
+            .entries
+            .get(&record.name)
+            .filter(|known| known.record.has_origin_of(&record));
+        let same_copies = known.filter(|known| known.record.copies == record.copies);
         let entry = RosterEntry {
             sequence,
             heard_at: now,
             changed_in: self.version,
+            origin_in: known.map_or(self.version, |known| known.origin_in),
+            copies_in: same_copies.map_or(self.version, |known| known.copies_in),
             record,
         };
         self.entries.insert(entry.record.name.clone(), entry);
--- a/galenahold_domain/tests/fleet/fixture.rs
+++ b/galenahold_domain/tests/fleet/fixture.rs
@@ -24,8 +24,7 @@
         removal_in: None,
         models: Vec::new(),
         adapters: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
+        copies: fleet::WeightCopies::default(),
     }
 }
 
--- a/galenahold_domain/tests/fleet/main.rs
+++ b/galenahold_domain/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod fixture;
 mod notices;
+mod pace;
 mod views;
--- a/galenahold_domain/tests/fleet/views.rs
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -71,6 +71,75 @@
     roster.take(fixture::at(fixture::notice("b", 10, 1), 2), now);
     let update = roster.update_since(mark, now).expect("there is news");
     assert!(!update.whole);
-    let changed: Vec<_> = update.records.iter().map(|record| &*record.name).collect();
+    let changed: Vec<_> = update.records.iter().map(|change| &*change.name).collect();
     assert_eq!(changed, ["b"]);
 }
+
+fn with_copies(server: &str, sequence: u64, on_disk: &[&str]) -> fleet::ServerNotice {
+    let mut notice = fixture::notice(server, 10, sequence);
+    let names = on_disk.iter().map(|name| name::ModelName::from(*name));
+    notice.copies = fleet::WeightCopies::new(Vec::new(), names.collect());
+    notice
+}
+
+#[test]
+fn order_in_which_copies_are_listed_is_no_news() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(with_copies("a", 1, &["m", "n"]), now);
+    let mark = roster.mark(now);
+    let outcome = roster.take(with_copies("a", 2, &["n", "m"]), now);
+    assert_eq!(outcome, fleet::NoticeOutcome::Confirmed);
+    assert_eq!(roster.update_since(mark, now), None);
+}
+
+#[test]
+fn copies_travel_only_where_they_changed() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    let mut view = fleet::RosterView::default();
+    roster.take(with_copies("a", 1, &["m"]), now);
+    follow(&mut view, &roster, now);
+    roster.take(fixture::draining(with_copies("a", 2, &["m"])), now);
+    let update = roster
+        .update_since(view.mark(), now)
+        .expect("there is news");
+    assert_eq!(update.records[0].copies, None);
+    assert_eq!(update.records[0].origin, None);
+    view.take(update);
+    let known = view.get(&name::ServerName::from("a")).expect("it is known");
+    assert!(known.copies.are_on_disk(&name::ModelName::from("m")));
+    assert!(!known.is_open());
+    roster.take(fixture::draining(with_copies("a", 3, &["m", "n"])), now);
+    follow(&mut view, &roster, now);
+    let known = view.get(&name::ServerName::from("a")).expect("it is known");
+    assert!(known.copies.are_on_disk(&name::ModelName::from("n")));
+}
+
+#[test]
+fn new_start_keeps_no_copies_of_the_earlier_one() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    let mut view = fleet::RosterView::default();
+    roster.take(with_copies("a", 1, &["m"]), now);
+    follow(&mut view, &roster, now);
+    roster.take(fixture::notice("a", 20, 1), now);
+    follow(&mut view, &roster, now);
+    let known = view.get(&name::ServerName::from("a")).expect("it is known");
+    assert_eq!(known.copies, fleet::WeightCopies::default());
+}
+
+#[test]
+fn view_that_lacks_what_a_change_leaves_out_asks_for_all() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    let mark = roster.mark(now);
+    roster.take(fixture::draining(fixture::notice("a", 10, 2)), now);
+    let update = roster.update_since(mark, now).expect("there is news");
+    let mut view = fleet::RosterView::default();
+    view.take(update);
+    assert_eq!(names(&view), [""; 0]);
+    follow(&mut view, &roster, now);
+    assert_eq!(names(&view), ["a"]);
+}
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -38,6 +38,16 @@
     sink: Sink,
     hold: time::Duration,
     turn: usize,
+    /// The mark of the list of members that was taken last.
+    members_mark: u64,
+}
+
+/// What came of a wait.
+enum WatchEnd {
+    Answered(message::WatchReply),
+    Failed,
+    /// A request began to wait for a backend server meanwhile.
+    Hurried,
 }
 
 impl<Desk: peer::LocalDesk, Sink: configuration::RosterSink> ConfigurationWatcher<Desk, Sink> {
@@ -60,6 +70,7 @@
             sink,
             hold,
             turn: rand::rng().random_range(0..64),
+            members_mark: 0,
         }
     }
 
@@ -88,13 +99,21 @@
             drain_version: self.holder.drains().version,
             roster: self.sink.mark(),
             leader_known: None,
+            in_hurry: self.sink.is_in_hurry(),
+            members_mark: self.members_mark,
             hold_ms: u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX),
         };
         let sent_at = timer::BootInstant::now();
-        let Some(reply) = self.ask(request).await else {
-            return false;
+        let patient = !request.in_hurry;
+        let end = tokio::select! {
+            reply = self.ask(request) => reply.map_or(WatchEnd::Failed, WatchEnd::Answered),
+            () = self.sink.hurry(), if patient => WatchEnd::Hurried,
         };
-        self.take(reply, sent_at)
+        match end {
+            WatchEnd::Answered(reply) => self.take(reply, sent_at),
+            WatchEnd::Failed => false,
+            WatchEnd::Hurried => true,
+        }
     }
 
     async fn ask(&self, request: message::WatchRequest) -> Option<message::WatchReply> {
@@ -150,10 +169,12 @@
                 roster,
                 followers,
                 members,
+                members_mark,
                 leader,
             } => {
                 self.client.learn_leader(leader);
                 if !members.is_empty() {
+                    self.members_mark = members_mark;
                     self.client
                         .learn_members(members.iter().map(|member| member.name.clone()));
                     self.sink.take_members(&members);
--- a/galenahold_instance/src/configuration/roster_sink.rs
+++ b/galenahold_instance/src/configuration/roster_sink.rs
@@ -1,5 +1,7 @@
 //! Takes what comes with the configuration.
 
+use std::future;
+
 use galenahold_domain::fleet;
 use galenahold_wire::message;
 
@@ -13,6 +15,16 @@
 
     /// Takes the members of the control group, as the leader knows them.
     fn take_members(&self, members: &[message::ControlMember]);
+
+    /// Returns whether news of the roster is wanted at once.
+    fn is_in_hurry(&self) -> bool {
+        false
+    }
+
+    /// Waits until news of the roster is wanted at once.
+    fn hurry(&self) -> impl Future<Output = ()> + Send {
+        future::pending()
+    }
 }
 
 /// Wants no roster.
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -81,6 +81,7 @@
             roster: None,
             followers: 0,
             members: Vec::new(),
+            members_mark: 0,
             leader,
         }
     }
--- a/galenahold_instance/src/control/control_desk.rs
+++ b/galenahold_instance/src/control/control_desk.rs
@@ -197,6 +197,7 @@
                 roster: None,
                 followers: 0,
                 members: Vec::new(),
+                members_mark: 0,
                 leader: self.member.leader(),
             }
         });
--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -26,6 +26,10 @@
 /// How long changes of the roster are gathered before followers are told.
 const GATHER_TIME: time::Duration = time::Duration::from_millis(10);
 
+/// How long a follower at which no request waits is not told of further changes of the roster: a fraction
+/// of the time in which a draining server still takes requests.
+const ROSTER_REST: time::Duration = time::Duration::from_millis(400);
+
 /// What a member of the control group answers calls with.
 pub(crate) struct DeskParts<Dialect> {
     /// The member.
@@ -85,7 +89,7 @@
         let now = time::Instant::now();
         let server = notice.name.clone();
         let stage = notice.stage;
-        let on_disk = notice.on_disk.len();
+        let on_disk = notice.copies.on_disk_count();
         let models: Vec<_> = notice
             .models
             .iter()
@@ -179,19 +183,35 @@
         loop {
             applied.mark_unchanged();
             roster_moves.mark_unchanged();
-            let left = hold.saturating_sub(started.elapsed());
-            let news = self.news(request, started);
-            if !is_quiet(&news) || left.is_zero() {
-                return news;
+            let asked_for = started.elapsed();
+            let left = hold.saturating_sub(asked_for);
+            let configured = self.member.state().read(domain::ControlState::revision);
+            let rest = self
+                .roster_delay(request, asked_for)
+                .map_or(left, |delay| delay.min(left));
+            if configured != request.have || rest.is_zero() || !self.member.leads() {
+                return self.news(request, started);
             }
             tokio::select! {
                 _ = applied.changed() => {}
                 _ = roster_moves.changed() => tokio::time::sleep(GATHER_TIME).await,
-                () = tokio::time::sleep(left) => {}
+                () = tokio::time::sleep(rest) => {}
             }
         }
     }
 
+    /// Returns how much longer news of the roster is held back from the one who asks; none without news.
+    fn roster_delay(
+        &self,
+        request: &message::WatchRequest,
+        asked_for: time::Duration,
+    ) -> Option<time::Duration> {
+        let mark = request.roster?;
+        let now = time::Instant::now();
+        let own = self.lead(|leadership| leadership.roster.mark(now))?;
+        fleet::RosterPace::new(ROSTER_REST).delay(mark, own, request.in_hurry, asked_for)
+    }
+
     /// Returns what is new to the one who asks, confirmed by this member's lease.
     fn news(&self, request: &message::WatchRequest, started: time::Instant) -> message::WatchReply {
         // What is read here is confirmed by the lease only if that is valid after the reading.
@@ -202,7 +222,12 @@
             .roster
             .and_then(|mark| self.lead(|leadership| leadership.roster.update_since(mark, now))?)
             .map(Box::new);
-        let members = self.members();
+        let mut members = self.members();
+        let members_mark = mark_of(&members);
+        // Members of the group watch the list itself; others need it once.
+        if request.roster.is_some() && request.members_mark == members_mark {
+            members.clear();
+        }
         let reply = self
             .member
             .state()
@@ -215,6 +240,7 @@
                 roster,
                 followers,
                 members,
+                members_mark,
                 leader: self.member.leader(),
             });
         if self.member.leads() {
@@ -359,16 +385,12 @@
     }
 }
 
-fn is_quiet(news: &message::WatchReply) -> bool {
-    matches!(
-        news,
-        message::WatchReply::Current {
-            update: message::ConfigurationUpdate::Nothing,
-            drains: None,
-            roster: None,
-            ..
-        }
-    )
+/// Returns a mark that tells lists of members apart.
+fn mark_of(members: &[message::ControlMember]) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    members.hash(&mut hasher);
+    hasher.finish()
 }
 
 fn comes(ready_in: time::Duration) -> message::FleetReply {
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -24,6 +24,8 @@
     state: sync::Arc<sync::Mutex<DispatcherState>>,
     /// Says that a call waits for a model, which the leader should hear of.
     demand: sync::Arc<tokio_sync::Notify>,
+    /// How many calls wait.
+    waiting: sync::Arc<tokio_sync::watch::Sender<u32>>,
     metrics: platform::FleetMetrics,
 }
 
@@ -55,6 +57,7 @@
         Self {
             state: sync::Arc::new(sync::Mutex::new(state)),
             demand: sync::Arc::default(),
+            waiting: sync::Arc::default(),
             metrics,
         }
     }
@@ -101,6 +104,7 @@
                 fleet::CallSubmission::Waiting(ticket) => {
                     let (sender, receiver) = tokio_sync::oneshot::channel();
                     state.waiters.insert(ticket, sender);
+                    self.waiting.send_modify(|count| *count += 1);
                     WaitingPlace {
                         dispatcher: self.clone(),
                         service: service.clone(),
@@ -187,6 +191,19 @@
         self.demand.notified().await;
     }
 
+    /// Returns whether a call waits.
+    pub(super) fn has_waiting(&self) -> bool {
+        *self.waiting.borrow() > 0
+    }
+
+    /// Waits until a call waits.
+    pub(super) async fn waits_begin(&self) {
+        let mut counts = self.waiting.subscribe();
+        if counts.wait_for(|count| *count > 0).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Changes the board and hands out the places that follow.
     fn change(&self, change: impl FnOnce(&mut fleet::DispatchBoard)) {
         let now = time::Instant::now();
@@ -247,6 +264,9 @@
 impl Drop for WaitingPlace {
     fn drop(&mut self) {
         self.dispatcher.withdraw(self.ticket);
+        self.dispatcher
+            .waiting
+            .send_modify(|count| *count = count.saturating_sub(1));
         // A place that was handed out at this very moment goes back.
         if let Ok(Ok(placement)) = self.receiver.try_recv() {
             self.dispatcher
--- a/galenahold_instance/src/gateway/entry/leader_scout.rs
+++ b/galenahold_instance/src/gateway/entry/leader_scout.rs
@@ -64,6 +64,8 @@
             drain_version: 0,
             roster: None,
             leader_known: Some(leader.clone()),
+            in_hurry: false,
+            members_mark: 0,
             hold_ms: u64::try_from(HOLD.as_millis()).unwrap_or(u64::MAX),
         };
         let waited = self
--- a/galenahold_instance/src/gateway/entry/roster_follower.rs
+++ b/galenahold_instance/src/gateway/entry/roster_follower.rs
@@ -85,4 +85,12 @@
     }
 
     fn take_members(&self, _members: &[message::ControlMember]) {}
+
+    fn is_in_hurry(&self) -> bool {
+        self.dispatcher.has_waiting()
+    }
+
+    async fn hurry(&self) {
+        self.dispatcher.waits_begin().await;
+    }
 }
--- a/galenahold_placement/src/fleet/early_loads.rs
+++ b/galenahold_placement/src/fleet/early_loads.rs
@@ -93,9 +93,8 @@
 
 /// Returns whether an engine holds the model, or its weights near by.
 pub(super) fn has_copy(round: &fleet::PlanRound<'_>, name: &name::ModelName) -> bool {
-    round.records.iter().any(|record| {
-        record.model(name).is_some()
-            || record.in_memory.contains(name)
-            || record.on_disk.contains(name)
-    })
+    round
+        .records
+        .iter()
+        .any(|record| record.model(name).is_some() || record.copies.are_near(name))
 }
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -168,7 +168,7 @@
         record: &domain::ServerRecord,
         name: &name::ModelName,
     ) -> bool {
-        let near = record.in_memory.contains(name) || record.on_disk.contains(name);
+        let near = record.copies.are_near(name);
         let model = round.engine.model(name);
         let plain = model.is_none_or(|model| model.adapters.is_empty());
         let interest = self.interest.get(&(round.service.clone(), name.clone()));
@@ -196,9 +196,9 @@
     model: &declaration::DeclaredModel,
     record: &domain::ServerRecord,
 ) -> (time::Duration, bool) {
-    if record.in_memory.contains(&model.name) {
+    if record.copies.are_in_memory(&model.name) {
         (model.memory_load, false)
-    } else if record.on_disk.contains(&model.name) {
+    } else if record.copies.are_on_disk(&model.name) {
         (model.disk_load, false)
     } else {
         (model.store_load, true)
--- a/galenahold_placement/tests/fleet/fixture.rs
+++ b/galenahold_placement/tests/fleet/fixture.rs
@@ -54,8 +54,10 @@
         removal_in: None,
         models: models.iter().map(|name| held(name)).collect(),
         adapters: Vec::new(),
-        in_memory: Vec::new(),
-        on_disk: on_disk.iter().map(|name| model_name(name)).collect(),
+        copies: domain::WeightCopies::new(
+            Vec::new(),
+            on_disk.iter().map(|name| model_name(name)).collect(),
+        ),
     };
     domain::ServerRecord::from(notice)
 }
--- a/galenahold_routing/src/fleet/load_estimate.rs
+++ b/galenahold_routing/src/fleet/load_estimate.rs
@@ -66,9 +66,9 @@
                 let expected = time::Duration::from_millis(loading.expected_ms);
                 return expected.saturating_sub(now.saturating_duration_since(since));
             }
-            if record.in_memory.contains(model) {
+            if record.copies.are_in_memory(model) {
                 best = best.min(times.memory + ORDER_TIME);
-            } else if record.on_disk.contains(model) {
+            } else if record.copies.are_on_disk(model) {
                 best = best.min(times.disk + ORDER_TIME);
             }
         }
--- a/galenahold_routing/tests/fleet/fixture.rs
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -26,8 +26,7 @@
         models: models.iter().map(|name| held(name)).collect(),
         adapters: Vec::new(),
         loading: None,
-        in_memory: Vec::new(),
-        on_disk: Vec::new(),
+        copies: domain::WeightCopies::default(),
     }
 }
 
--- a/galenahold_routing/tests/fleet/waiting.rs
+++ b/galenahold_routing/tests/fleet/waiting.rs
@@ -47,7 +47,7 @@
 fn weights_on_a_disk_shorten_the_expected_wait() {
     let now = time::Instant::now();
     let mut record = fixture::record("s1", &["other"]);
-    record.on_disk = vec![name::ModelName::from("m")];
+    record.copies = domain::WeightCopies::new(Vec::new(), vec![name::ModelName::from("m")]);
     let mut board = fixture::board(&[record], now);
     fixture::waiting(&board.submit(fixture::need("m", SHORT, now), now));
 }
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -326,6 +326,7 @@
         roster: None,
         followers: 0,
         members: Vec::new(),
+        members_mark: 0,
         leader: Some("control-1".into()),
     }
 }
--- a/galenahold_wire/src/message/control_member.rs
+++ b/galenahold_wire/src/message/control_member.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A member of the control group, as its leader knows it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ControlMember {
     /// The instance.
     pub name: name::InstanceName,
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -29,9 +29,13 @@
         /// Entry instances that follow the roster.
         #[serde(default)]
         followers: u32,
-        /// The members of the control group that an instance without configured peers may turn to.
-        #[serde(default)]
+        /// The members of the control group that an instance without configured peers may turn to; empty
+        /// where the one who waits has them.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
         members: Vec<message::ControlMember>,
+        /// Tells lists of members apart; zero where there is none.
+        #[serde(default)]
+        members_mark: u64,
         /// The name of the leader, for calls to it.
         leader: Option<name::InstanceName>,
     },
--- a/galenahold_wire/src/message/watch_request.rs
+++ b/galenahold_wire/src/message/watch_request.rs
@@ -26,6 +26,12 @@
     /// back until it knows of another leader.
     #[serde(default)]
     pub leader_known: Option<name::InstanceName>,
+    /// Whether requests wait there for a backend server, so that news of the roster is wanted at once.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub in_hurry: bool,
+    /// The mark of the list of members that it has; zero for none.
+    #[serde(default)]
+    pub members_mark: u64,
     /// How long the answer may be held back, in milliseconds.
     pub hold_ms: u64,
 }
