Let calls for tokens carry all teams, and hold no part of a request ahead

Each lone request left nine tenths of another one's tokens idle at its instance, which are out of reach of the team's other instances.

Ruled out: polling by requests that wait (refused at once where the expected wait is too long).

Change: a call takes along all teams that are due within an interval; the interval is 300 ms instead of 150 ms; tokens are held ahead only where they pay for a whole request. One test of refunds stated that a lone request's idle tokens are still to be returned 10 s later; there are none now, so it states that no call is due, and the same sums.

--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -55,7 +55,7 @@
 
 /// Time between calls for tokens that no request waits for: a part of the horizon, so that a wallet is
 /// filled up before it runs out, and each call costs some kilobytes between data centres.
-const GRANT_INTERVAL: time::Duration = time::Duration::from_millis(150);
+const GRANT_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
 /// For how long an instance holds tokens ahead of its requests, so that a change of leader is not felt.
 const PREFETCH_HORIZON: time::Duration = time::Duration::from_millis(450);
--- a/galenahold_routing/src/rate/token_wallet.rs
+++ b/galenahold_routing/src/rate/token_wallet.rs
@@ -146,8 +146,9 @@
         let mut teams = Vec::new();
         let mut called = Vec::new();
         for (team, account) in &mut self.accounts {
+            // Teams that are due soon go along, so that calls do not grow with the number of teams.
             let due = account.call_due(self.settings.call_interval, now);
-            if due.is_none_or(|at| at > now) {
+            if due.is_none_or(|at| at > now + self.settings.call_interval) {
                 continue;
             }
             teams.push(account.request(team, number, &self.settings, now));
--- a/galenahold_routing/src/rate/wallet_account.rs
+++ b/galenahold_routing/src/rate/wallet_account.rs
@@ -29,6 +29,7 @@
     asked: u64,
     reply: LastReply,
     spend_per_s: f64,
+    last_charge: u64,
     spend_updated_at: time::Instant,
     called_at: Option<time::Instant>,
     pub(super) call_lost: bool,
@@ -86,6 +87,7 @@
             asked: 0,
             reply: LastReply::default(),
             spend_per_s: 0.0,
+            last_charge: 0,
             spend_updated_at: now,
             called_at: None,
             call_lost: false,
@@ -393,6 +395,7 @@
         let recent = self.spend_rate(now);
         self.spend_per_s = recent + to_float(tokens) / SPEND_MEMORY.as_secs_f64();
         self.spend_updated_at = now;
+        self.last_charge = tokens;
     }
 
     fn spend_rate(&self, now: time::Instant) -> f64 {
@@ -400,7 +403,10 @@
         self.spend_per_s * (-age.as_secs_f64() / SPEND_MEMORY.as_secs_f64()).exp()
     }
 
-    /// Returns the balance that the recent spending asks for.
+    /// Returns the balance that the recent spending asks for; none where it is no whole request.
+    ///
+    /// Many instances see a request of a team now and then. Were each to hold a part of the next one, most
+    /// of the team's tokens would lie idle.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -409,8 +415,10 @@
     fn target(&self, settings: &rate::WalletSettings, now: time::Instant) -> u64 {
         let horizon = settings.prefetch_horizon.as_secs_f64();
         let target = (self.spend_rate(now) * horizon) as u64;
-        let most = if self.retired { 0 } else { self.burst };
-        target.min(most)
+        if self.retired || target < self.last_charge {
+            return 0;
+        }
+        target.min(self.burst)
     }
 
     /// Gives up all tokens that no request holds, and makes a call due that says so.
--- a/galenahold_routing/tests/rate/token_wallet.rs
+++ b/galenahold_routing/tests/rate/token_wallet.rs
@@ -153,7 +153,7 @@
     pair.now += SECOND;
     pair.exchange();
     pair.now += 10 * SECOND;
-    pair.exchange();
+    assert_eq!(pair.wallet.call(pair.now), None);
     let mut second = pair.charge_after_asking(600);
     assert!(pair.wallet.still_valid(&mut second, pair.now));
     pair.wallet
@@ -161,7 +161,7 @@
     pair.now += time::Duration::from_millis(100);
     pair.exchange();
     pair.now += time::Duration::from_millis(100);
-    pair.exchange();
+    assert_eq!(pair.wallet.call(pair.now), None);
     assert_eq!(pair.sum(), 400 + 10);
 }
 
@@ -264,3 +264,69 @@
     pair.exchange();
     assert_eq!(pair.sum(), before + 100);
 }
+
+#[test]
+fn teams_state_themselves_in_one_call() {
+    let interval = time::Duration::from_millis(100);
+    let started_at = time::Instant::now();
+    let teams = ["blue", "green", "red"].map(|name| galenahold_domain::intent::TeamIntent {
+        name: name::TeamName::from(name),
+        ..team(10_000, 10_000)
+    });
+    let mut ledger = rate::GrantLedger::new(1, rate::LedgerSettings::default(), started_at);
+    ledger.set_teams(&teams, started_at);
+    let mut now = started_at + 60 * SECOND;
+    let mut wallet = rate::TokenWallet::new(
+        name::InstanceName::from("entry-1"),
+        amount::IncarnationNumber(1),
+        rate::WalletSettings::default().with_call_interval(interval),
+    );
+    wallet.set_teams(&teams, now);
+    let mut calls = 0;
+    // One request of each team, a third of an interval apart, and then none.
+    for step in 0..30_u32 {
+        if step % 3 == 0
+            && let Some(team) = teams.get(usize::try_from(step / 3).expect("small"))
+        {
+            let wanted = amount::TokenCount(100);
+            wallet.charge(&team.name, wanted, now);
+            calls += u32::from(exchange(&mut wallet, &mut ledger, now));
+            let charged = wallet.charge(&team.name, wanted, now);
+            let rate::ChargeOutcome::Charged(mut receipt) = charged else {
+                panic!("control gave no tokens: {charged:?}");
+            };
+            assert!(wallet.still_valid(&mut receipt, now));
+        }
+        calls += u32::from(exchange(&mut wallet, &mut ledger, now));
+        now += interval / 10;
+    }
+    // One call asks for each request, and one more states the end of the last.
+    assert_eq!(calls, 4);
+}
+
+fn exchange(
+    wallet: &mut rate::TokenWallet,
+    ledger: &mut rate::GrantLedger,
+    now: time::Instant,
+) -> bool {
+    let Some(call) = wallet.call(now) else {
+        return false;
+    };
+    let reply = ledger.grant(&call, now);
+    assert!(wallet.accept(&reply, now));
+    true
+}
+
+#[test]
+fn lone_request_leaves_no_tokens_idle() {
+    let mut pair = Pair::with_full_bucket();
+    let mut receipt = pair.charge_after_asking(100);
+    assert!(pair.wallet.still_valid(&mut receipt, pair.now));
+    pair.now += time::Duration::from_millis(100);
+    pair.exchange();
+    assert_eq!(pair.wallet.balance(&pair.team), amount::TokenCount::ZERO);
+    assert_eq!(
+        pair.ledger.outstanding(&pair.team),
+        amount::TokenCount::ZERO
+    );
+}
