--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -23,6 +23,9 @@
 /// How long a follower counts after its last wait for the configuration.
 const FOLLOWER_LIFE: time::Duration = time::Duration::from_secs(3);
 
+/// When an adapter may be asked for again whose order an engine did not take: it rests that long.
+const ORDER_REST: time::Duration = time::Duration::from_millis(700);
+
 /// How long changes of the roster are gathered before followers are told.
 const GATHER_TIME: time::Duration = time::Duration::from_millis(10);
 
@@ -306,29 +309,31 @@
         adapter: &fleet::HeldAdapter,
     ) -> message::FleetReply {
         let Some(index) = self.declaration() else {
-            return refused("no configuration was declared");
+            return refused("no configuration was declared", None);
         };
         let now = time::Instant::now();
         let decided = self.lead(|leadership| {
             if now < leadership.orders_from {
-                return Err("the leader is new and gives no orders yet");
+                let rest = leadership.orders_from - now;
+                return Err(("the leader is new and gives no orders yet", Some(rest)));
             }
             let record = leadership.roster.get(server).cloned();
-            let record = record.ok_or("the engine is not known")?;
+            let record = record.ok_or(("the engine is not known", None))?;
             let service = index.service(&record.service);
             let engine = service.and_then(|service| service.engine.as_ref());
-            let engine = engine.ok_or("its service has no engines")?;
+            let engine = engine.ok_or(("its service has no engines", None))?;
             let decision = leadership
                 .planner
                 .want_adapter(&record, engine, adapter, now);
             Ok((leadership.term, decision))
         });
         let Some(decided) = decided else {
-            return refused("this member no longer leads");
+            return refused("this member no longer leads", Some(ORDER_REST));
         };
         match decided {
-            Err(reason) | Ok((_, placement::AdapterDecision::Refused { reason })) => {
-                refused(reason)
+            Err((reason, retry_in))
+            | Ok((_, placement::AdapterDecision::Refused { reason, retry_in })) => {
+                refused(reason, retry_in)
             }
             Ok((_, placement::AdapterDecision::Comes { ready_in })) => comes(ready_in),
             Ok((term, placement::AdapterDecision::Order { orders, ready_in })) => {
@@ -362,7 +367,10 @@
         }
         match failed {
             None => comes(ready_in),
-            Some(receipt) => refused(&format!("the engine's answer to the order: {receipt:?}")),
+            Some(receipt) => {
+                let reason = format!("the engine's answer to the order: {receipt:?}");
+                refused(&reason, Some(ORDER_REST))
+            }
         }
     }
 
@@ -399,8 +407,9 @@
     }
 }
 
-fn refused(reason: &str) -> message::FleetReply {
+fn refused(reason: &str, retry_in: Option<time::Duration>) -> message::FleetReply {
     message::FleetReply::AdapterRefused {
         reason: reason.to_owned(),
+        retry_in_ms: retry_in.map(|rest| u64::try_from(rest.as_millis()).unwrap_or(u64::MAX)),
     }
 }
--- a/galenahold_instance/src/gateway/entry/adapter_desk.rs
+++ b/galenahold_instance/src/gateway/entry/adapter_desk.rs
@@ -25,7 +25,12 @@
     /// request otherwise.
     Unasked(String),
     /// It does not come.
-    Refused(String),
+    Refused {
+        /// Why.
+        reason: String,
+        /// When it is expected to come; none where it never will.
+        retry_in: Option<time::Duration>,
+    },
 }
 
 /// Asks the leader for adapters, which alone gives orders to engines.
@@ -60,9 +65,13 @@
                 }
                 AdapterAnswer::Comes
             }
-            Ok(message::ControlReply::Fleet(message::FleetReply::AdapterRefused { reason })) => {
-                AdapterAnswer::Refused(reason)
-            }
+            Ok(message::ControlReply::Fleet(message::FleetReply::AdapterRefused {
+                reason,
+                retry_in_ms,
+            })) => AdapterAnswer::Refused {
+                reason,
+                retry_in: retry_in_ms.map(time::Duration::from_millis),
+            },
             Ok(other) => AdapterAnswer::Unasked(format!("the leader answered {other:?}")),
             Err(error) => AdapterAnswer::Unasked(error.to_string()),
         }
--- a/galenahold_instance/src/gateway/entry/attempt_end.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_end.rs
@@ -11,7 +11,9 @@
     Stream(backend::BackendExchange),
     /// The server answered, and the answer is whole.
     Whole(WholeAnswer),
-    /// The request provably did not run.
+    /// The request never left for a server.
+    Unsent(&'static str),
+    /// The request reached a server and provably did not run.
     NotRun(&'static str),
     /// The request may have run and has no whole answer.
     MayHaveRun(&'static str),
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -41,12 +41,12 @@
         let address = lease.address();
         let Ok(connection) = self.backend.connect(&address, reuse).await else {
             lease.observe(fleet::AttemptReport::Unreachable);
-            return entry::AttemptEnd::NotRun("unreachable");
+            return entry::AttemptEnd::Unsent("unreachable");
         };
         let sent_at = time::Instant::now();
         let time_left = call.deadline.saturating_duration_since(sent_at);
         if time_left < MIN_TIME_LEFT {
-            return entry::AttemptEnd::NotRun("no_time_left");
+            return entry::AttemptEnd::Unsent("no_time_left");
         }
         let request = self.request(call, lease, time_left, resume_after);
         lease.expect_from(sent_at);
@@ -151,7 +151,7 @@
         _ => (fleet::AttemptReport::Broken, "connection_broken"),
     };
     if error.verdict == RequestVerdict::NotRun {
-        return entry::AttemptEnd::NotRun(note);
+        return entry::AttemptEnd::Unsent(note);
     }
     lease.observe(report);
     entry::AttemptEnd::MayHaveRun(note)
--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::declaration;
+use galenahold_routing::fleet;
 use http::{Response, header, request};
 use hyper::body;
 
@@ -19,9 +20,6 @@
 /// How long a request may wait where the leader does not answer: a change of leader takes 2 s.
 const CONTROL_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
 
-/// Engines that are asked for an adapter at most.
-const MAX_ADAPTER_TRIES: usize = 3;
-
 /// When a request is told to come back that met only servers which did not run it.
 const UNRUN_RETRY: time::Duration = time::Duration::from_millis(300);
 
@@ -60,7 +58,7 @@
     ) -> Result<Response<face::AnswerBody>, face::RequestRefusal> {
         let call = self.route(head, body, log).await?;
         let charge = self.charge(&call, log).await?;
-        self.parts.earn_retry();
+        self.parts.earn_retry(&call.service);
         let mut plan = entry::AttemptPlan::new(&call.route);
         let answered = self.run(call, charge, &mut plan, log).await;
         // No refusal of a later attempt may say of the request that it has not run.
@@ -179,17 +177,27 @@
                 entry::AttemptEnd::Whole(answer) => {
                     plan.may_have_run();
                     let repeats = answer.is_failure() && plan.may_repeat();
-                    if !repeats || !self.parts.spend_retry() {
+                    if !repeats || !self.parts.spend_retry(&call.service) {
                         return Ok(self.whole_answer(answer));
                     }
                     log.notes.push("failed_at_server");
                 }
+                entry::AttemptEnd::Unsent(note) => {
+                    // No server got it, so it draws nothing from the retries that all instances share.
+                    log.notes.push(note);
+                    if let Some(charge) = &mut charge {
+                        charge.not_run();
+                    }
+                    if !plan.may_send_unrun() {
+                        return Err(call_answer::not_run(note, UNRUN_RETRY));
+                    }
+                }
                 entry::AttemptEnd::NotRun(note) => {
                     log.notes.push(note);
                     if let Some(charge) = &mut charge {
                         charge.not_run();
                     }
-                    if !plan.may_send_unrun() || !self.parts.spend_retry() {
+                    if !plan.may_send_unrun() || !self.parts.spend_retry(&call.service) {
                         return Err(call_answer::not_run(note, UNRUN_RETRY));
                     }
                 }
@@ -199,7 +207,7 @@
                     if time::Instant::now() >= call.deadline {
                         return Err(call_answer::deadline_refusal());
                     }
-                    if !plan.may_repeat() || !self.parts.spend_retry() {
+                    if !plan.may_repeat() || !self.parts.spend_retry(&call.service) {
                         return Err(call_answer::lost_answer(note));
                     }
                 }
@@ -217,12 +225,14 @@
         plan: &mut entry::AttemptPlan,
         log: &mut entry::CallLog,
     ) -> Result<entry::PlaceLease, face::RequestRefusal> {
-        let mut refused = 0;
+        let mut tries = fleet::AdapterTries::default();
+        let mut again = plan.sends() > 0;
         loop {
             let began = time::Instant::now();
-            let need = call.need(plan.tried().to_vec());
-            let again = plan.sends() > 0 || refused > 0;
+            let tried = plan.tried().iter().chain(tries.refused());
+            let need = call.need(tried.cloned().collect());
             let placed = self.parts.dispatcher.place(need, again).await;
+            again = true;
             log.waited += began.elapsed();
             let lease = placed.map_err(call_answer::board_refusal)?;
             log.server = Some(lease.server().clone());
@@ -241,7 +251,7 @@
                     log::debug!(server:% = lease.server(), reason = reason.as_str(); "leader not asked");
                     return Ok(lease);
                 }
-                entry::AdapterAnswer::Refused(reason) => {
+                entry::AdapterAnswer::Refused { reason, retry_in } => {
                     log::info!(
                         request = log.id.as_str(),
                         server:% = lease.server(),
@@ -249,11 +259,20 @@
                         reason = reason.as_str();
                         "adapter does not come"
                     );
-                    log.notes.push("no_adapter");
-                    plan.pass_over(lease.server());
-                    refused += 1;
-                    if refused >= MAX_ADAPTER_TRIES {
-                        return Err(call_answer::not_run(&reason, UNRUN_RETRY));
+                    let left = patience_until.saturating_duration_since(time::Instant::now());
+                    match tries.refuse(lease.server().clone(), retry_in, left) {
+                        fleet::AdapterStep::Other => log.note_once("no_adapter"),
+                        fleet::AdapterStep::Rest(rest) => {
+                            log.note_once("adapter_rest");
+                            // The place is free for others meanwhile.
+                            drop(lease);
+                            tokio::time::sleep(rest).await;
+                            log.waited += rest;
+                        }
+                        fleet::AdapterStep::GiveUp(retry_in) => {
+                            let retry_after = retry_in.unwrap_or(UNRUN_RETRY).max(UNRUN_RETRY);
+                            return Err(call_answer::not_run(&reason, retry_after));
+                        }
                     }
                 }
             }
--- a/galenahold_instance/src/gateway/entry/call_log.rs
+++ b/galenahold_instance/src/gateway/entry/call_log.rs
@@ -32,6 +32,13 @@
 }
 
 impl CallLog {
+    /// Notes what may come many times in one request.
+    pub(super) fn note_once(&mut self, note: &'static str) {
+        if !self.notes.contains(&note) {
+            self.notes.push(note);
+        }
+    }
+
     /// Writes the line.
     pub(super) fn write(&self, status: u16, reason: &str, took: time::Duration) {
         log::info!(
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use galenahold_domain::name;
 use galenahold_routing::fleet;
 
 use crate::backend;
@@ -42,13 +43,13 @@
 
 impl<Dialect> EntryParts<Dialect> {
     /// Counts a first attempt.
-    pub(crate) fn earn_retry(&self) {
-        self.lock_purse().earn();
+    pub(crate) fn earn_retry(&self, service: &name::ServiceName) {
+        self.lock_purse().earn(service);
     }
 
     /// Takes a further attempt out of the budget; false if there is none.
-    pub(crate) fn spend_retry(&self) -> bool {
-        let spent = self.lock_purse().spend();
+    pub(crate) fn spend_retry(&self, service: &name::ServiceName) -> bool {
+        let spent = self.lock_purse().spend(service);
         if spent {
             self.metrics.retries.inc();
         }
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -157,7 +157,7 @@
         self.lease.observe(fleet::AttemptReport::Broken);
         self.plan.may_have_run();
         let in_time = time::Instant::now() < self.call.deadline;
-        if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry() {
+        if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry(&self.call.service) {
             return false;
         }
         let need = self.call.need(self.plan.tried().to_vec());
@@ -167,7 +167,7 @@
         if let Some(adapter) = lease.wanted_adapter() {
             let desk = entry::AdapterDesk::new(&self.parts.client);
             let brought = desk.bring(lease.server(), &adapter, self.call.deadline);
-            if let entry::AdapterAnswer::Refused(_) = brought.await {
+            if let entry::AdapterAnswer::Refused { .. } = brought.await {
                 return false;
             }
             lease.learn_adapter(adapter);
--- a/galenahold_placement/src/fleet/adapter_decision.rs
+++ b/galenahold_placement/src/fleet/adapter_decision.rs
@@ -23,5 +23,7 @@
     Refused {
         /// Why.
         reason: &'static str,
+        /// When it is expected to take it; none where it never will.
+        retry_in: Option<time::Duration>,
     },
 }
--- a/galenahold_placement/src/fleet/adapter_wishes.rs
+++ b/galenahold_placement/src/fleet/adapter_wishes.rs
@@ -10,6 +10,10 @@
 /// Adapter places of an engine that are kept free for adapters that are asked for next.
 const FREE_ADAPTER_PLACES: usize = 2;
 
+/// When an engine whose adapter places are all in use may have one free: a stream ends every few hundred
+/// milliseconds.
+const PLACE_REST: time::Duration = time::Duration::from_millis(250);
+
 /// The part of an adapter's load that does not depend on its size.
 const ADAPTER_BASE: time::Duration = time::Duration::from_millis(5);
 
@@ -28,11 +32,13 @@
         let Some(model) = engine.model(&adapter.model) else {
             return fleet::AdapterDecision::Refused {
                 reason: "the model is not declared",
+                retry_in: None,
             };
         };
         if !record.serves_model(&adapter.model) {
             return fleet::AdapterDecision::Refused {
                 reason: "the engine does not hold the model",
+                retry_in: None,
             };
         }
         let plan = self.plan_of(&record.name, record.started_ms);
@@ -40,9 +46,10 @@
             plan.adapters.touch(adapter, now);
             return fleet::AdapterDecision::Comes { ready_in };
         }
-        if plan.order.is_some() {
+        if let Some(order) = &plan.order {
             return fleet::AdapterDecision::Refused {
                 reason: "the engine carries an order about a model out",
+                retry_in: Some(order.ends_at.saturating_duration_since(now)),
             };
         }
         let slots = usize::try_from(engine.adapter_slots).unwrap_or(usize::MAX);
@@ -51,6 +58,7 @@
             let Some(victim) = plan.adapters.victim(now) else {
                 return fleet::AdapterDecision::Refused {
                     reason: "all adapter places of the engine are in use",
+                    retry_in: Some(PLACE_REST),
                 };
             };
             plan.adapters.free(&victim);
--- a/galenahold_routing/src/fleet/mod.rs
+++ b/galenahold_routing/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! [`DispatchBoard`] answers for one entry instance. It decides from the leader's roster, which lags,
 //! and from what this instance's own attempts have shown.
 
+mod adapter_tries;
 mod attempt_report;
 mod board_refusal;
 mod board_server;
@@ -18,6 +19,7 @@
 mod retry_purse;
 mod wait_line;
 
+pub use adapter_tries::{AdapterStep, AdapterTries};
 pub use attempt_report::AttemptReport;
 pub use board_refusal::{BoardRefusal, RefusalCause};
 use board_server::BoardServer;
--- a/galenahold_routing/src/fleet/retry_purse.rs
+++ b/galenahold_routing/src/fleet/retry_purse.rs
@@ -1,6 +1,10 @@
 //! Bounds how many attempts are made beyond the first of each call.
 
-/// Bounds how many attempts one instance makes beyond the first of each call.
+use std::collections;
+
+use galenahold_domain::name;
+
+/// Bounds how many attempts one instance makes beyond the first of each call, for each service by itself.
 ///
 /// Each first attempt earns a share of another one, so that the sum over all instances keeps to the
 /// same share without a message between them.
@@ -8,38 +12,48 @@
 pub struct RetryPurse {
     share: f64,
     most: f64,
-    held: f64,
+    held: collections::HashMap<name::ServiceName, f64>,
 }
 
 impl RetryPurse {
-    /// Creates a purse that earns `share` of an attempt with each call and holds at most `most`.
+    /// Creates a purse that earns `share` of an attempt with each call and holds at most `most` a service.
     #[must_use]
     pub fn new(share: f64, most: f64) -> Self {
         Self {
             share,
             most,
-            held: most,
+            held: collections::HashMap::new(),
         }
     }
 
-    /// Sets how much the purse holds at most.
+    /// Sets how much the purse holds at most for a service.
     pub fn set_most(&mut self, most: f64) {
         self.most = most;
-        self.held = self.held.min(most);
+        for held in self.held.values_mut() {
+            *held = held.min(most);
+        }
     }
 
-    /// Counts a call's first attempt.
-    pub fn earn(&mut self) {
-        self.held = (self.held + self.share).min(self.most);
+    /// Counts the first attempt of a service's call.
+    pub fn earn(&mut self, service: &name::ServiceName) {
+        let (share, most) = (self.share, self.most);
+        let held = self.held_for(service);
+        *held = (*held + share).min(most);
     }
 
-    /// Takes one further attempt out; false if there is none.
+    /// Takes one further attempt at a service out; false if there is none.
     #[must_use]
-    pub fn spend(&mut self) -> bool {
-        let affordable = self.held >= 1.0;
+    pub fn spend(&mut self, service: &name::ServiceName) -> bool {
+        let held = self.held_for(service);
+        let affordable = *held >= 1.0;
         if affordable {
-            self.held -= 1.0;
+            *held -= 1.0;
         }
         affordable
     }
+
+    fn held_for(&mut self, service: &name::ServiceName) -> &mut f64 {
+        let most = self.most;
+        self.held.entry(service.clone()).or_insert(most)
+    }
 }
--- /dev/null
+++ b/galenahold_routing/tests/fleet/adapter_tries.rs
@@ -0,0 +1,61 @@
+//! A call whose adapter does not come yet waits as long as that is worth while.
+
+use std::time;
+
+use galenahold_domain::name;
+use galenahold_routing::fleet;
+
+const SECOND: time::Duration = time::Duration::from_secs(1);
+
+fn server(number: u32) -> name::ServerName {
+    name::ServerName::from(format!("s{number}"))
+}
+
+#[test]
+fn call_outlasts_a_new_leader_that_gives_no_orders_yet() {
+    let patience = 2 * SECOND;
+    let orders_from = SECOND * 3 / 2;
+    let (mut tries, mut now, mut number) =
+        (fleet::AdapterTries::default(), time::Duration::ZERO, 0);
+    while now < orders_from {
+        number += 1;
+        let retry_in = Some(orders_from - now);
+        match tries.refuse(server(number % 5), retry_in, patience - now) {
+            fleet::AdapterStep::Other => now += time::Duration::from_millis(4),
+            fleet::AdapterStep::Rest(rest) => now += rest,
+            fleet::AdapterStep::GiveUp(_) => panic!("gave up at {now:?}"),
+        }
+    }
+    assert!(number < 30, "the leader was asked {number} times");
+}
+
+#[test]
+fn call_whose_only_engine_is_busy_does_not_ask_it_twice_in_a_row() {
+    let mut tries = fleet::AdapterTries::default();
+    let retry_in = Some(SECOND);
+    let first = tries.refuse(server(1), retry_in, 2 * SECOND);
+    assert_eq!(first, fleet::AdapterStep::Other);
+    let second = tries.refuse(server(1), retry_in, 2 * SECOND);
+    assert!(matches!(second, fleet::AdapterStep::Rest(_)));
+    assert!(tries.refused().is_empty());
+}
+
+#[test]
+fn call_that_would_wait_in_vain_gives_up_at_once() {
+    let mut tries = fleet::AdapterTries::default();
+    for number in 0..2 {
+        let step = tries.refuse(server(number), Some(8 * SECOND), 2 * SECOND);
+        assert_eq!(step, fleet::AdapterStep::Other);
+    }
+    let step = tries.refuse(server(2), Some(6 * SECOND), 2 * SECOND);
+    assert_eq!(step, fleet::AdapterStep::GiveUp(Some(6 * SECOND)));
+}
+
+#[test]
+fn call_gives_up_where_no_engine_ever_takes_the_adapter() {
+    let mut tries = fleet::AdapterTries::default();
+    let steps: Vec<_> = (0..3)
+        .map(|number| tries.refuse(server(number), None, 2 * SECOND))
+        .collect();
+    assert_eq!(steps[2], fleet::AdapterStep::GiveUp(None));
+}
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Promises on where the calls of declared services go.
 
+mod adapter_tries;
 mod fixture;
 mod placing;
 mod retries;
--- a/galenahold_wire/src/message/fleet_reply.rs
+++ b/galenahold_wire/src/message/fleet_reply.rs
@@ -17,5 +17,8 @@
     AdapterRefused {
         /// Why.
         reason: String,
+        /// When it is expected to take it, in milliseconds; none where it never will.
+        #[serde(default)]
+        retry_in_ms: Option<u64>,
     },
 }
