--- a/galenahold_instance/src/gateway/control/desk_parts.rs
+++ b/galenahold_instance/src/gateway/control/desk_parts.rs
@@ -352,18 +352,16 @@
         let mut failed = None;
         for order in orders {
             let receipt = match failed {
-                Some(_) => placement::OrderReceipt::NotSent,
-                None => self.orders.send(term, &order).await,
+                Some(_) => {
+                    let unsent = placement::OrderReceipt::NotSent;
+                    self.settle(&order, unsent, amount::ByteCount(0));
+                    unsent
+                }
+                None => self.carry_out(term, &order, amount::ByteCount(0)).await,
             };
             if !order.action.is_settled_by(receipt) {
                 failed.get_or_insert(receipt);
             }
-            let now = time::Instant::now();
-            self.lead(|leadership| {
-                leadership
-                    .planner
-                    .settle(&order, receipt, amount::ByteCount(0), now);
-            });
         }
         match failed {
             None => comes(ready_in),
@@ -374,6 +372,39 @@
         }
     }
 
+    /// Sends an order to its engine and takes up what came of it.
+    pub(crate) async fn carry_out(
+        &self,
+        term: u64,
+        order: &placement::EngineOrder,
+        bytes: amount::ByteCount,
+    ) -> placement::OrderReceipt {
+        let sent = self.orders.send(term, order).await;
+        if let Some(report) = &sent.report {
+            let now = time::Instant::now();
+            self.lead(|leadership| {
+                leadership.planner.note_adapters(
+                    &order.server,
+                    order.started_ms,
+                    &report.adapters,
+                    now,
+                );
+            });
+        }
+        self.settle(order, sent.receipt, bytes);
+        sent.receipt
+    }
+
+    fn settle(
+        &self,
+        order: &placement::EngineOrder,
+        receipt: placement::OrderReceipt,
+        bytes: amount::ByteCount,
+    ) {
+        let now = time::Instant::now();
+        self.lead(|leadership| leadership.planner.settle(order, receipt, bytes, now));
+    }
+
     fn new_leadership(&self, term: u64) -> control::FleetLeadership {
         let now = time::Instant::now();
         info!(term = term; "begins to lead declared services");
--- a/galenahold_instance/src/gateway/control/order_sender.rs
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -31,6 +31,24 @@
     lines: sync::Mutex<LineTable>,
 }
 
+/// What came of an order.
+#[derive(Debug)]
+pub(crate) struct SentOrder {
+    /// Its receipt.
+    pub(crate) receipt: placement::OrderReceipt,
+    /// The engine's report, if it was asked for one.
+    pub(crate) report: Option<placement::EngineReport>,
+}
+
+impl SentOrder {
+    fn unsent(report: Option<placement::EngineReport>) -> Self {
+        Self {
+            receipt: placement::OrderReceipt::NotSent,
+            report,
+        }
+    }
+}
+
 type LineTable =
     collections::HashMap<name::ServerName, sync::Arc<tokio_sync::Mutex<placement::OrderLine>>>;
 
@@ -51,38 +69,36 @@
         }
     }
 
-    /// Sends an order of the given term and returns its receipt.
-    pub(crate) async fn send(
-        &self,
-        term: u64,
-        order: &placement::EngineOrder,
-    ) -> placement::OrderReceipt {
+    /// Sends an order of the given term, after a call for the engine's report where its count of orders is
+    /// not known.
+    pub(crate) async fn send(&self, term: u64, order: &placement::EngineOrder) -> SentOrder {
         let line = self.line(&order.server);
         let mut line = line.lock().await;
         line.enter(term, order.started_ms);
         if !line.is_open(time::Instant::now()) {
-            return placement::OrderReceipt::NotSent;
+            return SentOrder::unsent(None);
         }
-        let about_model = order.action.is_about_model();
-        if about_model && line.taken().is_none() {
-            let report = self.ask_report(order).await;
+        let mut report = None;
+        if line.taken().is_none() {
+            report = self.ask_report(order).await;
             let now = time::Instant::now();
             let sound = report
                 .as_ref()
-                .is_some_and(|report| line.take_report(report, &order.held, now));
+                .is_some_and(|report| line.take_report(report, order, now));
             if !sound {
                 info!(
                     server:% = order.server,
                     order = order.number,
                     term = term,
                     report:? = report,
-                    held:? = order.held;
-                    "order not sent: the engine is busy or holds other models than known"
+                    held:? = order.held,
+                    adapters:? = order.adapters;
+                    "order not sent: the engine is busy or holds other models or adapters than known"
                 );
-                return placement::OrderReceipt::NotSent;
+                return SentOrder::unsent(report);
             }
         }
-        let after = line.taken().filter(|_| about_model);
+        let after = line.taken();
         let receipt = self.send_once(term, order, after).await;
         line.count(&order.action, receipt, time::Instant::now());
         info!(
@@ -94,7 +110,7 @@
             receipt:? = receipt;
             "order sent to engine"
         );
-        receipt
+        SentOrder { receipt, report }
     }
 
     async fn send_once(
--- a/galenahold_instance/src/gateway/control/placement_loop.rs
+++ b/galenahold_instance/src/gateway/control/placement_loop.rs
@@ -106,9 +106,7 @@
     fn carry_out(&self, term: u64, order: placement::EngineOrder, bytes: amount::ByteCount) {
         let parts = sync::Arc::clone(&self.parts);
         self.tasks.spawn_until_stop(async move {
-            let receipt = parts.orders.send(term, &order).await;
-            let now = time::Instant::now();
-            parts.lead(|leadership| leadership.planner.settle(&order, receipt, bytes, now));
+            let receipt = parts.carry_out(term, &order, bytes).await;
             if receipt != placement::OrderReceipt::Accepted {
                 parts.planning.notify_one();
             }
--- a/galenahold_placement/src/fleet/adapter_table.rs
+++ b/galenahold_placement/src/fleet/adapter_table.rs
@@ -59,6 +59,11 @@
         });
     }
 
+    /// Returns the adapters that are, or may be, there.
+    pub(super) fn known(&self) -> impl Iterator<Item = &domain::HeldAdapter> {
+        self.held.keys()
+    }
+
     /// Counts the places that are, or may be, taken.
     pub(super) fn len(&self) -> usize {
         self.held.len()
--- a/galenahold_placement/src/fleet/engine_order.rs
+++ b/galenahold_placement/src/fleet/engine_order.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 
 use crate::fleet;
@@ -19,6 +20,8 @@
     pub address: net::SocketAddr,
     /// The models that it holds as far as its leader knows.
     pub held: Vec<name::ModelName>,
+    /// The adapters that it holds or may hold as far as its leader knows.
+    pub adapters: Vec<domain::HeldAdapter>,
     /// What it is to do.
     pub action: fleet::OrderAction,
 }
--- a/galenahold_placement/src/fleet/engine_report.rs
+++ b/galenahold_placement/src/fleet/engine_report.rs
@@ -1,5 +1,6 @@
 //! What an engine reports of itself when it is asked.
 
+use galenahold_domain::fleet;
 use galenahold_domain::name;
 
 /// What an engine reports of itself when it is asked; it lags by some hundred milliseconds.
@@ -11,4 +12,6 @@
     pub busy: bool,
     /// The models that it holds.
     pub models: Vec<name::ModelName>,
+    /// The adapters that it holds or fetches.
+    pub adapters: Vec<fleet::HeldAdapter>,
 }
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -185,7 +185,12 @@
         action: fleet::OrderAction,
     ) -> fleet::EngineOrder {
         self.next_number += 1;
+        let plan = self.servers.get(&record.name);
+        let known = plan.into_iter().flat_map(|plan| plan.adapters.known());
+        // One that is to go keeps its place until the engine says that it is gone.
+        let adapters = known.chain(action.adapter()).cloned().collect();
         fleet::EngineOrder {
+            adapters,
             number: self.next_number,
             server: record.name.clone(),
             started_ms: record.started_ms,
--- a/galenahold_placement/src/fleet/order_action.rs
+++ b/galenahold_placement/src/fleet/order_action.rs
@@ -28,6 +28,15 @@
         }
     }
 
+    /// Returns the adapter that the order is about, if it is about one.
+    #[must_use]
+    pub fn adapter(&self) -> Option<&domain::HeldAdapter> {
+        match self {
+            Self::LoadModel(_) | Self::UnloadModel(_) => None,
+            Self::LoadAdapter(held) | Self::UnloadAdapter(held) => Some(held),
+        }
+    }
+
     /// Returns whether an engine that gave this receipt has done what the next order builds on.
     ///
     /// An unload that was only accepted waits for runs to end: its place is still taken.
--- a/galenahold_placement/src/fleet/order_line.rs
+++ b/galenahold_placement/src/fleet/order_line.rs
@@ -2,14 +2,20 @@
 
 use std::time;
 
-use galenahold_domain::name;
-
 use crate::fleet;
 
 /// How long an engine gets no order after one whose end is not clear: its report lags.
 const QUIET_TIME: time::Duration = time::Duration::from_millis(700);
 
+/// How long an engine gets no order after it refused one about an adapter: it has no hand free, or its
+/// count is another.
+const ADAPTER_QUIET: time::Duration = time::Duration::from_millis(150);
+
 /// The orders to one engine, which go out one after the other.
+///
+/// Each order names the count of orders that the engine has taken. An order that was never answered may be
+/// carried out seconds later, also one of an earlier leader: named counts let it pass only if nothing was
+/// ordered since, so that what is ordered next rests on what the engine really holds.
 #[derive(Debug, Default)]
 pub struct OrderLine {
     /// The leadership and the engine's start that the counts are of.
@@ -40,18 +46,21 @@
     /// Takes up an engine's report; false where its count cannot be built on.
     ///
     /// An engine that is busy carries out an order that an earlier leader gave, and one that holds other
-    /// models than `held` has carried one out that is not known here: what is ordered on top could be
-    /// more than it has room for.
+    /// models or further adapters than `order` says has carried one out that is not known here: what is
+    /// ordered on top could be more than it has room for.
     #[must_use]
     pub fn take_report(
         &mut self,
         report: &fleet::EngineReport,
-        held: &[name::ModelName],
+        order: &fleet::EngineOrder,
         now: time::Instant,
     ) -> bool {
-        let known = report.models.len() == held.len()
-            && report.models.iter().all(|model| held.contains(model));
-        let sound = known && !report.busy;
+        let mut models = report.models.iter();
+        let same_models = report.models.len() == order.held.len()
+            && models.all(|model| order.held.contains(model));
+        let mut adapters = report.adapters.iter();
+        let known_adapters = adapters.all(|adapter| order.adapters.contains(adapter));
+        let sound = same_models && known_adapters && !report.busy;
         if sound {
             self.taken = Some(report.orders_taken);
         } else {
@@ -84,8 +93,10 @@
                     self.advance();
                 }
             }
-            // Orders about adapters say nothing of earlier ones: the engine only has no hand free.
-            fleet::OrderReceipt::Busy if !action.is_about_model() => {}
+            fleet::OrderReceipt::Busy if !action.is_about_model() => {
+                self.taken = None;
+                self.quiet_until = Some(now + ADAPTER_QUIET);
+            }
             fleet::OrderReceipt::Busy | fleet::OrderReceipt::Unanswered => {
                 self.taken = None;
                 self.quiet_until = Some(now + QUIET_TIME);
--- a/galenahold_placement/tests/fleet/adapters.rs
+++ b/galenahold_placement/tests/fleet/adapters.rs
@@ -106,3 +106,23 @@
     let decision = want(&mut planner, "x", now);
     assert!(matches!(decision, fleet::AdapterDecision::Refused { .. }));
 }
+
+#[test]
+fn orders_name_the_adapters_that_may_be_there_and_the_one_that_is_to_go() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let record = fixture::record("s1", &["a"], &[]);
+    let held = [fixture::adapter("a", "x"), fixture::adapter("a", "y")];
+    planner.note_adapters(&record.name, record.started_ms, &held, now);
+    let later = now + time::Duration::from_secs(2);
+    let wanted = fixture::adapter("a", "z");
+    let decision = planner.want_adapter(&record, &fixture::engine(), &wanted, later);
+    let fleet::AdapterDecision::Order { orders, .. } = decision else {
+        panic!("no order: {decision:?}");
+    };
+    assert_eq!(orders.len(), 2);
+    for adapter in &held {
+        assert!(orders[0].adapters.contains(adapter), "{adapter:?}");
+    }
+    assert!(orders[1].adapters.contains(&wanted));
+}
--- a/galenahold_placement/tests/fleet/order_lines.rs
+++ b/galenahold_placement/tests/fleet/order_lines.rs
@@ -14,6 +14,24 @@
             .iter()
             .map(|name| fixture::model_name(name))
             .collect(),
+        adapters: Vec::new(),
+    }
+}
+
+/// Returns an order to an engine that holds the model `a` and the given adapters of it.
+fn order(adapters: &[&str]) -> fleet::EngineOrder {
+    let record = fixture::record("s1", &["a"], &[]);
+    fleet::EngineOrder {
+        number: 1,
+        server: record.name,
+        started_ms: record.started_ms,
+        address: record.address,
+        held: vec![fixture::model_name("a")],
+        adapters: adapters
+            .iter()
+            .map(|adapter| fixture::adapter("a", adapter))
+            .collect(),
+        action: load(),
     }
 }
 
@@ -28,8 +46,7 @@
     let now = time::Instant::now();
     let mut line = fleet::OrderLine::default();
     line.enter(2, 1);
-    let held = [fixture::model_name("a")];
-    assert!(!line.take_report(&report(4, true, &["a"]), &held, now));
+    assert!(!line.take_report(&report(4, true, &["a"]), &order(&[]), now));
     assert!(!line.is_open(now));
     assert_eq!(line.taken(), None);
 }
@@ -39,8 +56,7 @@
     let now = time::Instant::now();
     let mut line = fleet::OrderLine::default();
     line.enter(2, 1);
-    let held = [fixture::model_name("a")];
-    assert!(!line.take_report(&report(4, false, &["a", "b"]), &held, now));
+    assert!(!line.take_report(&report(4, false, &["a", "b"]), &order(&[]), now));
     assert_eq!(line.taken(), None);
 }
 
@@ -49,8 +65,7 @@
     let now = time::Instant::now();
     let mut line = fleet::OrderLine::default();
     line.enter(2, 1);
-    let held = [fixture::model_name("a")];
-    assert!(line.take_report(&report(4, false, &["a"]), &held, now));
+    assert!(line.take_report(&report(4, false, &["a"]), &order(&[]), now));
     line.count(&load(), fleet::OrderReceipt::Accepted, now);
     line.count(&load(), fleet::OrderReceipt::Done, now);
     assert_eq!(line.taken(), Some(5));
@@ -61,25 +76,41 @@
     let now = time::Instant::now();
     let mut line = fleet::OrderLine::default();
     line.enter(2, 1);
-    let held = [fixture::model_name("a")];
-    assert!(line.take_report(&report(4, false, &["a"]), &held, now));
+    assert!(line.take_report(&report(4, false, &["a"]), &order(&[]), now));
     line.count(&load(), fleet::OrderReceipt::Unanswered, now);
     assert!(!line.is_open(now));
     assert_eq!(line.taken(), None);
     assert!(line.is_open(now + time::Duration::from_secs(1)));
 }
 
+/// An adapter's order names the count too: the engine may have refused it since its count is another.
 #[test]
-fn refused_adapter_says_nothing_of_the_count() {
+fn refused_adapter_puts_the_count_in_doubt() {
     let now = time::Instant::now();
     let mut line = fleet::OrderLine::default();
     line.enter(2, 1);
-    let held = [fixture::model_name("a")];
-    assert!(line.take_report(&report(4, false, &["a"]), &held, now));
+    assert!(line.take_report(&report(4, false, &["a"]), &order(&[]), now));
     let adapter = fleet::OrderAction::LoadAdapter(fixture::adapter("a", "x"));
     line.count(&adapter, fleet::OrderReceipt::Busy, now);
-    assert!(line.is_open(now));
-    assert_eq!(line.taken(), Some(4));
+    assert!(!line.is_open(now));
+    assert_eq!(line.taken(), None);
+    assert!(line.is_open(now + time::Duration::from_millis(200)));
+}
+
+/// Replays scale-1 of asennau-cymru-grown: an adapter that an earlier leader ordered came after the engine had
+/// stated itself to the next one, which then ordered one adapter more than the engine has places for.
+#[test]
+fn engine_with_an_adapter_that_is_not_known_gets_no_order() {
+    let now = time::Instant::now();
+    let mut line = fleet::OrderLine::default();
+    line.enter(2, 1);
+    let mut found = report(9, false, &["a"]);
+    found.adapters = vec![fixture::adapter("a", "x"), fixture::adapter("a", "y")];
+    assert!(!line.take_report(&found, &order(&["x"]), now));
+    assert_eq!(line.taken(), None);
+    let later = now + time::Duration::from_secs(1);
+    assert!(line.take_report(&found, &order(&["x", "y"]), later));
+    assert_eq!(line.taken(), Some(9));
 }
 
 #[test]
@@ -87,8 +118,7 @@
     let now = time::Instant::now();
     let mut line = fleet::OrderLine::default();
     line.enter(2, 1);
-    let held = [fixture::model_name("a")];
-    assert!(line.take_report(&report(4, false, &["a"]), &held, now));
+    assert!(line.take_report(&report(4, false, &["a"]), &order(&[]), now));
     line.enter(3, 1);
     assert_eq!(line.taken(), None);
 }
