Believe an adapter list only where it is new, and use more of the shared retries

Change: a list of adapters is taken only where it differs from the one before; 0.8 instead of 0.6 of the allowed retries are used.

Test: adapter_that_was_found_missing_is_not_believed_again_for_an_old_list, seen failing.

--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -64,7 +64,7 @@
 const MAX_WAITING_FOR_TOKENS: usize = 512;
 
 /// The share of the allowed retries that is used: windows at different instances do not begin together.
-const RETRY_USE: f64 = 0.6;
+const RETRY_USE: f64 = 0.8;
 
 /// Instances that are assumed to share the allowed retries before the roster tells.
 const ASSUMED_INSTANCES: f64 = 32.0;
--- a/galenahold_routing/src/fleet/board_server.rs
+++ b/galenahold_routing/src/fleet/board_server.rs
@@ -71,7 +71,10 @@
         if record.loading != self.record.loading {
             self.loading_since = record.loading.is_some().then_some(now);
         }
-        self.adapters.extend(record.adapters.iter().cloned());
+        // A list that is told again is as old as before; own calls have shown more since.
+        if record.adapters != self.record.adapters {
+            self.adapters = record.adapters.iter().cloned().collect();
+        }
         self.adapters
             .retain(|adapter| record.serves_model(&adapter.model));
         self.record = record;
--- a/galenahold_routing/tests/fleet/adapter_tries.rs
+++ b/galenahold_routing/tests/fleet/adapter_tries.rs
@@ -19,8 +19,8 @@
         (fleet::AdapterTries::default(), time::Duration::ZERO, 0);
     while now < orders_from {
         number += 1;
-        let retry_in = Some(orders_from - now);
-        match tries.refuse(server(number % 5), retry_in, patience - now) {
+        let retry_in = Some(orders_from.saturating_sub(now));
+        match tries.refuse(server(number % 5), retry_in, patience.saturating_sub(now)) {
             fleet::AdapterStep::Other => now += time::Duration::from_millis(4),
             fleet::AdapterStep::Rest(rest) => now += rest,
             fleet::AdapterStep::GiveUp(_) => panic!("gave up at {now:?}"),
--- a/galenahold_routing/tests/fleet/placing.rs
+++ b/galenahold_routing/tests/fleet/placing.rs
@@ -127,3 +127,27 @@
     need.tried = vec![name::ServerName::from("s1")];
     assert_eq!(server(board.resubmit(need, now)), "s2");
 }
+
+#[test]
+fn adapter_that_was_found_missing_is_not_believed_again_for_an_old_list() {
+    let now = time::Instant::now();
+    let mut record = fixture::record("s1", &["m"]);
+    let mut need = fixture::need("m", time::Duration::from_secs(2), now);
+    let target = need.target.as_mut().expect("it names a model");
+    target.adapter = Some(name::AdapterName::from("x"));
+    let target = target.clone();
+    record.adapters = target.held_adapter().into_iter().collect();
+    let mut board = fixture::board(&[record.clone()], now);
+    board.observe(
+        &record.name,
+        Some(&target),
+        fleet::AttemptReport::Misplaced,
+        now,
+    );
+    record.slots += 1;
+    board.update_server(record, now);
+    let fleet::CallSubmission::Placed(placement) = board.submit(need, now) else {
+        panic!("it is not placed");
+    };
+    assert!(placement.needs_adapter);
+}
