--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -225,11 +225,11 @@
         plan: &mut entry::AttemptPlan,
         log: &mut entry::CallLog,
     ) -> Result<entry::PlaceLease, face::RequestRefusal> {
-        let mut tries = fleet::AdapterTries::default();
+        let mut adapter_tries = fleet::AdapterTries::default();
         let mut again = plan.sends() > 0;
         loop {
             let began = time::Instant::now();
-            let tried = plan.tried().iter().chain(tries.refused());
+            let tried = plan.tried().iter().chain(adapter_tries.refused());
             let need = call.need(tried.cloned().collect());
             let placed = self.parts.dispatcher.place(need, again).await;
             again = true;
@@ -260,7 +260,7 @@
                         "adapter does not come"
                     );
                     let left = patience_until.saturating_duration_since(time::Instant::now());
-                    match tries.refuse(lease.server().clone(), retry_in, left) {
+                    match adapter_tries.refuse(lease.server().clone(), retry_in, left) {
                         fleet::AdapterStep::Other => log.note_once("no_adapter"),
                         fleet::AdapterStep::Rest(rest) => {
                             log.note_once("adapter_rest");
