Keep declared documents packed, and write the last log lines before the end

Change: a document is packed once (deflate) where it is proposed; log, data folders and instances hold it packed, and logs of earlier versions are read as they are. Tests: numbers (size, return, an earlier log, damage).

Change: the end of a process waits up to 300 ms for its lines. Tests: last_lines, for a slow output and for one that takes nothing.

--- a/galenahold/src/command/root_command.rs
+++ b/galenahold/src/command/root_command.rs
@@ -3,6 +3,7 @@
 use std::ffi;
 use std::io;
 use std::io::Write;
+use std::time;
 
 use crate::command;
 use crate::document;
@@ -12,6 +13,9 @@
 
 const HELP_WIDTH: usize = 100;
 
+/// How long the end of a process waits for its last log lines: well below a planned stop's grace time.
+const LAST_LINES_LIMIT: time::Duration = time::Duration::from_millis(300);
+
 /// The command line as a whole.
 #[derive(Debug)]
 pub(crate) struct RootCommand;
@@ -68,7 +72,19 @@
         command::PlatformCommand::NAME => ("info", logging::LogOutput::Standard),
         _ => ("warn", logging::LogOutput::Error),
     };
-    logging::start_logging(options.log_filter(default_filter), output);
+    let tail = logging::start_logging(options.log_filter(default_filter), output);
+    let result = run_named(name, matches, options);
+    if tail.is_some_and(|tail| !tail.wait(LAST_LINES_LIMIT)) {
+        eprintln!("the last log lines were not written within {LAST_LINES_LIMIT:?}");
+    }
+    result
+}
+
+fn run_named(
+    name: &str,
+    matches: &clap::ArgMatches,
+    options: &command::GlobalOptions,
+) -> Result<(), command::CommandError> {
     match name {
         command::ServeCommand::NAME => command::ServeCommand::from_matches(matches).run(),
         command::PlatformCommand::NAME => command::PlatformCommand::run(),
--- a/galenahold/src/lib.rs
+++ b/galenahold/src/lib.rs
@@ -13,7 +13,7 @@
 use std::ffi;
 use std::process;
 
-pub use logging::LogLine;
+pub use logging::{BoundedWriter, LogLine, LogTail};
 pub use status::ExitStatus;
 
 /// Runs a command line and returns the status that the process is to exit with.
--- a/galenahold/src/logging/bounded_writer.rs
+++ b/galenahold/src/logging/bounded_writer.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time;
 
+use crate::logging;
+
 /// Lines that may wait for the output.
 const MAX_WAITING_LINES: usize = 2_048;
 
@@ -17,34 +19,49 @@
 ///
 /// The number of dropped lines is written as a line of its own.
 #[derive(Debug)]
-pub(super) struct BoundedWriter {
-    lines: crossbeam_channel::Sender<Vec<u8>>,
+pub struct BoundedWriter {
+    entries: crossbeam_channel::Sender<LogEntry>,
     dropped: sync::Arc<atomic::AtomicU64>,
     second: time::Instant,
     written: u32,
 }
 
+/// What goes to the thread of a writer.
+#[derive(Debug)]
+pub(super) enum LogEntry {
+    /// A line.
+    Line(Vec<u8>),
+    /// Asks to be told once all lines before it are written.
+    Mark(crossbeam_channel::Sender<()>),
+}
+
 impl BoundedWriter {
-    /// Starts a writer to `output`; its thread ends with the last line of the process.
+    /// Starts a writer to `output`; its thread lives as long as the writer.
     ///
     /// # Errors
     ///
     /// The thread cannot be started.
-    pub(super) fn start(output: impl Write + Send + 'static) -> io::Result<Self> {
-        let (lines, inbox) = crossbeam_channel::bounded(MAX_WAITING_LINES);
+    pub fn start(output: impl Write + Send + 'static) -> io::Result<Self> {
+        let (entries, inbox) = crossbeam_channel::bounded(MAX_WAITING_LINES);
         let dropped = sync::Arc::new(atomic::AtomicU64::new(0));
         let counter = sync::Arc::clone(&dropped);
         thread::Builder::new()
             .name("log-output".to_owned())
             .spawn(move || write_lines(output, &inbox, &counter))?;
         Ok(Self {
-            lines,
+            entries,
             dropped,
             second: time::Instant::now(),
             written: 0,
         })
     }
 
+    /// Returns what waits for the last lines at the end of the process.
+    #[must_use]
+    pub fn tail(&self) -> logging::LogTail {
+        logging::LogTail::new(self.entries.clone())
+    }
+
     /// Returns whether the rate allows one more line.
     fn allows(&mut self) -> bool {
         if self.second.elapsed() >= time::Duration::from_secs(1) {
@@ -58,7 +75,12 @@
 
 impl Write for BoundedWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if !self.allows() || self.lines.try_send(line.to_vec()).is_err() {
+        if !self.allows()
+            || self
+                .entries
+                .try_send(LogEntry::Line(line.to_vec()))
+                .is_err()
+        {
             self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
         }
         Ok(line.len())
@@ -71,12 +93,16 @@
 
 fn write_lines(
     mut output: impl Write,
-    inbox: &crossbeam_channel::Receiver<Vec<u8>>,
+    inbox: &crossbeam_channel::Receiver<LogEntry>,
     dropped: &atomic::AtomicU64,
 ) {
-    while let Ok(mut lines) = inbox.recv() {
-        for line in inbox.try_iter() {
-            lines.extend_from_slice(&line);
+    while let Ok(first) = inbox.recv() {
+        let (mut lines, mut marks) = (Vec::new(), Vec::new());
+        for entry in std::iter::once(first).chain(inbox.try_iter()) {
+            match entry {
+                LogEntry::Line(line) => lines.extend_from_slice(&line),
+                LogEntry::Mark(mark) => marks.push(mark),
+            }
         }
         let missing = dropped.swap(0, atomic::Ordering::Relaxed);
         if missing > 0 {
@@ -85,5 +111,9 @@
         // Without an output there is nobody to tell.
         let _ = output.write_all(&lines);
         let _ = output.flush();
+        for mark in marks {
+            // Whoever waited may have gone on.
+            let _ = mark.send(());
+        }
     }
 }
--- a/galenahold/src/logging/log_setup.rs
+++ b/galenahold/src/logging/log_setup.rs
@@ -18,12 +18,15 @@
 
 /// Starts logging; `filter` is a level, or levels by module.
 ///
-/// A second call changes nothing.
-pub(crate) fn start_logging(filter: &str, output: LogOutput) {
+/// Returns what waits for the last lines, where they are written by a thread of their own. A second call
+/// changes nothing.
+pub(crate) fn start_logging(filter: &str, output: LogOutput) -> Option<logging::LogTail> {
     let mut builder = env_logger::Builder::new();
+    let mut tail = None;
     if output == LogOutput::Standard {
         match logging::BoundedWriter::start(std::io::stdout()) {
             Ok(writer) => {
+                tail = Some(writer.tail());
                 builder.target(env_logger::Target::Pipe(Box::new(writer)));
             }
             // Lines go to standard error then, as they do by default.
@@ -41,4 +44,5 @@
     if started.is_err() {
         log::debug!("logging had been started before");
     }
+    tail
 }
--- a/galenahold/src/logging/mod.rs
+++ b/galenahold/src/logging/mod.rs
@@ -3,7 +3,9 @@
 mod bounded_writer;
 mod log_line;
 mod log_setup;
+mod log_tail;
 
-use bounded_writer::BoundedWriter;
+pub use bounded_writer::BoundedWriter;
 pub use log_line::LogLine;
 pub(crate) use log_setup::{LogOutput, start_logging};
+pub use log_tail::LogTail;
--- a/galenahold/tests/command_line/main.rs
+++ b/galenahold/tests/command_line/main.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod command_run;
 mod help;
+mod last_lines;
 mod log_lines;
 mod refusals;
 mod resending;
--- a/galenahold_domain/tests/declaration/numbers.rs
+++ b/galenahold_domain/tests/declaration/numbers.rs
@@ -1,14 +1,9 @@
 //! The highest number is in force, and never goes back.
 
-use std::sync;
-
 use galenahold_domain::{amount, control, declaration};
 
 fn document(number: u64, content: &str) -> declaration::DeclaredDocument {
-    declaration::DeclaredDocument {
-        number,
-        content: sync::Arc::new(serde_bytes::ByteBuf::from(content)),
-    }
+    declaration::DeclaredDocument::pack(number, content.as_bytes()).expect("it can be packed")
 }
 
 fn declare(
@@ -75,3 +70,33 @@
     assert_eq!(state.changes_since(before), None);
     assert_eq!(state.changes_since(state.revision()), Some(Vec::new()));
 }
+
+/// Replays what a fleet of a few hundred models sends to each instance at each change.
+#[test]
+fn document_travels_packed_and_comes_back_as_it_was() {
+    let models = (0..300).map(|number| {
+        format!(r#"{{"name":"model-{number}","weights_mb":65100.0,"load_s":6.2,"adapters":0}}"#)
+    });
+    let text = models.collect::<Vec<_>>().join(",");
+    let packed = document(7, &text);
+    assert!(packed.packed_bytes() * 5 < text.len());
+    let unpacked = packed.unpack().expect("it was just packed");
+    assert_eq!(unpacked, text.as_bytes());
+}
+
+/// A log that an earlier version wrote holds documents as they came.
+#[test]
+fn document_of_an_earlier_log_is_read_as_it_is() {
+    let earlier = serde_json::json!({"number": 7, "content": [123, 125]});
+    let read: declaration::DeclaredDocument =
+        serde_json::from_value(earlier).expect("its form is known");
+    assert_eq!(read.unpack().expect("it is not packed"), b"{}");
+}
+
+#[test]
+fn damaged_document_is_an_error() {
+    let damaged = serde_json::json!({"number": 7, "content": [255, 1], "packing": "deflate"});
+    let read: declaration::DeclaredDocument =
+        serde_json::from_value(damaged).expect("its form is known");
+    assert!(read.unpack().is_err());
+}
--- a/galenahold_instance/src/gateway/control/control_face.rs
+++ b/galenahold_instance/src/gateway/control/control_face.rs
@@ -10,7 +10,7 @@
 use galenahold_domain::name;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body;
-use log::{info, warn};
+use log::{error, info, warn};
 use serde_json::json;
 use tokio::sync::oneshot;
 
@@ -115,12 +115,11 @@
         number: u64,
         content: &[u8],
     ) -> Result<domain::ControlOutcome, &'static str> {
-        let command = domain::ControlCommand::Declare {
-            document: declaration::DeclaredDocument {
-                number,
-                content: sync::Arc::new(serde_bytes::ByteBuf::from(content)),
-            },
-        };
+        let document = declaration::DeclaredDocument::pack(number, content).map_err(|error| {
+            warn!(number = number, error:% = error; "declaration cannot be packed");
+            "the document cannot be packed"
+        })?;
+        let command = domain::ControlCommand::Declare { document };
         let committed = self
             .parts
             .member
@@ -155,10 +154,7 @@
         }
         match self.confirmed_view().await {
             Some(view) => match &view.declared {
-                Some(document) => face::json_answer(
-                    StatusCode::OK,
-                    bytes::Bytes::copy_from_slice(&document.content),
-                ),
+                Some(document) => document_answer(document),
                 None => problem(StatusCode::NOT_FOUND, "no configuration was declared"),
             },
             None => problem(
@@ -265,6 +261,19 @@
     reader.read(body).await
 }
 
+fn document_answer(document: &declaration::DeclaredDocument) -> Response<face::AnswerBody> {
+    match document.unpack() {
+        Ok(content) => face::json_answer(StatusCode::OK, content),
+        Err(error) => {
+            error!(number = document.number, error:% = error; "declaration cannot be unpacked");
+            problem(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the configuration cannot be unpacked",
+            )
+        }
+    }
+}
+
 fn problem(status: StatusCode, reason: &str) -> Response<face::AnswerBody> {
     face::json_answer(status, json!({ "error": reason }).to_string())
 }
--- a/galenahold_instance/src/gateway/declaration_holder.rs
+++ b/galenahold_instance/src/gateway/declaration_holder.rs
@@ -39,7 +39,14 @@
         if held == Some(document.number) {
             return None;
         }
-        match self.dialect.read_document(&document.content) {
+        let content = match document.unpack() {
+            Ok(content) => content,
+            Err(reason) => {
+                error!(number = document.number, reason:% = reason; "declaration cannot be unpacked");
+                return None;
+            }
+        };
+        match self.dialect.read_document(&content) {
             Ok(declaration) => {
                 let limits: Vec<_> = declaration
                     .teams
