--- a/galenahold/tests/command_line/last_lines.rs
+++ b/galenahold/tests/command_line/last_lines.rs
@@ -47,7 +47,7 @@
 #[test]
 fn output_that_takes_nothing_does_not_hold_the_end_up_for_ever() {
     let output = SlowOutput {
-        pause: time::Duration::from_secs(3_600),
+        pause: time::Duration::from_hours(1),
         written: sync::Arc::default(),
     };
     let mut writer = BoundedWriter::start(output).expect("a thread can be started");
