Keep the place of a leaving adapter until its engine says that it is gone

The planner freed an adapter's place when it decided on the unload; orders to an engine go one after the other, but a load that was decided later could get to the line first.

Change: such an adapter keeps its place, is no victim and is not handed out until the unload is done. Reports of engines that cannot be had are logged with their error; they were dropped without one.

Test: place_of_an_adapter_that_is_to_go_stays_taken_until_it_is_gone, seen failing.

--- a/galenahold_instance/src/gateway/control/mod.rs
+++ b/galenahold_instance/src/gateway/control/mod.rs
@@ -10,6 +10,7 @@
 mod member_watch;
 mod order_sender;
 mod placement_loop;
+mod report_error;
 
 pub(crate) use control_face::ControlFace;
 pub(crate) use desk_parts::DeskParts;
--- a/galenahold_instance/src/gateway/control/order_sender.rs
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -10,11 +10,13 @@
 use http::Request;
 use http_body_util::Full;
 use log::{info, warn};
+use snafu::ResultExt;
 use tokio::sync as tokio_sync;
 
 use crate::backend;
 use crate::control as group;
 use crate::gateway;
+use crate::gateway::control::report_error;
 
 /// How long an engine may take to answer an order or a call for its report.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -151,8 +153,21 @@
         }
     }
 
-    /// Asks an engine for its report.
+    /// Asks an engine for its report; none where it cannot be had, which is logged.
     async fn ask_report(&self, order: &placement::EngineOrder) -> Option<placement::EngineReport> {
+        match self.fetch_report(order).await {
+            Ok(report) => Some(report),
+            Err(error) => {
+                warn!(server:% = order.server, error:% = error; "report of an engine cannot be had");
+                None
+            }
+        }
+    }
+
+    async fn fetch_report(
+        &self,
+        order: &placement::EngineOrder,
+    ) -> Result<placement::EngineReport, report_error::ReportError> {
         let address = backend_address(order);
         let request: Request<_> = self.dialect.report_request(&order.server).map(Full::new);
         let deadline = time::Instant::now() + ANSWER_TIMEOUT;
@@ -160,23 +175,23 @@
             .client
             .connect(&address, backend::ConnectionUse::Fresh)
             .await
-            .ok()?;
+            .context(report_error::ExchangeSnafu)?;
         let mut exchange = self
             .client
             .send(connection, &address, request, deadline)
             .await
-            .ok()?;
-        if !exchange.head().status.is_success() {
-            return None;
-        }
-        let content = exchange.read_rest(MAX_REPORT_BYTES, deadline).await.ok()?;
-        match self.dialect.read_report(&content) {
-            Ok(report) => Some(report),
-            Err(error) => {
-                warn!(server:% = order.server, error:% = error; "report of an engine cannot be read");
-                None
-            }
+            .context(report_error::ExchangeSnafu)?;
+        let status = exchange.head().status;
+        if !status.is_success() {
+            return report_error::StatusSnafu { status }.fail();
         }
+        let content = exchange
+            .read_rest(MAX_REPORT_BYTES, deadline)
+            .await
+            .context(report_error::ExchangeSnafu)?;
+        self.dialect
+            .read_report(&content)
+            .context(report_error::ContentSnafu)
     }
 
     fn line(
--- a/galenahold_placement/src/fleet/adapter_table.rs
+++ b/galenahold_placement/src/fleet/adapter_table.rs
@@ -32,6 +32,8 @@
     Held { from: time::Instant },
     /// An order about it was not answered: it may be there or not until then.
     Doubtful { until: time::Instant },
+    /// It is about to be unloaded and keeps its place until the engine says that it is gone.
+    Leaving,
 }
 
 impl AdapterTable {
@@ -56,6 +58,7 @@
                     || now < entry.used_at + NOTICE_LAG
             }
             AdapterState::Doubtful { until } => now < until,
+            AdapterState::Leaving => true,
         });
     }
 
@@ -69,6 +72,27 @@
         self.held.len()
     }
 
+    /// Counts the places that are taken and not about to be free.
+    pub(super) fn staying(&self) -> usize {
+        let entries = self.held.values();
+        entries
+            .filter(|entry| entry.state != AdapterState::Leaving)
+            .count()
+    }
+
+    /// Notes that the adapter is about to be unloaded.
+    pub(super) fn leave(&mut self, adapter: &domain::HeldAdapter) {
+        if let Some(entry) = self.held.get_mut(adapter) {
+            entry.state = AdapterState::Leaving;
+        }
+    }
+
+    /// Returns whether the adapter is about to be unloaded.
+    pub(super) fn is_leaving(&self, adapter: &domain::HeldAdapter) -> bool {
+        let entry = self.held.get(adapter);
+        entry.is_some_and(|entry| entry.state == AdapterState::Leaving)
+    }
+
     /// Returns whether the adapter is there, comes, or may be there.
     pub(super) fn may_hold(&self, adapter: &domain::HeldAdapter) -> bool {
         self.held.contains_key(adapter)
@@ -82,7 +106,7 @@
     ) -> Option<time::Duration> {
         match self.held.get(adapter)?.state {
             AdapterState::Held { from } => Some(from.saturating_duration_since(now)),
-            AdapterState::Doubtful { .. } => None,
+            AdapterState::Doubtful { .. } | AdapterState::Leaving => None,
         }
     }
 
@@ -136,7 +160,7 @@
                 AdapterState::Held { from } => {
                     now >= from && now.saturating_duration_since(entry.used_at) >= USE_GRACE
                 }
-                AdapterState::Doubtful { .. } => false,
+                AdapterState::Doubtful { .. } | AdapterState::Leaving => false,
             })
             .min_by_key(|(_, entry)| entry.used_at)
             .map(|(adapter, _)| adapter.clone())
--- a/galenahold_placement/src/fleet/adapter_wishes.rs
+++ b/galenahold_placement/src/fleet/adapter_wishes.rs
@@ -46,6 +46,12 @@
             plan.adapters.touch(adapter, now);
             return fleet::AdapterDecision::Comes { ready_in };
         }
+        if plan.adapters.is_leaving(adapter) {
+            return fleet::AdapterDecision::Refused {
+                reason: "the adapter is being unloaded",
+                retry_in: Some(PLACE_REST),
+            };
+        }
         if let Some(order) = &plan.order {
             return fleet::AdapterDecision::Refused {
                 reason: "the engine carries an order about a model out",
@@ -61,7 +67,7 @@
                     retry_in: Some(PLACE_REST),
                 };
             };
-            plan.adapters.free(&victim);
+            plan.adapters.leave(&victim);
             actions.push(fleet::OrderAction::UnloadAdapter(victim));
         }
         let ready_in = adapter_time(model);
@@ -85,11 +91,11 @@
     ) -> Option<fleet::EngineOrder> {
         let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
         let plan = self.plan_of(&record.name, record.started_ms);
-        if !plan.is_free(round.now) || plan.adapters.len() + FREE_ADAPTER_PLACES <= slots {
+        if !plan.is_free(round.now) || plan.adapters.staying() + FREE_ADAPTER_PLACES <= slots {
             return None;
         }
         let victim = plan.adapters.victim(round.now)?;
-        plan.adapters.free(&victim);
+        plan.adapters.leave(&victim);
         Some(self.order(record, fleet::OrderAction::UnloadAdapter(victim)))
     }
 
--- a/galenahold_placement/src/fleet/order_receipts.rs
+++ b/galenahold_placement/src/fleet/order_receipts.rs
@@ -36,7 +36,9 @@
                 _ => plan.adapters.free(adapter),
             },
             fleet::OrderAction::UnloadAdapter(adapter) => {
-                if receipt != fleet::OrderReceipt::Done {
+                if receipt == fleet::OrderReceipt::Done {
+                    plan.adapters.free(adapter);
+                } else {
                     // It may still be there and takes its place until a notice shows otherwise.
                     plan.adapters
                         .reserve(adapter.clone(), time::Duration::ZERO, now);
--- a/galenahold_placement/tests/fleet/adapters.rs
+++ b/galenahold_placement/tests/fleet/adapters.rs
@@ -126,3 +126,32 @@
     }
     assert!(orders[1].adapters.contains(&wanted));
 }
+
+/// Replays trouble-1 of asennau-cymru-grown: an engine had all places taken after a change of leader, and a load
+/// overtook the unload that was to make room for it.
+#[test]
+fn place_of_an_adapter_that_is_to_go_stays_taken_until_it_is_gone() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let record = fixture::record("s1", &["a", "b"], &[]);
+    let (service, engine) = (fixture::service(), fixture::engine());
+    let held = [fixture::adapter("a", "x")];
+    planner.note_adapters(&record.name, record.started_ms, &held, now);
+    let later = now + time::Duration::from_secs(2);
+    let step = planner.plan(&service, &engine, std::iter::once(&record), later);
+    let unload = fleet::OrderAction::UnloadAdapter(held[0].clone());
+    let order = step.orders.iter().find(|order| order.action == unload);
+    let order = order.expect("a place is freed early").clone();
+    let wish = |planner: &mut fleet::FleetPlanner, adapter| {
+        planner.want_adapter(&record, &engine, &fixture::adapter("a", adapter), later)
+    };
+    let first = wish(&mut planner, "y");
+    assert!(matches!(first, fleet::AdapterDecision::Order { .. }));
+    let second = wish(&mut planner, "z");
+    assert!(matches!(second, fleet::AdapterDecision::Refused { .. }));
+    let again = wish(&mut planner, "x");
+    assert!(matches!(again, fleet::AdapterDecision::Refused { .. }));
+    planner.settle(&order, fleet::OrderReceipt::Done, NO_BYTES, later);
+    let third = wish(&mut planner, "z");
+    assert!(matches!(third, fleet::AdapterDecision::Order { .. }));
+}
