--- a/galenahold_testkit/src/harness/mod.rs
+++ b/galenahold_testkit/src/harness/mod.rs
@@ -41,6 +41,7 @@
 pub use operator_client::OperatorClient;
 pub use peer_links::PeerLinks;
 pub use peer_route::PeerRoute;
+pub use port_pool::PortPool;
 pub use product_binary::product_binary;
 pub use revision_drop::RevisionDrop;
 pub use revision_look::RevisionLook;
--- a/galenahold_testkit/src/harness/port_pool.rs
+++ b/galenahold_testkit/src/harness/port_pool.rs
@@ -11,13 +11,17 @@
 /// A port is held by a socket that is bound to it and does not listen. The system gives such a port to
 /// no outgoing connection and to no one who asks for any port, and lets a process listen on it.
 #[derive(Debug, Default)]
-pub(crate) struct PortPool {
+pub struct PortPool {
     holders: Vec<socket2::Socket>,
 }
 
 impl PortPool {
     /// Takes a free loopback address.
-    pub(crate) fn take(&mut self) -> Result<net::SocketAddr, TestkitError> {
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port is free.
+    pub fn take(&mut self) -> Result<net::SocketAddr, TestkitError> {
         let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         let held = hold(any_port).context(ListenSnafu { address: any_port })?;
         let address = held
