Let requests wait for the first confirmation after a start

Change: fleet::StartWait decides, StartGate waits: in the first 3 s of an instance a request waits for the first confirmation, for half of its time and 1.85 s at most, 256 requests at once; the line of the request notes start_wait.

Tests: path::request_that_comes_right_after_a_start_is_served_and_not_sent_away, seen failing (503, stale_configuration) twice without the call of the gate and passing three times with it; fleet::starting.

--- a/galenahold_instance/src/gateway/declaration_holder.rs
+++ b/galenahold_instance/src/gateway/declaration_holder.rs
@@ -5,6 +5,7 @@
 use galenahold_domain::control;
 use galenahold_domain::declaration;
 use log::{error, info};
+use tokio::sync::watch;
 
 use crate::gateway;
 
@@ -13,6 +14,7 @@
 pub(crate) struct DeclarationHolder<Dialect> {
     dialect: Dialect,
     index: sync::Arc<arc_swap::ArcSwapOption<declaration::DeclarationIndex>>,
+    changes: sync::Arc<watch::Sender<()>>,
 }
 
 impl<Dialect: gateway::FleetDialect> DeclarationHolder<Dialect> {
@@ -21,6 +23,7 @@
         Self {
             dialect,
             index: sync::Arc::default(),
+            changes: sync::Arc::default(),
         }
     }
 
@@ -29,6 +32,11 @@
         self.index.load_full()
     }
 
+    /// Returns a receiver that is told of each later declaration.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<()> {
+        self.changes.subscribe()
+    }
+
     /// Takes the document of a view; returns the declaration if it is a new one.
     pub(crate) fn take(
         &self,
@@ -63,6 +71,7 @@
                 );
                 let index = sync::Arc::new(declaration::DeclarationIndex::new(declaration));
                 self.index.store(Some(sync::Arc::clone(&index)));
+                self.changes.send_replace(());
                 Some(index)
             }
             Err(reason) => {
--- a/galenahold_instance/src/gateway/entry/call_desk.rs
+++ b/galenahold_instance/src/gateway/entry/call_desk.rs
@@ -80,6 +80,10 @@
         let arrived = time::Instant::now();
         let call = self.parts.dialect.read_call(&head);
         log.id = call.id.clone().unwrap_or_default();
+        if self.parts.gate.pass(arrived, call.patience).await {
+            log.notes.push("start_wait");
+            log.waited += arrived.elapsed();
+        }
         let fresh = self.parts.holder.is_fresh();
         let index = self.parts.declared.index().ok_or_else(stale_refusal)?;
         log.declaration = index.declaration().number;
--- a/galenahold_instance/src/gateway/entry/call_log.rs
+++ b/galenahold_instance/src/gateway/entry/call_log.rs
@@ -25,7 +25,7 @@
     pub(super) declaration: u64,
     /// How long ago that was confirmed.
     pub(super) confirmed_ago: time::Duration,
-    /// How long it waited for a place.
+    /// How long it waited for the first configuration and for places.
     pub(super) waited: time::Duration,
     /// Why its attempts ended, the latest last.
     pub(super) notes: Vec<&'static str>,
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -23,6 +23,8 @@
     pub(crate) holder: configuration::ConfigurationHolder,
     /// The declaration in force.
     pub(crate) declared: gateway::DeclarationHolder<Dialect>,
+    /// Lets requests wait right after the start.
+    pub(crate) gate: entry::StartGate<Dialect>,
     /// Finds backend servers.
     pub(crate) dispatcher: entry::CallDispatcher,
     /// Tokens of teams.
--- a/galenahold_instance/src/gateway/entry/mod.rs
+++ b/galenahold_instance/src/gateway/entry/mod.rs
@@ -17,6 +17,7 @@
 mod ready_face;
 mod roster_follower;
 mod routed_call;
+mod start_gate;
 mod stream_relay;
 
 use adapter_desk::{AdapterAnswer, AdapterDesk};
@@ -34,4 +35,5 @@
 pub(crate) use ready_face::ReadyFace;
 pub(crate) use roster_follower::RosterFollower;
 use routed_call::RoutedCall;
+pub(crate) use start_gate::StartGate;
 use stream_relay::StreamRelay;
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -318,6 +318,7 @@
             dialect: self.dialect.clone(),
             holder: holder.clone(),
             declared: declared.clone(),
+            gate: entry::StartGate::new(holder.clone(), declared.clone()),
             dispatcher: dispatcher.clone(),
             keeper: keeper.clone(),
             client: client.clone(),
--- a/galenahold_routing/src/fleet/mod.rs
+++ b/galenahold_routing/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod model_target;
 mod placed_call;
 mod retry_purse;
+mod start_wait;
 mod wait_line;
 
 pub use adapter_tries::{AdapterStep, AdapterTries};
@@ -33,4 +34,5 @@
 pub use model_target::ModelTarget;
 pub use placed_call::PlacedCall;
 pub use retry_purse::RetryPurse;
+pub use start_wait::StartWait;
 use wait_line::WaitLine;
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -4,4 +4,5 @@
 mod fixture;
 mod placing;
 mod retries;
+mod starting;
 mod waiting;
