Wait for tokens while a new leader's buckets recover, and let requests that give up ask for nothing

Cause: a new leader starts each bucket from zero, while the requests of the time without a leader have piled up. Found on the way: a request that gives up left its demand with the wallet, so that the next call asked for tokens that nobody waits for, and a request whose wait ended without a reply was counted twice.

Ruled out: teams that ask for more than their rate (noka242 and puye851 were served 57,000 and 80,000 tokens a second, their whole rates); starting the level from records in the log was weighed and left: it puts a write of the disk between the leader and each few hundred lent requests.

Change: a bucket says that it is recovering until it has been full once, for 4 s at most; requests then wait as long as they do for a leader (2.5 s). A request that gives up takes its demand back.

Tests: grant_ledger::bucket_of_a_new_leader_is_recovering_until_it_is_full and ..._for_a_bounded_time, token_wallet::request_that_gives_up_asks_for_nothing_more; they do not compile without the change.

--- a/galenahold_instance/src/rate/charge_patience.rs
+++ b/galenahold_instance/src/rate/charge_patience.rs
@@ -7,14 +7,14 @@
 pub(crate) struct ChargePatience {
     /// Until when it waits where control says that tokens are short.
     pub(crate) for_rate: time::Instant,
-    /// Until when it waits where control does not answer.
+    /// Until when it waits where control does not answer, or leads too short a time to know the team's level.
     pub(crate) for_control: time::Instant,
 }
 
 impl ChargePatience {
-    /// Returns until when a request waits, given whether control has answered since it came.
-    pub(super) fn until(self, answered: bool) -> time::Instant {
-        if answered {
+    /// Returns until when a request waits, given whether control has told it the team's level.
+    pub(super) fn until(self, level_known: bool) -> time::Instant {
+        if level_known {
             self.for_rate
         } else {
             self.for_control
--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -82,32 +82,46 @@
         loop {
             let now = time::Instant::now();
             let outcome = self.lock().charge(team, wanted, now);
-            let retry_after = match outcome {
+            let (retry_after, recovering) = match outcome {
                 rate::ChargeOutcome::Charged(receipt) => {
                     return Ok(tokens::TokenCharge::new(self.clone(), receipt));
                 }
-                rate::ChargeOutcome::Ask { retry_after, .. } => retry_after,
+                rate::ChargeOutcome::Ask {
+                    retry_after,
+                    recovering,
+                    ..
+                } => (retry_after, recovering),
                 rate::ChargeOutcome::TooLarge { burst } => {
                     return Err(refuse_too_large(wanted, burst));
                 }
                 rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown(team)),
             };
             let answered = replies.borrow_and_update().answered > before;
-            let until = patience.until(answered);
+            let until = patience.until(answered && !recovering);
             let left = until.saturating_duration_since(now);
             let hopeless = answered && retry_after.is_some_and(|wait| wait > left);
-            if hopeless || (left.is_zero() && answered) {
-                return Err(refuse_rate(team, retry_after));
-            }
-            if left.is_zero() {
-                return Err(refuse_unanswered());
-            }
-            if place.is_none() {
-                place = Some(self.room.enter(team).ok_or_else(|| refuse_crowd(team))?);
+            let refusal = if hopeless || (left.is_zero() && answered) {
+                Some(refuse_rate(team, retry_after))
+            } else if left.is_zero() {
+                Some(refuse_unanswered())
+            } else if place.is_none() {
+                place = self.room.enter(team);
+                place.is_none().then(|| refuse_crowd(team))
+            } else {
+                None
+            };
+            if let Some(refusal) = refusal {
+                // Nobody waits for what was asked for here.
+                self.lock().withdraw(team, wanted);
+                return Err(refusal);
             }
             self.wanted.notify_one();
             // A reply that comes in time is all that can change the answer.
-            let _ = tokio::time::timeout_at(until.into(), replies.changed()).await;
+            let replied = tokio::time::timeout_at(until.into(), replies.changed()).await;
+            if replied.is_err() {
+                // The demand still stands; the next turn states it anew.
+                self.lock().withdraw(team, wanted);
+            }
         }
     }
 
--- a/galenahold_routing/src/rate/charge_outcome.rs
+++ b/galenahold_routing/src/rate/charge_outcome.rs
@@ -17,6 +17,8 @@
         missing: amount::TokenCount,
         /// The wait that control predicted when it was last asked; absent before the first reply.
         retry_after: Option<time::Duration>,
+        /// Whether control said that the bucket may hold less than the team is due.
+        recovering: bool,
     },
     /// The tokens are more than the team's burst: they can never be given.
     TooLarge {
--- a/galenahold_routing/src/rate/grant_ledger.rs
+++ b/galenahold_routing/src/rate/grant_ledger.rs
@@ -140,6 +140,7 @@
             expiry_in: self.settings.grant_expiry,
             retry_after: gift.retry_after,
             scarce: gift.scarce,
+            recovering: gift.recovering,
             weight: self.fairness.weight(&request.team, now),
         })
     }
--- a/galenahold_routing/src/rate/team_bucket.rs
+++ b/galenahold_routing/src/rate/team_bucket.rs
@@ -11,6 +11,10 @@
 
 const NANOS: i128 = 1_000_000_000;
 
+/// How long a new leader's bucket counts as recovering at most: a team that asks for more than its rate never
+/// fills it.
+const RECOVERY_LIMIT: time::Duration = time::Duration::from_secs(4);
+
 /// The bucket of one team: its level, what was lent from it and who waits for it.
 ///
 /// `level + outstanding <= burst` holds at all times. Both count in nanotokens inside, so a rate of
@@ -23,6 +27,8 @@
     level: i128,
     outstanding: u64,
     refilled_at: time::Instant,
+    /// Until when the bucket counts as recovering, unless it is full before.
+    recovers_until: Option<time::Instant>,
     next_write_off: Option<time::Instant>,
     history: LevelHistory,
     holders: collections::BTreeMap<name::InstanceName, HolderAccount>,
@@ -45,6 +51,7 @@
     pub(super) tokens: u64,
     pub(super) retry_after: Option<time::Duration>,
     pub(super) scarce: bool,
+    pub(super) recovering: bool,
 }
 
 impl TeamBucket {
@@ -57,6 +64,7 @@
             level: 0,
             outstanding: 0,
             refilled_at: refills_from,
+            recovers_until: Some(refills_from + RECOVERY_LIMIT),
             next_write_off: None,
             history: LevelHistory::default(),
             holders: collections::BTreeMap::new(),
@@ -159,6 +167,7 @@
             tokens: needed + prefetch,
             retry_after: waits.then(|| self.predict_wait(instance, now)).flatten(),
             scarce: !self.pending.is_empty(),
+            recovering: self.recovers_until.is_some(),
         }
     }
 
@@ -199,8 +208,12 @@
         };
         let nanos = i128::try_from(elapsed.as_nanos()).unwrap_or(i128::MAX / NANOS);
         let refill = nanos.saturating_mul(i128::from(self.rate));
-        self.level = self.level.saturating_add(refill).min(self.highest_level());
+        let refilled = self.level.saturating_add(refill);
+        self.level = refilled.min(self.highest_level());
         self.refilled_at = now;
+        // A full bucket holds what the team is due, whatever an earlier leader lent.
+        let full = refilled >= self.highest_level();
+        self.recovers_until = self.recovers_until.filter(|until| !full && now < *until);
     }
 
     /// Counts as spent what can no longer be spent and was not accounted for.
--- a/galenahold_routing/src/rate/token_grant.rs
+++ b/galenahold_routing/src/rate/token_grant.rs
@@ -23,6 +23,9 @@
     pub retry_after: Option<time::Duration>,
     /// Whether others wait for the team's tokens, so that idle ones should be returned.
     pub scarce: bool,
+    /// Whether the bucket may hold less than the team is due, since its leader is new.
+    #[serde(default)]
+    pub recovering: bool,
     /// The team's weight in fair queues, with the fleet-wide correction.
     pub weight: f64,
 }
--- a/galenahold_routing/src/rate/token_wallet.rs
+++ b/galenahold_routing/src/rate/token_wallet.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Takes back the demand of a request that was told to ask since the last reply and gives up.
+    pub fn withdraw(&mut self, team: &name::TeamName, tokens: amount::TokenCount) {
+        if let Some(account) = self.accounts.get_mut(team) {
+            account.withdraw(tokens.0);
+        }
+    }
+
     /// Confirms that a charged request is sent now; call it as the last step before the send.
     ///
     /// Returns false where the tokens expired meanwhile: the request must not be sent and has to be
--- a/galenahold_routing/src/rate/wallet_account.rs
+++ b/galenahold_routing/src/rate/wallet_account.rs
@@ -46,6 +46,7 @@
     /// Whether it gave less than was asked for.
     short: bool,
     scarce: bool,
+    recovering: bool,
 }
 
 /// A grant in hand.
@@ -259,6 +260,7 @@
         self.reply.retry_at = grant.retry_after.map(|after| now + after);
         self.reply.short = grant.tokens.0 < self.asked;
         self.reply.scarce = grant.scarce;
+        self.reply.recovering = grant.recovering;
         self.weight = grant.weight;
         if grant.tokens.0 == 0 {
             return;
@@ -282,6 +284,12 @@
         self.reply.retry_at = Some(now + retry_after);
     }
 
+    /// Takes back what a request asked for that no longer waits and that no call has asked for yet.
+    pub(super) fn withdraw(&mut self, tokens: u64) {
+        self.waiting = self.waiting.saturating_sub(tokens);
+        self.first_waiting = self.first_waiting.min(self.waiting);
+    }
+
     /// Returns the sequence number of the latest refund.
     pub(super) fn refund_sequence(&self) -> u64 {
         self.refund_sequence
@@ -298,6 +306,7 @@
         rate::ChargeOutcome::Ask {
             missing,
             retry_after,
+            recovering: self.reply.recovering,
         }
     }
 
--- a/galenahold_routing/tests/rate/grant_ledger.rs
+++ b/galenahold_routing/tests/rate/grant_ledger.rs
@@ -42,6 +42,29 @@
     assert!(reply.grants[0].retry_after.is_some());
 }
 
+/// Returns whether the bucket of a new leader is recovering so long after its start.
+fn is_recovering(rate: u64, after: time::Duration) -> bool {
+    let now = time::Instant::now();
+    let settings = rate::LedgerSettings::default().with_refill_at_once();
+    let mut ledger = rate::GrantLedger::new(2, settings, now);
+    ledger.set_teams(&[team(rate, 1_000)], now);
+    let reply = ledger.grant(&call("entry-1", 1, 0), now + after);
+    reply.grants[0].recovering
+}
+
+#[test]
+fn bucket_of_a_new_leader_is_recovering_until_it_is_full() {
+    assert!(is_recovering(1_000, SECOND / 10));
+    assert!(is_recovering(1_000, SECOND * 9 / 10));
+    assert!(!is_recovering(1_000, SECOND * 11 / 10));
+}
+
+#[test]
+fn bucket_that_takes_long_to_fill_counts_as_recovering_for_a_bounded_time() {
+    assert!(is_recovering(100, SECOND * 3));
+    assert!(!is_recovering(100, SECOND * 5));
+}
+
 #[test]
 fn silent_holder_takes_its_tokens_with_it() {
     let now = time::Instant::now();
--- a/galenahold_routing/tests/rate/token_wallet.rs
+++ b/galenahold_routing/tests/rate/token_wallet.rs
@@ -204,6 +204,17 @@
     assert_eq!(retry_after, Some(2 * SECOND));
 }
 
+#[test]
+fn request_that_gives_up_asks_for_nothing_more() {
+    let mut pair = Pair::with_full_bucket();
+    assert!(pair.charge(300).is_none());
+    assert!(pair.charge(200).is_none());
+    pair.wallet.withdraw(&pair.team, amount::TokenCount(300));
+    let call = pair.wallet.call(pair.now).expect("a request waits");
+    assert_eq!(call.teams[0].missing, amount::TokenCount(200));
+    assert_eq!(call.teams[0].first_missing, amount::TokenCount(200));
+}
+
 #[test]
 fn unused_tokens_flow_back_to_the_bucket() {
     let mut pair = Pair::with_full_bucket();
