Wait for servers that have not stated themselves after a start

Change: a follower whose roster was empty and is not settled yet tells the board until when servers may still state themselves, one period of notices; until then a call waits for them where it would be refused for want of a server or model.

Tests: fleet::starting, three of them (they do not compile without the change).

--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -153,6 +153,11 @@
         self.change(|board| board.close_at(moment));
     }
 
+    /// Says until when servers may exist that the roster does not name yet.
+    pub(super) fn expect_servers_until(&self, moment: time::Instant) {
+        self.change(|board| board.expect_servers_until(moment));
+    }
+
     /// Puts a declaration in force.
     pub(crate) fn declare(&self, declaration: &declaration::FleetDeclaration) {
         self.change(|board| board.declare(declaration));
--- a/galenahold_instance/src/gateway/entry/roster_follower.rs
+++ b/galenahold_instance/src/gateway/entry/roster_follower.rs
@@ -1,6 +1,7 @@
 //! Follows the leader's roster.
 
 use std::sync;
+use std::time;
 
 use galenahold_domain::fleet;
 use galenahold_routing::fleet as routing;
@@ -18,6 +19,8 @@
     purse: sync::Arc<sync::Mutex<routing::RetryPurse>>,
     /// Attempts beyond the share of calls that all instances together may make.
     shared_retries: f64,
+    /// Time between two notices of a backend server.
+    notice_period: time::Duration,
 }
 
 impl RosterFollower {
@@ -26,12 +29,14 @@
         dispatcher: entry::CallDispatcher,
         purse: sync::Arc<sync::Mutex<routing::RetryPurse>>,
         shared_retries: f64,
+        notice_period: time::Duration,
     ) -> Self {
         Self {
             view: sync::Arc::default(),
             dispatcher,
             purse,
             shared_retries,
+            notice_period,
         }
     }
 
@@ -67,10 +72,15 @@
         };
         let mut view = self.lock();
         let term = view.mark().term;
+        let knew_none = view.records().next().is_none();
         let touched = view.take(update);
         let mark = view.mark();
         if mark.term != term {
             info!(term = mark.term, version = mark.version; "follows the roster of another leader");
+            if knew_none && !view.is_settled() {
+                self.dispatcher
+                    .expect_servers_until(time::Instant::now() + self.notice_period);
+            }
         }
         let changed: Vec<_> = touched
             .iter()
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -303,6 +303,7 @@
             dispatcher.clone(),
             sync::Arc::clone(&purse),
             shared_retries,
+            self.settings.notice_period,
         );
         self.start_watcher(holder.clone(), client, desk, follower);
         entry::LeaderScout::new(self.network.clone(), client.clone()).start(&self.groups.system);
--- a/galenahold_routing/src/fleet/dispatch_board.rs
+++ b/galenahold_routing/src/fleet/dispatch_board.rs
@@ -56,6 +56,8 @@
     followers: u32,
     data_centre: Option<name::DataCentreName>,
     closes_at: Option<time::Instant>,
+    /// Until when servers may exist that nobody has told of yet.
+    servers_due_by: Option<time::Instant>,
 }
 
 impl DispatchBoard {
@@ -73,6 +75,15 @@
         self.closes_at = Some(moment);
     }
 
+    /// Says until when servers may exist that this board has not been told of: it follows a new leader, and knew
+    /// no servers before.
+    ///
+    /// It answers the load after a loss of all power: the first requests come before the servers have stated
+    /// themselves, and are not to be sent away from what is loaded all the while.
+    pub fn expect_servers_until(&mut self, moment: time::Instant) {
+        self.servers_due_by = Some(moment);
+    }
+
     /// Puts a declaration in force.
     pub fn declare(&mut self, declaration: &declaration::FleetDeclaration) {
         self.estimate = fleet::LoadEstimate::new(&declaration.services);
@@ -346,7 +357,14 @@
                 let turns = u32::try_from(turns).unwrap_or(u32::MAX);
                 (fleet::RefusalCause::Full, PLACE_TIME.saturating_mul(turns))
             }
-            None => self.until_able(need, now),
+            None => {
+                let (cause, expected) = self.until_able(need, now);
+                (
+                    cause,
+                    self.until_told(now)
+                        .map_or(expected, |due| due.min(expected)),
+                )
+            }
         };
         let refused = expected >= left || self.line.len() >= MAX_WAITING;
         refused.then(|| fleet::BoardRefusal {
@@ -375,6 +393,12 @@
         (fleet::RefusalCause::NotLoaded, expected)
     }
 
+    /// Returns how long it takes until all servers are known, if that is not over.
+    fn until_told(&self, now: time::Instant) -> Option<time::Duration> {
+        let due_by = self.servers_due_by.filter(|due_by| now < *due_by)?;
+        Some(due_by - now)
+    }
+
     fn ahead(&self, need: &fleet::CallNeed) -> usize {
         let model = need.target.as_ref().map(|target| &target.model);
         self.line.ahead(&need.service, model, need.rank)
--- a/galenahold_routing/tests/fleet/starting.rs
+++ b/galenahold_routing/tests/fleet/starting.rs
@@ -4,6 +4,8 @@
 
 use galenahold_routing::fleet;
 
+use crate::fixture;
+
 const MILLI: time::Duration = time::Duration::from_millis(1);
 
 #[test]
@@ -32,3 +34,43 @@
     let wait = fleet::StartWait::new(now);
     assert_eq!(wait.until(now + MILLI * 10_000, Some(MILLI * 8_000)), None);
 }
+
+/// Load pattern: all machines come back from a loss of power, and requests come before the servers have stated
+/// themselves to the new leader.
+#[test]
+fn request_waits_for_servers_that_have_not_stated_themselves_yet() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[], now);
+    board.expect_servers_until(now + MILLI * 1_200);
+    let ticket = fixture::waiting(&board.submit(fixture::need("m", MILLI * 3_000, now), now));
+    let later = now + MILLI * 800;
+    assert_eq!(board.poll(later), []);
+    board.update_server(fixture::record("s1", &["m"]), later);
+    let placed = board.poll(later);
+    assert_eq!(placed.len(), 1);
+    assert_eq!(placed[0].ticket, ticket);
+    assert!(placed[0].result.is_ok());
+}
+
+#[test]
+fn request_is_refused_once_all_servers_are_known_and_none_has_its_model() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[fixture::record("s1", &["other"])], now);
+    board.expect_servers_until(now + MILLI * 1_200);
+    fixture::waiting(&board.submit(fixture::need("m", MILLI * 3_000, now), now));
+    let settled = board.poll(now + MILLI * 1_250);
+    assert_eq!(settled.len(), 1);
+    assert!(settled[0].result.is_err());
+}
+
+#[test]
+fn request_that_cannot_wait_for_the_servers_is_refused_at_once() {
+    let now = time::Instant::now();
+    let mut board = fixture::board(&[], now);
+    board.expect_servers_until(now + MILLI * 1_200);
+    let submission = board.submit(fixture::need("m", MILLI * 700, now), now);
+    assert!(
+        matches!(submission, fleet::CallSubmission::Refused(_)),
+        "{submission:?}"
+    );
+}
