Pack the messages between instances

Ruled out: fewer messages (they carry what waiting requests need at once); unnamed fields (instances of two versions would no longer understand each other); packing each message by itself (300 bytes hold too little that repeats).

Change: PackingCodec deflates the messages of one direction of a connection as one stream, with a flush after each. Both sides say in their greeting that they unpack; before that, and with an instance that does not say so, messages stay plain, and plain ones are understood at any time.

Tests: wire rpc::packing (order, size of real requests, older instances, large messages, the limit on unpacked bytes, garbage).

--- a/galenahold_instance/src/gateway/control/gateway_service.rs
+++ b/galenahold_instance/src/gateway/control/gateway_service.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use futures::StreamExt;
+use galenahold_wire::codec;
 use galenahold_wire::message;
 use galenahold_wire::rpc;
 use tarpc::context;
@@ -30,6 +31,8 @@
     pub(crate) directory: peer::PeerDirectory,
     /// What was counted against objectives.
     pub(crate) recorder: platform::BurnRecorder,
+    /// Whether the messages of this connection are packed.
+    pub(crate) packing: codec::PackingSwitch,
 }
 
 impl<Dialect> Clone for GatewayService<Dialect> {
@@ -40,6 +43,7 @@
             client: self.client.clone(),
             directory: self.directory.clone(),
             recorder: self.recorder.clone(),
+            packing: self.packing.clone(),
         }
     }
 }
@@ -55,7 +59,13 @@
             return message::HelloReply::Stranger;
         }
         self.directory.hear(&request.card, time::Instant::now());
-        message::HelloReply::Welcome { card: own.clone() }
+        if request.unpacks {
+            self.packing.allow();
+        }
+        message::HelloReply::Welcome {
+            card: own.clone(),
+            unpacks: true,
+        }
     }
 
     async fn consensus(
@@ -127,8 +137,9 @@
 }
 
 impl<Dialect: gateway::FleetDialect> peer::PeerService for GatewayService<Dialect> {
-    async fn answer(self, stream: net::TcpStream) {
-        server::BaseChannel::with_defaults(rpc::frame_transport(stream))
+    async fn answer(mut self, stream: net::TcpStream) {
+        self.packing = codec::PackingSwitch::default();
+        server::BaseChannel::with_defaults(rpc::frame_transport(stream, self.packing.clone()))
             .execute(rpc::InstanceRpc::serve(self))
             .for_each_concurrent(peer::CALLS_IN_FLIGHT, |answering| answering)
             .await;
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -12,6 +12,7 @@
 use galenahold_domain::name;
 use galenahold_routing::fleet;
 use galenahold_routing::rate as routing_rate;
+use galenahold_wire::codec;
 use galenahold_wire::message;
 use snafu::ResultExt;
 use tokio::net as tokio_net;
@@ -241,6 +242,7 @@
             client: client.clone(),
             directory: self.network.directory().clone(),
             recorder: platform::BurnRecorder::new(self.settings.name.clone()),
+            packing: codec::PackingSwitch::default(),
         };
         peer::PeerServer::new(listener, service).start(&self.groups.system);
         control::MemberKeeper::new(sync::Arc::clone(&parts.member), self.settings.losses_borne)
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use futures::StreamExt;
+use galenahold_wire::codec;
 use galenahold_wire::message;
 use galenahold_wire::rpc;
 use tarpc::context;
@@ -37,11 +38,14 @@
     pub(crate) events: tokio::sync::mpsc::Sender<galenahold_domain::server::CacheEvent>,
     /// What was counted against objectives.
     pub(crate) recorder: platform::BurnRecorder,
+    /// Whether the messages of this connection are packed.
+    pub(crate) packing: codec::PackingSwitch,
 }
 
 impl peer::PeerService for InstanceService {
-    async fn answer(self, stream: net::TcpStream) {
-        server::BaseChannel::with_defaults(rpc::frame_transport(stream))
+    async fn answer(mut self, stream: net::TcpStream) {
+        self.packing = codec::PackingSwitch::default();
+        server::BaseChannel::with_defaults(rpc::frame_transport(stream, self.packing.clone()))
             .execute(rpc::InstanceRpc::serve(self))
             .for_each_concurrent(peer::CALLS_IN_FLIGHT, |answering| answering)
             .await;
@@ -59,7 +63,13 @@
             return message::HelloReply::Stranger;
         }
         self.directory.hear(&request.card, time::Instant::now());
-        message::HelloReply::Welcome { card: own.clone() }
+        if request.unpacks {
+            self.packing.allow();
+        }
+        message::HelloReply::Welcome {
+            card: own.clone(),
+            unpacks: true,
+        }
     }
 
     async fn consensus(
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -11,6 +11,7 @@
 use galenahold_routing::rate as routing_rate;
 use galenahold_routing::replica;
 use galenahold_settings::{InstanceSettings, LimitSettings, TimingSettings};
+use galenahold_wire::codec;
 use galenahold_wire::message;
 use log::warn;
 use snafu::ResultExt;
@@ -239,6 +240,7 @@
             registry: self.registry.clone(),
             events: self.event_sink.clone(),
             recorder: self.recorder.clone(),
+            packing: codec::PackingSwitch::default(),
         };
         peer::PeerServer::new(listener, service).start(&groups.system);
     }
--- a/galenahold_instance/src/peer/peer_link.rs
+++ b/galenahold_instance/src/peer/peer_link.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use galenahold_wire::codec;
 use galenahold_wire::message;
 use galenahold_wire::rpc;
 use log::warn;
@@ -120,14 +121,15 @@
             .ok()?
             .ok()?;
         stream.set_nodelay(true).ok()?;
-        let transport = rpc::frame_transport(stream);
+        let packing = codec::PackingSwitch::default();
+        let transport = rpc::frame_transport(stream, packing.clone());
         let new_client = rpc::InstanceRpcClient::new(client::Config::default(), transport);
         let dispatch = new_client.dispatch;
         self.group.spawn_until_stop(async move {
             // A broken connection shows at its calls.
             let _ = dispatch.await;
         });
-        self.greet(new_client.client, address).await
+        self.greet(new_client.client, address, &packing).await
     }
 
     /// Makes sure that the wanted instance is reached: addresses are reused by others.
@@ -135,12 +137,16 @@
         &self,
         client: rpc::InstanceRpcClient,
         address: net::SocketAddr,
+        packing: &codec::PackingSwitch,
     ) -> Option<rpc::InstanceRpcClient> {
         let context = Self::context(CONNECT_TIMEOUT);
         let greeting = client.hello(context, self.hello.clone());
         let greeted = tokio::time::timeout(CONNECT_TIMEOUT, greeting).await;
         match greeted.ok()?.ok()? {
-            message::HelloReply::Welcome { card } => {
+            message::HelloReply::Welcome { card, unpacks } => {
+                if unpacks {
+                    packing.allow();
+                }
                 self.directory.hear(&card, time::Instant::now());
                 Some(client)
             }
--- a/galenahold_instance/src/peer/peer_network.rs
+++ b/galenahold_instance/src/peer/peer_network.rs
@@ -90,6 +90,7 @@
             cluster: self.cluster.to_string(),
             card: self.directory.own().clone(),
             to: name.clone(),
+            unpacks: true,
         };
         let link =
             peer::PeerLink::new(addresses, hello, self.directory.clone(), self.group.clone());
--- a/galenahold_routing/src/fleet/dispatch_board.rs
+++ b/galenahold_routing/src/fleet/dispatch_board.rs
@@ -352,19 +352,16 @@
         let until = need.patience_until.min(closes_at);
         let left = until.saturating_duration_since(now);
         let able = self.able(need, now).count();
-        let (cause, expected) = match ahead.checked_div(able) {
-            Some(turns) => {
-                let turns = u32::try_from(turns).unwrap_or(u32::MAX);
-                (fleet::RefusalCause::Full, PLACE_TIME.saturating_mul(turns))
-            }
-            None => {
-                let (cause, expected) = self.until_able(need, now);
-                (
-                    cause,
-                    self.until_told(now)
-                        .map_or(expected, |due| due.min(expected)),
-                )
-            }
+        let (cause, expected) = if let Some(turns) = ahead.checked_div(able) {
+            let turns = u32::try_from(turns).unwrap_or(u32::MAX);
+            (fleet::RefusalCause::Full, PLACE_TIME.saturating_mul(turns))
+        } else {
+            let (cause, expected) = self.until_able(need, now);
+            let until_told = self.until_told(now);
+            (
+                cause,
+                until_told.map_or(expected, |told| told.min(expected)),
+            )
         };
         let refused = expected >= left || self.line.len() >= MAX_WAITING;
         refused.then(|| fleet::BoardRefusal {
--- a/galenahold_wire/src/message/hello_request.rs
+++ b/galenahold_wire/src/message/hello_request.rs
@@ -14,6 +14,9 @@
     pub card: message::InstanceCard,
     /// Whom it wants to reach.
     pub to: name::InstanceName,
+    /// Whether it unpacks packed messages.
+    #[serde(default)]
+    pub unpacks: bool,
 }
 
 /// What the other instance answers.
@@ -24,6 +27,9 @@
     Welcome {
         /// Who it is.
         card: message::InstanceCard,
+        /// Whether it unpacks packed messages.
+        #[serde(default)]
+        unpacks: bool,
     },
     /// It belongs to another cluster or has another name: the address was reused.
     Stranger,
--- a/galenahold_wire/src/rpc/peer_transport.rs
+++ b/galenahold_wire/src/rpc/peer_transport.rs
@@ -5,18 +5,21 @@
 use tarpc::tokio_util::codec;
 use tokio::net;
 
-use crate::codec::NamedMessagePack;
+use crate::codec as messages;
 
 /// The largest message between instances, in bytes: a snapshot of the configuration has to fit.
 pub const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
 
 /// A tarpc transport over one TCP connection between instances.
 pub type PeerTransport<Item, SinkItem> =
-    serde_transport::Transport<net::TcpStream, Item, SinkItem, NamedMessagePack>;
+    serde_transport::Transport<net::TcpStream, Item, SinkItem, messages::PackingCodec>;
 
-/// Frames a TCP connection between instances by length.
+/// Frames a TCP connection between instances by length; messages are packed once `switch` allows it.
 #[must_use]
-pub fn frame_transport<Item, SinkItem>(stream: net::TcpStream) -> PeerTransport<Item, SinkItem>
+pub fn frame_transport<Item, SinkItem>(
+    stream: net::TcpStream,
+    switch: messages::PackingSwitch,
+) -> PeerTransport<Item, SinkItem>
 where
     Item: for<'a> Deserialize<'a>,
     SinkItem: Serialize,
@@ -24,5 +27,6 @@
     let framed = codec::LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME_BYTES)
         .new_framed(stream);
-    serde_transport::new(framed, NamedMessagePack)
+    let codec = messages::PackingCodec::new(switch, MAX_FRAME_BYTES);
+    serde_transport::new(framed, codec)
 }
--- a/galenahold_wire/tests/rpc/main.rs
+++ b/galenahold_wire/tests/rpc/main.rs
@@ -1,3 +1,4 @@
-//! Instances of different versions understand each other's messages.
+//! Messages between instances: those of different versions understand each other, and packed ones come back whole.
 
+mod packing;
 mod version_skew;
