Count unanswered loads at the store, and fetch no further copy before the first is there

Change: an unanswered load from the store holds its place as long as it may be carried out; a further copy of a model comes from the store only once one engine holds the model.

Tests: store_loads::unanswered_load_from_the_store_holds_its_place_while_it_may_be_carried_out and ::further_copy_is_not_fetched_while_the_first_is_still_coming, both seen failing with their part taken back.

--- a/galenahold_placement/src/fleet/early_loads.rs
+++ b/galenahold_placement/src/fleet/early_loads.rs
@@ -36,6 +36,7 @@
                 model,
                 worth: 0.0,
                 may_evict: fleet::Eviction::Idle,
+                may_fetch: true,
             };
             if let Some(option) = self.best_option(round, &need, taken) {
                 taken.insert(option.record.name.clone());
@@ -80,6 +81,7 @@
                 model,
                 worth: 0.0,
                 may_evict: fleet::Eviction::None,
+                may_fetch: true,
             };
             if let Some(option) = self.option(round, &need, record, self.store_loads(round)) {
                 taken.insert(record.name.clone());
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -85,7 +85,7 @@
         let (takes, from_store) = load_time(need.model, record);
         if from_store {
             let room = self.store.has_room(round.engine.store_loads_per_s, now);
-            if store_loads >= self.store_limit() || !room {
+            if !need.may_fetch || store_loads >= self.store_limit() || !room {
                 return None;
             }
         }
@@ -181,12 +181,15 @@
         near && plain && idle
     }
 
-    /// Counts the loads from the store that are under way; what an engine that is gone was loading is not.
+    /// Counts the loads from the store that are or may be under way; what an engine that is gone was loading is
+    /// not.
     pub(super) fn store_loads(&self, round: &fleet::PlanRound<'_>) -> usize {
-        let records = round.records.iter();
-        let plans = records.filter_map(|record| self.servers.get(&record.name));
-        let orders = plans.filter_map(|plan| plan.order.as_ref());
-        orders.filter(|order| order.from_store).count()
+        let counts = round.records.iter().filter_map(|record| {
+            let plan = self.servers.get(&record.name)?;
+            let ordered = plan.order.as_ref().is_some_and(|order| order.from_store);
+            Some(usize::from(ordered) + plan.doubtful_fetches(record, round.now))
+        });
+        counts.sum()
     }
 
     /// Returns how many loads from the store may be under way at once.
--- a/galenahold_placement/src/fleet/model_need.rs
+++ b/galenahold_placement/src/fleet/model_need.rs
@@ -8,6 +8,8 @@
     pub(super) worth: f64,
     /// Which other models may be unloaded for it.
     pub(super) may_evict: Eviction,
+    /// Whether it may be fetched from the weight store.
+    pub(super) may_fetch: bool,
 }
 
 /// Which models may be unloaded for another one.
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -65,6 +65,7 @@
                 } else {
                     fleet::Eviction::None
                 },
+                may_fetch: true,
             });
         }
         let load = interest.running(now) + interest.waiting(now);
@@ -75,6 +76,8 @@
             model,
             worth: self.worth(round, &model.name) * FURTHER_COPY_SHARE,
             may_evict: fleet::Eviction::WorthLess,
+            // While the first copy is still coming, the store is for models that have none.
+            may_fetch: held > 0,
         })
     }
 
--- a/galenahold_placement/src/fleet/order_receipts.rs
+++ b/galenahold_placement/src/fleet/order_receipts.rs
@@ -46,10 +46,11 @@
                 }
             }
             fleet::OrderAction::LoadModel(model) => {
+                let from_store = plan.order.as_ref().is_some_and(|open| open.from_store);
                 settle_model_order(plan, order, receipt, now);
                 if receipt == fleet::OrderReceipt::Unanswered {
                     let until = now + adapter_table::LATE_ORDER_TIME;
-                    plan.doubt(model.clone(), bytes, until);
+                    plan.doubt(model.clone(), bytes, from_store, until);
                 }
             }
             fleet::OrderAction::UnloadModel(_) => settle_model_order(plan, order, receipt, now),
@@ -99,7 +100,8 @@
                 .map_or(amount::ByteCount(0), |model| model.weights);
             if loads {
                 let until = now + adapter_table::LATE_ORDER_TIME;
-                plan.doubt(model.clone(), bytes, until);
+                let from_store = order.from_store;
+                plan.doubt(model.clone(), bytes, from_store, until);
             }
             plan.order = None;
             plan.next = None;
--- a/galenahold_placement/src/fleet/server_plan.rs
+++ b/galenahold_placement/src/fleet/server_plan.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use galenahold_domain::amount;
+use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 
 use crate::fleet;
@@ -28,6 +29,7 @@
 struct DoubtfulLoad {
     model: name::ModelName,
     bytes: amount::ByteCount,
+    from_store: bool,
     until: time::Instant,
 }
 
@@ -49,15 +51,29 @@
         &mut self,
         model: name::ModelName,
         bytes: amount::ByteCount,
+        from_store: bool,
         until: time::Instant,
     ) {
         self.doubtful.push(DoubtfulLoad {
             model,
             bytes,
+            from_store,
             until,
         });
     }
 
+    /// Counts the unanswered loads from the store that may be under way.
+    pub(super) fn doubtful_fetches(
+        &self,
+        record: &domain::ServerRecord,
+        now: time::Instant,
+    ) -> usize {
+        let fetches = self.doubtful.iter().filter(|load| {
+            load.from_store && now < load.until && record.model(&load.model).is_none()
+        });
+        fetches.count()
+    }
+
     /// Returns the memory that unanswered loads may take, except for models that the record shows.
     pub(super) fn doubtful_bytes(
         &mut self,
--- a/galenahold_placement/tests/fleet/store_loads.rs
+++ b/galenahold_placement/tests/fleet/store_loads.rs
@@ -4,6 +4,7 @@
 
 use std::time;
 
+use galenahold_domain::amount;
 use galenahold_domain::declaration;
 use galenahold_domain::fleet as domain;
 use galenahold_placement::fleet;
@@ -151,3 +152,51 @@
     store.run(STEP * 2);
     assert_eq!(store.fetches.len(), 2);
 }
+
+/// Load pattern: engines leave orders unanswered and carry them out late.
+#[test]
+fn unanswered_load_from_the_store_holds_its_place_while_it_may_be_carried_out() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records: Vec<_> = (0..6).map(|number| record(number, &[])).collect();
+    for model in ["a", "b", "c", "d"] {
+        fixture::wait_for(&mut planner, model, now);
+    }
+    let step = fixture::plan(&mut planner, &records, now);
+    assert_eq!(step.orders.len(), 2);
+    let bytes = amount::ByteCount(fixture::WEIGHTS);
+    for order in &step.orders {
+        planner.settle(order, fleet::OrderReceipt::Unanswered, bytes, now);
+    }
+    let later = now + time::Duration::from_secs(2);
+    for model in ["a", "b", "c", "d"] {
+        fixture::wait_for(&mut planner, model, later);
+    }
+    assert_eq!(
+        fixture::actions(&fixture::plan(&mut planner, &records, later)),
+        []
+    );
+}
+
+/// Load pattern: a model that no engine holds is asked for more and more, and then another one.
+#[test]
+fn further_copy_is_not_fetched_while_the_first_is_still_coming() {
+    let now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records: Vec<_> = (0..6).map(|number| record(number, &[])).collect();
+    fixture::wait_for(&mut planner, "a", now);
+    let first = fixture::plan(&mut planner, &records, now);
+    assert_eq!(fixture::actions(&first).len(), 1);
+    let later = now + STEP;
+    for _ in 0..40 {
+        fixture::wait_for(&mut planner, "a", later);
+    }
+    fixture::wait_for(&mut planner, "b", later);
+    let second = fixture::plan(&mut planner, &records, later);
+    let models: Vec<_> = second
+        .orders
+        .iter()
+        .map(|order| order.action.model().to_string())
+        .collect();
+    assert_eq!(models, ["b"]);
+}
--- a/galenahold_wire/src/codec/packing_codec.rs
+++ b/galenahold_wire/src/codec/packing_codec.rs
@@ -54,8 +54,8 @@
         }
         let mut packed = Vec::with_capacity(plain.len() / 2);
         packed.push(PACKED_MARK);
-        let packer = self.packer.get_or_insert_default();
-        packer.pack(&plain, &mut packed)?;
+        let stream = self.packer.get_or_insert_default();
+        stream.pack(&plain, &mut packed)?;
         Ok(bytes::Bytes::from(packed))
     }
 }
@@ -71,8 +71,8 @@
             return pin::Pin::new(&mut self.plain).deserialize(source);
         };
         let max_bytes = self.max_bytes;
-        let unpacker = self.unpacker.get_or_insert_default();
-        let plain = unpacker.unpack(packed, max_bytes)?;
+        let stream = self.unpacker.get_or_insert_default();
+        let plain = stream.unpack(packed, max_bytes)?;
         pin::Pin::new(&mut self.plain).deserialize(&bytes::BytesMut::from(&plain[..]))
     }
 }
