--- a/galenahold_instance/src/gateway/control/order_sender.rs
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -78,6 +78,13 @@
         let mut line = line.lock().await;
         line.enter(term, order.started_ms);
         if !line.is_open(time::Instant::now()) {
+            info!(
+                server:% = order.server,
+                order = order.number,
+                action:? = order.action,
+                term = term;
+                "order not sent: the engine rests after one whose end is not clear"
+            );
             return SentOrder::unsent(None);
         }
         let mut report = None;
--- a/galenahold_instance/src/gateway/control/placement_loop.rs
+++ b/galenahold_instance/src/gateway/control/placement_loop.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::amount;
 use galenahold_domain::declaration;
 use galenahold_placement::fleet as placement;
+use log::info;
 
 use crate::gateway;
 use crate::gateway::control;
@@ -88,6 +89,9 @@
                     .change(server, |record| record.loading.clone_from(loading));
             }
             let moved = leadership.roster.mark(now) != before;
+            if let Some(news) = &step.store_pace {
+                log_store_pace(news);
+            }
             Some((leadership.term, step.orders, moved))
         });
         let Some(Some((term, orders, moved))) = planned else {
@@ -113,3 +117,14 @@
         });
     }
 }
+
+fn log_store_pace(news: &placement::StoreNews) {
+    info!(
+        model:% = news.model,
+        beside = news.beside,
+        took_ms = u64::try_from(news.took.as_millis()).unwrap_or(u64::MAX),
+        declared_ms = u64::try_from(news.declared.as_millis()).unwrap_or(u64::MAX),
+        at_once = news.at_once;
+        "load from the weight store ended"
+    );
+}
--- a/galenahold_instance/src/instance/task_groups.rs
+++ b/galenahold_instance/src/instance/task_groups.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use log::warn;
+use log::{info, warn};
 use tokio::runtime;
 
 use crate::rate;
@@ -38,13 +38,33 @@
             self.callers.stop().await;
             self.work.stop().await;
         };
+        self.log_running("requests are waited for");
         if tokio::time::timeout(drain, draining).await.is_err() {
-            warn!("requests were still running at the end of the drain time");
+            warn!(
+                connections = self.callers.running(),
+                streams = self.work.running(),
+                drain_ms = u64::try_from(drain.as_millis()).unwrap_or(u64::MAX);
+                "requests were still running at the end of the drain time"
+            );
         }
         if let Some(keeper) = keeper {
+            self.log_running("tokens are given back");
             keeper.retire().await;
         }
+        self.log_running("other tasks are ended");
         self.backend.stop().await;
         self.system.stop().await;
     }
+
+    /// Logs a step of the stop with what has not ended yet.
+    fn log_running(&self, step: &str) {
+        info!(
+            step = step,
+            connections = self.callers.running(),
+            streams = self.work.running(),
+            server_connections = self.backend.running(),
+            others = self.system.running();
+            "instance is being stopped"
+        );
+    }
 }
--- a/galenahold_instance/src/task/task_group.rs
+++ b/galenahold_instance/src/task/task_group.rs
@@ -49,6 +49,11 @@
         &self.token
     }
 
+    /// Returns how many tasks have not ended.
+    pub(crate) fn running(&self) -> usize {
+        self.tracker.len()
+    }
+
     /// Asks the tasks to end, without waiting for them.
     pub(crate) fn cancel(&self) {
         self.token.cancel();
--- a/galenahold_placement/src/fleet/mod.rs
+++ b/galenahold_placement/src/fleet/mod.rs
@@ -24,6 +24,7 @@
 mod plan_round;
 mod plan_step;
 mod server_plan;
+mod store_news;
 mod store_pace;
 mod store_window;
 
@@ -43,5 +44,6 @@
 use plan_round::PlanRound;
 pub use plan_step::PlanStep;
 use server_plan::ServerPlan;
+pub use store_news::StoreNews;
 use store_pace::StorePace;
 use store_window::StoreWindow;
--- a/galenahold_placement/src/fleet/order_receipts.rs
+++ b/galenahold_placement/src/fleet/order_receipts.rs
@@ -115,6 +115,13 @@
         if let (Some((beside, began_at)), Some(declared)) = (learnt, declared) {
             let took = now.saturating_duration_since(began_at);
             self.pace.learn(beside, declared, took, now);
+            step.store_pace = Some(fleet::StoreNews {
+                model,
+                beside,
+                took,
+                declared,
+                at_once: self.pace.at_once(),
+            });
         }
     }
 }
--- a/galenahold_placement/src/fleet/plan_step.rs
+++ b/galenahold_placement/src/fleet/plan_step.rs
@@ -14,4 +14,6 @@
     pub retiring: Vec<(name::ServerName, name::ModelName, bool)>,
     /// Loads that began or ended at an engine.
     pub loading: Vec<(name::ServerName, Option<domain::ModelLoading>)>,
+    /// What a load from the weight store has shown of its pace.
+    pub store_pace: Option<fleet::StoreNews>,
 }
