Split the refusal of a request that waits for tokens from its wait

The loop had grown: when a request waits in vain, and when its time is over, is one function now. No decision changes.

--- a/galenahold_instance/src/rate/rate_keeper.rs
+++ b/galenahold_instance/src/rate/rate_keeper.rs
@@ -99,17 +99,12 @@
             let answered = replies.borrow_and_update().answered > before;
             let until = patience.until(answered && !recovering);
             let left = until.saturating_duration_since(now);
-            let hopeless = answered && retry_after.is_some_and(|wait| wait > left);
-            let refusal = if hopeless || (left.is_zero() && answered) {
-                Some(refuse_rate(team, retry_after))
-            } else if left.is_zero() {
-                Some(refuse_unanswered())
-            } else if place.is_none() {
-                place = self.room.enter(team);
+            let refusal = refuse_wait(team, answered, retry_after, left).or_else(|| {
+                if place.is_none() {
+                    place = self.room.enter(team);
+                }
                 place.is_none().then(|| refuse_crowd(team))
-            } else {
-                None
-            };
+            });
             if let Some(refusal) = refusal {
                 // Nobody waits for what was asked for here.
                 self.lock().withdraw(team, wanted);
@@ -197,6 +192,20 @@
     }
 }
 
+/// Refuses a request that waits in vain, or whose time to wait is over.
+fn refuse_wait(
+    team: &name::TeamName,
+    answered: bool,
+    retry_after: Option<time::Duration>,
+    left: time::Duration,
+) -> Option<face::RequestRefusal> {
+    let hopeless = retry_after.is_some_and(|wait| wait > left);
+    if answered && (hopeless || left.is_zero()) {
+        return Some(refuse_rate(team, retry_after));
+    }
+    left.is_zero().then(refuse_unanswered)
+}
+
 fn refuse_too_large(wanted: amount::TokenCount, burst: amount::TokenCount) -> face::RequestRefusal {
     face::RequestRefusal::not_run(
         face::RefusalKind::TooManyTokens,
