--- a/galenahold_placement/src/fleet/store_pace.rs
+++ b/galenahold_placement/src/fleet/store_pace.rs
@@ -6,7 +6,7 @@
 /// under way, and every known store does two at full speed.
 const LEAST_AT_ONCE: usize = 2;
 
-/// Loads under way at once however fast the store is: each of them is memory that serves nobody.
+/// Loads under way at once however fast the store is: each of them holds memory that serves no request yet.
 const MOST_AT_ONCE: usize = 8;
 
 /// By how much a load may exceed its declared time and still count as one at full speed: engines state what
@@ -20,8 +20,8 @@
 ///
 /// A store does a few loads at full speed, and each further one makes those that begin with it slower by its
 /// share. Nobody declares how many, so it is seen from how long loads take. It answers the load where many rare
-/// models are asked for at once: what begins late but fast is loaded sooner than what begins at once and slowly,
-/// and the worthiest goes first.
+/// models are asked for at once: with fewer loads under way each is faster, and the model with the most demand is
+/// there first.
 #[derive(Debug)]
 pub(super) struct StorePace {
     at_once: usize,
--- a/galenahold_routing/src/fleet/dispatch_board.rs
+++ b/galenahold_routing/src/fleet/dispatch_board.rs
@@ -56,7 +56,7 @@
     followers: u32,
     data_centre: Option<name::DataCentreName>,
     closes_at: Option<time::Instant>,
-    /// Until when servers may exist that nobody has told of yet.
+    /// Until when servers may exist that the roster does not name yet.
     servers_due_by: Option<time::Instant>,
 }
 
@@ -79,7 +79,7 @@
     /// no servers before.
     ///
     /// It answers the load after a loss of all power: the first requests come before the servers have stated
-    /// themselves, and are not to be sent away from what is loaded all the while.
+    /// themselves, and would be refused for models that are loaded.
     pub fn expect_servers_until(&mut self, moment: time::Instant) {
         self.servers_due_by = Some(moment);
     }
--- a/galenahold_routing/src/fleet/start_wait.rs
+++ b/galenahold_routing/src/fleet/start_wait.rs
@@ -14,9 +14,9 @@
 
 /// Decides how long a request waits at an instance whose configuration was never confirmed.
 ///
-/// It answers the load after a loss of all power: every caller comes back before the control group has a
-/// leader, and one that is refused then has used up its way back. An instance that is cut off later
-/// refuses at once, since others can serve.
+/// It answers the load after a loss of all power: callers retry before the control group has a leader, and
+/// one that is refused then has no retry left. An instance that is cut off later refuses at once, since
+/// others can serve.
 #[derive(Debug)]
 pub struct StartWait {
     started_at: time::Instant,
