Derive what a planning round knows about each model once

Cause: for every needed model and every model that an engine holds, the planner counted copies over all records and looked models up in a list, so a round grew with the third power of the fleet. Change: PlanRound holds the standing of each model (copies, value, running, idle), the declared models by name and the memory left for weights. Decisions are the same; the tests of the planner are unchanged.

--- a/galenahold_domain/src/fleet/weight_copies.rs
+++ b/galenahold_domain/src/fleet/weight_copies.rs
@@ -40,6 +40,11 @@
         self.are_in_memory(model) || self.are_on_disk(model)
     }
 
+    /// Returns the models whose weights are cached, those in both places twice.
+    pub fn cached(&self) -> impl Iterator<Item = &name::ModelName> {
+        self.in_memory.iter().chain(&self.on_disk)
+    }
+
     /// Returns the number of models whose weights are cached on disk.
     #[must_use]
     pub fn on_disk_count(&self) -> usize {
--- a/galenahold_placement/src/fleet/adapter_requests.rs
+++ b/galenahold_placement/src/fleet/adapter_requests.rs
@@ -1,5 +1,6 @@
 //! Loads adapters on engines that hold their models, on request and in advance.
 
+use std::collections;
 use std::time;
 
 use galenahold_domain::declaration;
@@ -101,11 +102,22 @@
         Some(self.order(record, fleet::OrderAction::UnloadAdapter(victim)))
     }
 
+    /// Returns the adapters that some engine holds or may hold.
+    pub(super) fn known_adapters(&self) -> collections::HashSet<domain::HeldAdapter> {
+        let plans = self.servers.values();
+        plans
+            .flat_map(|plan| plan.adapters.known().cloned())
+            .collect()
+    }
+
     /// Loads an adapter that no engine holds before it is requested, if the engine has free slots.
+    ///
+    /// `known_adapters` are those that some engine holds or may hold; the loaded one is added.
     pub(super) fn preload_adapter(
         &mut self,
         round: &fleet::PlanRound<'_>,
         record: &domain::ServerRecord,
+        known_adapters: &mut collections::HashSet<domain::HeldAdapter>,
     ) -> Option<fleet::EngineOrder> {
         let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
         let plan = self.servers.get(&record.name)?;
@@ -117,13 +129,11 @@
             .models
             .iter()
             .filter(|held| !held.retiring)
-            .filter_map(|held| round.engine.model(&held.name))
+            .filter_map(|held| round.model(&held.name))
             .flat_map(declared_adapters)
-            .find(|adapter| {
-                let held = |plan: &fleet::ServerPlan| plan.adapters.may_hold(adapter);
-                !self.servers.values().any(held)
-            })?;
-        let ready_in = adapter_load_time(round.engine.model(&unloaded_adapter.model)?);
+            .find(|adapter| !known_adapters.contains(adapter))?;
+        known_adapters.insert(unloaded_adapter.clone());
+        let ready_in = adapter_load_time(round.model(&unloaded_adapter.model)?);
         let plan = self.plan_of(&record.name, record.started_ms);
         plan.adapters
             .reserve(unloaded_adapter.clone(), ready_in, round.now);
--- a/galenahold_placement/src/fleet/adapter_table.rs
+++ b/galenahold_placement/src/fleet/adapter_table.rs
@@ -95,11 +95,6 @@
         entry.is_some_and(|entry| entry.state == AdapterState::Unloading)
     }
 
-    /// Returns whether the adapter is or may be loaded, or is being loaded.
-    pub(super) fn may_hold(&self, adapter: &domain::HeldAdapter) -> bool {
-        self.held.contains_key(adapter)
-    }
-
     /// Returns the expected time until the adapter is loaded; `None` if it is neither loaded nor
     /// being loaded.
     pub(super) fn ready_in(
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -92,25 +92,21 @@
         records: impl Iterator<Item = &'a domain::ServerRecord>,
         now: time::Instant,
     ) -> fleet::PlanStep {
-        let round = fleet::PlanRound {
-            service,
-            engine,
-            records: records
-                .filter(|record| record.service == *service)
-                .collect(),
-            now,
-        };
+        let records = records.filter(|record| record.service == *service);
+        let round = self.round(service, engine, records.collect(), now);
         let mut step = fleet::PlanStep::default();
         for record in &round.records {
             self.reconcile_order(&round, record, &mut step);
         }
+        let mut known_adapters = self.known_adapters();
         for record in round
             .records
             .iter()
             .filter(|record| load_choices::is_usable(record))
         {
             step.orders.extend(self.free_adapter_slot(&round, record));
-            step.orders.extend(self.preload_adapter(&round, record));
+            step.orders
+                .extend(self.preload_adapter(&round, record, &mut known_adapters));
         }
         let mut used_servers = collections::HashSet::new();
         self.load_after_eviction(&round, &mut used_servers, &mut step);
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -8,6 +8,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
+use crate::fleet::model_needs;
 
 /// Maximum number of concurrent loads from the weight store before any model has been requested. No
 /// request waits for these loads, and their duration shows the store's throughput.
@@ -19,9 +20,6 @@
 /// Factor by which the value of a model has to exceed that of the model evicted for it.
 const EVICTION_MARGIN: f64 = 1.5;
 
-/// Request rate per second below which a model counts as idle.
-const IDLE_RATE: f64 = 0.06;
-
 /// Factor on the cost of a load at an engine that holds adapters.
 const ADAPTER_HOST_FACTOR: f64 = 1.5;
 
@@ -99,7 +97,7 @@
                 return None;
             }
         }
-        let free = free_bytes(round.engine, record).saturating_sub(unconfirmed);
+        let free = round.free_bytes(record).saturating_sub(unconfirmed);
         let mut cost = load_duration.as_secs_f64();
         if self
             .servers
@@ -143,7 +141,7 @@
         record
             .models
             .iter()
-            .filter(|held| !held.retiring && self.is_evictable(round, record, &held.name, eviction))
+            .filter(|held| !held.retiring && is_evictable(round, record, &held.name, eviction))
             .filter(|held| {
                 let held_since = plan.held_since.get(&held.name);
                 held_since.is_none_or(|since| {
@@ -151,49 +149,18 @@
                 })
             })
             .filter(|held| {
-                let model = round.engine.model(&held.name);
+                let model = round.model(&held.name);
                 model.is_none_or(|model| model.weights.0 >= missing)
             })
-            .map(|held| (held.name.clone(), self.unload_cost(round, &held.name)))
+            .map(|held| {
+                (
+                    held.name.clone(),
+                    model_needs::unload_cost(round, &held.name),
+                )
+            })
             .min_by(|one, other| one.1.total_cmp(&other.1))
     }
 
-    /// Returns whether the restriction allows the eviction of a model.
-    pub(super) fn is_evictable(
-        &self,
-        round: &fleet::PlanRound<'_>,
-        record: &domain::ServerRecord,
-        model: &name::ModelName,
-        eviction: fleet::Eviction,
-    ) -> bool {
-        match eviction {
-            fleet::Eviction::None => false,
-            fleet::Eviction::Idle => self.is_idle_and_near(round, record, model),
-            fleet::Eviction::LessValuable => true,
-        }
-    }
-
-    /// Returns whether a model is idle and can be loaded again without the weight store.
-    ///
-    /// Models with adapters never count as idle, since many requests ask for them.
-    pub(super) fn is_idle_and_near(
-        &self,
-        round: &fleet::PlanRound<'_>,
-        record: &domain::ServerRecord,
-        name: &name::ModelName,
-    ) -> bool {
-        let near = record.copies.are_cached(name);
-        let model = round.engine.model(name);
-        let has_no_adapters = model.is_none_or(|model| model.adapters.is_empty());
-        let demand = self.demand.get(&(round.service.clone(), name.clone()));
-        let idle = demand.is_none_or(|demand| {
-            demand.rate(round.now) < IDLE_RATE
-                && demand.waiting(round.now) == 0
-                && demand.running(round.now) == 0
-        });
-        near && has_no_adapters && idle
-    }
-
     /// Counts the loads from the store that are or may be in progress. Loads of engines that are no
     /// longer in the roster do not count.
     pub(super) fn store_loads(&self, round: &fleet::PlanRound<'_>) -> usize {
@@ -214,6 +181,33 @@
     }
 }
 
+/// Returns whether the restriction allows the eviction of a model.
+fn is_evictable(
+    round: &fleet::PlanRound<'_>,
+    record: &domain::ServerRecord,
+    model: &name::ModelName,
+    eviction: fleet::Eviction,
+) -> bool {
+    match eviction {
+        fleet::Eviction::None => false,
+        fleet::Eviction::Idle => is_idle_and_near(round, record, model),
+        fleet::Eviction::LessValuable => true,
+    }
+}
+
+/// Returns whether a model is idle and can be loaded again without the weight store.
+///
+/// Models with adapters never count as idle, since many requests ask for them.
+fn is_idle_and_near(
+    round: &fleet::PlanRound<'_>,
+    record: &domain::ServerRecord,
+    name: &name::ModelName,
+) -> bool {
+    let model = round.model(name);
+    let has_no_adapters = model.is_none_or(|model| model.adapters.is_empty());
+    record.copies.are_cached(name) && has_no_adapters && round.standing(name).idle
+}
+
 /// Returns whether an engine may get orders and requests.
 pub(super) fn is_usable(record: &domain::ServerRecord) -> bool {
     record.is_open() && !record.silent && !record.leaves_soon
@@ -232,19 +226,3 @@
         (model.store_load, true)
     }
 }
-
-/// Returns the free memory for weights. The memory for all adapter slots counts as occupied.
-pub(super) fn free_bytes(
-    engine: &declaration::DeclaredEngine,
-    record: &domain::ServerRecord,
-) -> u64 {
-    let weights = |name: &name::ModelName| engine.model(name).map_or(0, |model| model.weights.0);
-    let held: u64 = record.models.iter().map(|held| weights(&held.name)).sum();
-    let largest = engine.models.iter().map(|model| model.adapter.0).max();
-    let adapters = largest.unwrap_or(0) * u64::from(engine.adapter_slots);
-    engine
-        .weight_memory
-        .0
-        .saturating_sub(held)
-        .saturating_sub(adapters)
-}
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -1,8 +1,10 @@
 //! Determines which models need a copy, and the value of each.
 
+use std::collections;
 use std::time;
 
 use galenahold_domain::declaration;
+use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 
 use crate::fleet;
@@ -23,6 +25,9 @@
 /// for it.
 const RECENT_REQUEST: time::Duration = time::Duration::from_secs(3);
 
+/// Request rate per second below which a model counts as idle.
+const IDLE_RATE: f64 = 0.06;
+
 /// Value of a waiting request, relative to a rate of one request per second.
 const WAITING_WEIGHT: f64 = 1.0;
 
@@ -62,7 +67,7 @@
             let requested = demand.waiting(now) > 0 || demand.idle_for(now) < RECENT_REQUEST;
             return Some(fleet::ModelNeed {
                 model,
-                value: self.value(round, &model.name),
+                value: round.standing(&model.name).value,
                 may_evict: if requested {
                     fleet::Eviction::LessValuable
                 } else {
@@ -77,7 +82,7 @@
             || demand.rate(now) > f64::from(copies) * RATE_PER_COPY;
         (loading < MAX_LOADING_COPIES && full).then(|| fleet::ModelNeed {
             model,
-            value: self.value(round, &model.name) * FURTHER_COPY_SHARE,
+            value: round.standing(&model.name).value * FURTHER_COPY_SHARE,
             may_evict: fleet::Eviction::LessValuable,
             // While the first copy is still loading, the store is reserved for models without a
             // copy.
@@ -85,12 +90,51 @@
         })
     }
 
-    /// Returns the value of having a model loaded at all.
-    pub(super) fn value(&self, round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
-        let key = (round.service.clone(), model.clone());
-        self.demand.get(&key).map_or(0.0, |demand| {
-            demand.rate(round.now) + f64::from(demand.waiting(round.now)) * WAITING_WEIGHT
-        })
+    /// Derives what the round knows about each model from the engines' records and the demand.
+    pub(super) fn round<'a>(
+        &self,
+        service: &'a name::ServiceName,
+        engine: &'a declaration::DeclaredEngine,
+        records: Vec<&'a domain::ServerRecord>,
+        now: time::Instant,
+    ) -> fleet::PlanRound<'a> {
+        let mut standings = collections::HashMap::<name::ModelName, fleet::ModelStanding>::new();
+        for model in &engine.models {
+            let demand = self.demand.get(&(service.clone(), model.name.clone()));
+            let standing = demand.map_or_else(idle_standing, |demand| standing_of(demand, now));
+            standings.insert(model.name.clone(), standing);
+        }
+        for record in &records {
+            let usable = load_choices::is_usable(record);
+            for held in &record.models {
+                let standing = standings
+                    .entry(held.name.clone())
+                    .or_insert_with(idle_standing);
+                standing.has_copy = true;
+                standing.held += usize::from(usable && !held.retiring);
+            }
+            for model in record.copies.cached() {
+                if let Some(standing) = standings.get_mut(model) {
+                    standing.has_copy = true;
+                }
+            }
+        }
+        let largest = engine.models.iter().map(|model| model.adapter.0).max();
+        let adapters = largest.unwrap_or(0) * u64::from(engine.adapter_slots);
+        fleet::PlanRound {
+            service,
+            engine,
+            models: engine
+                .models
+                .iter()
+                .map(|model| (&model.name, model))
+                .collect(),
+            weight_bytes: engine.weight_memory.0.saturating_sub(adapters),
+            names: records.iter().map(|record| &record.name).collect(),
+            records,
+            now,
+            standings,
+        }
     }
 
     /// Counts the engines that hold a model, and those that are loading it or evicting another
@@ -100,43 +144,44 @@
         round: &fleet::PlanRound<'_>,
         model: &name::ModelName,
     ) -> (usize, usize) {
-        let usable = round
-            .records
+        let loading = self
+            .servers
             .iter()
-            .filter(|record| load_choices::is_usable(record));
-        let held = usable.filter(|record| record.serves_model(model)).count();
-        let loading = round
-            .records
-            .iter()
-            .filter_map(|record| self.servers.get(&record.name))
-            .filter(|plan| {
-                let loads = plan.order.as_ref().is_some_and(|order| {
-                    matches!(&order.action, fleet::OrderAction::LoadModel(loaded) if loaded == model)
-                });
-                loads || plan.evicting_for.as_ref() == Some(model)
-            })
+            .filter(|(_, plan)| plan.loads(model))
+            .filter(|(name, _)| round.names.contains(name))
             .count();
-        (held, loading)
+        (round.standing(model).held, loading)
     }
+}
+
+/// Returns the cost of unloading one copy of a model now.
+pub(super) fn unload_cost(round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
+    let standing = round.standing(model);
+    let copies = f64::from(u32::try_from(standing.held.max(1)).unwrap_or(u32::MAX));
+    let value = if standing.held > 1 {
+        standing.value * FURTHER_COPY_SHARE / copies
+    } else {
+        standing.value
+    };
+    value + f64::from(standing.running) / copies * RUNNING_COST
+}
 
-    /// Returns the cost of unloading one copy of a model now.
-    pub(super) fn unload_cost(&self, round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
-        let key = (round.service.clone(), model.clone());
-        let demand = self.demand.get(&key);
-        let running = demand.map_or(0, |demand| demand.running(round.now));
-        let (held, _) = self.copies(round, model);
-        let running_per_copy =
-            f64::from(running) / f64::from(u32::try_from(held.max(1)).unwrap_or(u32::MAX));
-        self.copy_value(round, model) + running_per_copy * RUNNING_COST
+fn standing_of(demand: &fleet::AggregateDemand, now: time::Instant) -> fleet::ModelStanding {
+    let rate = demand.rate(now);
+    let waiting = demand.waiting(now);
+    let running = demand.running(now);
+    fleet::ModelStanding {
+        value: rate + f64::from(waiting) * WAITING_WEIGHT,
+        running,
+        idle: rate < IDLE_RATE && waiting == 0 && running == 0,
+        ..fleet::ModelStanding::default()
     }
+}
 
-    /// Returns the value of one copy of a model.
-    pub(super) fn copy_value(&self, round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
-        let value = self.value(round, model);
-        let (held, _) = self.copies(round, model);
-        match u32::try_from(held).unwrap_or(u32::MAX) {
-            0 | 1 => value,
-            copies => value * FURTHER_COPY_SHARE / f64::from(copies),
-        }
+/// Returns the standing of a model that nobody requested.
+fn idle_standing() -> fleet::ModelStanding {
+    fleet::ModelStanding {
+        idle: true,
+        ..fleet::ModelStanding::default()
     }
 }
--- a/galenahold_placement/src/fleet/order_receipts.rs
+++ b/galenahold_placement/src/fleet/order_receipts.rs
@@ -97,7 +97,6 @@
             plan.order = None;
         } else if now >= order.timeout_at {
             let bytes = round
-                .engine
                 .model(&model)
                 .map_or(amount::ByteCount(0), |model| model.weights);
             if loads {
@@ -113,7 +112,7 @@
         if record.loading.is_some() {
             step.loading.push((record.name.clone(), None));
         }
-        let declared = round.engine.model(&model).map(|model| model.store_load);
+        let declared = round.model(&model).map(|model| model.store_load);
         if let (Some((concurrent_loads, started_at)), Some(declared)) = (sample, declared) {
             let took = now.saturating_duration_since(started_at);
             self.throughput
--- a/galenahold_placement/src/fleet/preloads.rs
+++ b/galenahold_placement/src/fleet/preloads.rs
@@ -27,12 +27,12 @@
             limit - 1
         };
         for model in &round.engine.models {
+            if round.standing(&model.name).has_copy || self.copies(round, &model.name).1 > 0 {
+                continue;
+            }
             if self.store_loads(round) + self.pending_evictions() >= max_loads {
                 return;
             }
-            if has_copy(round, &model.name) || self.copies(round, &model.name).1 > 0 {
-                continue;
-            }
             let need = fleet::ModelNeed {
                 model,
                 value: 0.0,
@@ -71,7 +71,7 @@
             let Some(model) = plan.evicting_for.take() else {
                 continue;
             };
-            let Some(model) = round.engine.model(&model) else {
+            let Some(model) = round.model(&model) else {
                 continue;
             };
             if self.copies(round, &model.name).0 > 0 {
@@ -93,11 +93,3 @@
         }
     }
 }
-
-/// Returns whether any engine holds the model or has its weights nearby.
-pub(super) fn has_copy(round: &fleet::PlanRound<'_>, name: &name::ModelName) -> bool {
-    round
-        .records
-        .iter()
-        .any(|record| record.model(name).is_some() || record.copies.are_cached(name))
-}
--- a/galenahold_placement/src/fleet/server_plan.rs
+++ b/galenahold_placement/src/fleet/server_plan.rs
@@ -86,6 +86,14 @@
         self.unconfirmed.iter().map(|load| load.bytes.0).sum()
     }
 
+    /// Returns whether the engine is loading the model or evicting another one for it.
+    pub(super) fn loads(&self, model: &name::ModelName) -> bool {
+        let ordered = self.order.as_ref().is_some_and(|order| {
+            matches!(&order.action, fleet::OrderAction::LoadModel(loaded) if loaded == model)
+        });
+        ordered || self.evicting_for.as_ref() == Some(model)
+    }
+
     /// Returns whether a model order may be sent now.
     pub(super) fn accepts_model_order(&self, now: time::Instant) -> bool {
         self.order.is_none() && self.backoff_until.is_none_or(|until| now >= until)
