Spread popular models over idle engines, and believe a server that lacks a model

Cause 1: each model got copies by its own rate alone (4.5 requests a second and copy), so two popular models on one engine stayed there while most engines were idle. Change 1: a planning round knows the expected rate of each engine. A model on engines half again as busy as the mean gets a further copy, and a load costs more where its prompts meet many others. Change 2: a model that a server refused counts as missing there for 700 ms or until the roster changes, so the call waits for the load. Only the adapter was forgotten before. Tests: popular_model_on_a_busy_engine_gets_a_copy_on_an_idle_one and call_refused_for_a_missing_model_waits_for_its_load, both seen failing without the change.

--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -20,6 +20,10 @@
 /// Factor by which the value of a model has to exceed that of the model evicted for it.
 const EVICTION_MARGIN: f64 = 1.5;
 
+/// Cost of one request per second for the model at an engine that serves one per second: how often their
+/// prompts meet grows with both rates.
+const MEETING_COST: f64 = 0.1;
+
 /// Factor on the cost of a load at an engine that holds adapters.
 const ADAPTER_HOST_FACTOR: f64 = 1.5;
 
@@ -107,6 +111,9 @@
             // The engine loads no adapters during the model load.
             cost *= ADAPTER_HOST_FACTOR;
         }
+        let standing = round.standing(&need.model.name);
+        let copies = u32::try_from(standing.held + 1).unwrap_or(u32::MAX);
+        cost += standing.rate / f64::from(copies) * round.engine_rate(&record.name) * MEETING_COST;
         let mut victim = None;
         if free < need.model.weights.0 {
             let missing = need.model.weights.0 - free;
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -18,6 +18,16 @@
 /// that callers notice.
 const RATE_PER_COPY: f64 = 4.5;
 
+/// How many times busier than the mean engine one may be before its popular models get further copies.
+const BUSY_FACTOR: f64 = 1.5;
+
+/// Requests per second at an engine below which it never counts as busy: prompts seldom meet.
+const MIN_BUSY_RATE: f64 = 1.0;
+
+/// The least share of the mean engine's rate that a model has to bring to each engine to get a further
+/// copy; without the others there is nothing to move.
+const OWN_SHARE: f64 = 0.5;
+
 /// Maximum number of further copies of one model that are loaded at the same time.
 const MAX_LOADING_COPIES: usize = 2;
 
@@ -79,7 +89,8 @@
         let load = demand.running(now) + demand.waiting(now);
         let copies = u32::try_from(copies).unwrap_or(u32::MAX);
         let full = load > copies * REQUESTS_PER_COPY
-            || demand.rate(now) > f64::from(copies) * RATE_PER_COPY;
+            || demand.rate(now) > f64::from(copies) * RATE_PER_COPY
+            || is_on_busy_engines(round, &model.name, loading);
         (loading < MAX_LOADING_COPIES && full).then(|| fleet::ModelNeed {
             model,
             value: round.standing(&model.name).value * FURTHER_COPY_SHARE,
@@ -119,6 +130,9 @@
                 }
             }
         }
+        let engine_rates = engine_rates(&records, &mut standings);
+        let engines = u32::try_from(engine_rates.len().max(1)).unwrap_or(u32::MAX);
+        let mean_rate = engine_rates.values().sum::<f64>() / f64::from(engines);
         let largest = engine.models.iter().map(|model| model.adapter.0).max();
         let adapters = largest.unwrap_or(0) * u64::from(engine.adapter_slots);
         fleet::PlanRound {
@@ -134,6 +148,8 @@
             records,
             now,
             standings,
+            engine_rates,
+            mean_rate,
         }
     }
 
@@ -154,10 +170,62 @@
     }
 }
 
+/// Returns whether the engines that serve the model are much busier than the others, largely because of
+/// it.
+///
+/// Load pattern: popular models share an engine while most engines serve rare ones. Their prompts then
+/// delay each other's tokens although the fleet as a whole is far from busy.
+fn is_on_busy_engines(
+    round: &fleet::PlanRound<'_>,
+    model: &name::ModelName,
+    loading: usize,
+) -> bool {
+    let standing = round.standing(model);
+    let held = f64::from(u32::try_from(standing.held).unwrap_or(u32::MAX));
+    let copies = held + f64::from(u32::try_from(loading).unwrap_or(u32::MAX));
+    if held == 0.0 {
+        return false;
+    }
+    // The copies that are loading will take their share.
+    let expected = standing.engine_rate * held / copies;
+    let busy = (round.mean_rate * BUSY_FACTOR).max(MIN_BUSY_RATE);
+    expected > busy && standing.rate / copies > round.mean_rate * OWN_SHARE
+}
+
+/// Returns the expected request rate of each usable engine, and records it in the standings of the
+/// models that the engine serves.
+fn engine_rates<'a>(
+    records: &[&'a domain::ServerRecord],
+    standings: &mut collections::HashMap<name::ModelName, fleet::ModelStanding>,
+) -> collections::HashMap<&'a name::ServerName, f64> {
+    let mut rates = collections::HashMap::new();
+    let usable = records
+        .iter()
+        .filter(|record| load_choices::is_usable(record));
+    for record in usable {
+        let served = || record.models.iter().filter(|held| !held.retiring);
+        let rate: f64 = served()
+            .filter_map(|held| standings.get(&held.name))
+            .map(|standing| standing.rate / copies_of(standing))
+            .sum();
+        for held in served() {
+            if let Some(standing) = standings.get_mut(&held.name) {
+                standing.engine_rate += rate / copies_of(standing);
+            }
+        }
+        rates.insert(&record.name, rate);
+    }
+    rates
+}
+
+fn copies_of(standing: &fleet::ModelStanding) -> f64 {
+    f64::from(u32::try_from(standing.held.max(1)).unwrap_or(u32::MAX))
+}
+
 /// Returns the cost of unloading one copy of a model now.
 pub(super) fn unload_cost(round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
     let standing = round.standing(model);
-    let copies = f64::from(u32::try_from(standing.held.max(1)).unwrap_or(u32::MAX));
+    let copies = copies_of(&standing);
     let value = if standing.held > 1 {
         standing.value * FURTHER_COPY_SHARE / copies
     } else {
@@ -171,6 +239,7 @@
     let waiting = demand.waiting(now);
     let running = demand.running(now);
     fleet::ModelStanding {
+        rate,
         value: rate + f64::from(waiting) * WAITING_WEIGHT,
         running,
         idle: rate < IDLE_RATE && waiting == 0 && running == 0,
--- a/galenahold_placement/src/fleet/model_standing.rs
+++ b/galenahold_placement/src/fleet/model_standing.rs
@@ -7,6 +7,11 @@
     pub(super) held: usize,
     /// Whether any engine holds the model or has its weights nearby.
     pub(super) has_copy: bool,
+    /// Requests per second for the model.
+    pub(super) rate: f64,
+    /// Requests per second at an engine that serves the model, those for other models included; the
+    /// mean over all such engines.
+    pub(super) engine_rate: f64,
     /// Value of having the model loaded at all.
     pub(super) value: f64,
     /// Requests for the model that run.
--- a/galenahold_placement/src/fleet/plan_round.rs
+++ b/galenahold_placement/src/fleet/plan_round.rs
@@ -24,6 +24,10 @@
     /// The memory of one engine for weights, without that for its adapter slots.
     pub(super) weight_bytes: u64,
     pub(super) standings: collections::HashMap<name::ModelName, fleet::ModelStanding>,
+    /// Expected requests per second at each usable engine.
+    pub(super) engine_rates: collections::HashMap<&'a name::ServerName, f64>,
+    /// The mean of `engine_rates`.
+    pub(super) mean_rate: f64,
 }
 
 impl<'a> PlanRound<'a> {
@@ -32,6 +36,11 @@
         self.models.get(name).copied()
     }
 
+    /// Returns the expected requests per second at an engine.
+    pub(super) fn engine_rate(&self, server: &name::ServerName) -> f64 {
+        self.engine_rates.get(server).copied().unwrap_or(0.0)
+    }
+
     /// Returns the free memory for weights at an engine. The memory for all adapter slots counts as
     /// occupied.
     pub(super) fn free_bytes(&self, record: &domain::ServerRecord) -> u64 {
--- a/galenahold_placement/tests/fleet/fixture.rs
+++ b/galenahold_placement/tests/fleet/fixture.rs
@@ -79,9 +79,18 @@
 
 /// Reports one waiting request for the model.
 pub(crate) fn report_waiting(planner: &mut fleet::FleetPlanner, model: &str, now: time::Instant) {
+    report(planner, model, 1, now);
+}
+
+/// Reports one request for the model that was placed at once.
+pub(crate) fn report_request(planner: &mut fleet::FleetPlanner, model: &str, now: time::Instant) {
+    report(planner, model, 0, now);
+}
+
+fn report(planner: &mut fleet::FleetPlanner, model: &str, waiting: u32, now: time::Instant) {
     let counts = fleet::DemandCounts {
         arrivals: 1,
-        waiting: 1,
+        waiting,
         running: 0,
     };
     let key = (service(), model_name(model));
--- a/galenahold_placement/tests/fleet/loads.rs
+++ b/galenahold_placement/tests/fleet/loads.rs
@@ -93,3 +93,59 @@
     let step = fixture::plan(&mut planner, &[silent, leaving], now);
     assert_eq!(fixture::actions(&step), []);
 }
+
+/// Load pattern: two popular models share an engine while all others serve rare ones. No model is
+/// requested often enough for a further copy by itself, but the prompts of both meet at their engine.
+#[test]
+fn popular_model_on_a_busy_engine_gets_a_copy_on_an_idle_one() {
+    let mut now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records = [
+        fixture::record("s1", &["a", "b"], &["a", "b"]),
+        fixture::record("s2", &["c"], &["a", "c"]),
+        fixture::record("s3", &["d"], &["a", "d"]),
+        fixture::record("s4", &["d"], &["d"]),
+    ];
+    let steps = request_steadily(
+        &mut planner,
+        &records,
+        &["a", "a", "a", "b", "b", "c"],
+        &mut now,
+    );
+    let loads: Vec<_> = steps.iter().flat_map(fixture::actions).collect();
+    assert!(loads.contains(&fixture::load("s3", "a")), "{loads:?}");
+}
+
+#[test]
+fn evenly_requested_models_get_no_further_copies() {
+    let mut now = time::Instant::now();
+    let mut planner = fleet::FleetPlanner::default();
+    let records = [
+        fixture::record("s1", &["a"], &["a", "b", "c", "d"]),
+        fixture::record("s2", &["b"], &["a", "b", "c", "d"]),
+        fixture::record("s3", &["c"], &["a", "b", "c", "d"]),
+        fixture::record("s4", &["d"], &["a", "b", "c", "d"]),
+    ];
+    let requested = ["a", "b", "c", "d"];
+    let steps = request_steadily(&mut planner, &records, &requested, &mut now);
+    let loads: Vec<_> = steps.iter().flat_map(fixture::actions).collect();
+    assert_eq!(loads, []);
+}
+
+/// Plans for ten seconds in which each listed request arrives once a second.
+fn request_steadily(
+    planner: &mut fleet::FleetPlanner,
+    records: &[galenahold_domain::fleet::ServerRecord],
+    models: &[&str],
+    now: &mut time::Instant,
+) -> Vec<fleet::PlanStep> {
+    let mut steps = Vec::new();
+    for _ in 0..10 {
+        *now += time::Duration::from_secs(1);
+        for model in models {
+            fixture::report_request(planner, model, *now);
+        }
+        steps.push(fixture::plan(planner, records, *now));
+    }
+    steps
+}
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -217,10 +217,13 @@
             return;
         };
         known.observe(report, now);
-        if report == fleet::AttemptReport::Misplaced
-            && let Some(adapter) = target.and_then(fleet::ModelTarget::held_adapter)
-        {
+        if report != fleet::AttemptReport::Misplaced {
+            return;
+        }
+        if let Some(adapter) = target.and_then(fleet::ModelTarget::held_adapter) {
             known.adapters.remove(&adapter);
+        } else if let Some(target) = target {
+            known.mark_missing(target.model.clone(), now);
         }
     }
 
@@ -350,7 +353,7 @@
                 && requirements
                     .target
                     .as_ref()
-                    .is_none_or(|target| server.record.serves_model(&target.model))
+                    .is_none_or(|target| server.serves_model(&target.model, now))
         })
     }
 
--- a/galenahold_routing/src/fleet/scheduler_server.rs
+++ b/galenahold_routing/src/fleet/scheduler_server.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::fleet as domain;
+use galenahold_domain::name;
 
 use crate::fleet;
 
@@ -19,6 +20,10 @@
 /// Consecutive broken connections after which a server is skipped.
 const BROKEN_THRESHOLD: u32 = 2;
 
+/// How long a model that a server refused as not loaded counts as missing there, unless the roster
+/// changes earlier: the roster of an instance without waiting calls lags by up to 400 ms.
+const MISSING_TIME: time::Duration = time::Duration::from_millis(700);
+
 /// The weight of the latest observation in the moving averages.
 const LATEST_WEIGHT: f64 = 0.2;
 
@@ -38,6 +43,8 @@
     pub(super) loading_since: Option<time::Instant>,
     /// Adapters that the server is known to hold.
     pub(super) adapters: collections::HashSet<domain::HeldAdapter>,
+    /// Models that the server does not hold although the roster lists them, and until when.
+    missing: collections::HashMap<name::ModelName, time::Instant>,
     paused_until: Option<time::Instant>,
     consecutive_failures: u32,
     failure_share: f64,
@@ -52,6 +59,7 @@
             adapters: record.adapters.iter().cloned().collect(),
             record,
             in_flight: 0,
+            missing: collections::HashMap::new(),
             paused_until: None,
             consecutive_failures: 0,
             failure_share: 0.0,
@@ -75,6 +83,9 @@
         if record.adapters != self.record.adapters {
             self.adapters = record.adapters.iter().cloned().collect();
         }
+        if record.models != self.record.models {
+            self.missing.clear();
+        }
         self.adapters
             .retain(|adapter| record.serves_model(&adapter.model));
         self.record = record;
@@ -89,6 +100,21 @@
         self.record.is_open() && trusted
     }
 
+    /// Records that the server refused a call since it does not hold the model.
+    ///
+    /// Load pattern: rare models replace each other by the second, and a call arrives at an instance
+    /// whose roster is older than the last replacement. Calls then wait for a load instead of being
+    /// refused by the same server again.
+    pub(super) fn mark_missing(&mut self, model: name::ModelName, now: time::Instant) {
+        self.missing.insert(model, now + MISSING_TIME);
+    }
+
+    /// Returns whether calls for the model may be sent to the server.
+    pub(super) fn serves_model(&self, model: &name::ModelName, now: time::Instant) -> bool {
+        let missing = self.missing.get(model).is_some_and(|until| now < *until);
+        !missing && self.record.serves_model(model)
+    }
+
     /// Returns whether the server is skipped at present.
     pub(super) fn is_paused(&self, now: time::Instant) -> bool {
         self.paused_until.is_some_and(|until| now < until)
--- a/galenahold_routing/tests/fleet/call_waiting.rs
+++ b/galenahold_routing/tests/fleet/call_waiting.rs
@@ -133,3 +133,34 @@
     assert_eq!(settled[0].ticket, ticket);
     assert!(settled[0].result.is_err());
 }
+
+/// Guards against refusing a call because the only server in an outdated roster no longer holds the
+/// model. Occurs when rare models replace each other by the second.
+#[test]
+fn call_refused_for_a_missing_model_waits_for_its_load() {
+    let now = time::Instant::now();
+    let mut scheduler = fixture::scheduler(&[fixture::record("s1", &["m"])], now);
+    let requirements = fixture::requirements("m", LONG, now);
+    let placement = fixture::placed(scheduler.submit(requirements.clone(), now));
+    let target = requirements.target.clone();
+    let report = fleet::AttemptReport::Misplaced;
+    scheduler.observe(&placement.server, target.as_ref(), report, now);
+    scheduler.finish(&placement.server, target.as_ref(), &fixture::service());
+    fixture::waiting(&scheduler.resubmit(requirements, now));
+    assert_eq!(scheduler.poll(now), []);
+
+    scheduler.update_server(fixture::record("s1", &["other"]), now);
+    scheduler.update_server(fixture::record("s1", &["other", "m"]), now);
+    assert_eq!(scheduler.poll(now).len(), 1);
+}
+
+#[test]
+fn model_counts_as_missing_only_until_the_roster_had_time_to_change() {
+    let now = time::Instant::now();
+    let mut scheduler = fixture::scheduler(&[fixture::record("s1", &["m"])], now);
+    let target = fixture::requirements("m", LONG, now).target;
+    let report = fleet::AttemptReport::Misplaced;
+    scheduler.observe(&name::ServerName::from("s1"), target.as_ref(), report, now);
+    let later = now + time::Duration::from_secs(1);
+    fixture::placed(scheduler.submit(fixture::requirements("m", LONG, later), later));
+}
