Keep servers that left or drain out of use after a change of leader

Cause: a new leader starts without a roster. A notice that was delayed on its way made it list a server that had told its predecessor that it leaves or drains, and entry instances used the server again. Change: updates name the servers that announced that they leave; a view keeps those starts removed and draining ones draining until the server restarts. A server that was only silent for the retention time may now return without a restart; before, the leader ignored its notices for another 90 s. Tests: views/delayed_notice_at_a_new_leader_does_not_bring_back_a_server_that_left and views/server_that_was_only_out_of_contact_returns_without_a_restart, seen failing before.

--- a/galenahold_domain/src/fleet/roster_update.rs
+++ b/galenahold_domain/src/fleet/roster_update.rs
@@ -18,4 +18,8 @@
     pub records: Vec<fleet::RecordChange>,
     /// The servers that are gone.
     pub gone: Vec<name::ServerName>,
+    /// Those of `gone` that announced that they leave. Their notices may still arrive, late, at the
+    /// next leader.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub left: Vec<name::ServerName>,
 }
--- a/galenahold_domain/src/fleet/roster_view.rs
+++ b/galenahold_domain/src/fleet/roster_view.rs
@@ -5,11 +5,20 @@
 use crate::fleet;
 use crate::name;
 
+/// Maximum number of servers that a view remembers to have left.
+const MAX_LEFT: usize = 1_024;
+
 /// The backend servers as an entry instance knows them from updates of the leader's roster.
+///
+/// A new leader starts without a roster and may take the delayed notice of a server that told its
+/// predecessor that it drains or leaves. A view that heard of it from the predecessor keeps the
+/// server draining or removed until the server restarts.
 #[derive(Debug, Default)]
 pub struct RosterView {
     cursor: fleet::RosterCursor,
     records: collections::BTreeMap<name::ServerName, fleet::ServerRecord>,
+    /// The last start of each server that left.
+    left: collections::BTreeMap<name::ServerName, u64>,
 }
 
 impl RosterView {
@@ -48,6 +57,12 @@
             let gone = self.records.keys().filter(|name| !named.contains(name));
             changed.extend(gone.cloned());
         }
+        for name in update.left {
+            if let Some(record) = self.records.get(&name) {
+                self.left.insert(name, record.started_ms);
+            }
+        }
+        self.bound_left();
         changed.extend(update.gone);
         for name in &changed {
             self.records.remove(name);
@@ -55,14 +70,24 @@
         let mut complete = true;
         for change in update.records {
             let known = self.records.get(&change.name);
-            let Some(record) = change.into_record(known) else {
+            let drains = known.is_some_and(|known| {
+                known.started_ms == change.started_ms && known.stage == fleet::ServerStage::Draining
+            });
+            let Some(mut record) = change.into_record(known) else {
                 complete = false;
                 continue;
             };
+            if self.has_left(&record) {
+                continue;
+            }
             self.remove_earlier_at(&record, &mut changed);
             if self.is_outdated(&record) {
                 continue;
             }
+            if drains {
+                record.stage = fleet::ServerStage::Draining;
+            }
+            self.left.remove(&record.name);
             changed.push(record.name.clone());
             self.records.insert(record.name.clone(), record);
         }
@@ -74,6 +99,22 @@
         changed
     }
 
+    /// Returns whether this start of the server, or a later one, is known to have left.
+    fn has_left(&self, record: &fleet::ServerRecord) -> bool {
+        let left = self.left.get(&record.name);
+        left.is_some_and(|started_ms| *started_ms >= record.started_ms)
+    }
+
+    /// Forgets the servers that started first while more left than a view remembers.
+    fn bound_left(&mut self) {
+        while self.left.len() > MAX_LEFT {
+            let earliest = self.left.iter().min_by_key(|(_, started_ms)| **started_ms);
+            let Some((name, _)) = earliest else { return };
+            let name = name.clone();
+            self.left.remove(&name);
+        }
+    }
+
     /// Returns whether the view has a later start of the same server.
     fn is_outdated(&self, record: &fleet::ServerRecord) -> bool {
         self.records
--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -53,14 +53,17 @@
 
 #[derive(Debug)]
 struct DepartedServer {
+    /// The latest start that has ended; zero if the server may return without a restart.
     started_ms: u64,
+    /// Whether the server announced that it leaves, rather than being lost.
+    announced: bool,
     departed_version: u64,
     at: time::Instant,
 }
 
 impl ServerRoster {
     /// How long a departed or silent server is kept.
-    const RETENTION: time::Duration = time::Duration::from_secs(90);
+    pub const RETENTION: time::Duration = time::Duration::from_secs(90);
 
     /// The number of notice periods without a notice after which a server counts as silent.
     const SILENT_PERIODS: u32 = 4;
@@ -153,6 +156,7 @@
         self.version += 1;
         let departed = DepartedServer {
             started_ms: entry.map_or(0, |entry| entry.record.started_ms),
+            announced: true,
             departed_version: self.version,
             at: now,
         };
@@ -160,6 +164,20 @@
         true
     }
 
+    /// Removes a server without a notice for the retention time. It was only out of contact, and
+    /// may return without a restart.
+    fn forget(&mut self, name: &name::ServerName, now: time::Instant) {
+        self.entries.remove(name);
+        self.version += 1;
+        let departed = DepartedServer {
+            started_ms: 0,
+            announced: false,
+            departed_version: self.version,
+            at: now,
+        };
+        self.departed.insert(name.clone(), departed);
+    }
+
     /// Marks servers whose notices have stopped as silent, removes those without a notice for the
     /// retention time, and forgets departed servers after it.
     pub fn expire(&mut self, now: time::Instant) {
@@ -182,7 +200,7 @@
             .map(|entry| entry.record.name.clone())
             .collect();
         for name in lost {
-            self.leave(&name, now);
+            self.forget(&name, now);
         }
         self.departed
             .retain(|_, departed| now.saturating_duration_since(departed.at) < Self::RETENTION);
@@ -225,17 +243,21 @@
             .filter(|entry| entry.changed_version > since)
             .map(|entry| entry.change_since(since))
             .collect();
-        let gone = self
+        let departed = self
             .departed
             .iter()
-            .filter(|(_, departed)| departed.departed_version > since)
-            .map(|(name, _)| name.clone())
-            .collect();
+            .filter(|(_, departed)| departed.departed_version > since);
+        let (mut gone, mut left) = (Vec::new(), Vec::new());
+        for (name, departed) in departed {
+            gone.push(name.clone());
+            left.extend(departed.announced.then(|| name.clone()));
+        }
         Some(fleet::RosterUpdate {
             cursor: latest,
             whole,
             records,
             gone,
+            left,
         })
     }
 
--- a/galenahold_domain/tests/fleet/views.rs
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -160,3 +160,49 @@
     follow(&mut view, &roster, now);
     assert_eq!(names(&view), ["a"]);
 }
+
+/// Guards against using a server that has left, or is about to, after a change of leader: the new
+/// leader knows neither and may take a notice that was delayed on its way.
+#[test]
+fn delayed_notice_at_a_new_leader_does_not_bring_back_a_server_that_left() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    roster.take(fixture::with_address(fixture::notice("b", 10, 1), 2), now);
+    let mut view = fleet::RosterView::default();
+    follow(&mut view, &roster, now);
+    let mut draining = fixture::notice("a", 10, 2);
+    draining.stage = fleet::ServerStage::Draining;
+    roster.take(draining, now);
+    roster.leave(&name::ServerName::from("b"), now);
+    follow(&mut view, &roster, now);
+
+    let mut next = fleet::ServerRoster::new(2, fixture::PERIOD, now);
+    next.take(fixture::notice("a", 10, 1), now);
+    next.take(fixture::with_address(fixture::notice("b", 10, 1), 2), now);
+    follow(&mut view, &next, now);
+    assert_eq!(names(&view), ["a"]);
+    let server = view.get(&name::ServerName::from("a"));
+    let server = server.expect("the server is known");
+    assert_eq!(server.stage, fleet::ServerStage::Draining);
+
+    next.take(fixture::with_address(fixture::notice("b", 11, 1), 2), now);
+    follow(&mut view, &next, now);
+    assert_eq!(names(&view), ["a", "b"], "a restarted server is used again");
+}
+
+#[test]
+fn server_that_was_only_out_of_contact_returns_without_a_restart() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    let mut view = fleet::RosterView::default();
+    follow(&mut view, &roster, now);
+    let later = now + fleet::ServerRoster::RETENTION;
+    roster.expire(later);
+    follow(&mut view, &roster, later);
+    assert_eq!(names(&view), [""; 0]);
+    roster.take(fixture::notice("a", 10, 2), later);
+    follow(&mut view, &roster, later);
+    assert_eq!(names(&view), ["a"]);
+}
