Bound what an endless refusal and a slow reader hold, and never complete a broken stream

Cause 1: after a refusal the call read its body to the end, up to 4 MiB and until the call's deadline, so a server whose refusal trickles without end held the call until no time was left for another attempt. Change 1: the body is read in the background, for 250 ms and 64 KiB at most; then the connection closes. Test: path/refusal_whose_body_never_ends_does_not_hold_up_the_call, seen failing before (1 request received). Cause 2: a relay waited without a deadline for a caller that takes nothing. It ended late, when the next chunk was taken or after the write timeout. Change 2: the wait ends at the call's deadline and is logged as caller_stalled; the server is not blamed. Test: path/stream_to_a_caller_that_hardly_reads_ends_at_its_deadline, which passed before too. Cause 3: the body of a streamed answer ended normally when its sender was dropped, so a relay that ended by an error or panic would have left an answer that looks complete. Change 3: StreamSender::finish marks the end; without it the caller's connection is cut. No test injects a panic yet. path/head_that_never_ends_fails_the_request_and_closes_the_connection shows that heads were bounded.

--- a/galenahold_instance/src/api/answer_body.rs
+++ b/galenahold_instance/src/api/answer_body.rs
@@ -1,23 +1,28 @@
 //! HTTP body of an answer: either complete in memory or streamed chunk by chunk.
 
 use std::pin;
+use std::sync;
+use std::sync::atomic;
 use std::task;
 
 use http_body::{Body, Frame};
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
+use crate::api;
+
 /// Chunks of a stream that are buffered until the caller's socket accepts them.
 const STREAM_BUFFER_CHUNKS: usize = 32;
 
-/// The backend server cut a streamed answer short; the caller's connection is closed without the
-/// final chunk.
+/// A streamed answer was cut short; the caller's connection is closed without the final chunk.
 #[derive(Debug, Snafu)]
-#[snafu(display("the answer was cut short at the backend server"))]
+#[snafu(display("the answer was cut short"))]
 pub(crate) struct StreamCut;
 
-/// The sending half of a streamed body; it is closed once the caller disconnects.
-pub(crate) type StreamSender = mpsc::Sender<Result<bytes::Bytes, StreamCut>>;
+/// The caller of a streamed answer has disconnected.
+#[derive(Debug, Snafu)]
+#[snafu(display("the caller has disconnected"))]
+pub(crate) struct CallerGone;
 
 /// The HTTP body of an answer.
 #[derive(Debug)]
@@ -25,7 +30,12 @@
     /// The complete body, in memory.
     Whole(bytes::Bytes),
     /// Chunks that are forwarded as they arrive.
-    Stream(mpsc::Receiver<Result<bytes::Bytes, StreamCut>>),
+    Stream {
+        /// The chunks that the caller's socket has not accepted yet.
+        chunks: mpsc::Receiver<bytes::Bytes>,
+        /// Whether the end of the chunks is the end of the answer.
+        complete: sync::Arc<atomic::AtomicBool>,
+    },
 }
 
 impl AnswerBody {
@@ -38,14 +48,16 @@
     pub(crate) fn as_whole(&self) -> Option<&bytes::Bytes> {
         match self {
             Self::Whole(bytes) => Some(bytes),
-            Self::Stream(_) => None,
+            Self::Stream { .. } => None,
         }
     }
 
     /// Creates a streamed body and its sending half.
-    pub(crate) fn stream() -> (StreamSender, Self) {
-        let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
-        (sender, Self::Stream(receiver))
+    pub(crate) fn stream() -> (api::StreamSender, Self) {
+        let (sender, chunks) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+        let complete = sync::Arc::<atomic::AtomicBool>::default();
+        let sender = api::StreamSender::new(sender, sync::Arc::clone(&complete));
+        (sender, Self::Stream { chunks, complete })
     }
 }
 
@@ -63,23 +75,27 @@
                 let frame = Frame::data(std::mem::take(bytes));
                 task::Poll::Ready(Some(Ok(frame)))
             }
-            Self::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|chunk| chunk.map(|bytes| bytes.map(Frame::data))),
+            Self::Stream { chunks, complete } => chunks.poll_recv(context).map(|chunk| {
+                let ended = || complete.load(atomic::Ordering::Acquire);
+                match chunk {
+                    Some(chunk) => Some(Ok(Frame::data(chunk))),
+                    None => (!ended()).then_some(Err(StreamCut)),
+                }
+            }),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_empty(),
-            Self::Stream(_) => false,
+            Self::Stream { .. } => false,
         }
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
             Self::Whole(bytes) => http_body::SizeHint::with_exact(bytes.len() as u64),
-            Self::Stream(_) => http_body::SizeHint::default(),
+            Self::Stream { .. } => http_body::SizeHint::default(),
         }
     }
 }
--- a/galenahold_instance/src/api/mod.rs
+++ b/galenahold_instance/src/api/mod.rs
@@ -9,8 +9,9 @@
 mod json_answer;
 mod refusal_kind;
 mod request_refusal;
+mod stream_sender;
 
-pub(crate) use answer_body::{AnswerBody, StreamCut, StreamSender};
+pub(crate) use answer_body::{AnswerBody, CallerGone};
 pub(crate) use body_reader::BodyReader;
 pub(crate) use connection_counter::ConnectionCounter;
 pub(crate) use connection_limits::ConnectionLimits;
@@ -19,3 +20,4 @@
 pub(crate) use json_answer::json_answer;
 pub(crate) use refusal_kind::RefusalKind;
 pub(crate) use request_refusal::{RequestRefusal, VERDICT_HEADER};
+pub(crate) use stream_sender::StreamSender;
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use galenahold_domain::verdict;
-use tokio::sync::mpsc;
 
 use crate::api;
 use crate::backend;
@@ -239,11 +238,8 @@
         self.resume.offset += 1;
     }
 
-    async fn forward(
-        &self,
-        output: bytes::BytesMut,
-    ) -> Result<(), mpsc::error::SendError<Result<bytes::Bytes, api::StreamCut>>> {
-        self.sender.send(Ok(output.freeze())).await
+    async fn forward(&self, output: bytes::BytesMut) -> Result<(), api::CallerGone> {
+        self.sender.send(output.freeze()).await
     }
 
     /// Opens the remainder of the answer after it was cut short.
@@ -282,14 +278,19 @@
             charge.finish(spent);
         }
         match ended {
-            StreamEnd::Completed => self.call.recorder.record_answered(200, spent.0),
+            StreamEnd::Completed => {
+                self.call.recorder.record_answered(200, spent.0);
+                self.sender.finish();
+            }
             StreamEnd::CallerGone => self.call.recorder.record_abandoned(spent.0),
             StreamEnd::Failed(refusal) => {
                 self.call.recorder.record_refused(&refusal);
                 let event = error_event(&refusal);
-                let sending = self.sender.send(Ok(event));
+                let sending = self.sender.send(event);
                 // If the caller does not read, its connection is closed anyway.
-                let _ = tokio::time::timeout(ERROR_EVENT_TIMEOUT, sending).await;
+                if let Ok(Ok(())) = tokio::time::timeout(ERROR_EVENT_TIMEOUT, sending).await {
+                    self.sender.finish();
+                }
             }
         }
     }
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -13,6 +13,12 @@
 /// Maximum size of a non-streamed answer, which is buffered before it is forwarded, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
+/// Maximum size of a refusal's body that is read for the sake of its connection, in bytes.
+const MAX_DRAIN_BYTES: usize = 64 * 1024;
+
+/// Maximum time for the body of a refusal; after it the connection is closed.
+const DRAIN_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+
 /// Minimum time left for an attempt to be worth sending.
 const MIN_TIME_LEFT: time::Duration = time::Duration::from_millis(5);
 
@@ -104,12 +110,12 @@
         }
         if metadata.misplaced {
             lease.observe(fleet::AttemptReport::Misplaced);
-            self.drain(exchange, call.deadline).await;
+            self.drain(exchange);
             return entry::AttemptEnd::NotRun("misplaced");
         }
         if metadata.not_run {
             lease.observe(fleet::AttemptReport::Shed);
-            self.drain(exchange, call.deadline).await;
+            self.drain(exchange);
             return entry::AttemptEnd::NotRun("refused_by_server");
         }
         if head.status.is_server_error() {
@@ -123,11 +129,16 @@
         read_complete(call, lease, exchange).await
     }
 
-    /// Reads a refusal to its end so that its connection can be reused.
-    async fn drain(&self, mut exchange: backend::BackendExchange, deadline: time::Instant) {
-        if exchange.read_rest(MAX_ANSWER_BYTES, deadline).await.is_ok() {
-            exchange.finish();
-        }
+    /// Reads a refusal to its end in the background so that its connection can be reused.
+    ///
+    /// The call does not wait for the body, which may be slow or never end.
+    fn drain(&self, mut exchange: backend::BackendExchange) {
+        let deadline = time::Instant::now() + DRAIN_TIMEOUT;
+        self.work.spawn_until_stop(async move {
+            if exchange.read_rest(MAX_DRAIN_BYTES, deadline).await.is_ok() {
+                exchange.finish();
+            }
+        });
     }
 }
 
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -38,6 +38,8 @@
     Ended,
     Cut(&'static str),
     CallerLeft,
+    /// The caller's connection accepted nothing more until the deadline.
+    CallerStalled,
 }
 
 impl<Dialect: gateway::FleetDialect> StreamRelay<Dialect> {
@@ -86,6 +88,7 @@
                 RelayStep::Continue => {}
                 RelayStep::Ended => {
                     self.log("complete");
+                    sender.finish();
                     self.lease.stop_waiting();
                     self.exchange.finish();
                     return;
@@ -94,13 +97,16 @@
                     self.log("caller_left");
                     return;
                 }
+                RelayStep::CallerStalled => {
+                    self.log("caller_stalled");
+                    return;
+                }
                 RelayStep::Cut(reason) => {
                     if self.resume(reason).await {
                         continue;
                     }
+                    // Dropping the sender closes the caller's connection without the end of the answer.
                     self.log(reason);
-                    // The caller's connection is closed without the end of the answer.
-                    let _ = sender.send(Err(api::StreamCut)).await;
                     return;
                 }
             }
@@ -134,8 +140,12 @@
             if event.id.is_some() {
                 self.last_id = event.id;
             }
-            if sender.send(Ok(event.bytes)).await.is_err() {
-                return RelayStep::CallerLeft;
+            // A caller that stops reading must not hold its place at the server for ever.
+            let sending = sender.send(event.bytes);
+            match tokio::time::timeout_at(self.call.deadline.into(), sending).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return RelayStep::CallerLeft,
+                Err(_) => return RelayStep::CallerStalled,
             }
         }
         RelayStep::Continue
