--- a/galenahold_instance/src/gateway/entry/roster_follower.rs
+++ b/galenahold_instance/src/gateway/entry/roster_follower.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::fleet;
+use galenahold_domain::name;
 use galenahold_routing::fleet as routing;
 use galenahold_wire::message;
 use log::info;
@@ -73,6 +74,7 @@
         let mut view = self.lock();
         let term = view.cursor().term;
         let was_empty = view.records().next().is_none();
+        let open_before = open_servers(&view);
         let changed_names = view.take(update);
         let cursor = view.cursor();
         if cursor.term != term {
@@ -90,6 +92,7 @@
             .into_iter()
             .filter(|name| view.get(name).is_none())
             .collect();
+        log_closed(&open_before, &view);
         drop(view);
         self.dispatcher.apply_roster(changed, &removed, followers);
     }
@@ -104,3 +107,25 @@
         self.dispatcher.wait_for_queued_call().await;
     }
 }
+
+fn open_servers(view: &fleet::RosterView) -> Vec<name::ServerName> {
+    let open = view.records().filter(|record| record.is_open());
+    open.map(|record| record.name.clone()).collect()
+}
+
+/// Logs the servers that were open before an update and take no new requests after it.
+fn log_closed(open_before: &[name::ServerName], view: &fleet::RosterView) {
+    let cursor = view.cursor();
+    for name in open_before {
+        let record = view.get(name);
+        if record.is_none_or(|record| !record.is_open()) {
+            info!(
+                server:% = name,
+                draining = record.is_some(),
+                term = cursor.term,
+                version = cursor.version;
+                "backend server gets no new requests"
+            );
+        }
+    }
+}
