Commit a backend server's departure before it is acknowledged

What callers saw: requests still reached servers that had said they leave, after the leader was lost. Cause: the leader acknowledged a drain or a departure from its own memory. Its successor started without a roster, and an unsettled roster takes no server out of use, so entry instances that had not heard of it used the server for up to 4.5 s more. The class: whatever one process acknowledges from its own memory is lost with it. The notice is answered once it is committed, within 900 ms, or refused as not committed. A new leader takes the committed departures into its roster, and whole updates carry them, so that views close the servers before the roster settles. A drain whose notice is overtaken counts. No adapter is ordered for a server that drains. Why it works: a leader is elected only with all committed entries, and views follow it in the first update. A departure of a server that the leader does not know ends all starts until then by its clock.

--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -10,6 +10,7 @@
 use crate::control;
 use crate::declaration;
 use crate::error;
+use crate::fleet;
 use crate::intent;
 use crate::key;
 use crate::name;
@@ -172,13 +173,20 @@
         /// The incarnation that runs now.
         incarnation: amount::IncarnationNumber,
     },
+    /// Records that a backend server takes no new requests until its next start.
+    Depart {
+        /// The server, its start and whether it still finishes requests.
+        departure: fleet::ServerDeparture,
+        /// Milliseconds since the Unix epoch.
+        now_ms: u64,
+    },
 }
 
 /// The version of the encoding that this program writes, and the latest that it reads.
 const COMMAND_VERSION: u32 = 1;
 
 /// The names of the command kinds in the encoding.
-const COMMAND_KINDS: [&str; 13] = [
+const COMMAND_KINDS: [&str; 14] = [
     "confirm_plan",
     "confirm_delta",
     "give_key",
@@ -192,6 +200,7 @@
     "release_reservation",
     "adopt_replica",
     "retire_server",
+    "depart",
 ];
 
 /// The version of an encoded command, which is read before the rest.
--- a/galenahold_domain/src/control/control_outcome.rs
+++ b/galenahold_domain/src/control/control_outcome.rs
@@ -52,6 +52,8 @@
         /// The number of attempts that were ended.
         count: u64,
     },
+    /// The departure is recorded, or already was.
+    DepartureRecorded,
     /// The memory is reserved, or the replica is adopted.
     Reserved(placement::MemoryReservation),
     /// The memory is not reserved, or the replica is not adopted.
--- a/galenahold_domain/src/control/control_state.rs
+++ b/galenahold_domain/src/control/control_state.rs
@@ -8,6 +8,7 @@
 use crate::codec;
 use crate::control;
 use crate::error;
+use crate::fleet;
 use crate::order;
 use crate::placement;
 
@@ -30,6 +31,8 @@
     configuration: control::ConfigurationLedger,
     orders: order::OrderLedger,
     reservations: placement::ReservationTable,
+    #[serde(default)]
+    departures: fleet::DepartureLedger,
 }
 
 /// The version of a snapshot, which is read before the rest.
@@ -150,6 +153,12 @@
         &self.parts.reservations
     }
 
+    /// Returns the departures of backend servers.
+    #[must_use]
+    pub fn departures(&self) -> &fleet::DepartureLedger {
+        &self.parts.departures
+    }
+
     /// Returns figures of the order ledger.
     #[must_use]
     pub fn order_statistics(&self) -> order::OrderStatistics {
@@ -187,6 +196,10 @@
             | control::ControlCommand::RetireServer { .. } => {
                 self.apply_reservation(fence, command)
             }
+            control::ControlCommand::Depart { departure, now_ms } => {
+                self.departures.record(departure.clone(), *now_ms);
+                control::ControlOutcome::DepartureRecorded
+            }
         }
     }
 
--- a/galenahold_domain/src/fleet/roster_update.rs
+++ b/galenahold_domain/src/fleet/roster_update.rs
@@ -18,8 +18,7 @@
     pub records: Vec<fleet::RecordChange>,
     /// The servers that are gone.
     pub gone: Vec<name::ServerName>,
-    /// Those of `gone` that announced that they leave. Their notices may still arrive, late, at the
-    /// next leader.
+    /// The departures that are new, or all known ones in a whole update.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub left: Vec<name::ServerName>,
+    pub departures: Vec<fleet::ServerDeparture>,
 }
--- a/galenahold_domain/src/fleet/roster_view.rs
+++ b/galenahold_domain/src/fleet/roster_view.rs
@@ -5,20 +5,15 @@
 use crate::fleet;
 use crate::name;
 
-/// Maximum number of servers that a view remembers to have left.
-const MAX_LEFT: usize = 1_024;
-
 /// The backend servers as an entry instance knows them from updates of the leader's roster.
 ///
-/// A new leader starts without a roster and may take the delayed notice of a server that told its
-/// predecessor that it drains or leaves. A view that heard of it from the predecessor keeps the
-/// server draining or removed until the server restarts.
+/// A server that drains or left stays so until it restarts, whatever the records of a later leader
+/// say, since these may stem from notices that were delayed on their way.
 #[derive(Debug, Default)]
 pub struct RosterView {
     cursor: fleet::RosterCursor,
     records: collections::BTreeMap<name::ServerName, fleet::ServerRecord>,
-    /// The last start of each server that left.
-    left: collections::BTreeMap<name::ServerName, u64>,
+    departures: fleet::DepartureTable,
 }
 
 impl RosterView {
@@ -50,46 +45,35 @@
     /// A whole update of a leader whose roster has not settled removes no server for being absent
     /// from it.
     pub fn take(&mut self, update: fleet::RosterUpdate) -> Vec<name::ServerName> {
-        let mut changed = Vec::new();
+        let mut gone = update.gone;
         if update.whole && update.cursor.settled {
             let named: collections::BTreeSet<_> =
                 update.records.iter().map(|change| &change.name).collect();
-            let gone = self.records.keys().filter(|name| !named.contains(name));
-            changed.extend(gone.cloned());
+            let absent = self.records.keys().filter(|name| !named.contains(name));
+            gone.extend(absent.cloned());
         }
-        for name in update.left {
-            if let Some(record) = self.records.get(&name) {
-                self.left.insert(name, record.started_ms);
+        let mut changed = Vec::new();
+        for mut departure in update.departures {
+            if gone.contains(&departure.name)
+                && let Some(record) = self.records.get(&departure.name)
+            {
+                // A leader without a notice of the server only knows that its latest start is gone.
+                departure.started_ms = departure.started_ms.max(record.started_ms);
             }
+            self.depart(departure, &mut changed);
         }
-        self.bound_left();
-        changed.extend(update.gone);
-        for name in &changed {
+        for name in &gone {
             self.records.remove(name);
         }
+        changed.extend(gone);
         let mut complete = true;
         for change in update.records {
             let known = self.records.get(&change.name);
-            let drains = known.is_some_and(|known| {
-                known.started_ms == change.started_ms && known.stage == fleet::ServerStage::Draining
-            });
-            let Some(mut record) = change.into_record(known) else {
+            let Some(record) = change.into_record(known) else {
                 complete = false;
                 continue;
             };
-            if self.has_left(&record) {
-                continue;
-            }
-            self.remove_earlier_at(&record, &mut changed);
-            if self.is_outdated(&record) {
-                continue;
-            }
-            if drains {
-                record.stage = fleet::ServerStage::Draining;
-            }
-            self.left.remove(&record.name);
-            changed.push(record.name.clone());
-            self.records.insert(record.name.clone(), record);
+            self.insert_record(record, &mut changed);
         }
         self.cursor = update.cursor;
         if !complete {
@@ -99,20 +83,42 @@
         changed
     }
 
-    /// Returns whether this start of the server, or a later one, is known to have left.
-    fn has_left(&self, record: &fleet::ServerRecord) -> bool {
-        let left = self.left.get(&record.name);
-        left.is_some_and(|started_ms| *started_ms >= record.started_ms)
+    fn depart(&mut self, departure: fleet::ServerDeparture, changed: &mut Vec<name::ServerName>) {
+        if !self.departures.record(departure.clone()) {
+            return;
+        }
+        let record = self.records.get_mut(&departure.name);
+        let Some(record) = record.filter(|record| departure.covers(record.started_ms)) else {
+            return;
+        };
+        record.stage = fleet::ServerStage::Draining;
+        if departure.stage == fleet::DepartureStage::Left {
+            self.records.remove(&departure.name);
+        }
+        changed.push(departure.name);
     }
 
-    /// Forgets the servers that started first while more left than a view remembers.
-    fn bound_left(&mut self) {
-        while self.left.len() > MAX_LEFT {
-            let earliest = self.left.iter().min_by_key(|(_, started_ms)| **started_ms);
-            let Some((name, _)) = earliest else { return };
-            let name = name.clone();
-            self.left.remove(&name);
+    fn insert_record(
+        &mut self,
+        mut record: fleet::ServerRecord,
+        changed: &mut Vec<name::ServerName>,
+    ) {
+        let departure = self.departures.get(&record.name);
+        if departure.is_some_and(|departure| departure.ends(record.started_ms)) {
+            return;
+        }
+        if departure.is_some_and(|departure| departure.covers(record.started_ms)) {
+            record.stage = fleet::ServerStage::Draining;
+        }
+        self.remove_earlier_at(&record, changed);
+        if self.is_outdated(&record) {
+            return;
+        }
+        if let Some(draining) = record.departure() {
+            self.departures.record(draining);
         }
+        changed.push(record.name.clone());
+        self.records.insert(record.name.clone(), record);
     }
 
     /// Returns whether the view has a later start of the same server.
--- a/galenahold_domain/src/fleet/server_notice.rs
+++ b/galenahold_domain/src/fleet/server_notice.rs
@@ -35,3 +35,15 @@
     /// The weights cached at the server.
     pub copies: fleet::WeightCopies,
 }
+
+impl ServerNotice {
+    /// Returns the departure that the notice announces, if the server drains.
+    #[must_use]
+    pub fn departure(&self) -> Option<fleet::ServerDeparture> {
+        (self.stage == fleet::ServerStage::Draining).then(|| fleet::ServerDeparture {
+            name: self.name.clone(),
+            started_ms: self.started_ms,
+            stage: fleet::DepartureStage::Draining,
+        })
+    }
+}
--- a/galenahold_domain/src/fleet/server_record.rs
+++ b/galenahold_domain/src/fleet/server_record.rs
@@ -72,6 +72,15 @@
         self.model(name).is_some_and(|model| !model.retiring)
     }
 
+    /// Returns the departure of the server, if it drains.
+    pub(super) fn departure(&self) -> Option<fleet::ServerDeparture> {
+        (self.stage == fleet::ServerStage::Draining).then(|| fleet::ServerDeparture {
+            name: self.name.clone(),
+            started_ms: self.started_ms,
+            stage: fleet::DepartureStage::Draining,
+        })
+    }
+
     /// Returns whether the server takes new requests.
     #[must_use]
     pub fn is_open(&self) -> bool {
--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -10,7 +10,7 @@
 ///
 /// A notice is applied only if it is newer than the record. Of one server, the latest start and its
 /// highest sequence win; of several servers at one address, the latest start wins. A server that
-/// left stays removed until it restarts.
+/// drains or left stays so until it restarts.
 #[derive(Debug)]
 pub struct ServerRoster {
     term: u64,
@@ -18,7 +18,10 @@
     settles_at: time::Instant,
     silent_after: time::Duration,
     entries: collections::BTreeMap<name::ServerName, RosterEntry>,
-    departed: collections::BTreeMap<name::ServerName, DepartedServer>,
+    /// The servers that were removed, for views that still have them.
+    gone: collections::BTreeMap<name::ServerName, RosterChange>,
+    departures: fleet::DepartureTable,
+    departure_changes: collections::BTreeMap<name::ServerName, RosterChange>,
 }
 
 #[derive(Debug)]
@@ -51,13 +54,10 @@
     }
 }
 
-#[derive(Debug)]
-struct DepartedServer {
-    /// The latest start that has ended; zero if the server may return without a restart.
-    started_ms: u64,
-    /// Whether the server announced that it leaves, rather than being lost.
-    announced: bool,
-    departed_version: u64,
+/// A change of the roster that views are told of for a limited time.
+#[derive(Debug, Clone, Copy)]
+struct RosterChange {
+    version: u64,
     at: time::Instant,
 }
 
@@ -82,7 +82,20 @@
             settles_at: now + period * Self::SETTLING_PERIODS,
             silent_after: period * Self::SILENT_PERIODS,
             entries: collections::BTreeMap::new(),
-            departed: collections::BTreeMap::new(),
+            gone: collections::BTreeMap::new(),
+            departures: fleet::DepartureTable::default(),
+            departure_changes: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes over the departures that the control group committed under earlier leaders.
+    pub fn adopt<'a>(
+        &mut self,
+        departures: impl Iterator<Item = &'a fleet::ServerDeparture>,
+        now: time::Instant,
+    ) {
+        for departure in departures {
+            self.record_departure(departure.clone(), now);
         }
     }
 
@@ -119,12 +132,25 @@
         notice: fleet::ServerNotice,
         now: time::Instant,
     ) -> fleet::NoticeOutcome {
+        if let Some(departure) = notice.departure() {
+            self.record_departure(departure, now);
+        }
         if self.is_outdated(&notice) {
+            // A drain lasts until the next start, also if later notices of this start came first.
+            if self.is_departing(&notice.name) {
+                self.change(&notice.name, |record| {
+                    record.stage = fleet::ServerStage::Draining;
+                });
+            }
             return fleet::NoticeOutcome::Late;
         }
         self.remove_others_at(&notice, now);
         let sequence = notice.sequence;
         let mut record = fleet::ServerRecord::from(notice);
+        let departure = self.departures.get(&record.name);
+        if departure.is_some_and(|departure| departure.covers(record.started_ms)) {
+            record.stage = fleet::ServerStage::Draining;
+        }
         let known = self.entries.get(&record.name);
         let known = known.filter(|known| known.record.started_ms == record.started_ms);
         if let Some(known) = known {
@@ -144,38 +170,64 @@
         outcome
     }
 
-    /// Removes a server that announced that it leaves; returns whether this is new to the roster.
+    /// Removes a server that announced that it leaves, and returns its departure.
     ///
-    /// A server that sent this leader no notice is new to it as well, as views may know the server
-    /// from the previous leader.
-    pub fn leave(&mut self, name: &name::ServerName, now: time::Instant) -> bool {
-        let entry = self.entries.remove(name);
-        if entry.is_none() && self.departed.contains_key(name) {
-            return false;
+    /// A server that sent this leader no notice is removed as well, as views may know it from the
+    /// previous leader. Its start is unknown, and all starts until `now_ms`, in milliseconds since
+    /// the Unix epoch, count as ended.
+    pub fn leave(
+        &mut self,
+        name: &name::ServerName,
+        now_ms: u64,
+        now: time::Instant,
+    ) -> fleet::ServerDeparture {
+        let entry = self.entries.get(name);
+        let known = self.departures.get(name);
+        if entry.is_none()
+            && let Some(known) = known.filter(|known| known.stage == fleet::DepartureStage::Left)
+        {
+            return known.clone();
         }
-        self.version += 1;
-        let departed = DepartedServer {
-            started_ms: entry.map_or(0, |entry| entry.record.started_ms),
-            announced: true,
-            departed_version: self.version,
-            at: now,
+        let departure = fleet::ServerDeparture {
+            name: name.clone(),
+            started_ms: entry.map_or(now_ms, |entry| entry.record.started_ms),
+            stage: fleet::DepartureStage::Left,
         };
-        self.departed.insert(name.clone(), departed);
-        true
+        self.remove(name, now);
+        self.record_departure(departure.clone(), now);
+        departure
+    }
+
+    /// Returns whether the recorded start of the server announced that it takes no new requests.
+    fn is_departing(&self, name: &name::ServerName) -> bool {
+        let departure = self.departures.get(name);
+        let record = self.get(name);
+        departure.is_some_and(|departure| {
+            record.is_some_and(|record| departure.covers(record.started_ms))
+        })
     }
 
-    /// Removes a server without a notice for the retention time. It was only out of contact, and
-    /// may return without a restart.
-    fn forget(&mut self, name: &name::ServerName, now: time::Instant) {
+    /// Removes a server; it may return with its next notice, without a restart.
+    fn remove(&mut self, name: &name::ServerName, now: time::Instant) {
         self.entries.remove(name);
         self.version += 1;
-        let departed = DepartedServer {
-            started_ms: 0,
-            announced: false,
-            departed_version: self.version,
+        let change = RosterChange {
+            version: self.version,
             at: now,
         };
-        self.departed.insert(name.clone(), departed);
+        self.gone.insert(name.clone(), change);
+    }
+
+    fn record_departure(&mut self, departure: fleet::ServerDeparture, now: time::Instant) {
+        let name = departure.name.clone();
+        if self.departures.record(departure) {
+            self.version += 1;
+            let change = RosterChange {
+                version: self.version,
+                at: now,
+            };
+            self.departure_changes.insert(name, change);
+        }
     }
 
     /// Marks servers whose notices have stopped as silent, removes those without a notice for the
@@ -200,10 +252,24 @@
             .map(|entry| entry.record.name.clone())
             .collect();
         for name in lost {
-            self.forget(&name, now);
+            self.remove(&name, now);
         }
-        self.departed
-            .retain(|_, departed| now.saturating_duration_since(departed.at) < Self::RETENTION);
+        self.gone
+            .retain(|_, change| now.saturating_duration_since(change.at) < Self::RETENTION);
+        self.forget_departures(now);
+    }
+
+    /// Forgets the departures of servers that have been gone for the retention time.
+    fn forget_departures(&mut self, now: time::Instant) {
+        let (entries, departures) = (&self.entries, &mut self.departures);
+        self.departure_changes.retain(|name, change| {
+            let kept = entries.contains_key(name)
+                || now.saturating_duration_since(change.at) < Self::RETENTION;
+            if !kept {
+                departures.forget(name);
+            }
+            kept
+        });
     }
 
     /// Changes the record of a server for which the leader knows more than the last notice.
@@ -243,28 +309,27 @@
             .filter(|entry| entry.changed_version > since)
             .map(|entry| entry.change_since(since))
             .collect();
-        let departed = self
-            .departed
+        let is_new = |change: &RosterChange| change.version > since;
+        let gone = self.gone.iter().filter(|(_, change)| is_new(change));
+        let departing = self
+            .departure_changes
             .iter()
-            .filter(|(_, departed)| departed.departed_version > since);
-        let (mut gone, mut left) = (Vec::new(), Vec::new());
-        for (name, departed) in departed {
-            gone.push(name.clone());
-            left.extend(departed.announced.then(|| name.clone()));
-        }
+            .filter(|(_, change)| is_new(change));
         Some(fleet::RosterUpdate {
             cursor: latest,
             whole,
             records,
-            gone,
-            left,
+            gone: gone.map(|(name, _)| name.clone()).collect(),
+            departures: departing
+                .filter_map(|(name, _)| self.departures.get(name).cloned())
+                .collect(),
         })
     }
 
     /// Returns whether the roster has newer information than the notice.
     fn is_outdated(&self, notice: &fleet::ServerNotice) -> bool {
-        let departed = self.departed.get(&notice.name);
-        if departed.is_some_and(|departed| notice.started_ms <= departed.started_ms) {
+        let departure = self.departures.get(&notice.name);
+        if departure.is_some_and(|departure| departure.ends(notice.started_ms)) {
             return true;
         }
         let known = self.entries.get(&notice.name).is_some_and(|known| {
@@ -288,10 +353,15 @@
             .values()
             .map(|entry| &entry.record)
             .filter(|record| record.address == notice.address && record.name != notice.name)
-            .map(|record| record.name.clone())
+            .map(|record| fleet::ServerDeparture {
+                name: record.name.clone(),
+                started_ms: record.started_ms,
+                stage: fleet::DepartureStage::Left,
+            })
             .collect();
-        for name in others {
-            self.leave(&name, now);
+        for departure in others {
+            self.remove(&departure.name, now);
+            self.record_departure(departure, now);
         }
     }
 
@@ -307,7 +377,7 @@
     /// Stores a new or changed record under a new version of the roster.
     fn insert_record(&mut self, record: fleet::ServerRecord, sequence: u64, now: time::Instant) {
         self.version += 1;
-        self.departed.remove(&record.name);
+        self.gone.remove(&record.name);
         let known = self
             .entries
             .get(&record.name)
--- a/galenahold_domain/tests/fleet/fixture.rs
+++ b/galenahold_domain/tests/fleet/fixture.rs
@@ -38,3 +38,15 @@
     notice.stage = fleet::ServerStage::Draining;
     notice
 }
+
+pub(crate) fn departure(
+    server: &str,
+    started_ms: u64,
+    stage: fleet::DepartureStage,
+) -> fleet::ServerDeparture {
+    fleet::ServerDeparture {
+        name: name::ServerName::from(server),
+        started_ms,
+        stage,
+    }
+}
--- a/galenahold_domain/tests/fleet/notices.rs
+++ b/galenahold_domain/tests/fleet/notices.rs
@@ -52,7 +52,8 @@
     let now = time::Instant::now();
     let mut roster = roster(now);
     roster.take(fixture::notice("a", 10, 1), now);
-    assert!(roster.leave(&name::ServerName::from("a"), now));
+    let departure = roster.leave(&name::ServerName::from("a"), 99, now);
+    assert_eq!(departure.started_ms, 10);
     roster.take(fixture::notice("a", 10, 2), now);
     assert_eq!(names(&roster), Vec::<String>::new());
     roster.take(fixture::notice("a", 11, 1), now);
--- a/galenahold_domain/tests/fleet/views.rs
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -48,7 +48,8 @@
     let now = time::Instant::now();
     let mut view = view_of_two_servers(now);
     let mut roster = fleet::ServerRoster::new(2, fixture::PERIOD, now);
-    assert!(roster.leave(&name::ServerName::from("b"), now));
+    let departure = roster.leave(&name::ServerName::from("b"), 99, now);
+    assert_eq!(departure.stage, fleet::DepartureStage::Left);
     follow(&mut view, &roster, now);
     assert_eq!(names(&view), ["a"]);
 }
@@ -174,7 +175,7 @@
     let mut draining = fixture::notice("a", 10, 2);
     draining.stage = fleet::ServerStage::Draining;
     roster.take(draining, now);
-    roster.leave(&name::ServerName::from("b"), now);
+    roster.leave(&name::ServerName::from("b"), 99, now);
     follow(&mut view, &roster, now);
 
     let mut next = fleet::ServerRoster::new(2, fixture::PERIOD, now);
@@ -206,3 +207,45 @@
     follow(&mut view, &roster, later);
     assert_eq!(names(&view), ["a"]);
 }
+
+/// Guards against requests to servers whose departure the lost leader alone had acknowledged.
+#[test]
+fn departures_that_were_committed_reach_views_before_the_next_leader_settles() {
+    let now = time::Instant::now();
+    let mut view = view_of_two_servers(now);
+    let mut ledger = fleet::DepartureLedger::default();
+    ledger.record(
+        fixture::departure("a", 10, fleet::DepartureStage::Draining),
+        1,
+    );
+    ledger.record(fixture::departure("b", 10, fleet::DepartureStage::Left), 1);
+    let mut next = fleet::ServerRoster::new(2, fixture::PERIOD, now);
+    next.adopt(ledger.departures(), now);
+    follow(&mut view, &next, now);
+    assert!(!view.is_settled());
+    assert_eq!(names(&view), ["a"]);
+    let server = view.get(&name::ServerName::from("a"));
+    assert!(!server.expect("the server is known").is_open());
+
+    next.take(fixture::notice("a", 10, 1), now);
+    let server = next.get(&name::ServerName::from("a"));
+    assert!(!server.expect("the server is known").is_open());
+    next.take(fixture::notice("a", 11, 1), now);
+    follow(&mut view, &next, now);
+    let server = view.get(&name::ServerName::from("a"));
+    assert!(
+        server.expect("the server is known").is_open(),
+        "a restarted server is used again"
+    );
+}
+
+#[test]
+fn drain_whose_notice_was_overtaken_still_closes_the_server() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 3), now);
+    let late = roster.take(fixture::into_draining(fixture::notice("a", 10, 2)), now);
+    assert_eq!(late, fleet::NoticeOutcome::Late);
+    let server = roster.get(&name::ServerName::from("a"));
+    assert!(!server.expect("the server is known").is_open());
+}
--- a/galenahold_instance/src/gateway/control/control_api.rs
+++ b/galenahold_instance/src/gateway/control/control_api.rs
@@ -199,19 +199,34 @@
                 return error_answer(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
-        match self.parts.record_notice(notice) {
-            Some(_) => {
+        match self.parts.record_notice(notice).await {
+            Ok(()) => {
                 let next = self.dialect.notice_answer(Some(self.own_address));
                 api::json_answer(StatusCode::OK, next)
             }
-            None => self.redirect_to_leader(path),
+            Err(refusal) => self.refuse_notice(refusal, path),
         }
     }
 
-    fn apply_leave(&self, server: &str, path: &str) -> Response<api::AnswerBody> {
-        match self.parts.record_leave(&name::ServerName::from(server)) {
-            Some(_) => api::json_answer(StatusCode::OK, "{}"),
-            None => self.redirect_to_leader(path),
+    async fn apply_leave(&self, server: &str, path: &str) -> Response<api::AnswerBody> {
+        let server = name::ServerName::from(server);
+        match self.parts.record_leave(&server).await {
+            Ok(()) => api::json_answer(StatusCode::OK, "{}"),
+            Err(refusal) => self.refuse_notice(refusal, path),
+        }
+    }
+
+    fn refuse_notice(
+        &self,
+        refusal: control::NoticeRefusal,
+        path: &str,
+    ) -> Response<api::AnswerBody> {
+        match refusal {
+            control::NoticeRefusal::NotLeading => self.redirect_to_leader(path),
+            control::NoticeRefusal::NotCommitted => error_answer(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "the departure was not committed in time; send it again",
+            ),
         }
     }
 
@@ -250,7 +265,7 @@
             gateway::ControlRequest::Declare => self.declare(path, body).await,
             gateway::ControlRequest::ReadBack => self.read_back(path).await,
             gateway::ControlRequest::Notice(server) => self.apply_notice(&server, path, body).await,
-            gateway::ControlRequest::Leave(server) => self.apply_leave(&server, path),
+            gateway::ControlRequest::Leave(server) => self.apply_leave(&server, path).await,
             gateway::ControlRequest::Unknown => {
                 error_answer(StatusCode::NOT_FOUND, "unknown method or path")
             }
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -13,7 +13,7 @@
 use galenahold_placement::fleet as placement;
 use galenahold_routing::rate;
 use galenahold_wire::message;
-use log::info;
+use log::{info, warn};
 use tokio::sync as tokio_sync;
 
 use crate::control as group;
@@ -27,6 +27,9 @@
 /// order.
 const ORDER_RETRY_DELAY: time::Duration = time::Duration::from_millis(700);
 
+/// Maximum time to commit a departure: a backend server waits a second for the answer to its notice.
+const DEPARTURE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
 /// How long roster changes are batched before followers are notified.
 const ROSTER_BATCH_TIME: time::Duration = time::Duration::from_millis(10);
 
@@ -92,11 +95,48 @@
             .or_else(|| self.declarations.index())
     }
 
-    /// Records a backend server's notice; returns `None` if this member does not lead.
-    pub(crate) fn record_notice(
+    /// Records a backend server's notice. If the server drains, the notice is confirmed only once
+    /// the control group has committed the departure.
+    ///
+    /// # Errors
+    ///
+    /// This member does not lead, or the departure was not committed in time.
+    pub(crate) async fn record_notice(
         &self,
         notice: fleet::ServerNotice,
-    ) -> Option<fleet::NoticeOutcome> {
+    ) -> Result<(), control::NoticeRefusal> {
+        let departure = notice.departure();
+        self.apply_notice(notice)
+            .ok_or(control::NoticeRefusal::NotLeading)?;
+        match departure {
+            Some(departure) => {
+                self.notify_roster_change();
+                self.commit_departure(departure).await
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Removes a backend server that leaves, and confirms it once the control group has committed
+    /// the departure.
+    ///
+    /// # Errors
+    ///
+    /// This member does not lead, or the departure was not committed in time.
+    pub(crate) async fn record_leave(
+        &self,
+        server: &name::ServerName,
+    ) -> Result<(), control::NoticeRefusal> {
+        let now = time::Instant::now();
+        let departure = self
+            .if_leading(|leadership| leadership.roster.leave(server, unix_millis(), now))
+            .ok_or(control::NoticeRefusal::NotLeading)?;
+        self.notify_roster_change();
+        self.commit_departure(departure).await
+    }
+
+    /// Applies a notice to the roster; returns `None` if this member does not lead.
+    fn apply_notice(&self, notice: fleet::ServerNotice) -> Option<()> {
         let now = time::Instant::now();
         let server = notice.name.clone();
         let stage = notice.stage;
@@ -124,18 +164,36 @@
             info!(server:% = server, outcome:? = outcome, stage:? = stage, on_disk = on_disk, models = models.join(",").as_str(); "backend server reported its state");
             self.notify_roster_change();
         }
-        Some(outcome)
+        Some(())
     }
 
-    /// Removes a backend server that leaves; returns `None` if this member does not lead.
-    pub(crate) fn record_leave(&self, server: &name::ServerName) -> Option<bool> {
-        let now = time::Instant::now();
-        let known = self.if_leading(|leadership| leadership.roster.leave(server, now))?;
-        if known {
-            info!(server:% = server; "backend server left");
-            self.notify_roster_change();
+    /// Commits a departure unless it is committed already.
+    ///
+    /// A departure that only the leader knows would be lost with it, and the next leader's followers
+    /// would use the server again.
+    async fn commit_departure(
+        &self,
+        departure: fleet::ServerDeparture,
+    ) -> Result<(), control::NoticeRefusal> {
+        let state = self.member.state();
+        if state.read(|state| state.departures().holds(&departure)) {
+            return Ok(());
+        }
+        let started = time::Instant::now();
+        let command = domain::ControlCommand::Depart {
+            departure: departure.clone(),
+            now_ms: unix_millis(),
+        };
+        let committing = self.member.command(&command);
+        let committed = tokio::time::timeout(DEPARTURE_TIMEOUT, committing).await;
+        let committed = matches!(committed, Ok(Ok(_)));
+        let took_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        if committed {
+            info!(server:% = departure.name, stage:? = departure.stage, started_ms = departure.started_ms, took_ms = took_ms; "departure of a backend server committed");
+            return Ok(());
         }
-        Some(known)
+        warn!(server:% = departure.name, stage:? = departure.stage, took_ms = took_ms; "departure of a backend server is not acknowledged: it was not committed in time");
+        Err(control::NoticeRefusal::NotCommitted)
     }
 
     /// Notifies followers and the placement loop of a roster change.
@@ -340,6 +398,9 @@
             }
             let record = leadership.roster.get(server).cloned();
             let record = record.ok_or(("the engine is unknown", None))?;
+            if !record.is_open() {
+                return Err(("the engine takes no new requests", None));
+            }
             let service = index.service(&record.service);
             let engine = service.and_then(|service| service.engine.as_ref());
             let engine = engine.ok_or(("the server's service has no engines", None))?;
@@ -436,15 +497,27 @@
             teams: &teams,
         };
         self.grants.begin(term, teams);
+        let mut roster = fleet::ServerRoster::new(term, self.notice_period, now);
+        self.member
+            .state()
+            .read(|state| roster.adopt(state.departures().departures(), now));
         control::FleetLeadership {
             term,
-            roster: fleet::ServerRoster::new(term, self.notice_period, now),
+            roster,
             planner: placement::FleetPlanner::default(),
             orders_start_at: now + self.order_pause,
         }
     }
 }
 
+/// Returns the time of day in milliseconds since the Unix epoch.
+fn unix_millis() -> u64 {
+    let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Returns a hash by which followers detect a changed list of members.
 fn hash_members(members: &[message::ControlMember]) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
