Send no request to a server that departed while the request waited

Cause: a call is placed, and then waits for an adapter (up to its wait deadline), for tokens whose grant has expired (up to its deadline) and for a connection (350 ms); nothing was checked between the choice and the send. Change: right before the send, the server has to be open in the same start as when the call was placed; otherwise the call was not sent and goes to another server, without use of the shared attempt budget. A stream that resumes tries another server as well. Test: call_waiting::call_placed_before_its_server_departs_may_not_be_sent_there shows the decision; a test with processes that holds a call between choice and send is not written.

--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -55,6 +55,9 @@
         if time_left < MIN_TIME_LEFT {
             return entry::AttemptEnd::Unsent("no_time_left");
         }
+        if !lease.may_send() {
+            return entry::AttemptEnd::Unsent("server_left");
+        }
         let request = self.request(call, lease, time_left, resume_after);
         lease.start_waiting(sent_at);
         let sent = self
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -123,6 +123,11 @@
         placed.map(|placement| self.lease(placement, service, target))
     }
 
+    /// Returns whether a call that was placed at this start of the server may still be sent to it.
+    pub(super) fn accepts(&self, server: &name::ServerName, started_ms: u64) -> bool {
+        self.lock().scheduler.accepts(server, started_ms)
+    }
+
     /// Records what an attempt showed about its server.
     pub(super) fn observe(
         &self,
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -67,6 +67,14 @@
         }
     }
 
+    /// Returns whether the server still takes new requests: it may have drained, left or restarted
+    /// since the call was placed there.
+    pub(super) fn may_send(&self) -> bool {
+        let placement = &self.placement;
+        self.dispatcher
+            .accepts(&placement.server, placement.started_ms)
+    }
+
     /// Starts or restarts the measurement of the server's silence.
     pub(super) fn start_waiting(&mut self, moment: time::Instant) {
         self.waiting_since = Some(moment);
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -170,30 +170,7 @@
         if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry(&self.call.service) {
             return false;
         }
-        let requirements = self.call.requirements(self.plan.tried().to_vec());
-        let Ok(mut lease) = self.parts.dispatcher.place(requirements, true).await else {
-            return false;
-        };
-        if let Some(adapter) = lease.missing_adapter() {
-            let client = entry::AdapterClient::new(&self.parts.client);
-            let loaded = client.request_load(lease.server(), &adapter, self.call.deadline);
-            if let entry::AdapterAnswer::Refused { .. } = loaded.await {
-                return false;
-            }
-            lease.record_adapter(adapter);
-        }
-        self.plan.record_send(lease.server());
-        let resume_after = self.last_id.clone();
-        let end = self
-            .parts
-            .attempt(
-                &self.call,
-                &mut lease,
-                self.call.deadline,
-                resume_after.as_deref(),
-            )
-            .await;
-        let entry::AttemptEnd::Stream(exchange) = end else {
+        let Some((mut lease, exchange)) = self.send_again().await else {
             return false;
         };
         info!(
@@ -213,6 +190,37 @@
         true
     }
 
+    /// Sends the call for the rest of its stream; a server that could not be sent to is replaced by
+    /// another one.
+    async fn send_again(&mut self) -> Option<(entry::PlaceLease, backend::BackendExchange)> {
+        while self.plan.may_resend() {
+            let requirements = self.call.requirements(self.plan.tried().to_vec());
+            let placed = self.parts.dispatcher.place(requirements, true).await;
+            let mut lease = placed.ok()?;
+            if let Some(adapter) = lease.missing_adapter() {
+                let client = entry::AdapterClient::new(&self.parts.client);
+                let loaded = client.request_load(lease.server(), &adapter, self.call.deadline);
+                if let entry::AdapterAnswer::Refused { .. } = loaded.await {
+                    return None;
+                }
+                lease.record_adapter(adapter);
+            }
+            self.plan.record_send(lease.server());
+            let sending = self.parts.attempt(
+                &self.call,
+                &mut lease,
+                self.call.deadline,
+                self.last_id.as_deref(),
+            );
+            match sending.await {
+                entry::AttemptEnd::Stream(exchange) => return Some((lease, exchange)),
+                entry::AttemptEnd::Unsent(_) => {}
+                _ => return None,
+            }
+        }
+        None
+    }
+
     fn log(&self, reason: &str) {
         info!(
             request = self.call.metadata.id.as_deref().unwrap_or("-"),
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -205,6 +205,13 @@
         }
     }
 
+    /// Returns whether a call that was placed at this start of the server may still be sent to it.
+    #[must_use]
+    pub fn accepts(&self, server: &name::ServerName, started_ms: u64) -> bool {
+        let known = self.servers.get(server).map(|known| &known.record);
+        known.is_some_and(|record| record.started_ms == started_ms && record.is_open())
+    }
+
     /// Updates a server from the result of an attempt.
     pub fn observe(
         &mut self,
--- a/galenahold_routing/tests/fleet/call_waiting.rs
+++ b/galenahold_routing/tests/fleet/call_waiting.rs
@@ -164,3 +164,24 @@
     let later = now + time::Duration::from_secs(1);
     fixture::placed(scheduler.submit(fixture::requirements("m", LONG, later), later));
 }
+
+/// A server drains, leaves or restarts while a call that was placed there waits for tokens, an adapter
+/// or a connection.
+#[test]
+fn call_placed_before_its_server_departs_may_not_be_sent_there() {
+    let now = time::Instant::now();
+    let record = fixture::record("s1", &["m"]);
+    let mut scheduler = fixture::scheduler(std::slice::from_ref(&record), now);
+    let placed = fixture::placed(scheduler.submit(fixture::requirements("m", SHORT, now), now));
+    assert!(scheduler.accepts(&placed.server, placed.started_ms));
+    let mut draining = record.clone();
+    draining.stage = domain::ServerStage::Draining;
+    scheduler.update_server(draining, now);
+    assert!(!scheduler.accepts(&placed.server, placed.started_ms));
+    let mut restarted = record;
+    restarted.started_ms += 1;
+    scheduler.update_server(restarted, now);
+    assert!(!scheduler.accepts(&placed.server, placed.started_ms));
+    scheduler.remove_server(&placed.server);
+    assert!(!scheduler.accepts(&placed.server, placed.started_ms));
+}
