Let no notice of a load bring back a server whose announcements expired

Cause: when a server's announcements expire, the replica table marked it as live, so that a notice of a load gave it a replica again until the notice expired. Candidates are filtered by age as well, so no request was sent there; the target counted as loaded, and the predicted wait of requests left out the cold start. Change: an expired server is not live. Test: replica_table::expired_server_gets_no_replica_from_a_notice, seen failing before.

--- a/galenahold_routing/src/replica/replica_table.rs
+++ b/galenahold_routing/src/replica/replica_table.rs
@@ -76,7 +76,7 @@
                 break;
             }
             self.by_age.remove(&age);
-            self.servers[age.server].live = true;
+            self.servers[age.server].live = false;
             self.set_replicas(age.server, &[]);
             expired.push(age.server);
         }
--- a/galenahold_routing/tests/replica/replica_table.rs
+++ b/galenahold_routing/tests/replica/replica_table.rs
@@ -5,7 +5,7 @@
 use galenahold_domain::{amount, server};
 use galenahold_routing::replica;
 
-use crate::fleet_sample::{announcement, candidates};
+use crate::fleet_sample::{announcement, candidates, target};
 
 const FRESH: time::Duration = time::Duration::ZERO;
 const SECOND: time::Duration = time::Duration::from_secs(1);
@@ -58,6 +58,19 @@
     assert_eq!(candidates(&table, later).len(), 1);
 }
 
+/// Guards against a notice of a load that brings back a server without recent announcements.
+#[test]
+fn expired_server_gets_no_replica_from_a_notice() {
+    let now = time::Instant::now();
+    let mut table = table();
+    table.announce(&announcement("one", 1, 1), FRESH, now);
+    let later = now + 10 * SECOND;
+    let expired = table.expire(later);
+    assert!(!table.has_replica(&target()));
+    table.mark_ready(expired[0], amount::IncarnationNumber(1), &target());
+    assert!(!table.has_replica(&target()));
+}
+
 #[test]
 fn loading_replica_is_no_candidate() {
     let now = time::Instant::now();
