Recheck the replica before a request of the own interface is sent

Cause: as on the platform: a request gets a replica, then waits for a connection (500 ms) and, if its charge expired, for tokens until its deadline. Key and charge were checked again before the send, the replica was not. Change: a request whose backend server left, restarted or fell silent since, or whose replica drains, is not sent; it counts as not run and is retried by the usual rules. The server's breaker is not charged with it.

--- a/galenahold_instance/src/backend/attempt_error.rs
+++ b/galenahold_instance/src/backend/attempt_error.rs
@@ -21,6 +21,9 @@
     /// The connection could not be established.
     #[snafu(display("could not connect to the backend server"))]
     Connect,
+    /// The backend server left, or its replica began to drain, before the request was sent.
+    #[snafu(display("the backend server left before the request was sent"))]
+    Departed,
     /// The connection was closed before any byte of the request was written.
     #[snafu(display("the connection was closed before the request was written"))]
     Unsent,
@@ -66,6 +69,7 @@
         match self.kind {
             AttemptErrorKind::Refused => dispatch::AttemptOutcome::ReplicaMissing,
             AttemptErrorKind::Connect => dispatch::AttemptOutcome::Unreachable,
+            AttemptErrorKind::Departed => dispatch::AttemptOutcome::Unknown,
             AttemptErrorKind::ServerError => dispatch::AttemptOutcome::Answered,
             _ => dispatch::AttemptOutcome::Failed,
         }
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -109,6 +109,15 @@
         self.drains = dispatch::DrainSet::new(list);
     }
 
+    /// Returns whether a request with this slot may still be sent: its backend server has neither left
+    /// nor restarted, and the replica does not drain.
+    pub(crate) fn accepts(&self, slot: &dispatch::ReplicaSlot) -> bool {
+        let server = self.table.server(slot.server);
+        server.is_some_and(|server| {
+            server.takes_work() && !self.drains.contains(server, &slot.target)
+        })
+    }
+
     /// Adds a request to the queue of its target.
     pub(crate) fn push(
         &mut self,
--- a/galenahold_instance/src/dispatch/dispatcher.rs
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -119,6 +119,11 @@
         self.lock().take_demand(now)
     }
 
+    /// Returns whether a request with this slot may still be sent.
+    pub(super) fn accepts(&self, slot: &dispatch::ReplicaSlot) -> bool {
+        self.lock().accepts(slot)
+    }
+
     /// Releases a slot and assigns its capacity to the next waiting request.
     pub(super) fn release(&self, slot: &dispatch::ReplicaSlot) {
         self.lock().release(slot, time::Instant::now());
--- a/galenahold_instance/src/dispatch/replica_slot.rs
+++ b/galenahold_instance/src/dispatch/replica_slot.rs
@@ -39,6 +39,12 @@
         &self.address
     }
 
+    /// Returns whether the request may still be sent: the backend server may have left or restarted, or
+    /// the replica may drain, since the slot was assigned.
+    pub(crate) fn may_send(&self) -> bool {
+        self.dispatcher.accepts(self)
+    }
+
     /// Ends the attempt with its outcome and releases the slot.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.outcome = outcome;
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -86,8 +86,8 @@
         Ok(Some(charge))
     }
 
-    /// Waits for a replica and a connection to it, then rechecks the charge and the key before the
-    /// send.
+    /// Waits for a replica and a connection to it, then rechecks the charge, the key and the replica
+    /// before the send.
     ///
     /// # Errors
     ///
@@ -112,6 +112,10 @@
             charge.confirm(call.deadline()).await?;
         }
         call.guard().check_before_send()?;
+        if !slot.may_send() {
+            let error = backend::AttemptError::not_run(backend::AttemptErrorKind::Departed);
+            return Err(fail_attempt(slot, error));
+        }
         call.recorder().record_sent();
         Ok(ReadyAttempt {
             slot,
