Record a departure in the control group before the own interface acknowledges it

An instance answered 200 to an announcement with 'leaving' that only it held; if it was lost before the next gossip, others used the server until its last announcement expired after 3 s. Change: the departure is committed in the control group first, by any instance through the leader, and all instances get the committed departures with the list of draining replicas. Without a record within 900 ms the answer is 503; the announcement is used and gossiped all the same. A watch reply carries the list only if its version differs. Test: leaving/departure_that_the_control_group_did_not_record_is_not_acknowledged: 200 instead of 503 before.

--- a/galenahold/tests/leaving/main.rs
+++ b/galenahold/tests/leaving/main.rs
@@ -1,5 +1,6 @@
 //! Backend servers that leave or fall silent get no new work.
 
+use std::net;
 use std::sync;
 use std::sync::atomic;
 use std::thread;
@@ -11,6 +12,7 @@
 use galenahold_testkit::ledger;
 use galenahold_testkit::proxy;
 use galenahold_testkit::service;
+use serde_json::json;
 
 /// One fleet at a time keeps the processes' timing apart.
 static TURN: sync::Mutex<()> = sync::Mutex::new(());
@@ -70,6 +72,53 @@
     );
 }
 
+/// Guards against a departure that is lost with the instance that acknowledged it.
+#[test]
+fn departure_that_the_control_group_did_not_record_is_not_acknowledged() {
+    let _turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let mut fleet = harness::FleetBuilder::default()
+        .control(3)
+        .entries(1)
+        .start()
+        .expect("the fleet starts");
+    fleet
+        .wait_ready(harness::WAIT_LIMIT)
+        .expect("the fleet is ready");
+    let entry = fleet.backends()[3];
+    let control = &fleet.instances()[..3];
+    for instance in control {
+        instance.freeze().expect("the instance runs");
+    }
+    let status = announce_departure(entry);
+    for instance in control {
+        instance.thaw().expect("the instance is frozen");
+    }
+    assert_eq!(status, Some(503));
+    harness::wait_until("an acknowledged departure", || {
+        announce_departure(entry) == Some(200)
+    });
+}
+
+/// Announces at an instance that a backend server leaves; returns the status of the answer.
+fn announce_departure(instance: net::SocketAddr) -> Option<u16> {
+    let announcement = json!({
+        "name": "leaving-1", "incarnation": 1, "sequence": 1, "address": "127.0.0.1:9",
+        "data_centre": "one", "kind": "service", "service": "foundry", "checks_fencing": false,
+        "memory_bytes": 0, "loaded": [], "cached": [],
+        "load": { "running": 0, "queued": 0, "outstanding_tokens": 0 }, "leaving": true
+    });
+    let configuration = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(time::Duration::from_secs(5)))
+        .build();
+    let agent = ureq::Agent::new_with_config(configuration);
+    let sent = agent
+        .post(format!("http://{instance}/v1/backend/announce"))
+        .content_type("application/json")
+        .send(announcement.to_string());
+    sent.ok().map(|answer| answer.status().as_u16())
+}
+
 /// Starts a fleet in which each backend server has had work.
 fn start(instances: &harness::FleetBuilder, announce_to: &[usize]) -> harness::ServingFleet {
     let fleet = harness::ServingBuilder::default()
--- a/galenahold_domain/src/fleet/departure_ledger.rs
+++ b/galenahold_domain/src/fleet/departure_ledger.rs
@@ -47,6 +47,12 @@
         self.table.holds(departure)
     }
 
+    /// Returns a version that grows with each new departure; zero before the first one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.table.version()
+    }
+
     /// Returns all committed departures that are remembered.
     pub fn departures(&self) -> impl Iterator<Item = &fleet::ServerDeparture> {
         self.table.iter()
--- a/galenahold_domain/src/fleet/departure_table.rs
+++ b/galenahold_domain/src/fleet/departure_table.rs
@@ -66,6 +66,12 @@
         self.entries.remove(name);
     }
 
+    /// Returns the number of departures recorded so far, which grows with each new one.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.recorded
+    }
+
     /// Returns all departures, in the order of the servers' names.
     pub fn iter(&self) -> impl Iterator<Item = &fleet::ServerDeparture> {
         self.entries.values().map(|entry| &entry.departure)
--- a/galenahold_domain/src/fleet/server_departure.rs
+++ b/galenahold_domain/src/fleet/server_departure.rs
@@ -10,8 +10,8 @@
 pub struct ServerDeparture {
     /// The name of the server.
     pub name: name::ServerName,
-    /// The start of the server that leaves, in milliseconds since the Unix epoch. Earlier starts
-    /// have ended.
+    /// The start of the server that leaves: milliseconds since the Unix epoch, or the incarnation of
+    /// a server that numbers its starts. Earlier starts have ended.
     pub started_ms: u64,
     /// Whether the server still finishes requests.
     pub stage: fleet::DepartureStage,
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -186,7 +186,7 @@
                     confirmed_at: confirmed_at(sent_at, held_ms, age_ms),
                     revision,
                     update,
-                    drains,
+                    drains: drains.map(|drains| *drains),
                 };
                 self.apply_update(confirmed)
             }
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -77,7 +77,7 @@
             revision: delta.revision,
             update: delta.update,
             drains: (drains.version != request.drain_version)
-                .then(|| message::DrainList::clone(&drains)),
+                .then(|| Box::new(message::DrainList::clone(&drains))),
             roster: None,
             followers: 0,
             members: Vec::new(),
--- a/galenahold_instance/src/control/control_handler.rs
+++ b/galenahold_instance/src/control/control_handler.rs
@@ -145,10 +145,11 @@
             control::ControlCommand::StartOrder { .. }
                 | control::ControlCommand::FinishOrder { .. }
                 | control::ControlCommand::AbandonOrders { .. }
+                | control::ControlCommand::Depart { .. }
         );
         if !allowed {
             return message::ControlReply::Refused {
-                reason: "instances may only commit commands about orders".to_owned(),
+                reason: "instances may only commit commands about orders and departures".to_owned(),
             };
         }
         match self.member.command(command).await {
@@ -193,21 +194,21 @@
         // The state is read before the lease is checked. A lease that is valid after the read was valid
         // throughout it, so no other leader had committed anything newer by then.
         let held = started.elapsed();
-        let reply = self.member.state().read(|state| {
-            let drains = group::drain_list(state);
-            message::WatchReply::Current {
+        let reply = self
+            .member
+            .state()
+            .read(|state| message::WatchReply::Current {
                 age_ms: 0,
                 held_ms: u64::try_from(held.as_millis()).unwrap_or(u64::MAX),
                 revision: state.revision(),
                 update: update_since(state, request),
-                drains: (drains.version != request.drain_version).then_some(drains),
+                drains: group::drain_list(state, request.drain_version),
                 roster: None,
                 followers: 0,
                 members: Vec::new(),
                 members_mark: 0,
                 leader: self.member.leader(),
-            }
-        });
+            });
         if self.member.is_leader() {
             return reply;
         }
--- a/galenahold_instance/src/control/drain_view.rs
+++ b/galenahold_instance/src/control/drain_view.rs
@@ -1,12 +1,15 @@
-//! Derives the drain list from the reservations.
+//! Derives the drain list from the reservations and the departures.
 
 use galenahold_domain::control;
 use galenahold_domain::placement;
 use galenahold_wire::message;
 use sha2::{Digest, Sha256};
 
-/// Returns the replicas that accept no new requests, with a version derived from the content.
-pub(crate) fn drain_list(state: &control::ControlState) -> message::DrainList {
+/// Returns the drain list if its version, which is derived from the content, is not `known`.
+pub(crate) fn drain_list(
+    state: &control::ControlState,
+    known: u64,
+) -> Option<Box<message::DrainList>> {
     let replicas: Vec<message::DrainingReplica> = state
         .reservations()
         .iter()
@@ -17,10 +20,14 @@
             artifact: reservation.artifact.clone(),
         })
         .collect();
-    message::DrainList {
-        version: content_version(&replicas),
-        replicas,
-    }
+    let version = content_version(&replicas, state.departures().version());
+    (version != known).then(|| {
+        Box::new(message::DrainList {
+            version,
+            replicas,
+            departures: state.departures().departures().cloned().collect(),
+        })
+    })
 }
 
 fn takes_no_requests(state: placement::ReservationState) -> bool {
@@ -31,11 +38,12 @@
 }
 
 /// Hashes the list. An empty list has version zero, as has an instance that never received a list.
-fn content_version(replicas: &[message::DrainingReplica]) -> u64 {
-    if replicas.is_empty() {
+fn content_version(replicas: &[message::DrainingReplica], departure_version: u64) -> u64 {
+    if replicas.is_empty() && departure_version == 0 {
         return 0;
     }
     let mut hasher = Sha256::new();
+    hasher.update(departure_version.to_be_bytes());
     for replica in replicas {
         let adapter = replica.artifact.adapter.as_deref().unwrap_or_default();
         let parts = [
--- a/galenahold_instance/src/dispatch/drain_set.rs
+++ b/galenahold_instance/src/dispatch/drain_set.rs
@@ -1,15 +1,19 @@
-//! Set of draining replicas.
+//! Set of draining replicas and departing backend servers.
 
 use std::collections;
 
+use galenahold_domain::fleet;
+use galenahold_domain::name;
 use galenahold_domain::placement;
 use galenahold_routing::replica;
 use galenahold_wire::message;
 
-/// The replicas that receive no new requests because the control group is about to unload them.
+/// The replicas that receive no new requests because the control group is about to unload them, and the
+/// starts of backend servers that receive none because they leave.
 #[derive(Debug, Default)]
 pub(crate) struct DrainSet {
     replicas: collections::HashSet<message::DrainingReplica>,
+    departures: collections::HashMap<name::ServerName, fleet::ServerDeparture>,
 }
 
 impl DrainSet {
@@ -17,15 +21,24 @@
     pub(crate) fn new(list: &message::DrainList) -> Self {
         Self {
             replicas: list.replicas.iter().cloned().collect(),
+            departures: list
+                .departures
+                .iter()
+                .map(|departure| (departure.name.clone(), departure.clone()))
+                .collect(),
         }
     }
 
-    /// Returns whether the replica of `target` at a backend server is draining.
+    /// Returns whether the replica of `target` at a backend server is draining, or the server leaves.
     pub(crate) fn contains(
         &self,
         server: &replica::ServerEntry,
         target: &replica::ReplicaTarget,
     ) -> bool {
+        let departure = self.departures.get(server.name());
+        if departure.is_some_and(|departure| departure.covers(server.incarnation().0)) {
+            return true;
+        }
         let replica::ReplicaTarget::Artifact(artifact) = target else {
             return false;
         };
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -208,6 +208,7 @@
         }
         if let Some(listener) = sockets.backends {
             let api = registry::AnnouncementApi::new(
+                client.clone(),
                 self.registry.clone(),
                 self.event_log.clone(),
                 self.event_sink.clone(),
--- a/galenahold_instance/src/registry/announcement_api.rs
+++ b/galenahold_instance/src/registry/announcement_api.rs
@@ -3,14 +3,18 @@
 use std::net;
 use std::time;
 
+use galenahold_domain::control;
+use galenahold_domain::fleet;
 use galenahold_domain::name;
 use galenahold_domain::server;
+use galenahold_wire::message;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body;
-use log::info;
+use log::{info, warn};
 use serde::de;
 
 use crate::api;
+use crate::peer;
 use crate::registry;
 
 /// The maximum size of an announcement, in bytes.
@@ -19,25 +23,32 @@
 /// The timeout of receiving an announcement.
 const ANNOUNCEMENT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// The time limit for recording a departure in the control group.
+const DEPARTURE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
 /// The maximum length of a backend server's name, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
 /// The HTTP API for announcements and cache events of backend servers.
 #[derive(Debug, Clone)]
-pub(crate) struct AnnouncementApi {
+pub(crate) struct AnnouncementApi<Handler> {
+    client: peer::ControlClient<Handler>,
     registry: registry::ServerRegistry,
     events: registry::EventLog,
     sink: tokio::sync::mpsc::Sender<server::CacheEvent>,
 }
 
-impl AnnouncementApi {
-    /// Creates an API that records announcements in `registry` and passes cache events to `events` and `sink`.
+impl<Handler: peer::LocalHandler> AnnouncementApi<Handler> {
+    /// Creates an API that records announcements in `registry`, records departures through `client` and passes
+    /// cache events to `events` and `sink`.
     pub(crate) fn new(
+        client: peer::ControlClient<Handler>,
         registry: registry::ServerRegistry,
         events: registry::EventLog,
         sink: tokio::sync::mpsc::Sender<server::CacheEvent>,
     ) -> Self {
         Self {
+            client,
             registry,
             events,
             sink,
@@ -61,7 +72,7 @@
         };
         let body = reader.read(request.into_body()).await?;
         match path.as_str() {
-            "/v1/backend/announce" => self.announce(parse(&body)?),
+            "/v1/backend/announce" => self.announce(parse(&body)?).await,
             "/v1/backend/cache-events" => {
                 let document: registry::CacheEventDocument = parse(&body)?;
                 self.take_event(document.into_event())
@@ -73,24 +84,58 @@
         }
     }
 
-    fn announce(
+    async fn announce(
         &self,
         announcement: server::ServerAnnouncement,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
         check_name(&announcement.name)?;
-        if announcement.leaving {
-            info!(
-                server:% = announcement.name,
-                incarnation:% = announcement.incarnation;
-                "backend server leaves"
-            );
-        }
+        let departure = announcement.leaving.then(|| fleet::ServerDeparture {
+            name: announcement.name.clone(),
+            started_ms: announcement.incarnation.0,
+            stage: fleet::DepartureStage::Draining,
+        });
         let now = time::Instant::now();
         self.registry
             .record(announcement, time::Duration::ZERO, true, now);
+        if let Some(departure) = departure {
+            self.commit_departure(departure).await?;
+        }
         Ok(api::json_answer(StatusCode::OK, "{}"))
     }
 
+    /// Commits a departure in the control group, so that it is not lost with this instance.
+    ///
+    /// # Errors
+    ///
+    /// The departure may not be committed; the backend server has to announce it again.
+    async fn commit_departure(
+        &self,
+        departure: fleet::ServerDeparture,
+    ) -> Result<(), api::RequestRefusal> {
+        let server = departure.name.clone();
+        let incarnation = departure.started_ms;
+        if self.registry.has_committed(&departure) {
+            return Ok(());
+        }
+        let call = message::ControlCall::Command(control::ControlCommand::Depart {
+            departure: departure.clone(),
+            now_ms: unix_millis(),
+        });
+        let deadline = time::Instant::now() + DEPARTURE_TIMEOUT;
+        let reply = self.client.call(call, deadline).await;
+        let recorded = control::ControlOutcome::DepartureRecorded;
+        if matches!(&reply, Ok(message::ControlReply::Outcome(outcome)) if *outcome == recorded) {
+            info!(server:% = server, incarnation = incarnation; "backend server leaves");
+            self.registry.record_committed(departure);
+            return Ok(());
+        }
+        warn!(server:% = server, incarnation = incarnation; "departure of a backend server is not acknowledged: the control group did not record it in time");
+        Err(api::RequestRefusal::not_run(
+            api::RefusalKind::ControlUnavailable,
+            "the control group did not record the departure in time; announce it again",
+        ))
+    }
+
     fn take_event(
         &self,
         event: server::CacheEvent,
@@ -103,7 +148,7 @@
     }
 }
 
-impl api::HttpHandler for AnnouncementApi {
+impl<Handler: peer::LocalHandler> api::HttpHandler for AnnouncementApi<Handler> {
     async fn handle(
         self,
         request: Request<body::Incoming>,
@@ -121,6 +166,14 @@
     })
 }
 
+/// Returns the time of day in milliseconds since the Unix epoch.
+fn unix_millis() -> u64 {
+    let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    elapsed.map_or(0, |elapsed| {
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Checks that a name is short printable ASCII, because names go into headers and logs.
 fn check_name(name: &name::ServerName) -> Result<(), api::RequestRefusal> {
     let plain = name.bytes().all(|byte| byte.is_ascii_graphic());
--- a/galenahold_instance/src/registry/server_registry.rs
+++ b/galenahold_instance/src/registry/server_registry.rs
@@ -4,6 +4,7 @@
 use std::sync;
 use std::time;
 
+use galenahold_domain::fleet;
 use galenahold_domain::name;
 use galenahold_domain::server;
 use galenahold_wire::message;
@@ -25,6 +26,8 @@
 struct RegistryTable {
     entries: collections::HashMap<name::ServerName, registry::RegistryEntry>,
     notices: Vec<registry::HeldNotice>,
+    /// The departures that this instance committed in the control group.
+    committed: fleet::DepartureTable,
     version: u64,
 }
 
@@ -90,6 +93,16 @@
         self.version.send_replace(version);
     }
 
+    /// Returns whether this instance committed the departure in the control group.
+    pub(crate) fn has_committed(&self, departure: &fleet::ServerDeparture) -> bool {
+        self.lock().committed.holds(departure)
+    }
+
+    /// Records that the departure is committed in the control group.
+    pub(crate) fn record_committed(&self, departure: fleet::ServerDeparture) {
+        self.lock().committed.record(departure);
+    }
+
     /// Returns the notices that are newer than the announcements.
     pub(crate) fn notices(&self, now: time::Instant) -> Vec<registry::HeldNotice> {
         let mut table = self.lock();
--- a/galenahold_wire/src/message/control_call.rs
+++ b/galenahold_wire/src/message/control_call.rs
@@ -24,7 +24,8 @@
         /// The order's fencing number.
         fence: amount::FencingNumber,
     },
-    /// Proposes a command to the replicated log. Instances propose only commands about orders.
+    /// Proposes a command to the replicated log. Instances propose only commands about orders and
+    /// departures.
     Command(control::ControlCommand),
     /// A call about the backend servers of declared services.
     Fleet(message::FleetCall),
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -22,7 +22,7 @@
         /// The configuration changes that the follower does not have.
         update: message::ConfigurationUpdate,
         /// The drain list, if it is newer than the follower's.
-        drains: Option<message::DrainList>,
+        drains: Option<Box<message::DrainList>>,
         /// The roster changes of declared services that the follower does not have.
         #[serde(default)]
         roster: Option<Box<fleet::RosterUpdate>>,
