Take no departure of a restarted server for a repeat of an earlier one

Cause: the leader knew that an earlier start of the server had left, had received no notice of the present start, and answered its departure as a repeat, without recording it. A delayed notice of that start then brought the server back. Change: a departure of a server without a record always ends all starts until now.

--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -174,7 +174,8 @@
     ///
     /// A server that sent this leader no notice is removed as well, as views may know it from the
     /// previous leader. Its start is unknown, and all starts until `now_ms`, in milliseconds since
-    /// the Unix epoch, count as ended.
+    /// the Unix epoch, count as ended. That an earlier start left does not matter: the server may
+    /// have restarted since.
     pub fn leave(
         &mut self,
         name: &name::ServerName,
@@ -182,12 +183,6 @@
         now: time::Instant,
     ) -> fleet::ServerDeparture {
         let entry = self.entries.get(name);
-        let known = self.departures.get(name);
-        if entry.is_none()
-            && let Some(known) = known.filter(|known| known.stage == fleet::DepartureStage::Left)
-        {
-            return known.clone();
-        }
         let departure = fleet::ServerDeparture {
             name: name.clone(),
             started_ms: entry.map_or(now_ms, |entry| entry.record.started_ms),
--- a/galenahold_domain/tests/fleet/notices.rs
+++ b/galenahold_domain/tests/fleet/notices.rs
@@ -60,6 +60,21 @@
     assert_eq!(names(&roster), ["a"]);
 }
 
+/// Guards against taking the departure of a restarted server for a repeat of its earlier departure.
+#[test]
+fn departure_after_a_restart_that_the_leader_missed_ends_the_new_start() {
+    let now = time::Instant::now();
+    let mut roster = roster(now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    roster.leave(&name::ServerName::from("a"), 15, now);
+    let departure = roster.leave(&name::ServerName::from("a"), 30, now);
+    assert!(departure.ends(20));
+    let late = roster.take(fixture::notice("a", 20, 1), now);
+    assert_eq!(late, fleet::NoticeOutcome::Late);
+    roster.take(fixture::notice("a", 40, 1), now);
+    assert_eq!(names(&roster), ["a"]);
+}
+
 #[test]
 fn server_with_the_latest_start_owns_the_address() {
     let now = time::Instant::now();
