--- a/galenahold_domain/src/fleet/roster_view.rs
+++ b/galenahold_domain/src/fleet/roster_view.rs
@@ -45,7 +45,7 @@
     /// A whole update of a leader whose roster has not settled removes no server for being absent
     /// from it.
     pub fn take(&mut self, update: fleet::RosterUpdate) -> Vec<name::ServerName> {
-        let mut gone = update.gone;
+        let mut gone: collections::BTreeSet<_> = update.gone.into_iter().collect();
         if update.whole && update.cursor.settled {
             let named: collections::BTreeSet<_> =
                 update.records.iter().map(|change| &change.name).collect();
@@ -83,6 +83,7 @@
         changed
     }
 
+    /// Closes or removes the server of a departure that is new to the view.
     fn depart(&mut self, departure: fleet::ServerDeparture, changed: &mut Vec<name::ServerName>) {
         if !self.departures.record(departure.clone()) {
             return;
@@ -91,13 +92,16 @@
         let Some(record) = record.filter(|record| departure.covers(record.started_ms)) else {
             return;
         };
-        record.stage = fleet::ServerStage::Draining;
-        if departure.stage == fleet::DepartureStage::Left {
-            self.records.remove(&departure.name);
+        match departure.stage {
+            fleet::DepartureStage::Draining => record.stage = fleet::ServerStage::Draining,
+            fleet::DepartureStage::Left => {
+                self.records.remove(&departure.name);
+            }
         }
         changed.push(departure.name);
     }
 
+    /// Stores a record unless its start is gone or a later start is known.
     fn insert_record(
         &mut self,
         mut record: fleet::ServerRecord,
--- a/galenahold_domain/src/fleet/server_departure.rs
+++ b/galenahold_domain/src/fleet/server_departure.rs
@@ -18,6 +18,19 @@
 }
 
 impl ServerDeparture {
+    /// Returns the departure of a server that is in the given stage, if it drains.
+    pub(super) fn of_stage(
+        name: &name::ServerName,
+        started_ms: u64,
+        stage: fleet::ServerStage,
+    ) -> Option<Self> {
+        (stage == fleet::ServerStage::Draining).then(|| Self {
+            name: name.clone(),
+            started_ms,
+            stage: fleet::DepartureStage::Draining,
+        })
+    }
+
     /// Returns whether the given start of the server takes no new requests.
     #[must_use]
     pub fn covers(&self, started_ms: u64) -> bool {
--- a/galenahold_domain/src/fleet/server_notice.rs
+++ b/galenahold_domain/src/fleet/server_notice.rs
@@ -40,10 +40,6 @@
     /// Returns the departure that the notice announces, if the server drains.
     #[must_use]
     pub fn departure(&self) -> Option<fleet::ServerDeparture> {
-        (self.stage == fleet::ServerStage::Draining).then(|| fleet::ServerDeparture {
-            name: self.name.clone(),
-            started_ms: self.started_ms,
-            stage: fleet::DepartureStage::Draining,
-        })
+        fleet::ServerDeparture::of_stage(&self.name, self.started_ms, self.stage)
     }
 }
--- a/galenahold_domain/src/fleet/server_record.rs
+++ b/galenahold_domain/src/fleet/server_record.rs
@@ -74,11 +74,7 @@
 
     /// Returns the departure of the server, if it drains.
     pub(super) fn departure(&self) -> Option<fleet::ServerDeparture> {
-        (self.stage == fleet::ServerStage::Draining).then(|| fleet::ServerDeparture {
-            name: self.name.clone(),
-            started_ms: self.started_ms,
-            stage: fleet::DepartureStage::Draining,
-        })
+        fleet::ServerDeparture::of_stage(&self.name, self.started_ms, self.stage)
     }
 
     /// Returns whether the server takes new requests.
--- a/galenahold_instance/src/control/operator_handler.rs
+++ b/galenahold_instance/src/control/operator_handler.rs
@@ -10,6 +10,7 @@
 
 use crate::control as group;
 use crate::registry;
+use crate::timer;
 
 /// Handles the calls of operators at the leader.
 pub(crate) struct OperatorHandler {
@@ -63,7 +64,7 @@
                     &view.intent,
                     &intent,
                     digest,
-                    epoch_ms(),
+                    timer::epoch_ms(),
                 );
                 self.command(&command).await
             }
@@ -77,7 +78,7 @@
                     request,
                     base,
                     record,
-                    now_ms: epoch_ms(),
+                    now_ms: timer::epoch_ms(),
                 };
                 let mut document = self.command(&command).await?;
                 document["id"] = json!(id);
@@ -87,7 +88,7 @@
                 let command = control::ControlCommand::WithdrawKey {
                     request,
                     id,
-                    now_ms: epoch_ms(),
+                    now_ms: timer::epoch_ms(),
                 };
                 self.command(&command).await
             }
@@ -236,11 +237,3 @@
         details: serde_json::to_string(&json!({ "reasons": reasons })).ok(),
     }
 }
-
-/// Returns the milliseconds since the Unix epoch.
-fn epoch_ms() -> u64 {
-    let elapsed = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -19,6 +19,7 @@
 use crate::control as group;
 use crate::gateway;
 use crate::gateway::control;
+use crate::timer;
 
 /// How long an instance counts as a follower after its last watch request.
 const FOLLOWER_TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -109,10 +110,7 @@
         self.apply_notice(notice)
             .ok_or(control::NoticeRefusal::NotLeading)?;
         match departure {
-            Some(departure) => {
-                self.notify_roster_change();
-                self.commit_departure(departure).await
-            }
+            Some(departure) => self.commit_departure(departure).await,
             None => Ok(()),
         }
     }
@@ -129,9 +127,8 @@
     ) -> Result<(), control::NoticeRefusal> {
         let now = time::Instant::now();
         let departure = self
-            .if_leading(|leadership| leadership.roster.leave(server, unix_millis(), now))
+            .if_leading(|leadership| leadership.roster.leave(server, timer::epoch_ms(), now))
             .ok_or(control::NoticeRefusal::NotLeading)?;
-        self.notify_roster_change();
         self.commit_departure(departure).await
     }
 
@@ -167,7 +164,7 @@
         Some(())
     }
 
-    /// Commits a departure unless it is committed already.
+    /// Notifies followers of a departure and commits it, unless it is committed already.
     ///
     /// A departure that only the leader knows would be lost with it, and the next leader's followers
     /// would use the server again.
@@ -179,10 +176,11 @@
         if state.read(|state| state.departures().holds(&departure)) {
             return Ok(());
         }
+        self.notify_roster_change();
         let started = time::Instant::now();
         let command = domain::ControlCommand::Depart {
             departure: departure.clone(),
-            now_ms: unix_millis(),
+            now_ms: timer::epoch_ms(),
         };
         let committing = self.member.command(&command);
         let committed = tokio::time::timeout(DEPARTURE_TIMEOUT, committing).await;
@@ -510,14 +508,6 @@
     }
 }
 
-/// Returns the time of day in milliseconds since the Unix epoch.
-fn unix_millis() -> u64 {
-    let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| {
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// Returns a hash by which followers detect a changed list of members.
 fn hash_members(members: &[message::ControlMember]) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
--- a/galenahold_instance/src/order/order_client.rs
+++ b/galenahold_instance/src/order/order_client.rs
@@ -14,6 +14,7 @@
 use crate::api;
 use crate::peer;
 use crate::task;
+use crate::timer;
 
 /// How long an answer is held back until the outcome of its attempt is recorded.
 const FINISH_TIMEOUT: time::Duration = time::Duration::from_millis(500);
@@ -73,7 +74,7 @@
             instance: self.instance.clone(),
             incarnation: self.incarnation,
             call: self.next_call.fetch_add(1, atomic::Ordering::Relaxed),
-            now_ms: epoch_ms(),
+            now_ms: timer::epoch_ms(),
         };
         let call = message::ControlCall::Command(command.clone());
         match self.client.call(call, deadline).await {
@@ -136,7 +137,7 @@
             key,
             attempt,
             outcome,
-            now_ms: epoch_ms(),
+            now_ms: timer::epoch_ms(),
         };
         if self.call_until_stop(command).await.is_none() {
             warn!(attempt = attempt; "failed to record the outcome of an order; it counts as running");
@@ -204,11 +205,3 @@
         )),
     }
 }
-
-/// Returns the milliseconds since the Unix epoch; the ledger ignores a clock that goes backwards.
-fn epoch_ms() -> u64 {
-    let elapsed = time::SystemTime::now()
-        .duration_since(time::UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/galenahold_instance/src/registry/announcement_api.rs
+++ b/galenahold_instance/src/registry/announcement_api.rs
@@ -16,6 +16,7 @@
 use crate::api;
 use crate::peer;
 use crate::registry;
+use crate::timer;
 
 /// The maximum size of an announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 4 * 1024 * 1024;
@@ -119,7 +120,7 @@
         }
         let call = message::ControlCall::Command(control::ControlCommand::Depart {
             departure: departure.clone(),
-            now_ms: unix_millis(),
+            now_ms: timer::epoch_ms(),
         });
         let deadline = time::Instant::now() + DEPARTURE_TIMEOUT;
         let reply = self.client.call(call, deadline).await;
@@ -166,14 +167,6 @@
     })
 }
 
-/// Returns the time of day in milliseconds since the Unix epoch.
-fn unix_millis() -> u64 {
-    let elapsed = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| {
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-    })
-}
-
 /// Checks that a name is short printable ASCII, because names go into headers and logs.
 fn check_name(name: &name::ServerName) -> Result<(), api::RequestRefusal> {
     let plain = name.bytes().all(|byte| byte.is_ascii_graphic());
