Keep a restarted server that is out of contact apart from its start that left

A settled roster without a server removes it from a view; if that leader also remembered that an earlier start of the server had left, the view took the present start for it, and ignored the server until its next start. Change: only servers that an update names as gone end the start that the view knows, and only if they left. Test: views::restarted_server_that_was_out_of_contact_returns_after_a_change_of_leader, seen failing before.

--- a/galenahold_domain/src/fleet/roster_view.rs
+++ b/galenahold_domain/src/fleet/roster_view.rs
@@ -46,15 +46,10 @@
     /// from it.
     pub fn take(&mut self, update: fleet::RosterUpdate) -> Vec<name::ServerName> {
         let mut gone: collections::BTreeSet<_> = update.gone.into_iter().collect();
-        if update.whole && update.cursor.settled {
-            let named: collections::BTreeSet<_> =
-                update.records.iter().map(|change| &change.name).collect();
-            let absent = self.records.keys().filter(|name| !named.contains(name));
-            gone.extend(absent.cloned());
-        }
         let mut changed = Vec::new();
         for mut departure in update.departures {
-            if gone.contains(&departure.name)
+            if departure.stage == fleet::DepartureStage::Left
+                && gone.contains(&departure.name)
                 && let Some(record) = self.records.get(&departure.name)
             {
                 // A leader without a notice of the server only knows that its latest start is gone.
@@ -62,6 +57,12 @@
             }
             self.depart(departure, &mut changed);
         }
+        if update.whole && update.cursor.settled {
+            let named: collections::BTreeSet<_> =
+                update.records.iter().map(|change| &change.name).collect();
+            let absent = self.records.keys().filter(|name| !named.contains(name));
+            gone.extend(absent.cloned());
+        }
         for name in &gone {
             self.records.remove(name);
         }
--- a/galenahold_domain/tests/fleet/views.rs
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -249,3 +249,24 @@
     let server = roster.get(&name::ServerName::from("a"));
     assert!(!server.expect("the server is known").is_open());
 }
+
+/// Guards against taking a restarted server that the next leader has not heard of for the start that
+/// left before.
+#[test]
+fn restarted_server_that_was_out_of_contact_returns_after_a_change_of_leader() {
+    let now = time::Instant::now();
+    let mut view = view_of_two_servers(now);
+    let left = fixture::departure("b", 5, fleet::DepartureStage::Left);
+    let mut next = fleet::ServerRoster::new(2, fixture::PERIOD, now);
+    next.adopt([&left].into_iter(), now);
+    next.take(fixture::notice("a", 10, 2), now);
+    let settled = now + fixture::PERIOD * 10;
+    follow(&mut view, &next, settled);
+    assert_eq!(names(&view), ["a"]);
+    next.take(
+        fixture::with_address(fixture::notice("b", 10, 2), 2),
+        settled,
+    );
+    follow(&mut view, &next, settled);
+    assert_eq!(names(&view), ["a", "b"]);
+}
