--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -67,7 +67,12 @@
         lease.stop_waiting();
         match sent {
             Ok(exchange) => self.classify(call, lease, exchange, sent_at).await,
-            Err(error) => classify_error(lease, &error),
+            Err(error) => {
+                if error.kind == backend::AttemptErrorKind::Broken {
+                    call.log_unbegun(lease.server(), false);
+                }
+                classify_error(lease, &error)
+            }
         }
     }
 
@@ -151,6 +156,7 @@
     mut exchange: backend::BackendExchange,
 ) -> entry::AttemptEnd {
     let Ok(body) = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline).await else {
+        call.log_unbegun(lease.server(), true);
         lease.observe(fleet::AttemptReport::Broken);
         return entry::AttemptEnd::MayHaveRun("answer_cut");
     };
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -7,6 +7,7 @@
 use galenahold_domain::name;
 use galenahold_routing::fleet;
 use http::request;
+use log::info;
 
 use crate::gateway;
 
@@ -91,6 +92,27 @@
         (self.arrived + first_event_timeout.saturating_sub(FIRST_EVENT_MARGIN)).min(self.deadline)
     }
 
+    /// Returns the parts of the prompt that other calls may share: all but the last.
+    pub(super) fn shared_parts(&self) -> &[gateway::PromptPart] {
+        let parts = &self.metadata.prompt;
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
+    /// Logs that a server ended the connection before its answer to the call began.
+    ///
+    /// `answering` tells whether the head of the answer had arrived.
+    pub(super) fn log_unbegun(&self, server: &name::ServerName, answering: bool) {
+        let parts = self.shared_parts().iter();
+        let parts: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
+        info!(
+            request = self.metadata.id.as_deref().unwrap_or("-"),
+            server:% = server,
+            answering = answering,
+            parts = parts.join(",").as_str();
+            "backend server broke off before its answer began"
+        );
+    }
+
     /// Returns a hash of what the call shares with others: its adapter, or the last part of its
     /// prompt that is not its own.
     fn affinity(&self) -> u64 {
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -13,6 +13,9 @@
 use crate::gateway::entry;
 use crate::rate;
 
+/// Why a stream ends whose connection to the server broke.
+const CONNECTION_BROKEN: &str = "connection_broken";
+
 /// Relays a stream of events to its caller, and resumes it at another server where that is allowed.
 ///
 /// Only complete events are forwarded, so that a stream resumed at another server continues
@@ -130,7 +133,7 @@
             }
             Ok(None) if self.splitter.is_empty() => RelayStep::Ended,
             Ok(None) => RelayStep::Cut("ended_within_event"),
-            Err(_) => RelayStep::Cut("connection_broken"),
+            Err(_) => RelayStep::Cut(CONNECTION_BROKEN),
         }
     }
 
@@ -165,6 +168,9 @@
     /// Resumes a cut stream at another server; returns `false` if that is not possible.
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.lease.observe(fleet::AttemptReport::Broken);
+        if self.events == 0 && reason == CONNECTION_BROKEN {
+            self.call.log_unbegun(self.lease.server(), true);
+        }
         self.plan.record_possible_run();
         let in_time = time::Instant::now() < self.call.deadline;
         if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry(&self.call.service) {
