Learn from crashes of servers which prompts cause them, and refuse these at all instances

Callers of one server lost their streams each time a request with a certain part of a prompt was about to be answered, and the request was sent to the next server: no process compared what single entry instances saw, and none kept it.

Entry instances report the calls whose server crashed before it answered them. The control group commits the reports; its CrashLedger blocks the parts that were present at two separate moments of crashes and that no answer has begun for since. Instances follow the list with the configuration, refuse blocked prompts before each send and cancel those that wait at a server, and say which suspects were answered. A call that may have crashed its server is not sent again. Parts that only came together are blocked only together, so that sound requests with the same caller pass.

--- a/galenahold_domain/src/control/control_command.rs
+++ b/galenahold_domain/src/control/control_command.rs
@@ -8,6 +8,7 @@
 use crate::amount;
 use crate::codec;
 use crate::control;
+use crate::crash;
 use crate::declaration;
 use crate::error;
 use crate::fleet;
@@ -180,13 +181,25 @@
         /// Milliseconds since the Unix epoch.
         now_ms: u64,
     },
+    /// Records a crash of a backend server and the calls that may have caused it.
+    RecordCrash {
+        /// The crash as an entry instance saw it.
+        report: crash::CrashReport,
+        /// Milliseconds since the Unix epoch.
+        now_ms: u64,
+    },
+    /// Records that parts of prompts are harmless: answers to calls with them have begun.
+    ClearSuspects {
+        /// The parts.
+        keys: Vec<crash::PromptKey>,
+    },
 }
 
 /// The version of the encoding that this program writes, and the latest that it reads.
 const COMMAND_VERSION: u32 = 1;
 
 /// The names of the command kinds in the encoding.
-const COMMAND_KINDS: [&str; 14] = [
+const COMMAND_KINDS: [&str; 16] = [
     "confirm_plan",
     "confirm_delta",
     "give_key",
@@ -201,6 +214,8 @@
     "adopt_replica",
     "retire_server",
     "depart",
+    "record_crash",
+    "clear_suspects",
 ];
 
 /// The version of an encoded command, which is read before the rest.
--- a/galenahold_domain/src/control/control_outcome.rs
+++ b/galenahold_domain/src/control/control_outcome.rs
@@ -54,6 +54,8 @@
     },
     /// The departure is recorded, or already was.
     DepartureRecorded,
+    /// The crash, or that parts of prompts are harmless, is recorded.
+    CrashRecorded,
     /// The memory is reserved, or the replica is adopted.
     Reserved(placement::MemoryReservation),
     /// The memory is not reserved, or the replica is not adopted.
--- a/galenahold_domain/src/control/control_state.rs
+++ b/galenahold_domain/src/control/control_state.rs
@@ -7,6 +7,7 @@
 use crate::amount;
 use crate::codec;
 use crate::control;
+use crate::crash;
 use crate::error;
 use crate::fleet;
 use crate::order;
@@ -33,6 +34,8 @@
     reservations: placement::ReservationTable,
     #[serde(default)]
     departures: fleet::DepartureLedger,
+    #[serde(default)]
+    crashes: crash::CrashLedger,
 }
 
 /// The version of a snapshot, which is read before the rest.
@@ -159,6 +162,12 @@
         &self.parts.departures
     }
 
+    /// Returns the crashes of backend servers and the prompts that caused them.
+    #[must_use]
+    pub fn crashes(&self) -> &crash::CrashLedger {
+        &self.parts.crashes
+    }
+
     /// Returns figures of the order ledger.
     #[must_use]
     pub fn order_statistics(&self) -> order::OrderStatistics {
@@ -200,6 +209,22 @@
                 self.departures.record(departure.clone(), *now_ms);
                 control::ControlOutcome::DepartureRecorded
             }
+            control::ControlCommand::RecordCrash { report, now_ms } => {
+                self.record_crash(report, *now_ms);
+                control::ControlOutcome::CrashRecorded
+            }
+            control::ControlCommand::ClearSuspects { keys } => {
+                self.crashes.clear(keys);
+                control::ControlOutcome::CrashRecorded
+            }
+        }
+    }
+
+    fn record_crash(&mut self, report: &crash::CrashReport, now_ms: u64) {
+        // A server that has announced that it leaves ends without anyone's fault.
+        let departure = self.departures.get(&report.server);
+        if !departure.is_some_and(|departure| departure.covers(report.started_ms)) {
+            self.crashes.record(report, now_ms);
         }
     }
 
--- a/galenahold_domain/src/fleet/departure_ledger.rs
+++ b/galenahold_domain/src/fleet/departure_ledger.rs
@@ -47,6 +47,12 @@
         self.table.holds(departure)
     }
 
+    /// Returns the departure of a server.
+    #[must_use]
+    pub fn get(&self, server: &name::ServerName) -> Option<&fleet::ServerDeparture> {
+        self.table.get(server)
+    }
+
     /// Returns a version that grows with each new departure; zero before the first one.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/galenahold_domain/src/lib.rs
+++ b/galenahold_domain/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod amount;
 mod codec;
 pub mod control;
+pub mod crash;
 pub mod declaration;
 mod digest;
 pub mod error;
--- a/galenahold_instance/src/api/refusal_kind.rs
+++ b/galenahold_instance/src/api/refusal_kind.rs
@@ -24,6 +24,8 @@
     RateLimited,
     /// The request may need more tokens than the team's burst or the model allows.
     TooManyTokens,
+    /// Backend servers crash on requests with a part of the prompt.
+    PromptBlocked,
     /// The queue is full, or the predicted wait exceeds the request's deadline.
     QueueFull,
     /// The request was not served before its deadline.
@@ -64,7 +66,9 @@
             Self::NotFound => StatusCode::NOT_FOUND,
             Self::MethodNotAllowed => StatusCode::METHOD_NOT_ALLOWED,
             Self::RateLimited => StatusCode::TOO_MANY_REQUESTS,
-            Self::TooManyTokens | Self::OrderDiffers => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::TooManyTokens | Self::PromptBlocked | Self::OrderDiffers => {
+                StatusCode::UNPROCESSABLE_ENTITY
+            }
             Self::OrderRunning | Self::OrderUnknown | Self::OrderExpired => StatusCode::CONFLICT,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
             Self::BackendFailed => StatusCode::BAD_GATEWAY,
@@ -89,6 +93,7 @@
             Self::MethodNotAllowed => "method_not_allowed",
             Self::RateLimited => "rate_limited",
             Self::TooManyTokens => "too_many_tokens",
+            Self::PromptBlocked => "prompt_blocked",
             Self::QueueFull => "queue_full",
             Self::DeadlineExceeded => "deadline_exceeded",
             Self::StaleConfiguration => "stale_configuration",
--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -125,6 +125,13 @@
         })
     }
 
+    /// Opens a connection and closes it again; returns whether the server accepted it.
+    pub(crate) async fn accepts_connections(&self, address: &backend::BackendAddress) -> bool {
+        let connecting = net::TcpStream::connect(address.socket);
+        let connected = tokio::time::timeout(self.connect_timeout, connecting).await;
+        matches!(connected, Ok(Ok(_)))
+    }
+
     async fn open(
         &self,
         address: &backend::BackendAddress,
--- a/galenahold_instance/src/configuration/configuration_cache.rs
+++ b/galenahold_instance/src/configuration/configuration_cache.rs
@@ -5,6 +5,7 @@
 
 use galenahold_domain::amount;
 use galenahold_domain::control;
+use galenahold_domain::crash;
 use galenahold_wire::message;
 use tokio::sync::watch;
 
@@ -16,6 +17,7 @@
 pub(crate) struct ConfigurationCache {
     index: sync::Arc<arc_swap::ArcSwap<control::ConfigurationIndex>>,
     drains: sync::Arc<arc_swap::ArcSwap<message::DrainList>>,
+    suspects: sync::Arc<watch::Sender<sync::Arc<crash::SuspectList>>>,
     state: sync::Arc<sync::Mutex<CacheState>>,
     revision: sync::Arc<watch::Sender<u64>>,
     confirmations: sync::Arc<watch::Sender<()>>,
@@ -40,6 +42,8 @@
     pub(crate) update: message::ConfigurationUpdate,
     /// The drain list, if it has changed.
     pub(crate) drains: Option<message::DrainList>,
+    /// The parts of prompts that crash backend servers, if the list has changed.
+    pub(crate) suspects: Option<crash::SuspectList>,
 }
 
 /// The part of the configuration that a follower lacks, and the revision that results from it.
@@ -63,6 +67,7 @@
             drains: sync::Arc::new(arc_swap::ArcSwap::from_pointee(
                 message::DrainList::default(),
             )),
+            suspects: sync::Arc::default(),
             state: sync::Arc::default(),
             revision: sync::Arc::new(watch::Sender::new(0)),
             confirmations: sync::Arc::default(),
@@ -80,6 +85,16 @@
         self.drains.load_full()
     }
 
+    /// Returns the parts of prompts that crash backend servers or may do so.
+    pub(crate) fn suspects(&self) -> sync::Arc<crash::SuspectList> {
+        sync::Arc::clone(&self.suspects.borrow())
+    }
+
+    /// Returns a receiver of the lists of suspects.
+    pub(crate) fn subscribe_suspects(&self) -> watch::Receiver<sync::Arc<crash::SuspectList>> {
+        self.suspects.subscribe()
+    }
+
     /// Returns a receiver that is notified of each new revision.
     pub(crate) fn subscribe(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
@@ -138,6 +153,9 @@
         if let Some(drains) = confirmed.drains {
             self.drains.store(sync::Arc::new(drains));
         }
+        if let Some(suspects) = confirmed.suspects {
+            self.suspects.send_replace(sync::Arc::new(suspects));
+        }
         if later {
             self.confirmations.send_replace(());
         }
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -99,6 +99,7 @@
                 .age()
                 .map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             drain_version: self.cache.drains().version,
+            suspect_version: self.cache.suspects().version,
             roster: self.sink.cursor(),
             leader_known: None,
             in_hurry: self.sink.is_urgent(),
@@ -168,6 +169,7 @@
                 revision,
                 update,
                 drains,
+                suspects,
                 roster,
                 followers,
                 members,
@@ -187,6 +189,7 @@
                     revision,
                     update,
                     drains: drains.map(|drains| *drains),
+                    suspects: suspects.map(|suspects| *suspects),
                 };
                 self.apply_update(confirmed)
             }
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use galenahold_domain::crash;
 use galenahold_domain::name;
 use galenahold_wire::message;
 
@@ -70,6 +71,7 @@
         };
         let delta = self.cache.delta_since(request.have);
         let drains = self.cache.drains();
+        let suspects = self.cache.suspects();
         message::WatchReply::Current {
             // Rounded up, so that the age is never understated in transit.
             age_ms: millis(age) + 1,
@@ -78,6 +80,8 @@
             update: delta.update,
             drains: (drains.version != request.drain_version)
                 .then(|| Box::new(message::DrainList::clone(&drains))),
+            suspects: (suspects.version != request.suspect_version)
+                .then(|| Box::new(crash::SuspectList::clone(&suspects))),
             roster: None,
             followers: 0,
             members: Vec::new(),
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -7,6 +7,7 @@
 use galenahold_consensus::message as raft_message;
 use galenahold_domain::control;
 use galenahold_domain::name;
+use galenahold_wire::message;
 use tokio::sync::oneshot;
 
 use crate::control as group;
@@ -113,6 +114,17 @@
         async move { Ok(committing.await?.outcome) }
     }
 
+    /// Commits a command for another instance and returns the reply to it.
+    pub(crate) async fn propose(&self, command: &control::ControlCommand) -> message::ControlReply {
+        match self.command(command).await {
+            Ok(outcome) => message::ControlReply::Outcome(outcome),
+            Err(group::CommandError::NotCommitted) => message::ControlReply::NotLeader {
+                leader: self.leader(),
+            },
+            Err(group::CommandError::Unknown) => message::ControlReply::OutcomeUnknown,
+        }
+    }
+
     /// Commits a command and returns its outcome with its position in the log.
     ///
     /// # Errors
--- a/galenahold_instance/src/control/control_handler.rs
+++ b/galenahold_instance/src/control/control_handler.rs
@@ -104,6 +104,10 @@
             message::ControlCall::Fleet(_) => message::ControlReply::Refused {
                 reason: "this control group has no declared services".to_owned(),
             },
+            message::ControlCall::Crash(report) => group::record_crash(&parts.member, report).await,
+            message::ControlCall::ClearSuspects(keys) => {
+                group::clear_suspects(&parts.member, &keys).await
+            }
             message::ControlCall::Operator(call) => parts.operators.answer(call).await,
         }
     }
@@ -152,13 +156,7 @@
                 reason: "instances may only commit commands about orders and departures".to_owned(),
             };
         }
-        match self.member.command(command).await {
-            Ok(outcome) => message::ControlReply::Outcome(outcome),
-            Err(group::CommandError::NotCommitted) => message::ControlReply::NotLeader {
-                leader: self.member.leader(),
-            },
-            Err(group::CommandError::Unknown) => message::ControlReply::OutcomeUnknown,
-        }
+        self.member.propose(command).await
     }
 
     async fn watch(&self, request: &message::WatchRequest) -> message::WatchReply {
@@ -174,6 +172,7 @@
                 message::WatchReply::Current {
                     update: message::ConfigurationUpdate::Nothing,
                     drains: None,
+                    suspects: None,
                     ..
                 }
             );
@@ -203,6 +202,7 @@
                 revision: state.revision(),
                 update: update_since(state, request),
                 drains: group::drain_list(state, request.drain_version),
+                suspects: group::suspect_list(state, request.suspect_version),
                 roster: None,
                 followers: 0,
                 members: Vec::new(),
--- /dev/null
+++ b/galenahold_instance/src/crash/crash_monitor.rs
@@ -0,0 +1,198 @@
+//! Finds out which calls may have crashed a backend server.
+
+use std::collections;
+use std::sync;
+use std::time;
+
+use galenahold_domain::crash as domain;
+use galenahold_routing::crash;
+use log::{info, warn};
+use tokio::sync as tokio_sync;
+
+use crate::backend;
+use crate::task;
+
+/// How long broken calls of one server are collected before the server is probed: a crash breaks all
+/// connections at about the same time.
+const COLLECTION_TIME: time::Duration = time::Duration::from_millis(10);
+
+/// The maximum number of reports that wait to be sent.
+const MAX_REPORTS: usize = 64;
+
+/// Refuses calls with blocked prompts, and collects the calls whose server broke off before it began to
+/// answer them.
+#[derive(Debug, Clone)]
+pub(crate) struct CrashMonitor {
+    guard: sync::Arc<sync::Mutex<crash::PromptGuard>>,
+    breaks: sync::Arc<sync::Mutex<collections::HashMap<backend::BackendAddress, BrokenCalls>>>,
+    backend: backend::BackendClient,
+    tasks: task::TaskGroup,
+    reports: tokio_sync::mpsc::Sender<domain::CrashReport>,
+    /// Notified of each new list of suspects.
+    list_changes: sync::Arc<tokio_sync::watch::Sender<()>>,
+    /// Notified when there may be harmless suspects to report.
+    harmless_notify: sync::Arc<tokio_sync::Notify>,
+}
+
+/// The calls whose connections to one server broke, until it is known whether the server crashed.
+#[derive(Debug, Default)]
+struct BrokenCalls {
+    calls: Vec<domain::SuspectCall>,
+    has_crashed: tokio_sync::watch::Sender<Option<bool>>,
+}
+
+impl CrashMonitor {
+    /// Creates a monitor that probes servers through `backend`, and the receiver of its reports.
+    pub(crate) fn new(
+        backend: backend::BackendClient,
+        tasks: task::TaskGroup,
+    ) -> (Self, tokio_sync::mpsc::Receiver<domain::CrashReport>) {
+        let (reports, receiver) = tokio_sync::mpsc::channel(MAX_REPORTS);
+        let monitor = Self {
+            guard: sync::Arc::default(),
+            breaks: sync::Arc::default(),
+            backend,
+            tasks,
+            reports,
+            list_changes: sync::Arc::default(),
+            harmless_notify: sync::Arc::default(),
+        };
+        (monitor, receiver)
+    }
+
+    /// Returns the refusal of a prompt, or `None` if it may be sent.
+    pub(crate) fn check(&self, prompt: &[domain::PromptKey]) -> Option<crash::PromptRefusal> {
+        self.lock().check(prompt, time::Instant::now())
+    }
+
+    /// Waits until a prompt is blocked.
+    pub(crate) async fn wait_until_blocked(
+        &self,
+        prompt: &[domain::PromptKey],
+    ) -> crash::PromptRefusal {
+        let mut changes = self.list_changes.subscribe();
+        loop {
+            if let Some(refusal) = self.check(prompt) {
+                return refusal;
+            }
+            if changes.changed().await.is_err() {
+                // The sender lives as long as this monitor.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    /// Records that the answer to a call with this prompt began.
+    pub(crate) fn record_start(&self, prompt: &[domain::PromptKey]) {
+        if self.lock().record_start(prompt, time::Instant::now()) {
+            self.harmless_notify.notify_one();
+        }
+    }
+
+    /// Records that the connection of a call broke before its answer began, and returns whether the
+    /// call may be sent to another server.
+    ///
+    /// `answering` tells whether the head of the answer had arrived. A call that may have crashed its
+    /// server must not be sent again.
+    pub(crate) async fn record_break(
+        &self,
+        address: &backend::BackendAddress,
+        prompt: &[domain::PromptKey],
+        answering: bool,
+    ) -> bool {
+        let keys = self.lock().suspects_of(prompt, time::Instant::now());
+        if keys.is_empty() {
+            return true;
+        }
+        let mut has_crashed = self.add_broken(address, domain::SuspectCall { keys, answering });
+        let known = has_crashed.wait_for(Option::is_some).await;
+        known.is_ok_and(|known| *known == Some(false))
+    }
+
+    /// Applies a new list of suspects.
+    pub(super) fn apply_list(&self, list: domain::SuspectList) {
+        let version = list.version;
+        let added = self.lock().apply_list(list, time::Instant::now());
+        for prompt in added {
+            info!(parts:% = prompt, version = version; "requests with this prompt are refused");
+        }
+        self.list_changes.send_replace(());
+        self.harmless_notify.notify_one();
+    }
+
+    /// Waits until there may be harmless suspects to report.
+    pub(super) async fn wait_for_harmless(&self) {
+        self.harmless_notify.notified().await;
+    }
+
+    /// Returns the suspects to which answers began at this instance.
+    pub(super) fn harmless(&self) -> Vec<domain::PromptKey> {
+        self.lock().harmless()
+    }
+
+    /// Returns whether any part that this instance can vouch for is blocked.
+    pub(super) fn blocks_harmless(&self) -> bool {
+        self.lock().blocks_harmless()
+    }
+
+    fn add_broken(
+        &self,
+        address: &backend::BackendAddress,
+        call: domain::SuspectCall,
+    ) -> tokio_sync::watch::Receiver<Option<bool>> {
+        let mut breaks = self.lock_breaks();
+        let is_first = !breaks.contains_key(address);
+        let broken = breaks.entry(address.clone()).or_default();
+        broken.calls.push(call);
+        let receiver = broken.has_crashed.subscribe();
+        drop(breaks);
+        if is_first {
+            let monitor = self.clone();
+            let address = address.clone();
+            self.tasks
+                .spawn_until_stop(async move { monitor.probe(&address).await });
+        }
+        receiver
+    }
+
+    /// Finds out whether a server crashed, and reports it with the calls that broke there.
+    async fn probe(&self, address: &backend::BackendAddress) {
+        tokio::time::sleep(COLLECTION_TIME).await;
+        let has_crashed = !self.backend.accepts_connections(address).await;
+        let Some(broken) = self.lock_breaks().remove(address) else {
+            return;
+        };
+        broken.has_crashed.send_replace(Some(has_crashed));
+        if !has_crashed {
+            return;
+        }
+        info!(
+            server:% = address.server,
+            started_ms = address.incarnation.0,
+            calls = broken.calls.len();
+            "backend server crashed before it answered requests"
+        );
+        let report = domain::CrashReport {
+            server: address.server.clone(),
+            started_ms: address.incarnation.0,
+            calls: broken.calls,
+        };
+        if self.reports.try_send(report).is_err() {
+            warn!(server:% = address.server; "crash of a backend server is not reported: too many reports wait");
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, crash::PromptGuard> {
+        self.guard
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn lock_breaks(
+        &self,
+    ) -> sync::MutexGuard<'_, collections::HashMap<backend::BackendAddress, BrokenCalls>> {
+        self.breaks
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/galenahold_instance/src/crash/mod.rs
@@ -0,0 +1,9 @@
+//! Detection of requests that crash backend servers, at one entry instance.
+
+mod crash_monitor;
+mod crash_reporter;
+mod prompt_answer;
+
+pub(crate) use crash_monitor::CrashMonitor;
+pub(crate) use crash_reporter::CrashReporter;
+pub(crate) use prompt_answer::refuse_prompt;
--- a/galenahold_instance/src/entry/request_recorder.rs
+++ b/galenahold_instance/src/entry/request_recorder.rs
@@ -189,6 +189,7 @@
         | api::RefusalKind::MethodNotAllowed
         | api::RefusalKind::RateLimited
         | api::RefusalKind::TooManyTokens
+        | api::RefusalKind::PromptBlocked
         | api::RefusalKind::OrderRunning
         | api::RefusalKind::OrderUnknown
         | api::RefusalKind::OrderDiffers
--- a/galenahold_instance/src/gateway/control/fleet_handler.rs
+++ b/galenahold_instance/src/gateway/control/fleet_handler.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::name;
 use galenahold_wire::message;
 
+use crate::control as group;
 use crate::gateway;
 use crate::gateway::control;
 use crate::peer;
@@ -90,6 +91,10 @@
             message::ControlCall::Fleet(call) => {
                 message::ControlReply::Fleet(parts.answer_fleet(call).await)
             }
+            message::ControlCall::Crash(report) => group::record_crash(&parts.member, report).await,
+            message::ControlCall::ClearSuspects(keys) => {
+                group::clear_suspects(&parts.member, &keys).await
+            }
             message::ControlCall::Demand(_)
             | message::ControlCall::NeverLeft { .. }
             | message::ControlCall::Command(_)
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -254,11 +254,14 @@
             roster_changes.mark_unchanged();
             let waited = started.elapsed();
             let left = hold.saturating_sub(waited);
-            let configured = self.member.state().read(domain::ControlState::revision);
+            let is_current = self.member.state().read(|state| {
+                state.revision() == request.have
+                    && state.crashes().version() == request.suspect_version
+            });
             let wait_time = self
                 .roster_delay(request, waited)
                 .map_or(left, |delay| delay.min(left));
-            if configured != request.have || wait_time.is_zero() || !self.member.is_leader() {
+            if !is_current || wait_time.is_zero() || !self.member.is_leader() {
                 return self.watch_reply(request, started);
             }
             tokio::select! {
@@ -317,6 +320,7 @@
                 revision: state.revision(),
                 update: group::update_since(state, request),
                 drains: None,
+                suspects: group::suspect_list(state, request.suspect_version),
                 roster,
                 followers,
                 members,
--- a/galenahold_instance/src/gateway/entry/attempt_end.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_end.rs
@@ -17,6 +17,8 @@
     NotRun(&'static str),
     /// The request may have run, but has no complete answer.
     MayHaveRun(&'static str),
+    /// The request may have run, and must not be sent again because it may crash the next server too.
+    Abandoned(&'static str),
 }
 
 /// A complete answer of a backend server.
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -60,18 +60,27 @@
         }
         let request = self.request(call, lease, time_left, resume_after);
         lease.start_waiting(sent_at);
-        let sent = self
+        let sending = self
             .backend
-            .send(connection, &address, request, head_deadline)
-            .await;
+            .send(connection, &address, request, head_deadline);
+        let sent = tokio::select! {
+            sent = sending => sent,
+            // Dropping the send closes the connection, which cancels the request at the server.
+            _ = self.crashes.wait_until_blocked(&call.shared_parts) => {
+                lease.stop_waiting();
+                return entry::AttemptEnd::Abandoned("prompt_blocked");
+            }
+        };
         lease.stop_waiting();
         match sent {
             Ok(exchange) => self.classify(call, lease, exchange, sent_at).await,
             Err(error) => {
-                if error.kind == backend::AttemptErrorKind::Broken {
-                    call.log_unbegun(lease.server(), false);
+                let end = classify_error(lease, &error);
+                let is_broken = error.kind == backend::AttemptErrorKind::Broken;
+                if is_broken && !self.may_resend_broken(call, lease, false).await {
+                    return entry::AttemptEnd::Abandoned("server_crashed");
                 }
-                classify_error(lease, &error)
+                end
             }
         }
     }
@@ -134,7 +143,40 @@
         if call.route.kind.is_stream() && head.status.is_success() {
             return entry::AttemptEnd::Stream(exchange);
         }
-        read_complete(call, lease, exchange).await
+        self.read_complete(call, lease, exchange).await
+    }
+
+    async fn read_complete(
+        &self,
+        call: &entry::RoutedCall,
+        lease: &entry::PlaceLease,
+        mut exchange: backend::BackendExchange,
+    ) -> entry::AttemptEnd {
+        let Ok(body) = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline).await else {
+            lease.observe(fleet::AttemptReport::Broken);
+            if !self.may_resend_broken(call, lease, true).await {
+                return entry::AttemptEnd::Abandoned("server_crashed");
+            }
+            return entry::AttemptEnd::MayHaveRun("answer_cut");
+        };
+        self.crashes.record_start(&call.shared_parts);
+        let head = exchange.finish();
+        entry::AttemptEnd::Complete(entry::CompleteAnswer { head, body })
+    }
+
+    /// Records that a server broke off before its answer to the call began, and returns whether the
+    /// call may be sent to another server: it must not if it may have crashed this one.
+    pub(super) async fn may_resend_broken(
+        &self,
+        call: &entry::RoutedCall,
+        lease: &entry::PlaceLease,
+        answering: bool,
+    ) -> bool {
+        call.log_unbegun(lease.server(), answering);
+        let address = lease.address();
+        self.crashes
+            .record_break(&address, &call.shared_parts, answering)
+            .await
     }
 
     /// Reads a refusal to its end in the background so that its connection can be reused.
@@ -150,20 +192,6 @@
     }
 }
 
-async fn read_complete(
-    call: &entry::RoutedCall,
-    lease: &entry::PlaceLease,
-    mut exchange: backend::BackendExchange,
-) -> entry::AttemptEnd {
-    let Ok(body) = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline).await else {
-        call.log_unbegun(lease.server(), true);
-        lease.observe(fleet::AttemptReport::Broken);
-        return entry::AttemptEnd::MayHaveRun("answer_cut");
-    };
-    let head = exchange.finish();
-    entry::AttemptEnd::Complete(entry::CompleteAnswer { head, body })
-}
-
 fn classify_error(lease: &entry::PlaceLease, error: &backend::AttemptError) -> entry::AttemptEnd {
     use galenahold_domain::verdict::RequestVerdict;
     let (report, note) = match error.kind {
--- a/galenahold_instance/src/gateway/entry/call_answer.rs
+++ b/galenahold_instance/src/gateway/entry/call_answer.rs
@@ -33,6 +33,7 @@
         | api::RefusalKind::TooLarge
         | api::RefusalKind::Unauthorized
         | api::RefusalKind::NotFound
+        | api::RefusalKind::PromptBlocked
         | api::RefusalKind::SlowRequest => refusal.kind.status(),
         _ if promised => StatusCode::SERVICE_UNAVAILABLE,
         api::RefusalKind::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -3,12 +3,14 @@
 use std::sync;
 use std::time;
 
+use galenahold_domain::crash as domain;
 use galenahold_domain::declaration;
 use galenahold_routing::fleet;
 use http::{Response, header, request};
 use hyper::body;
 
 use crate::api;
+use crate::crash;
 use crate::gateway;
 use crate::gateway::entry;
 use crate::gateway::entry::call_answer;
@@ -57,6 +59,7 @@
         log: &mut entry::CallLog,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
         let call = self.route(head, body, log).await?;
+        self.check_prompt(&call)?;
         let charge = self.charge(&call, log).await?;
         self.parts.earn_retry(&call.service);
         let mut plan = entry::AttemptPlan::new(&call.route);
@@ -113,7 +116,13 @@
         };
         let body = reader.read(body).await?;
         let service = route.service_at(hash_id(&log.id)).clone();
+        let shared = metadata
+            .prompt
+            .split_last()
+            .map_or(&[][..], |(_, rest)| rest);
+        let shared_parts = shared.iter().map(|part| domain::PromptKey(part.id));
         Ok(entry::RoutedCall {
+            shared_parts: shared_parts.collect(),
             head,
             body,
             metadata,
@@ -126,6 +135,17 @@
         })
     }
 
+    /// Refuses a call whose prompt crashes backend servers.
+    fn check_prompt(&self, call: &entry::RoutedCall) -> Result<(), api::RequestRefusal> {
+        match self.parts.crashes.check(&call.shared_parts) {
+            Some(refusal) => {
+                self.parts.metrics.blocked.inc();
+                Err(crash::refuse_prompt(&refusal))
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Charges the team's tokens, if the team has a rate limit.
     async fn charge(
         &self,
@@ -164,6 +184,8 @@
             if let Some(charge) = &mut charge {
                 charge.confirm(call.deadline).await?;
             }
+            // The prompt may have been blocked while the call waited.
+            self.check_prompt(&call)?;
             let head_deadline = plan.answer_deadline(time::Instant::now(), call.deadline);
             plan.record_send(lease.server());
             log.sends = plan.sends();
@@ -211,6 +233,11 @@
                         return Err(call_answer::not_run_refusal(note, NOT_RUN_RETRY_DELAY));
                     }
                 }
+                entry::AttemptEnd::Abandoned(note) => {
+                    log.notes.push(note);
+                    plan.record_possible_run();
+                    return Err(call_answer::lost_answer_refusal(note));
+                }
                 entry::AttemptEnd::MayHaveRun(note) => {
                     log.notes.push(note);
                     plan.record_possible_run();
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -7,6 +7,7 @@
 
 use crate::backend;
 use crate::configuration;
+use crate::crash;
 use crate::gateway;
 use crate::gateway::control;
 use crate::gateway::entry;
@@ -33,6 +34,8 @@
     pub(crate) client: peer::ControlClient<control::FleetHandler<Dialect>>,
     /// Sends requests to backend servers.
     pub(crate) backend: backend::BackendClient,
+    /// Detects requests that crash backend servers.
+    pub(crate) crashes: crash::CrashMonitor,
     /// Bounds attempts beyond the first of each call.
     pub(crate) budget: sync::Arc<sync::Mutex<fleet::AttemptBudget>>,
     /// Metrics of this instance.
--- a/galenahold_instance/src/gateway/entry/leader_monitor.rs
+++ b/galenahold_instance/src/gateway/entry/leader_monitor.rs
@@ -61,6 +61,7 @@
             have: galenahold_domain::amount::RevisionNumber::ZERO,
             age_ms: None,
             drain_version: 0,
+            suspect_version: 0,
             roster: None,
             leader_known: Some(leader.clone()),
             in_hurry: false,
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use galenahold_domain::crash;
 use galenahold_domain::declaration;
 use galenahold_domain::name;
 use galenahold_routing::fleet;
@@ -38,6 +39,8 @@
     pub(super) body: bytes::Bytes,
     /// The metadata parsed from the head.
     pub(super) metadata: gateway::CallMetadata,
+    /// The parts of the prompt that other calls may share: all but the last.
+    pub(super) shared_parts: Vec<crash::PromptKey>,
     /// The declaration that applies to the request.
     pub(super) index: sync::Arc<declaration::DeclarationIndex>,
     /// The route that takes the request.
@@ -92,18 +95,11 @@
         (self.arrived + first_event_timeout.saturating_sub(FIRST_EVENT_MARGIN)).min(self.deadline)
     }
 
-    /// Returns the parts of the prompt that other calls may share: all but the last.
-    pub(super) fn shared_parts(&self) -> &[gateway::PromptPart] {
-        let parts = &self.metadata.prompt;
-        &parts[..parts.len().saturating_sub(1)]
-    }
-
     /// Logs that a server ended the connection before its answer to the call began.
     ///
     /// `answering` tells whether the head of the answer had arrived.
     pub(super) fn log_unbegun(&self, server: &name::ServerName, answering: bool) {
-        let parts = self.shared_parts().iter();
-        let parts: Vec<_> = parts.map(|part| format!("{:x}", part.id)).collect();
+        let parts: Vec<_> = self.shared_parts.iter().map(ToString::to_string).collect();
         info!(
             request = self.metadata.id.as_deref().unwrap_or("-"),
             server:% = server,
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -41,6 +41,8 @@
     Ended,
     Cut(&'static str),
     CallerLeft,
+    /// The prompt was blocked before the first event.
+    Blocked,
     /// The caller's connection accepted nothing more until the deadline.
     CallerStalled,
 }
@@ -104,6 +106,10 @@
                     self.log("caller_stalled");
                     return;
                 }
+                RelayStep::Blocked => {
+                    self.log("prompt_blocked");
+                    return;
+                }
                 RelayStep::Cut(reason) => {
                     if self.resume(reason).await {
                         continue;
@@ -123,6 +129,9 @@
             () = tokio::time::sleep_until(self.call.deadline.into()) => {
                 return RelayStep::Cut("deadline");
             }
+            _ = self.parts.crashes.wait_until_blocked(&self.call.shared_parts), if self.events == 0 => {
+                return RelayStep::Blocked;
+            }
         };
         match chunk {
             Ok(Some(chunk)) => {
@@ -162,16 +171,23 @@
         self.longest_pause = self.longest_pause.max(pause);
         self.last_event = Some(now);
         self.lease.start_waiting(now);
+        if self.events == 0 {
+            self.parts.crashes.record_start(&self.call.shared_parts);
+        }
         self.events += 1;
     }
 
     /// Resumes a cut stream at another server; returns `false` if that is not possible.
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.lease.observe(fleet::AttemptReport::Broken);
+        self.plan.record_possible_run();
         if self.events == 0 && reason == CONNECTION_BROKEN {
-            self.call.log_unbegun(self.lease.server(), true);
+            let parts = sync::Arc::clone(&self.parts);
+            let resending = parts.may_resend_broken(&self.call, &self.lease, true);
+            if !resending.await {
+                return false;
+            }
         }
-        self.plan.record_possible_run();
         let in_time = time::Instant::now() < self.call.deadline;
         if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry(&self.call.service) {
             return false;
@@ -211,6 +227,9 @@
                 }
                 lease.record_adapter(adapter);
             }
+            if self.parts.crashes.check(&self.call.shared_parts).is_some() {
+                return None;
+            }
             self.plan.record_send(lease.server());
             let sending = self.parts.attempt(
                 &self.call,
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -22,6 +22,7 @@
 use crate::backend;
 use crate::configuration;
 use crate::control as group;
+use crate::crash;
 use crate::gateway;
 use crate::gateway::control;
 use crate::gateway::entry;
@@ -327,6 +328,11 @@
             client.clone(),
         )
         .start(&self.groups.system);
+        let backend = backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT);
+        let (crashes, reports) =
+            crash::CrashMonitor::new(backend.clone(), self.groups.system.clone());
+        crash::CrashReporter::new(crashes.clone(), client.clone(), cache.clone())
+            .start(reports, &self.groups.system);
         let declarations = gateway::DeclarationCache::new(self.dialect.clone());
         self.follow_declarations(cache, &declarations, &limiter, &dispatcher);
         let parts = entry::EntryParts {
@@ -337,7 +343,8 @@
             dispatcher: dispatcher.clone(),
             limiter: limiter.clone(),
             client: client.clone(),
-            backend: backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT),
+            backend,
+            crashes,
             budget,
             metrics: self.metrics.clone(),
             readiness: self.readiness.clone(),
--- a/galenahold_instance/src/lib.rs
+++ b/galenahold_instance/src/lib.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod configuration;
 mod control;
+mod crash;
 mod dispatch;
 mod entry;
 pub mod gateway;
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -67,6 +67,8 @@
     pub(crate) resumed: Counter,
     /// Answers that carried the id of another request.
     pub(crate) crossed: Counter,
+    /// Requests refused because their prompt crashes backend servers.
+    pub(crate) blocked: Counter,
     /// Requests waiting for a replica.
     pub(crate) waiting: Gauge,
     /// The active configuration revision.
@@ -101,6 +103,7 @@
             retries: Counter::default(),
             resumed: Counter::default(),
             crossed: Counter::default(),
+            blocked: Counter::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
             age: Gauge::default(),
@@ -150,6 +153,11 @@
             "Answers with another request's id",
             self.crossed.clone(),
         );
+        registry.register(
+            "blocked_prompts",
+            "Requests refused because their prompt crashes backend servers",
+            self.blocked.clone(),
+        );
         registry.register(
             "waiting_requests",
             "Requests that wait for a replica",
--- /dev/null
+++ b/galenahold_routing/src/crash/prompt_guard.rs
@@ -0,0 +1,120 @@
+//! Refusal of prompts that crash backend servers.
+
+use std::collections;
+use std::time;
+
+use galenahold_domain::crash as domain;
+
+use crate::crash;
+
+/// Decides for one entry instance which prompts are refused, and which parts of prompts it can vouch
+/// for.
+#[derive(Debug, Default)]
+pub struct PromptGuard {
+    list: domain::SuspectList,
+    /// When each blocked prompt was listed first.
+    blocked_at: collections::HashMap<domain::BlockedPrompt, time::Instant>,
+    /// The blocked and suspected parts.
+    suspects: collections::HashSet<domain::PromptKey>,
+    history: crash::StartHistory,
+    /// Suspects to which answers began here, which the control group does not know yet.
+    harmless: collections::BTreeSet<domain::PromptKey>,
+}
+
+impl PromptGuard {
+    /// How long a new block is provisional: longer than instances need to hear of it and to report
+    /// that a part is harmless.
+    pub const PROVISIONAL_TIME: time::Duration = time::Duration::from_secs(1);
+
+    /// How long a block holds unless the list renews it.
+    const BLOCK_TIME: time::Duration =
+        time::Duration::from_millis(domain::CrashLedger::RETENTION_MS);
+
+    /// Returns the refusal of a prompt, or `None` if it may be sent.
+    #[must_use]
+    pub fn check(
+        &self,
+        prompt: &[domain::PromptKey],
+        now: time::Instant,
+    ) -> Option<crash::PromptRefusal> {
+        let mut blocked = self.list.blocked.iter();
+        let found = blocked.find(|blocked| {
+            blocked.matches(prompt) && self.blocked_for(blocked, now) < Self::BLOCK_TIME
+        })?;
+        Some(crash::PromptRefusal {
+            is_provisional: self.blocked_for(found, now) < Self::PROVISIONAL_TIME,
+            blocked: found.clone(),
+        })
+    }
+
+    /// Follows a new list of the control group and returns the prompts that were not blocked before.
+    pub fn apply_list(
+        &mut self,
+        list: domain::SuspectList,
+        now: time::Instant,
+    ) -> Vec<domain::BlockedPrompt> {
+        self.blocked_at
+            .retain(|blocked, _| list.blocked.contains(blocked));
+        let mut added = Vec::new();
+        for blocked in &list.blocked {
+            if !self.blocked_at.contains_key(blocked) {
+                self.blocked_at.insert(blocked.clone(), now);
+                added.push(blocked.clone());
+            }
+        }
+        let blocked_keys = list.blocked.iter().flat_map(domain::BlockedPrompt::keys);
+        self.suspects = blocked_keys.chain(&list.suspected).copied().collect();
+        let (suspects, history) = (&self.suspects, &self.history);
+        let started = suspects.iter().filter(|key| history.contains(**key, now));
+        self.harmless = started.copied().collect();
+        self.list = list;
+        added
+    }
+
+    /// Records that the answer to a call with this prompt began; returns whether that clears a suspect.
+    pub fn record_start(&mut self, prompt: &[domain::PromptKey], now: time::Instant) -> bool {
+        let mut clears = false;
+        for key in prompt {
+            self.history.record(*key, now);
+            clears |= self.suspects.contains(key) && self.harmless.insert(*key);
+        }
+        clears
+    }
+
+    /// Returns the suspects to which answers began here, until a new list leaves them out.
+    #[must_use]
+    pub fn harmless(&self) -> Vec<domain::PromptKey> {
+        self.harmless.iter().copied().collect()
+    }
+
+    /// Returns whether any part that this instance can vouch for is blocked.
+    #[must_use]
+    pub fn blocks_harmless(&self) -> bool {
+        let mut keys = self
+            .list
+            .blocked
+            .iter()
+            .flat_map(domain::BlockedPrompt::keys);
+        keys.any(|key| self.harmless.contains(key))
+    }
+
+    /// Returns the parts of a prompt that may crash servers, as far as this instance knows.
+    #[must_use]
+    pub fn suspects_of(
+        &self,
+        prompt: &[domain::PromptKey],
+        now: time::Instant,
+    ) -> Vec<domain::PromptKey> {
+        let parts = prompt.iter().copied();
+        parts
+            .filter(|key| !self.history.contains(*key, now))
+            .collect()
+    }
+
+    fn blocked_for(&self, blocked: &domain::BlockedPrompt, now: time::Instant) -> time::Duration {
+        let since = self.blocked_at.get(blocked);
+        since.map_or(time::Duration::ZERO, |since| {
+            now.saturating_duration_since(*since)
+        })
+    }
+}
--- a/galenahold_routing/src/lib.rs
+++ b/galenahold_routing/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod breaker;
+pub mod crash;
 pub mod fleet;
 pub mod queue;
 pub mod rate;
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -323,6 +323,7 @@
         revision: amount::RevisionNumber(81_234),
         update,
         drains: None,
+        suspects: None,
         roster: None,
         followers: 0,
         members: Vec::new(),
--- a/galenahold_wire/src/message/control_call.rs
+++ b/galenahold_wire/src/message/control_call.rs
@@ -2,6 +2,7 @@
 
 use galenahold_domain::amount;
 use galenahold_domain::control;
+use galenahold_domain::crash;
 use galenahold_domain::placement;
 use galenahold_placement::demand;
 use galenahold_routing::rate;
@@ -27,6 +28,10 @@
     /// Proposes a command to the replicated log. Instances propose only commands about orders and
     /// departures.
     Command(control::ControlCommand),
+    /// Reports a crash of a backend server and the calls that may have caused it.
+    Crash(crash::CrashReport),
+    /// Reports that answers to calls with these parts of prompts have begun, so that the parts are harmless.
+    ClearSuspects(Vec<crash::PromptKey>),
     /// A call about the backend servers of declared services.
     Fleet(message::FleetCall),
     /// An operator's call, already authenticated.
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -1,6 +1,7 @@
 //! Replies to configuration watches.
 
 use galenahold_domain::amount;
+use galenahold_domain::crash;
 use galenahold_domain::fleet;
 use galenahold_domain::name;
 use serde::{Deserialize, Serialize};
@@ -23,6 +24,9 @@
         update: message::ConfigurationUpdate,
         /// The drain list, if it is newer than the follower's.
         drains: Option<Box<message::DrainList>>,
+        /// The parts of prompts that crash backend servers, if the follower has another version of the list.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        suspects: Option<Box<crash::SuspectList>>,
         /// The roster changes of declared services that the follower does not have.
         #[serde(default)]
         roster: Option<Box<fleet::RosterUpdate>>,
--- a/galenahold_wire/src/message/watch_request.rs
+++ b/galenahold_wire/src/message/watch_request.rs
@@ -19,6 +19,9 @@
     pub age_ms: Option<u64>,
     /// The version of the follower's drain list; zero if there is none.
     pub drain_version: u64,
+    /// The version of the follower's list of suspects; zero if there is none.
+    #[serde(default)]
+    pub suspect_version: u64,
     /// The follower's position in the roster of declared services; none if it does not follow the roster.
     #[serde(default)]
     pub roster: Option<fleet::RosterCursor>,
--- a/galenahold_wire/tests/rpc/compression.rs
+++ b/galenahold_wire/tests/rpc/compression.rs
@@ -70,6 +70,7 @@
         have: amount::RevisionNumber(number / 100),
         age_ms: Some(number % 400),
         drain_version: 0,
+        suspect_version: 0,
         roster: Some(fleet::RosterCursor {
             term: 3,
             version: number * 17,
