Refuse prompts that crash engines at the own interface too, and let a call be repeated after its first crash

It now uses the crash monitor of the declared services, with the beginnings of a prompt's text as parts; at most three engines crash, and the prompt gets 422 at all instances.

--- /dev/null
+++ b/galenahold/tests/answers/deadly_prompts.rs
@@ -0,0 +1,61 @@
+//! Prompts that crash each engine that begins to answer them.
+
+use std::thread;
+use std::time;
+
+use galenahold_testkit::control;
+use galenahold_testkit::harness;
+
+use crate::answer_fleet;
+
+const ENGINES: usize = 5;
+
+/// More than the time within which crashes count as one.
+const CRASH_PAUSE: time::Duration = time::Duration::from_millis(600);
+
+/// How many engines may crash: two to tell the prompt from others, and one by the repeat of the first call.
+const MAX_CRASHES: usize = 3;
+
+#[test]
+fn beginning_of_a_prompt_that_crashes_engines_is_refused_by_all_instances() {
+    let fleet = answer_fleet::AnswerFleet::start(ENGINES, 1_000);
+    for engine in fleet.serving.engines() {
+        let deadly = control::ServerControl::CrashOnPrompt {
+            text: "deadly".to_owned(),
+        };
+        assert!(engine.control(&deadly));
+    }
+    for number in 0..=ENGINES {
+        ask(&fleet, number, &sound_prompt(number));
+        ask(&fleet, number, &deadly_prompt(number));
+        thread::sleep(CRASH_PAUSE);
+    }
+    let engines = fleet.serving.engines().iter();
+    let crashed = engines.filter(|engine| engine.is_crashed()).count();
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+    for number in 0..3 {
+        assert_eq!(ask(&fleet, number, &sound_prompt(100 + number)), 200);
+        assert_eq!(ask(&fleet, number, &deadly_prompt(100 + number)), 422);
+    }
+}
+
+/// Asks for an answer at one of the instances and returns its status.
+fn ask(fleet: &answer_fleet::AnswerFleet, number: usize, text: &str) -> u16 {
+    let caller = fleet.serving.caller(number % 3);
+    let answer = caller.chat(harness::SERVED_MODEL, text, 5, false);
+    answer.expect("an answer comes").status
+}
+
+/// Returns a prompt with the first block of all others.
+fn sound_prompt(number: usize) -> String {
+    format!("{}{number}", "instructions ".repeat(8))
+}
+
+/// Returns a prompt that shares its beginning with all deadly ones.
+fn deadly_prompt(number: usize) -> String {
+    format!(
+        "{}{}{number}",
+        "instructions ".repeat(8),
+        "deadly ".repeat(30)
+    )
+}
--- a/galenahold/tests/answers/main.rs
+++ b/galenahold/tests/answers/main.rs
@@ -3,4 +3,5 @@
 mod answer_fleet;
 mod cut_answers;
 mod cut_streams;
+mod deadly_prompts;
 mod gone_callers;
--- a/galenahold_instance/src/crash/crash_monitor.rs
+++ b/galenahold_instance/src/crash/crash_monitor.rs
@@ -92,21 +92,25 @@
     /// Records that the connection of a call broke before its answer began, and returns whether the
     /// call may be sent to another server.
     ///
-    /// `answering` tells whether the head of the answer had arrived. A call that may have crashed its
-    /// server must not be sent again.
+    /// `answering` tells whether the head of the answer had arrived. A call is not sent again if its
+    /// server crashed and a part of its prompt was already suspected.
     pub(crate) async fn record_break(
         &self,
         address: &backend::BackendAddress,
         prompt: &[domain::PromptKey],
         answering: bool,
     ) -> bool {
-        let keys = self.lock().suspects_of(prompt, time::Instant::now());
+        let (keys, was_suspect) = {
+            let guard = self.lock();
+            let keys = guard.suspects_of(prompt, time::Instant::now());
+            (keys, guard.is_suspect(prompt))
+        };
         if keys.is_empty() {
             return true;
         }
         let mut has_crashed = self.add_broken(address, domain::SuspectCall { keys, answering });
         let known = has_crashed.wait_for(Option::is_some).await;
-        known.is_ok_and(|known| *known == Some(false))
+        !was_suspect || known.is_ok_and(|known| *known == Some(false))
     }
 
     /// Applies a new list of suspects.
--- a/galenahold_instance/src/entry/attempt_call.rs
+++ b/galenahold_instance/src/entry/attempt_call.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use galenahold_domain::amount;
+use galenahold_domain::crash;
 use galenahold_domain::name;
 
 use crate::backend;
@@ -32,6 +33,11 @@
     /// Returns whether the call may be retried after it may have run.
     fn is_idempotent(&self) -> bool;
 
+    /// Returns the parts of the prompt that other calls may share; a call to a plain service has none.
+    fn prompt(&self) -> &[crash::PromptKey] {
+        &[]
+    }
+
     /// Returns the slot request of the next attempt; `avoided_server` is the backend server of the
     /// last one.
     fn slot_request(
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -11,6 +11,7 @@
 
 use crate::api;
 use crate::backend;
+use crate::crash;
 use crate::dispatch;
 use crate::entry;
 use crate::platform;
@@ -24,6 +25,7 @@
     dispatcher: dispatch::Dispatcher,
     client: backend::BackendClient,
     policy: entry::AttemptPolicy,
+    crashes: crash::CrashMonitor,
     metrics: platform::FleetMetrics,
 }
 
@@ -45,6 +47,7 @@
         dispatcher: dispatch::Dispatcher,
         client: backend::BackendClient,
         policy: entry::AttemptPolicy,
+        crashes: crash::CrashMonitor,
         metrics: platform::FleetMetrics,
     ) -> Self {
         Self {
@@ -52,10 +55,16 @@
             dispatcher,
             client,
             policy,
+            crashes,
             metrics,
         }
     }
 
+    /// Returns the monitor of requests that crash backend servers.
+    pub(crate) fn crashes(&self) -> &crash::CrashMonitor {
+        &self.crashes
+    }
+
     /// Returns the instance's metrics.
     pub(crate) fn metrics(&self) -> &platform::FleetMetrics {
         &self.metrics
@@ -67,6 +76,24 @@
         entry::AttemptState::new(self.policy.backoff())
     }
 
+    /// Checks that the prompt of a call is not blocked.
+    ///
+    /// # Errors
+    ///
+    /// A refusal with verdict `NotRun`.
+    pub(crate) fn check_prompt<Call: entry::AttemptCall>(
+        &self,
+        call: &Call,
+    ) -> Result<(), api::RequestRefusal> {
+        match self.crashes.check(call.prompt()) {
+            Some(refusal) => {
+                self.metrics.blocked.inc();
+                Err(crash::refuse_prompt(&refusal))
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Charges the tokens of a call; `None` on an open route or for a call without tokens.
     ///
     /// # Errors
@@ -112,6 +139,7 @@
             charge.confirm(call.deadline()).await?;
         }
         call.guard().check_before_send()?;
+        self.check_prompt(call)?;
         if !slot.may_send() {
             let error = backend::AttemptError::not_run(backend::AttemptErrorKind::Departed);
             return Err(fail_attempt(slot, error));
@@ -173,7 +201,7 @@
     ) -> Result<(), api::RequestRefusal> {
         debug!(
             request:% = call.id(),
-            server:% = failed.server,
+            server:% = failed.address.server,
             error:% = failed.error;
             "attempt failed"
         );
@@ -183,7 +211,10 @@
         {
             charge.not_run();
         }
-        state.avoided_server = Some(failed.server);
+        if !self.may_resend(call, state, &failed).await {
+            return Err(state.worsen(refuse_after_failure(&failed.error)));
+        }
+        state.avoided_server = Some(failed.address.server);
         let delay = self.policy.next_delay(
             &mut state.backoff,
             failed.error.verdict,
@@ -199,6 +230,28 @@
         Ok(())
     }
 
+    /// Records a failure before the answer began, and returns whether the call may be sent to another
+    /// server.
+    async fn may_resend<Call: entry::AttemptCall>(
+        &self,
+        call: &Call,
+        state: &entry::AttemptState,
+        failed: &entry::FailedAttempt,
+    ) -> bool {
+        let answering = match failed.error.kind {
+            backend::AttemptErrorKind::Broken => false,
+            backend::AttemptErrorKind::Cut => true,
+            _ => return true,
+        };
+        if state.has_begun {
+            return true;
+        }
+        let broken = self
+            .crashes
+            .record_break(&failed.address, call.prompt(), answering);
+        broken.await
+    }
+
     async fn acquire<Call: entry::AttemptCall>(
         &self,
         call: &Call,
@@ -243,9 +296,9 @@
     slot: dispatch::ReplicaSlot,
     error: backend::AttemptError,
 ) -> entry::AttemptStop {
-    let server = slot.address().server.clone();
+    let address = slot.address().clone();
     slot.finish(error.attempt_outcome());
-    entry::AttemptStop::Failed(entry::FailedAttempt { error, server })
+    entry::AttemptStop::Failed(entry::FailedAttempt { error, address })
 }
 
 /// Returns the refusal for the caller after the last failed attempt.
--- a/galenahold_instance/src/entry/attempt_state.rs
+++ b/galenahold_instance/src/entry/attempt_state.rs
@@ -18,6 +18,8 @@
     pub(super) avoided_server: Option<name::ServerName>,
     /// The worst verdict of all attempts.
     pub(super) worst_verdict: verdict::RequestVerdict,
+    /// Whether the answer has begun: the call did not crash its server by being answered.
+    pub(super) has_begun: bool,
 }
 
 /// The error of a failed attempt and the backend server that it was sent to.
@@ -26,7 +28,7 @@
     /// The error of the attempt.
     pub(crate) error: backend::AttemptError,
     /// The backend server that the attempt was sent to.
-    pub(crate) server: name::ServerName,
+    pub(crate) address: backend::BackendAddress,
 }
 
 /// The reason why an attempt produced no answer.
@@ -46,6 +48,7 @@
             backoff,
             avoided_server: None,
             worst_verdict: verdict::RequestVerdict::NotRun,
+            has_begun: false,
         }
     }
 
--- a/galenahold_instance/src/entry/entry_handler.rs
+++ b/galenahold_instance/src/entry/entry_handler.rs
@@ -8,6 +8,7 @@
 use galenahold_domain::name;
 use galenahold_domain::order;
 use galenahold_domain::placement;
+use galenahold_routing::crash;
 use galenahold_routing::replica;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use hyper::body;
@@ -161,6 +162,7 @@
             .ok_or_else(|| arrived.refuse_access(request.model()))?;
         let model = resolved.model;
         let token_bound = request.token_bound(model.max_request_tokens)?;
+        let prefix = replica::PrefixBlocks::of_text(request.prompt(), MAX_PREFIX_BLOCKS);
         Ok(entry::ModelCall {
             id: arrived.id.clone(),
             path: arrived.head.uri.path().to_owned(),
@@ -173,7 +175,8 @@
             priority: service.priority,
             concurrency: model.replica_concurrency,
             token_bound,
-            prefix: replica::PrefixBlocks::of_text(request.prompt(), MAX_PREFIX_BLOCKS),
+            prompt_keys: crash::prompt_keys(request.prompt(), &prefix),
+            prefix,
             body: bytes::Bytes::from(
                 request.engine_body(service.priority, model.max_request_tokens),
             ),
--- a/galenahold_instance/src/entry/model_call.rs
+++ b/galenahold_instance/src/entry/model_call.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use galenahold_domain::amount;
+use galenahold_domain::crash;
 use galenahold_domain::name;
 use galenahold_domain::placement;
 use galenahold_routing::replica;
@@ -33,6 +34,8 @@
     pub(crate) token_bound: amount::TokenCount,
     /// Hashes of the prompt's prefix blocks.
     pub(crate) prefix: replica::PrefixBlocks,
+    /// The beginnings of the prompt by which calls that crash engines are recognized.
+    pub(crate) prompt_keys: Vec<crash::PromptKey>,
     /// The body that is sent to the engine.
     pub(crate) body: bytes::Bytes,
     /// The deadline of the answer.
@@ -88,6 +91,10 @@
         true
     }
 
+    fn prompt(&self) -> &[crash::PromptKey] {
+        &self.prompt_keys
+    }
+
     fn slot_request(
         &self,
         weight: f64,
--- a/galenahold_instance/src/entry/model_handler.rs
+++ b/galenahold_instance/src/entry/model_handler.rs
@@ -9,6 +9,7 @@
 
 use crate::api;
 use crate::backend;
+use crate::crash;
 use crate::dispatch;
 use crate::entry;
 use crate::platform;
@@ -81,6 +82,7 @@
         &self,
         call: entry::ModelCall,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
+        self.attempts.check_prompt(&call)?;
         let mut charge = self.attempts.charge(&call).await?;
         let mut state = self.attempts.begin();
         loop {
@@ -141,6 +143,22 @@
         self.open(call, charge, state, resume.as_ref()).await
     }
 
+    /// Records that the answer to a call began.
+    pub(crate) fn record_start(&self, call: &entry::ModelCall) {
+        self.attempts.crashes().record_start(&call.prompt_keys);
+    }
+
+    /// Waits until the prompt of a call that was sent is blocked, and returns the refusal.
+    pub(crate) async fn wait_until_blocked(&self, call: &entry::ModelCall) -> api::RequestRefusal {
+        let crashes = self.attempts.crashes();
+        let blocked = crashes.wait_until_blocked(&call.prompt_keys).await;
+        api::RequestRefusal::new(
+            api::RefusalKind::BackendFailed,
+            verdict::RequestVerdict::MayHaveRun,
+            crash::refuse_prompt(&blocked).message,
+        )
+    }
+
     async fn attempt(
         &self,
         call: &entry::ModelCall,
@@ -159,7 +177,14 @@
             .attempts
             .send(connection, slot.address(), request, call.deadline);
         let may_have_run = verdict::RequestVerdict::MayHaveRun;
-        let sent = entry::run_while_authorized(&call.guard, may_have_run, sending).await?;
+        let sending = entry::run_while_authorized(&call.guard, may_have_run, sending);
+        let sent = tokio::select! {
+            sent = sending => sent?,
+            // Dropping the send closes the connection, which cancels the request at the server.
+            refusal = self.wait_until_blocked(call) => {
+                return Err(entry::AttemptStop::Refused(refusal));
+            }
+        };
         let checked = sent.and_then(|exchange| {
             self.attempts.check(&exchange, &attempt)?;
             check_status(exchange.head().status)?;
@@ -197,15 +222,16 @@
                 ))
             }
         });
-        let server = slot.address().server.clone();
+        let address = slot.address().clone();
         let body = match whole {
             Ok(body) => body,
             Err(error) => {
                 slot.finish(dispatch::AttemptOutcome::Failed);
-                return Ok(Err(entry::FailedAttempt { error, server }));
+                return Ok(Err(entry::FailedAttempt { error, address }));
             }
         };
         slot.finish(dispatch::AttemptOutcome::Answered);
+        self.record_start(call);
         let mut answer = Response::new(api::AnswerBody::whole(body));
         *answer.status_mut() = exchange.head().status;
         *answer.headers_mut() = entry::headers_to_caller(&exchange.head().headers);
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -156,7 +156,13 @@
         } = opened;
         let mut scanner = entry::EventScanner::default();
         loop {
-            let Ok(Some(chunk)) = exchange.next_chunk().await else {
+            let chunk = tokio::select! {
+                chunk = exchange.next_chunk() => chunk,
+                refusal = self.handler.wait_until_blocked(&self.call), if !self.state.has_begun => {
+                    return Ok(StreamEnd::Failed(refusal));
+                }
+            };
+            let Ok(Some(chunk)) = chunk else {
                 return Err(fail_cut(slot));
             };
             if scanner.push(&chunk).is_err() {
@@ -228,7 +234,11 @@
     fn count_token(&mut self) {
         let now = time::Instant::now();
         match self.last_token_at {
-            None => self.call.recorder.record_first_token(),
+            None => {
+                self.call.recorder.record_first_token();
+                self.state.has_begun = true;
+                self.handler.record_start(&self.call);
+            }
             Some(last) => self
                 .call
                 .recorder
@@ -297,10 +307,10 @@
 }
 
 fn fail_cut(slot: dispatch::ReplicaSlot) -> entry::FailedAttempt {
-    let server = slot.address().server.clone();
+    let address = slot.address().clone();
     slot.finish(dispatch::AttemptOutcome::Failed);
     let error = backend::AttemptError::may_have_run(backend::AttemptErrorKind::Cut);
-    entry::FailedAttempt { error, server }
+    entry::FailedAttempt { error, address }
 }
 
 fn refuse(kind: api::RefusalKind, message: &str) -> api::RequestRefusal {
--- a/galenahold_instance/src/entry/service_handler.rs
+++ b/galenahold_instance/src/entry/service_handler.rs
@@ -134,11 +134,11 @@
 }
 
 fn fail_attempt(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> entry::AttemptStop {
-    let server = slot.address().server.clone();
+    let address = slot.address().clone();
     // A plain service that refuses one call may accept the next one, so it gets no cooldown.
     slot.finish(match error.attempt_outcome() {
         dispatch::AttemptOutcome::ReplicaMissing => dispatch::AttemptOutcome::Answered,
         outcome => outcome,
     });
-    entry::AttemptStop::Failed(entry::FailedAttempt { error, server })
+    entry::AttemptStop::Failed(entry::FailedAttempt { error, address })
 }
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -21,6 +21,7 @@
 use crate::backend;
 use crate::configuration;
 use crate::control;
+use crate::crash;
 use crate::dispatch;
 use crate::entry;
 use crate::instance;
@@ -330,8 +331,15 @@
         backend: backend::BackendClient,
     ) -> entry::EntryHandler<control::ControlHandler> {
         let policy = entry::AttemptPolicy::new(&self.settings.retry);
-        let attempts =
-            entry::AttemptRunner::new(limiter, dispatcher, backend, policy, self.metrics.clone());
+        let crashes = self.start_crash_monitor(groups, client, backend.clone());
+        let attempts = entry::AttemptRunner::new(
+            limiter,
+            dispatcher,
+            backend,
+            policy,
+            crashes,
+            self.metrics.clone(),
+        );
         let models = entry::ModelHandler::new(attempts.clone(), groups.work.clone());
         let services = entry::ServiceHandler::new(attempts);
         let limits = &self.settings.limits;
@@ -353,6 +361,18 @@
         })
     }
 
+    fn start_crash_monitor(
+        &self,
+        groups: &instance::TaskGroups,
+        client: &peer::ControlClient<control::ControlHandler>,
+        backend: backend::BackendClient,
+    ) -> crash::CrashMonitor {
+        let (crashes, reports) = crash::CrashMonitor::new(backend, groups.system.clone());
+        crash::CrashReporter::new(crashes.clone(), client.clone(), self.cache.clone())
+            .start(reports, &groups.system);
+        crashes
+    }
+
     /// Records in the order ledger that the orders begun by earlier incarnations of this instance have an
     /// unknown outcome.
     fn abandon_orders(
--- a/galenahold_routing/src/crash/prompt_guard.rs
+++ b/galenahold_routing/src/crash/prompt_guard.rs
@@ -111,6 +111,13 @@
             .collect()
     }
 
+    /// Returns whether a part of the prompt was present at a crash and has not been answered since.
+    #[must_use]
+    pub fn is_suspect(&self, prompt: &[domain::PromptKey]) -> bool {
+        let mut parts = prompt.iter();
+        parts.any(|key| self.suspects.contains(key) && !self.harmless.contains(key))
+    }
+
     fn blocked_for(&self, blocked: &domain::BlockedPrompt, now: time::Instant) -> time::Duration {
         let since = self.blocked_at.get(blocked);
         since.map_or(time::Duration::ZERO, |since| {
--- a/galenahold_routing/tests/crash/main.rs
+++ b/galenahold_routing/tests/crash/main.rs
@@ -4,6 +4,7 @@
 
 use galenahold_domain::crash as domain;
 use galenahold_routing::crash;
+use galenahold_routing::replica;
 
 fn keys(ids: &[u64]) -> Vec<domain::PromptKey> {
     ids.iter().copied().map(domain::PromptKey).collect()
@@ -95,3 +96,27 @@
     assert_eq!(guard.suspects_of(&keys(&[0]), now), keys(&[0]));
     assert!(guard.suspects_of(&keys(&[99_999]), now).is_empty());
 }
+
+#[test]
+fn call_with_a_part_of_an_earlier_crash_is_suspect_until_an_answer_with_the_part_begins() {
+    let now = time::Instant::now();
+    let mut guard = crash::PromptGuard::default();
+    assert!(!guard.is_suspect(&keys(&[1, 2])));
+    guard.apply_list(list(1, &[], &[2]), now);
+    assert!(guard.is_suspect(&keys(&[1, 2])));
+    guard.record_start(&keys(&[2]), now);
+    assert!(!guard.is_suspect(&keys(&[1, 2])));
+}
+
+#[test]
+fn prompts_with_a_common_beginning_share_the_keys_up_to_its_length() {
+    let common = "x".repeat(64 * 5);
+    let keys_of = |text: &str| crash::prompt_keys(text, &replica::PrefixBlocks::of_text(text, 64));
+    let one = keys_of(&format!("{common}{}", "y".repeat(64 * 4)));
+    let other = keys_of(&format!("{common}{}", "z".repeat(64 * 4)));
+    // The beginnings of 1, 2 and 4 blocks are common, that of 8 and the whole are not.
+    assert_eq!(one[..3], other[..3]);
+    assert_eq!(one.len(), 5);
+    assert!(one[3..].iter().all(|key| !other.contains(key)));
+    assert_eq!(keys_of("short").len(), 1);
+}
--- a/galenahold_testkit/src/control/control_switches.rs
+++ b/galenahold_testkit/src/control/control_switches.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 struct BoardState {
     crashes: u64,
+    deadly_text: Option<String>,
     paused: bool,
     silent: bool,
     leaving: bool,
@@ -58,6 +59,7 @@
         let mut state = self.state.lock();
         match *control {
             ServerControl::CrashNextLoad => state.crashes = 1,
+            ServerControl::CrashOnPrompt { ref text } => state.deadly_text = Some(text.clone()),
             ServerControl::Pause { on } => state.paused = on,
             ServerControl::Announce { on } => state.silent = !on,
             ServerControl::Leave => state.leaving = true,
@@ -133,6 +135,13 @@
         take_one(&mut self.state.lock().crashes)
     }
 
+    /// Tells whether the server crashes as it begins to answer this prompt.
+    pub(crate) fn is_deadly(&self, prompt: &str) -> bool {
+        let state = self.state.lock();
+        let deadly = state.deadly_text.as_deref();
+        deadly.is_some_and(|deadly| prompt.contains(deadly))
+    }
+
     /// Uses up one wrong request id.
     pub(crate) fn take_wrong_request_id(&self) -> bool {
         take_one(&mut self.state.lock().wrong_request_ids)
--- a/galenahold_testkit/src/control/server_control.rs
+++ b/galenahold_testkit/src/control/server_control.rs
@@ -9,6 +9,11 @@
 pub enum ServerControl {
     /// Ends the whole server in the middle of its next load.
     CrashNextLoad,
+    /// Ends the whole server as it begins to answer a prompt with this text.
+    CrashOnPrompt {
+        /// The text.
+        text: String,
+    },
     /// Stops all work without closing connections, or goes on.
     Pause {
         /// Whether to stop.
--- a/galenahold_testkit/src/engine/generation_queue.rs
+++ b/galenahold_testkit/src/engine/generation_queue.rs
@@ -102,6 +102,9 @@
         self.core
             .ledger
             .amend(key, |record| record.base_model = base_model);
+        if self.core.controls.is_deadly(&prompt) {
+            self.core.crash();
+        }
         let (sender, receiver) = mpsc::unbounded_channel();
         let sequence = Sequence {
             key,
