Take no repeated refusal of a server for the answer to a later request

An operator of a similar system told of it, and it could happen here: a server that wrote an earlier refusal once more on a kept connection made a request run twice and be reported as not run.

A refusal without an id is trusted only on a connection that served nothing before, and a call that returns to the same server uses a new connection, since a copy of its own earlier refusal would carry its id.

--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -96,7 +96,7 @@
                 backend::AttemptErrorKind::Timeout,
             ));
         }
-        let sending = connection.try_send_request(request);
+        let sending = connection.sender.try_send_request(request);
         let answered = tokio::time::timeout_at(deadline.into(), sending).await;
         let answer = match answered {
             Ok(Ok(answer)) => answer,
@@ -156,7 +156,10 @@
                 debug!(server:% = server, error:% = error; "connection to backend server ended");
             }
         });
-        Ok(sender)
+        Ok(backend::PooledConnection {
+            sender,
+            is_reused: false,
+        })
     }
 }
 
--- a/galenahold_instance/src/backend/backend_exchange.rs
+++ b/galenahold_instance/src/backend/backend_exchange.rs
@@ -27,6 +27,12 @@
         &self.head
     }
 
+    /// Returns whether the connection served earlier requests, of which the server may send answers
+    /// again.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.connection.is_reused
+    }
+
     /// Reads the next chunk of the body; `None` at its end.
     ///
     /// # Errors
--- a/galenahold_instance/src/backend/connection_pool.rs
+++ b/galenahold_instance/src/backend/connection_pool.rs
@@ -23,7 +23,12 @@
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(5);
 
 /// The sending half of one HTTP/1 connection.
-pub(crate) type PooledConnection = http1::SendRequest<Full<bytes::Bytes>>;
+#[derive(Debug)]
+pub(crate) struct PooledConnection {
+    pub(super) sender: http1::SendRequest<Full<bytes::Bytes>>,
+    /// Whether the connection has served an earlier request.
+    pub(super) is_reused: bool,
+}
 
 /// A pool of idle connections, keyed by the address and incarnation of the backend server.
 #[derive(Debug, Clone, Default)]
@@ -42,7 +47,7 @@
 
 impl IdleConnection {
     fn is_usable(&self, max_idle: time::Duration) -> bool {
-        !self.connection.is_closed() && self.since.elapsed() <= self.max_idle.min(max_idle)
+        !self.connection.sender.is_closed() && self.since.elapsed() <= self.max_idle.min(max_idle)
     }
 }
 
@@ -55,8 +60,8 @@
     ) -> Option<PooledConnection> {
         while let Some(idle) = self.pop(address, max_idle) {
             let mut connection = idle.connection;
-            let ready = tokio::time::timeout(READY_TIMEOUT, connection.ready()).await;
-            if matches!(ready, Ok(Ok(()))) && !connection.is_closed() {
+            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            if matches!(ready, Ok(Ok(()))) && !connection.sender.is_closed() {
                 return Some(connection);
             }
         }
@@ -70,12 +75,13 @@
     pub(crate) fn put(
         &self,
         address: &backend::BackendAddress,
-        connection: PooledConnection,
+        mut connection: PooledConnection,
         idle_timeout: Option<time::Duration>,
     ) {
-        if connection.is_closed() {
+        if connection.sender.is_closed() {
             return;
         }
+        connection.is_reused = true;
         let mut table = self.lock();
         let idle = table.entry(address.clone()).or_default();
         if idle.len() < MAX_IDLE_PER_SERVER {
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -180,7 +180,7 @@
         exchange: &backend::BackendExchange,
         attempt: &name::RequestId,
     ) -> Result<(), backend::AttemptError> {
-        entry::check_exchange(exchange.head(), attempt).inspect_err(|error| {
+        entry::check_exchange(exchange.head(), attempt, exchange.is_reused()).inspect_err(|error| {
             if error.kind == backend::AttemptErrorKind::WrongRequestId {
                 self.metrics.crossed.inc();
             }
--- a/galenahold_instance/src/entry/exchange_check.rs
+++ b/galenahold_instance/src/entry/exchange_check.rs
@@ -13,12 +13,15 @@
 
 /// Checks that an answer carries the attempt's id and does not state that the request was refused.
 ///
+/// `is_reused` tells whether the connection served earlier requests.
+///
 /// # Errors
 ///
 /// The answer carries the id of another request, or states that the request did not run.
 pub(crate) fn check_exchange(
     head: &response::Parts,
     attempt: &name::RequestId,
+    is_reused: bool,
 ) -> Result<(), backend::AttemptError> {
     if let Some(echoed) = head.headers.get(&REQUEST_ID_HEADER)
         && echoed.as_bytes() != attempt.as_bytes()
@@ -34,9 +37,19 @@
     if verdict == Some(verdict::RequestVerdict::NotRun.as_str().as_bytes())
         && !head.status.is_success()
     {
-        return Err(backend::AttemptError::not_run(
-            backend::AttemptErrorKind::Refused,
-        ));
+        return Err(refusal_error(head, is_reused));
     }
     Ok(())
 }
+
+/// Returns the error of an answer by which a backend server states that the request did not run.
+///
+/// On a connection that served earlier requests, a refusal without an id may be a second copy of an
+/// earlier one.
+pub(crate) fn refusal_error(head: &response::Parts, is_reused: bool) -> backend::AttemptError {
+    let kind = backend::AttemptErrorKind::Refused;
+    if is_reused && !head.headers.contains_key(&REQUEST_ID_HEADER) {
+        return backend::AttemptError::may_have_run(kind);
+    }
+    backend::AttemptError::not_run(kind)
+}
--- a/galenahold_instance/src/entry/model_handler.rs
+++ b/galenahold_instance/src/entry/model_handler.rs
@@ -187,7 +187,7 @@
         };
         let checked = sent.and_then(|exchange| {
             self.attempts.check(&exchange, &attempt)?;
-            check_status(exchange.head().status)?;
+            check_status(&exchange)?;
             Ok(exchange)
         });
         match checked {
@@ -304,12 +304,11 @@
 }
 
 /// Rejects a status that means that the engine no longer has the replica, or that it failed.
-fn check_status(status: StatusCode) -> Result<(), backend::AttemptError> {
+fn check_status(exchange: &backend::BackendExchange) -> Result<(), backend::AttemptError> {
+    let status = exchange.head().status;
     // The path and the model exist, so 404 means that the engine no longer has the replica.
     if status == StatusCode::NOT_FOUND {
-        return Err(backend::AttemptError::not_run(
-            backend::AttemptErrorKind::Refused,
-        ));
+        return Err(entry::refusal_error(exchange.head(), exchange.is_reused()));
     }
     if status.is_server_error() {
         return Err(backend::AttemptError::may_have_run(
--- a/galenahold_instance/src/gateway/dialect/answer_metadata.rs
+++ b/galenahold_instance/src/gateway/dialect/answer_metadata.rs
@@ -1,10 +1,12 @@
 //! Metadata of a backend server's answer.
 
+use crate::gateway::dialect;
+
 /// Metadata that the dialect parses from the head of a backend server's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerMetadata {
-    /// The answer belongs to a different request than the one sent on this connection.
-    pub crossed: bool,
+    /// The request that the answer belongs to.
+    pub identity: dialect::AnswerIdentity,
     /// The server states that it did not run the request.
     pub not_run: bool,
     /// The server is not the intended one, or does not hold the model or adapter that the request
--- a/galenahold_instance/src/gateway/dialect/mod.rs
+++ b/galenahold_instance/src/gateway/dialect/mod.rs
@@ -1,5 +1,6 @@
 //! Interface to the messages of a platform.
 
+mod answer_identity;
 mod answer_metadata;
 mod attempt_metadata;
 mod call_metadata;
@@ -8,6 +9,7 @@
 mod fleet_dialect;
 mod order_metadata;
 
+pub use answer_identity::AnswerIdentity;
 pub use answer_metadata::AnswerMetadata;
 pub use attempt_metadata::AttemptMetadata;
 pub use call_metadata::{CallMetadata, PromptPart};
--- a/galenahold_instance/src/gateway/entry/attempt_plan.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_plan.rs
@@ -41,6 +41,11 @@
         &self.tried
     }
 
+    /// Returns whether the call was sent to the server before.
+    pub(super) fn was_sent_to(&self, server: &name::ServerName) -> bool {
+        self.tried.contains(server)
+    }
+
     /// Returns how many times the call was sent.
     pub(super) fn sends(&self) -> u32 {
         self.sends
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -40,7 +40,10 @@
         head_deadline: time::Instant,
         resume_after: Option<&str>,
     ) -> entry::AttemptEnd {
-        let reuse = if call.route.kind.may_repeat() {
+        let reuse = if lease.is_repeated() {
+            // A second copy of an earlier refusal of this attempt would carry its id.
+            backend::ConnectionReuse::Never
+        } else if call.route.kind.may_repeat() {
             backend::ConnectionReuse::Any
         } else {
             backend::ConnectionReuse::Recent
@@ -120,11 +123,18 @@
         let head = exchange.head();
         let id = call.metadata.id.as_deref();
         let metadata = self.dialect.read_answer(id, head.status, &head.headers);
-        if metadata.crossed {
+        if metadata.identity == gateway::AnswerIdentity::Crossed {
             self.metrics.crossed.inc();
             lease.observe(fleet::AttemptReport::Broken);
             return entry::AttemptEnd::MayHaveRun("crossed_answer");
         }
+        // On a connection that served earlier requests, a refusal without an id may be a second copy of
+        // an earlier one.
+        let is_unknown = metadata.identity == gateway::AnswerIdentity::Unknown;
+        if metadata.not_run && exchange.is_reused() && is_unknown {
+            lease.observe(fleet::AttemptReport::Broken);
+            return entry::AttemptEnd::MayHaveRun("refusal_without_id");
+        }
         if metadata.misplaced {
             lease.observe(fleet::AttemptReport::Misplaced);
             self.drain(exchange);
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -187,6 +187,7 @@
             // The prompt may have been blocked while the call waited.
             self.check_prompt(&call)?;
             let head_deadline = plan.answer_deadline(time::Instant::now(), call.deadline);
+            lease.set_repeated(plan.was_sent_to(lease.server()));
             plan.record_send(lease.server());
             log.sends = plan.sends();
             let end = self
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -20,6 +20,8 @@
 /// counts against the server.
 #[derive(Debug)]
 pub(super) struct PlaceLease {
+    /// Whether the call was sent to this server before.
+    is_repeated: bool,
     /// Time of the server's last data or of the send; `None` while no data is expected.
     waiting_since: Option<time::Instant>,
     dispatcher: entry::CallDispatcher,
@@ -36,6 +38,7 @@
         target: Option<fleet::ModelTarget>,
     ) -> Self {
         Self {
+            is_repeated: false,
             waiting_since: None,
             dispatcher,
             placement,
@@ -75,6 +78,16 @@
             .accepts(&placement.server, placement.started_ms)
     }
 
+    /// Records whether the call was sent to this server before.
+    pub(super) fn set_repeated(&mut self, is_repeated: bool) {
+        self.is_repeated = is_repeated;
+    }
+
+    /// Returns whether the call was sent to this server before.
+    pub(super) fn is_repeated(&self) -> bool {
+        self.is_repeated
+    }
+
     /// Starts or restarts the measurement of the server's silence.
     pub(super) fn start_waiting(&mut self, moment: time::Instant) {
         self.waiting_since = Some(moment);
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -230,6 +230,7 @@
             if self.parts.crashes.check(&self.call.shared_parts).is_some() {
                 return None;
             }
+            lease.set_repeated(self.plan.was_sent_to(lease.server()));
             self.plan.record_send(lease.server());
             let sending = self.parts.attempt(
                 &self.call,
