--- a/galenahold_instance/src/gateway/control/control_api.rs
+++ b/galenahold_instance/src/gateway/control/control_api.rs
@@ -227,6 +227,10 @@
                 StatusCode::SERVICE_UNAVAILABLE,
                 "the departure was not committed in time; send it again",
             ),
+            control::NoticeRefusal::StartInFuture => error_answer(
+                StatusCode::BAD_REQUEST,
+                "the server's start is in the future",
+            ),
         }
     }
 
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -31,6 +31,10 @@
 /// Maximum time to commit a departure: a backend server waits a second for the answer to its notice.
 const DEPARTURE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 
+/// How far a backend server's clock may be ahead of the leader's, in milliseconds. A notice with a later
+/// start would keep out all notices of the server itself.
+const MAX_CLOCK_LEAD_MS: u64 = 3_600_000;
+
 /// How long roster changes are batched before followers are notified.
 const ROSTER_BATCH_TIME: time::Duration = time::Duration::from_millis(10);
 
@@ -101,11 +105,15 @@
     ///
     /// # Errors
     ///
-    /// This member does not lead, or the departure was not committed in time.
+    /// This member does not lead, the departure was not committed in time, or the server claims to
+    /// have started in the future.
     pub(crate) async fn record_notice(
         &self,
         notice: fleet::ServerNotice,
     ) -> Result<(), control::NoticeRefusal> {
+        if notice.started_ms > timer::epoch_ms().saturating_add(MAX_CLOCK_LEAD_MS) {
+            return Err(control::NoticeRefusal::StartInFuture);
+        }
         let departure = notice.departure();
         self.apply_notice(notice)
             .ok_or(control::NoticeRefusal::NotLeading)?;
