Pass nothing but events that follow on to the caller of a resumed stream

Here a 200 of another media type was relayed as the rest of a broken stream, its text among the events, or its end as the end of the stream; a replica that started over sent events twice; and the own interface passed the body of a 4xx on.

The rest of a stream has to have the media type of its begin, and events with ids above the last one; at the own interface it has to be a success. Otherwise the caller's connection is closed without the end of the stream, or the stream ends in an error event.

--- a/galenahold/tests/answers/cut_streams.rs
+++ b/galenahold/tests/answers/cut_streams.rs
@@ -27,6 +27,22 @@
     }
 }
 
+#[test]
+fn an_error_in_place_of_the_rest_of_a_stream_is_not_passed_on_as_part_of_it() {
+    let fleet = answer_fleet::AnswerFleet::start(2, 2_000);
+    for engine in fleet.serving.engines() {
+        engine.control(&ServerControl::CutStream {
+            after_tokens: 5,
+            count: 1,
+        });
+        engine.control(&ServerControl::RefuseRest { count: 9 });
+    }
+    let answer = fleet.stream("a rest that is refused", 20);
+    assert_eq!(answer.status, 200);
+    assert!(!answer.body.contains("no such answer"), "{}", answer.body);
+    assert!(!answer.body.contains("[DONE]"), "{}", answer.body);
+}
+
 #[test]
 fn a_stream_goes_on_at_the_other_engine_when_its_engine_dies() {
     let fleet = answer_fleet::AnswerFleet::start(2, 20_000);
--- a/galenahold_instance/src/entry/model_handler.rs
+++ b/galenahold_instance/src/entry/model_handler.rs
@@ -140,7 +140,17 @@
         self.attempts
             .wait_before_retry(call, charge, state, failed)
             .await?;
-        self.open(call, charge, state, resume.as_ref()).await
+        let opened = self.open(call, charge, state, resume.as_ref()).await?;
+        let status = opened.exchange.head().status;
+        if status.is_success() {
+            return Ok(opened);
+        }
+        // The body of an error must not be passed on as part of the stream.
+        Err(api::RequestRefusal::new(
+            api::RefusalKind::BackendFailed,
+            verdict::RequestVerdict::Ran,
+            format!("the answer was cut short, and its rest was refused with status {status}"),
+        ))
     }
 
     /// Records that the answer to a call began.
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use galenahold_routing::fleet;
-use http::Response;
+use http::{Response, header, response};
 use log::info;
 
 use crate::api;
@@ -29,6 +29,10 @@
     lease: entry::PlaceLease,
     exchange: backend::BackendExchange,
     splitter: entry::EventSplitter,
+    /// The media type of the stream, which the rest from another server must have too.
+    media_type: Option<String>,
+    /// Whether the stream goes on at another server than the one that began it.
+    is_resumed: bool,
     last_id: Option<String>,
     events: u64,
     last_event: Option<time::Instant>,
@@ -58,6 +62,8 @@
         exchange: backend::BackendExchange,
     ) -> Self {
         Self {
+            media_type: media_type(exchange.head()),
+            is_resumed: false,
             parts,
             call,
             plan,
@@ -80,7 +86,7 @@
         *response.status_mut() = head.status;
         *response.headers_mut() = self.parts.dialect.answer_headers(&head.headers);
         // The stream may resume at another server, so the first server's length does not apply.
-        response.headers_mut().remove(http::header::CONTENT_LENGTH);
+        response.headers_mut().remove(header::CONTENT_LENGTH);
         let work = self.parts.work.clone();
         work.spawn(self.relay(sender));
         response
@@ -148,6 +154,9 @@
 
     async fn forward_events(&mut self, sender: &api::StreamSender) -> RelayStep {
         while let Some(event) = self.splitter.next_event() {
+            if self.is_resumed && !follows(event.id.as_deref(), self.last_id.as_deref()) {
+                return RelayStep::Cut("rest_starts_over");
+            }
             self.count_event();
             if event.id.is_some() {
                 self.last_id = event.id;
@@ -209,6 +218,7 @@
         self.lease.stop_waiting();
         self.lease = lease;
         self.splitter = entry::EventSplitter::default();
+        self.is_resumed = true;
         true
     }
 
@@ -239,7 +249,13 @@
                 self.last_id.as_deref(),
             );
             match sending.await {
-                entry::AttemptEnd::Stream(exchange) => return Some((lease, exchange)),
+                entry::AttemptEnd::Stream(exchange) => {
+                    if media_type(exchange.head()) == self.media_type {
+                        return Some((lease, exchange));
+                    }
+                    lease.observe(fleet::AttemptReport::Failed);
+                    return None;
+                }
                 entry::AttemptEnd::Unsent(_) => {}
                 _ => return None,
             }
@@ -259,3 +275,21 @@
         );
     }
 }
+
+/// Returns the media type that an answer states, without parameters.
+fn media_type(head: &response::Parts) -> Option<String> {
+    let value = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let essence = value.split(';').next().unwrap_or_default();
+    Some(essence.trim().to_ascii_lowercase())
+}
+
+/// Returns whether an event can follow the last one that was passed on; an event without an id can.
+fn follows(id: Option<&str>, last: Option<&str>) -> bool {
+    let (Some(id), Some(last)) = (id, last) else {
+        return true;
+    };
+    match (id.parse::<u64>(), last.parse::<u64>()) {
+        (Ok(id), Ok(last)) => id > last,
+        _ => id != last,
+    }
+}
--- a/galenahold_testkit/src/control/control_switches.rs
+++ b/galenahold_testkit/src/control/control_switches.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 struct BoardState {
     crashes: u64,
+    refused_rests: u64,
     deadly_text: Option<String>,
     paused: bool,
     silent: bool,
@@ -60,6 +61,7 @@
         match *control {
             ServerControl::CrashNextLoad => state.crashes = 1,
             ServerControl::CrashOnPrompt { ref text } => state.deadly_text = Some(text.clone()),
+            ServerControl::RefuseRest { count } => state.refused_rests = count,
             ServerControl::Pause { on } => state.paused = on,
             ServerControl::Announce { on } => state.silent = !on,
             ServerControl::Leave => state.leaving = true,
@@ -142,6 +144,11 @@
         deadly.is_some_and(|deadly| prompt.contains(deadly))
     }
 
+    /// Uses up one error in place of the rest of an answer.
+    pub(crate) fn take_refused_rest(&self) -> bool {
+        take_one(&mut self.state.lock().refused_rests)
+    }
+
     /// Uses up one wrong request id.
     pub(crate) fn take_wrong_request_id(&self) -> bool {
         take_one(&mut self.state.lock().wrong_request_ids)
--- a/galenahold_testkit/src/control/server_control.rs
+++ b/galenahold_testkit/src/control/server_control.rs
@@ -14,6 +14,11 @@
         /// The text.
         text: String,
     },
+    /// Answers the next calls for the rest of an answer with an error in plain text.
+    RefuseRest {
+        /// The calls to answer so.
+        count: u64,
+    },
     /// Stops all work without closing connections, or goes on.
     Pause {
         /// Whether to stop.
--- a/galenahold_testkit/src/engine/generation_queue.rs
+++ b/galenahold_testkit/src/engine/generation_queue.rs
@@ -96,6 +96,12 @@
             record.prompt_tokens = prompt_tokens;
             record.resume_offset = next;
         });
+        if next > 0 && self.core.controls.take_refused_rest() {
+            const TEXT: &[u8] = b"error: no such answer\n\ntry again\n\n";
+            let mut refusal = http::Response::new(Full::new(Bytes::from_static(TEXT)));
+            *refusal.status_mut() = StatusCode::BAD_REQUEST;
+            return Err(Box::new(refusal));
+        }
         let Some(base_model) = self.core.models.lock().begin_request(&body.model) else {
             return Err(Box::new(not_loaded(&body.model)));
         };
