Send nothing to a server whose answer says that it leaves

A server that leaves says so in all its answers. The entry instance that gets one closes that start of the server in its view of the roster, where no later update opens it again, and reports the departure, which the leader commits like any other. Requests that wait, retries and resumed streams are checked right before the send, as for all departures.

--- a/galenahold_domain/src/fleet/roster_view.rs
+++ b/galenahold_domain/src/fleet/roster_view.rs
@@ -84,6 +84,15 @@
         changed
     }
 
+    /// Closes a server that announced in an answer that it leaves; returns whether that is new.
+    ///
+    /// Like any departure, it holds until the server's next start, whatever later updates say.
+    pub fn close(&mut self, departure: fleet::ServerDeparture) -> bool {
+        let mut changed = Vec::new();
+        self.depart(departure, &mut changed);
+        !changed.is_empty()
+    }
+
     /// Closes or removes the server of a departure that is new to the view.
     fn depart(&mut self, departure: fleet::ServerDeparture, changed: &mut Vec<name::ServerName>) {
         if !self.departures.record(departure.clone()) {
--- a/galenahold_domain/src/fleet/server_roster.rs
+++ b/galenahold_domain/src/fleet/server_roster.rs
@@ -193,6 +193,17 @@
         departure
     }
 
+    /// Records a departure that a server announced to an entry instance in an answer.
+    pub fn depart(&mut self, departure: fleet::ServerDeparture, now: time::Instant) {
+        let name = departure.name.clone();
+        self.record_departure(departure, now);
+        if self.is_departing(&name) {
+            self.change(&name, |record| {
+                record.stage = fleet::ServerStage::Draining;
+            });
+        }
+    }
+
     /// Returns whether the recorded start of the server announced that it takes no new requests.
     fn is_departing(&self, name: &name::ServerName) -> bool {
         let departure = self.departures.get(name);
--- a/galenahold_domain/tests/fleet/views.rs
+++ b/galenahold_domain/tests/fleet/views.rs
@@ -270,3 +270,45 @@
     follow(&mut view, &next, settled);
     assert_eq!(names(&view), ["a", "b"]);
 }
+
+/// The view heard from the server itself, and the leader lists it as open, now and after a change of the leader.
+#[test]
+fn server_that_was_closed_by_its_own_answer_stays_closed_until_its_next_start() {
+    let now = time::Instant::now();
+    let mut view = view_of_two_servers(now);
+    let departure = fixture::departure("a", 10, fleet::DepartureStage::Draining);
+    assert!(view.close(departure.clone()));
+    assert!(!view.close(departure));
+    let is_open = |view: &fleet::RosterView| {
+        let record = view.get(&name::ServerName::from("a"));
+        record.is_some_and(fleet::ServerRecord::is_open)
+    };
+    for term in 2..4 {
+        let mut roster = fleet::ServerRoster::new(term, fixture::PERIOD, now);
+        roster.take(fixture::notice("a", 10, term), now);
+        follow(&mut view, &roster, now);
+        assert!(!is_open(&view), "opened in term {term}");
+    }
+    let mut roster = fleet::ServerRoster::new(4, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 11, 1), now);
+    follow(&mut view, &roster, now);
+    assert!(is_open(&view));
+}
+
+/// Each of many instances reports what a server told it; the leader closes the server once, also for late notices.
+#[test]
+fn departures_that_many_instances_report_change_the_roster_once() {
+    let now = time::Instant::now();
+    let mut roster = fleet::ServerRoster::new(1, fixture::PERIOD, now);
+    roster.take(fixture::notice("a", 10, 1), now);
+    let departure = fixture::departure("a", 10, fleet::DepartureStage::Draining);
+    roster.depart(departure.clone(), now);
+    let version = roster.cursor(now).version;
+    for _ in 0..195 {
+        roster.depart(departure.clone(), now);
+    }
+    assert_eq!(roster.cursor(now).version, version);
+    roster.take(fixture::notice("a", 10, 2), now);
+    let record = roster.get(&name::ServerName::from("a"));
+    assert!(record.is_some_and(|record| !record.is_open()));
+}
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -140,6 +140,17 @@
         self.commit_departure(departure).await
     }
 
+    /// Records a departure that a backend server announced to an entry instance in an answer.
+    async fn record_departure(
+        &self,
+        departure: fleet::ServerDeparture,
+    ) -> Result<(), control::NoticeRefusal> {
+        let now = time::Instant::now();
+        self.if_leading(|leadership| leadership.roster.depart(departure.clone(), now))
+            .ok_or(control::NoticeRefusal::NotLeading)?;
+        self.commit_departure(departure).await
+    }
+
     /// Applies a notice to the roster; returns `None` if this member does not lead.
     fn apply_notice(&self, notice: fleet::ServerNotice) -> Option<()> {
         let now = time::Instant::now();
@@ -240,6 +251,12 @@
     /// Answers a call about demand or adapters.
     pub(crate) async fn answer_fleet(&self, call: message::FleetCall) -> message::FleetReply {
         match call {
+            message::FleetCall::Departed(departure) => {
+                match self.record_departure(departure).await {
+                    Ok(()) => message::FleetReply::Taken,
+                    Err(_) => message::FleetReply::NotRecorded,
+                }
+            }
             message::FleetCall::Demand(demand) => {
                 self.apply_demand(demand);
                 message::FleetReply::Taken
--- a/galenahold_instance/src/gateway/dialect/answer_metadata.rs
+++ b/galenahold_instance/src/gateway/dialect/answer_metadata.rs
@@ -12,4 +12,6 @@
     /// The server is not the intended one, or does not hold the model or adapter that the request
     /// needs.
     pub misplaced: bool,
+    /// The server leaves and takes no new requests.
+    pub leaving: bool,
 }
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -123,6 +123,10 @@
         let head = exchange.head();
         let id = call.metadata.id.as_deref();
         let metadata = self.dialect.read_answer(id, head.status, &head.headers);
+        // A misplaced request was answered by another server than the one it was sent to.
+        if metadata.leaving && !metadata.misplaced {
+            self.departures.close(lease.departure());
+        }
         if metadata.identity == gateway::AnswerIdentity::Crossed {
             self.metrics.crossed.inc();
             lease.observe(fleet::AttemptReport::Broken);
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -188,6 +188,16 @@
         });
     }
 
+    /// Applies changed records of servers.
+    pub(super) fn update_servers(&self, changed: Vec<domain::ServerRecord>) {
+        let now = time::Instant::now();
+        self.change(|scheduler| {
+            for record in changed {
+                scheduler.update_server(record, now);
+            }
+        });
+    }
+
     /// Takes the demand that has not been reported to the leader yet.
     pub(super) fn take_demand(&self) -> DemandUpdate {
         let mut state = self.lock();
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -34,6 +34,8 @@
     pub(crate) client: peer::ControlClient<control::FleetHandler<Dialect>>,
     /// Sends requests to backend servers.
     pub(crate) backend: backend::BackendClient,
+    /// Closes backend servers that leave.
+    pub(crate) departures: entry::DepartureReporter,
     /// Detects requests that crash backend servers.
     pub(crate) crashes: crash::CrashMonitor,
     /// Bounds attempts beyond the first of each call.
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Returns the departure of this start of the server, which still finishes its requests.
+    pub(super) fn departure(&self) -> domain::ServerDeparture {
+        domain::ServerDeparture {
+            name: self.placement.server.clone(),
+            started_ms: self.placement.started_ms,
+            stage: domain::DepartureStage::Draining,
+        }
+    }
+
     /// Returns whether the server still takes new requests: it may have drained, left or restarted
     /// since the call was placed there.
     pub(super) fn may_send(&self) -> bool {
--- a/galenahold_instance/src/gateway/entry/roster_follower.rs
+++ b/galenahold_instance/src/gateway/entry/roster_follower.rs
@@ -41,6 +41,18 @@
         }
     }
 
+    /// Closes a server that announced in an answer that it leaves; returns whether that is new.
+    pub(super) fn close(&self, departure: fleet::ServerDeparture) -> bool {
+        let name = departure.name.clone();
+        let mut view = self.lock();
+        if !view.close(departure) {
+            return false;
+        }
+        let changed: Vec<_> = view.get(&name).cloned().into_iter().collect();
+        self.dispatcher.update_servers(changed);
+        true
+    }
+
     /// Splits the attempts that all instances share evenly among them.
     fn split_retries(&self, followers: u32) {
         if followers > 0 {
@@ -93,7 +105,7 @@
             .filter(|name| view.get(name).is_none())
             .collect();
         log_closed(&open_before, &view);
-        drop(view);
+        // The view stays locked, so that a server that is closed meanwhile is not opened again.
         self.dispatcher.apply_roster(changed, &removed, followers);
     }
 
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -320,6 +320,8 @@
             shared_retries,
             self.settings.notice_period,
         );
+        let departures =
+            entry::DepartureReporter::start(follower.clone(), client.clone(), &self.groups.system);
         self.start_watcher(cache.clone(), client, handler, follower);
         entry::LeaderMonitor::new(self.network.clone(), client.clone()).start(&self.groups.system);
         entry::DemandReporter::new(
@@ -345,6 +347,7 @@
             client: client.clone(),
             backend,
             crashes,
+            departures,
             budget,
             metrics: self.metrics.clone(),
             readiness: self.readiness.clone(),
--- a/galenahold_wire/src/message/fleet_call.rs
+++ b/galenahold_wire/src/message/fleet_call.rs
@@ -10,6 +10,8 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FleetCall {
+    /// Reports that a backend server announced in an answer that it leaves.
+    Departed(fleet::ServerDeparture),
     /// Reports the demand for models.
     Demand(message::ModelDemand),
     /// Requests that an engine which has loaded the base model also loads an adapter.
--- a/galenahold_wire/src/message/fleet_reply.rs
+++ b/galenahold_wire/src/message/fleet_reply.rs
@@ -8,6 +8,8 @@
 pub enum FleetReply {
     /// The report was accepted.
     Taken,
+    /// The report was not recorded in time; it can be repeated.
+    NotRecorded,
     /// The engine has loaded the adapter or is loading it.
     AdapterComes {
         /// The expected remaining load time, in milliseconds.
