Check requests against the list of suspects that came with the configuration

Seen once, with 33 other tests beside: blocked_part_stays_blocked_... counted three crashes instead of two. An instance that had just started could let a request in with its first configuration before a task had applied the list that came with it; the list is now stored before the configuration is in force, and the guard applies it before each use.

--- a/galenahold_instance/src/configuration/configuration_cache.rs
+++ b/galenahold_instance/src/configuration/configuration_cache.rs
@@ -144,6 +144,10 @@
                 held: state.view.revision,
             });
         }
+        // Requests that the configuration lets in are checked against the list that came with it.
+        if let Some(suspects) = confirmed.suspects {
+            self.suspects.send_replace(sync::Arc::new(suspects));
+        }
         let later = Some(confirmed.confirmed_at) > state.confirmed_at;
         state.confirmed_at = state.confirmed_at.max(Some(confirmed.confirmed_at));
         if state.view.revision != held {
@@ -153,9 +157,6 @@
         if let Some(drains) = confirmed.drains {
             self.drains.store(sync::Arc::new(drains));
         }
-        if let Some(suspects) = confirmed.suspects {
-            self.suspects.send_replace(sync::Arc::new(suspects));
-        }
         if later {
             self.confirmations.send_replace(());
         }
--- a/galenahold_instance/src/crash/crash_monitor.rs
+++ b/galenahold_instance/src/crash/crash_monitor.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct CrashMonitor {
     guard: sync::Arc<sync::Mutex<crash::PromptGuard>>,
+    /// The latest list of suspects that came with the configuration.
+    lists: tokio_sync::watch::Receiver<sync::Arc<domain::SuspectList>>,
     breaks: sync::Arc<sync::Mutex<collections::HashMap<backend::BackendAddress, BrokenCalls>>>,
     backend: backend::BackendClient,
     tasks: task::TaskGroup,
@@ -42,14 +44,17 @@
 }
 
 impl CrashMonitor {
-    /// Creates a monitor that probes servers through `backend`, and the receiver of its reports.
+    /// Creates a monitor that follows `lists` and probes servers through `backend`, and the receiver of
+    /// its reports.
     pub(crate) fn new(
+        lists: tokio_sync::watch::Receiver<sync::Arc<domain::SuspectList>>,
         backend: backend::BackendClient,
         tasks: task::TaskGroup,
     ) -> (Self, tokio_sync::mpsc::Receiver<domain::CrashReport>) {
         let (reports, receiver) = tokio_sync::mpsc::channel(MAX_REPORTS);
         let monitor = Self {
             guard: sync::Arc::default(),
+            lists,
             breaks: sync::Arc::default(),
             backend,
             tasks,
@@ -113,15 +118,15 @@
         !was_suspect || known.is_ok_and(|known| *known == Some(false))
     }
 
-    /// Applies a new list of suspects.
-    pub(super) fn apply_list(&self, list: domain::SuspectList) {
-        let version = list.version;
-        let added = self.lock().apply_list(list, time::Instant::now());
-        for prompt in added {
-            info!(parts:% = prompt, version = version; "requests with this prompt are refused");
+    /// Applies each new list of suspects.
+    pub(super) async fn follow_lists(&self) {
+        let mut lists = self.lists.clone();
+        while lists.changed().await.is_ok() {
+            // Locking applies the latest list.
+            drop(self.lock());
+            self.list_changes.send_replace(());
+            self.harmless_notify.notify_one();
         }
-        self.list_changes.send_replace(());
-        self.harmless_notify.notify_one();
     }
 
     /// Waits until there may be harmless suspects to report.
@@ -186,10 +191,20 @@
         }
     }
 
+    /// Locks the guard and applies the latest list to it.
     fn lock(&self) -> sync::MutexGuard<'_, crash::PromptGuard> {
-        self.guard
+        let mut guard = self
+            .guard
             .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner)
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let list = sync::Arc::clone(&self.lists.borrow());
+        if guard.version() != list.version {
+            let added = guard.apply_list(domain::SuspectList::clone(&list), time::Instant::now());
+            for prompt in added {
+                info!(parts:% = prompt, version = list.version; "requests with this prompt are refused");
+            }
+        }
+        guard
     }
 
     fn lock_breaks(
--- a/galenahold_instance/src/crash/crash_reporter.rs
+++ b/galenahold_instance/src/crash/crash_reporter.rs
@@ -8,7 +8,6 @@
 use rand::RngExt;
 use tokio::sync as tokio_sync;
 
-use crate::configuration;
 use crate::crash;
 use crate::peer;
 use crate::task;
@@ -26,27 +25,17 @@
 /// How long the list of suspects may take to follow a report, after which the report is repeated.
 const LIST_DELAY: time::Duration = time::Duration::from_millis(500);
 
-/// Reports crashes and harmless suspects of one instance to the control group, and follows its list of
-/// suspects.
+/// Reports crashes and harmless suspects of one instance to the control group.
 #[derive(Debug)]
 pub(crate) struct CrashReporter<Handler> {
     monitor: crash::CrashMonitor,
     client: peer::ControlClient<Handler>,
-    cache: configuration::ConfigurationCache,
 }
 
 impl<Handler: peer::LocalHandler> CrashReporter<Handler> {
     /// Creates a reporter for the crashes that `monitor` detects.
-    pub(crate) fn new(
-        monitor: crash::CrashMonitor,
-        client: peer::ControlClient<Handler>,
-        cache: configuration::ConfigurationCache,
-    ) -> Self {
-        Self {
-            monitor,
-            client,
-            cache,
-        }
+    pub(crate) fn new(monitor: crash::CrashMonitor, client: peer::ControlClient<Handler>) -> Self {
+        Self { monitor, client }
     }
 
     /// Starts the tasks of the reporter, which run until the task group stops.
@@ -56,13 +45,7 @@
         tasks: &task::TaskGroup,
     ) {
         let monitor = self.monitor.clone();
-        let mut lists = self.cache.subscribe_suspects();
-        tasks.spawn_until_stop(async move {
-            while lists.changed().await.is_ok() {
-                let list = lists.borrow_and_update().clone();
-                monitor.apply_list(domain::SuspectList::clone(&list));
-            }
-        });
+        tasks.spawn_until_stop(async move { monitor.follow_lists().await });
         let client = self.client.clone();
         tasks.spawn_until_stop(async move {
             while let Some(report) = reports.recv().await {
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -331,9 +331,12 @@
         )
         .start(&self.groups.system);
         let backend = backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT);
-        let (crashes, reports) =
-            crash::CrashMonitor::new(backend.clone(), self.groups.system.clone());
-        crash::CrashReporter::new(crashes.clone(), client.clone(), cache.clone())
+        let (crashes, reports) = crash::CrashMonitor::new(
+            cache.subscribe_suspects(),
+            backend.clone(),
+            self.groups.system.clone(),
+        );
+        crash::CrashReporter::new(crashes.clone(), client.clone())
             .start(reports, &self.groups.system);
         let declarations = gateway::DeclarationCache::new(self.dialect.clone());
         self.follow_declarations(cache, &declarations, &limiter, &dispatcher);
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -367,9 +367,9 @@
         client: &peer::ControlClient<control::ControlHandler>,
         backend: backend::BackendClient,
     ) -> crash::CrashMonitor {
-        let (crashes, reports) = crash::CrashMonitor::new(backend, groups.system.clone());
-        crash::CrashReporter::new(crashes.clone(), client.clone(), self.cache.clone())
-            .start(reports, &groups.system);
+        let lists = self.cache.subscribe_suspects();
+        let (crashes, reports) = crash::CrashMonitor::new(lists, backend, groups.system.clone());
+        crash::CrashReporter::new(crashes.clone(), client.clone()).start(reports, &groups.system);
         crashes
     }
 
--- a/galenahold_routing/src/crash/prompt_guard.rs
+++ b/galenahold_routing/src/crash/prompt_guard.rs
@@ -30,6 +30,12 @@
     const BLOCK_TIME: time::Duration =
         time::Duration::from_millis(domain::CrashLedger::RETENTION_MS);
 
+    /// Returns the version of the list that the guard follows.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.list.version
+    }
+
     /// Returns the refusal of a prompt, or `None` if it may be sent.
     #[must_use]
     pub fn check(
