Send nothing to a server for the time that its Retry-After asks for

A server that shed a request was skipped for 30 ms, whatever it asked for. A 503 with Retry-After now closes that start of the server at this instance for the time stated, an hour at most: for new and waiting requests, retries and resumed streams, checked again right before the send, and for the leader's orders and reports. When all servers that could take a request are closed, the caller gets 503 at once with the time until the first one opens.

--- a/galenahold_instance/src/gateway/control/order_sender.rs
+++ b/galenahold_instance/src/gateway/control/order_sender.rs
@@ -7,6 +7,7 @@
 use galenahold_domain::amount;
 use galenahold_domain::name;
 use galenahold_placement::fleet as placement;
+use galenahold_routing::fleet;
 use http::Request;
 use http_body_util::Full;
 use log::{info, warn};
@@ -32,6 +33,8 @@
     /// The instance that orders name as their issuer.
     holder: name::InstanceName,
     queues: sync::Mutex<QueueTable>,
+    /// The engines that asked for a pause.
+    closures: sync::Mutex<fleet::ServerClosures>,
 }
 
 /// The outcome of sending an order.
@@ -69,6 +72,7 @@
             member,
             holder,
             queues: sync::Mutex::default(),
+            closures: sync::Mutex::default(),
         }
     }
 
@@ -88,6 +92,16 @@
             );
             return SentOrder::unsent(None);
         }
+        if self.is_closed(order) {
+            info!(
+                server:% = order.server,
+                order = order.number,
+                action:? = order.action,
+                term = term;
+                "order not sent: the engine asked for a pause"
+            );
+            return SentOrder::unsent(None);
+        }
         let mut report = None;
         if queue.accepted_orders().is_none() {
             report = self.try_fetch_report(order).await;
@@ -153,7 +167,10 @@
             .send(connection, &address, request, deadline)
             .await;
         match sent {
-            Ok(exchange) => self.dialect.read_receipt(exchange.head().status),
+            Ok(exchange) => {
+                self.close_if_asked(order, &exchange);
+                self.dialect.read_receipt(exchange.head().status)
+            }
             Err(error) if error.kind == backend::AttemptErrorKind::Unsent => {
                 placement::OrderReceipt::NotSent
             }
@@ -192,6 +209,7 @@
             .send(connection, &address, request, deadline)
             .await
             .context(report_error::ExchangeSnafu)?;
+        self.close_if_asked(order, &exchange);
         let status = exchange.head().status;
         if !status.is_success() {
             return report_error::StatusSnafu { status }.fail();
@@ -205,6 +223,31 @@
             .context(report_error::ContentSnafu)
     }
 
+    /// Returns whether the engine asked for a pause.
+    fn is_closed(&self, order: &placement::EngineOrder) -> bool {
+        let now = time::Instant::now();
+        let closures = self.lock_closures();
+        let opens_in = closures.opens_in(&order.server, order.started_ms, now);
+        opens_in.is_some()
+    }
+
+    /// Sends the engine nothing for the time that its answer asks for.
+    fn close_if_asked(&self, order: &placement::EngineOrder, exchange: &backend::BackendExchange) {
+        let head = exchange.head();
+        let metadata = self.dialect.read_answer(None, head.status, &head.headers);
+        if let Some(pause) = metadata.pause {
+            let now = time::Instant::now();
+            self.lock_closures()
+                .close(&order.server, order.started_ms, pause, now);
+        }
+    }
+
+    fn lock_closures(&self) -> sync::MutexGuard<'_, fleet::ServerClosures> {
+        self.closures
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn queue(
         &self,
         server: &name::ServerName,
--- a/galenahold_instance/src/gateway/dialect/answer_metadata.rs
+++ b/galenahold_instance/src/gateway/dialect/answer_metadata.rs
@@ -1,5 +1,7 @@
 //! Metadata of a backend server's answer.
 
+use std::time;
+
 use crate::gateway::dialect;
 
 /// Metadata that the dialect parses from the head of a backend server's answer.
@@ -12,6 +14,8 @@
     /// The server is not the intended one, or does not hold the model or adapter that the request
     /// needs.
     pub misplaced: bool,
+    /// How long a server that turned the request away wants no other from this instance.
+    pub pause: Option<time::Duration>,
     /// The server leaves and takes no new requests.
     pub leaving: bool,
 }
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -132,6 +132,10 @@
             lease.observe(fleet::AttemptReport::Broken);
             return entry::AttemptEnd::MayHaveRun("crossed_answer");
         }
+        if let Some(pause) = metadata.pause.filter(|_| !metadata.misplaced) {
+            lease.close_server(pause);
+            self.metrics.pauses.inc();
+        }
         // On a connection that served earlier requests, a refusal without an id may be a second copy of
         // an earlier one.
         let is_unknown = metadata.identity == gateway::AnswerIdentity::Unknown;
--- a/galenahold_instance/src/gateway/entry/call_answer.rs
+++ b/galenahold_instance/src/gateway/entry/call_answer.rs
@@ -44,7 +44,9 @@
 /// Converts a scheduler refusal to a refusal for the caller.
 pub(super) fn scheduler_refusal(refusal: fleet::SchedulerRefusal) -> api::RequestRefusal {
     let kind = match refusal.cause {
-        fleet::RefusalCause::NoServer => api::RefusalKind::BackendUnavailable,
+        fleet::RefusalCause::NoServer | fleet::RefusalCause::Closed => {
+            api::RefusalKind::BackendUnavailable
+        }
         fleet::RefusalCause::NotLoaded | fleet::RefusalCause::Full => api::RefusalKind::QueueFull,
     };
     api::RequestRefusal::not_run(kind, refusal.cause.as_str()).retry_after(refusal.retry_after)
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -125,7 +125,14 @@
 
     /// Returns whether a call that was placed at this start of the server may still be sent to it.
     pub(super) fn accepts(&self, server: &name::ServerName, started_ms: u64) -> bool {
-        self.lock().scheduler.accepts(server, started_ms)
+        let now = time::Instant::now();
+        self.lock().scheduler.accepts(server, started_ms, now)
+    }
+
+    /// Sends no call to a start of a server for the time that it stated.
+    pub(super) fn close(&self, server: &name::ServerName, started_ms: u64, stated: time::Duration) {
+        let now = time::Instant::now();
+        self.change(|scheduler| scheduler.close(server, started_ms, stated, now));
     }
 
     /// Records what an attempt showed about its server.
--- a/galenahold_instance/src/gateway/entry/departure_reporter.rs
+++ b/galenahold_instance/src/gateway/entry/departure_reporter.rs
@@ -11,6 +11,7 @@
 use crate::gateway::control;
 use crate::gateway::entry;
 use crate::peer;
+use crate::platform;
 use crate::task;
 
 /// How long an instance tries to report a departure; the server announces it to others as well.
@@ -27,6 +28,7 @@
 pub(crate) struct DepartureReporter {
     follower: entry::RosterFollower,
     reports: tokio_sync::mpsc::Sender<fleet::ServerDeparture>,
+    metrics: platform::FleetMetrics,
 }
 
 impl DepartureReporter {
@@ -35,6 +37,7 @@
     pub(crate) fn start<Dialect: gateway::FleetDialect>(
         follower: entry::RosterFollower,
         client: peer::ControlClient<control::FleetHandler<Dialect>>,
+        metrics: platform::FleetMetrics,
         tasks: &task::TaskGroup,
     ) -> Self {
         let (reports, mut receiver) = tokio_sync::mpsc::channel(MAX_REPORTS);
@@ -43,7 +46,11 @@
                 report(&client, departure).await;
             }
         });
-        Self { follower, reports }
+        Self {
+            follower,
+            reports,
+            metrics,
+        }
     }
 
     /// Closes a server that announced in an answer that it leaves.
@@ -51,6 +58,7 @@
         if !self.follower.close(departure.clone()) {
             return;
         }
+        self.metrics.departures.inc();
         info!(server:% = departure.name, started_ms = departure.started_ms; "backend server announced in an answer that it leaves");
         let server = departure.name.clone();
         if self.reports.try_send(departure).is_err() {
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 use galenahold_routing::fleet;
+use log::info;
 
 use crate::backend;
 use crate::gateway::entry;
@@ -70,6 +71,19 @@
         }
     }
 
+    /// Sends no call to this start of the server for the time that it stated.
+    pub(super) fn close_server(&self, stated: time::Duration) {
+        let placement = &self.placement;
+        info!(
+            server:% = placement.server,
+            started_ms = placement.started_ms,
+            stated_ms = u64::try_from(stated.as_millis()).unwrap_or(u64::MAX);
+            "backend server turned a request away and wants a pause"
+        );
+        self.dispatcher
+            .close(&placement.server, placement.started_ms, stated);
+    }
+
     /// Returns the departure of this start of the server, which still finishes its requests.
     pub(super) fn departure(&self) -> domain::ServerDeparture {
         domain::ServerDeparture {
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -320,8 +320,12 @@
             shared_retries,
             self.settings.notice_period,
         );
-        let departures =
-            entry::DepartureReporter::start(follower.clone(), client.clone(), &self.groups.system);
+        let departures = entry::DepartureReporter::start(
+            follower.clone(),
+            client.clone(),
+            self.metrics.clone(),
+            &self.groups.system,
+        );
         self.start_watcher(cache.clone(), client, handler, follower);
         entry::LeaderMonitor::new(self.network.clone(), client.clone()).start(&self.groups.system);
         entry::DemandReporter::new(
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -67,6 +67,10 @@
     pub(crate) resumed: Counter,
     /// Answers that carried the id of another request.
     pub(crate) crossed: Counter,
+    /// Statements of backend servers that they want no requests for a time.
+    pub(crate) pauses: Counter,
+    /// Statements of backend servers that they leave.
+    pub(crate) departures: Counter,
     /// Requests refused because their prompt crashes backend servers.
     pub(crate) blocked: Counter,
     /// Requests waiting for a replica.
@@ -104,6 +108,8 @@
             resumed: Counter::default(),
             crossed: Counter::default(),
             blocked: Counter::default(),
+            pauses: Counter::default(),
+            departures: Counter::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
             age: Gauge::default(),
@@ -158,6 +164,16 @@
             "Requests refused because their prompt crashes backend servers",
             self.blocked.clone(),
         );
+        registry.register(
+            "server_pauses",
+            "Answers by which backend servers asked for a pause",
+            self.pauses.clone(),
+        );
+        registry.register(
+            "server_departures",
+            "Backend servers that announced in an answer that they leave",
+            self.departures.clone(),
+        );
         registry.register(
             "waiting_requests",
             "Requests that wait for a replica",
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -49,6 +49,7 @@
 #[derive(Debug, Default)]
 pub struct CallScheduler {
     servers: collections::BTreeMap<name::ServerName, fleet::SchedulerServer>,
+    closures: fleet::ServerClosures,
     queue: fleet::WaitQueue,
     usages: collections::HashMap<(name::ServiceName, name::ModelName), fleet::ModelUsage>,
     estimate: fleet::LoadEstimate,
@@ -205,9 +206,23 @@
         }
     }
 
+    /// Sends no call to a start of a server for the time that it stated as it turned a call away.
+    pub fn close(
+        &mut self,
+        server: &name::ServerName,
+        started_ms: u64,
+        stated: time::Duration,
+        now: time::Instant,
+    ) {
+        self.closures.close(server, started_ms, stated, now);
+    }
+
     /// Returns whether a call that was placed at this start of the server may still be sent to it.
     #[must_use]
-    pub fn accepts(&self, server: &name::ServerName, started_ms: u64) -> bool {
+    pub fn accepts(&self, server: &name::ServerName, started_ms: u64, now: time::Instant) -> bool {
+        if self.closures.opens_in(server, started_ms, now).is_some() {
+            return false;
+        }
         let known = self.servers.get(server).map(|known| &known.record);
         known.is_some_and(|record| record.started_ms == started_ms && record.is_open())
     }
@@ -357,6 +372,7 @@
         self.servers.values().filter(move |server| {
             server.record.service == requirements.service
                 && server.is_open(now)
+                && self.closed_for(server, now).is_none()
                 && requirements
                     .target
                     .as_ref()
@@ -364,6 +380,34 @@
         })
     }
 
+    fn closed_for(
+        &self,
+        server: &fleet::SchedulerServer,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let record = &server.record;
+        self.closures.opens_in(&record.name, record.started_ms, now)
+    }
+
+    /// Returns when the first server opens that could take the call if it had not asked for a pause.
+    fn until_opened(
+        &self,
+        requirements: &fleet::CallRequirements,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        let of_service = self
+            .servers
+            .values()
+            .filter(|server| server.record.service == requirements.service && server.is_open(now));
+        let holding = of_service.filter(|server| {
+            let target = requirements.target.as_ref();
+            target.is_none_or(|target| server.serves_model(&target.model, now))
+        });
+        holding
+            .filter_map(|server| self.closed_for(server, now))
+            .min()
+    }
+
     /// Returns the reason to refuse a call that cannot be placed now, or `None` if it may wait.
     fn refusal(
         &self,
@@ -380,6 +424,14 @@
             (fleet::RefusalCause::Full, SLOT_TIME.saturating_mul(rounds))
         } else {
             let (cause, expected) = self.until_loaded(requirements, now);
+            if let Some(opens_in) = self.until_opened(requirements, now)
+                && (cause == fleet::RefusalCause::NoServer || opens_in <= expected)
+            {
+                return Some(fleet::SchedulerRefusal {
+                    cause: fleet::RefusalCause::Closed,
+                    retry_after: opens_in,
+                });
+            }
             let roster_wait = self.roster_wait(now);
             (
                 cause,
--- a/galenahold_routing/src/fleet/mod.rs
+++ b/galenahold_routing/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod placed_call;
 mod scheduler_refusal;
 mod scheduler_server;
+mod server_closures;
 mod start_wait;
 mod wait_queue;
 
@@ -34,5 +35,6 @@
 pub use placed_call::PlacedCall;
 pub use scheduler_refusal::{RefusalCause, SchedulerRefusal};
 use scheduler_server::SchedulerServer;
+pub use server_closures::ServerClosures;
 pub use start_wait::StartWait;
 use wait_queue::WaitQueue;
--- a/galenahold_routing/src/fleet/scheduler_refusal.rs
+++ b/galenahold_routing/src/fleet/scheduler_refusal.rs
@@ -18,6 +18,8 @@
     NoServer,
     /// The model is not loaded, and its load would take longer than the caller waits.
     NotLoaded,
+    /// All servers that could take the call have asked for a pause.
+    Closed,
     /// All slots are occupied for longer than the caller waits.
     Full,
 }
@@ -29,6 +31,7 @@
         match self {
             Self::NoServer => "no_server",
             Self::NotLoaded => "model_not_loaded",
+            Self::Closed => "servers_closed",
             Self::Full => "all_places_taken",
         }
     }
--- a/galenahold_routing/tests/fleet/call_waiting.rs
+++ b/galenahold_routing/tests/fleet/call_waiting.rs
@@ -173,15 +173,15 @@
     let record = fixture::record("s1", &["m"]);
     let mut scheduler = fixture::scheduler(std::slice::from_ref(&record), now);
     let placed = fixture::placed(scheduler.submit(fixture::requirements("m", SHORT, now), now));
-    assert!(scheduler.accepts(&placed.server, placed.started_ms));
+    assert!(scheduler.accepts(&placed.server, placed.started_ms, now));
     let mut draining = record.clone();
     draining.stage = domain::ServerStage::Draining;
     scheduler.update_server(draining, now);
-    assert!(!scheduler.accepts(&placed.server, placed.started_ms));
+    assert!(!scheduler.accepts(&placed.server, placed.started_ms, now));
     let mut restarted = record;
     restarted.started_ms += 1;
     scheduler.update_server(restarted, now);
-    assert!(!scheduler.accepts(&placed.server, placed.started_ms));
+    assert!(!scheduler.accepts(&placed.server, placed.started_ms, now));
     scheduler.remove_server(&placed.server);
-    assert!(!scheduler.accepts(&placed.server, placed.started_ms));
+    assert!(!scheduler.accepts(&placed.server, placed.started_ms, now));
 }
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -5,4 +5,5 @@
 mod call_placement;
 mod call_waiting;
 mod fixture;
+mod server_pauses;
 mod startup_wait;
