Follow the statements of backend servers at the own interface too

A backend server of the own interface now states that it leaves with x-server-leaving, and a pause with retry-after on a 503. The entry instance closes that start of the server at once, for waiting requests too, and has the control group record the departure; when all servers that could take a new request asked for a pause, callers get 503 at once with the time. The recording of departures moved out of the announcement API, which shares it.

--- a/galenahold/tests/leaving/main.rs
+++ b/galenahold/tests/leaving/main.rs
@@ -1,5 +1,7 @@
 //! Backend servers that leave or fall silent get no new work.
 
+mod statements;
+
 use std::net;
 use std::sync;
 use std::sync::atomic;
--- a/galenahold_instance/src/dispatch/dispatch_state.rs
+++ b/galenahold_instance/src/dispatch/dispatch_state.rs
@@ -3,8 +3,10 @@
 use std::collections;
 use std::time;
 
+use galenahold_domain::fleet;
 use galenahold_domain::server;
 use galenahold_routing::breaker;
+use galenahold_routing::fleet as routing;
 use galenahold_routing::queue;
 use galenahold_routing::replica;
 use galenahold_routing::replica::ReplicaChoice;
@@ -26,6 +28,10 @@
     breaker: breaker::CircuitBreaker,
     affinity: replica::PrefixAffinity,
     drains: dispatch::DrainSet,
+    /// The departures that backend servers announced to this instance in answers.
+    departures: fleet::DepartureTable,
+    /// The backend servers that asked for a pause.
+    closures: routing::ServerClosures,
     queues: collections::HashMap<replica::ReplicaTarget, dispatch::TargetQueue>,
     limits: queue::QueueLimits,
     candidates: Vec<replica::ReplicaCandidate>,
@@ -56,6 +62,8 @@
             breaker: breaker::CircuitBreaker::new(breaker::BreakerSettings::default()),
             affinity: replica::PrefixAffinity::default(),
             drains: dispatch::DrainSet::default(),
+            departures: fleet::DepartureTable::default(),
+            closures: routing::ServerClosures::default(),
             queues: collections::HashMap::new(),
             limits,
             candidates: Vec::new(),
@@ -109,12 +117,63 @@
         self.drains = dispatch::DrainSet::new(list);
     }
 
+    /// Records a departure that a backend server announced in an answer; returns whether it is new.
+    pub(crate) fn record_departure(&mut self, departure: fleet::ServerDeparture) -> bool {
+        self.departures.record(departure)
+    }
+
+    /// Sends nothing to a start of a backend server for the time that it stated.
+    pub(crate) fn close(
+        &mut self,
+        address: &backend::BackendAddress,
+        stated: time::Duration,
+        now: time::Instant,
+    ) {
+        self.closures
+            .close(&address.server, address.incarnation.0, stated, now);
+    }
+
+    /// Returns how long all backend servers that could take a request are closed; `None` if one of them
+    /// is open or there is none.
+    pub(crate) fn closed_for(
+        &mut self,
+        target: &replica::ReplicaTarget,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        self.table.candidates(target, now, &mut self.candidates);
+        let mut shortest = None;
+        for candidate in &self.candidates {
+            let server = self.table.server(candidate.server)?;
+            let opens_in = self.opens_in(server, now)?;
+            shortest = Some(shortest.map_or(opens_in, |known: time::Duration| known.min(opens_in)));
+        }
+        shortest
+    }
+
+    fn opens_in(
+        &self,
+        server: &replica::ServerEntry,
+        now: time::Instant,
+    ) -> Option<time::Duration> {
+        self.closures
+            .opens_in(server.name(), server.incarnation().0, now)
+    }
+
+    /// Returns whether a backend server announced in an answer that it leaves.
+    fn has_departed(&self, server: &replica::ServerEntry) -> bool {
+        let departure = self.departures.get(server.name());
+        departure.is_some_and(|departure| departure.covers(server.incarnation().0))
+    }
+
     /// Returns whether a request with this slot may still be sent: its backend server has neither left
-    /// nor restarted, and the replica does not drain.
-    pub(crate) fn accepts(&self, slot: &dispatch::ReplicaSlot) -> bool {
+    /// nor restarted nor asked for a pause, and the replica does not drain.
+    pub(crate) fn accepts(&self, slot: &dispatch::ReplicaSlot, now: time::Instant) -> bool {
         let server = self.table.server(slot.server);
         server.is_some_and(|server| {
-            server.takes_work() && !self.drains.contains(server, &slot.target)
+            server.takes_work()
+                && !self.drains.contains(server, &slot.target)
+                && !self.has_departed(server)
+                && self.opens_in(server, now).is_none()
         })
     }
 
@@ -307,14 +366,21 @@
     /// ones.
     fn find_candidates(&mut self, target: &replica::ReplicaTarget, now: time::Instant) -> bool {
         self.table.candidates(target, now, &mut self.candidates);
+        let mut candidates = std::mem::take(&mut self.candidates);
         let (table, drains, cooldowns) = (&self.table, &self.drains, &self.cooldowns);
-        self.candidates.retain(|candidate| {
+        candidates.retain(|candidate| {
             let is_cooling_down = cooldowns
                 .get(&candidate.key)
                 .is_some_and(|until| *until > now);
             let server = table.server(candidate.server);
-            !is_cooling_down && server.is_some_and(|entry| !drains.contains(entry, target))
+            !is_cooling_down
+                && server.is_some_and(|entry| {
+                    !drains.contains(entry, target)
+                        && !self.has_departed(entry)
+                        && self.opens_in(entry, now).is_none()
+                })
         });
+        self.candidates = candidates;
         self.breaker.admit(&mut self.candidates, now);
         !self.candidates.is_empty()
     }
--- a/galenahold_instance/src/dispatch/dispatcher.rs
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time;
 
+use galenahold_domain::fleet;
 use galenahold_domain::server;
 use galenahold_routing::admission;
 use galenahold_routing::queue;
@@ -11,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::api;
+use crate::backend;
 use crate::dispatch;
 use crate::platform;
 
@@ -88,6 +90,16 @@
         self.lock().set_drains(list);
     }
 
+    /// Records a departure that a backend server announced in an answer; returns whether it is new.
+    pub(crate) fn record_departure(&self, departure: fleet::ServerDeparture) -> bool {
+        self.lock().record_departure(departure)
+    }
+
+    /// Sends nothing to a start of a backend server for the time that it stated.
+    pub(crate) fn close(&self, address: &backend::BackendAddress, stated: time::Duration) {
+        self.lock().close(address, stated, time::Instant::now());
+    }
+
     /// Assigns replicas to the waiting requests of all targets.
     pub(crate) fn dispatch_all(&self) {
         let targets = self.lock().waiting_targets();
@@ -121,7 +133,7 @@
 
     /// Returns whether a request with this slot may still be sent.
     pub(super) fn accepts(&self, slot: &dispatch::ReplicaSlot) -> bool {
-        self.lock().accepts(slot)
+        self.lock().accepts(slot, time::Instant::now())
     }
 
     /// Releases a slot and assigns its capacity to the next waiting request.
@@ -144,6 +156,9 @@
     ) -> Result<queue::QueueTicket, api::RequestRefusal> {
         let left = request.deadline.saturating_duration_since(now);
         let mut state = self.lock();
+        if let Some(opens_in) = state.closed_for(&request.target, now) {
+            return Err(refuse_closed().retry_after(opens_in));
+        }
         let wait = state.predicted_wait(&request);
         if let admission::AdmissionDecision::Refuse { retry_after } = self.rule.decide(&wait, left)
         {
@@ -185,6 +200,13 @@
     .retry_after(time::Duration::from_secs(1))
 }
 
+fn refuse_closed() -> api::RequestRefusal {
+    api::RequestRefusal::not_run(
+        api::RefusalKind::BackendUnavailable,
+        "all backend servers that could take the request have asked for a pause",
+    )
+}
+
 fn refuse_unmeetable_deadline() -> api::RequestRefusal {
     api::RequestRefusal::not_run(
         api::RefusalKind::QueueFull,
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -3,11 +3,13 @@
 use std::future;
 use std::time;
 
+use galenahold_domain::fleet;
 use galenahold_domain::name;
 use galenahold_domain::verdict;
-use http::Request;
+use http::{Request, response};
 use http_body_util::Full;
-use log::debug;
+use log::{debug, info, warn};
+use tokio::sync as tokio_sync;
 
 use crate::api;
 use crate::backend;
@@ -26,6 +28,8 @@
     client: backend::BackendClient,
     policy: entry::AttemptPolicy,
     crashes: crash::CrashMonitor,
+    /// Records departures that backend servers announce in answers.
+    departures: tokio_sync::mpsc::Sender<fleet::ServerDeparture>,
     metrics: platform::FleetMetrics,
 }
 
@@ -48,6 +52,7 @@
         client: backend::BackendClient,
         policy: entry::AttemptPolicy,
         crashes: crash::CrashMonitor,
+        departures: tokio_sync::mpsc::Sender<fleet::ServerDeparture>,
         metrics: platform::FleetMetrics,
     ) -> Self {
         Self {
@@ -56,6 +61,7 @@
             client,
             policy,
             crashes,
+            departures,
             metrics,
         }
     }
@@ -164,9 +170,40 @@
         request: Request<Full<bytes::Bytes>>,
         deadline: time::Instant,
     ) -> Result<backend::BackendExchange, backend::AttemptError> {
-        self.client
+        let exchange = self
+            .client
             .send(connection, address, request, deadline)
-            .await
+            .await?;
+        self.apply_statements(address, exchange.head());
+        Ok(exchange)
+    }
+
+    /// Applies what a backend server states about itself in an answer: that it leaves, or wants a pause.
+    fn apply_statements(&self, address: &backend::BackendAddress, head: &response::Parts) {
+        if let Some(pause) = entry::stated_pause(head) {
+            info!(
+                server:% = address.server,
+                stated_ms = u64::try_from(pause.as_millis()).unwrap_or(u64::MAX);
+                "backend server turned a request away and wants a pause"
+            );
+            self.metrics.pauses.inc();
+            self.dispatcher.close(address, pause);
+        }
+        if !entry::states_leaving(head) {
+            return;
+        }
+        let departure = fleet::ServerDeparture {
+            name: address.server.clone(),
+            started_ms: address.incarnation.0,
+            stage: fleet::DepartureStage::Draining,
+        };
+        if self.dispatcher.record_departure(departure.clone()) {
+            info!(server:% = address.server; "backend server announced in an answer that it leaves");
+            self.metrics.departures.inc();
+            if self.departures.try_send(departure).is_err() {
+                warn!(server:% = address.server; "departure of a backend server is not recorded: too many wait");
+            }
+        }
     }
 
     /// Checks that an answer carries the attempt's id and does not state that the request was
--- a/galenahold_instance/src/entry/exchange_check.rs
+++ b/galenahold_instance/src/entry/exchange_check.rs
@@ -1,8 +1,10 @@
 //! Validation of answers from backend servers.
 
+use std::time;
+
 use galenahold_domain::name;
 use galenahold_domain::verdict;
-use http::{HeaderName, response};
+use http::{HeaderName, StatusCode, header, response};
 
 use crate::api;
 use crate::backend;
@@ -11,6 +13,27 @@
 /// caller.
 pub(crate) const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
+/// The header by which a backend server that leaves says so in all its answers.
+const LEAVING_HEADER: HeaderName = HeaderName::from_static("x-server-leaving");
+
+/// Returns whether the backend server states that it leaves.
+pub(crate) fn states_leaving(head: &response::Parts) -> bool {
+    let value = head.headers.get(&LEAVING_HEADER);
+    value.is_some_and(|value| value.as_bytes() != b"0")
+}
+
+/// Returns how long a backend server that turned the request away wants no other: `retry-after` in
+/// seconds, with a fraction or without. A time that cannot be read counts as none.
+pub(crate) fn stated_pause(head: &response::Parts) -> Option<time::Duration> {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = head.headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds > 0.0)
+        .then(|| time::Duration::try_from_secs_f64(seconds).unwrap_or(time::Duration::MAX))
+}
+
 /// Checks that an answer carries the attempt's id and does not state that the request was refused.
 ///
 /// `is_reused` tells whether the connection served earlier requests.
--- a/galenahold_instance/src/entry/mod.rs
+++ b/galenahold_instance/src/entry/mod.rs
@@ -34,7 +34,9 @@
 pub(crate) use caller_identity::CallerIdentity;
 pub(crate) use entry_handler::{EntryHandler, HandlerParts};
 pub(crate) use event_scanner::{EventKind, EventScanner, UsageDocument, event_length};
-pub(crate) use exchange_check::{REQUEST_ID_HEADER, check_exchange, refusal_error};
+pub(crate) use exchange_check::{
+    REQUEST_ID_HEADER, check_exchange, refusal_error, stated_pause, states_leaving,
+};
 pub(crate) use header_filter::{IDEMPOTENCY_HEADER, headers_to_backend, headers_to_caller};
 pub(crate) use json_depth::json_depth_exceeds;
 pub(crate) use key_guard::KeyGuard;
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -208,8 +208,9 @@
             started = Some(limiter);
         }
         if let Some(listener) = sockets.backends {
+            let recorder = registry::DepartureRecorder::new(client.clone(), self.registry.clone());
             let api = registry::AnnouncementApi::new(
-                client.clone(),
+                recorder,
                 self.registry.clone(),
                 self.event_log.clone(),
                 self.event_sink.clone(),
@@ -338,6 +339,8 @@
             backend,
             policy,
             crashes,
+            registry::DepartureRecorder::new(client.clone(), self.registry.clone())
+                .start(&groups.system),
             self.metrics.clone(),
         );
         let models = entry::ModelHandler::new(attempts.clone(), groups.work.clone());
--- a/galenahold_instance/src/registry/announcement_api.rs
+++ b/galenahold_instance/src/registry/announcement_api.rs
@@ -3,20 +3,16 @@
 use std::net;
 use std::time;
 
-use galenahold_domain::control;
 use galenahold_domain::fleet;
 use galenahold_domain::name;
 use galenahold_domain::server;
-use galenahold_wire::message;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body;
-use log::{info, warn};
 use serde::de;
 
 use crate::api;
 use crate::peer;
 use crate::registry;
-use crate::timer;
 
 /// The maximum size of an announcement, in bytes.
 const MAX_ANNOUNCEMENT_BYTES: usize = 4 * 1024 * 1024;
@@ -24,32 +20,29 @@
 /// The timeout of receiving an announcement.
 const ANNOUNCEMENT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// The time limit for recording a departure in the control group.
-const DEPARTURE_TIMEOUT: time::Duration = time::Duration::from_millis(900);
-
 /// The maximum length of a backend server's name, in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
 /// The HTTP API for announcements and cache events of backend servers.
 #[derive(Debug, Clone)]
 pub(crate) struct AnnouncementApi<Handler> {
-    client: peer::ControlClient<Handler>,
+    recorder: registry::DepartureRecorder<Handler>,
     registry: registry::ServerRegistry,
     events: registry::EventLog,
     sink: tokio::sync::mpsc::Sender<server::CacheEvent>,
 }
 
 impl<Handler: peer::LocalHandler> AnnouncementApi<Handler> {
-    /// Creates an API that records announcements in `registry`, records departures through `client` and passes
+    /// Creates an API that records announcements in `registry`, records departures through `recorder` and passes
     /// cache events to `events` and `sink`.
     pub(crate) fn new(
-        client: peer::ControlClient<Handler>,
+        recorder: registry::DepartureRecorder<Handler>,
         registry: registry::ServerRegistry,
         events: registry::EventLog,
         sink: tokio::sync::mpsc::Sender<server::CacheEvent>,
     ) -> Self {
         Self {
-            client,
+            recorder,
             registry,
             events,
             sink,
@@ -113,24 +106,9 @@
         &self,
         departure: fleet::ServerDeparture,
     ) -> Result<(), api::RequestRefusal> {
-        let server = departure.name.clone();
-        let incarnation = departure.started_ms;
-        if self.registry.has_committed(&departure) {
-            return Ok(());
-        }
-        let call = message::ControlCall::Command(control::ControlCommand::Depart {
-            departure: departure.clone(),
-            now_ms: timer::epoch_ms(),
-        });
-        let deadline = time::Instant::now() + DEPARTURE_TIMEOUT;
-        let reply = self.client.call(call, deadline).await;
-        let recorded = control::ControlOutcome::DepartureRecorded;
-        if matches!(&reply, Ok(message::ControlReply::Outcome(outcome)) if *outcome == recorded) {
-            info!(server:% = server, incarnation = incarnation; "backend server leaves");
-            self.registry.record_committed(departure);
+        if self.recorder.record(&departure).await {
             return Ok(());
         }
-        warn!(server:% = server, incarnation = incarnation; "departure of a backend server is not acknowledged: the control group did not record it in time");
         Err(api::RequestRefusal::not_run(
             api::RefusalKind::ControlUnavailable,
             "the control group did not record the departure in time; announce it again",
--- a/galenahold_instance/src/registry/mod.rs
+++ b/galenahold_instance/src/registry/mod.rs
@@ -3,6 +3,7 @@
 mod announcement_api;
 mod announcement_gossiper;
 mod cache_event_document;
+mod departure_recorder;
 mod event_log;
 mod held_notice;
 mod registry_entry;
@@ -11,6 +12,7 @@
 pub(crate) use announcement_api::AnnouncementApi;
 pub(crate) use announcement_gossiper::AnnouncementGossiper;
 pub(crate) use cache_event_document::CacheEventDocument;
+pub(crate) use departure_recorder::DepartureRecorder;
 pub(crate) use event_log::EventLog;
 pub(crate) use held_notice::HeldNotice;
 pub(crate) use registry_entry::RegistryEntry;
--- a/galenahold_testkit/src/control/control_switches.rs
+++ b/galenahold_testkit/src/control/control_switches.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Default)]
 struct BoardState {
     crashes: u64,
+    statements: AnswerStatements,
     refused_rests: u64,
     deadly_text: Option<String>,
     paused: bool,
@@ -29,6 +30,13 @@
     delay: time::Duration,
 }
 
+/// What the server states about itself in answers.
+#[derive(Debug, Default)]
+struct AnswerStatements {
+    leaving: bool,
+    pause_s: Option<u64>,
+}
+
 #[derive(Debug, Default)]
 struct StreamFault {
     after_tokens: u64,
@@ -62,6 +70,8 @@
             ServerControl::CrashNextLoad => state.crashes = 1,
             ServerControl::CrashOnPrompt { ref text } => state.deadly_text = Some(text.clone()),
             ServerControl::RefuseRest { count } => state.refused_rests = count,
+            ServerControl::SayLeaving => state.statements.leaving = true,
+            ServerControl::AskForPause { seconds } => state.statements.pause_s = Some(seconds),
             ServerControl::Pause { on } => state.paused = on,
             ServerControl::Announce { on } => state.silent = !on,
             ServerControl::Leave => state.leaving = true,
@@ -149,6 +159,16 @@
         take_one(&mut self.state.lock().refused_rests)
     }
 
+    /// Tells whether answers say that the server leaves.
+    pub(crate) fn says_leaving(&self) -> bool {
+        self.state.lock().statements.leaving
+    }
+
+    /// Returns the pause in seconds that the server asks for as it refuses a call.
+    pub(crate) fn wanted_pause(&self) -> Option<u64> {
+        self.state.lock().statements.pause_s
+    }
+
     /// Uses up one wrong request id.
     pub(crate) fn take_wrong_request_id(&self) -> bool {
         take_one(&mut self.state.lock().wrong_request_ids)
--- a/galenahold_testkit/src/control/server_control.rs
+++ b/galenahold_testkit/src/control/server_control.rs
@@ -19,6 +19,13 @@
         /// The calls to answer so.
         count: u64,
     },
+    /// Says in all answers that the server leaves, but not in announcements.
+    SayLeaving,
+    /// Refuses all calls and asks for a pause.
+    AskForPause {
+        /// The pause in seconds.
+        seconds: u64,
+    },
     /// Stops all work without closing connections, or goes on.
     Pause {
         /// Whether to stop.
--- a/galenahold_testkit/src/service/service_api.rs
+++ b/galenahold_testkit/src/service/service_api.rs
@@ -51,14 +51,17 @@
         let controls = &self.core.controls;
         controls.wait_unpaused().await;
         tokio::time::sleep(controls.delay()).await;
-        if controls.take_refusal() {
+        let wanted_pause = controls.wanted_pause();
+        if controls.take_refusal() || wanted_pause.is_some() {
             self.core.ledger.ended(key, ledger::RequestOutcome::Refused);
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Ok(error_answer(
-                status,
-                "busy",
-                "the service takes no calls now",
-            ));
+            let mut answer = error_answer(status, "busy", "the service takes no calls now");
+            if let Some(seconds) = wanted_pause {
+                let value = http::HeaderValue::from(seconds);
+                let headers = answer.headers_mut();
+                headers.insert(http::header::RETRY_AFTER, value);
+            }
+            return Ok(answer);
         }
         tokio::time::sleep(time::Duration::from_micros(self.core.settings.call_us)).await;
         let is_lookup = parts.method == http::Method::GET || parts.method == http::Method::HEAD;
@@ -124,6 +127,10 @@
         } else {
             request_id
         };
+        if self.core.controls.says_leaving() {
+            let value = http::HeaderValue::from_static("1");
+            answer.headers_mut().insert("x-server-leaving", value);
+        }
         if let Ok(value) = http::HeaderValue::from_str(&echoed) {
             answer.headers_mut().insert(REQUEST_ID_HEADER, value);
         }
