--- a/galenahold_domain/src/control/control_state.rs
+++ b/galenahold_domain/src/control/control_state.rs
@@ -221,7 +221,7 @@
     }
 
     fn record_crash(&mut self, report: &crash::CrashReport, now_ms: u64) {
-        // A server that has announced that it leaves ends without anyone's fault.
+        // The end of a server that announced its departure is no crash.
         let departure = self.departures.get(&report.server);
         if !departure.is_some_and(|departure| departure.covers(report.started_ms)) {
             self.crashes.record(report, now_ms);
--- a/galenahold_domain/src/crash/crash_ledger.rs
+++ b/galenahold_domain/src/crash/crash_ledger.rs
@@ -155,18 +155,18 @@
     let is_equal = |other: &&crash::PromptKey| {
         let suspicion = &suspicions[*other];
         (suspicion.weight, suspicion.moments) == (most.weight, most.moments)
-            && always_beside(incidents, *key, **other)
+            && present_at_same_crashes(incidents, *key, **other)
     };
     let (joined, rivals): (Vec<_>, Vec<_>) = suspicions
         .keys()
         .filter(is_equal)
-        .partition(|other| always_joined(incidents, *key, **other));
+        .partition(|other| in_same_calls(incidents, *key, **other));
     let decided = rivals.is_empty() || most.moments >= CrashLedger::DECISIVE_MOMENTS;
     decided.then(|| crash::BlockedPrompt::new(joined.into_iter().copied().collect()))
 }
 
 /// Returns whether the second part was present at all crashes at which the first one was.
-fn always_beside(
+fn present_at_same_crashes(
     incidents: &[&crash::CrashIncident],
     one: crash::PromptKey,
     other: crash::PromptKey,
@@ -176,7 +176,7 @@
 }
 
 /// Returns whether the two parts were in the same calls at all crashes.
-fn always_joined(
+fn in_same_calls(
     incidents: &[&crash::CrashIncident],
     one: crash::PromptKey,
     other: crash::PromptKey,
