Review case 1: two disks lost after a planned core replacement end the control group

Cause: a removed core machine stays a voter for 6 s of silence while its successor is already one. The group has six voters and needs four; two lost disks leave three.

Shown by a script with real processes: the acknowledged configuration can't be read back at any core machine, and the group can't recover.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,45 @@
+//! Stand-ins and cases of the review: `standins CASE FOLDER` plays a case and writes FOLDER/record.txt.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+
+mod cases;
+mod fleet;
+mod http;
+mod record;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// How a case ended.
+pub enum Outcome {
+    Broken,
+    Held,
+    CouldNotRun,
+}
+
+fn main() -> ExitCode {
+    let mut words = std::env::args().skip(1);
+    let (Some(case), Some(folder)) = (words.next(), words.next()) else {
+        eprintln!("usage: standins CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let record = record::Record::create(&PathBuf::from(folder));
+    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
+    let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+        cases::play(&case, &record, &trouble)
+    }));
+    match played {
+        Ok(Outcome::Broken) => {
+            record.write("RESULT: the rule was broken");
+            ExitCode::from(1)
+        }
+        Ok(Outcome::Held) => {
+            record.write("RESULT: the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(Outcome::CouldNotRun) | Err(_) => {
+            record.write("RESULT: the case could not run");
+            ExitCode::from(2)
+        }
+    }
+}
