Review case 2: a stream is resumed for a client that has left

Cause: the relay of a stream does not watch the client's connection while it waits for another replica.

Shown by a script with real processes: after the crash of one of six replicas, 12 requests reach other replicas over 0.5 s after their clients have closed their connections.

--- a/review/standins/cases/mod.rs
+++ b/review/standins/cases/mod.rs
@@ -1,12 +1,16 @@
 //! The cases.
 
+mod left_during_resume;
 mod replaced_core;
 
+use std::sync::Arc;
+
 use crate::record::Record;
 use crate::Outcome;
 
-pub fn play(case: &str, record: &Record, trouble: &str) -> Outcome {
+pub fn play(case: &str, record: &Arc<Record>, trouble: &str) -> Outcome {
     match case {
+        "left-during-resume" => left_during_resume::play(record, trouble),
         "replaced-core" => replaced_core::play(record, trouble),
         _ => Outcome::CouldNotRun,
     }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod record;
+mod replica;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,7 +24,7 @@
         eprintln!("usage: standins CASE FOLDER");
         return ExitCode::from(2);
     };
-    let record = record::Record::create(&PathBuf::from(folder));
+    let record = std::sync::Arc::new(record::Record::create(&PathBuf::from(folder)));
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         cases::play(&case, &record, &trouble)
