--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standins review/standins/main.rs
+rustc --edition 2021 -O -o target/review/standins review/platform/main.rs
--- a/review/standins/cases/left_during_resume.rs
+++ b/review/platform/cases/left_during_resume.rs
@@ -6,11 +6,11 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
+use crate::Outcome;
 use crate::fleet::Fleet;
 use crate::http;
 use crate::record::Record;
 use crate::replica::{Pace, Replica};
-use crate::Outcome;
 
 const SLOTS: u32 = 12;
 const REPLICAS: usize = 6;
@@ -113,7 +113,10 @@
                 ("Deadline-Ms", "30000".to_owned()),
                 ("Model", "m0".to_owned()),
                 ("Token-Counts", "300,45".to_owned()),
-                ("Prefix-Hash", format!("5c1e07a2:210,{:x}:90", 0x9000 + index)),
+                (
+                    "Prefix-Hash",
+                    format!("5c1e07a2:210,{:x}:90", 0x9000 + index),
+                ),
             ];
             if http::send(&stream, "POST", "/brief/2f", &headers, "a prompt").is_err() {
                 return;
@@ -134,26 +137,41 @@
         }));
         sleep(Duration::from_millis(2));
     }
-    record.write(&format!("clients: sent {count} requests, one for each slot"));
+    record.write(&format!(
+        "clients: sent {count} requests, one for each slot"
+    ));
     sleep(CRASH_AT.saturating_sub(began.elapsed()));
     // The replica whose clients leave: the same one without the crash.
     let lost = &replicas[0];
-    let of_lost: Vec<_> = lost.arrivals().iter().map(|arrival| arrival.attempt.clone()).collect();
+    let of_lost: Vec<_> = lost
+        .arrivals()
+        .iter()
+        .map(|arrival| arrival.attempt.clone())
+        .collect();
     if crashes {
         lost.crash();
-        record.write(&format!("replica {} crashes with {} streams", lost.id(), of_lost.len()));
+        record.write(&format!(
+            "replica {} crashes with {} streams",
+            lost.id(),
+            of_lost.len()
+        ));
     }
     sleep(LEAVE_AT.saturating_sub(began.elapsed()));
     if leaves {
         let mut left = 0;
         for (index, stream) in connections.lock().expect("no panic").iter() {
-            if of_lost.contains(&attempt(*index)) && !seen.lock().expect("no panic")[*index].complete {
+            if of_lost.contains(&attempt(*index))
+                && !seen.lock().expect("no panic")[*index].complete
+            {
                 let _ = stream.shutdown(Shutdown::Both);
                 seen.lock().expect("no panic")[*index].left_at = Some(Instant::now());
                 left += 1;
             }
         }
-        record.write(&format!("clients: {left} of {count} clients leave, those of {}", lost.id()));
+        record.write(&format!(
+            "clients: {left} of {count} clients leave, those of {}",
+            lost.id()
+        ));
     }
     sleep(Duration::from_secs(12).saturating_sub(began.elapsed()));
     for (_, stream) in connections.lock().expect("no panic").iter() {
@@ -168,7 +186,11 @@
     let mut late = 0;
     for replica in &replicas {
         let arrivals = replica.arrivals();
-        record.write(&format!("replica {}: {} requests arrived", replica.id(), arrivals.len()));
+        record.write(&format!(
+            "replica {}: {} requests arrived",
+            replica.id(),
+            arrivals.len()
+        ));
         for arrival in &arrivals {
             let index = index_of(&arrival.attempt);
             let Some(left_at) = seen.get(index).and_then(|seen| seen.left_at) else {
@@ -187,8 +209,14 @@
             }
         }
     }
-    record.write(&format!("requests that reached a replica over 0.5 s after their client had left: {late}"));
-    if late > A_FEW { Outcome::Broken } else { Outcome::Held }
+    record.write(&format!(
+        "requests that reached a replica over 0.5 s after their client had left: {late}"
+    ));
+    if late > A_FEW {
+        Outcome::Broken
+    } else {
+        Outcome::Held
+    }
 }
 
 fn attempt(index: usize) -> String {
--- a/review/standins/cases/mod.rs
+++ b/review/platform/cases/mod.rs
@@ -6,8 +6,8 @@
 
 use std::sync::Arc;
 
-use crate::record::Record;
 use crate::Outcome;
+use crate::record::Record;
 
 pub fn play(case: &str, record: &Arc<Record>, trouble: &str) -> Outcome {
     match case {
--- a/review/standins/cases/replaced_core.rs
+++ b/review/platform/cases/replaced_core.rs
@@ -5,9 +5,9 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use crate::Outcome;
 use crate::fleet::{Fleet, SIGTERM};
 use crate::record::Record;
-use crate::Outcome;
 
 /// `catch_up_s` of the deployment.
 const CATCH_UP: Duration = Duration::from_secs(4);
@@ -31,9 +31,16 @@
 }
 
 fn put(fleet: &Fleet, record: &Record, version: u64) -> bool {
-    let answer = fleet.call_any("PUT", "/v1/config", &document(version), Duration::from_secs(20));
+    let answer = fleet.call_any(
+        "PUT",
+        "/v1/config",
+        &document(version),
+        Duration::from_secs(20),
+    );
     let status = answer.map_or(0, |answer| answer.status);
-    record.write(&format!("operator: PUT /v1/config version {version} -> {status}"));
+    record.write(&format!(
+        "operator: PUT /v1/config version {version} -> {status}"
+    ));
     status == 200
 }
 
@@ -44,7 +51,11 @@
     };
     let text = answer.text();
     let version = text.split("\"version\":").nth(1).and_then(|rest| {
-        let digits: String = rest.trim_start().chars().take_while(char::is_ascii_digit).collect();
+        let digits: String = rest
+            .trim_start()
+            .chars()
+            .take_while(char::is_ascii_digit)
+            .collect();
         digits.parse().ok()
     });
     (answer.status, version.filter(|_| answer.status == 200))
@@ -75,7 +86,10 @@
     if !put(&fleet, record, 20) {
         return Outcome::CouldNotRun;
     }
-    if let Some(gap_s) = std::env::var("GAP_S").ok().and_then(|text| text.parse().ok()) {
+    if let Some(gap_s) = std::env::var("GAP_S")
+        .ok()
+        .and_then(|text| text.parse().ok())
+    {
         sleep(Duration::from_secs_f64(gap_s));
     }
     if wipes {
@@ -101,11 +115,15 @@
             let (status, version) = read_once(&fleet, address);
             if version == Some(20) {
                 let after = began.elapsed().as_secs_f64();
-                record.write(&format!("operator: GET /v1/config at {address} -> version 20 after {after:.1} s"));
+                record.write(&format!(
+                    "operator: GET /v1/config at {address} -> version 20 after {after:.1} s"
+                ));
                 return Outcome::Held;
             }
             if let Some(version) = version {
-                record.write(&format!("operator: GET /v1/config at {address} -> OLDER version {version}"));
+                record.write(&format!(
+                    "operator: GET /v1/config at {address} -> OLDER version {version}"
+                ));
                 return Outcome::Broken;
             }
             words.push(format!("{address}: {status}"));
--- a/review/standins/cases/rolled_core.rs
+++ b/review/platform/cases/rolled_core.rs
@@ -4,10 +4,10 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use crate::Outcome;
 use crate::cases::replaced_core::{document, read_once};
 use crate::fleet::{Fleet, SIGTERM};
 use crate::record::Record;
-use crate::Outcome;
 
 /// `catch_up_s` of the deployment, which each successor gets before any machine is stopped, and some more.
 const CATCH_UP: Duration = Duration::from_millis(5_000);
@@ -41,13 +41,17 @@
         for number in 6..=10 {
             fleet.start(core(number), true, false);
         }
-        record.write("platform: started the successors core-6 to core-10 at new addresses with empty disks");
+        record.write(
+            "platform: started the successors core-6 to core-10 at new addresses with empty disks",
+        );
         sleep(CATCH_UP);
         record.write("platform: the successors have had their 4 s (catch_up_s)");
         for number in 1..=5 {
             fleet.signal(core(number), SIGTERM);
             fleet.wait_for_exit(core(number), Duration::from_secs(8));
-            record.write(&format!("platform: core-{number} got SIGTERM and has ended; it never returns"));
+            record.write(&format!(
+                "platform: core-{number} got SIGTERM and has ended; it never returns"
+            ));
             sleep(pause);
         }
     }
@@ -59,7 +63,9 @@
             let (status, version) = read_once(&fleet, address);
             if version == Some(10) {
                 let after = began.elapsed().as_secs_f64();
-                record.write(&format!("operator: GET /v1/config at {address} -> version 10 after {after:.1} s"));
+                record.write(&format!(
+                    "operator: GET /v1/config at {address} -> version 10 after {after:.1} s"
+                ));
                 return Outcome::Held;
             }
             words.push(format!("{address}: {status}"));
--- a/review/standins/fleet.rs
+++ b/review/platform/fleet.rs
@@ -48,7 +48,12 @@
     pub fn new(seeds: Vec<Ipv4Addr>) -> Self {
         let folder = std::env::temp_dir().join(format!("galenahold-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder can be created");
-        Self { folder, ports: free_ports(), seeds, nodes: Vec::new() }
+        Self {
+            folder,
+            ports: free_ports(),
+            seeds,
+            nodes: Vec::new(),
+        }
     }
 
     /// Starts a process; `first` tells it that the whole system starts for the first time.
@@ -70,19 +75,31 @@
             .spawn()
             .expect("the release build exists");
         self.nodes.retain(|node| node.address != address);
-        self.nodes.push(Node { address, control, child: Some(child) });
+        self.nodes.push(Node {
+            address,
+            control,
+            child: Some(child),
+        });
     }
 
     fn settings(&self, address: Ipv4Addr, control: bool, first: bool) -> String {
         let ports = self.ports;
         let name = name_of(address, control);
-        let seeds: Vec<_> =
-            self.seeds.iter().map(|seed| format!("\"{seed}:{}\"", ports.control)).collect();
+        let seeds: Vec<_> = self
+            .seeds
+            .iter()
+            .map(|seed| format!("\"{seed}:{}\"", ports.control))
+            .collect();
         let seeds = seeds.join(", ");
         let (class, serves, listen, data) = if control {
             let data = self.data_folder(address);
             let data = format!("\"{}\"", data.display());
-            ("core", "control_plane", format!("\"control\": \"{address}:{}\"", ports.control), data)
+            (
+                "core",
+                "control_plane",
+                format!("\"control\": \"{address}:{}\"", ports.control),
+                data,
+            )
         } else {
             let listen = format!(
                 "\"front\": \"{address}:{}\", \"ready\": \"{address}:{}\"",
@@ -152,12 +169,17 @@
     #[allow(dead_code)]
     pub fn is_running(&mut self, address: Ipv4Addr) -> bool {
         let child = &mut self.node(address).child;
-        child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     /// Returns the addresses of the control instances that were started and not ended.
     pub fn control_addresses(&self) -> Vec<Ipv4Addr> {
-        let running = self.nodes.iter().filter(|node| node.control && node.child.is_some());
+        let running = self
+            .nodes
+            .iter()
+            .filter(|node| node.control && node.child.is_some());
         running.map(|node| node.address).collect()
     }
 
@@ -179,7 +201,10 @@
             if answer.status != 307 {
                 return Some(answer);
             }
-            let location = answer.header("location")?.strip_prefix("http://")?.to_owned();
+            let location = answer
+                .header("location")?
+                .strip_prefix("http://")?
+                .to_owned();
             target = location.split('/').next()?.parse().ok()?;
         }
         None
@@ -187,7 +212,13 @@
 
     /// Calls the control instances in turn until one gives a final answer or `limit` is over, as an operator or
     /// a replica does.
-    pub fn call_any(&self, method: &str, path: &str, body: &str, limit: Duration) -> Option<http::Answer> {
+    pub fn call_any(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        limit: Duration,
+    ) -> Option<http::Answer> {
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
             for address in self.control_addresses() {
@@ -207,8 +238,14 @@
         let deadline = Instant::now() + limit;
         while Instant::now() < deadline {
             let headers = [("Host", target.to_string())];
-            let answer =
-                http::call(target, "GET", "/v1/readyz", &headers, "", Duration::from_secs(1));
+            let answer = http::call(
+                target,
+                "GET",
+                "/v1/readyz",
+                &headers,
+                "",
+                Duration::from_secs(1),
+            );
             if answer.is_some_and(|answer| answer.status == 200) {
                 return true;
             }
@@ -239,11 +276,18 @@
 
 /// Returns ports that are free on all loopback addresses at present.
 fn free_ports() -> Ports {
-    let listeners: Vec<_> =
-        (0..5).map(|_| TcpListener::bind("0.0.0.0:0").expect("a port is free")).collect();
+    let listeners: Vec<_> = (0..5)
+        .map(|_| TcpListener::bind("0.0.0.0:0").expect("a port is free"))
+        .collect();
     let port = |index: usize| {
         let listener: &TcpListener = &listeners[index];
         listener.local_addr().expect("the listener is bound").port()
     };
-    Ports { front: port(0), ready: port(1), control: port(2), peer: port(3), metrics: port(4) }
+    Ports {
+        front: port(0),
+        ready: port(1),
+        control: port(2),
+        peer: port(3),
+        metrics: port(4),
+    }
 }
--- a/review/standins/http.rs
+++ b/review/platform/http.rs
@@ -40,7 +40,9 @@
 }
 
 fn find_header<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
-    let found = headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+    let found = headers
+        .iter()
+        .find(|(known, _)| known.eq_ignore_ascii_case(name));
     found.map(|(_, value)| value.as_str())
 }
 
@@ -85,7 +87,11 @@
     limit_reads(stream, deadline)?;
     let (first, headers) = read_head(reader)?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
-    let mut answer = Answer { status, headers, ..Answer::default() };
+    let mut answer = Answer {
+        status,
+        headers,
+        ..Answer::default()
+    };
     answer.complete = read_body(reader, &answer.headers.clone(), &mut answer.body, true);
     Some(answer)
 }
@@ -106,7 +112,9 @@
 
 fn limit_reads(stream: &TcpStream, deadline: Instant) -> Option<()> {
     let left = deadline.saturating_duration_since(Instant::now());
-    stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()
+    stream
+        .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+        .ok()
 }
 
 fn read_head(reader: &mut impl BufRead) -> Option<(String, Vec<(String, String)>)> {
--- a/review/standins/record.rs
+++ b/review/platform/record.rs
@@ -14,7 +14,10 @@
 impl Record {
     pub fn create(folder: &Path) -> Self {
         let file = fs::File::create(folder.join("record.txt")).expect("the record can be created");
-        Self { file: Mutex::new(file), began: Instant::now() }
+        Self {
+            file: Mutex::new(file),
+            began: Instant::now(),
+        }
     }
 
     pub fn write(&self, line: &str) {
--- a/review/standins/replica.rs
+++ b/review/platform/replica.rs
@@ -53,8 +53,12 @@
 impl Replica {
     pub fn start(id: &str, service: &str, model: &str, slots: u32, default_pace: Pace) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        listener.set_nonblocking(true).expect("the listener can be polled");
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is right");
+        listener
+            .set_nonblocking(true)
+            .expect("the listener can be polled");
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("the clock is right");
         let state = Arc::new(State {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -81,7 +85,11 @@
     /// Sets the pace of the requests with the given last part of the path.
     #[allow(dead_code)]
     pub fn set_pace(&self, name: &str, pace: Pace) {
-        self.state.pace.lock().expect("no panic").insert(name.to_owned(), pace);
+        self.state
+            .pace
+            .lock()
+            .expect("no panic")
+            .insert(name.to_owned(), pace);
     }
 
     /// Ends the replica at once: its connections break and its port refuses new ones.
@@ -150,7 +158,10 @@
 
 fn answer(mut stream: &TcpStream, state: &State, request: &http::Request) -> std::io::Result<()> {
     let plain = |status: &str, headers: &str, body: &str| {
-        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+        format!(
+            "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        )
     };
     let attempt = request.header("attempt-id").unwrap_or_default().to_owned();
     match (request.method.as_str(), request.path.as_str()) {
@@ -175,7 +186,10 @@
         return stream.write_all(plain("421 Misdirected Request", &head, "").as_bytes());
     }
     let last_event = request.header("last-event-id").map(str::to_owned);
-    let first = last_event.as_ref().and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1);
+    let first = last_event
+        .as_ref()
+        .and_then(|id| id.parse::<u64>().ok())
+        .map_or(1, |id| id + 1);
     state.arrivals.lock().expect("no panic").push(Arrival {
         attempt: attempt.clone(),
         at: Instant::now(),
