--- a/review/platform/cases/replaced_core.rs
+++ b/review/platform/cases/replaced_core.rs
@@ -74,7 +74,15 @@
     }
     // Traffic starts 10 s after the machines do.
     sleep(Duration::from_secs(8));
-    if replaces {
+    if replaces && trouble == "crash" {
+        fleet.kill(core(5));
+        record.write("platform: core-5 crashes and never returns");
+        sleep(Duration::from_secs(1));
+        fleet.start(core(6), true, false);
+        record.write("platform: started the successor core-6 at a new address with an empty disk");
+        sleep(CATCH_UP + Duration::from_millis(200));
+        record.write("platform: the successor has had its 4 s (catch_up_s)");
+    } else if replaces {
         fleet.start(core(6), true, false);
         record.write("platform: started the successor core-6 at a new address with an empty disk");
         sleep(CATCH_UP + Duration::from_millis(500));
