--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,5 @@
 # lost disks, TROUBLE=wipe only the replacement. TROUBLE=crash replaces a machine that has crashed.
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
+[ -x target/review/standins ] && [ -x target/release/galenahold ] || exit 2
 exec target/review/standins replaced-core "$folder"
--- a/review/platform/cases/left_during_resume.rs
+++ b/review/platform/cases/left_during_resume.rs
@@ -180,6 +180,8 @@
     for client in clients {
         let _ = client.join();
     }
+    replicas.iter().for_each(Replica::crash);
+    end(fleet);
     let seen = seen.lock().expect("no panic").clone();
     let complete = seen.iter().filter(|seen| seen.complete).count();
     record.write(&format!("clients: {complete} of {count} streams complete"));
@@ -219,6 +221,18 @@
     }
 }
 
+/// Ends the processes once no heartbeat is under way any more.
+fn end(fleet: Arc<Fleet>) {
+    let mut shared = fleet;
+    loop {
+        match Arc::try_unwrap(shared) {
+            Ok(fleet) => return drop(fleet),
+            Err(still_shared) => shared = still_shared,
+        }
+        sleep(Duration::from_millis(50));
+    }
+}
+
 fn attempt(index: usize) -> String {
     format!("{:016x}", 0xa000_0000_0000_0000_u64 + index as u64)
 }
--- a/review/platform/fleet.rs
+++ b/review/platform/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread::sleep;
@@ -17,8 +18,13 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, ...) -> i32;
 }
 
+/// `PR_SET_PDEATHSIG`: the signal that a process gets when its parent ends.
+const PARENT_DEATH_SIGNAL: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// The ports of all processes; each process has its own loopback address.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -66,7 +72,15 @@
             .append(true)
             .open(self.folder.join(format!("{name}.log")))
             .expect("a log can be opened");
-        let child = Command::new("target/release/galenahold")
+        let mut command = Command::new("target/release/galenahold");
+        // SAFETY: the call is safe between fork and exec.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PARENT_DEATH_SIGNAL, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .arg("platform")
             .env("GALENAHOLD_SETTINGS", &settings)
             .stdin(Stdio::null())
