--- a/review/platform/cases/left_during_resume.rs
+++ b/review/platform/cases/left_during_resume.rs
@@ -159,15 +159,20 @@
     sleep(LEAVE_AT.saturating_sub(began.elapsed()));
     if leaves {
         let mut left = 0;
-        for (index, stream) in connections.lock().expect("no panic").iter() {
-            if of_lost.contains(&attempt(*index))
-                && !seen.lock().expect("no panic")[*index].complete
-            {
+        connections
+            .lock()
+            .expect("no panic")
+            .retain(|(index, stream)| {
+                let mut seen = seen.lock().expect("no panic");
+                if !of_lost.contains(&attempt(*index)) || seen[*index].complete {
+                    return true;
+                }
+                // Ends the client's read too, which then closes its side of the socket.
                 let _ = stream.shutdown(Shutdown::Both);
-                seen.lock().expect("no panic")[*index].left_at = Some(Instant::now());
+                seen[*index].left_at = Some(Instant::now());
                 left += 1;
-            }
-        }
+                false
+            });
         record.write(&format!(
             "clients: {left} of {count} clients leave, those of {}",
             lost.id()
@@ -180,6 +185,8 @@
     for client in clients {
         let _ = client.join();
     }
+    let orders: u64 = replicas.iter().map(Replica::orders).sum();
+    record.write(&format!("replicas: {orders} orders arrived"));
     replicas.iter().for_each(Replica::crash);
     end(fleet);
     let seen = seen.lock().expect("no panic").clone();
--- a/review/platform/cases/replaced_core.rs
+++ b/review/platform/cases/replaced_core.rs
@@ -143,6 +143,14 @@
         }
         sleep(Duration::from_millis(500));
     }
+    for address in fleet.control_addresses() {
+        let state = if fleet.is_running(address) {
+            "runs"
+        } else {
+            "has ended"
+        };
+        record.write(&format!("platform: the process at {address} {state}"));
+    }
     record.write("operator: no core machine returned the acknowledged configuration within 45 s");
     Outcome::Broken
 }
--- a/review/platform/fleet.rs
+++ b/review/platform/fleet.rs
@@ -52,7 +52,7 @@
 
 impl Fleet {
     pub fn new(seeds: Vec<Ipv4Addr>) -> Self {
-        let folder = std::env::temp_dir().join(format!("galenahold-review-{}", std::process::id()));
+        let folder = temporary_folder();
         fs::create_dir_all(&folder).expect("a temporary folder can be created");
         Self {
             folder,
@@ -180,7 +180,6 @@
     }
 
     /// Returns whether the process still runs.
-    #[allow(dead_code)]
     pub fn is_running(&mut self, address: Ipv4Addr) -> bool {
         let child = &mut self.node(address).child;
         child
@@ -283,6 +282,11 @@
     }
 }
 
+/// Returns the folder of this run's settings, logs and data.
+pub fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("galenahold-review-{}", std::process::id()))
+}
+
 fn name_of(address: Ipv4Addr, control: bool) -> String {
     let class = if control { "core" } else { "frontend" };
     format!("{class}-{}", address.octets()[3])
--- a/review/platform/main.rs
+++ b/review/platform/main.rs
@@ -11,6 +11,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// A case that takes longer is ended as one that could not run.
+const TIME_LIMIT: std::time::Duration = std::time::Duration::from_secs(112);
+
 /// How a case ended.
 pub enum Outcome {
     Broken,
@@ -26,6 +29,14 @@
     };
     let record = std::sync::Arc::new(record::Record::create(&PathBuf::from(folder)));
     let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
+    let watched = std::sync::Arc::clone(&record);
+    std::thread::spawn(move || {
+        std::thread::sleep(TIME_LIMIT);
+        watched.write("RESULT: the case could not run within its time limit");
+        let _ = std::fs::remove_dir_all(fleet::temporary_folder());
+        // The processes of the system get SIGKILL as their parent ends.
+        std::process::exit(2);
+    });
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
         cases::play(&case, &record, &trouble)
     }));
--- a/review/platform/replica.rs
+++ b/review/platform/replica.rs
@@ -40,6 +40,7 @@
     born: u64,
     beats: AtomicU64,
     dead: AtomicBool,
+    orders: AtomicU64,
     connections: Mutex<Vec<TcpStream>>,
     arrivals: Mutex<Vec<Arrival>>,
 }
@@ -70,6 +71,7 @@
             born: now.as_millis() as u64,
             beats: AtomicU64::new(0),
             dead: AtomicBool::new(false),
+            orders: AtomicU64::new(0),
             connections: Mutex::default(),
             arrivals: Mutex::default(),
         });
@@ -104,6 +106,11 @@
         !self.state.dead.load(Ordering::SeqCst)
     }
 
+    /// Returns how many orders arrived.
+    pub fn orders(&self) -> u64 {
+        self.state.orders.load(Ordering::SeqCst)
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state.arrivals.lock().expect("no panic").clone()
     }
@@ -176,8 +183,20 @@
             );
             return stream.write_all(plain("200 OK", "", &body).as_bytes());
         }
-        // The stand-in holds its model for good.
-        ("POST", "/v1/order") => return stream.write_all(plain("409 Conflict", "", "").as_bytes()),
+        ("POST", "/v1/order") => {
+            state.orders.fetch_add(1, Ordering::SeqCst);
+            let body = String::from_utf8_lossy(&request.body).into_owned();
+            let loads_held = body.contains("\"op\":\"load\"")
+                && body.contains(&format!("\"model\":\"{}\"", state.model))
+                && !body.contains("\"adapter\"");
+            // The order already holds, or does not exist: there is one model, without adapters.
+            let status = if loads_held {
+                "200 OK"
+            } else {
+                "400 Bad Request"
+            };
+            return stream.write_all(plain(status, "", "").as_bytes());
+        }
         _ => {}
     }
     let expected = request.header("expect-instance");
