End a waiting call when its caller leaves, wherever it waits

Change: the relay ends as a whole when its caller leaves or its deadline passes. A retry is a permit that is given back if it is dropped before the send. At the own interface, an order without a key that waits ends as not run when its caller leaves; one with a key goes on.

--- a/galenahold/tests/orders/plain_orders.rs
+++ b/galenahold/tests/orders/plain_orders.rs
@@ -1,5 +1,7 @@
 //! Orders without an idempotency key.
 
+use std::io::{Read, Write};
+use std::net;
 use std::thread;
 use std::time;
 
@@ -139,3 +141,48 @@
         assert_true_verdict(&answer, fleet.serving.runs(&order), &order);
     }
 }
+
+/// Guards against an order that waits for a server, and is sent although its caller has left.
+#[test]
+fn an_order_without_a_key_is_not_sent_once_its_caller_has_left() {
+    let fleet = order_fleet::OrderFleet::start(1, harness::PeerRoute::Direct);
+    let server = &fleet.serving.services()[0];
+    assert!(server.control(&ServerControl::Announce { on: false }));
+    harness::wait_until("no server is left", || {
+        let answer = send(&fleet.hasty_caller(3, SHORT), "probe");
+        answer.verdict.as_deref() == Some("not-run")
+    });
+    let deserted = open_order(&fleet, "deserted");
+    let mut kept = open_order(&fleet, "kept");
+    let waits = |count: usize| {
+        let instance = &fleet.serving.instances().instances()[3];
+        let metrics = harness::FleetCaller::new(instance.addresses().platform).get("/metrics");
+        let line = format!("waiting_requests {count}");
+        metrics.is_ok_and(|answer| answer.body.lines().any(|found| found.ends_with(&line)))
+    };
+    harness::wait_until("both orders wait", || waits(2));
+    drop(deserted);
+    harness::wait_until("one order still waits", || waits(1));
+    assert!(server.control(&ServerControl::Announce { on: true }));
+    let mut answer = String::new();
+    kept.read_to_string(&mut answer)
+        .expect("the answer is whole");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(fleet.serving.runs("deserted"), 0);
+}
+
+/// Sends an order without a key that may wait for a minute, and returns its connection.
+fn open_order(fleet: &order_fleet::OrderFleet, order: &str) -> net::TcpStream {
+    let address = fleet.serving.address(3);
+    let body = json!({ "order": order }).to_string();
+    let mut socket = net::TcpStream::connect(address).expect("the instance listens");
+    let request = format!(
+        "POST /foundry/orders HTTP/1.1\r\nhost: {address}\r\nauthorization: Bearer {}\r\n\
+         x-request-timeout-ms: 60000\r\nconnection: close\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        fleet.serving.key(),
+        body.len()
+    );
+    socket.write_all(request.as_bytes()).expect("written");
+    socket
+}
--- a/galenahold_instance/src/api/refusal_kind.rs
+++ b/galenahold_instance/src/api/refusal_kind.rs
@@ -52,6 +52,8 @@
     KeyWithdrawn,
     /// The instance is stopping.
     Stopping,
+    /// The caller left; nobody receives this.
+    CallerLeft,
 }
 
 impl RefusalKind {
@@ -77,7 +79,8 @@
             | Self::ControlUnavailable
             | Self::BackendUnavailable
             | Self::OrderLedgerFull
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Stopping
+            | Self::CallerLeft => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -107,6 +110,7 @@
             Self::OrderLedgerFull => "order_ledger_full",
             Self::KeyWithdrawn => "key_withdrawn",
             Self::Stopping => "stopping",
+            Self::CallerLeft => "caller_left",
         }
     }
 }
--- a/galenahold_instance/src/entry/attempt_call.rs
+++ b/galenahold_instance/src/entry/attempt_call.rs
@@ -1,5 +1,6 @@
 //! Interface between calls and the runner of their attempts.
 
+use std::future;
 use std::time;
 
 use galenahold_domain::amount;
@@ -27,6 +28,12 @@
     /// Returns the deadline of the answer.
     fn deadline(&self) -> time::Instant;
 
+    /// Returns when the caller has left a call that goes on without it; other calls are dropped with
+    /// their callers.
+    fn caller_left(&self) -> impl future::Future<Output = ()> + Send {
+        future::pending()
+    }
+
     /// Returns the number of tokens that are charged before the call runs.
     fn charged_tokens(&self) -> amount::TokenCount;
 
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -114,8 +114,7 @@
             return Ok(None);
         };
         let charging = self.limiter.charge(team, tokens, call.deadline());
-        let not_run = verdict::RequestVerdict::NotRun;
-        let charge = run_while_authorized(call.guard(), not_run, charging).await??;
+        let charge = run_while_wanted(call, charging).await??;
         Ok(Some(charge))
     }
 
@@ -144,6 +143,7 @@
         if let Some(charge) = charge {
             charge.confirm(call.deadline()).await?;
         }
+        run_while_wanted(call, future::ready(())).await?;
         call.guard().check_before_send()?;
         self.check_prompt(call)?;
         if !slot.may_send() {
@@ -263,8 +263,8 @@
             return Err(state.worsen(refuse_after_failure(&failed.error)));
         };
         self.metrics.retries.inc();
-        tokio::time::sleep(delay).await;
-        Ok(())
+        let waited = run_while_wanted(call, tokio::time::sleep(delay)).await;
+        waited.map_err(|refusal| state.worsen(refusal))
     }
 
     /// Records a failure before the answer began, and returns whether the call may be sent to another
@@ -300,12 +300,32 @@
             .unwrap_or(1.0);
         let wanted = call.slot_request(weight, state.avoided_server.clone());
         let acquiring = self.dispatcher.acquire(wanted);
-        let not_run = verdict::RequestVerdict::NotRun;
-        let slot = run_while_authorized(call.guard(), not_run, acquiring).await??;
+        let slot = run_while_wanted(call, acquiring).await??;
         Ok(slot)
     }
 }
 
+/// Runs `work`, during which nothing is sent, until it completes, the caller leaves or its key no
+/// longer authorizes the request.
+///
+/// # Errors
+///
+/// A refusal with verdict `NotRun`.
+async fn run_while_wanted<Call: entry::AttemptCall, Output>(
+    call: &Call,
+    work: impl future::Future<Output = Output>,
+) -> Result<Output, api::RequestRefusal> {
+    let not_run = verdict::RequestVerdict::NotRun;
+    tokio::select! {
+        biased;
+        () = call.caller_left() => Err(api::RequestRefusal::not_run(
+            api::RefusalKind::CallerLeft,
+            "the caller left before the request was sent",
+        )),
+        output = run_while_authorized(call.guard(), not_run, work) => output,
+    }
+}
+
 /// Runs `work` until it completes or the caller's key no longer authorizes the request.
 ///
 /// # Errors
--- a/galenahold_instance/src/entry/entry_handler.rs
+++ b/galenahold_instance/src/entry/entry_handler.rs
@@ -245,6 +245,7 @@
             deadline: arrived.deadline(service)?,
             recorder: self.request_recorder(arrived, service),
             identity: arrived.identity.clone(),
+            departure: tokio_util::sync::CancellationToken::new(),
             method,
         })
     }
@@ -261,7 +262,9 @@
         let handler = self.parts.services.clone();
         let ledger = self.parts.ledger.clone();
         let (sender, receiver) = tokio::sync::oneshot::channel();
-        // An order runs to its end even if its caller disconnects.
+        // Dropped with this future when the caller leaves. An order with a key goes on, as the
+        // caller can ask for its outcome; any other one goes on only if it was sent.
+        let _departure = key.is_none().then(|| call.departure.clone().drop_guard());
         self.parts.group.spawn(async move {
             let result = match key {
                 Some(key) => {
--- a/galenahold_instance/src/entry/request_recorder.rs
+++ b/galenahold_instance/src/entry/request_recorder.rs
@@ -194,7 +194,8 @@
         | api::RefusalKind::OrderUnknown
         | api::RefusalKind::OrderDiffers
         | api::RefusalKind::OrderExpired
-        | api::RefusalKind::KeyWithdrawn => RequestOutcome::RefusedByRule,
+        | api::RefusalKind::KeyWithdrawn
+        | api::RefusalKind::CallerLeft => RequestOutcome::RefusedByRule,
         api::RefusalKind::QueueFull
         | api::RefusalKind::StaleConfiguration
         | api::RefusalKind::ControlUnavailable
--- a/galenahold_instance/src/entry/service_call.rs
+++ b/galenahold_instance/src/entry/service_call.rs
@@ -7,6 +7,7 @@
 use galenahold_routing::replica;
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use http_body_util::Full;
+use tokio_util::sync;
 
 use crate::dispatch;
 use crate::entry;
@@ -46,6 +47,8 @@
     pub(crate) deadline: time::Instant,
     /// The recorder of the request's outcome.
     pub(crate) recorder: entry::RequestRecorder,
+    /// Cancelled when the caller leaves.
+    pub(crate) departure: sync::CancellationToken,
 }
 
 impl ServiceCall {
@@ -90,6 +93,10 @@
         self.deadline
     }
 
+    async fn caller_left(&self) {
+        self.departure.cancelled().await;
+    }
+
     fn charged_tokens(&self) -> amount::TokenCount {
         self.tokens
     }
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -179,6 +179,7 @@
         plan: &mut entry::AttemptPlan,
         log: &mut entry::CallLog,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
+        let mut permit: Option<entry::RetryPermit> = None;
         loop {
             let mut lease = self.acquire_place(&call, plan, log).await?;
             if let Some(charge) = &mut charge {
@@ -190,6 +191,9 @@
             lease.set_repeated(plan.was_sent_to(lease.server()));
             plan.record_send(lease.server());
             log.sends = plan.sends();
+            if let Some(permit) = &mut permit {
+                permit.start_send();
+            }
             let end = self
                 .parts
                 .attempt(&call, &mut lease, head_deadline, None)
@@ -208,8 +212,11 @@
                 }
                 entry::AttemptEnd::Complete(answer) => {
                     plan.record_possible_run();
-                    let repeats = answer.is_failure() && plan.may_repeat();
-                    if !repeats || !self.parts.spend_retry(&call.service) {
+                    if !answer.is_failure() || !plan.may_repeat() {
+                        return Ok(self.complete_answer(answer));
+                    }
+                    permit = self.parts.spend_retry(&call.service);
+                    if permit.is_none() {
                         return Ok(self.complete_answer(answer));
                     }
                     log.notes.push("failed_at_server");
@@ -218,6 +225,9 @@
                     // No server received the request, so the resend does not spend the attempt
                     // budget that all instances share.
                     log.notes.push(note);
+                    if let Some(permit) = &mut permit {
+                        permit.withdraw_send();
+                    }
                     if let Some(charge) = &mut charge {
                         charge.not_run();
                     }
@@ -230,7 +240,11 @@
                     if let Some(charge) = &mut charge {
                         charge.not_run();
                     }
-                    if !plan.may_resend() || !self.parts.spend_retry(&call.service) {
+                    permit = plan
+                        .may_resend()
+                        .then(|| self.parts.spend_retry(&call.service))
+                        .flatten();
+                    if permit.is_none() {
                         return Err(call_answer::not_run_refusal(note, NOT_RUN_RETRY_DELAY));
                     }
                 }
@@ -245,7 +259,11 @@
                     if time::Instant::now() >= call.deadline {
                         return Err(call_answer::deadline_refusal());
                     }
-                    if !plan.may_repeat() || !self.parts.spend_retry(&call.service) {
+                    permit = plan
+                        .may_repeat()
+                        .then(|| self.parts.spend_retry(&call.service))
+                        .flatten();
+                    if permit.is_none() {
                         return Err(call_answer::lost_answer_refusal(note));
                     }
                 }
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -54,13 +54,13 @@
         self.lock_budget().earn(service);
     }
 
-    /// Spends one further attempt of the budget; returns `false` if none is left.
-    pub(crate) fn spend_retry(&self, service: &name::ServiceName) -> bool {
-        let spent = self.lock_budget().spend(service);
-        if spent {
+    /// Takes one further attempt from the budget; `None` if none is left.
+    pub(super) fn spend_retry(&self, service: &name::ServiceName) -> Option<entry::RetryPermit> {
+        let permit = entry::RetryPermit::take(&self.budget, service);
+        if permit.is_some() {
             self.metrics.retries.inc();
         }
-        spent
+        permit
     }
 
     fn lock_budget(&self) -> sync::MutexGuard<'_, fleet::AttemptBudget> {
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -16,6 +16,9 @@
 /// Why a stream ends whose connection to the server broke.
 const CONNECTION_BROKEN: &str = "connection_broken";
 
+/// Why a stream ends whose deadline passes.
+const DEADLINE: &str = "deadline";
+
 /// Relays a stream of events to its caller, and resumes it at another server where that is allowed.
 ///
 /// Only complete events are forwarded, so that a stream resumed at another server continues
@@ -33,22 +36,33 @@
     media_type: Option<String>,
     /// Whether the stream goes on at another server than the one that began it.
     is_resumed: bool,
+    phase: RelayPhase,
     last_id: Option<String>,
     events: u64,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
 }
 
+/// What a relay waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RelayPhase {
+    /// The server's next bytes.
+    Reading,
+    /// Room in the caller's connection.
+    Forwarding,
+    /// The head of the rest of the stream from another server.
+    Resuming,
+}
+
 /// The outcome of one step of the relay.
 enum RelayStep {
     Continue,
-    Ended,
+    /// The stream was relayed to its end.
+    Complete,
+    /// The part of the stream that this server sends was cut short.
     Cut(&'static str),
-    CallerLeft,
-    /// The prompt was blocked before the first event.
-    Blocked,
-    /// The caller's connection accepted nothing more until the deadline.
-    CallerStalled,
+    /// The stream ends early for good.
+    Ended(&'static str),
 }
 
 impl<Dialect: gateway::FleetDialect> StreamRelay<Dialect> {
@@ -64,6 +78,7 @@
         Self {
             media_type: media_type(exchange.head()),
             is_resumed: false,
+            phase: RelayPhase::Reading,
             parts,
             call,
             plan,
@@ -92,37 +107,60 @@
         response
     }
 
+    /// Relays the stream to its end, or until its caller leaves or its deadline passes, whatever it
+    /// waits for at that time.
     async fn relay(mut self, sender: api::StreamSender) {
         self.lease.start_waiting(time::Instant::now());
+        let deadline = self.call.deadline;
+        let outcome = tokio::select! {
+            biased;
+            outcome = self.relay_segments(&sender) => outcome,
+            () = sender.closed() => Err("caller_left"),
+            () = tokio::time::sleep_until(deadline.into()) => Err(DEADLINE),
+        };
+        let outcome = outcome.map_err(|reason| self.explain_end(reason));
+        match outcome {
+            Ok(()) => {
+                self.log("complete");
+                sender.finish();
+                self.lease.stop_waiting();
+                self.exchange.finish();
+            }
+            // Dropping the sender closes the caller's connection without the end of the answer.
+            Err(reason) => self.log(reason),
+        }
+    }
+
+    /// Returns the reason to log for the end of a stream, and reports a server that sent nothing
+    /// until the deadline.
+    fn explain_end(&self, reason: &'static str) -> &'static str {
+        match self.phase {
+            RelayPhase::Reading if reason == DEADLINE => {
+                self.lease.observe(fleet::AttemptReport::Broken);
+                reason
+            }
+            RelayPhase::Forwarding if reason == DEADLINE => "caller_stalled",
+            _ => reason,
+        }
+    }
+
+    /// Relays what this server sends, and what others do that the stream is resumed at.
+    ///
+    /// # Errors
+    ///
+    /// The reason why the stream ends early.
+    async fn relay_segments(&mut self, sender: &api::StreamSender) -> Result<(), &'static str> {
         loop {
-            match self.step(&sender).await {
+            match self.step(sender).await {
                 RelayStep::Continue => {}
-                RelayStep::Ended => {
-                    self.log("complete");
-                    sender.finish();
-                    self.lease.stop_waiting();
-                    self.exchange.finish();
-                    return;
-                }
-                RelayStep::CallerLeft => {
-                    self.log("caller_left");
-                    return;
-                }
-                RelayStep::CallerStalled => {
-                    self.log("caller_stalled");
-                    return;
-                }
-                RelayStep::Blocked => {
-                    self.log("prompt_blocked");
-                    return;
-                }
+                RelayStep::Complete => return Ok(()),
+                RelayStep::Ended(reason) => return Err(reason),
                 RelayStep::Cut(reason) => {
-                    if self.resume(reason).await {
-                        continue;
+                    self.phase = RelayPhase::Resuming;
+                    if !self.resume(reason).await {
+                        return Err(reason);
                     }
-                    // Dropping the sender closes the caller's connection without the end of the answer.
-                    self.log(reason);
-                    return;
+                    self.phase = RelayPhase::Reading;
                 }
             }
         }
@@ -131,12 +169,8 @@
     async fn step(&mut self, sender: &api::StreamSender) -> RelayStep {
         let chunk = tokio::select! {
             chunk = self.exchange.next_chunk() => chunk,
-            () = sender.closed() => return RelayStep::CallerLeft,
-            () = tokio::time::sleep_until(self.call.deadline.into()) => {
-                return RelayStep::Cut("deadline");
-            }
             _ = self.parts.crashes.wait_until_blocked(&self.call.shared_parts), if self.events == 0 => {
-                return RelayStep::Blocked;
+                return RelayStep::Ended("prompt_blocked");
             }
         };
         match chunk {
@@ -146,7 +180,7 @@
                 }
                 self.forward_events(sender).await
             }
-            Ok(None) if self.splitter.is_empty() => RelayStep::Ended,
+            Ok(None) if self.splitter.is_empty() => RelayStep::Complete,
             Ok(None) => RelayStep::Cut("ended_within_event"),
             Err(_) => RelayStep::Cut(CONNECTION_BROKEN),
         }
@@ -161,13 +195,11 @@
             if event.id.is_some() {
                 self.last_id = event.id;
             }
-            // A caller that stops reading must not hold its place at the server for ever.
-            let sending = sender.send(event.bytes);
-            match tokio::time::timeout_at(self.call.deadline.into(), sending).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return RelayStep::CallerLeft,
-                Err(_) => return RelayStep::CallerStalled,
+            self.phase = RelayPhase::Forwarding;
+            if sender.send(event.bytes).await.is_err() {
+                return RelayStep::Ended("caller_left");
             }
+            self.phase = RelayPhase::Reading;
         }
         RelayStep::Continue
     }
@@ -197,11 +229,13 @@
                 return false;
             }
         }
-        let in_time = time::Instant::now() < self.call.deadline;
-        if !in_time || !self.plan.may_repeat() || !self.parts.spend_retry(&self.call.service) {
+        if !self.plan.may_repeat() {
             return false;
         }
-        let Some((mut lease, exchange)) = self.send_again().await else {
+        let Some(permit) = self.parts.spend_retry(&self.call.service) else {
+            return false;
+        };
+        let Some((mut lease, exchange)) = self.send_again(permit).await else {
             return false;
         };
         info!(
@@ -224,7 +258,10 @@
 
     /// Sends the call for the rest of its stream; a server that could not be sent to is replaced by
     /// another one.
-    async fn send_again(&mut self) -> Option<(entry::PlaceLease, backend::BackendExchange)> {
+    async fn send_again(
+        &mut self,
+        mut permit: entry::RetryPermit,
+    ) -> Option<(entry::PlaceLease, backend::BackendExchange)> {
         while self.plan.may_resend() {
             let requirements = self.call.requirements(self.plan.tried().to_vec());
             let placed = self.parts.dispatcher.place(requirements, true).await;
@@ -248,7 +285,9 @@
                 self.call.deadline,
                 self.last_id.as_deref(),
             );
-            match sending.await {
+            permit.start_send();
+            let end = sending.await;
+            match end {
                 entry::AttemptEnd::Stream(exchange) => {
                     if media_type(exchange.head()) == self.media_type {
                         return Some((lease, exchange));
@@ -256,7 +295,7 @@
                     lease.observe(fleet::AttemptReport::Failed);
                     return None;
                 }
-                entry::AttemptEnd::Unsent(_) => {}
+                entry::AttemptEnd::Unsent(_) => permit.withdraw_send(),
                 _ => return None,
             }
         }
--- a/galenahold_routing/src/fleet/attempt_budget.rs
+++ b/galenahold_routing/src/fleet/attempt_budget.rs
@@ -53,6 +53,13 @@
         affordable
     }
 
+    /// Gives back an extra attempt that was not made.
+    pub fn refund(&mut self, service: &name::ServiceName) {
+        let capacity = self.capacity;
+        let balance = self.balance_mut(service);
+        *balance = (*balance + 1.0).min(capacity);
+    }
+
     fn balance_mut(&mut self, service: &name::ServiceName) -> &mut f64 {
         let capacity = self.capacity;
         self.balances.entry(service.clone()).or_insert(capacity)
--- a/galenahold_routing/tests/fleet/attempt_budget.rs
+++ b/galenahold_routing/tests/fleet/attempt_budget.rs
@@ -38,3 +38,15 @@
     while budget.spend(&helpdesk) {}
     assert!(budget.spend(&models));
 }
+
+/// Guards against calls that wait for a further attempt, are given up and use up the budget of others.
+#[test]
+fn attempt_that_is_not_made_is_given_back() {
+    let mut budget = fleet::AttemptBudget::new(0.1, 1.0);
+    let helpdesk = service("helpdesk");
+    assert!(budget.spend(&helpdesk));
+    budget.refund(&helpdesk);
+    budget.refund(&helpdesk);
+    assert!(budget.spend(&helpdesk));
+    assert!(!budget.spend(&helpdesk), "a refund exceeds the capacity");
+}
