Bound the memory of all answers and bodies that are held together

Reported by another operator: a faulty server sent bytes without end, and the instance that had called it ran out of memory with the requests of all other callers.

It happens here: 96 calls to three servers that send bodies without end took an entry instance to 495 MB (chunked) and 557 MB (without length), events without end to 186 MB, of 160 MB on the larger deployments. Heads without end did not (417 kB for each at most; now 64 kB).

Cause: each answer and event was bounded, not all of them together.

--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -10,6 +10,7 @@
 use tokio::net;
 
 use crate::backend;
+use crate::buffer;
 use crate::task;
 
 /// Whether an attempt may reuse a connection that served earlier requests.
@@ -31,21 +32,31 @@
 /// The maximum time that sent bytes may remain unacknowledged before the connection counts as lost.
 const TCP_USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// The maximum size of a connection's read buffer, and so of an answer's head, in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 64 * 1_024;
+
 /// Sends single attempts to backend servers over pooled connections; it never sends a request twice.
 #[derive(Debug, Clone)]
 pub(crate) struct BackendClient {
     pool: backend::ConnectionPool,
     group: task::TaskGroup,
     connect_timeout: time::Duration,
+    buffers: buffer::BufferBudget,
 }
 
 impl BackendClient {
-    /// Creates a client whose connection tasks run in `group`.
-    pub(crate) fn new(group: task::TaskGroup, connect_timeout: time::Duration) -> Self {
+    /// Creates a client whose connection tasks run in `group`, and whose answers hold up to
+    /// `buffer_bytes` together until they are whole.
+    pub(crate) fn new(
+        group: task::TaskGroup,
+        connect_timeout: time::Duration,
+        buffer_bytes: usize,
+    ) -> Self {
         Self {
             pool: backend::ConnectionPool::default(),
             group,
             connect_timeout,
+            buffers: buffer::BufferBudget::new(buffer_bytes),
         }
     }
 
@@ -121,6 +132,7 @@
             body,
             connection,
             pool: self.pool.clone(),
+            buffers: self.buffers.clone(),
             address: address.clone(),
         })
     }
@@ -147,7 +159,10 @@
             // The connection works without these options, but less efficiently.
             debug!(server:% = address.server, error:% = error; "failed to set connection options");
         }
-        let handshake = http1::handshake(rt::TokioIo::new(stream)).await;
+        let handshake = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(rt::TokioIo::new(stream))
+            .await;
         let (sender, connection) = handshake
             .map_err(|_| backend::AttemptError::not_run(backend::AttemptErrorKind::Connect))?;
         let server = address.server.clone();
--- a/galenahold_instance/src/backend/backend_exchange.rs
+++ b/galenahold_instance/src/backend/backend_exchange.rs
@@ -7,6 +7,7 @@
 use hyper::body;
 
 use crate::backend;
+use crate::buffer;
 
 /// An answer of a backend server whose head has arrived and whose body has not been read yet.
 ///
@@ -18,6 +19,7 @@
     pub(super) body: body::Incoming,
     pub(super) connection: backend::PooledConnection,
     pub(super) pool: backend::ConnectionPool,
+    pub(super) buffers: buffer::BufferBudget,
     pub(super) address: backend::BackendAddress,
 }
 
@@ -33,6 +35,11 @@
         self.connection.is_reused
     }
 
+    /// Returns the share of the client's buffers for a part of the body that is held by the reader.
+    pub(crate) fn buffer_share(&self) -> buffer::BufferShare {
+        self.buffers.share()
+    }
+
     /// Reads the next chunk of the body; `None` at its end.
     ///
     /// # Errors
@@ -57,7 +64,8 @@
     ///
     /// # Errors
     ///
-    /// The answer was truncated, is too large or did not arrive in time.
+    /// The answer was truncated, is too large, alone or beside others that are being read, or did not
+    /// arrive in time.
     pub(crate) async fn read_rest(
         &mut self,
         max_bytes: usize,
@@ -74,16 +82,18 @@
     }
 
     async fn collect(&mut self, max_bytes: usize) -> Result<bytes::Bytes, backend::AttemptError> {
-        let mut buffer = bytes::BytesMut::new();
+        let mut share = self.buffer_share();
+        let mut body = bytes::BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
-            if buffer.len() + chunk.len() > max_bytes {
+            let fits = body.len() + chunk.len() <= max_bytes && share.grow(chunk.len());
+            if !fits {
                 return Err(backend::AttemptError::may_have_run(
                     backend::AttemptErrorKind::Cut,
                 ));
             }
-            buffer.extend_from_slice(&chunk);
+            body.extend_from_slice(&chunk);
         }
-        Ok(buffer.freeze())
+        Ok(buffer::SharedBytes::bind(body.freeze(), share))
     }
 
     /// Returns the connection to the pool after the body was read to its end.
--- a/galenahold_instance/src/entry/event_scanner.rs
+++ b/galenahold_instance/src/entry/event_scanner.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use crate::buffer;
+
 /// The maximum size of one event, in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
@@ -9,9 +11,10 @@
 const END_OF_STREAM_DATA: &[u8] = b"[DONE]";
 
 /// Splits a server-sent event stream into events, regardless of chunk boundaries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventScanner {
     buffer: bytes::BytesMut,
+    share: buffer::BufferShare,
 }
 
 /// One complete event, including the blank line that ends it.
@@ -95,13 +98,23 @@
 }
 
 impl EventScanner {
+    /// Creates a scanner whose buffered bytes count against a budget.
+    pub(crate) fn new(share: buffer::BufferShare) -> Self {
+        Self {
+            buffer: bytes::BytesMut::new(),
+            share,
+        }
+    }
+
     /// Appends a chunk of the stream to the buffer.
     ///
     /// # Errors
     ///
-    /// The buffered bytes would exceed the maximum size of an event.
+    /// The buffered bytes would exceed the maximum size of an event, or the budget.
     pub(crate) fn push(&mut self, chunk: &[u8]) -> Result<(), EventTooLarge> {
-        if self.buffer.len() + chunk.len() > MAX_EVENT_BYTES {
+        let fits =
+            self.buffer.len() + chunk.len() <= MAX_EVENT_BYTES && self.share.grow(chunk.len());
+        if !fits {
             return Err(EventTooLarge);
         }
         self.buffer.extend_from_slice(chunk);
@@ -112,6 +125,7 @@
     pub(crate) fn next_event(&mut self) -> Option<StreamEvent> {
         let length = event_length(&self.buffer)?;
         let bytes = self.buffer.split_to(length).freeze();
+        let bytes = buffer::SharedBytes::bind(bytes, self.share.split(length));
         let kind = event_kind(&bytes);
         Some(StreamEvent { bytes, kind })
     }
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -154,7 +154,7 @@
         let OpenedAnswer {
             slot, mut exchange, ..
         } = opened;
-        let mut scanner = entry::EventScanner::default();
+        let mut scanner = entry::EventScanner::new(exchange.buffer_share());
         loop {
             let chunk = tokio::select! {
                 chunk = exchange.next_chunk() => chunk,
--- a/galenahold_instance/src/gateway/control/control_api.rs
+++ b/galenahold_instance/src/gateway/control/control_api.rs
@@ -278,10 +278,7 @@
 }
 
 async fn read_body(body: body::Incoming) -> Result<bytes::Bytes, api::RequestRefusal> {
-    let reader = api::BodyReader {
-        max_bytes: MAX_DOCUMENT_BYTES,
-        timeout: BODY_TIMEOUT,
-    };
+    let reader = api::BodyReader::new(MAX_DOCUMENT_BYTES, BODY_TIMEOUT);
     reader.read(body).await
 }
 
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -110,10 +110,9 @@
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let deadline = arrived + call_timeout;
-        let reader = api::BodyReader {
-            max_bytes: usize::try_from(index.declaration().limits.body.0).unwrap_or(usize::MAX),
-            timeout: call_timeout,
-        };
+        let max_bytes = usize::try_from(index.declaration().limits.body.0).unwrap_or(usize::MAX);
+        let reader = api::BodyReader::new(max_bytes, call_timeout)
+            .with_buffers(self.parts.body_buffers.clone());
         let body = reader.read(body).await?;
         let service = route.service_at(hash_id(&log.id)).clone();
         let shared = metadata
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -6,6 +6,7 @@
 use galenahold_routing::fleet;
 
 use crate::backend;
+use crate::buffer;
 use crate::configuration;
 use crate::crash;
 use crate::gateway;
@@ -34,6 +35,8 @@
     pub(crate) client: peer::ControlClient<control::FleetHandler<Dialect>>,
     /// Sends requests to backend servers.
     pub(crate) backend: backend::BackendClient,
+    /// Bounds the memory of callers' bodies.
+    pub(crate) body_buffers: buffer::BufferBudget,
     /// Closes backend servers that leave.
     pub(crate) departures: entry::DepartureReporter,
     /// Detects requests that crash backend servers.
--- a/galenahold_instance/src/gateway/entry/event_splitter.rs
+++ b/galenahold_instance/src/gateway/entry/event_splitter.rs
@@ -1,5 +1,6 @@
 //! Parser of event streams.
 
+use crate::buffer;
 use crate::entry;
 
 /// Maximum size of a single event, in bytes.
@@ -9,9 +10,10 @@
 const ID_FIELD: &[u8] = b"id:";
 
 /// Splits an event stream into complete events, so that no partial event is ever forwarded.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct EventSplitter {
     buffer: bytes::BytesMut,
+    share: buffer::BufferShare,
 }
 
 /// A complete event.
@@ -24,9 +26,19 @@
 }
 
 impl EventSplitter {
-    /// Appends a chunk of the stream; returns `false` if an event exceeds the maximum size.
+    /// Creates a splitter whose buffered bytes count against a budget.
+    pub(super) fn new(share: buffer::BufferShare) -> Self {
+        Self {
+            buffer: bytes::BytesMut::new(),
+            share,
+        }
+    }
+
+    /// Appends a chunk of the stream; returns `false` if an event exceeds the maximum size, or the
+    /// budget is used up.
     pub(super) fn push(&mut self, chunk: &[u8]) -> bool {
-        let fits = self.buffer.len() + chunk.len() <= MAX_EVENT_BYTES;
+        let fits =
+            self.buffer.len() + chunk.len() <= MAX_EVENT_BYTES && self.share.grow(chunk.len());
         if fits {
             self.buffer.extend_from_slice(chunk);
         }
@@ -37,6 +49,7 @@
     pub(super) fn next_event(&mut self) -> Option<SplitEvent> {
         let length = entry::event_length(&self.buffer)?;
         let bytes = self.buffer.split_to(length).freeze();
+        let bytes = buffer::SharedBytes::bind(bytes, self.share.split(length));
         let id = event_id(&bytes);
         Some(SplitEvent { bytes, id })
     }
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -84,8 +84,8 @@
             plan,
             _charge: charge,
             lease,
+            splitter: entry::EventSplitter::new(exchange.buffer_share()),
             exchange,
-            splitter: entry::EventSplitter::default(),
             last_id: None,
             events: 0,
             last_event: None,
@@ -251,7 +251,7 @@
         lease.start_waiting(time::Instant::now());
         self.lease.stop_waiting();
         self.lease = lease;
-        self.splitter = entry::EventSplitter::default();
+        self.splitter = entry::EventSplitter::new(self.exchange.buffer_share());
         self.is_resumed = true;
         true
     }
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -20,6 +20,7 @@
 
 use crate::api;
 use crate::backend;
+use crate::buffer;
 use crate::configuration;
 use crate::control as group;
 use crate::crash;
@@ -46,6 +47,12 @@
 /// Minimum time without a leader before a member calls an election.
 const ELECTION_TIMEOUT: time::Duration = time::Duration::from_millis(450);
 
+/// The memory of all answers that are held until they are whole, in bytes.
+const ANSWER_BUFFER_BYTES: usize = 24 * 1_024 * 1_024;
+
+/// The memory of the bodies of all callers' requests, in bytes.
+const BODY_BUFFER_BYTES: usize = 24 * 1_024 * 1_024;
+
 /// Time between the leader's heartbeats.
 const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(100);
 
@@ -205,7 +212,11 @@
         let started = group::ControlGroup::start(settings, transport);
         let (member, log) = started.context(gateway_error::DataFolderSnafu { folder })?;
         let member = sync::Arc::new(member);
-        let backend = backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT);
+        let backend = backend::BackendClient::new(
+            self.groups.backend.clone(),
+            CONNECT_TIMEOUT,
+            ANSWER_BUFFER_BYTES,
+        );
         let parts = control::HandlerParts {
             grants: group::GrantHandler::new(ledger_settings()),
             declarations: gateway::DeclarationCache::new(self.dialect.clone()),
@@ -334,7 +345,11 @@
             client.clone(),
         )
         .start(&self.groups.system);
-        let backend = backend::BackendClient::new(self.groups.backend.clone(), CONNECT_TIMEOUT);
+        let backend = backend::BackendClient::new(
+            self.groups.backend.clone(),
+            CONNECT_TIMEOUT,
+            ANSWER_BUFFER_BYTES,
+        );
         let (crashes, reports) = crash::CrashMonitor::new(
             cache.subscribe_suspects(),
             backend.clone(),
@@ -353,6 +368,7 @@
             limiter: limiter.clone(),
             client: client.clone(),
             backend,
+            body_buffers: buffer::BufferBudget::new(BODY_BUFFER_BYTES),
             crashes,
             departures,
             budget,
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -19,6 +19,7 @@
 
 use crate::api;
 use crate::backend;
+use crate::buffer;
 use crate::configuration;
 use crate::control;
 use crate::crash;
@@ -36,6 +37,12 @@
 use crate::task;
 use crate::timer;
 
+/// The memory of all answers that are held until they are whole, in bytes.
+const ANSWER_BUFFER_BYTES: usize = 128 * 1_024 * 1_024;
+
+/// The memory of the bodies of all callers' requests, in bytes.
+const BODY_BUFFER_BYTES: usize = 128 * 1_024 * 1_024;
+
 /// The timeout of connecting to a backend server.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
@@ -141,7 +148,8 @@
         driver_inbox: mpsc::UnboundedReceiver<placement::DriverEvent>,
         system: &task::TaskGroup,
     ) {
-        let client = backend::BackendClient::new(system.clone(), CONNECT_TIMEOUT);
+        let client =
+            backend::BackendClient::new(system.clone(), CONNECT_TIMEOUT, ANSWER_BUFFER_BYTES);
         let orders = placement::OrderRunner {
             client: placement::EngineClient::new(client),
             member: sync::Arc::clone(member),
@@ -280,7 +288,11 @@
     ) -> entry::CallerApi<control::ControlHandler> {
         limiter.start(client.clone(), &groups.system);
         let dispatcher = self.dispatcher();
-        let backend = backend::BackendClient::new(groups.backend.clone(), CONNECT_TIMEOUT);
+        let backend = backend::BackendClient::new(
+            groups.backend.clone(),
+            CONNECT_TIMEOUT,
+            ANSWER_BUFFER_BYTES,
+        );
         let updater = instance::ViewUpdater {
             dispatcher: dispatcher.clone(),
             limiter: limiter.clone(),
@@ -353,10 +365,11 @@
             models,
             services,
             ledger: order::OrderClient::new(client.clone(), &self.card, groups.work.clone()),
-            reader: api::BodyReader {
-                max_bytes: saturating_usize(limits.max_body_bytes().0),
-                timeout: limits.body_timeout(),
-            },
+            reader: api::BodyReader::new(
+                saturating_usize(limits.max_body_bytes().0),
+                limits.body_timeout(),
+            )
+            .with_buffers(buffer::BufferBudget::new(BODY_BUFFER_BYTES)),
             max_json_depth: saturating_usize(limits.max_json_depth()),
             metrics: self.metrics.clone(),
             recorder: self.recorder.clone(),
--- a/galenahold_instance/src/lib.rs
+++ b/galenahold_instance/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod api;
 mod backend;
+mod buffer;
 mod configuration;
 mod control;
 mod crash;
--- a/galenahold_instance/src/operator/operator_api.rs
+++ b/galenahold_instance/src/operator/operator_api.rs
@@ -82,10 +82,7 @@
                 format!("{path} takes GET or POST"),
             ));
         }
-        let reader = api::BodyReader {
-            max_bytes: MAX_DOCUMENT_BYTES,
-            timeout: DOCUMENT_TIMEOUT,
-        };
+        let reader = api::BodyReader::new(MAX_DOCUMENT_BYTES, DOCUMENT_TIMEOUT);
         let document = reader.read(request.into_body()).await?;
         let prepared = prepare(&path, &document, &identity)?;
         info!(operator:% = identity.operator, path:% = path; "operator call");
--- a/galenahold_instance/src/registry/announcement_api.rs
+++ b/galenahold_instance/src/registry/announcement_api.rs
@@ -60,10 +60,7 @@
                 format!("{path} takes POST"),
             ));
         }
-        let reader = api::BodyReader {
-            max_bytes: MAX_ANNOUNCEMENT_BYTES,
-            timeout: ANNOUNCEMENT_TIMEOUT,
-        };
+        let reader = api::BodyReader::new(MAX_ANNOUNCEMENT_BYTES, ANNOUNCEMENT_TIMEOUT);
         let body = reader.read(request.into_body()).await?;
         match path.as_str() {
             "/v1/backend/announce" => self.announce(parse(&body)?).await,
