Answer requests in progress before a planned stop ends

Reported by another operator: requests that came late in the grace were cut without an answer.

On the platform it was not seen: a request at a server that never answers got 502 before the process ended (path/stopped_entries passes on the code before, too). At the own interface it happens: an order that waits for a server at the end of drain_ms was cut without a byte.

Cause: the drain ended by dropping what was left.

Change: 250 ms before the end of the drain time, each request without an answer gets one that says whether it may have run.

Tests: an_order_that_waits_at_the_end_of_a_planned_stop_is_answered (failed before: empty answer).

--- a/galenahold/tests/orders/order_fleet.rs
+++ b/galenahold/tests/orders/order_fleet.rs
@@ -28,11 +28,22 @@
         services: usize,
         route: harness::PeerRoute,
         call_time: time::Duration,
+    ) -> Self {
+        Self::with_settings(services, route, call_time, &json!({}))
+    }
+
+    /// Starts the fleet with other settings of its instances.
+    pub(crate) fn with_settings(
+        services: usize,
+        route: harness::PeerRoute,
+        call_time: time::Duration,
+        settings: &serde_json::Value,
     ) -> Self {
         let turn = TURN.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let instances = harness::FleetBuilder::default()
             .control(3)
             .entries(1)
+            .settings(settings)
             .peer_route(route);
         let call_us = u64::try_from(call_time.as_micros()).expect("fits");
         let serving = harness::ServingBuilder::default()
--- a/galenahold/tests/orders/plain_orders.rs
+++ b/galenahold/tests/orders/plain_orders.rs
@@ -171,6 +171,35 @@
     assert_eq!(fleet.serving.runs("deserted"), 0);
 }
 
+/// Guards against a request that is cut without an answer at the end of a planned stop, because it still waits.
+#[test]
+fn an_order_that_waits_at_the_end_of_a_planned_stop_is_answered() {
+    let mut fleet = order_fleet::OrderFleet::with_settings(
+        1,
+        harness::PeerRoute::Direct,
+        time::Duration::from_millis(1),
+        &json!({ "timing": { "drain_ms": 1_500 } }),
+    );
+    let server = &fleet.serving.services()[0];
+    assert!(server.control(&ServerControl::Announce { on: false }));
+    harness::wait_until("no server is left", || {
+        let answer = send(&fleet.hasty_caller(3, SHORT), "probe");
+        answer.verdict.as_deref() == Some("not-run")
+    });
+    let mut socket = open_order(&fleet, "waiting");
+    // The order is read before the listener closes its connections.
+    thread::sleep(SHORT);
+    let process = &mut fleet.serving.instances_mut().instances_mut()[3];
+    process.terminate().expect("the process runs");
+    let mut answer = String::new();
+    socket
+        .read_to_string(&mut answer)
+        .expect("the answer is whole");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(answer.contains("verdict"), "{answer}");
+    assert_eq!(fleet.serving.runs("waiting"), 0);
+}
+
 /// Sends an order without a key that may wait for a minute, and returns its connection.
 fn open_order(fleet: &order_fleet::OrderFleet, order: &str) -> net::TcpStream {
     let address = fleet.serving.address(3);
--- a/galenahold_instance/src/entry/entry_handler.rs
+++ b/galenahold_instance/src/entry/entry_handler.rs
@@ -8,6 +8,7 @@
 use galenahold_domain::name;
 use galenahold_domain::order;
 use galenahold_domain::placement;
+use galenahold_domain::verdict;
 use galenahold_routing::crash;
 use galenahold_routing::replica;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
@@ -58,6 +59,8 @@
     pub(crate) metrics: platform::FleetMetrics,
     /// The recorder of requests against service objectives.
     pub(crate) recorder: platform::BurnRecorder,
+    /// Cancelled when requests have to be answered as they are because the instance stops.
+    pub(crate) last_answers: tokio_util::sync::CancellationToken,
     /// The task group of orders, which run to their end even if the caller disconnects.
     pub(crate) group: task::TaskGroup,
 }
@@ -89,7 +92,17 @@
         request: Request<body::Incoming>,
     ) -> Response<api::AnswerBody> {
         let id = self.next_id();
-        match self.route(id.clone(), request).await {
+        let last_answers = self.parts.last_answers.clone();
+        let routing = Box::pin(self.route(id.clone(), request));
+        let routed = last_answers.run_until_cancelled(routing);
+        let routed = routed.await.unwrap_or_else(|| {
+            Err(api::RequestRefusal::new(
+                api::RefusalKind::Stopping,
+                verdict::RequestVerdict::MayHaveRun,
+                "the instance stopped before the request was answered",
+            ))
+        });
+        match routed {
             Ok(answer) => answer,
             Err(refusal) => {
                 let mut answer = refusal.answer();
@@ -284,7 +297,7 @@
         receiver.await.unwrap_or_else(|_| {
             Err(api::RequestRefusal::new(
                 api::RefusalKind::Stopping,
-                galenahold_domain::verdict::RequestVerdict::MayHaveRun,
+                verdict::RequestVerdict::MayHaveRun,
                 "the instance stopped before the order was answered",
             ))
         })
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -28,6 +28,9 @@
 /// Retry delay for a request refused because this instance cannot confirm its configuration.
 const STALE_RETRY_DELAY: time::Duration = time::Duration::from_millis(800);
 
+/// The message for a request that has no answer at the end of a planned stop.
+const STOPPED: &str = "the instance stopped before the request was answered";
+
 /// Serves callers' requests: finds the route, team and server, and forwards the request and the
 /// answer.
 pub(crate) struct CallHandler<Dialect> {
@@ -47,7 +50,8 @@
         Self { parts }
     }
 
-    /// Serves one request.
+    /// Serves one request; a request that is still in progress at the end of a planned stop is
+    /// answered as it is.
     ///
     /// # Errors
     ///
@@ -57,6 +61,23 @@
         head: request::Parts,
         body: body::Incoming,
         log: &mut entry::CallLog,
+    ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
+        let last_answers = self.parts.last_answers.clone();
+        let answering = Box::pin(self.answer(head, body, log));
+        if let Some(answered) = last_answers.run_until_cancelled(answering).await {
+            return answered;
+        }
+        if log.sends == 0 {
+            return Err(call_answer::not_run_refusal(STOPPED, NOT_RUN_RETRY_DELAY));
+        }
+        Err(call_answer::lost_answer_refusal(STOPPED))
+    }
+
+    async fn answer(
+        &self,
+        head: request::Parts,
+        body: body::Incoming,
+        log: &mut entry::CallLog,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
         let call = self.route(head, body, log).await?;
         self.check_prompt(&call)?;
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -47,6 +47,8 @@
     pub(crate) metrics: platform::FleetMetrics,
     /// Whether a planned stop is in progress.
     pub(crate) readiness: platform::ReadinessState,
+    /// Cancelled when calls have to be answered as they are because the instance stops.
+    pub(crate) last_answers: tokio_util::sync::CancellationToken,
     /// The tasks that relay streams.
     pub(crate) work: task::TaskGroup,
 }
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -374,6 +374,7 @@
             budget,
             metrics: self.metrics.clone(),
             readiness: self.readiness.clone(),
+            last_answers: self.groups.last_answers.clone(),
             work: self.groups.work.clone(),
         };
         let handler = entry::CallHandler::new(sync::Arc::new(parts));
--- a/galenahold_instance/src/instance/instance_wiring.rs
+++ b/galenahold_instance/src/instance/instance_wiring.rs
@@ -373,6 +373,7 @@
             max_json_depth: saturating_usize(limits.max_json_depth()),
             metrics: self.metrics.clone(),
             recorder: self.recorder.clone(),
+            last_answers: groups.last_answers.clone(),
             group: groups.work.clone(),
         })
     }
--- a/galenahold_instance/src/instance/task_groups.rs
+++ b/galenahold_instance/src/instance/task_groups.rs
@@ -4,10 +4,14 @@
 
 use log::{info, warn};
 use tokio::runtime;
+use tokio_util::sync;
 
 use crate::rate;
 use crate::task;
 
+/// The end of the drain time, in which requests that are still in progress get their last answer.
+const LAST_ANSWER_TIME: time::Duration = time::Duration::from_millis(250);
+
 /// The task groups of an instance, in the order in which they stop.
 #[derive(Debug)]
 pub(crate) struct TaskGroups {
@@ -19,6 +23,8 @@
     pub(crate) backend: task::TaskGroup,
     /// All other tasks.
     pub(crate) system: task::TaskGroup,
+    /// Cancelled when requests in progress have to be answered as they are.
+    pub(crate) last_answers: sync::CancellationToken,
 }
 
 impl TaskGroups {
@@ -29,17 +35,28 @@
             work: task::TaskGroup::new(runtime.clone()),
             backend: task::TaskGroup::new(runtime.clone()),
             system: task::TaskGroup::new(runtime.clone()),
+            last_answers: sync::CancellationToken::new(),
         }
     }
 
     /// Stops all tasks: requests may run for up to `drain`, and unspent tokens are returned to the leader.
+    ///
+    /// Requests that have no answer shortly before the end of `drain` get one that says so.
     pub(crate) async fn stop(&self, drain: time::Duration, limiter: Option<rate::RateLimiter>) {
         let draining = async {
             self.callers.stop().await;
             self.work.stop().await;
         };
         self.log_running("requests are waited for");
-        if tokio::time::timeout(drain, draining).await.is_err() {
+        let mut draining = std::pin::pin!(draining);
+        let undisturbed = drain.saturating_sub(LAST_ANSWER_TIME);
+        let mut drained = tokio::time::timeout(undisturbed, draining.as_mut()).await;
+        if drained.is_err() {
+            self.log_running("requests without an answer are ended");
+            self.last_answers.cancel();
+            drained = tokio::time::timeout(LAST_ANSWER_TIME, draining).await;
+        }
+        if drained.is_err() {
             warn!(
                 connections = self.callers.running(),
                 streams = self.work.running(),
