--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -28,6 +28,9 @@
 /// Retry delay for a request refused because this instance cannot confirm its configuration.
 const STALE_RETRY_DELAY: time::Duration = time::Duration::from_millis(800);
 
+/// The message for a request that has no answer at the end of a planned stop.
+const STOPPED: &str = "the instance stopped before the request was answered";
+
 /// Serves callers' requests: finds the route, team and server, and forwards the request and the
 /// answer.
 pub(crate) struct CallHandler<Dialect> {
@@ -47,7 +50,8 @@
         Self { parts }
     }
 
-    /// Serves one request.
+    /// Serves one request; a request that is still in progress at the end of a planned stop is
+    /// answered as it is.
     ///
     /// # Errors
     ///
@@ -57,6 +61,23 @@
         head: request::Parts,
         body: body::Incoming,
         log: &mut entry::CallLog,
+    ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
+        let last_answers = self.parts.last_answers.clone();
+        let answering = Box::pin(self.answer(head, body, log));
+        if let Some(answered) = last_answers.run_until_cancelled(answering).await {
+            return answered;
+        }
+        if log.sends == 0 {
+            return Err(call_answer::not_run_refusal(STOPPED, NOT_RUN_RETRY_DELAY));
+        }
+        Err(call_answer::lost_answer_refusal(STOPPED))
+    }
+
+    async fn answer(
+        &self,
+        head: request::Parts,
+        body: body::Incoming,
+        log: &mut entry::CallLog,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
         let call = self.route(head, body, log).await?;
         self.check_prompt(&call)?;
@@ -110,10 +131,9 @@
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let deadline = arrived + call_timeout;
-        let reader = api::BodyReader {
-            max_bytes: usize::try_from(index.declaration().limits.body.0).unwrap_or(usize::MAX),
-            timeout: call_timeout,
-        };
+        let max_bytes = usize::try_from(index.declaration().limits.body.0).unwrap_or(usize::MAX);
+        let reader = api::BodyReader::new(max_bytes, call_timeout)
+            .with_buffers(self.parts.body_buffers.clone());
         let body = reader.read(body).await?;
         let service = route.service_at(hash_id(&log.id)).clone();
         let shared = metadata
@@ -179,6 +199,7 @@
         plan: &mut entry::AttemptPlan,
         log: &mut entry::CallLog,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
+        let mut permit: Option<entry::RetryPermit> = None;
         loop {
             let mut lease = self.acquire_place(&call, plan, log).await?;
             if let Some(charge) = &mut charge {
@@ -190,6 +211,9 @@
             lease.set_repeated(plan.was_sent_to(lease.server()));
             plan.record_send(lease.server());
             log.sends = plan.sends();
+            if let Some(permit) = &mut permit {
+                permit.start_send();
+            }
             let end = self
                 .parts
                 .attempt(&call, &mut lease, head_deadline, None)
@@ -208,8 +232,11 @@
                 }
                 entry::AttemptEnd::Complete(answer) => {
                     plan.record_possible_run();
-                    let repeats = answer.is_failure() && plan.may_repeat();
-                    if !repeats || !self.parts.spend_retry(&call.service) {
+                    if !answer.is_failure() || !plan.may_repeat() {
+                        return Ok(self.complete_answer(answer));
+                    }
+                    permit = self.parts.spend_retry(&call.service);
+                    if permit.is_none() {
                         return Ok(self.complete_answer(answer));
                     }
                     log.notes.push("failed_at_server");
@@ -218,6 +245,9 @@
                     // No server received the request, so the resend does not spend the attempt
                     // budget that all instances share.
                     log.notes.push(note);
+                    if let Some(permit) = &mut permit {
+                        permit.withdraw_send();
+                    }
                     if let Some(charge) = &mut charge {
                         charge.not_run();
                     }
@@ -230,7 +260,11 @@
                     if let Some(charge) = &mut charge {
                         charge.not_run();
                     }
-                    if !plan.may_resend() || !self.parts.spend_retry(&call.service) {
+                    permit = plan
+                        .may_resend()
+                        .then(|| self.parts.spend_retry(&call.service))
+                        .flatten();
+                    if permit.is_none() {
                         return Err(call_answer::not_run_refusal(note, NOT_RUN_RETRY_DELAY));
                     }
                 }
@@ -245,7 +279,11 @@
                     if time::Instant::now() >= call.deadline {
                         return Err(call_answer::deadline_refusal());
                     }
-                    if !plan.may_repeat() || !self.parts.spend_retry(&call.service) {
+                    permit = plan
+                        .may_repeat()
+                        .then(|| self.parts.spend_retry(&call.service))
+                        .flatten();
+                    if permit.is_none() {
                         return Err(call_answer::lost_answer_refusal(note));
                     }
                 }
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -6,6 +6,7 @@
 use galenahold_routing::fleet;
 
 use crate::backend;
+use crate::buffer;
 use crate::configuration;
 use crate::crash;
 use crate::gateway;
@@ -34,6 +35,8 @@
     pub(crate) client: peer::ControlClient<control::FleetHandler<Dialect>>,
     /// Sends requests to backend servers.
     pub(crate) backend: backend::BackendClient,
+    /// Bounds the memory of callers' bodies.
+    pub(crate) body_buffers: buffer::BufferBudget,
     /// Closes backend servers that leave.
     pub(crate) departures: entry::DepartureReporter,
     /// Detects requests that crash backend servers.
@@ -44,6 +47,8 @@
     pub(crate) metrics: platform::FleetMetrics,
     /// Whether a planned stop is in progress.
     pub(crate) readiness: platform::ReadinessState,
+    /// Cancelled when calls have to be answered as they are because the instance stops.
+    pub(crate) last_answers: tokio_util::sync::CancellationToken,
     /// The tasks that relay streams.
     pub(crate) work: task::TaskGroup,
 }
@@ -54,13 +59,13 @@
         self.lock_budget().earn(service);
     }
 
-    /// Spends one further attempt of the budget; returns `false` if none is left.
-    pub(crate) fn spend_retry(&self, service: &name::ServiceName) -> bool {
-        let spent = self.lock_budget().spend(service);
-        if spent {
+    /// Takes one further attempt from the budget; `None` if none is left.
+    pub(super) fn spend_retry(&self, service: &name::ServiceName) -> Option<entry::RetryPermit> {
+        let permit = entry::RetryPermit::take(&self.budget, service);
+        if permit.is_some() {
             self.metrics.retries.inc();
         }
-        spent
+        permit
     }
 
     fn lock_budget(&self) -> sync::MutexGuard<'_, fleet::AttemptBudget> {
