Keep members that stop where no number of losses is stated

With a tolerance of data centres alone, the group's size was taken as one, so that each member that got SIGTERM would have been removed and its data folder cleared. Found on reading; not seen in a run.

--- a/galenahold_instance/src/gateway/control/membership_reconciler.rs
+++ b/galenahold_instance/src/gateway/control/membership_reconciler.rs
@@ -20,9 +20,18 @@
 /// Maximum time for one membership change.
 const CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
+/// Number of voters of a group whose settings state no number of data folders that may be lost,
+/// for instance because they state a number of data centres.
+const DEFAULT_VOTERS: usize = 5;
+
 /// Returns the number of voters of a group that tolerates the loss of `tolerated_losses` data
 /// folders at once.
+///
+/// A group of this size or less keeps members that stop, as they are expected to return.
 pub(crate) fn voter_target(tolerated_losses: usize) -> usize {
+    if tolerated_losses == 0 {
+        return DEFAULT_VOTERS;
+    }
     2 * tolerated_losses + 1
 }
 
