Let a removed leader lead until its removal is confirmed

A group could stay without a leader after a leader had removed itself: the next one still needed a quorum of the earlier membership, and the only voter left of it had a longer log and could neither vote for it nor stand.

Change: a removed leader steps down, and a removed voter no longer stands, only once the removal is committed and confirmed.

--- a/galenahold_consensus/src/core/election.rs
+++ b/galenahold_consensus/src/core/election.rs
@@ -153,12 +153,15 @@
 
     /// Returns whether this member may start an election.
     ///
-    /// A voter that an uncommitted change removes still may, as it can be the only member that has
-    /// the change in its log.
+    /// A voter that a change removes still may until the change is committed and confirmed, as it
+    /// can be the only member that has the whole log.
     fn may_campaign(&self) -> bool {
         let own_id = self.own_id();
         let committed = self.membership.at(self.commit);
-        self.membership.current().is_voter(own_id) || committed.is_voter(own_id)
+        let replaced = self.membership.replaced(self.commit);
+        self.membership.current().is_voter(own_id)
+            || committed.is_voter(own_id)
+            || replaced.is_some_and(|list| list.is_voter(own_id))
     }
 
     fn start_campaign(&mut self, kind: message::VoteKind, now: core::MonotonicTime) {
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -293,9 +293,13 @@
         self.send_immediate(target, message::MessageBody::ElectNow);
     }
 
-    /// Steps down once a membership in which this member is not a voter is committed.
+    /// Steps down once a membership in which this member is not a voter is committed and confirmed.
+    ///
+    /// Until it is confirmed, another leader needs a quorum of the membership before it, and this
+    /// member can be the only one of that quorum with the whole log.
     pub(super) fn step_down_if_removed(&mut self) {
-        let is_committed = self.membership.current_index() <= self.commit;
+        let is_committed =
+            self.membership.current_index() <= self.commit && self.membership.is_confirmed();
         let is_voter = self.membership.current().is_voter(self.own_id());
         if is_committed && !is_voter && matches!(self.role, core::RoleState::Leader(_)) {
             self.refuse_reads();
--- a/galenahold_consensus/src/core/membership_history.rs
+++ b/galenahold_consensus/src/core/membership_history.rs
@@ -71,6 +71,18 @@
         self.changes.is_empty() || self.current() == self.previous()
     }
 
+    /// Returns the membership that the current one replaces, until the latter is known to be committed
+    /// and confirmed.
+    pub(super) fn replaced(&self, commit: log::LogIndex) -> Option<&member::MembershipList> {
+        if self.current_index() <= commit && self.is_confirmed() {
+            return None;
+        }
+        let earlier = self.changes.iter().rev().map(|change| &change.list);
+        earlier
+            .chain(iter::once(&self.base))
+            .find(|list| *list != self.current())
+    }
+
     fn previous(&self) -> &member::MembershipList {
         self.changes
             .iter()
