--- a/galenahold/tests/answers/deadly_prompts.rs
+++ b/galenahold/tests/answers/deadly_prompts.rs
@@ -22,6 +22,7 @@
     for engine in fleet.serving.engines() {
         let deadly = control::ServerControl::CrashOnPrompt {
             text: "deadly".to_owned(),
+            after_tokens: 0,
         };
         assert!(engine.control(&deadly));
     }
@@ -39,6 +40,40 @@
     }
 }
 
+/// Guards against a stream that crashes its engines after its first token: its caller repeats it, and each instance
+/// resumes it at the next engine.
+#[test]
+fn repeated_stream_that_crashes_engines_after_its_first_token_is_refused_by_all_instances() {
+    let fleet = answer_fleet::AnswerFleet::start(ENGINES, 1_000);
+    for engine in fleet.serving.engines() {
+        let deadly = control::ServerControl::CrashOnPrompt {
+            text: "deadly".to_owned(),
+            after_tokens: 1,
+        };
+        assert!(engine.control(&deadly));
+    }
+    for number in 0..ENGINES {
+        assert_eq!(ask(&fleet, number, &sound_prompt(number)), 200);
+        // The stream is cut, or the request is refused.
+        stream(&fleet, number);
+        thread::sleep(CRASH_PAUSE);
+    }
+    let engines = fleet.serving.engines().iter();
+    let crashed = engines.filter(|engine| engine.is_crashed()).count();
+    assert!(crashed <= MAX_CRASHES, "{crashed} engines crashed");
+    for number in 0..3 {
+        assert_eq!(stream(&fleet, number), 422);
+        assert_eq!(ask(&fleet, number, &sound_prompt(100 + number)), 200);
+    }
+}
+
+/// Sends the same deadly request to one of the instances and returns its status.
+fn stream(fleet: &answer_fleet::AnswerFleet, number: usize) -> u16 {
+    let caller = fleet.serving.caller(number % 3);
+    let answer = caller.chat(harness::SERVED_MODEL, &deadly_prompt(0), 5, true);
+    answer.expect("an answer begins").status
+}
+
 /// Asks for an answer at one of the instances and returns its status.
 fn ask(fleet: &answer_fleet::AnswerFleet, number: usize, text: &str) -> u16 {
     let caller = fleet.serving.caller(number % 3);
--- a/galenahold_domain/src/crash/blocked_prompt.rs
+++ b/galenahold_domain/src/crash/blocked_prompt.rs
@@ -7,7 +7,7 @@
 use crate::crash;
 
 /// The parts that a prompt contains together if it crashes backend servers: one part, or several that
-/// have only been seen together.
+/// have only been seen together; or the key of a request that does.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct BlockedPrompt {
@@ -28,7 +28,13 @@
         &self.keys
     }
 
-    /// Returns whether a prompt with these parts is blocked.
+    /// Returns whether a single request is blocked rather than all with certain parts.
+    #[must_use]
+    pub fn is_request(&self) -> bool {
+        self.keys.iter().any(|key| key.is_request())
+    }
+
+    /// Returns whether a call with these keys is blocked.
     #[must_use]
     pub fn matches(&self, prompt: &[crash::PromptKey]) -> bool {
         !self.keys.is_empty() && self.keys.iter().all(|key| prompt.contains(key))
--- a/galenahold_domain/src/crash/crash_incident.rs
+++ b/galenahold_domain/src/crash/crash_incident.rs
@@ -16,8 +16,12 @@
 }
 
 impl CrashIncident {
-    /// The maximum number of calls that are kept of one crash.
-    const MAX_CALLS: usize = 16;
+    /// The maximum number of calls that are kept of one crash: the slots of a large server, and some that
+    /// waited there.
+    const MAX_CALLS: usize = 96;
+
+    /// The maximum number of calls of one crash whose parts are kept.
+    const MAX_PROMPTS: usize = 16;
 
     pub(super) fn new(report: &crash::CrashReport, at_ms: u64) -> Self {
         let mut incident = Self {
@@ -44,6 +48,11 @@
             }
         }
         self.calls.sort_by_key(|call| !call.answering);
+        let prompts = self.calls.iter_mut().filter(|call| call.has_parts());
+        prompts
+            .skip(Self::MAX_PROMPTS)
+            .for_each(crash::SuspectCall::drop_parts);
+        self.calls.retain(|call| !call.keys.is_empty());
         self.calls.truncate(Self::MAX_CALLS);
     }
 
@@ -60,6 +69,16 @@
         self.calls.iter().any(|call| call.keys.contains(&key))
     }
 
+    /// Returns whether a request other than `key` was present that `is_suspect` accepts.
+    pub(super) fn has_other_request(
+        &self,
+        key: crash::PromptKey,
+        is_suspect: impl Fn(crash::PromptKey) -> bool,
+    ) -> bool {
+        let mut keys = self.calls.iter().flat_map(|call| &call.keys);
+        keys.any(|other| other.is_request() && *other != key && is_suspect(*other))
+    }
+
     /// Returns whether one of the calls has a prompt that is blocked.
     pub(super) fn is_explained_by(&self, blocked: &crash::BlockedPrompt) -> bool {
         self.calls.iter().any(|call| blocked.matches(&call.keys))
--- a/galenahold_domain/src/crash/crash_report.rs
+++ b/galenahold_domain/src/crash/crash_report.rs
@@ -13,6 +13,6 @@
     /// The start of the server that crashed: milliseconds since the Unix epoch, or the incarnation of
     /// a server that numbers its starts.
     pub started_ms: u64,
-    /// The calls of this instance that waited there for the begin of their answer.
+    /// The calls of this instance that were in progress there.
     pub calls: Vec<crash::SuspectCall>,
 }
--- a/galenahold_domain/src/crash/mod.rs
+++ b/galenahold_domain/src/crash/mod.rs
@@ -1,9 +1,10 @@
-//! Requests that crash backend servers, and how the control group learns which part of a prompt does.
+//! Requests that crash backend servers, and how the control group learns which do.
 //!
-//! Entry instances report which calls waited for the begin of their answer when a backend server
-//! crashed. The control group's [`CrashLedger`] compares the reports of all instances: a part of a
-//! prompt that crashes servers is among these calls each time, and no answer to a call with it ever
-//! begins. Instances refuse calls with the parts on the resulting [`SuspectList`].
+//! Entry instances report which calls were in progress when a backend server crashed. The control
+//! group's [`CrashLedger`] compares the reports of all instances. A part of a prompt that crashes servers
+//! is among the calls that wait for their answer each time, and no answer to a call with it ever begins. A
+//! request that crashes servers at any moment is among all calls each time its caller repeats it, and its
+//! answer is never completed. Instances refuse calls with the keys on the resulting [`SuspectList`].
 
 mod blocked_prompt;
 mod crash_incident;
--- a/galenahold_domain/src/crash/suspicion.rs
+++ b/galenahold_domain/src/crash/suspicion.rs
@@ -1,10 +1,10 @@
-//! The evidence against one part of a prompt.
+//! The evidence against one part of a prompt or one request.
 
 use std::collections;
 
 use crate::crash;
 
-/// The evidence against one part of a prompt, from the crashes that it was present at.
+/// The evidence against one part of a prompt or one request, from the crashes that it was present at.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct PromptSuspicion {
     /// Counts a moment at which servers crashed once, and once more if the server was about to answer
@@ -30,20 +30,25 @@
             for call in &incident.calls {
                 for key in call.keys.iter().filter(|key| seen.insert(**key)) {
                     let suspicion = suspicions.entry(*key).or_default();
-                    suspicion.add(incident.at_ms, call.answering);
+                    suspicion.add(incident.at_ms, call, key.is_request());
                 }
             }
         }
         suspicions
     }
 
-    fn add(&mut self, at_ms: u64, answering: bool) {
-        let is_same = self.moments > 0 && at_ms < self.last_moment_ms + Self::MOMENT_MS;
-        if is_same {
+    /// Adds a crash. A request that was sent again after a crash and crashes its next server at once is
+    /// present at two moments, however close they are; a server cannot tell this of a part, which
+    /// other calls may have brought there.
+    fn add(&mut self, at_ms: u64, call: &crash::SuspectCall, is_request: bool) {
+        let is_near = self.moments > 0 && at_ms < self.last_moment_ms + Self::MOMENT_MS;
+        let sent_ms = call.age_ms.map(|age_ms| at_ms.saturating_sub(age_ms));
+        let was_sent_after = sent_ms.is_some_and(|sent_ms| sent_ms >= self.last_moment_ms);
+        if is_near && !(is_request && was_sent_after) {
             return;
         }
         self.last_moment_ms = at_ms;
         self.moments += 1;
-        self.weight += 1 + u32::from(answering);
+        self.weight += 1 + u32::from(call.answering);
     }
 }
--- a/galenahold_domain/tests/crash/ledger.rs
+++ b/galenahold_domain/tests/crash/ledger.rs
@@ -18,6 +18,7 @@
     crash::SuspectCall {
         keys: keys(ids),
         answering,
+        age_ms: None,
     }
 }
 
--- a/galenahold_domain/tests/crash/main.rs
+++ b/galenahold_domain/tests/crash/main.rs
@@ -2,3 +2,4 @@
 
 mod ledger;
 mod replicated_state;
+mod requests;
--- a/galenahold_domain/tests/crash/replicated_state.rs
+++ b/galenahold_domain/tests/crash/replicated_state.rs
@@ -10,6 +10,7 @@
     let calls = vec![crash::SuspectCall {
         keys: vec![crash::PromptKey(0xdead)],
         answering: true,
+        age_ms: None,
     }];
     control::ControlCommand::RecordCrash {
         report: crash::CrashReport {
--- a/galenahold_instance/src/crash/crash_monitor.rs
+++ b/galenahold_instance/src/crash/crash_monitor.rs
@@ -16,11 +16,17 @@
 /// connections at about the same time.
 const COLLECTION_TIME: time::Duration = time::Duration::from_millis(10);
 
+/// The maximum number of broken calls of one server that are collected.
+const MAX_BROKEN: usize = 256;
+
+/// How long a suspect waits before it is sent, so that its latest crash is known here: longer than a crash
+/// needs to be reported and listed.
+const SUSPECT_DELAY: time::Duration = time::Duration::from_millis(500);
+
 /// The maximum number of reports that wait to be sent.
 const MAX_REPORTS: usize = 64;
 
-/// Refuses calls with blocked prompts, and collects the calls whose server broke off before it began to
-/// answer them.
+/// Refuses blocked calls, and collects the calls whose server broke off before it had answered them.
 #[derive(Debug, Clone)]
 pub(crate) struct CrashMonitor {
     guard: sync::Arc<sync::Mutex<crash::PromptGuard>>,
@@ -40,9 +46,21 @@
 #[derive(Debug, Default)]
 struct BrokenCalls {
     calls: Vec<domain::SuspectCall>,
+    /// `None` until the server was probed for the first time.
     has_crashed: tokio_sync::watch::Sender<Option<bool>>,
 }
 
+/// How much of the answer to a call had arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AnswerProgress {
+    /// Nothing.
+    None,
+    /// The head, or a part of an answer that is not streamed.
+    Head,
+    /// Events of a stream.
+    Begun,
+}
+
 impl CrashMonitor {
     /// Creates a monitor that follows `lists` and probes servers through `backend`, and the receiver of
     /// its reports.
@@ -65,19 +83,30 @@
         (monitor, receiver)
     }
 
-    /// Returns the refusal of a prompt, or `None` if it may be sent.
-    pub(crate) fn check(&self, prompt: &[domain::PromptKey]) -> Option<crash::PromptRefusal> {
-        self.lock().check(prompt, time::Instant::now())
+    /// Returns the refusal of a call, or `None` if it may be sent.
+    pub(crate) fn check(&self, call: &crash::CallKeys) -> Option<crash::PromptRefusal> {
+        self.lock().check(call.all(), time::Instant::now())
     }
 
-    /// Waits until a prompt is blocked.
-    pub(crate) async fn wait_until_blocked(
-        &self,
-        prompt: &[domain::PromptKey],
-    ) -> crash::PromptRefusal {
+    /// Returns the place of a call among the suspects that are kept apart, or `None` if it is none.
+    pub(crate) fn suspect_place(&self, call: &crash::CallKeys) -> Option<usize> {
+        self.lock().suspect_place(call.request())
+    }
+
+    /// Waits until it is known here whether a suspect was at yet another crash; returns at once for any
+    /// other call.
+    pub(crate) async fn delay_suspect(&self, call: &crash::CallKeys) {
+        if self.suspect_place(call).is_some() {
+            // A block ends the wait early.
+            let _ = tokio::time::timeout(SUSPECT_DELAY, self.wait_until_blocked(call)).await;
+        }
+    }
+
+    /// Waits until a call is blocked.
+    pub(crate) async fn wait_until_blocked(&self, call: &crash::CallKeys) -> crash::PromptRefusal {
         let mut changes = self.list_changes.subscribe();
         loop {
-            if let Some(refusal) = self.check(prompt) {
+            if let Some(refusal) = self.check(call) {
                 return refusal;
             }
             if changes.changed().await.is_err() {
@@ -87,33 +116,49 @@
         }
     }
 
-    /// Records that the answer to a call with this prompt began.
-    pub(crate) fn record_start(&self, prompt: &[domain::PromptKey]) {
-        if self.lock().record_start(prompt, time::Instant::now()) {
+    /// Records that the answer to a call began.
+    pub(crate) fn record_start(&self, call: &crash::CallKeys) {
+        if self.lock().record_start(call.parts(), time::Instant::now()) {
+            self.harmless_notify.notify_one();
+        }
+    }
+
+    /// Records that the answer to a call was completed.
+    pub(crate) fn record_end(&self, call: &crash::CallKeys) {
+        if self.lock().record_end(call.request()) {
             self.harmless_notify.notify_one();
         }
     }
 
-    /// Records that the connection of a call broke before its answer began, and returns whether the
-    /// call may be sent to another server.
+    /// Records that the connection of a call that was sent at `sent_at` broke before its answer was
+    /// complete, and returns whether the call may be sent to another server.
     ///
-    /// `answering` tells whether the head of the answer had arrived. A call is not sent again if its
-    /// server crashed and a part of its prompt was already suspected.
+    /// A call is not sent again if its server crashed and it was already a suspect.
     pub(crate) async fn record_break(
         &self,
         address: &backend::BackendAddress,
-        prompt: &[domain::PromptKey],
-        answering: bool,
+        call: &crash::CallKeys,
+        progress: AnswerProgress,
+        sent_at: time::Instant,
     ) -> bool {
+        let keys = match progress {
+            AnswerProgress::Begun => &call.all()[call.parts().len()..],
+            AnswerProgress::Head | AnswerProgress::None => call.all(),
+        };
         let (keys, was_suspect) = {
             let guard = self.lock();
-            let keys = guard.suspects_of(prompt, time::Instant::now());
-            (keys, guard.is_suspect(prompt))
+            let was_suspect = guard.is_suspect(keys);
+            (guard.suspects_of(keys, time::Instant::now()), was_suspect)
         };
-        if keys.is_empty() {
-            return true;
-        }
-        let mut has_crashed = self.add_broken(address, domain::SuspectCall { keys, answering });
+        let age = u64::try_from(sent_at.elapsed().as_millis());
+        let mut has_crashed = self.add_broken(
+            address,
+            domain::SuspectCall {
+                keys,
+                answering: progress == AnswerProgress::Head,
+                age_ms: age.ok(),
+            },
+        );
         let known = has_crashed.wait_for(Option::is_some).await;
         !was_suspect || known.is_ok_and(|known| *known == Some(false))
     }
@@ -134,12 +179,12 @@
         self.harmless_notify.notified().await;
     }
 
-    /// Returns the suspects to which answers began at this instance.
+    /// Returns the suspects that proved harmless at this instance.
     pub(super) fn harmless(&self) -> Vec<domain::PromptKey> {
         self.lock().harmless()
     }
 
-    /// Returns whether any part that this instance can vouch for is blocked.
+    /// Returns whether anything that this instance can vouch for is blocked.
     pub(super) fn blocks_harmless(&self) -> bool {
         self.lock().blocks_harmless()
     }
@@ -152,7 +197,9 @@
         let mut breaks = self.lock_breaks();
         let is_first = !breaks.contains_key(address);
         let broken = breaks.entry(address.clone()).or_default();
-        broken.calls.push(call);
+        if broken.calls.len() < MAX_BROKEN {
+            broken.calls.push(call);
+        }
         let receiver = broken.has_crashed.subscribe();
         drop(breaks);
         if is_first {
@@ -179,7 +226,7 @@
             server:% = address.server,
             started_ms = address.incarnation.0,
             calls = broken.calls.len();
-            "backend server crashed before it answered requests"
+            "backend server crashed while it answered requests"
         );
         let report = domain::CrashReport {
             server: address.server.clone(),
@@ -201,7 +248,11 @@
         if guard.version() != list.version {
             let added = guard.apply_list(domain::SuspectList::clone(&list), time::Instant::now());
             for prompt in added {
-                info!(parts:% = prompt, version = list.version; "requests with this prompt are refused");
+                if prompt.is_request() {
+                    info!(request_key:% = prompt, version = list.version; "this request is refused");
+                } else {
+                    info!(parts:% = prompt, version = list.version; "requests with this prompt are refused");
+                }
             }
         }
         guard
--- a/galenahold_instance/src/crash/mod.rs
+++ b/galenahold_instance/src/crash/mod.rs
@@ -4,6 +4,6 @@
 mod crash_reporter;
 mod prompt_answer;
 
-pub(crate) use crash_monitor::CrashMonitor;
+pub(crate) use crash_monitor::{AnswerProgress, CrashMonitor};
 pub(crate) use crash_reporter::CrashReporter;
 pub(crate) use prompt_answer::refuse_prompt;
--- a/galenahold_instance/src/dispatch/dispatcher.rs
+++ b/galenahold_instance/src/dispatch/dispatcher.rs
@@ -178,6 +178,7 @@
                 tokens: next.request.tokens,
                 address: next.address,
                 outcome: dispatch::AttemptOutcome::Unknown,
+                taken_at: time::Instant::now(),
             };
             // If the request was cancelled in the meantime, the slot is dropped here, which
             // releases it.
--- a/galenahold_instance/src/dispatch/replica_slot.rs
+++ b/galenahold_instance/src/dispatch/replica_slot.rs
@@ -1,5 +1,7 @@
 //! Capacity reserved at a replica for one request.
 
+use std::time;
+
 use galenahold_domain::amount;
 use galenahold_routing::replica;
 
@@ -16,6 +18,7 @@
     pub(super) tokens: amount::TokenCount,
     pub(super) address: backend::BackendAddress,
     pub(super) outcome: AttemptOutcome,
+    pub(super) taken_at: time::Instant,
 }
 
 /// What the result of an attempt says about its replica and backend server.
@@ -39,6 +42,11 @@
         &self.address
     }
 
+    /// Returns when the slot was assigned.
+    pub(crate) fn taken_at(&self) -> time::Instant {
+        self.taken_at
+    }
+
     /// Returns whether the request may still be sent: the backend server may have left or restarted, or
     /// the replica may drain, since the slot was assigned.
     pub(crate) fn may_send(&self) -> bool {
--- a/galenahold_instance/src/entry/attempt_call.rs
+++ b/galenahold_instance/src/entry/attempt_call.rs
@@ -4,8 +4,8 @@
 use std::time;
 
 use galenahold_domain::amount;
-use galenahold_domain::crash;
 use galenahold_domain::name;
+use galenahold_routing::crash;
 
 use crate::backend;
 use crate::dispatch;
@@ -40,10 +40,8 @@
     /// Returns whether the call may be retried after it may have run.
     fn is_idempotent(&self) -> bool;
 
-    /// Returns the parts of the prompt that other calls may share; a call to a plain service has none.
-    fn prompt(&self) -> &[crash::PromptKey] {
-        &[]
-    }
+    /// Returns the keys by which the call is recognized if its server crashes.
+    fn keys(&self) -> &crash::CallKeys;
 
     /// Returns the slot request of the next attempt; `avoided_server` is the backend server of the
     /// last one.
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -82,7 +82,7 @@
         entry::AttemptState::new(self.policy.backoff())
     }
 
-    /// Checks that the prompt of a call is not blocked.
+    /// Checks that a call is not blocked.
     ///
     /// # Errors
     ///
@@ -91,7 +91,7 @@
         &self,
         call: &Call,
     ) -> Result<(), api::RequestRefusal> {
-        match self.crashes.check(call.prompt()) {
+        match self.crashes.check(call.keys()) {
             Some(refusal) => {
                 self.metrics.blocked.inc();
                 Err(crash::refuse_prompt(&refusal))
@@ -131,6 +131,8 @@
         state: &mut entry::AttemptState,
     ) -> Result<ReadyAttempt, entry::AttemptStop> {
         state.count += 1;
+        run_while_wanted(call, self.crashes.delay_suspect(call.keys())).await?;
+        self.check_prompt(call)?;
         let slot = self.acquire(call, state).await?;
         let connecting = self
             .client
@@ -267,25 +269,27 @@
         waited.map_err(|refusal| state.worsen(refusal))
     }
 
-    /// Records a failure before the answer began, and returns whether the call may be sent to another
-    /// server.
+    /// Records a failure before the answer was complete, and returns whether the call may be sent to
+    /// another server.
     async fn may_resend<Call: entry::AttemptCall>(
         &self,
         call: &Call,
         state: &entry::AttemptState,
         failed: &entry::FailedAttempt,
     ) -> bool {
-        let answering = match failed.error.kind {
-            backend::AttemptErrorKind::Broken => false,
-            backend::AttemptErrorKind::Cut => true,
+        let progress = match failed.error.kind {
+            backend::AttemptErrorKind::Broken | backend::AttemptErrorKind::Cut
+                if state.has_begun =>
+            {
+                crash::AnswerProgress::Begun
+            }
+            backend::AttemptErrorKind::Broken => crash::AnswerProgress::None,
+            backend::AttemptErrorKind::Cut => crash::AnswerProgress::Head,
             _ => return true,
         };
-        if state.has_begun {
-            return true;
-        }
-        let broken = self
-            .crashes
-            .record_break(&failed.address, call.prompt(), answering);
+        let broken =
+            self.crashes
+                .record_break(&failed.address, call.keys(), progress, failed.began_at);
         broken.await
     }
 
@@ -353,9 +357,8 @@
     slot: dispatch::ReplicaSlot,
     error: backend::AttemptError,
 ) -> entry::AttemptStop {
-    let address = slot.address().clone();
-    slot.finish(error.attempt_outcome());
-    entry::AttemptStop::Failed(entry::FailedAttempt { error, address })
+    let outcome = error.attempt_outcome();
+    entry::AttemptStop::Failed(entry::FailedAttempt::new(slot, outcome, error))
 }
 
 /// Returns the refusal for the caller after the last failed attempt.
--- a/galenahold_instance/src/entry/attempt_state.rs
+++ b/galenahold_instance/src/entry/attempt_state.rs
@@ -1,11 +1,14 @@
 //! State that one call carries from attempt to attempt.
 
+use std::time;
+
 use galenahold_domain::name;
 use galenahold_domain::verdict;
 use galenahold_routing::retry;
 
 use crate::api;
 use crate::backend;
+use crate::dispatch;
 
 /// The state that one call carries from attempt to attempt.
 #[derive(Debug)]
@@ -29,6 +32,26 @@
     pub(crate) error: backend::AttemptError,
     /// The backend server that the attempt was sent to.
     pub(crate) address: backend::BackendAddress,
+    /// When the attempt got its slot there.
+    pub(crate) began_at: time::Instant,
+}
+
+impl FailedAttempt {
+    /// Ends an attempt, releasing its slot with the outcome that follows from the error.
+    pub(crate) fn new(
+        slot: dispatch::ReplicaSlot,
+        outcome: dispatch::AttemptOutcome,
+        error: backend::AttemptError,
+    ) -> Self {
+        let address = slot.address().clone();
+        let began_at = slot.taken_at();
+        slot.finish(outcome);
+        Self {
+            error,
+            address,
+            began_at,
+        }
+    }
 }
 
 /// The reason why an attempt produced no answer.
--- a/galenahold_instance/src/entry/entry_handler.rs
+++ b/galenahold_instance/src/entry/entry_handler.rs
@@ -176,9 +176,17 @@
         let model = resolved.model;
         let token_bound = request.token_bound(model.max_request_tokens)?;
         let prefix = replica::PrefixBlocks::of_text(request.prompt(), MAX_PREFIX_BLOCKS);
+        let body = request.engine_body(service.priority, model.max_request_tokens);
+        let path = arrived.head.uri.path();
+        let team = arrived.identity.team_or_empty();
+        let keys = crash::CallKeys::new(
+            crash::prompt_keys(request.prompt(), &prefix),
+            &team,
+            &[path.as_bytes(), body.as_ref()],
+        );
         Ok(entry::ModelCall {
             id: arrived.id.clone(),
-            path: arrived.head.uri.path().to_owned(),
+            path: path.to_owned(),
             guard: self.guard(arrived, service),
             artifact: placement::ReplicaArtifact {
                 model: model.name.clone(),
@@ -188,11 +196,9 @@
             priority: service.priority,
             concurrency: model.replica_concurrency,
             token_bound,
-            prompt_keys: crash::prompt_keys(request.prompt(), &prefix),
+            keys,
             prefix,
-            body: bytes::Bytes::from(
-                request.engine_body(service.priority, model.max_request_tokens),
-            ),
+            body: bytes::Bytes::from(body),
             deadline: arrived.deadline(service)?,
             recorder: self.request_recorder(arrived, service),
             identity: arrived.identity.clone(),
@@ -245,11 +251,19 @@
         };
         let method = arrived.head.method.clone();
         let redactor = arrived.identity.redactor();
+        let target = arrived.target()?;
+        let team = arrived.identity.team_or_empty();
+        let keys = crash::CallKeys::new(
+            Vec::new(),
+            &team,
+            &[method.as_str().as_bytes(), target.as_bytes(), &body],
+        );
         Ok(entry::ServiceCall {
             id: arrived.id.clone(),
             guard: self.guard(arrived, service),
             service: service.name.clone(),
-            target: arrived.target()?,
+            target,
+            keys,
             headers: entry::headers_to_backend(&arrived.head.headers, redactor),
             body,
             idempotent: is_idempotent(&method, idempotent_methods),
--- a/galenahold_instance/src/entry/model_call.rs
+++ b/galenahold_instance/src/entry/model_call.rs
@@ -3,9 +3,9 @@
 use std::time;
 
 use galenahold_domain::amount;
-use galenahold_domain::crash;
 use galenahold_domain::name;
 use galenahold_domain::placement;
+use galenahold_routing::crash;
 use galenahold_routing::replica;
 
 use crate::dispatch;
@@ -34,8 +34,8 @@
     pub(crate) token_bound: amount::TokenCount,
     /// Hashes of the prompt's prefix blocks.
     pub(crate) prefix: replica::PrefixBlocks,
-    /// The beginnings of the prompt by which calls that crash engines are recognized.
-    pub(crate) prompt_keys: Vec<crash::PromptKey>,
+    /// The keys by which the call is recognized if its engine crashes.
+    pub(crate) keys: crash::CallKeys,
     /// The body that is sent to the engine.
     pub(crate) body: bytes::Bytes,
     /// The deadline of the answer.
@@ -91,8 +91,8 @@
         true
     }
 
-    fn prompt(&self) -> &[crash::PromptKey] {
-        &self.prompt_keys
+    fn keys(&self) -> &crash::CallKeys {
+        &self.keys
     }
 
     fn slot_request(
--- a/galenahold_instance/src/entry/model_handler.rs
+++ b/galenahold_instance/src/entry/model_handler.rs
@@ -155,13 +155,18 @@
 
     /// Records that the answer to a call began.
     pub(crate) fn record_start(&self, call: &entry::ModelCall) {
-        self.attempts.crashes().record_start(&call.prompt_keys);
+        self.attempts.crashes().record_start(&call.keys);
+    }
+
+    /// Records that the answer to a call was completed.
+    pub(crate) fn record_end(&self, call: &entry::ModelCall) {
+        self.attempts.crashes().record_end(&call.keys);
     }
 
     /// Waits until the prompt of a call that was sent is blocked, and returns the refusal.
     pub(crate) async fn wait_until_blocked(&self, call: &entry::ModelCall) -> api::RequestRefusal {
         let crashes = self.attempts.crashes();
-        let blocked = crashes.wait_until_blocked(&call.prompt_keys).await;
+        let blocked = crashes.wait_until_blocked(&call.keys).await;
         api::RequestRefusal::new(
             api::RefusalKind::BackendFailed,
             verdict::RequestVerdict::MayHaveRun,
@@ -232,16 +237,16 @@
                 ))
             }
         });
-        let address = slot.address().clone();
         let body = match whole {
             Ok(body) => body,
             Err(error) => {
-                slot.finish(dispatch::AttemptOutcome::Failed);
-                return Ok(Err(entry::FailedAttempt { error, address }));
+                let outcome = dispatch::AttemptOutcome::Failed;
+                return Ok(Err(entry::FailedAttempt::new(slot, outcome, error)));
             }
         };
         slot.finish(dispatch::AttemptOutcome::Answered);
         self.record_start(call);
+        self.record_end(call);
         let mut answer = Response::new(api::AnswerBody::whole(body));
         *answer.status_mut() = exchange.head().status;
         *answer.headers_mut() = entry::headers_to_caller(&exchange.head().headers);
--- a/galenahold_instance/src/entry/model_stream.rs
+++ b/galenahold_instance/src/entry/model_stream.rs
@@ -177,6 +177,7 @@
             }
             if result.ended {
                 slot.finish(dispatch::AttemptOutcome::Answered);
+                self.handler.record_end(&self.call);
                 // Reading the final chunk makes the connection reusable.
                 if let Ok(None) = exchange.next_chunk().await {
                     exchange.finish();
@@ -307,10 +308,8 @@
 }
 
 fn fail_cut(slot: dispatch::ReplicaSlot) -> entry::FailedAttempt {
-    let address = slot.address().clone();
-    slot.finish(dispatch::AttemptOutcome::Failed);
     let error = backend::AttemptError::may_have_run(backend::AttemptErrorKind::Cut);
-    entry::FailedAttempt { error, address }
+    entry::FailedAttempt::new(slot, dispatch::AttemptOutcome::Failed, error)
 }
 
 fn refuse(kind: api::RefusalKind, message: &str) -> api::RequestRefusal {
--- a/galenahold_instance/src/entry/service_call.rs
+++ b/galenahold_instance/src/entry/service_call.rs
@@ -4,6 +4,7 @@
 
 use galenahold_domain::amount;
 use galenahold_domain::name;
+use galenahold_routing::crash;
 use galenahold_routing::replica;
 use http::{HeaderMap, HeaderValue, Method, Request, header};
 use http_body_util::Full;
@@ -37,6 +38,8 @@
     pub(crate) headers: HeaderMap,
     /// The request body.
     pub(crate) body: bytes::Bytes,
+    /// The keys by which the call is recognized if its server crashes.
+    pub(crate) keys: crash::CallKeys,
     /// Whether the call may be retried after it may have run.
     pub(crate) idempotent: bool,
     /// The number of tokens that the call is charged.
@@ -105,6 +108,10 @@
         self.idempotent
     }
 
+    fn keys(&self) -> &crash::CallKeys {
+        &self.keys
+    }
+
     fn slot_request(
         &self,
         weight: f64,
--- a/galenahold_instance/src/entry/service_handler.rs
+++ b/galenahold_instance/src/entry/service_handler.rs
@@ -44,6 +44,7 @@
         &self,
         call: &entry::ServiceCall,
     ) -> Result<ServiceAnswer, api::RequestRefusal> {
+        self.attempts.check_prompt(call)?;
         let mut charge = self.attempts.charge(call).await?;
         let mut state = self.attempts.begin();
         loop {
@@ -90,6 +91,7 @@
         match read {
             Ok(answer) => {
                 slot.finish(dispatch::AttemptOutcome::Answered);
+                self.attempts.crashes().record_end(&call.keys);
                 Ok(answer)
             }
             Err(error) => Err(fail_attempt(slot, error)),
@@ -134,11 +136,10 @@
 }
 
 fn fail_attempt(slot: dispatch::ReplicaSlot, error: backend::AttemptError) -> entry::AttemptStop {
-    let address = slot.address().clone();
     // A plain service that refuses one call may accept the next one, so it gets no cooldown.
-    slot.finish(match error.attempt_outcome() {
+    let outcome = match error.attempt_outcome() {
         dispatch::AttemptOutcome::ReplicaMissing => dispatch::AttemptOutcome::Answered,
         outcome => outcome,
-    });
-    entry::AttemptStop::Failed(entry::FailedAttempt { error, address })
+    };
+    entry::AttemptStop::Failed(entry::FailedAttempt::new(slot, outcome, error))
 }
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 
 use crate::backend;
+use crate::crash;
 use crate::gateway;
 use crate::gateway::entry;
 
@@ -62,14 +63,14 @@
             return entry::AttemptEnd::Unsent("server_left");
         }
         let request = self.request(call, lease, time_left, resume_after);
-        lease.start_waiting(sent_at);
+        lease.record_send(sent_at);
         let sending = self
             .backend
             .send(connection, &address, request, head_deadline);
         let sent = tokio::select! {
             sent = sending => sent,
             // Dropping the send closes the connection, which cancels the request at the server.
-            _ = self.crashes.wait_until_blocked(&call.shared_parts) => {
+            _ = self.crashes.wait_until_blocked(&call.keys) => {
                 lease.stop_waiting();
                 return entry::AttemptEnd::Abandoned("prompt_blocked");
             }
@@ -80,7 +81,11 @@
             Err(error) => {
                 let end = classify_error(lease, &error);
                 let is_broken = error.kind == backend::AttemptErrorKind::Broken;
-                if is_broken && !self.may_resend_broken(call, lease, false).await {
+                if is_broken
+                    && !self
+                        .may_resend_broken(call, lease, crash::AnswerProgress::None)
+                        .await
+                {
                     return entry::AttemptEnd::Abandoned("server_crashed");
                 }
                 end
@@ -172,28 +177,35 @@
     ) -> entry::AttemptEnd {
         let Ok(body) = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline).await else {
             lease.observe(fleet::AttemptReport::Broken);
-            if !self.may_resend_broken(call, lease, true).await {
+            if !self
+                .may_resend_broken(call, lease, crash::AnswerProgress::Head)
+                .await
+            {
                 return entry::AttemptEnd::Abandoned("server_crashed");
             }
             return entry::AttemptEnd::MayHaveRun("answer_cut");
         };
-        self.crashes.record_start(&call.shared_parts);
+        self.crashes.record_start(&call.keys);
+        self.crashes.record_end(&call.keys);
         let head = exchange.finish();
         entry::AttemptEnd::Complete(entry::CompleteAnswer { head, body })
     }
 
-    /// Records that a server broke off before its answer to the call began, and returns whether the
+    /// Records that a server broke off before its answer to the call was complete, and returns whether the
     /// call may be sent to another server: it must not if it may have crashed this one.
     pub(super) async fn may_resend_broken(
         &self,
         call: &entry::RoutedCall,
         lease: &entry::PlaceLease,
-        answering: bool,
+        progress: crash::AnswerProgress,
     ) -> bool {
-        call.log_unbegun(lease.server(), answering);
+        if progress != crash::AnswerProgress::Begun {
+            let answering = progress == crash::AnswerProgress::Head;
+            call.log_unbegun(lease.server(), answering);
+        }
         let address = lease.address();
         self.crashes
-            .record_break(&address, &call.shared_parts, answering)
+            .record_break(&address, &call.keys, progress, lease.sent_at())
             .await
     }
 
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -5,6 +5,7 @@
 
 use galenahold_domain::crash as domain;
 use galenahold_domain::declaration;
+use galenahold_routing::crash as crash_keys;
 use galenahold_routing::fleet;
 use http::{Response, header, request};
 use hyper::body;
@@ -136,16 +137,12 @@
             .with_buffers(self.parts.body_buffers.clone());
         let body = reader.read(body).await?;
         let service = route.service_at(hash_id(&log.id)).clone();
-        let shared = metadata
-            .prompt
-            .split_last()
-            .map_or(&[][..], |(_, rest)| rest);
-        let shared_parts = shared.iter().map(|part| domain::PromptKey(part.id));
+        let keys = call_keys(&head, &body, &metadata, team.as_ref());
         Ok(entry::RoutedCall {
-            shared_parts: shared_parts.collect(),
             head,
             body,
             metadata,
+            keys,
             index,
             route,
             service,
@@ -155,9 +152,9 @@
         })
     }
 
-    /// Refuses a call whose prompt crashes backend servers.
+    /// Refuses a call that crashes backend servers.
     fn check_prompt(&self, call: &entry::RoutedCall) -> Result<(), api::RequestRefusal> {
-        match self.parts.crashes.check(&call.shared_parts) {
+        match self.parts.crashes.check(&call.keys) {
             Some(refusal) => {
                 self.parts.metrics.blocked.inc();
                 Err(crash::refuse_prompt(&refusal))
@@ -201,11 +198,13 @@
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
         let mut permit: Option<entry::RetryPermit> = None;
         loop {
+            self.parts.crashes.delay_suspect(&call.keys).await;
+            self.check_prompt(&call)?;
             let mut lease = self.acquire_place(&call, plan, log).await?;
             if let Some(charge) = &mut charge {
                 charge.confirm(call.deadline).await?;
             }
-            // The prompt may have been blocked while the call waited.
+            // The call may have been blocked while it waited.
             self.check_prompt(&call)?;
             let head_deadline = plan.answer_deadline(time::Instant::now(), call.deadline);
             lease.set_repeated(plan.was_sent_to(lease.server()));
@@ -306,7 +305,8 @@
         loop {
             let began = time::Instant::now();
             let tried = plan.tried().iter().chain(adapter_retries.refused());
-            let requirements = call.requirements(tried.cloned().collect());
+            let mut requirements = call.requirements(tried.cloned().collect());
+            requirements.suspect_place = self.parts.crashes.suspect_place(&call.keys);
             let placed = self.parts.dispatcher.place(requirements, is_retry).await;
             is_retry = true;
             log.waited += began.elapsed();
@@ -390,6 +390,37 @@
     })
 }
 
+/// Returns the keys by which a request is recognized when it or a part of its prompt comes again.
+fn call_keys(
+    head: &request::Parts,
+    body: &[u8],
+    metadata: &gateway::CallMetadata,
+    team: Option<&declaration::DeclaredTeam>,
+) -> crash_keys::CallKeys {
+    let prompt = &metadata.prompt;
+    let shared = prompt.split_last().map_or(&[][..], |(_, rest)| rest);
+    let parts = shared
+        .iter()
+        .map(|part| domain::PromptKey::of_part(part.id));
+    let host = head.headers.get(header::HOST);
+    let target = head.uri.path_and_query();
+    let prompt: Vec<_> = prompt
+        .iter()
+        .flat_map(|part| part.id.to_be_bytes())
+        .collect();
+    let model = model_label(metadata);
+    let content = [
+        head.method.as_str().as_bytes(),
+        host.map_or(&[][..], |host| host.as_bytes()),
+        target.map_or("", |target| target.as_str()).as_bytes(),
+        model.as_bytes(),
+        &prompt,
+        body,
+    ];
+    let team = team.map_or("", |team| &team.name);
+    crash_keys::CallKeys::new(parts.collect(), team, &content)
+}
+
 fn model_label(metadata: &gateway::CallMetadata) -> String {
     let Some(target) = &metadata.target else {
         return "-".to_owned();
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -25,6 +25,8 @@
     is_repeated: bool,
     /// Time of the server's last data or of the send; `None` while no data is expected.
     waiting_since: Option<time::Instant>,
+    /// When the call was sent; when the place was taken if it was not sent.
+    sent_at: time::Instant,
     dispatcher: entry::CallDispatcher,
     placement: fleet::CallPlacement,
     service: name::ServiceName,
@@ -41,6 +43,7 @@
         Self {
             is_repeated: false,
             waiting_since: None,
+            sent_at: time::Instant::now(),
             dispatcher,
             placement,
             service,
@@ -111,6 +114,17 @@
         self.is_repeated
     }
 
+    /// Records that the call is sent, and starts the measurement of the server's silence.
+    pub(super) fn record_send(&mut self, moment: time::Instant) {
+        self.sent_at = moment;
+        self.start_waiting(moment);
+    }
+
+    /// Returns when the call was sent.
+    pub(super) fn sent_at(&self) -> time::Instant {
+        self.sent_at
+    }
+
     /// Starts or restarts the measurement of the server's silence.
     pub(super) fn start_waiting(&mut self, moment: time::Instant) {
         self.waiting_since = Some(moment);
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -3,9 +3,9 @@
 use std::sync;
 use std::time;
 
-use galenahold_domain::crash;
 use galenahold_domain::declaration;
 use galenahold_domain::name;
+use galenahold_routing::crash;
 use galenahold_routing::fleet;
 use http::request;
 use log::info;
@@ -39,8 +39,8 @@
     pub(super) body: bytes::Bytes,
     /// The metadata parsed from the head.
     pub(super) metadata: gateway::CallMetadata,
-    /// The parts of the prompt that other calls may share: all but the last.
-    pub(super) shared_parts: Vec<crash::PromptKey>,
+    /// The keys by which the call is recognized if its server crashes.
+    pub(super) keys: crash::CallKeys,
     /// The declaration that applies to the request.
     pub(super) index: sync::Arc<declaration::DeclarationIndex>,
     /// The route that takes the request.
@@ -63,6 +63,7 @@
             target: self.target().cloned(),
             rank: self.rank(),
             affinity: self.affinity(),
+            suspect_place: None,
             wait_deadline: self.wait_deadline(),
             tried,
         }
@@ -99,11 +100,12 @@
     ///
     /// `answering` tells whether the head of the answer had arrived.
     pub(super) fn log_unbegun(&self, server: &name::ServerName, answering: bool) {
-        let parts: Vec<_> = self.shared_parts.iter().map(ToString::to_string).collect();
+        let parts: Vec<_> = self.keys.parts().iter().map(ToString::to_string).collect();
         info!(
             request = self.metadata.id.as_deref().unwrap_or("-"),
             server:% = server,
             answering = answering,
+            request_key:% = self.keys.request(),
             parts = parts.join(",").as_str();
             "backend server broke off before its answer began"
         );
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -9,6 +9,7 @@
 
 use crate::api;
 use crate::backend;
+use crate::crash;
 use crate::gateway;
 use crate::gateway::entry;
 use crate::rate;
@@ -122,6 +123,7 @@
         match outcome {
             Ok(()) => {
                 self.log("complete");
+                self.parts.crashes.record_end(&self.call.keys);
                 sender.finish();
                 self.lease.stop_waiting();
                 self.exchange.finish();
@@ -169,7 +171,7 @@
     async fn step(&mut self, sender: &api::StreamSender) -> RelayStep {
         let chunk = tokio::select! {
             chunk = self.exchange.next_chunk() => chunk,
-            _ = self.parts.crashes.wait_until_blocked(&self.call.shared_parts), if self.events == 0 => {
+            _ = self.parts.crashes.wait_until_blocked(&self.call.keys), if self.events == 0 => {
                 return RelayStep::Ended("prompt_blocked");
             }
         };
@@ -213,7 +215,7 @@
         self.last_event = Some(now);
         self.lease.start_waiting(now);
         if self.events == 0 {
-            self.parts.crashes.record_start(&self.call.shared_parts);
+            self.parts.crashes.record_start(&self.call.keys);
         }
         self.events += 1;
     }
@@ -222,9 +224,14 @@
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.lease.observe(fleet::AttemptReport::Broken);
         self.plan.record_possible_run();
-        if self.events == 0 && reason == CONNECTION_BROKEN {
+        if reason == CONNECTION_BROKEN {
+            let progress = if self.events == 0 {
+                crash::AnswerProgress::Head
+            } else {
+                crash::AnswerProgress::Begun
+            };
             let parts = sync::Arc::clone(&self.parts);
-            let resending = parts.may_resend_broken(&self.call, &self.lease, true);
+            let resending = parts.may_resend_broken(&self.call, &self.lease, progress);
             if !resending.await {
                 return false;
             }
@@ -263,7 +270,9 @@
         mut permit: entry::RetryPermit,
     ) -> Option<(entry::PlaceLease, backend::BackendExchange)> {
         while self.plan.may_resend() {
-            let requirements = self.call.requirements(self.plan.tried().to_vec());
+            self.parts.crashes.delay_suspect(&self.call.keys).await;
+            let mut requirements = self.call.requirements(self.plan.tried().to_vec());
+            requirements.suspect_place = self.parts.crashes.suspect_place(&self.call.keys);
             let placed = self.parts.dispatcher.place(requirements, true).await;
             let mut lease = placed.ok()?;
             if let Some(adapter) = lease.missing_adapter() {
@@ -274,7 +283,7 @@
                 }
                 lease.record_adapter(adapter);
             }
-            if self.parts.crashes.check(&self.call.shared_parts).is_some() {
+            if self.parts.crashes.check(&self.call.keys).is_some() {
                 return None;
             }
             lease.set_repeated(self.plan.was_sent_to(lease.server()));
--- a/galenahold_routing/src/crash/prompt_guard.rs
+++ b/galenahold_routing/src/crash/prompt_guard.rs
@@ -1,4 +1,4 @@
-//! Refusal of prompts that crash backend servers.
+//! Refusal of prompts and requests that crash backend servers.
 
 use std::collections;
 use std::time;
@@ -7,17 +7,17 @@
 
 use crate::crash;
 
-/// Decides for one entry instance which prompts are refused, and which parts of prompts it can vouch
-/// for.
+/// Decides for one entry instance which prompts and requests are refused, and which of the suspects it can
+/// vouch for.
 #[derive(Debug, Default)]
 pub struct PromptGuard {
     list: domain::SuspectList,
     /// When each blocked prompt was listed first.
     blocked_at: collections::HashMap<domain::BlockedPrompt, time::Instant>,
-    /// The blocked and suspected parts.
+    /// The blocked and suspected parts and requests.
     suspects: collections::HashSet<domain::PromptKey>,
     history: crash::StartHistory,
-    /// Suspects to which answers began here, which the control group does not know yet.
+    /// Suspects that proved harmless here, which the control group does not know yet.
     harmless: collections::BTreeSet<domain::PromptKey>,
 }
 
@@ -36,7 +36,7 @@
         self.list.version
     }
 
-    /// Returns the refusal of a prompt, or `None` if it may be sent.
+    /// Returns the refusal of a call with these keys, or `None` if it may be sent.
     #[must_use]
     pub fn check(
         &self,
@@ -87,13 +87,28 @@
         clears
     }
 
-    /// Returns the suspects to which answers began here, until a new list leaves them out.
+    /// Records that the answer to a request was completed; returns whether that clears a suspect.
+    pub fn record_end(&mut self, request: domain::PromptKey) -> bool {
+        self.suspects.contains(&request) && self.harmless.insert(request)
+    }
+
+    /// Returns the place of a request among the suspects that were at several crashes, or `None` if it is
+    /// none of them. Suspects with different places are kept apart.
+    #[must_use]
+    pub fn suspect_place(&self, request: domain::PromptKey) -> Option<usize> {
+        let mut suspects = self.list.suspected.iter().filter(|key| key.is_request());
+        suspects
+            .position(|suspect| *suspect == request)
+            .filter(|_| !self.harmless.contains(&request))
+    }
+
+    /// Returns the suspects that proved harmless here, until a new list leaves them out.
     #[must_use]
     pub fn harmless(&self) -> Vec<domain::PromptKey> {
         self.harmless.iter().copied().collect()
     }
 
-    /// Returns whether any part that this instance can vouch for is blocked.
+    /// Returns whether anything that this instance can vouch for is blocked.
     #[must_use]
     pub fn blocks_harmless(&self) -> bool {
         let mut keys = self
@@ -104,7 +119,7 @@
         keys.any(|key| self.harmless.contains(key))
     }
 
-    /// Returns the parts of a prompt that may crash servers, as far as this instance knows.
+    /// Returns those of the keys that may crash servers, as far as this instance knows.
     #[must_use]
     pub fn suspects_of(
         &self,
@@ -117,7 +132,7 @@
             .collect()
     }
 
-    /// Returns whether a part of the prompt was present at a crash and has not been answered since.
+    /// Returns whether any of the keys is a suspect and has not proved harmless since.
     #[must_use]
     pub fn is_suspect(&self, prompt: &[domain::PromptKey]) -> bool {
         let mut parts = prompt.iter();
--- a/galenahold_routing/src/crash/prompt_prefixes.rs
+++ b/galenahold_routing/src/crash/prompt_prefixes.rs
@@ -1,8 +1,8 @@
 //! The beginnings of a prompt's text by which deadly prompts are recognized.
 
 use galenahold_domain::crash;
-use sha2::Digest;
 
+use crate::crash::call_keys as keys;
 use crate::replica;
 
 /// Returns keys of a prompt's text: of its beginnings of 1, 2, 4 and so on blocks, and of the whole.
@@ -13,7 +13,9 @@
     let hashes = prefix.hashes();
     let lengths = std::iter::successors(Some(1_usize), |length| length.checked_mul(2));
     let beginnings = lengths.map_while(|length| hashes.get(length - 1).copied());
-    let digest = sha2::Sha256::digest(text.as_bytes());
-    let whole = u64::from_be_bytes(std::array::from_fn(|index| digest[index]));
-    beginnings.chain([whole]).map(crash::PromptKey).collect()
+    let whole = keys::digest(&[text.as_bytes()]);
+    beginnings
+        .chain([whole])
+        .map(crash::PromptKey::of_part)
+        .collect()
 }
--- a/galenahold_routing/src/fleet/call_requirements.rs
+++ b/galenahold_routing/src/fleet/call_requirements.rs
@@ -17,6 +17,9 @@
     pub rank: u32,
     /// Identifies the prompt prefix that the call shares with others, so that they are placed at one engine.
     pub affinity: u64,
+    /// The place of a call among those that may crash servers: calls with different places go to different
+    /// servers as far as there are enough, whatever prefixes they share.
+    pub suspect_place: Option<usize>,
     /// When the caller stops waiting for the first byte of an answer.
     pub wait_deadline: time::Instant,
     /// Servers that earlier attempts of the call used.
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -327,6 +327,9 @@
         } else {
             untried
         };
+        if let Some(place) = requirements.suspect_place {
+            return choose_apart(candidates, place);
+        }
         let candidates = prefer_adapter(requirements, candidates);
         let min_latency = candidates
             .iter()
@@ -555,6 +558,18 @@
     hasher.finish()
 }
 
+/// Chooses the server for a call with the given place among calls that are kept apart: all instances
+/// with the same candidates choose the same.
+fn choose_apart(
+    mut candidates: Vec<&fleet::SchedulerServer>,
+    place: usize,
+) -> Option<name::ServerName> {
+    candidates.sort_by(|one, other| one.record.name.cmp(&other.record.name));
+    let position = place.checked_rem(candidates.len())?;
+    let chosen = candidates.get(position)?;
+    Some(chosen.record.name.clone())
+}
+
 fn compare_scores(one: (f64, u64), other: (f64, u64)) -> std::cmp::Ordering {
     one.0.total_cmp(&other.0).then(one.1.cmp(&other.1))
 }
--- a/galenahold_routing/tests/crash/main.rs
+++ b/galenahold_routing/tests/crash/main.rs
@@ -10,6 +10,36 @@
     ids.iter().copied().map(domain::PromptKey).collect()
 }
 
+/// Each attempt has its own id; only what is asked tells whether two attempts are the same request.
+#[test]
+fn request_is_recognized_by_its_team_and_content() {
+    let call = |team: &str, body: &[u8]| crash::CallKeys::new(keys(&[1]), team, &[b"POST", body]);
+    let one = call("joiners", b"a prompt");
+    assert_eq!(one, call("joiners", b"a prompt"));
+    assert_ne!(one.request(), call("joiners", b"another").request());
+    assert_ne!(one.request(), call("gluers", b"a prompt").request());
+    assert!(one.request().is_request());
+    assert_eq!(one.parts(), keys(&[1]));
+}
+
+#[test]
+fn suspect_request_has_a_place_until_its_answer_is_complete() {
+    let now = time::Instant::now();
+    let suspects = [1, 2].map(|content| domain::PromptKey::of_request(7, content));
+    let mut guard = crash::PromptGuard::default();
+    let mut suspected = keys(&[5]);
+    suspected.extend(suspects);
+    let list = domain::SuspectList {
+        suspected,
+        ..list(1, &[], &[])
+    };
+    guard.apply_list(list, now);
+    assert_eq!(guard.suspect_place(suspects[1]), Some(1));
+    assert!(guard.record_end(suspects[1]));
+    assert_eq!(guard.suspect_place(suspects[1]), None);
+    assert_eq!(guard.harmless(), suspects[1..]);
+}
+
 fn list(version: u64, blocked: &[u64], suspected: &[u64]) -> domain::SuspectList {
     let blocked = blocked
         .iter()
--- a/galenahold_routing/tests/fleet/call_placement.rs
+++ b/galenahold_routing/tests/fleet/call_placement.rs
@@ -25,6 +25,22 @@
     assert_eq!(taken.len(), 2);
 }
 
+/// Calls that crashed together once must not crash together again, although they share their prompt's prefix.
+#[test]
+fn calls_that_may_crash_servers_are_kept_apart() {
+    let now = time::Instant::now();
+    let records = ["s1", "s2", "s3"].map(|server| fixture::record(server, &["m"]));
+    let mut scheduler = fixture::scheduler(&records, now);
+    let taken: collections::BTreeSet<_> = (0..3)
+        .map(|place| {
+            let mut requirements = fixture::requirements("m", TIMEOUT, now);
+            requirements.suspect_place = Some(place);
+            server(scheduler.submit(requirements, now))
+        })
+        .collect();
+    assert_eq!(taken.len(), 3);
+}
+
 #[test]
 fn call_goes_only_to_a_server_that_holds_its_model() {
     let now = time::Instant::now();
--- a/galenahold_routing/tests/fleet/fixture.rs
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -51,6 +51,7 @@
         }),
         rank: 1,
         affinity: 0,
+        suspect_place: None,
         wait_deadline: now + timeout,
         tried: Vec::new(),
     }
--- a/galenahold_testkit/src/control/control_switches.rs
+++ b/galenahold_testkit/src/control/control_switches.rs
@@ -13,7 +13,7 @@
     crashes: u64,
     statements: AnswerStatements,
     refused_rests: u64,
-    deadly_text: Option<String>,
+    deadly_prompt: Option<(String, u64)>,
     paused: bool,
     silent: bool,
     leaving: bool,
@@ -68,7 +68,10 @@
         let mut state = self.state.lock();
         match *control {
             ServerControl::CrashNextLoad => state.crashes = 1,
-            ServerControl::CrashOnPrompt { ref text } => state.deadly_text = Some(text.clone()),
+            ServerControl::CrashOnPrompt {
+                ref text,
+                after_tokens,
+            } => state.deadly_prompt = Some((text.clone(), after_tokens)),
             ServerControl::RefuseRest { count } => state.refused_rests = count,
             ServerControl::SayLeaving => state.statements.leaving = true,
             ServerControl::AskForPause { seconds } => state.statements.pause_s = Some(seconds),
@@ -147,11 +150,11 @@
         take_one(&mut self.state.lock().crashes)
     }
 
-    /// Tells whether the server crashes as it begins to answer this prompt.
-    pub(crate) fn is_deadly(&self, prompt: &str) -> bool {
+    /// Returns after how many tokens of the answer to this prompt the server crashes, if it does.
+    pub(crate) fn crash_after(&self, prompt: &str) -> Option<u64> {
         let state = self.state.lock();
-        let deadly = state.deadly_text.as_deref();
-        deadly.is_some_and(|deadly| prompt.contains(deadly))
+        let (deadly, after_tokens) = state.deadly_prompt.as_ref()?;
+        prompt.contains(deadly).then_some(*after_tokens)
     }
 
     /// Uses up one error in place of the rest of an answer.
--- a/galenahold_testkit/src/control/server_control.rs
+++ b/galenahold_testkit/src/control/server_control.rs
@@ -9,10 +9,13 @@
 pub enum ServerControl {
     /// Ends the whole server in the middle of its next load.
     CrashNextLoad,
-    /// Ends the whole server as it begins to answer a prompt with this text.
+    /// Ends the whole server as it answers a prompt with this text.
     CrashOnPrompt {
         /// The text.
         text: String,
+        /// Tokens before the end.
+        #[serde(default)]
+        after_tokens: u64,
     },
     /// Answers the next calls for the rest of an answer with an error in plain text.
     RefuseRest {
--- a/galenahold_testkit/src/engine/batch_loop.rs
+++ b/galenahold_testkit/src/engine/batch_loop.rs
@@ -87,6 +87,10 @@
     fn advance(&self, sequence: &mut Sequence, now: time::Instant) -> bool {
         let prefilled = sequence.prefilled_at.is_some_and(|at| at <= now);
         let stalled = sequence.stall_at.is_some_and(|at| sequence.next >= at);
+        if prefilled && sequence.crash_at.is_some_and(|at| sequence.next >= at) {
+            self.core.crash();
+            return false;
+        }
         if !prefilled || stalled || sequence.tokens.send(()).is_err() {
             return false;
         }
--- a/galenahold_testkit/src/engine/generation_queue.rs
+++ b/galenahold_testkit/src/engine/generation_queue.rs
@@ -108,7 +108,8 @@
         self.core
             .ledger
             .amend(key, |record| record.base_model = base_model);
-        if self.core.controls.is_deadly(&prompt) {
+        let crash_after = self.core.controls.crash_after(&prompt);
+        if crash_after == Some(0) {
             self.core.crash();
         }
         let (sender, receiver) = mpsc::unbounded_channel();
@@ -121,6 +122,7 @@
             next,
             end,
             stall_at: self.core.controls.take_stall().map(|after| next + after),
+            crash_at: crash_after.map(|after| next + after),
             prefilled_at: None,
             tokens: sender,
         };
--- a/galenahold_testkit/src/engine/sequence.rs
+++ b/galenahold_testkit/src/engine/sequence.rs
@@ -25,6 +25,8 @@
     pub(crate) end: u64,
     /// Output token at which it stands still on purpose.
     pub(crate) stall_at: Option<u64>,
+    /// Output token at which it crashes its engine.
+    pub(crate) crash_at: Option<u64>,
     /// When its prefill is done.
     pub(crate) prefilled_at: Option<time::Instant>,
     /// Takes one message for each token; closed by a cancelled request.
