--- a/galenahold_instance/src/crash/crash_monitor.rs
+++ b/galenahold_instance/src/crash/crash_monitor.rs
@@ -16,6 +16,14 @@
 /// connections at about the same time.
 const COLLECTION_TIME: time::Duration = time::Duration::from_millis(10);
 
+/// When a server that still accepted connections is probed again: one that ends slowly closes its listening
+/// socket after its connections.
+const LATER_PROBES: [time::Duration; 3] = [
+    time::Duration::from_millis(40),
+    time::Duration::from_millis(200),
+    time::Duration::from_millis(750),
+];
+
 /// The maximum number of broken calls of one server that are collected.
 const MAX_BROKEN: usize = 256;
 
@@ -214,7 +222,17 @@
     /// Finds out whether a server crashed, and reports it with the calls that broke there.
     async fn probe(&self, address: &backend::BackendAddress) {
         tokio::time::sleep(COLLECTION_TIME).await;
-        let has_crashed = !self.backend.accepts_connections(address).await;
+        let mut has_crashed = !self.backend.accepts_connections(address).await;
+        for delay in LATER_PROBES {
+            if has_crashed {
+                break;
+            }
+            if let Some(broken) = self.lock_breaks().get(address) {
+                broken.has_crashed.send_replace(Some(false));
+            }
+            tokio::time::sleep(delay).await;
+            has_crashed = !self.backend.accepts_connections(address).await;
+        }
         let Some(broken) = self.lock_breaks().remove(address) else {
             return;
         };
