Count crashes under one request more closely

Crashes within 200 ms count as one for the sake of parts that many calls share; one request is in few calls. Its moments are now 50 ms apart.

--- a/galenahold_domain/src/crash/suspicion.rs
+++ b/galenahold_domain/src/crash/suspicion.rs
@@ -19,6 +19,9 @@
     /// Crashes within this time count as one: a rack that loses power crashes many servers at once.
     const MOMENT_MS: u64 = 200;
 
+    /// The same for one request, which is equal in fewer calls than a part of a prompt.
+    const REQUEST_MOMENT_MS: u64 = 50;
+
     /// Collects the evidence against each part from incidents in the order of time.
     pub(super) fn collect(
         incidents: &[&crash::CrashIncident],
@@ -37,11 +40,15 @@
         suspicions
     }
 
-    /// Adds a crash. A request that was sent again after a crash and crashes its next server at once is
-    /// present at two moments, however close they are; a server cannot tell this of a part, which
-    /// other calls may have brought there.
+    /// Adds a crash. A request that was sent after the last crash is present at another moment, however soon
+    /// it crashes its next server.
     fn add(&mut self, at_ms: u64, call: &crash::SuspectCall, is_request: bool) {
-        let is_near = self.moments > 0 && at_ms < self.last_moment_ms + Self::MOMENT_MS;
+        let moment_ms = if is_request {
+            Self::REQUEST_MOMENT_MS
+        } else {
+            Self::MOMENT_MS
+        };
+        let is_near = self.moments > 0 && at_ms < self.last_moment_ms + moment_ms;
         let sent_ms = call.age_ms.map(|age_ms| at_ms.saturating_sub(age_ms));
         let was_sent_after = sent_ms.is_some_and(|sent_ms| sent_ms >= self.last_moment_ms);
         if is_near && !(is_request && was_sent_after) {
