Wait for the latest configuration before a key counts as unknown

Cause: an instance that an acknowledged key has not reached yet refused it as unknown, a final answer, for as long as its configuration is recent enough.

A key that is not known is now looked up again in a configuration that a quorum confirmed after the request arrived; if none comes within 2 s, the answer is 503. The new test delays the links of one instance by 200 ms; on the code before it gets 401, now 200.

--- a/galenahold/tests/control/main.rs
+++ b/galenahold/tests/control/main.rs
@@ -7,4 +7,5 @@
 mod frozen_leader;
 mod full_restart;
 mod member_replacement;
+mod new_keys;
 mod silent_cuts;
--- a/galenahold_instance/src/configuration/configuration_cache.rs
+++ b/galenahold_instance/src/configuration/configuration_cache.rs
@@ -115,6 +115,17 @@
         self.age().is_some_and(|age| age <= self.bound)
     }
 
+    /// Waits until a quorum has confirmed the configuration at `moment` or later.
+    pub(crate) async fn wait_until_confirmed(&self, moment: timer::BootInstant) {
+        let mut confirmations = self.subscribe_confirmations();
+        while self.lock().confirmed_at < Some(moment) {
+            if confirmations.changed().await.is_err() {
+                // The sender lives as long as this cache.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Returns when the configuration becomes stale unless it is confirmed again.
     pub(crate) fn fresh_until(&self) -> Option<time::Instant> {
         let left = self.bound.checked_sub(self.age()?)?;
--- a/galenahold_instance/src/entry/caller_identity.rs
+++ b/galenahold_instance/src/entry/caller_identity.rs
@@ -1,5 +1,7 @@
 //! Authentication of callers.
 
+use std::time;
+
 use galenahold_domain::key;
 use galenahold_domain::name;
 use http::HeaderMap;
@@ -8,6 +10,10 @@
 use crate::configuration;
 use crate::entry;
 use crate::operator;
+use crate::timer;
+
+/// How long a request with an unknown key waits for the latest configuration.
+const NEW_KEY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// The identity of a caller: a team, identified by its key, or an anonymous caller.
 #[derive(Debug, Clone)]
@@ -18,13 +24,14 @@
 }
 
 impl CallerIdentity {
-    /// Reads the key from a request's headers and looks up its team.
+    /// Reads the key from a request's headers and looks up its team; an unknown key is looked up again in
+    /// a configuration that a quorum confirmed after the request arrived.
     ///
     /// # Errors
     ///
     /// A refusal with verdict `NotRun` if the key is unknown or withdrawn, or if this instance
     /// cannot tell because its configuration is stale.
-    pub(crate) fn read(
+    pub(crate) async fn read(
         headers: &HeaderMap,
         cache: &configuration::ConfigurationCache,
     ) -> Result<Self, api::RequestRefusal> {
@@ -41,6 +48,12 @@
             return Err(refuse_stale_configuration());
         }
         let key = key::CallerKey::parse(presented).map_err(|_| refuse_unknown_key())?;
+        if cache.index().admitted_team(&key).is_none() {
+            // The key may be newer than the configuration of this instance.
+            let confirmed = cache.wait_until_confirmed(timer::BootInstant::now());
+            let waited = tokio::time::timeout(NEW_KEY_TIMEOUT, confirmed).await;
+            waited.map_err(|_| refuse_stale_configuration())?;
+        }
         let index = cache.index();
         let team = index.admitted_team(&key).ok_or_else(refuse_unknown_key)?;
         Ok(Self {
--- a/galenahold_instance/src/entry/entry_handler.rs
+++ b/galenahold_instance/src/entry/entry_handler.rs
@@ -131,6 +131,7 @@
         let (head, body) = request.into_parts();
         check_path(&head.uri)?;
         let identity = entry::CallerIdentity::read(&head.headers, &self.parts.cache)
+            .await
             .inspect_err(|refusal| self.count_refusal(refusal))?;
         let arrived = entry::ArrivedRequest {
             id,
