Block a part only for crashes under different requests

A deadly request and its repeat crashed two servers before their first events, and the part that it shared with sound requests, which no answer had begun for in 30 s, was blocked.

Now a part counts as suspect only if it was present in different requests; one that its sender repeats is blocked by its own key after three crashes.

--- a/galenahold_domain/src/crash/crash_ledger.rs
+++ b/galenahold_domain/src/crash/crash_ledger.rs
@@ -9,8 +9,8 @@
 /// The crashes of backend servers and the parts of prompts and the requests that caused them.
 ///
 /// A part is blocked if it was among the calls that waited for the begin of their answer at two
-/// separate moments of crashes, and no answer to a call with it has begun since. Parts that were only
-/// seen together are blocked only together.
+/// separate moments of crashes, in different requests, and no answer to a call with it has begun since.
+/// Parts that were only seen together are blocked only together.
 ///
 /// A request is blocked if it was in progress, whether its answer had begun or not, at three separate
 /// moments of crashes, and no answer to it was completed since. If another request that was present at
@@ -216,8 +216,10 @@
 ) -> Option<crash::BlockedPrompt> {
     let parts = || suspicions.iter().filter(|(key, _)| !key.is_request());
     let (key, most) = parts()
-        .max_by_key(|(_, suspicion)| **suspicion)
-        .filter(|(_, suspicion)| suspicion.moments >= CrashLedger::MIN_MOMENTS)?;
+        .filter(|(key, suspicion)| {
+            suspicion.moments >= CrashLedger::MIN_MOMENTS && !is_of_one_request(incidents, **key)
+        })
+        .max_by_key(|(_, suspicion)| **suspicion)?;
     let is_equal = |other: &crash::PromptKey| {
         let suspicion = &suspicions[other];
         (suspicion.weight, suspicion.moments) == (most.weight, most.moments)
@@ -231,6 +233,17 @@
     decided.then(|| crash::BlockedPrompt::new(joined))
 }
 
+/// Returns whether a part was present in one request only, which its sender repeated: then the request
+/// is the suspect, and others with the part are not.
+fn is_of_one_request(incidents: &[&crash::CrashIncident], part: crash::PromptKey) -> bool {
+    let calls = incidents.iter().flat_map(|incident| &incident.calls);
+    let mut requests = calls
+        .filter(|call| call.keys.contains(&part))
+        .map(|call| call.keys.iter().find(|key| key.is_request()));
+    let first = requests.next().flatten();
+    first.is_some() && requests.all(|request| request == first)
+}
+
 /// Returns whether the second part was present at all crashes at which the first one was.
 fn present_at_same_crashes(
     incidents: &[&crash::CrashIncident],
--- a/galenahold_domain/tests/crash/requests.rs
+++ b/galenahold_domain/tests/crash/requests.rs
@@ -4,6 +4,7 @@
 use galenahold_domain::name;
 
 const TEAM: u64 = 7;
+const PART: crash::PromptKey = crash::PromptKey(0xa);
 
 /// More than the time within which crashes count as one.
 const STEP_MS: u64 = 500;
@@ -132,3 +133,24 @@
     assert!(blocked.contains(&deadly()));
     assert!((10..100).contains(&blocked.len()), "{}", blocked.len());
 }
+
+/// Returns the report of a crash under a request with a part, whose answer had not begun.
+fn report_of_part(server: u64, request: crash::PromptKey) -> crash::CrashReport {
+    let mut report = report(server, [request], 10);
+    report.calls[0].answering = true;
+    report.calls[0].keys.insert(0, PART);
+    report
+}
+
+/// Guards against the refusal of sound requests that share a part with one that its sender repeats.
+#[test]
+fn part_is_blocked_for_crashes_under_different_requests_only() {
+    for (requests, blocked_key) in [([1, 1, 1], request(1)), ([1, 1, 2], PART)] {
+        let mut ledger = crash::CrashLedger::default();
+        for (number, content) in (1..).zip(requests) {
+            assert_eq!(blocked(&ledger), []);
+            ledger.record(&report_of_part(number, request(content)), number * STEP_MS);
+        }
+        assert_eq!(blocked(&ledger), [blocked_key]);
+    }
+}
