Take only an answer for unready in the tests of cuts

leader_whose_messages_are_lost_refuses_while_the_majority_goes_on failed once beside load: a cut-off leader that had been seen unready answered 200.

Cause: the test took a probe that got no answer within 500 ms for unready, so on a busy machine it went on before the instance's configuration was stale.

The check now waits for an answer of /ready that is not 200, which is stricter.

--- a/galenahold/tests/control/silent_cuts.rs
+++ b/galenahold/tests/control/silent_cuts.rs
@@ -53,7 +53,7 @@
     control.fleet.links().set_each(cut);
     let cut_off = &control.fleet.instances()[old];
     harness::wait_within("the cut instance is unready", FRESHNESS_LIMIT, || {
-        !cut_off.is_ready()
+        cut_off.is_unready()
     });
     let far = (0..fleet_setup::CONTROL).find(|one| is_far(*one, old));
     let given = control.give_key(far.expect("a far instance"), "far");
@@ -111,7 +111,7 @@
 ) {
     let process = &control.fleet.instances()[instance];
     harness::wait_within("the cut instance is unready", FRESHNESS_LIMIT, || {
-        !process.is_ready()
+        process.is_unready()
     });
     let answer = control.read(instance, &key.key, "cut-off");
     let answer = answer.expect("an answer");
--- a/galenahold_testkit/src/harness/instance_process.rs
+++ b/galenahold_testkit/src/harness/instance_process.rs
@@ -150,10 +150,23 @@
     /// Tells whether it says that it is ready.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let config = ureq::Agent::config_builder().timeout_global(Some(READY_TIMEOUT));
+        self.ready_status() == Some(200)
+    }
+
+    /// Tells whether it says that it is not ready; one that does not answer in time says nothing.
+    #[must_use]
+    pub fn is_unready(&self) -> bool {
+        self.ready_status().is_some_and(|status| status != 200)
+    }
+
+    fn ready_status(&self) -> Option<u16> {
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(READY_TIMEOUT))
+            .http_status_as_error(false);
         let agent: ureq::Agent = config.build().into();
         let url = format!("http://{}/ready", self.plan.addresses.platform);
-        agent.get(url).call().is_ok()
+        let answer = agent.get(url).call().ok()?;
+        Some(answer.status().as_u16())
     }
 
     /// Waits until it is ready, at most `limit`.
