Cut a stream that may not be resumed without waiting for the probe

Since all broken calls are judged, each broken stream waited for the first probe of its server, 10 ms or up to the timeout of a connection, also if it could only be cut. Recording and waiting are two steps now; a stream that may not be repeated is cut at once.

--- a/galenahold_instance/src/crash/crash_monitor.rs
+++ b/galenahold_instance/src/crash/crash_monitor.rs
@@ -10,6 +10,7 @@
 use tokio::sync as tokio_sync;
 
 use crate::backend;
+use crate::crash::broken_call;
 use crate::task;
 
 /// How long broken calls of one server are collected before the server is probed: a crash breaks all
@@ -139,16 +140,14 @@
     }
 
     /// Records that the connection of a call that was sent at `sent_at` broke before its answer was
-    /// complete, and returns whether the call may be sent to another server.
-    ///
-    /// A call is not sent again if its server crashed and it was already a suspect.
-    pub(crate) async fn record_break(
+    /// complete.
+    pub(crate) fn record_break(
         &self,
         address: &backend::BackendAddress,
         call: &crash::CallKeys,
         progress: AnswerProgress,
         sent_at: time::Instant,
-    ) -> bool {
+    ) -> broken_call::BrokenCall {
         let keys = match progress {
             AnswerProgress::Begun => &call.all()[call.parts().len()..],
             AnswerProgress::Head | AnswerProgress::None => call.all(),
@@ -159,7 +158,7 @@
             (guard.suspects_of(keys, time::Instant::now()), was_suspect)
         };
         let age = u64::try_from(sent_at.elapsed().as_millis());
-        let mut has_crashed = self.add_broken(
+        let has_crashed = self.add_broken(
             address,
             domain::SuspectCall {
                 keys,
@@ -167,8 +166,7 @@
                 age_ms: age.ok(),
             },
         );
-        let known = has_crashed.wait_for(Option::is_some).await;
-        !was_suspect || known.is_ok_and(|known| *known == Some(false))
+        broken_call::BrokenCall::new(was_suspect, has_crashed)
     }
 
     /// Applies each new list of suspects.
--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -290,7 +290,7 @@
         let broken =
             self.crashes
                 .record_break(&failed.address, call.keys(), progress, failed.began_at);
-        broken.await
+        broken.may_resend().await
     }
 
     async fn acquire<Call: entry::AttemptCall>(
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -83,7 +83,8 @@
                 let is_broken = error.kind == backend::AttemptErrorKind::Broken;
                 if is_broken
                     && !self
-                        .may_resend_broken(call, lease, crash::AnswerProgress::None)
+                        .record_break(call, lease, crash::AnswerProgress::None)
+                        .may_resend()
                         .await
                 {
                     return entry::AttemptEnd::Abandoned("server_crashed");
@@ -178,7 +179,8 @@
         let Ok(body) = exchange.read_rest(MAX_ANSWER_BYTES, call.deadline).await else {
             lease.observe(fleet::AttemptReport::Broken);
             if !self
-                .may_resend_broken(call, lease, crash::AnswerProgress::Head)
+                .record_break(call, lease, crash::AnswerProgress::Head)
+                .may_resend()
                 .await
             {
                 return entry::AttemptEnd::Abandoned("server_crashed");
@@ -191,14 +193,13 @@
         entry::AttemptEnd::Complete(entry::CompleteAnswer { head, body })
     }
 
-    /// Records that a server broke off before its answer to the call was complete, and returns whether the
-    /// call may be sent to another server: it must not if it may have crashed this one.
-    pub(super) async fn may_resend_broken(
+    /// Records that a server broke off before its answer to the call was complete.
+    pub(super) fn record_break(
         &self,
         call: &entry::RoutedCall,
         lease: &entry::PlaceLease,
         progress: crash::AnswerProgress,
-    ) -> bool {
+    ) -> crash::BrokenCall {
         if progress != crash::AnswerProgress::Begun {
             let answering = progress == crash::AnswerProgress::Head;
             call.log_unbegun(lease.server(), answering);
@@ -206,7 +207,6 @@
         let address = lease.address();
         self.crashes
             .record_break(&address, &call.keys, progress, lease.sent_at())
-            .await
     }
 
     /// Reads a refusal to its end in the background so that its connection can be reused.
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -220,25 +220,28 @@
         self.events += 1;
     }
 
+    fn record_break(&self) -> crash::BrokenCall {
+        let progress = if self.events == 0 {
+            crash::AnswerProgress::Head
+        } else {
+            crash::AnswerProgress::Begun
+        };
+        self.parts.record_break(&self.call, &self.lease, progress)
+    }
+
     /// Resumes a cut stream at another server; returns `false` if that is not possible.
     async fn resume(&mut self, reason: &'static str) -> bool {
         self.lease.observe(fleet::AttemptReport::Broken);
         self.plan.record_possible_run();
-        if reason == CONNECTION_BROKEN {
-            let progress = if self.events == 0 {
-                crash::AnswerProgress::Head
-            } else {
-                crash::AnswerProgress::Begun
-            };
-            let parts = sync::Arc::clone(&self.parts);
-            let resending = parts.may_resend_broken(&self.call, &self.lease, progress);
-            if !resending.await {
-                return false;
-            }
-        }
+        let broken = (reason == CONNECTION_BROKEN).then(|| self.record_break());
         if !self.plan.may_repeat() {
             return false;
         }
+        if let Some(broken) = broken
+            && !broken.may_resend().await
+        {
+            return false;
+        }
         let Some(permit) = self.parts.spend_retry(&self.call.service) else {
             return false;
         };
