--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -9,6 +9,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
+use crate::load;
 
 /// Maximum number of calls that wait at one instance.
 const MAX_WAITING: usize = 1_024;
@@ -111,6 +112,17 @@
         self.servers.remove(name);
     }
 
+    /// Applies what other instances use at servers.
+    ///
+    /// A load of another start of a server than the known one is ignored.
+    pub fn apply_loads(&mut self, loads: &[load::ServerLoad]) {
+        for load in loads {
+            if let Some(server) = self.servers.get_mut(&load.server) {
+                server.apply_load(load);
+            }
+        }
+    }
+
     /// Places, queues or refuses a new call.
     pub fn submit(
         &mut self,
--- a/galenahold_routing/src/fleet/scheduler_server.rs
+++ b/galenahold_routing/src/fleet/scheduler_server.rs
@@ -7,6 +7,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
+use crate::load;
 
 /// How long a server that shed a call is skipped, so that it can work off its backlog.
 const SHED_PAUSE: time::Duration = time::Duration::from_millis(30);
@@ -50,6 +51,8 @@
     failure_share: f64,
     latency_s: Option<f64>,
     succeeded_at: Option<time::Instant>,
+    /// What other instances use at this start of the server, as last heard.
+    pub(super) others: Option<load::ServerLoad>,
 }
 
 impl SchedulerServer {
@@ -65,6 +68,14 @@
             failure_share: 0.0,
             latency_s: None,
             succeeded_at: None,
+            others: None,
+        }
+    }
+
+    /// Applies what other instances use at the server, unless that is about another start.
+    pub(super) fn apply_load(&mut self, load: &load::ServerLoad) {
+        if load.started_ms == self.record.started_ms {
+            self.others = Some(load.clone());
         }
     }
 
