Read the stated sizes of a request separately

A call's prompt, its maximum output and the caller's estimate of the output reach the scheduler as its expected work, and with them the moment at which its answer should have begun. Nothing decides by them yet.

--- a/galenahold_instance/src/gateway/dialect/call_metadata.rs
+++ b/galenahold_instance/src/gateway/dialect/call_metadata.rs
@@ -5,6 +5,8 @@
 use galenahold_domain::amount;
 use galenahold_routing::fleet;
 
+use crate::gateway::dialect;
+
 /// Metadata that the dialect parses from the head of a caller's request.
 #[derive(Debug, Clone, Default)]
 pub struct CallMetadata {
@@ -16,8 +18,8 @@
     pub secret: Option<String>,
     /// The requested model.
     pub target: Option<fleet::ModelTarget>,
-    /// Tokens of the prompt plus the maximum output.
-    pub tokens: Option<amount::TokenCount>,
+    /// The stated sizes of the prompt and the output.
+    pub sizes: Option<dialect::CallSizes>,
     /// The parts of the prompt in order; the last one belongs to this request or its session alone.
     pub prompt: Vec<PromptPart>,
 }
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -172,7 +172,9 @@
         let Some(team) = call.team.as_ref().filter(|team| team.is_limited()) else {
             return Ok(None);
         };
-        let tokens = team.charge.of(call.metadata.tokens);
+        let tokens = team
+            .charge
+            .of(call.metadata.sizes.map(|sizes| sizes.total()));
         log.tokens = tokens.0;
         let now = time::Instant::now();
         let wait_deadline = call.wait_deadline();
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -7,6 +7,7 @@
 use galenahold_domain::name;
 use galenahold_routing::crash;
 use galenahold_routing::fleet;
+use galenahold_routing::load;
 use http::request;
 use log::info;
 
@@ -64,11 +65,32 @@
             rank: self.rank(),
             affinity: self.affinity(),
             suspect_place: None,
+            work: self.work(),
+            due_at: self.arrived + self.route.objective,
             wait_deadline: self.wait_deadline(),
             tried,
         }
     }
 
+    /// Returns the work that the call is expected to be.
+    fn work(&self) -> load::CallWork {
+        let sizes = self.metadata.sizes;
+        let engine = self.index.service(&self.service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        let event_tokens = engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)));
+        let output_tokens = sizes.map_or(0, |sizes| {
+            let expected = sizes.hinted_output.unwrap_or(sizes.max_output);
+            expected.0.min(sizes.max_output.0)
+        });
+        load::CallWork {
+            prompt_tokens: sizes.map_or(0, |sizes| sizes.prompt.0),
+            output_events: output_tokens.div_ceil(event_tokens),
+            output_tokens,
+            objective: self.route.objective,
+            event_gap: self.route.event_gap,
+        }
+    }
+
     /// Returns the requested model, if the service has engines.
     pub(super) fn target(&self) -> Option<&fleet::ModelTarget> {
         let service = self.index.service(&self.service)?;
--- a/galenahold_instance/src/gateway/mod.rs
+++ b/galenahold_instance/src/gateway/mod.rs
@@ -15,8 +15,8 @@
 mod gateway_wiring;
 
 pub use dialect::{
-    AnswerIdentity, AnswerMetadata, AttemptMetadata, CallMetadata, ControlRequest, DialectError,
-    FleetDialect, OrderMetadata, PromptPart,
+    AnswerIdentity, AnswerMetadata, AttemptMetadata, CallMetadata, CallSizes, ControlRequest,
+    DialectError, FleetDialect, OrderMetadata, PromptPart,
 };
 pub use gateway_error::GatewayError;
 pub use gateway_instance::GatewayInstance;
--- a/galenahold_routing/src/fleet/call_requirements.rs
+++ b/galenahold_routing/src/fleet/call_requirements.rs
@@ -5,6 +5,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
+use crate::load;
 
 /// What a call needs from a backend server, and how long it may wait for one.
 #[derive(Debug, Clone)]
@@ -20,6 +21,10 @@
     /// The place of a call among those that may crash servers: calls with different places go to different
     /// servers as far as there are enough, whatever prefixes they share.
     pub suspect_place: Option<usize>,
+    /// The expected work at the server.
+    pub work: load::CallWork,
+    /// When the answer should have begun for the call to be on time.
+    pub due_at: time::Instant,
     /// When the caller stops waiting for the first byte of an answer.
     pub wait_deadline: time::Instant,
     /// Servers that earlier attempts of the call used.
--- a/galenahold_routing/tests/fleet/fixture.rs
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -6,6 +6,7 @@
 
 use galenahold_domain::{amount, declaration, fleet as domain, name};
 use galenahold_routing::fleet;
+use galenahold_routing::load;
 
 pub(crate) fn service() -> name::ServiceName {
     name::ServiceName::from("models")
@@ -52,6 +53,8 @@
         rank: 1,
         affinity: 0,
         suspect_place: None,
+        work: load::CallWork::default(),
+        due_at: now,
         wait_deadline: now + timeout,
         tried: Vec::new(),
     }
