--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -81,6 +81,7 @@
         log: &mut entry::CallLog,
     ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
         let call = self.route(head, body, log).await?;
+        log.rank = call.rank();
         self.check_prompt(&call)?;
         let charge = self.charge(&call, log).await?;
         self.parts.earn_retry(&call.service);
@@ -118,6 +119,8 @@
             find_route(&index, &head).ok_or_else(|| require_fresh(fresh, no_route_refusal()))?;
         let route = route.clone();
         log.route = Some(route.name.clone());
+        log.objective = route.objective;
+        log.event_gap = route.event_gap.unwrap_or_default();
         let team = if route.open || !index.needs_keys() {
             None
         } else if fresh {
--- a/galenahold_instance/src/gateway/entry/call_log.rs
+++ b/galenahold_instance/src/gateway/entry/call_log.rs
@@ -11,6 +11,12 @@
     pub(super) id: String,
     /// The route that took the request.
     pub(super) route: Option<name::RouteName>,
+    /// The time within which the route's answers should begin.
+    pub(super) objective: time::Duration,
+    /// The longest pause that the route allows between events; zero if it states none.
+    pub(super) event_gap: time::Duration,
+    /// The rank of the request among all of its service; zero is the most urgent.
+    pub(super) rank: u32,
     /// The team whose key the caller sent.
     pub(super) team: Option<name::TeamName>,
     /// The requested model, with its adapter.
@@ -44,6 +50,9 @@
         log::info!(
             request = self.id.as_str(),
             route = self.route.as_deref().unwrap_or("-"),
+            objective_ms = millis(self.objective),
+            gap_ms = millis(self.event_gap),
+            rank = self.rank,
             team = self.team.as_deref().unwrap_or("-"),
             model = self.model.as_str(),
             tokens = self.tokens,
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -40,6 +40,8 @@
     phase: RelayPhase,
     last_id: Option<String>,
     events: u64,
+    /// When the first event arrived, counted from the request's arrival.
+    first_event: Option<time::Duration>,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
 }
@@ -89,6 +91,7 @@
             exchange,
             last_id: None,
             events: 0,
+            first_event: None,
             last_event: None,
             longest_pause: time::Duration::ZERO,
         }
@@ -216,6 +219,7 @@
         self.lease.start_waiting(now);
         if self.events == 0 {
             self.parts.crashes.record_start(&self.call.keys);
+            self.first_event = Some(now - self.call.arrived);
         }
         self.events += 1;
     }
@@ -319,14 +323,19 @@
             request = self.call.metadata.id.as_deref().unwrap_or("-"),
             server:% = self.lease.server(),
             events = self.events,
-            longest_pause_ms = u64::try_from(self.longest_pause.as_millis()).unwrap_or(u64::MAX),
-            took_ms = u64::try_from(self.call.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+            first_event_ms = millis(self.first_event.unwrap_or_default()),
+            longest_pause_ms = millis(self.longest_pause),
+            took_ms = millis(self.call.arrived.elapsed()),
             reason = reason;
             "stream ended"
         );
     }
 }
 
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the media type that an answer states, without parameters.
 fn media_type(head: &response::Parts) -> Option<String> {
     let value = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
