Suspend a member whose disk refuses writes

Cause: the first failed write ended a member's part for good, and with it the process. Six control instances terminated with `No space left on device`.

Change: an I/O error of a write closes the data folder, drops the node and ends the lease at once. Every 500 ms the folder is opened again, after a probe of 64 KiB; what was written behind the last successful sync is removed first, as the page cache can show bytes that never reached the disk. The node is rebuilt from what was recovered, under a new boot number. Entries up to the applied index are skipped. Corrupt, replaced and retired folders fail for good as before.

The tests that expected a permanent failure after a failed write now expect the suspension, and that the member takes part again.

--- a/galenahold_consensus/src/driver/joining.rs
+++ b/galenahold_consensus/src/driver/joining.rs
@@ -54,7 +54,7 @@
         if node.membership().contains(joiner.id) {
             return Some(message::BootstrapBody::Welcome {
                 cluster,
-                genesis: self.store.identity().genesis.clone(),
+                genesis: self.folder.identity().genesis.clone(),
                 guest: joiner.id,
             });
         }
@@ -83,7 +83,7 @@
         let settings = &self.node_settings;
         let message = message::ConsensusMessage {
             version: message::ConsensusMessage::VERSION,
-            cluster: self.store.identity().cluster,
+            cluster: self.folder.identity().cluster,
             from: settings.profile.id,
             from_endpoint: settings.profile.endpoint.clone(),
             to: None,
@@ -103,14 +103,13 @@
             }
             bootstrap::BootstrapStep::Join { cluster, genesis } => (cluster, genesis),
         };
-        let outcome = self.store.join(cluster, genesis);
-        if self.fail_on_error(&outcome) {
+        if self.write(|store| store.join(cluster, genesis)) {
             self.start_node();
         }
     }
 
     pub(super) fn start_node(&mut self) {
-        let identity = self.store.identity();
+        let identity = self.folder.identity();
         let Some(cluster) = identity.cluster else {
             return;
         };
--- a/galenahold_consensus/src/driver/log_status.rs
+++ b/galenahold_consensus/src/driver/log_status.rs
@@ -42,7 +42,10 @@
     /// Number of voters that can fail now while a quorum of healthy voters remains; known only to
     /// the leader.
     pub safe_to_lose: Option<usize>,
-    /// Reason why the member has stopped participating, if it has.
+    /// Reason why the member takes no part in the group until its data folder accepts writes
+    /// again, if that is so.
+    pub suspension: Option<std::sync::Arc<str>>,
+    /// Reason why the member has stopped participating for good, if it has.
     pub failure: Option<std::sync::Arc<str>>,
 }
 
@@ -82,6 +85,7 @@
             removed: false,
             joiners: Vec::new(),
             safe_to_lose: None,
+            suspension: None,
             failure: None,
         }
     }
--- a/galenahold_consensus/src/driver/mod.rs
+++ b/galenahold_consensus/src/driver/mod.rs
@@ -31,6 +31,8 @@
 mod state_machine;
 mod status_report;
 mod stop_guard;
+mod storage_suspension;
+mod suspending;
 mod thread_parts;
 
 pub use change_error::ChangeError;
@@ -62,4 +64,5 @@
 use shared_view::SharedView;
 use snapshot_writer::SnapshotWriter;
 use stop_guard::StopGuard;
+use storage_suspension::StorageSuspension;
 use thread_parts::ThreadParts;
--- a/galenahold_consensus/src/driver/propose_error.rs
+++ b/galenahold_consensus/src/driver/propose_error.rs
@@ -29,7 +29,7 @@
     /// The log has stopped.
     #[snafu(display("proposing a command: the log has stopped, ask another member"))]
     Stopped,
-    /// The member has failed, usually because of its data folder.
+    /// The member has failed for good, usually because of its data folder.
     #[snafu(display("proposing a command: the data folder has failed, ask another member"))]
     Storage,
 }
--- a/galenahold_consensus/src/driver/propose_error_kind.rs
+++ b/galenahold_consensus/src/driver/propose_error_kind.rs
@@ -13,7 +13,7 @@
     OutcomeUnknown,
     /// Certainly not committed: the log has stopped.
     Stopped,
-    /// Certainly not committed: the member has failed, usually because of its data folder.
+    /// Certainly not committed: the member has failed for good, usually because of its data folder.
     Storage,
 }
 
--- a/galenahold_consensus/src/driver/read_error.rs
+++ b/galenahold_consensus/src/driver/read_error.rs
@@ -22,7 +22,7 @@
     /// The log has stopped.
     #[snafu(display("reading the state: the log has stopped, ask another member"))]
     Stopped,
-    /// The member has failed, usually because of its data folder.
+    /// The member has failed for good, usually because of its data folder.
     #[snafu(display("reading the state: the data folder has failed, ask another member"))]
     Storage,
 }
--- a/galenahold_consensus/src/driver/requests.rs
+++ b/galenahold_consensus/src/driver/requests.rs
@@ -56,7 +56,8 @@
             let ticket = self.reads.enqueue(reply);
             node.read(ticket, self.clock.now());
         } else {
-            reply.answer(Err(driver::ReadError::NotLeader { hint: None }));
+            let hint = self.leader();
+            reply.answer(Err(driver::ReadError::NotLeader { hint }));
         }
     }
 
--- a/galenahold_consensus/src/driver/role_event.rs
+++ b/galenahold_consensus/src/driver/role_event.rs
@@ -18,7 +18,9 @@
         /// Current leader, if known.
         leader: Option<member::MemberProfile>,
     },
-    /// The member no longer participates: its data folder has failed or is an older copy.
+    /// The member no longer participates: its data folder is corrupt or an older copy, or its state
+    /// machine cannot read a snapshot. A folder that only refuses writes suspends the member, which
+    /// then follows.
     Failed,
     /// The log has stopped.
     Stopped,
--- a/galenahold_consensus/src/storage/folder_identity.rs
+++ b/galenahold_consensus/src/storage/folder_identity.rs
@@ -71,6 +71,31 @@
         Ok(identity)
     }
 
+    /// Reads the identity of a folder that this process has closed.
+    ///
+    /// A folder without its identity, or with an older one, was emptied or replaced meanwhile: the
+    /// member must not go on under the identity that it had.
+    pub(super) fn reopen<B: storage::StorageBackend>(
+        backend: &B,
+        folder: &path::Path,
+        earlier: &Self,
+    ) -> Result<Self, storage::StorageError> {
+        let identity = Self::load(backend, folder)?;
+        let known = |found: &Self| found.member == earlier.member && found.boot >= earlier.boot;
+        let Some(identity) = identity.filter(known) else {
+            return storage_error::CorruptSnafu {
+                path: folder.join(Self::FILE_NAME),
+                offset: 0_u64,
+                reason: "the identity is missing or replaced since the folder was closed",
+            }
+            .fail();
+        };
+        if identity.retired {
+            return storage_error::RetiredSnafu { path: folder }.fail();
+        }
+        Ok(identity)
+    }
+
     fn load<B: storage::StorageBackend>(
         backend: &B,
         folder: &path::Path,
@@ -121,6 +146,8 @@
 }
 
 /// Replaces a file atomically: after a crash it has either the old or the new content.
+///
+/// A draft that could not be completed is removed, since it takes space on a full disk.
 pub(super) fn replace_file<B: storage::StorageBackend>(
     backend: &B,
     folder: &path::Path,
@@ -137,7 +164,12 @@
         backend.rename(&draft, &path)?;
         backend.sync_folder(folder)
     };
-    attempt().context(storage_error::IoSnafu {
+    let outcome = attempt();
+    if outcome.is_err() {
+        // The draft is missing if only the sync of the folder failed.
+        let _ = backend.remove(&draft);
+    }
+    outcome.context(storage_error::IoSnafu {
         action: "replacing",
         path: folder.join(name),
     })
--- a/galenahold_consensus/src/storage/log_store.rs
+++ b/galenahold_consensus/src/storage/log_store.rs
@@ -14,7 +14,7 @@
 /// The write-ahead log, snapshots and identity in an open data folder.
 ///
 /// After the first failed write, all further writes are refused: after a failed fsync, the content
-/// of the disk is unknown until the folder is read again.
+/// of the disk is unknown until the folder is read again, see [`storage::MemberFolder`].
 #[derive(Debug)]
 pub struct LogStore<B: storage::StorageBackend> {
     backend: B,
@@ -54,7 +54,18 @@
                 path: folder,
             })?;
         let lock = storage::FolderLock::acquire(folder)?;
-        let mut identity = storage::FolderIdentity::open(&backend, folder, name, new_id)?;
+        let identity = storage::FolderIdentity::open(&backend, folder, name, new_id)?;
+        Self::recover(backend, folder, settings, identity, lock)
+    }
+
+    /// Recovers the state of a locked folder and prepares it for writes.
+    pub(super) fn recover(
+        backend: B,
+        folder: &path::Path,
+        settings: storage::StoreSettings,
+        mut identity: storage::FolderIdentity,
+        lock: storage::FolderLock,
+    ) -> Result<storage::OpenedStore<B>, storage::StorageError> {
         let snapshots = storage::SnapshotStore::new(backend.clone(), folder);
         snapshots.remove_drafts()?;
         let snapshot = snapshots.load()?;
@@ -119,6 +130,20 @@
         self.snapshots.clone()
     }
 
+    /// Returns what is needed to open the folder again after this store is dropped.
+    pub(super) fn to_closed(&self) -> storage::ClosedStore<B> {
+        storage::ClosedStore {
+            backend: self.backend.clone(),
+            folder: self.folder.clone(),
+            settings: self.settings,
+            identity: self.identity.clone(),
+            tail: storage::DurableTail {
+                path: self.segment.path().to_path_buf(),
+                length_bytes: self.segment.length_bytes(),
+            },
+        }
+    }
+
     /// Durably records the group that the member belongs to.
     ///
     /// # Errors
@@ -129,9 +154,10 @@
         cluster: member::ClusterId,
         genesis: member::MembershipList,
     ) -> Result<(), storage::StorageError> {
-        self.identity.cluster = Some(cluster);
-        self.identity.genesis = genesis;
-        self.save_identity()
+        let mut identity = self.identity.clone();
+        identity.cluster = Some(cluster);
+        identity.genesis = genesis;
+        self.save_identity(identity)
     }
 
     /// Durably marks the folder as an older copy, so that it can never be opened again.
@@ -140,8 +166,9 @@
     ///
     /// The identity could not be made durable.
     pub fn retire(&mut self) -> Result<(), storage::StorageError> {
-        self.identity.retired = true;
-        self.save_identity()
+        let mut identity = self.identity.clone();
+        identity.retired = true;
+        self.save_identity(identity)
     }
 
     /// Makes the received snapshot, the hard state and the entries of an output durable, in this
@@ -251,8 +278,15 @@
         Ok(())
     }
 
-    fn save_identity(&mut self) -> Result<(), storage::StorageError> {
-        self.run_unless_failed(|store| store.identity.save(&store.backend, &store.folder))
+    fn save_identity(
+        &mut self,
+        identity: storage::FolderIdentity,
+    ) -> Result<(), storage::StorageError> {
+        self.run_unless_failed(|store| {
+            identity.save(&store.backend, &store.folder)?;
+            store.identity = identity;
+            Ok(())
+        })
     }
 
     fn run_unless_failed(
--- a/galenahold_consensus/src/storage/mod.rs
+++ b/galenahold_consensus/src/storage/mod.rs
@@ -1,12 +1,15 @@
 //! Durable storage of a member: identity, write-ahead log and snapshots in one data folder.
 
 mod closed_segment;
+mod closed_store;
+mod durable_tail;
 mod file_backend;
 mod folder_identity;
 mod folder_lock;
 mod framed_record;
 mod log_store;
 mod log_suffix;
+mod member_folder;
 mod opened_store;
 mod record_codec;
 mod record_error;
@@ -15,6 +18,7 @@
 mod segment_scan;
 mod segment_start;
 mod snapshot_store;
+mod space_probe;
 mod storage_backend;
 mod storage_error;
 mod storage_error_kind;
@@ -23,9 +27,11 @@
 mod wal_record;
 mod wal_replay;
 
+pub use closed_store::ClosedStore;
 pub use file_backend::FileBackend;
 pub use folder_identity::FolderIdentity;
 pub use log_store::LogStore;
+pub use member_folder::MemberFolder;
 pub use opened_store::OpenedStore;
 pub use snapshot_store::SnapshotStore;
 pub use storage_backend::StorageBackend;
@@ -35,6 +41,7 @@
 pub use store_settings::StoreSettings;
 
 use closed_segment::ClosedSegment;
+use durable_tail::DurableTail;
 use folder_lock::FolderLock;
 use framed_record::FramedRecord;
 use log_suffix::LogSuffix;
--- a/galenahold_consensus/src/storage/storage_error.rs
+++ b/galenahold_consensus/src/storage/storage_error.rs
@@ -14,7 +14,7 @@
 pub enum StorageError {
     /// A file system operation failed.
     #[snafu(display(
-        "{action} {}: {source}; fix the disk and restart the instance",
+        "{action} {}: {source}; free space or repair the disk",
         path.display()
     ))]
     Io {
@@ -86,7 +86,7 @@
     },
     /// An earlier write failed, so all further writes are refused.
     #[snafu(display(
-        "writing to {}: an earlier write failed; fix the disk and restart the instance",
+        "writing to {}: an earlier write failed; free space or repair the disk",
         path.display()
     ))]
     Failed {
--- /dev/null
+++ b/galenahold_consensus/tests/driver/full_disk.rs
@@ -0,0 +1,210 @@
+//! Tests that a member whose disk refuses writes is suspended and resumes without a restart.
+
+use galenahold_consensus::driver;
+
+use crate::fault_backend;
+use crate::local_group;
+use crate::polling;
+
+const NAMES: [&str; 3] = ["a", "b", "c"];
+
+#[test]
+fn leader_whose_disk_fills_resumes_as_follower_without_losing_or_repeating_commands() {
+    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    for number in 0..20 {
+        group.commit(&format!("command {number}"));
+    }
+    let (name, leader) = group.leader();
+    let boot_events = leader.subscribe();
+    group.disk(&name).fill_disk();
+    let proposed = leader.propose(b"unsure".to_vec(), local_group::TIMEOUT);
+    let kind = proposed.expect_err("not durable").kind();
+    assert_eq!(kind, driver::ProposeErrorKind::OutcomeUnknown);
+    assert!(leader.lease_valid_for().is_none());
+    await_suspended(&leader);
+    let (new, _) = group.leader();
+    assert_ne!(new, name);
+    group.commit("after");
+    let hint = polling::until("the suspended member refers to the new leader", || {
+        let hint = leader.status().leader.clone();
+        hint.filter(|hint| hint.endpoint.name.as_str() == new)
+    });
+    let refused = leader.propose(b"refused".to_vec(), local_group::TIMEOUT);
+    let expected = driver::ProposeError::NotLeader { hint: Some(hint) };
+    assert_eq!(refused.expect_err("the member is suspended"), expected);
+    let read = leader.read(local_group::TIMEOUT, |machine| machine.lines.len());
+    assert!(matches!(read, Err(driver::ReadError::NotLeader { .. })));
+    let local = leader.read_local(local_group::TIMEOUT, |machine| machine.lines.len());
+    assert!(local.expect("the applied state is readable") >= 20);
+    group.disk(&name).free_disk();
+    await_resumed(&leader);
+    group.commit("last");
+    assert_agreement(&group);
+    let failed = |event: driver::RoleEvent| event == driver::RoleEvent::Failed;
+    assert!(!boot_events.try_iter().any(failed));
+}
+
+#[test]
+fn follower_that_cannot_append_entries_is_suspended() {
+    let record = fault_backend::RefusedWrite::Record("Entry");
+    assert_follower_resumes(record, "writing", 1);
+}
+
+#[test]
+fn follower_that_cannot_store_watermarks_is_suspended() {
+    let record = fault_backend::RefusedWrite::Record("Marks");
+    assert_follower_resumes(record, "writing", 1);
+}
+
+#[test]
+fn follower_that_cannot_create_a_segment_is_suspended() {
+    // A snapshot every 100 entries starts a new segment.
+    let file = fault_backend::RefusedWrite::Create("wal-");
+    assert_follower_resumes(file, "creating", 150);
+}
+
+#[test]
+fn voters_that_cannot_store_a_vote_elect_no_leader() {
+    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    group.commit("one");
+    let (leader, _) = group.leader();
+    let voters: Vec<&str> = NAMES.into_iter().filter(|name| *name != leader).collect();
+    let refused = fault_backend::RefusedWrite::Record("HardState");
+    for name in &voters {
+        group.disk(name).refuse(Some(refused));
+    }
+    group.network().isolate(&leader);
+    for name in &voters {
+        await_suspended(&group.handle(name));
+    }
+    for name in &voters {
+        assert!(group.handle(name).lease_valid_for().is_none());
+    }
+    for name in &voters {
+        group.disk(name).refuse(None);
+    }
+    polling::until("the voters elect a leader", || {
+        let leads = |name: &&str| group.handle(name).lease_valid_for().is_some();
+        voters.iter().any(leads).then_some(())
+    });
+    group.network().heal();
+    group.commit("two");
+    assert_agreement(&group);
+}
+
+#[test]
+fn member_that_cannot_write_its_snapshot_goes_on_and_writes_it_later() {
+    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    let name = follower(&group);
+    let disk = group.disk(name);
+    disk.refuse(Some(fault_backend::RefusedWrite::Create("draft-snapshot")));
+    for number in 0..120 {
+        group.commit(&format!("command {number}"));
+    }
+    polling::until("a snapshot is refused", || {
+        (disk.refusals() > 0).then_some(())
+    });
+    group.commit("after the refusal");
+    let handle = group.handle(name);
+    assert_agreement(&group);
+    assert_eq!(handle.status().suspension, None);
+    assert_eq!(handle.status().snapshot, None);
+    disk.refuse(None);
+    polling::until("the snapshot is written", || handle.status().snapshot);
+}
+
+#[test]
+fn follower_that_cannot_store_a_received_snapshot_installs_it_later() {
+    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    group.commit("first");
+    let name = follower(&group);
+    group.network().isolate(name);
+    for number in 0..300 {
+        group.commit(&format!("command {number}"));
+    }
+    let refused = fault_backend::RefusedWrite::Rename("snapshot-");
+    group.disk(name).refuse(Some(refused));
+    group.network().heal();
+    let handle = group.handle(name);
+    await_suspended(&handle);
+    group.disk(name).refuse(None);
+    await_resumed(&handle);
+    assert_agreement(&group);
+    polling::until("the status shows the received snapshot", || {
+        handle.status().snapshot
+    });
+}
+
+#[test]
+fn joiner_that_cannot_store_its_group_joins_later() {
+    let mut group = local_group::LocalGroup::bootstrap(&NAMES);
+    group.commit("one");
+    let handle = group.start("d");
+    let refused = fault_backend::RefusedWrite::Rename("identity");
+    group.disk("d").refuse(Some(refused));
+    let joiner = polling::until("the new member asks to join", || {
+        let (_, leader) = group.leader();
+        leader.status().joiners.first().cloned()
+    });
+    polling::until("the joiner is added as a learner", || {
+        let (_, leader) = group.leader();
+        leader
+            .add_learner(joiner.clone(), local_group::TIMEOUT)
+            .ok()
+    });
+    await_suspended(&handle);
+    assert_eq!(handle.status().cluster, None);
+    group.disk("d").refuse(None);
+    await_resumed(&handle);
+    assert_eq!(group.await_lines("d", 1), ["one"]);
+}
+
+/// Refuses a kind of write at a follower until that suspends it, and expects that it catches up.
+fn assert_follower_resumes(refused: fault_backend::RefusedWrite, action: &str, commands: u32) {
+    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    group.commit("first");
+    let name = follower(&group);
+    let handle = group.handle(name);
+    group.disk(name).refuse(Some(refused));
+    for number in 0..commands {
+        group.commit(&format!("command {number}"));
+    }
+    let reason = await_suspended(&handle);
+    assert!(reason.contains(action), "{reason}");
+    group.commit("while suspended");
+    assert_eq!(handle.status().failure, None);
+    group.disk(name).refuse(None);
+    await_resumed(&handle);
+    group.commit("last");
+    assert_agreement(&group);
+}
+
+fn await_suspended(handle: &local_group::Handle) -> String {
+    polling::until("the member is suspended", || {
+        handle.status().suspension.as_deref().map(str::to_owned)
+    })
+}
+
+fn await_resumed(handle: &local_group::Handle) {
+    polling::until("the member has resumed", || {
+        handle.status().suspension.is_none().then_some(())
+    });
+}
+
+/// Expects that all members have applied the same commands, each as often as the leader.
+fn assert_agreement(group: &local_group::LocalGroup) {
+    let expected = polling::until("the leader answers a read", || {
+        let (_, leader) = group.leader();
+        let lines = leader.read(local_group::TIMEOUT, |machine| machine.lines.clone());
+        lines.ok()
+    });
+    for name in NAMES {
+        assert_eq!(group.await_lines(name, expected.len()), expected, "{name}");
+    }
+}
+
+fn follower(group: &local_group::LocalGroup) -> &'static str {
+    let (leader, _) = group.leader();
+    let other = NAMES.into_iter().find(|name| *name != leader);
+    other.expect("follower")
+}
--- a/galenahold_consensus/tests/driver/main.rs
+++ b/galenahold_consensus/tests/driver/main.rs
@@ -2,6 +2,7 @@
 
 #[path = "../support/fault_backend.rs"]
 mod fault_backend;
+mod full_disk;
 mod leadership;
 mod local_group;
 mod local_network;
--- a/galenahold_consensus/tests/membership/main.rs
+++ b/galenahold_consensus/tests/membership/main.rs
@@ -51,6 +51,7 @@
         removed: false,
         joiners: Vec::new(),
         safe_to_lose: None,
+        suspension: None,
         failure: None,
     }
 }
--- a/galenahold_consensus/tests/storage/main.rs
+++ b/galenahold_consensus/tests/storage/main.rs
@@ -5,4 +5,5 @@
 mod failures;
 #[path = "../support/fault_backend.rs"]
 mod fault_backend;
+mod reopening;
 mod store_folder;
