Report the suspension of a member in the metrics and its status

Cause: a member whose disk is full now stays up, so that operators need to see its state elsewhere than in the end of the process.

Change: `galenahold_storage_suspended` and the field `storage_suspended` of the member status.

--- a/galenahold_consensus/tests/driver/full_disk.rs
+++ b/galenahold_consensus/tests/driver/full_disk.rs
@@ -1,6 +1,8 @@
 //! Tests that a member whose disk refuses writes is suspended and resumes without a restart.
 
 use galenahold_consensus::driver;
+use galenahold_consensus::member;
+use galenahold_consensus::storage;
 
 use crate::fault_backend;
 use crate::local_group;
@@ -63,6 +65,26 @@
     assert_follower_resumes(file, "creating", 150);
 }
 
+#[test]
+fn entry_that_only_the_leader_could_store_is_not_acknowledged() {
+    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    group.commit("one");
+    let (name, leader) = group.leader();
+    let mut followers = NAMES.into_iter().filter(|other| *other != name);
+    let full = followers.next().expect("follower");
+    let isolated = followers.next().expect("follower");
+    let refused = fault_backend::RefusedWrite::Record("Entry");
+    group.disk(full).refuse(Some(refused));
+    group.network().isolate(isolated);
+    let proposed = leader.propose(b"unsure".to_vec(), local_group::TIMEOUT);
+    let kind = proposed.expect_err("one of three members has it").kind();
+    assert_eq!(kind, driver::ProposeErrorKind::OutcomeUnknown);
+    group.disk(full).refuse(None);
+    group.network().heal();
+    group.commit("two");
+    assert_agreement(&group);
+}
+
 #[test]
 fn voters_that_cannot_store_a_vote_elect_no_leader() {
     let group = local_group::LocalGroup::bootstrap(&NAMES);
@@ -94,9 +116,9 @@
 
 #[test]
 fn member_that_cannot_write_its_snapshot_goes_on_and_writes_it_later() {
-    let group = local_group::LocalGroup::bootstrap(&NAMES);
+    let mut group = local_group::LocalGroup::bootstrap(&NAMES);
     let name = follower(&group);
-    let disk = group.disk(name);
+    let disk = group.disk(name).clone();
     disk.refuse(Some(fault_backend::RefusedWrite::Create("draft-snapshot")));
     for number in 0..120 {
         group.commit(&format!("command {number}"));
@@ -111,10 +133,29 @@
     assert_eq!(handle.status().snapshot, None);
     disk.refuse(None);
     polling::until("the snapshot is written", || handle.status().snapshot);
+    group.stop(name);
+    let opened = storage::LogStore::open(
+        storage::FileBackend,
+        &group.data_folder(name),
+        storage::StoreSettings::default(),
+        &member::MemberName::new(name),
+        member::MemberId::new(0),
+    );
+    let boot = opened.expect("open").store.identity().boot;
+    assert_eq!(boot, 2, "the member was never suspended");
 }
 
 #[test]
 fn follower_that_cannot_store_a_received_snapshot_installs_it_later() {
+    assert_received_snapshot_is_installed(fault_backend::RefusedWrite::Rename("snapshot-"));
+}
+
+#[test]
+fn received_snapshot_is_restored_if_only_the_log_could_not_be_reset() {
+    assert_received_snapshot_is_installed(fault_backend::RefusedWrite::Record("Reset"));
+}
+
+fn assert_received_snapshot_is_installed(refused: fault_backend::RefusedWrite) {
     let group = local_group::LocalGroup::bootstrap(&NAMES);
     group.commit("first");
     let name = follower(&group);
@@ -122,7 +163,6 @@
     for number in 0..300 {
         group.commit(&format!("command {number}"));
     }
-    let refused = fault_backend::RefusedWrite::Rename("snapshot-");
     group.disk(name).refuse(Some(refused));
     group.network().heal();
     let handle = group.handle(name);
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -65,7 +65,14 @@
         &self.handle
     }
 
+    /// Returns whether this member waits for its data folder to accept writes.
+    pub(crate) fn is_suspended(&self) -> bool {
+        self.handle.status().suspension.is_some()
+    }
+
     /// Returns the reason why this member can no longer participate, if there is one.
+    ///
+    /// A data folder that only refuses writes is no such reason: the member resumes by itself.
     pub(crate) fn fault(&self) -> Option<String> {
         let failure = || self.handle.status().failure.as_deref().map(str::to_owned);
         self.state.fault().map(str::to_owned).or_else(failure)
--- a/galenahold_instance/src/control/leadership_observer.rs
+++ b/galenahold_instance/src/control/leadership_observer.rs
@@ -47,6 +47,8 @@
     }
 
     fn poll(&mut self, member: &group::ControlGroup) {
+        let suspended = i64::from(member.is_suspended());
+        self.metrics.storage_suspended.set(suspended);
         let term = member.leading_term();
         if term == self.term {
             return;
--- a/galenahold_instance/src/control/member_handler.rs
+++ b/galenahold_instance/src/control/member_handler.rs
@@ -56,6 +56,7 @@
             "members": members,
             "joiners": joiners,
             "safe_to_lose": status.safe_to_lose,
+            "storage_suspended": status.suspension.as_deref(),
         })
     }
 
--- a/galenahold_instance/src/gateway/gateway_instance.rs
+++ b/galenahold_instance/src/gateway/gateway_instance.rs
@@ -151,6 +151,7 @@
                 _ = interrupt.recv() => return Ok(StopCause::Signal),
                 _ = hang_up.recv() => reload_seeds(running, read_settings),
                 () = tokio::time::sleep(CHECK_PERIOD) => {
+                    record_suspension(running);
                     if let Some(reason) = find_fault(running) {
                         return Ok(StopCause::Fault(reason));
                     }
@@ -257,6 +258,17 @@
     signals::signal(kind).context(gateway_error::SignalsSnafu)
 }
 
+/// Shows in the metrics whether the data folder refuses writes. A suspension lasts at least as long
+/// as its first attempt to resume takes, 500 ms, and so is not missed between two checks.
+fn record_suspension<Dialect>(running: &gateway_wiring::RunningParts<Dialect>) {
+    let suspended = running
+        .member
+        .as_ref()
+        .is_some_and(|member| member.is_suspended());
+    let gauge = &running.metrics.storage_suspended;
+    gauge.set(i64::from(suspended));
+}
+
 /// Returns why the instance can no longer work, if it has failed.
 fn find_fault<Dialect>(running: &gateway_wiring::RunningParts<Dialect>) -> Option<String> {
     let fault = running.member.as_ref().and_then(|member| member.fault());
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -113,6 +113,7 @@
     pub(super) dispatcher: Option<entry::CallDispatcher>,
     pub(super) client: peer::ControlClient<control::FleetHandler<Dialect>>,
     pub(super) cache: configuration::ConfigurationCache,
+    pub(super) metrics: platform::FleetMetrics,
 }
 
 /// A control group member whose listening sockets are not open yet.
@@ -170,6 +171,7 @@
             dispatcher: None,
             client: client.clone(),
             cache: cache.clone(),
+            metrics: self.metrics.clone(),
         };
         if let Some(member) = member {
             let group = sync::Arc::clone(&member.parts.member);
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -83,6 +83,9 @@
     pub(crate) servers: Gauge,
     /// 1 while this instance is the leader of the control group, otherwise 0.
     pub(crate) leader: Gauge,
+    /// 1 while this member of the control group waits for its data folder to accept writes,
+    /// otherwise 0.
+    pub(crate) storage_suspended: Gauge,
     /// Replicas that backend servers announced without a decision for them.
     pub(crate) undecided: Counter,
     /// Load orders sent.
@@ -115,6 +118,7 @@
             age: Gauge::default(),
             servers: Gauge::default(),
             leader: Gauge::default(),
+            storage_suspended: Gauge::default(),
             undecided: Counter::default(),
             loads: Counter::default(),
             unloads: Counter::default(),
@@ -202,6 +206,11 @@
             "Whether this instance leads the control group",
             self.leader.clone(),
         );
+        registry.register(
+            "storage_suspended",
+            "Whether this member of the control group waits for its data folder to accept writes",
+            self.storage_suspended.clone(),
+        );
         registry.register(
             "undecided_replicas",
             "Replicas that were seen and never decided",
