Share loads and speeds of servers between entry instances

Cause: instances did not see each other's calls, and slow servers were not known. Entry instances now add their use of servers and the time between events to their demand reports; the leader sums the uses up, estimates a factor for each server and a base time for each model, and sends what changed in replies to watches.

--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -101,6 +101,7 @@
             drain_version: self.cache.drains().version,
             suspect_version: self.cache.suspects().version,
             roster: self.sink.cursor(),
+            load_version: self.sink.load_version(),
             leader_known: None,
             in_hurry: self.sink.is_urgent(),
             members_mark: self.members_mark,
@@ -171,6 +172,7 @@
                 drains,
                 suspects,
                 roster,
+                loads,
                 followers,
                 members,
                 members_mark,
@@ -184,6 +186,9 @@
                     self.sink.take_members(&members);
                 }
                 self.sink.take(roster.map(|update| *update), followers);
+                if let Some(update) = loads {
+                    self.sink.take_loads(&update);
+                }
                 let confirmed = configuration::ConfirmedUpdate {
                     confirmed_at: confirmed_at(sent_at, held_ms, age_ms),
                     revision,
--- a/galenahold_instance/src/configuration/roster_sink.rs
+++ b/galenahold_instance/src/configuration/roster_sink.rs
@@ -3,6 +3,7 @@
 use std::future;
 
 use galenahold_domain::fleet;
+use galenahold_routing::load;
 use galenahold_wire::message;
 
 /// Receives the data that accompanies the configuration: the roster of declared services and the control
@@ -14,6 +15,14 @@
     /// Receives an update of the roster, and the number of instances that follow it.
     fn take(&self, update: Option<fleet::RosterUpdate>, followers: u32);
 
+    /// Returns the version of the load view; `None` if the sink does not follow loads.
+    fn load_version(&self) -> Option<load::LoadVersion> {
+        None
+    }
+
+    /// Receives an update of the load view.
+    fn take_loads(&self, _update: &load::LoadUpdate) {}
+
     /// Receives the members of the control group as known to the leader.
     fn take_members(&self, members: &[message::ControlMember]);
 
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -83,6 +83,7 @@
             suspects: (suspects.version != request.suspect_version)
                 .then(|| Box::new(crash::SuspectList::clone(&suspects))),
             roster: None,
+            loads: None,
             followers: 0,
             members: Vec::new(),
             members_mark: 0,
--- a/galenahold_instance/src/control/control_handler.rs
+++ b/galenahold_instance/src/control/control_handler.rs
@@ -204,6 +204,7 @@
                 drains: group::drain_list(state, request.drain_version),
                 suspects: group::suspect_list(state, request.suspect_version),
                 roster: None,
+                loads: None,
                 followers: 0,
                 members: Vec::new(),
                 members_mark: 0,
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -11,6 +11,7 @@
 use galenahold_domain::intent;
 use galenahold_domain::name;
 use galenahold_placement::fleet as placement;
+use galenahold_routing::load;
 use galenahold_routing::rate;
 use galenahold_wire::message;
 use log::{info, warn};
@@ -284,7 +285,7 @@
                     && state.crashes().version() == request.suspect_version
             });
             let wait_time = self
-                .roster_delay(request, waited)
+                .update_delay(request, waited)
                 .map_or(left, |delay| delay.min(left));
             if !is_current || wait_time.is_zero() || !self.member.is_leader() {
                 return self.watch_reply(request, started);
@@ -297,22 +298,40 @@
         }
     }
 
-    /// Returns how much longer roster changes are held back from the requester; `None` if there are
-    /// none.
-    fn roster_delay(
+    /// Returns after what time a held request is to be looked at again, zero if it ends now; `None` if there is
+    /// nothing to send.
+    fn update_delay(
         &self,
         request: &message::WatchRequest,
         waited: time::Duration,
     ) -> Option<time::Duration> {
         let cursor = request.roster?;
+        let urgent = request.in_hurry;
         let now = time::Instant::now();
-        let own = self.if_leading(|leadership| leadership.roster.cursor(now))?;
-        fleet::RosterThrottle::new(ROSTER_UPDATE_INTERVAL).delay(
-            cursor,
-            own,
-            request.in_hurry,
-            waited,
-        )
+        let throttle = fleet::RosterThrottle::new(ROSTER_UPDATE_INTERVAL);
+        let (roster_delay, load_delay) = self.if_leading(|leadership| {
+            let own = leadership.roster.cursor(now);
+            let load_delay = request.load_version.map(|have| {
+                leadership.sum_up_loads(now);
+                leadership.loads.wake_delay(have, urgent, waited, now)
+            });
+            (throttle.delay(cursor, own, urgent, waited), load_delay)
+        })?;
+        roster_delay.into_iter().chain(load_delay).min()
+    }
+
+    /// Returns the changed loads for the requester.
+    fn load_update(
+        &self,
+        request: &message::WatchRequest,
+        now: time::Instant,
+    ) -> Option<Box<load::LoadUpdate>> {
+        let have = request.load_version?;
+        let update = self.if_leading(|leadership| {
+            leadership.sum_up_loads(now);
+            leadership.loads.update_since(have, request.in_hurry, now)
+        })?;
+        update.map(Box::new)
     }
 
     /// Returns the update for the requester, confirmed by this member's leader lease.
@@ -329,6 +348,7 @@
             .roster
             .and_then(|cursor| self.if_leading(|state| state.roster.update_since(cursor, now))?)
             .map(Box::new);
+        let loads = self.load_update(request, now);
         let mut members = self.members();
         let members_mark = hash_members(&members);
         // Members of the control group always need the list of members to detect their removal;
@@ -347,6 +367,7 @@
                 drains: None,
                 suspects: group::suspect_list(state, request.suspect_version),
                 roster,
+                loads,
                 followers,
                 members,
                 members_mark,
@@ -387,6 +408,9 @@
         let now = time::Instant::now();
         let urgent = demand.models.iter().any(|count| count.waiting > 0);
         self.if_leading(|leadership| {
+            leadership
+                .loads
+                .record(&demand.instance, &demand.servers, now);
             for count in demand.models {
                 let counts = placement::DemandCounts {
                     arrivals: count.arrivals,
@@ -531,6 +555,7 @@
         control::FleetLeadership {
             term,
             roster,
+            loads: load::FleetLoadTable::new(term, now),
             planner: placement::FleetPlanner::default(),
             orders_start_at: now + self.order_pause,
         }
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -8,6 +8,7 @@
 use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 use galenahold_routing::fleet;
+use galenahold_routing::load;
 use tokio::sync as tokio_sync;
 
 use crate::gateway::entry;
@@ -25,6 +26,8 @@
     /// Notified when a call waits for a model or is refused for one, so that demand is reported
     /// early.
     demand: sync::Arc<tokio_sync::Notify>,
+    /// What this instance reports about its use of servers.
+    uses: sync::Arc<sync::Mutex<load::UseReporter>>,
     /// Number of waiting calls.
     waiting: sync::Arc<tokio_sync::watch::Sender<u32>>,
     metrics: platform::FleetMetrics,
@@ -58,6 +61,7 @@
         Self {
             state: sync::Arc::new(sync::Mutex::new(state)),
             demand: sync::Arc::default(),
+            uses: sync::Arc::default(),
             waiting: sync::Arc::default(),
             metrics,
         }
@@ -205,12 +209,29 @@
         });
     }
 
+    /// Applies what other instances use at servers.
+    pub(super) fn apply_loads(&self, loads: &[load::ServerLoad]) {
+        self.change(|scheduler| scheduler.apply_loads(loads));
+    }
+
+    /// Records the time per event of a model's answer at a start of a server.
+    pub(super) fn record_pace(
+        &self,
+        server: &name::ServerName,
+        started_ms: u64,
+        sample: load::PaceSample,
+    ) {
+        self.lock_uses().record_pace(server, started_ms, sample);
+    }
+
     /// Takes the demand that has not been reported to the leader yet.
     pub(super) fn take_demand(&self) -> DemandUpdate {
+        let now = time::Instant::now();
         let mut state = self.lock();
         DemandUpdate {
             usages: state.scheduler.take_usages(),
             adapters: state.scheduler.take_used_adapters(),
+            servers: self.lock_uses().take(state.scheduler.uses(), now),
         }
     }
 
@@ -263,6 +284,13 @@
         state.scheduler.withdraw(ticket);
     }
 
+    /// Locks the reporter; where both locks are held, that of the state is taken first.
+    fn lock_uses(&self) -> sync::MutexGuard<'_, load::UseReporter> {
+        self.uses
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, DispatcherState> {
         self.state
             .lock()
@@ -277,6 +305,8 @@
     pub(super) usages: Vec<((name::ServiceName, name::ModelName), fleet::ModelUsage)>,
     /// Adapters that were used, with their servers.
     pub(super) adapters: Vec<(name::ServerName, domain::HeldAdapter)>,
+    /// The use of servers; empty if it was just reported.
+    pub(super) servers: Vec<load::ServerUse>,
 }
 
 impl WaitingPlace {
--- a/galenahold_instance/src/gateway/entry/demand_reporter.rs
+++ b/galenahold_instance/src/gateway/entry/demand_reporter.rs
@@ -21,10 +21,11 @@
 /// Maximum time for the leader to answer.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(500);
 
-/// Reports the models and adapters in demand to the leader.
+/// Reports the models and adapters in demand and the use of servers to the leader.
 pub(crate) struct DemandReporter<Dialect> {
     instance: name::InstanceName,
     dispatcher: entry::CallDispatcher,
+    loads: entry::LoadFollower,
     client: peer::ControlClient<control::FleetHandler<Dialect>>,
 }
 
@@ -32,11 +33,13 @@
     pub(crate) fn new(
         instance: name::InstanceName,
         dispatcher: entry::CallDispatcher,
+        loads: entry::LoadFollower,
         client: peer::ControlClient<control::FleetHandler<Dialect>>,
     ) -> Self {
         Self {
             instance,
             dispatcher,
+            loads,
             client,
         }
     }
@@ -58,8 +61,10 @@
     }
 
     async fn report(&self, span: time::Duration) {
+        self.loads.update_age();
         let update = self.dispatcher.take_demand();
-        if update.usages.is_empty() && update.adapters.is_empty() {
+        let has_models = !update.usages.is_empty() || !update.adapters.is_empty();
+        if !has_models && update.servers.is_empty() {
             return;
         }
         let models =
@@ -82,12 +87,15 @@
             span_ms: u64::try_from(span.as_millis()).unwrap_or(u64::MAX),
             models: models.collect(),
             adapters: adapters.collect(),
+            servers: update.servers.clone(),
         };
         let call = message::ControlCall::Fleet(message::FleetCall::Demand(demand));
-        let deadline = time::Instant::now() + ANSWER_TIMEOUT;
-        if let Err(error) = self.client.call(call, deadline).await {
+        let sent_at = time::Instant::now();
+        match self.client.call(call, sent_at + ANSWER_TIMEOUT).await {
+            Ok(_) if update.servers.is_empty() => {}
+            Ok(_) => self.loads.record_report(&update.servers, sent_at),
             // The next report includes the calls that still wait, so a lost one only delays a load.
-            debug!(error:% = error; "cannot report demand to the leader");
+            Err(error) => debug!(error:% = error; "cannot report demand to the leader"),
         }
     }
 }
--- a/galenahold_instance/src/gateway/entry/leader_monitor.rs
+++ b/galenahold_instance/src/gateway/entry/leader_monitor.rs
@@ -63,6 +63,7 @@
             drain_version: 0,
             suspect_version: 0,
             roster: None,
+            load_version: None,
             leader_known: Some(leader.clone()),
             in_hurry: false,
             members_mark: 0,
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 use galenahold_routing::fleet;
+use galenahold_routing::load;
 use log::info;
 
 use crate::backend;
@@ -146,6 +147,21 @@
         self.observe(fleet::AttemptReport::Answered(sent_at.elapsed()));
     }
 
+    /// Records the time per event of an answer: median in microseconds and number of gaps.
+    pub(super) fn record_pace(&self, (event_us, events): (u32, u32)) {
+        let Some(target) = &self.target else {
+            return;
+        };
+        let sample = load::PaceSample {
+            model: target.model.clone(),
+            event_us,
+            events,
+        };
+        let placement = &self.placement;
+        self.dispatcher
+            .record_pace(&placement.server, placement.started_ms, sample);
+    }
+
     /// Records that the server holds the adapter.
     pub(super) fn record_adapter(&self, adapter: domain::HeldAdapter) {
         self.dispatcher
--- a/galenahold_instance/src/gateway/entry/roster_follower.rs
+++ b/galenahold_instance/src/gateway/entry/roster_follower.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::fleet;
 use galenahold_domain::name;
 use galenahold_routing::fleet as routing;
+use galenahold_routing::load;
 use galenahold_wire::message;
 use log::info;
 
@@ -17,6 +18,7 @@
 pub(crate) struct RosterFollower {
     view: sync::Arc<sync::Mutex<fleet::RosterView>>,
     dispatcher: entry::CallDispatcher,
+    loads: entry::LoadFollower,
     budget: sync::Arc<sync::Mutex<routing::AttemptBudget>>,
     /// Attempts beyond the share of calls that all instances together may make.
     shared_retries: f64,
@@ -28,6 +30,7 @@
     /// Creates a follower with an empty roster.
     pub(crate) fn new(
         dispatcher: entry::CallDispatcher,
+        loads: entry::LoadFollower,
         budget: sync::Arc<sync::Mutex<routing::AttemptBudget>>,
         shared_retries: f64,
         notice_period: time::Duration,
@@ -35,6 +38,7 @@
         Self {
             view: sync::Arc::default(),
             dispatcher,
+            loads,
             budget,
             shared_retries,
             notice_period,
@@ -109,6 +113,14 @@
         self.dispatcher.apply_roster(changed, &removed, followers);
     }
 
+    fn load_version(&self) -> Option<load::LoadVersion> {
+        Some(self.loads.version())
+    }
+
+    fn take_loads(&self, update: &load::LoadUpdate) {
+        self.loads.take(update);
+    }
+
     fn take_members(&self, _members: &[message::ControlMember]) {}
 
     fn is_urgent(&self) -> bool {
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_routing::fleet;
+use galenahold_routing::load;
 use http::{Response, header, response};
 use log::info;
 
@@ -42,6 +43,10 @@
     events: u64,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
+    /// Measures the speed of the present server.
+    gaps: load::GapObserver,
+    /// How long the caller has blocked the relay since the last events arrived.
+    blocked: time::Duration,
 }
 
 /// What a relay waits for.
@@ -91,6 +96,8 @@
             events: 0,
             last_event: None,
             longest_pause: time::Duration::ZERO,
+            gaps: load::GapObserver::default(),
+            blocked: time::Duration::ZERO,
         }
     }
 
@@ -119,6 +126,8 @@
             () = sender.closed() => Err("caller_left"),
             () = tokio::time::sleep_until(deadline.into()) => Err(DEADLINE),
         };
+        let measured = self.gaps.finish();
+        self.record_pace(measured);
         let outcome = outcome.map_err(|reason| self.explain_end(reason));
         match outcome {
             Ok(()) => {
@@ -189,6 +198,19 @@
     }
 
     async fn forward_events(&mut self, sender: &api::StreamSender) -> RelayStep {
+        let arrived = time::Instant::now();
+        let events_before = self.events;
+        let step = self.forward_arrived(sender).await;
+        let events = u32::try_from(self.events - events_before).unwrap_or(u32::MAX);
+        if events > 0 {
+            let measured = self.gaps.observe(events, self.blocked, arrived);
+            self.blocked = arrived.elapsed();
+            self.record_pace(measured);
+        }
+        step
+    }
+
+    async fn forward_arrived(&mut self, sender: &api::StreamSender) -> RelayStep {
         while let Some(event) = self.splitter.next_event() {
             if self.is_resumed && !follows(event.id.as_deref(), self.last_id.as_deref()) {
                 return RelayStep::Cut("rest_starts_over");
@@ -220,6 +242,12 @@
         self.events += 1;
     }
 
+    fn record_pace(&self, measured: Option<(u32, u32)>) {
+        if let Some(measured) = measured {
+            self.lease.record_pace(measured);
+        }
+    }
+
     fn record_break(&self) -> crash::BrokenCall {
         let progress = if self.events == 0 {
             crash::AnswerProgress::Head
@@ -259,6 +287,8 @@
         self.parts.metrics.resumed.inc();
         self.exchange = exchange;
         lease.start_waiting(time::Instant::now());
+        let measured = self.gaps.finish();
+        self.record_pace(measured);
         self.lease.stop_waiting();
         self.lease = lease;
         self.splitter = entry::EventSplitter::new(self.exchange.buffer_share());
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -325,8 +325,10 @@
             (shared_retries / ASSUMED_INSTANCES).max(1.0),
         );
         let budget = sync::Arc::new(sync::Mutex::new(budget));
+        let loads = entry::LoadFollower::new(dispatcher.clone(), self.metrics.clone());
         let follower = entry::RosterFollower::new(
             dispatcher.clone(),
+            loads.clone(),
             sync::Arc::clone(&budget),
             shared_retries,
             self.settings.notice_period,
@@ -342,6 +344,7 @@
         entry::DemandReporter::new(
             self.settings.name.clone(),
             dispatcher.clone(),
+            loads,
             client.clone(),
         )
         .start(&self.groups.system);
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -1,6 +1,7 @@
 //! Registers and encodes the metrics of an instance.
 
 use std::sync;
+use std::sync::atomic;
 
 use prometheus_client::encoding;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -79,6 +80,10 @@
     pub(crate) revision: Gauge,
     /// Milliseconds since a quorum confirmed the configuration.
     pub(crate) age: Gauge,
+    /// Seconds since the leader summed up the loads in this instance's view.
+    pub(crate) load_view_age: Gauge<f64, atomic::AtomicU64>,
+    /// Updates of the load view.
+    pub(crate) load_view_updates: Counter,
     /// Live backend servers.
     pub(crate) servers: Gauge,
     /// 1 while this instance is the leader of the control group, otherwise 0.
@@ -113,6 +118,8 @@
             waiting: Gauge::default(),
             revision: Gauge::default(),
             age: Gauge::default(),
+            load_view_age: Gauge::default(),
+            load_view_updates: Counter::default(),
             servers: Gauge::default(),
             leader: Gauge::default(),
             undecided: Counter::default(),
@@ -192,6 +199,17 @@
             "Time since a quorum confirmed the configuration",
             self.age.clone(),
         );
+        registry.register_with_unit(
+            "load_view_age",
+            "Time since the leader summed up the loads that this instance knows",
+            registry::Unit::Seconds,
+            self.load_view_age.clone(),
+        );
+        registry.register(
+            "load_view_updates",
+            "Updates of the view of all instances' loads",
+            self.load_view_updates.clone(),
+        );
         registry.register(
             "backend_servers",
             "Backend servers that are alive",
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -123,6 +123,19 @@
         }
     }
 
+    /// Iterates over the servers with own calls in flight and what these calls use there.
+    pub fn uses(&self) -> impl Iterator<Item = load::ServerUse> {
+        let used = self.servers.values().filter(|server| server.in_flight > 0);
+        used.map(|server| load::ServerUse {
+            server: server.record.name.clone(),
+            started_ms: server.record.started_ms,
+            running: server.in_flight,
+            unread_tokens: 0,
+            cache_tokens: 0,
+            paces: Vec::new(),
+        })
+    }
+
     /// Places, queues or refuses a new call.
     pub fn submit(
         &mut self,
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -325,6 +325,7 @@
         drains: None,
         suspects: None,
         roster: None,
+        loads: None,
         followers: 0,
         members: Vec::new(),
         members_mark: 0,
--- a/galenahold_wire/src/message/model_demand.rs
+++ b/galenahold_wire/src/message/model_demand.rs
@@ -2,6 +2,7 @@
 
 use galenahold_domain::fleet;
 use galenahold_domain::name;
+use galenahold_routing::load;
 use serde::{Deserialize, Serialize};
 
 /// The demand for models at an entry instance since its last report.
@@ -15,6 +16,10 @@
     pub models: Vec<ModelCount>,
     /// The adapters that requests used.
     pub adapters: Vec<AdapterUse>,
+    /// The instance's own use of backend servers: those with calls in flight, with a change since the last list,
+    /// or with measurements.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub servers: Vec<load::ServerUse>,
 }
 
 /// The requests for one model.
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -4,6 +4,7 @@
 use galenahold_domain::crash;
 use galenahold_domain::fleet;
 use galenahold_domain::name;
+use galenahold_routing::load;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -30,6 +31,9 @@
         /// The roster changes of declared services that the follower does not have.
         #[serde(default)]
         roster: Option<Box<fleet::RosterUpdate>>,
+        /// The changes of servers' loads and speeds that the follower does not have.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        loads: Option<Box<load::LoadUpdate>>,
         /// The number of entry instances that follow the roster.
         #[serde(default)]
         followers: u32,
--- a/galenahold_wire/src/message/watch_request.rs
+++ b/galenahold_wire/src/message/watch_request.rs
@@ -3,6 +3,7 @@
 use galenahold_domain::amount;
 use galenahold_domain::fleet;
 use galenahold_domain::name;
+use galenahold_routing::load;
 use serde::{Deserialize, Serialize};
 
 use crate::message;
@@ -25,6 +26,9 @@
     /// The follower's position in the roster of declared services; none if it does not follow the roster.
     #[serde(default)]
     pub roster: Option<fleet::RosterCursor>,
+    /// The version of the follower's load view; none if it does not follow loads.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load_version: Option<load::LoadVersion>,
     /// The leader known to the follower. An instance that is not the leader delays its reply until it knows of a
     /// different leader.
     #[serde(default)]
--- a/galenahold_wire/tests/rpc/compression.rs
+++ b/galenahold_wire/tests/rpc/compression.rs
@@ -3,6 +3,7 @@
 use std::pin;
 
 use galenahold_domain::{amount, fleet};
+use galenahold_routing::load;
 use galenahold_wire::codec;
 use galenahold_wire::message;
 use serde::{Deserialize, Serialize};
@@ -76,6 +77,10 @@
             version: number * 17,
             settled: true,
         }),
+        load_version: Some(load::LoadVersion {
+            term: 3,
+            version: number * 731,
+        }),
         leader_known: None,
         in_hurry: number.is_multiple_of(3),
         members_mark: 0x3b37_3d0c_7277_251a,
