Account for the prompts and memory of own calls at each server start

Cause: an instance counted only its calls in flight, by server name; calls at an earlier start of a server counted at its next start, and an end that was reported twice freed the slot of another call. Change: a placement carries a key under which RunLedger holds what the call uses: one slot, its unread prompt tokens until the first event, its expected tokens in the server's memory. finish removes the entry, so that it gives all back exactly once. uses() lists the sums for reports.

--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -42,8 +42,6 @@
 /// A waiting call; dropping it removes the call from the queue.
 struct WaitingPlace {
     dispatcher: CallDispatcher,
-    service: name::ServiceName,
-    target: Option<fleet::ModelTarget>,
     ticket: fleet::CallTicket,
     receiver: tokio_sync::oneshot::Receiver<PlaceResult>,
 }
@@ -86,7 +84,6 @@
     ) -> Result<entry::PlaceLease, fleet::SchedulerRefusal> {
         let now = time::Instant::now();
         let target = requirements.target.clone();
-        let service = requirements.service.clone();
         let waiting = {
             let mut state = self.lock();
             let submission = if is_retry {
@@ -96,7 +93,7 @@
             };
             match submission {
                 fleet::CallSubmission::Placed(placement) => {
-                    return Ok(self.lease(placement, service, target));
+                    return Ok(self.lease(placement, target));
                 }
                 fleet::CallSubmission::Refused(refusal) => {
                     self.demand.notify_one();
@@ -108,8 +105,6 @@
                     self.waiting.send_modify(|count| *count += 1);
                     WaitingPlace {
                         dispatcher: self.clone(),
-                        service: service.clone(),
-                        target: target.clone(),
                         ticket,
                         receiver,
                     }
@@ -120,7 +115,7 @@
         self.metrics.waiting.inc();
         let placed = waiting.wait().await;
         self.metrics.waiting.dec();
-        placed.map(|placement| self.lease(placement, service, target))
+        placed.map(|placement| self.lease(placement, target))
     }
 
     /// Returns whether a call that was placed at this start of the server may still be sent to it.
@@ -146,14 +141,14 @@
         self.lock().scheduler.observe(server, target, report, now);
     }
 
+    /// Records that the answer to a call has begun.
+    pub(super) fn begin_answer(&self, run: fleet::RunKey) {
+        self.change(|scheduler| scheduler.begin_answer(run));
+    }
+
     /// Frees the place of an attempt that has ended.
-    pub(super) fn finish(
-        &self,
-        server: &name::ServerName,
-        target: Option<&fleet::ModelTarget>,
-        service: &name::ServiceName,
-    ) {
-        self.change(|scheduler| scheduler.finish(server, target, service));
+    pub(super) fn finish(&self, run: fleet::RunKey) {
+        self.change(|scheduler| scheduler.finish(run));
     }
 
     /// Records that a server holds an adapter.
@@ -251,10 +246,9 @@
     fn lease(
         &self,
         placement: fleet::CallPlacement,
-        service: name::ServiceName,
         target: Option<fleet::ModelTarget>,
     ) -> entry::PlaceLease {
-        entry::PlaceLease::new(self.clone(), placement, service, target)
+        entry::PlaceLease::new(self.clone(), placement, target)
     }
 
     fn withdraw(&self, ticket: fleet::CallTicket) {
@@ -297,8 +291,7 @@
             .send_modify(|count| *count = count.saturating_sub(1));
         // Returns a place that was assigned just before the drop.
         if let Ok(Ok(placement)) = self.receiver.try_recv() {
-            self.dispatcher
-                .finish(&placement.server, self.target.as_ref(), &self.service);
+            self.dispatcher.finish(placement.run);
         }
     }
 }
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -29,7 +29,6 @@
     sent_at: time::Instant,
     dispatcher: entry::CallDispatcher,
     placement: fleet::CallPlacement,
-    service: name::ServiceName,
     target: Option<fleet::ModelTarget>,
 }
 
@@ -37,7 +36,6 @@
     pub(super) fn new(
         dispatcher: entry::CallDispatcher,
         placement: fleet::CallPlacement,
-        service: name::ServiceName,
         target: Option<fleet::ModelTarget>,
     ) -> Self {
         Self {
@@ -46,7 +44,6 @@
             sent_at: time::Instant::now(),
             dispatcher,
             placement,
-            service,
             target,
         }
     }
@@ -146,6 +143,11 @@
         self.observe(fleet::AttemptReport::Answered(sent_at.elapsed()));
     }
 
+    /// Records that the first event of the answer has arrived.
+    pub(super) fn begin_answer(&self) {
+        self.dispatcher.begin_answer(self.placement.run);
+    }
+
     /// Records that the server holds the adapter.
     pub(super) fn record_adapter(&self, adapter: domain::HeldAdapter) {
         self.dispatcher
@@ -161,7 +163,6 @@
         {
             self.observe(fleet::AttemptReport::Slow);
         }
-        self.dispatcher
-            .finish(&self.placement.server, self.target.as_ref(), &self.service);
+        self.dispatcher.finish(self.placement.run);
     }
 }
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -40,6 +40,8 @@
     phase: RelayPhase,
     last_id: Option<String>,
     events: u64,
+    /// Whether the present server has sent an event.
+    has_begun: bool,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
 }
@@ -89,6 +91,7 @@
             exchange,
             last_id: None,
             events: 0,
+            has_begun: false,
             last_event: None,
             longest_pause: time::Duration::ZERO,
         }
@@ -214,6 +217,10 @@
         self.longest_pause = self.longest_pause.max(pause);
         self.last_event = Some(now);
         self.lease.start_waiting(now);
+        if !self.has_begun {
+            self.has_begun = true;
+            self.lease.begin_answer();
+        }
         if self.events == 0 {
             self.parts.crashes.record_start(&self.call.keys);
         }
@@ -263,6 +270,7 @@
         self.lease = lease;
         self.splitter = entry::EventSplitter::new(self.exchange.buffer_share());
         self.is_resumed = true;
+        self.has_begun = false;
         true
     }
 
--- a/galenahold_routing/src/fleet/call_placement.rs
+++ b/galenahold_routing/src/fleet/call_placement.rs
@@ -4,11 +4,15 @@
 
 use galenahold_domain::name;
 
+use crate::fleet;
+
 /// The backend server that a call is placed at.
 ///
 /// The call occupies a slot of the server until the scheduler is told that the attempt has ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallPlacement {
+    /// Identifies the call until its attempt has ended.
+    pub run: fleet::RunKey,
     /// The server.
     pub server: name::ServerName,
     /// When this run of the server started, which identifies the run.
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 pub struct CallScheduler {
     servers: fleet::ServerSet,
+    runs: fleet::RunLedger,
     queue: fleet::WaitQueue,
     usages: collections::HashMap<(name::ServiceName, name::ModelName), fleet::ModelUsage>,
     estimate: fleet::LoadEstimate,
@@ -69,7 +70,7 @@
 
     /// Adds or updates a server from its roster record.
     pub fn update_server(&mut self, record: domain::ServerRecord, now: time::Instant) {
-        self.servers.update(record, now);
+        self.servers.update(record, &self.runs, now);
     }
 
     /// Removes a server that is gone.
@@ -171,22 +172,46 @@
         self.queue.len() > 0
     }
 
-    /// Frees the slot of an attempt that has ended.
-    pub fn finish(
-        &mut self,
-        server: &name::ServerName,
-        target: Option<&fleet::ModelTarget>,
-        service: &name::ServiceName,
-    ) {
-        if let Some(known) = self.servers.get_mut(server) {
-            known.in_flight = known.in_flight.saturating_sub(1);
+    /// Records that the answer to a call has begun, so that its prompt is no longer unread.
+    pub fn begin_answer(&mut self, run: fleet::RunKey) {
+        if let Some((run, read_tokens)) = self.runs.begin_answer(run)
+            && let Some(server) = self.servers.start_mut(&run.server, run.started_ms)
+        {
+            server.own.subtract(fleet::OwnUse {
+                unread_tokens: read_tokens,
+                ..fleet::OwnUse::default()
+            });
         }
-        if let Some(target) = target {
-            let key = (service.clone(), target.model.clone());
-            if let Some(usage) = self.usages.get_mut(&key) {
-                usage.running = usage.running.saturating_sub(1);
-            }
+    }
+
+    /// Gives back all that an attempt uses, as it has ended; has no effect if that was done before.
+    pub fn finish(&mut self, run: fleet::RunKey) {
+        let Some(run) = self.runs.remove(run) else {
+            return;
+        };
+        if let Some(server) = self.servers.start_mut(&run.server, run.started_ms) {
+            server.own.subtract(run.uses);
         }
+        if let Some(model) = run.model
+            && let Some(usage) = self.usages.get_mut(&(run.service, model))
+        {
+            usage.running = usage.running.saturating_sub(1);
+        }
+    }
+
+    /// Returns what the calls of this instance use at each server where any is in flight.
+    #[must_use]
+    pub fn uses(&self) -> Vec<load::ServerUse> {
+        let used = self.servers.iter().filter(|server| server.own.running > 0);
+        used.map(|server| load::ServerUse {
+            server: server.record.name.clone(),
+            started_ms: server.record.started_ms,
+            running: server.own.running,
+            unread_tokens: server.own.unread_tokens,
+            cache_tokens: server.own.cache_tokens,
+            paces: Vec::new(),
+        })
+        .collect()
     }
 
     /// Sends no call to a start of a server for the time that it stated as it turned a call away.
@@ -274,12 +299,24 @@
     ) -> Option<fleet::CallPlacement> {
         let name = self.selection(now).choose(requirements)?;
         let server = self.servers.get_mut(&name)?;
-        server.in_flight += 1;
+        let uses = expected_use(&requirements.work);
+        server.own.add(uses);
+        let run = self.runs.insert(fleet::PlacedRun {
+            server: name.clone(),
+            started_ms: server.record.started_ms,
+            service: requirements.service.clone(),
+            model: requirements
+                .target
+                .as_ref()
+                .map(|target| target.model.clone()),
+            uses,
+        });
         let adapter = requirements
             .target
             .as_ref()
             .and_then(fleet::ModelTarget::held_adapter);
         let placement = fleet::CallPlacement {
+            run,
             server: name.clone(),
             started_ms: server.record.started_ms,
             address: server.record.address,
@@ -338,3 +375,13 @@
         }
     }
 }
+
+/// Returns what a call with the given work uses at its server until its answer begins.
+fn expected_use(work: &load::CallWork) -> fleet::OwnUse {
+    let bounded = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
+    fleet::OwnUse {
+        running: 1,
+        unread_tokens: bounded(work.prompt_tokens),
+        cache_tokens: bounded(work.prompt_tokens.saturating_add(work.output_tokens)),
+    }
+}
--- /dev/null
+++ b/galenahold_routing/src/fleet/run_ledger.rs
@@ -0,0 +1,57 @@
+//! The calls of this instance that are in flight at backend servers.
+
+use galenahold_domain::name;
+
+use crate::fleet;
+
+/// The calls in flight, with what each uses at its server.
+///
+/// A call is given back exactly once: the removal of its entry returns all that it still uses.
+#[derive(Debug, Default)]
+pub(super) struct RunLedger {
+    runs: slotmap::SlotMap<fleet::RunKey, PlacedRun>,
+}
+
+/// A call in flight.
+#[derive(Debug, Clone)]
+pub(super) struct PlacedRun {
+    /// The server that the call was placed at.
+    pub(super) server: name::ServerName,
+    /// The start of that server.
+    pub(super) started_ms: u64,
+    /// The service.
+    pub(super) service: name::ServiceName,
+    /// The model; absent for a service without engines.
+    pub(super) model: Option<name::ModelName>,
+    /// What the call uses at the server now.
+    pub(super) uses: fleet::OwnUse,
+}
+
+impl RunLedger {
+    pub(super) fn insert(&mut self, run: PlacedRun) -> fleet::RunKey {
+        self.runs.insert(run)
+    }
+
+    /// Marks the prompt of a call as read; returns the call and its prompt tokens, or `None` if the call
+    /// has ended or its prompt was read before.
+    pub(super) fn begin_answer(&mut self, key: fleet::RunKey) -> Option<(&PlacedRun, u32)> {
+        let run = self.runs.get_mut(key)?;
+        let read_tokens = std::mem::take(&mut run.uses.unread_tokens);
+        (read_tokens > 0).then_some((run, read_tokens))
+    }
+
+    pub(super) fn remove(&mut self, key: fleet::RunKey) -> Option<PlacedRun> {
+        self.runs.remove(key)
+    }
+
+    /// Sums up what the calls at one start of a server use.
+    pub(super) fn total(&self, server: &name::ServerName, started_ms: u64) -> fleet::OwnUse {
+        let mut total = fleet::OwnUse::default();
+        for run in self.runs.values() {
+            if run.started_ms == started_ms && run.server == *server {
+                total.add(run.uses);
+            }
+        }
+        total
+    }
+}
--- a/galenahold_routing/src/fleet/scheduler_server.rs
+++ b/galenahold_routing/src/fleet/scheduler_server.rs
@@ -38,8 +38,8 @@
 #[derive(Debug)]
 pub(super) struct SchedulerServer {
     pub(super) record: domain::ServerRecord,
-    /// Calls of this instance that are in flight at the server.
-    pub(super) in_flight: u32,
+    /// What this instance's calls use at this start of the server.
+    pub(super) own: fleet::OwnUse,
     /// When the present load was first seen in the roster.
     pub(super) loading_since: Option<time::Instant>,
     /// Adapters that the server is known to hold.
@@ -61,7 +61,7 @@
             loading_since: record.loading.is_some().then_some(now),
             adapters: record.adapters.iter().cloned().collect(),
             record,
-            in_flight: 0,
+            own: fleet::OwnUse::default(),
             missing: collections::HashMap::new(),
             paused_until: None,
             consecutive_failures: 0,
@@ -79,12 +79,11 @@
         }
     }
 
-    /// Applies a new roster record; if the server has restarted, all state but the calls in flight is reset.
+    /// Applies a new roster record; if the server has restarted, all state is reset, as the calls in flight
+    /// at the earlier start use nothing at the new one.
     pub(super) fn update(&mut self, record: domain::ServerRecord, now: time::Instant) {
         if record.started_ms != self.record.started_ms {
-            let in_flight = self.in_flight;
             *self = Self::new(record, now);
-            self.in_flight = in_flight;
             return;
         }
         if record.loading != self.record.loading {
@@ -136,7 +135,7 @@
         let latency = self.latency_s.unwrap_or(min_latency);
         let slowness = (latency / min_latency.max(f64::EPSILON)).max(1.0);
         let failure_penalty = 1.0 + self.failure_share * FAILURE_FACTOR;
-        f64::from(self.in_flight + 1) * slowness * failure_penalty
+        f64::from(self.own.running + 1) * slowness * failure_penalty
     }
 
     /// Returns the moving average of the time to the first byte, in seconds.
--- a/galenahold_routing/src/fleet/server_selection.rs
+++ b/galenahold_routing/src/fleet/server_selection.rs
@@ -52,7 +52,7 @@
         let candidates: Vec<_> = self
             .servers
             .eligible(requirements, self.now)
-            .filter(|server| !server.is_paused(self.now) && server.in_flight < self.quota(server))
+            .filter(|server| !server.is_paused(self.now) && server.own.running < self.quota(server))
             .collect();
         let untried: Vec<_> = candidates
             .iter()
--- a/galenahold_routing/src/fleet/server_set.rs
+++ b/galenahold_routing/src/fleet/server_set.rs
@@ -28,13 +28,20 @@
         self.servers.get_mut(name)
     }
 
-    /// Adds or updates a server from its roster record.
-    pub(super) fn update(&mut self, record: domain::ServerRecord, now: time::Instant) {
+    /// Adds or updates a server from its roster record; a server that is new here may be one that was
+    /// removed while calls of `runs` were in flight there.
+    pub(super) fn update(
+        &mut self,
+        record: domain::ServerRecord,
+        runs: &fleet::RunLedger,
+        now: time::Instant,
+    ) {
         if let Some(server) = self.servers.get_mut(&record.name) {
             server.update(record, now);
             return;
         }
-        let server = fleet::SchedulerServer::new(record, now);
+        let mut server = fleet::SchedulerServer::new(record, now);
+        server.own = runs.total(&server.record.name, server.record.started_ms);
         self.servers.insert(server.record.name.clone(), server);
     }
 
@@ -42,6 +49,20 @@
         self.servers.remove(name);
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &fleet::SchedulerServer> {
+        self.servers.values()
+    }
+
+    /// Returns the given start of a server.
+    pub(super) fn start_mut(
+        &mut self,
+        name: &name::ServerName,
+        started_ms: u64,
+    ) -> Option<&mut fleet::SchedulerServer> {
+        let server = self.servers.get_mut(name)?;
+        (server.record.started_ms == started_ms).then_some(server)
+    }
+
     /// Iterates over the servers of a service.
     pub(super) fn of_service<'a>(
         &'a self,
--- a/galenahold_routing/tests/fleet/call_waiting.rs
+++ b/galenahold_routing/tests/fleet/call_waiting.rs
@@ -71,16 +71,15 @@
     let now = time::Instant::now();
     let mut scheduler = fixture::scheduler(&[fixture::record("s1", &["m"])], now);
     let first = fixture::placed(scheduler.submit(fixture::requirements("m", SHORT, now), now));
-    fixture::placed(scheduler.submit(fixture::requirements("m", SHORT, now), now));
+    let second = fixture::placed(scheduler.submit(fixture::requirements("m", SHORT, now), now));
     let early = fixture::waiting(&scheduler.submit(fixture::requirements("m", SHORT, now), now));
     let mut requirements = fixture::requirements("m", SHORT, now);
     requirements.rank = 0;
     let urgent = fixture::waiting(&scheduler.submit(requirements, now));
-    let target = fixture::requirements("m", SHORT, now).target;
-    scheduler.finish(&first.server, target.as_ref(), &fixture::service());
+    scheduler.finish(first.run);
     let placed: Vec<_> = scheduler.poll(now).iter().map(|call| call.ticket).collect();
     assert_eq!(placed, [urgent]);
-    scheduler.finish(&first.server, target.as_ref(), &fixture::service());
+    scheduler.finish(second.run);
     let placed: Vec<_> = scheduler.poll(now).iter().map(|call| call.ticket).collect();
     assert_eq!(placed, [early]);
 }
@@ -145,7 +144,7 @@
     let target = requirements.target.clone();
     let report = fleet::AttemptReport::Misplaced;
     scheduler.observe(&placement.server, target.as_ref(), report, now);
-    scheduler.finish(&placement.server, target.as_ref(), &fixture::service());
+    scheduler.finish(placement.run);
     fixture::waiting(&scheduler.resubmit(requirements, now));
     assert_eq!(scheduler.poll(now), []);
 
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -5,5 +5,6 @@
 mod call_placement;
 mod call_waiting;
 mod fixture;
+mod own_use;
 mod server_pauses;
 mod startup_wait;
