Lend the slots of servers to all instances instead of dividing them

Cause: an instance did not see the calls of others and could have at least two calls at each server, 172 at 86 instances before 16 slots. Change: a server takes calls until own calls and those in the view of others' calls reach its slots plus a quarter; own calls alone stay within the slots. quota, SHARE_FACTOR and MIN_IN_FLIGHT are gone. After a server was seen beyond its limit, ClaimLimit gives an instance an even share of the slots that become free, and more as long as slots stay free.

--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -68,6 +68,7 @@
             work: self.work(),
             due_at: self.arrived + self.route.objective,
             wait_deadline: self.wait_deadline(),
+            draw: rand::random(),
             tried,
         }
     }
--- a/galenahold_routing/src/fleet/call_requirements.rs
+++ b/galenahold_routing/src/fleet/call_requirements.rs
@@ -27,6 +27,8 @@
     pub due_at: time::Instant,
     /// When the caller stops waiting for the first byte of an answer.
     pub wait_deadline: time::Instant,
+    /// A uniformly distributed random number, which decides among servers that are about as good.
+    pub draw: u64,
     /// Servers that earlier attempts of the call used.
     pub tried: Vec<name::ServerName>,
 }
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -13,6 +13,9 @@
 /// Maximum number of calls that wait at one instance.
 const MAX_WAITING: usize = 1_024;
 
+/// Number of entry instances that is assumed until the roster reports it.
+const ASSUMED_FOLLOWERS: u32 = 8;
+
 /// Places the calls of declared services at backend servers, for one entry instance.
 ///
 /// A call goes to the least busy server that can run it. Calls that share a prompt prefix go to the same
@@ -27,6 +30,10 @@
     estimate: fleet::LoadEstimate,
     used_adapters: collections::HashSet<(name::ServerName, domain::HeldAdapter)>,
     followers: u32,
+    /// The number of views of other instances' calls that were received.
+    view_number: u64,
+    /// When the newest view of other instances' calls was summed up.
+    view_at: Option<time::Instant>,
     data_centre: Option<name::DataCentreName>,
     closes_at: Option<time::Instant>,
     /// Until when the roster may lack servers that exist.
@@ -80,11 +87,19 @@
 
     /// Applies what other instances use at servers.
     ///
-    /// A load of another start of a server than the known one is ignored.
+    /// A load of another start of a server than the known one is ignored. The view of all servers is as old
+    /// as the newest load, since loads that have not changed are not sent again.
     pub fn apply_loads(&mut self, loads: &[load::ServerLoad]) {
+        let instances = if self.followers == 0 {
+            ASSUMED_FOLLOWERS
+        } else {
+            self.followers
+        };
+        self.view_number += 1;
         for load in loads {
+            self.view_at = self.view_at.max(Some(load.measured_at));
             if let Some(server) = self.servers.get_mut(&load.server) {
-                server.apply_load(load);
+                server.apply_load(load, instances);
             }
         }
     }
@@ -177,9 +192,9 @@
         if let Some((run, read_tokens)) = self.runs.begin_answer(run)
             && let Some(server) = self.servers.start_mut(&run.server, run.started_ms)
         {
-            server.own.subtract(fleet::OwnUse {
+            server.own.subtract(fleet::CallUse {
                 unread_tokens: read_tokens,
-                ..fleet::OwnUse::default()
+                ..fleet::CallUse::default()
             });
         }
     }
@@ -191,6 +206,7 @@
         };
         if let Some(server) = self.servers.start_mut(&run.server, run.started_ms) {
             server.own.subtract(run.uses);
+            server.claims.free();
         }
         if let Some(model) = run.model
             && let Some(usage) = self.usages.get_mut(&(run.service, model))
@@ -301,6 +317,7 @@
         let server = self.servers.get_mut(&name)?;
         let uses = expected_use(&requirements.work);
         server.own.add(uses);
+        server.claims.claim();
         let run = self.runs.insert(fleet::PlacedRun {
             server: name.clone(),
             started_ms: server.record.started_ms,
@@ -337,11 +354,17 @@
         fleet::ServerSelection {
             servers: &self.servers,
             data_centre: self.data_centre.as_ref(),
-            followers: self.followers,
+            view_number: self.view_number,
+            weight: self.view_weight(now),
             now,
         }
     }
 
+    fn view_weight(&self, now: time::Instant) -> fleet::ViewWeight {
+        let age = self.view_at.map(|at| now.saturating_duration_since(at));
+        age.map_or(fleet::ViewWeight::NONE, fleet::ViewWeight::at_age)
+    }
+
     fn rejection(&self, now: time::Instant) -> fleet::CallRejection<'_> {
         fleet::CallRejection {
             servers: &self.servers,
@@ -377,9 +400,9 @@
 }
 
 /// Returns what a call with the given work uses at its server until its answer begins.
-fn expected_use(work: &load::CallWork) -> fleet::OwnUse {
+fn expected_use(work: &load::CallWork) -> fleet::CallUse {
     let bounded = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
-    fleet::OwnUse {
+    fleet::CallUse {
         running: 1,
         unread_tokens: bounded(work.prompt_tokens),
         cache_tokens: bounded(work.prompt_tokens.saturating_add(work.output_tokens)),
--- a/galenahold_routing/src/fleet/own_use.rs
+++ b/galenahold_routing/src/fleet/call_use.rs
@@ -1,17 +1,17 @@
-//! What the calls of one entry instance use at a backend server.
+//! What calls use at a backend server.
 
-/// What this instance's calls use at one start of a backend server.
+/// What calls use at one start of a backend server: those of this instance, or of all.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct OwnUse {
+pub(super) struct CallUse {
     /// Calls in flight.
-    pub running: u32,
+    pub(super) running: u32,
     /// Prompt tokens of the calls whose answer has not begun.
-    pub unread_tokens: u32,
+    pub(super) unread_tokens: u32,
     /// Expected tokens in the server's memory for the calls in flight.
-    pub cache_tokens: u32,
+    pub(super) cache_tokens: u32,
 }
 
-impl OwnUse {
+impl CallUse {
     pub(super) fn add(&mut self, other: Self) {
         self.running = self.running.saturating_add(other.running);
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
--- a/galenahold_routing/src/fleet/run_ledger.rs
+++ b/galenahold_routing/src/fleet/run_ledger.rs
@@ -24,7 +24,7 @@
     /// The model; absent for a service without engines.
     pub(super) model: Option<name::ModelName>,
     /// What the call uses at the server now.
-    pub(super) uses: fleet::OwnUse,
+    pub(super) uses: fleet::CallUse,
 }
 
 impl RunLedger {
@@ -45,8 +45,8 @@
     }
 
     /// Sums up what the calls at one start of a server use.
-    pub(super) fn total(&self, server: &name::ServerName, started_ms: u64) -> fleet::OwnUse {
-        let mut total = fleet::OwnUse::default();
+    pub(super) fn total(&self, server: &name::ServerName, started_ms: u64) -> fleet::CallUse {
+        let mut total = fleet::CallUse::default();
         for run in self.runs.values() {
             if run.started_ms == started_ms && run.server == *server {
                 total.add(run.uses);
--- a/galenahold_routing/src/fleet/scheduler_server.rs
+++ b/galenahold_routing/src/fleet/scheduler_server.rs
@@ -39,7 +39,7 @@
 pub(super) struct SchedulerServer {
     pub(super) record: domain::ServerRecord,
     /// What this instance's calls use at this start of the server.
-    pub(super) own: fleet::OwnUse,
+    pub(super) own: fleet::CallUse,
     /// When the present load was first seen in the roster.
     pub(super) loading_since: Option<time::Instant>,
     /// Adapters that the server is known to hold.
@@ -53,6 +53,8 @@
     succeeded_at: Option<time::Instant>,
     /// What other instances use at this start of the server, as last heard.
     pub(super) others: Option<load::ServerLoad>,
+    /// The share of this instance in the free slots.
+    pub(super) claims: fleet::ClaimLimit,
 }
 
 impl SchedulerServer {
@@ -61,7 +63,7 @@
             loading_since: record.loading.is_some().then_some(now),
             adapters: record.adapters.iter().cloned().collect(),
             record,
-            own: fleet::OwnUse::default(),
+            own: fleet::CallUse::default(),
             missing: collections::HashMap::new(),
             paused_until: None,
             consecutive_failures: 0,
@@ -69,16 +71,57 @@
             latency_s: None,
             succeeded_at: None,
             others: None,
+            claims: fleet::ClaimLimit::default(),
         }
     }
 
     /// Applies what other instances use at the server, unless that is about another start.
-    pub(super) fn apply_load(&mut self, load: &load::ServerLoad) {
+    pub(super) fn apply_load(&mut self, load: &load::ServerLoad, instances: u32) {
         if load.started_ms == self.record.started_ms {
             self.others = Some(load.clone());
+            self.claims.observe(fleet::SlotView {
+                running: self.own.running.saturating_add(load.running),
+                slots: self.record.slots,
+                limit: self.limit(),
+                instances,
+                measured_at: load.measured_at,
+            });
         }
     }
 
+    /// Returns the number of calls of all instances at which the server takes no more: engines queue a few,
+    /// and the view of others' calls is late.
+    fn limit(&self) -> u32 {
+        let slots = self.record.slots.max(1);
+        slots + slots / 4
+    }
+
+    /// Returns what the calls of all instances use at the server, as far as it is known.
+    pub(super) fn total(&self, weight: fleet::ViewWeight) -> fleet::CallUse {
+        let mut total = self.own;
+        if let Some(others) = &self.others {
+            total.add(weight.of(fleet::CallUse {
+                running: others.running,
+                unread_tokens: others.unread_tokens,
+                cache_tokens: others.cache_tokens,
+            }));
+        }
+        total
+    }
+
+    /// Returns whether the server takes another call, given what all instances use.
+    ///
+    /// An instance never exceeds the slots with its own calls, which it knows exactly. `chance` is uniform
+    /// between zero and one for the call and the view; it decides whether the call may claim a slot that
+    /// other instances may claim at the same time.
+    pub(super) fn has_slot(&self, total: fleet::CallUse, chance: f64) -> bool {
+        let slots = self.record.slots.max(1);
+        let is_shared = total.running > self.own.running;
+        self.own.running < slots
+            && total.running < self.limit()
+            && (!is_shared || self.claims.allows(chance))
+    }
+
     /// Applies a new roster record; if the server has restarted, all state is reset, as the calls in flight
     /// at the earlier start use nothing at the new one.
     pub(super) fn update(&mut self, record: domain::ServerRecord, now: time::Instant) {
@@ -130,12 +173,12 @@
         self.paused_until.is_some_and(|until| now < until)
     }
 
-    /// Returns how busy the server seems, from its calls in flight, latency and failures; lower is better.
-    pub(super) fn busyness(&self, min_latency: f64) -> f64 {
+    /// Returns how busy the server seems, from the calls in flight, latency and failures; lower is better.
+    pub(super) fn busyness(&self, total: fleet::CallUse, min_latency: f64) -> f64 {
         let latency = self.latency_s.unwrap_or(min_latency);
         let slowness = (latency / min_latency.max(f64::EPSILON)).max(1.0);
         let failure_penalty = 1.0 + self.failure_share * FAILURE_FACTOR;
-        f64::from(self.own.running + 1) * slowness * failure_penalty
+        (f64::from(total.running) + 1.0) * slowness * failure_penalty
     }
 
     /// Returns the moving average of the time to the first byte, in seconds.
--- a/galenahold_routing/src/fleet/server_selection.rs
+++ b/galenahold_routing/src/fleet/server_selection.rs
@@ -8,15 +8,6 @@
 
 use crate::fleet;
 
-/// Number of entry instances that is assumed until the roster reports it.
-const ASSUMED_FOLLOWERS: u32 = 8;
-
-/// How many times its even share of a server's slots one instance may use, since load is uneven.
-const SHARE_FACTOR: f64 = 2.5;
-
-/// Minimum number of calls that one instance may have at a server.
-const MIN_IN_FLIGHT: u32 = 2;
-
 /// Factor by which the server with a call's shared prompt prefix may be busier than the least busy one.
 const AFFINITY_FACTOR: f64 = 1.2;
 
@@ -37,8 +28,10 @@
     pub(super) servers: &'a fleet::ServerSet,
     /// The data centre of this instance, if it is known.
     pub(super) data_centre: Option<&'a name::DataCentreName>,
-    /// How many entry instances share the servers; zero if unknown.
-    pub(super) followers: u32,
+    /// The number of views of other instances' calls that were received.
+    pub(super) view_number: u64,
+    /// How much the view of other instances' calls counts.
+    pub(super) weight: fleet::ViewWeight,
     /// The time of the decision.
     pub(super) now: time::Instant,
 }
@@ -49,10 +42,13 @@
         &self,
         requirements: &fleet::CallRequirements,
     ) -> Option<name::ServerName> {
+        let chance = self.chance(requirements);
         let candidates: Vec<_> = self
             .servers
             .eligible(requirements, self.now)
-            .filter(|server| !server.is_paused(self.now) && server.own.running < self.quota(server))
+            .filter(|server| {
+                !server.is_paused(self.now) && server.has_slot(server.total(self.weight), chance)
+            })
             .collect();
         let untried: Vec<_> = candidates
             .iter()
@@ -77,7 +73,7 @@
             let local = self.is_local(server);
             let distance = if local { 1.0 } else { DISTANCE_FACTOR };
             (
-                server.busyness(min_latency) * distance,
+                server.busyness(server.total(self.weight), min_latency) * distance,
                 affinity_rank(requirements, server),
             )
         };
@@ -98,27 +94,19 @@
         Some(preferred.unwrap_or(least_busy).record.name.clone())
     }
 
+    /// Returns a uniform number between zero and one, which stays the same for a call until the next view.
+    fn chance(&self, requirements: &fleet::CallRequirements) -> f64 {
+        let mut hasher = collections::hash_map::DefaultHasher::new();
+        requirements.draw.hash(&mut hasher);
+        self.view_number.hash(&mut hasher);
+        let [high, low, ..] = hasher.finish().to_be_bytes().map(f64::from);
+        (high * 256.0 + low) / 65_536.0
+    }
+
     /// Returns whether a server is in this instance's data centre.
     fn is_local(&self, server: &fleet::SchedulerServer) -> bool {
         self.data_centre == Some(&server.record.data_centre)
     }
-
-    /// Returns the maximum number of calls that this instance may have at a server at once.
-    fn quota(&self, server: &fleet::SchedulerServer) -> u32 {
-        let followers = if self.followers == 0 {
-            ASSUMED_FOLLOWERS
-        } else {
-            self.followers
-        };
-        let even = f64::from(server.record.slots) / f64::from(followers);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the value is at most a few hundred and not negative"
-        )]
-        let quota = (even * SHARE_FACTOR).ceil() as u32;
-        quota.clamp(MIN_IN_FLIGHT, server.record.slots.max(MIN_IN_FLIGHT))
-    }
 }
 
 /// Keeps the servers that hold the call's adapter; if none does, those that can load it now.
--- a/galenahold_routing/tests/fleet/fixture.rs
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -56,6 +56,7 @@
         work: load::CallWork::default(),
         due_at: now,
         wait_deadline: now + timeout,
+        draw: 0,
         tried: Vec::new(),
     }
 }
@@ -132,3 +133,22 @@
         other => panic!("expected the call to wait, got {other:?}"),
     }
 }
+
+pub(crate) fn complete_requirements(
+    requirements: &mut fleet::CallRequirements,
+    _: time::Instant,
+    draw: u64,
+) {
+    requirements.draw = draw;
+}
+pub(crate) fn finish(scheduler: &mut fleet::CallScheduler, run: fleet::RunKey, _: time::Instant) {
+    scheduler.finish(run);
+}
+pub(crate) fn begin_answer(
+    scheduler: &mut fleet::CallScheduler,
+    run: fleet::RunKey,
+    _: time::Duration,
+) {
+    scheduler.begin_answer(run);
+}
+pub(crate) fn record_pace(_: &mut fleet::CallScheduler, _: fleet::RunKey, _: f64) {}
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -5,6 +5,8 @@
 mod call_placement;
 mod call_waiting;
 mod fixture;
+mod fleet_model;
 mod own_use;
 mod server_pauses;
+mod shared_servers;
 mod startup_wait;
