--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -45,8 +45,6 @@
 /// A waiting call; dropping it removes the call from the queue.
 struct WaitingPlace {
     dispatcher: CallDispatcher,
-    service: name::ServiceName,
-    target: Option<fleet::ModelTarget>,
     ticket: fleet::CallTicket,
     receiver: tokio_sync::oneshot::Receiver<PlaceResult>,
 }
@@ -90,7 +88,6 @@
     ) -> Result<entry::PlaceLease, fleet::SchedulerRefusal> {
         let now = time::Instant::now();
         let target = requirements.target.clone();
-        let service = requirements.service.clone();
         let waiting = {
             let mut state = self.lock();
             let submission = if is_retry {
@@ -100,7 +97,7 @@
             };
             match submission {
                 fleet::CallSubmission::Placed(placement) => {
-                    return Ok(self.lease(placement, service, target));
+                    return Ok(self.lease(placement, target));
                 }
                 fleet::CallSubmission::Refused(refusal) => {
                     self.demand.notify_one();
@@ -112,8 +109,6 @@
                     self.waiting.send_modify(|count| *count += 1);
                     WaitingPlace {
                         dispatcher: self.clone(),
-                        service: service.clone(),
-                        target: target.clone(),
                         ticket,
                         receiver,
                     }
@@ -124,7 +119,7 @@
         self.metrics.waiting.inc();
         let placed = waiting.wait().await;
         self.metrics.waiting.dec();
-        placed.map(|placement| self.lease(placement, service, target))
+        placed.map(|placement| self.lease(placement, target))
     }
 
     /// Returns whether a call that was placed at this start of the server may still be sent to it.
@@ -150,14 +145,14 @@
         self.lock().scheduler.observe(server, target, report, now);
     }
 
+    /// Records that the answer to a call has begun.
+    pub(super) fn begin_answer(&self, run: fleet::RunKey) {
+        self.change(|scheduler| scheduler.begin_answer(run));
+    }
+
     /// Frees the place of an attempt that has ended.
-    pub(super) fn finish(
-        &self,
-        server: &name::ServerName,
-        target: Option<&fleet::ModelTarget>,
-        service: &name::ServiceName,
-    ) {
-        self.change(|scheduler| scheduler.finish(server, target, service));
+    pub(super) fn finish(&self, run: fleet::RunKey) {
+        self.change(|scheduler| scheduler.finish(run));
     }
 
     /// Records that a server holds an adapter.
@@ -231,7 +226,7 @@
         DemandUpdate {
             usages: state.scheduler.take_usages(),
             adapters: state.scheduler.take_used_adapters(),
-            servers: self.lock_uses().take(state.scheduler.uses(), now),
+            servers: self.lock_uses().take(state.scheduler.uses().into_iter(), now),
         }
     }
 
@@ -272,10 +267,9 @@
     fn lease(
         &self,
         placement: fleet::CallPlacement,
-        service: name::ServiceName,
         target: Option<fleet::ModelTarget>,
     ) -> entry::PlaceLease {
-        entry::PlaceLease::new(self.clone(), placement, service, target)
+        entry::PlaceLease::new(self.clone(), placement, target)
     }
 
     fn withdraw(&self, ticket: fleet::CallTicket) {
@@ -327,8 +321,7 @@
             .send_modify(|count| *count = count.saturating_sub(1));
         // Returns a place that was assigned just before the drop.
         if let Ok(Ok(placement)) = self.receiver.try_recv() {
-            self.dispatcher
-                .finish(&placement.server, self.target.as_ref(), &self.service);
+            self.dispatcher.finish(placement.run);
         }
     }
 }
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -30,7 +30,6 @@
     sent_at: time::Instant,
     dispatcher: entry::CallDispatcher,
     placement: fleet::CallPlacement,
-    service: name::ServiceName,
     target: Option<fleet::ModelTarget>,
 }
 
@@ -38,7 +37,6 @@
     pub(super) fn new(
         dispatcher: entry::CallDispatcher,
         placement: fleet::CallPlacement,
-        service: name::ServiceName,
         target: Option<fleet::ModelTarget>,
     ) -> Self {
         Self {
@@ -47,7 +45,6 @@
             sent_at: time::Instant::now(),
             dispatcher,
             placement,
-            service,
             target,
         }
     }
@@ -162,6 +159,11 @@
             .record_pace(&placement.server, placement.started_ms, sample);
     }
 
+    /// Records that the first event of the answer has arrived.
+    pub(super) fn begin_answer(&self) {
+        self.dispatcher.begin_answer(self.placement.run);
+    }
+
     /// Records that the server holds the adapter.
     pub(super) fn record_adapter(&self, adapter: domain::HeldAdapter) {
         self.dispatcher
@@ -177,7 +179,6 @@
         {
             self.observe(fleet::AttemptReport::Slow);
         }
-        self.dispatcher
-            .finish(&self.placement.server, self.target.as_ref(), &self.service);
+        self.dispatcher.finish(self.placement.run);
     }
 }
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -43,6 +43,8 @@
     events: u64,
     /// When the first event arrived, counted from the request's arrival.
     first_event: Option<time::Duration>,
+    /// Whether the present server has sent an event.
+    has_begun: bool,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
     /// Measures the speed of the present server.
@@ -97,6 +99,7 @@
             last_id: None,
             events: 0,
             first_event: None,
+            has_begun: false,
             last_event: None,
             longest_pause: time::Duration::ZERO,
             gaps: load::GapObserver::default(),
@@ -239,6 +242,10 @@
         self.longest_pause = self.longest_pause.max(pause);
         self.last_event = Some(now);
         self.lease.start_waiting(now);
+        if !self.has_begun {
+            self.has_begun = true;
+            self.lease.begin_answer();
+        }
         if self.events == 0 {
             self.parts.crashes.record_start(&self.call.keys);
             self.first_event = Some(now - self.call.arrived);
@@ -297,6 +304,7 @@
         self.lease = lease;
         self.splitter = entry::EventSplitter::new(self.exchange.buffer_share());
         self.is_resumed = true;
+        self.has_begun = false;
         true
     }
 
