Part the costs of loads from the choice of needs and engines

Cause: load_choices.rs used unload_cost of model_needs.rs, which used is_usable of load_choices.rs. Change: the cost of an unload, the load times and what is usable move to load_costs.rs below both.

--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -8,7 +8,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
-use crate::fleet::load_choices;
+use crate::fleet::load_costs;
 
 /// How much longer than expected it may take to see that an order has ended.
 const ORDER_SLACK: time::Duration = time::Duration::from_secs(4);
@@ -102,7 +102,7 @@
         for record in round
             .records
             .iter()
-            .filter(|record| load_choices::is_usable(record))
+            .filter(|record| load_costs::is_usable(record))
         {
             step.orders.extend(self.free_adapter_slot(&round, record));
             step.orders
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -3,12 +3,11 @@
 use std::collections;
 use std::time;
 
-use galenahold_domain::declaration;
 use galenahold_domain::fleet as domain;
 use galenahold_domain::name;
 
 use crate::fleet;
-use crate::fleet::model_needs;
+use crate::fleet::load_costs;
 
 /// Maximum number of concurrent loads from the weight store before any model has been requested. No
 /// request waits for these loads, and their duration shows the store's throughput.
@@ -39,7 +38,7 @@
         let store_loads = self.store_loads(round);
         let mut best: Option<fleet::LoadOption<'a>> = None;
         for record in &round.records {
-            if used_servers.contains(&record.name) || !is_usable(record) {
+            if used_servers.contains(&record.name) || !load_costs::is_usable(record) {
                 continue;
             }
             let Some(load_option) = self.load_option(round, need, record, store_loads) else {
@@ -67,9 +66,9 @@
         round
             .records
             .iter()
-            .filter(|record| is_usable(record))
+            .filter(|record| load_costs::is_usable(record))
             .filter_map(|record| {
-                let (load_duration, from_store) = load_time(need.model, record);
+                let (load_duration, from_store) = load_costs::load_time(need.model, record);
                 let order = self.servers.get(&record.name)?.order.as_ref()?;
                 let remaining = order.ends_at.saturating_duration_since(round.now);
                 (!from_store).then_some(remaining + load_duration)
@@ -94,7 +93,7 @@
             return None;
         }
         let unconfirmed = plan.unconfirmed_bytes(|model| record.model(model).is_some(), now);
-        let (load_duration, from_store) = load_time(need.model, record);
+        let (load_duration, from_store) = load_costs::load_time(need.model, record);
         if from_store {
             let allowed = self.store.allows_load(round.engine.store_loads_per_s, now);
             if !need.may_fetch || store_loads >= self.store_limit() || !allowed {
@@ -162,7 +161,7 @@
             .map(|held| {
                 (
                     held.name.clone(),
-                    model_needs::unload_cost(round, &held.name),
+                    load_costs::unload_cost(round, &held.name),
                 )
             })
             .min_by(|one, other| one.1.total_cmp(&other.1))
@@ -214,22 +213,3 @@
     let has_no_adapters = model.is_none_or(|model| model.adapters.is_empty());
     record.copies.are_cached(name) && has_no_adapters && round.standing(name).idle
 }
-
-/// Returns whether an engine may get orders and requests.
-pub(super) fn is_usable(record: &domain::ServerRecord) -> bool {
-    record.is_open() && !record.silent && !record.leaves_soon
-}
-
-/// Returns how long an engine takes to load a model, and whether it needs the weight store.
-pub(super) fn load_time(
-    model: &declaration::DeclaredModel,
-    record: &domain::ServerRecord,
-) -> (time::Duration, bool) {
-    if record.copies.are_in_memory(&model.name) {
-        (model.memory_load, false)
-    } else if record.copies.are_on_disk(&model.name) {
-        (model.disk_load, false)
-    } else {
-        (model.store_load, true)
-    }
-}
--- a/galenahold_placement/src/fleet/mod.rs
+++ b/galenahold_placement/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod engine_report;
 mod fleet_planner;
 mod load_choices;
+mod load_costs;
 mod load_option;
 mod model_need;
 mod model_needs;
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -8,7 +8,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
-use crate::fleet::load_choices;
+use crate::fleet::load_costs;
 
 /// Waiting and running requests per copy of a model above which another copy justifies its memory.
 const REQUESTS_PER_COPY: u32 = 10;
@@ -41,13 +41,6 @@
 /// Value of a waiting request, relative to a rate of one request per second.
 const WAITING_WEIGHT: f64 = 1.0;
 
-/// Value of a further copy of a model as a share of the value of the first.
-const FURTHER_COPY_SHARE: f64 = 0.3;
-
-/// Cost of each running request in the unload cost of a model, since the unload waits for running
-/// requests to end.
-const RUNNING_COST: f64 = 0.4;
-
 impl fleet::FleetPlanner {
     /// Lists the models that need a copy, the most valuable first.
     pub(super) fn needs<'a>(&self, round: &fleet::PlanRound<'a>) -> Vec<fleet::ModelNeed<'a>> {
@@ -93,7 +86,7 @@
             || is_on_busy_engines(round, &model.name, loading);
         (loading < MAX_LOADING_COPIES && full).then(|| fleet::ModelNeed {
             model,
-            value: round.standing(&model.name).value * FURTHER_COPY_SHARE,
+            value: round.standing(&model.name).value * load_costs::FURTHER_COPY_SHARE,
             may_evict: fleet::Eviction::LessValuable,
             // While the first copy is still loading, the store is reserved for models without a
             // copy.
@@ -116,7 +109,7 @@
             standings.insert(model.name.clone(), standing);
         }
         for record in &records {
-            let usable = load_choices::is_usable(record);
+            let usable = load_costs::is_usable(record);
             for held in &record.models {
                 let standing = standings
                     .entry(held.name.clone())
@@ -201,16 +194,16 @@
     let mut rates = collections::HashMap::new();
     let usable = records
         .iter()
-        .filter(|record| load_choices::is_usable(record));
+        .filter(|record| load_costs::is_usable(record));
     for record in usable {
         let served = || record.models.iter().filter(|held| !held.retiring);
         let rate: f64 = served()
             .filter_map(|held| standings.get(&held.name))
-            .map(|standing| standing.rate / copies_of(standing))
+            .map(|standing| standing.rate / load_costs::copies_of(standing))
             .sum();
         for held in served() {
             if let Some(standing) = standings.get_mut(&held.name) {
-                standing.engine_rate += rate / copies_of(standing);
+                standing.engine_rate += rate / load_costs::copies_of(standing);
             }
         }
         rates.insert(&record.name, rate);
@@ -218,22 +211,6 @@
     rates
 }
 
-fn copies_of(standing: &fleet::ModelStanding) -> f64 {
-    f64::from(u32::try_from(standing.held.max(1)).unwrap_or(u32::MAX))
-}
-
-/// Returns the cost of unloading one copy of a model now.
-pub(super) fn unload_cost(round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
-    let standing = round.standing(model);
-    let copies = copies_of(&standing);
-    let value = if standing.held > 1 {
-        standing.value * FURTHER_COPY_SHARE / copies
-    } else {
-        standing.value
-    };
-    value + f64::from(standing.running) / copies * RUNNING_COST
-}
-
 fn standing_of(demand: &fleet::AggregateDemand, now: time::Instant) -> fleet::ModelStanding {
     let rate = demand.rate(now);
     let waiting = demand.waiting(now);
--- a/galenahold_placement/src/fleet/preloads.rs
+++ b/galenahold_placement/src/fleet/preloads.rs
@@ -5,7 +5,7 @@
 use galenahold_domain::name;
 
 use crate::fleet;
-use crate::fleet::load_choices;
+use crate::fleet::load_costs;
 
 impl fleet::FleetPlanner {
     /// Fetches models of which no engine has a copy from the weight store before they are
@@ -62,7 +62,7 @@
         for record in round
             .records
             .iter()
-            .filter(|record| load_choices::is_usable(record))
+            .filter(|record| load_costs::is_usable(record))
         {
             let plan = self.plan_of(&record.name, record.started_ms);
             if !plan.accepts_model_order(round.now) {
