Order loads by the waiting calls that they serve in time

Cause: loads were ordered by the request rate and the number of waiting calls. Change: demand reports list when waiting calls are due and leave (waiting_calls, optional on reading). Needs are ordered by the apparent tardiness cost rule plus the expected calls; nothing is loaded for calls that will have left; the wait for runs counts as load time; running evictions count against the store's limit by urgency, and their loads take their turn. Model orders avoid engines with adapters in use. The engines of a round and what they may evict are gathered once.

--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -392,6 +392,7 @@
                     arrivals: count.arrivals,
                     waiting: count.waiting,
                     running: count.running,
+                    waiting_calls: count.waiting_calls.into_iter().map(waiting_call).collect(),
                 };
                 let key = (count.service, count.model);
                 leadership
@@ -558,3 +559,10 @@
             .map(|remaining| u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
     }
 }
+
+fn waiting_call(call: message::WaitingCall) -> placement::WaitingCall {
+    placement::WaitingCall {
+        due_in: time::Duration::from_millis(u64::from(call.due_ms)),
+        leaves_in: time::Duration::from_millis(u64::from(call.leaves_ms)),
+    }
+}
--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -207,8 +207,10 @@
 
     /// Takes the demand that has not been reported to the leader yet.
     pub(super) fn take_demand(&self) -> DemandUpdate {
+        let now = time::Instant::now();
         let mut state = self.lock();
         DemandUpdate {
+            waiting_calls: state.scheduler.waiting_calls(now),
             usages: state.scheduler.take_usages(),
             adapters: state.scheduler.take_used_adapters(),
         }
@@ -275,6 +277,9 @@
 pub(super) struct DemandUpdate {
     /// Usage of each model.
     pub(super) usages: Vec<((name::ServiceName, name::ModelName), fleet::ModelUsage)>,
+    /// Remaining times of the calls that wait for each model.
+    pub(super) waiting_calls:
+        collections::HashMap<(name::ServiceName, name::ModelName), Vec<fleet::CallTimes>>,
     /// Adapters that were used, with their servers.
     pub(super) adapters: Vec<(name::ServerName, domain::HeldAdapter)>,
 }
--- a/galenahold_instance/src/gateway/entry/demand_reporter.rs
+++ b/galenahold_instance/src/gateway/entry/demand_reporter.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_routing::fleet;
 use galenahold_wire::message;
 use log::debug;
 
@@ -62,17 +63,19 @@
         if update.usages.is_empty() && update.adapters.is_empty() {
             return;
         }
-        let models =
-            update
-                .usages
-                .into_iter()
-                .map(|((service, model), usage)| message::ModelCount {
-                    service,
-                    model,
-                    arrivals: usage.arrivals,
-                    waiting: usage.waiting,
-                    running: usage.running,
-                });
+        let mut waiting_calls = update.waiting_calls;
+        let models = update.usages.into_iter().map(|(key, usage)| {
+            let calls = waiting_calls.remove(&key).unwrap_or_default();
+            let (service, model) = key;
+            message::ModelCount {
+                service,
+                model,
+                arrivals: usage.arrivals,
+                waiting: usage.waiting,
+                running: usage.running,
+                waiting_calls: calls.into_iter().map(waiting_call).collect(),
+            }
+        });
         let adapters = update
             .adapters
             .into_iter()
@@ -91,3 +94,11 @@
         }
     }
 }
+
+fn waiting_call(times: fleet::CallTimes) -> message::WaitingCall {
+    let milliseconds = |span: time::Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    message::WaitingCall {
+        due_ms: milliseconds(times.due_in),
+        leaves_ms: milliseconds(times.leaves_in),
+    }
+}
--- a/galenahold_placement/examples/fleet_plan_cost.rs
+++ b/galenahold_placement/examples/fleet_plan_cost.rs
@@ -88,6 +88,7 @@
                     arrivals: 1,
                     waiting: u32::from(number % 12 == 0),
                     running: 1,
+                    ..fleet::DemandCounts::default()
                 };
                 let key = (service.clone(), model_name(number));
                 planner.record_demand(&name::InstanceName::from("entry"), key, counts, now);
--- a/galenahold_placement/src/fleet/adapter_requests.rs
+++ b/galenahold_placement/src/fleet/adapter_requests.rs
@@ -73,6 +73,7 @@
         }
         let ready_in = adapter_load_time(model);
         plan.adapters.reserve(adapter.clone(), ready_in, now);
+        plan.adapters.touch(adapter, now);
         actions.push(fleet::OrderAction::LoadAdapter(adapter.clone()));
         let orders = actions
             .into_iter()
--- a/galenahold_placement/src/fleet/adapter_table.rs
+++ b/galenahold_placement/src/fleet/adapter_table.rs
@@ -11,6 +11,10 @@
 /// How long after its last use an adapter is not unloaded for another one.
 const USE_GRACE: time::Duration = time::Duration::from_millis(500);
 
+/// How long after its last request an adapter counts as in use. An adapter of a popular model is
+/// requested several times in this time; the set of popular models changes every 10 s.
+const USE_SPAN: time::Duration = time::Duration::from_secs(4);
+
 /// How long an adapter may be missing from an engine's notices, which lag, before it counts as
 /// unloaded.
 const NOTICE_LAG: time::Duration = time::Duration::from_secs(3);
@@ -25,6 +29,8 @@
 struct AdapterEntry {
     state: AdapterState,
     used_at: time::Instant,
+    /// When a request last used the adapter; `None` for one that was loaded in advance.
+    requested_at: Option<time::Instant>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,6 +44,13 @@
     Unloading,
 }
 
+impl AdapterEntry {
+    fn is_in_use(&self, now: time::Instant) -> bool {
+        let requested_at = self.requested_at;
+        requested_at.is_some_and(|at| now.saturating_duration_since(at) < USE_SPAN)
+    }
+}
+
 impl AdapterTable {
     /// Applies the list of adapters in a notice of the engine.
     pub(super) fn apply_notice(&mut self, held: &[domain::HeldAdapter], now: time::Instant) {
@@ -48,6 +61,7 @@
                 .or_insert_with(|| AdapterEntry {
                     state: AdapterState::Held { from: now },
                     used_at: now,
+                    requested_at: None,
                 });
             if matches!(entry.state, AdapterState::Unconfirmed { .. }) {
                 entry.state = AdapterState::Held { from: now };
@@ -74,6 +88,12 @@
         self.held.len()
     }
 
+    /// Returns whether requests use any of the adapters.
+    pub(super) fn are_in_use(&self, now: time::Instant) -> bool {
+        let mut entries = self.held.values();
+        entries.any(|entry| entry.is_in_use(now))
+    }
+
     /// Returns the number of occupied slots without those of adapters that are being unloaded.
     pub(super) fn retained(&self) -> usize {
         let entries = self.held.values();
@@ -112,6 +132,7 @@
     pub(super) fn touch(&mut self, adapter: &domain::HeldAdapter, now: time::Instant) {
         if let Some(entry) = self.held.get_mut(adapter) {
             entry.used_at = now;
+            entry.requested_at = Some(now);
         }
     }
 
@@ -127,6 +148,7 @@
                 from: now + ready_in,
             },
             used_at: now,
+            requested_at: None,
         };
         self.held.insert(adapter, entry);
     }
--- a/galenahold_placement/src/fleet/aggregate_demand.rs
+++ b/galenahold_placement/src/fleet/aggregate_demand.rs
@@ -5,12 +5,17 @@
 
 use galenahold_domain::name;
 
+use crate::fleet;
+
 /// Time constant of the request rate's moving average.
 const RATE_WINDOW: time::Duration = time::Duration::from_secs(4);
 
 /// Age from which an instance's report no longer counts.
 const REPORT_EXPIRY: time::Duration = time::Duration::from_secs(2);
 
+/// Time for which a waiting request of unknown times is expected to stay.
+const UNKNOWN_LEAVE: time::Duration = time::Duration::from_mins(1);
+
 /// Request rate, waiting requests and running requests of one model, over all entry instances.
 #[derive(Debug)]
 pub(super) struct AggregateDemand {
@@ -24,9 +29,18 @@
 struct InstanceReport {
     waiting: u32,
     running: u32,
+    /// When each listed waiting request is due and leaves.
+    calls: Vec<CallWindow>,
     received_at: time::Instant,
 }
 
+/// When a waiting request is due, and when it leaves.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct CallWindow {
+    pub(super) due_at: time::Instant,
+    pub(super) leaves_at: time::Instant,
+}
+
 impl AggregateDemand {
     pub(super) fn new(now: time::Instant) -> Self {
         Self {
@@ -41,19 +55,22 @@
     pub(super) fn record_report(
         &mut self,
         instance: &name::InstanceName,
-        arrivals: u32,
-        waiting: u32,
-        running: u32,
+        counts: fleet::DemandCounts,
         now: time::Instant,
     ) {
-        self.rate = self.rate(now) + f64::from(arrivals) / RATE_WINDOW.as_secs_f64();
+        self.rate = self.rate(now) + f64::from(counts.arrivals) / RATE_WINDOW.as_secs_f64();
         self.rate_updated_at = now;
-        if arrivals > 0 || waiting > 0 {
+        if counts.arrivals > 0 || counts.waiting > 0 {
             self.last_request_at = now;
         }
+        let window = |call: fleet::WaitingCall| CallWindow {
+            due_at: now + call.due_in,
+            leaves_at: now + call.leaves_in,
+        };
         let report = InstanceReport {
-            waiting,
-            running,
+            waiting: counts.waiting,
+            running: counts.running,
+            calls: counts.waiting_calls.into_iter().map(window).collect(),
             received_at: now,
         };
         self.reports.insert(instance.clone(), report);
@@ -77,6 +94,31 @@
         self.current_reports(now).map(|report| report.running).sum()
     }
 
+    /// Iterates over the waiting requests. Those that a report counts without listing them are like its
+    /// last listed one; without any listed one, as in the reports of earlier versions, they are due now
+    /// and never leave.
+    pub(super) fn waiting_calls(
+        &self,
+        now: time::Instant,
+    ) -> impl Iterator<Item = CallWindow> + '_ {
+        self.current_reports(now).flat_map(move |report| {
+            let unlisted = CallWindow {
+                due_at: now,
+                leaves_at: now + UNKNOWN_LEAVE,
+            };
+            let last = report.calls.last().copied().unwrap_or(unlisted);
+            let count = usize::try_from(report.waiting).unwrap_or(usize::MAX);
+            let rest = count.saturating_sub(report.calls.len());
+            let listed = report.calls.iter().take(count).copied();
+            listed.chain(std::iter::repeat_n(last, rest))
+        })
+    }
+
+    /// Returns the time since the last report of any instance.
+    pub(super) fn age(&self, now: time::Instant) -> time::Duration {
+        now.saturating_duration_since(self.rate_updated_at)
+    }
+
     /// Returns the time since requests last arrived or waited.
     pub(super) fn idle_for(&self, now: time::Instant) -> time::Duration {
         now.saturating_duration_since(self.last_request_at)
--- a/galenahold_placement/src/fleet/demand_counts.rs
+++ b/galenahold_placement/src/fleet/demand_counts.rs
@@ -1,7 +1,9 @@
 //! Request counts of one entry instance for one model.
 
+use crate::fleet;
+
 /// Requests for one model at one entry instance.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct DemandCounts {
     /// Requests that arrived since the last report.
     pub arrivals: u32,
@@ -9,4 +11,6 @@
     pub waiting: u32,
     /// Requests that are running.
     pub running: u32,
+    /// The waiting requests whose remaining times are known, the earliest due first.
+    pub waiting_calls: Vec<fleet::WaitingCall>,
 }
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -13,18 +13,12 @@
 /// How much longer than expected it may take to see that an order has ended.
 const ORDER_SLACK: time::Duration = time::Duration::from_secs(4);
 
-/// Time limit of an unload, which waits for runs of the model to end.
-const UNLOAD_TIME: time::Duration = time::Duration::from_secs(12);
-
-/// Expected time of an unload at an engine where the model has no runs.
-const IDLE_UNLOAD: time::Duration = time::Duration::from_millis(60);
-
 /// Decides which models and adapters the engines of declared services load and unload, for one
 /// leadership.
 ///
-/// Models with demand that no engine holds go first. Such a model is loaded on the engine that is
-/// nearest to its weights and would evict the model with the least demand. Models with many
-/// requests per copy get further copies.
+/// Needed models are ordered by the calls that a load still serves in time. A model is loaded on the
+/// engine that is nearest to its weights and would evict the model with the least demand. Models with
+/// many requests per copy get further copies.
 ///
 /// The memory of an unanswered order stays reserved until the order can no longer be executed, so
 /// that no engine is ever ordered to hold more than fits.
@@ -50,13 +44,7 @@
         self.demand
             .entry(key)
             .or_insert_with(|| fleet::AggregateDemand::new(now))
-            .record_report(
-                instance,
-                counts.arrivals,
-                counts.waiting,
-                counts.running,
-                now,
-            );
+            .record_report(instance, counts, now);
     }
 
     /// Records that a request was sent to an adapter.
@@ -108,16 +96,16 @@
             step.orders
                 .extend(self.preload_adapter(&round, record, &mut known_adapters));
         }
-        let mut used_servers = collections::HashSet::new();
-        self.load_after_eviction(&round, &mut used_servers, &mut step);
-        for need in self.needs(&round) {
-            let Some(load_option) = self.best_option(&round, &need, &used_servers) else {
+        let mut engines = self.round_engines(&round);
+        for need in self.needs(&round, &engines) {
+            let Some(load_option) = self.best_option(&round, &engines, &need) else {
                 continue;
             };
-            used_servers.insert(load_option.record.name.clone());
+            engines.occupy(&need, &load_option);
             self.apply_option(&round, &need, &load_option, &mut step);
         }
-        self.preload_models(&round, &mut used_servers, &mut step);
+        self.load_prepared(&round, &mut engines, &mut step);
+        self.preload_models(&round, &mut engines, &mut step);
         step
     }
 
@@ -150,7 +138,10 @@
         let (action, time_limit) = if let Some(victim) = &load_option.victim {
             step.retiring
                 .push((record.name.clone(), victim.clone(), true));
-            (fleet::OrderAction::UnloadModel(victim.clone()), UNLOAD_TIME)
+            (
+                fleet::OrderAction::UnloadModel(victim.clone()),
+                load_costs::MAX_UNLOAD,
+            )
         } else {
             if load_option.from_store {
                 self.store.record_start(round.now);
@@ -166,6 +157,22 @@
                 load_option.load_duration * 2,
             )
         };
+        let standing = round.standing(&model);
+        step.decisions.push(fleet::LoadDecision {
+            model: model.clone(),
+            server: record.name.clone(),
+            victim: load_option.victim.clone(),
+            from_store: load_option.from_store,
+            urgency: need.urgency,
+            value: need.value,
+            rate: standing.rate,
+            waiting: standing.waiting,
+            earliest_due: standing
+                .earliest_due
+                .map(|due_at| due_at.saturating_duration_since(round.now)),
+            demand_age: standing.demand_age,
+            expected: load_option.load_duration,
+        });
         let order = self.order(record, action.clone());
         let from_store = load_option.from_store && load_option.victim.is_none();
         if from_store {
@@ -180,12 +187,7 @@
             action,
             from_store,
             started_at: round.now,
-            ends_at: round.now
-                + if load_option.victim.is_some() {
-                    IDLE_UNLOAD + load_option.load_duration
-                } else {
-                    load_option.load_duration
-                },
+            ends_at: round.now + load_option.load_duration,
             timeout_at: round.now + time_limit + ORDER_SLACK,
         });
         step.orders.push(order);
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -1,16 +1,10 @@
 //! Chooses the engine for a model load, and the model to evict for it.
 
-use std::collections;
 use std::time;
 
-use galenahold_domain::fleet as domain;
-use galenahold_domain::name;
-
 use crate::fleet;
 use crate::fleet::load_costs;
-
-/// Minimum time for which a model stays loaded, so that the requests that waited for it are served.
-const MIN_RESIDENCY: time::Duration = time::Duration::from_millis(1_200);
+use crate::fleet::round_engines;
 
 /// Factor by which the value of a model has to exceed that of the model evicted for it.
 const EVICTION_MARGIN: f64 = 1.5;
@@ -19,8 +13,14 @@
 /// prompts meet grows with both rates.
 const MEETING_COST: f64 = 0.1;
 
-/// Factor on the cost of a load at an engine that holds adapters.
-const ADAPTER_HOST_FACTOR: f64 = 1.5;
+/// Factor by which a load may take longer at an engine without adapters in use than at one with them. An
+/// engine refuses adapter orders while it executes a model order, and each refusal costs a caller its
+/// adapter; the delay of one rare model costs less.
+const COMPARABLE_FACTOR: f64 = 3.0;
+
+/// Factor by which the urgency of a model has to exceed that of the model for which an engine was
+/// prepared by an eviction, to use the engine instead.
+const TAKEOVER_FACTOR: f64 = 2.0;
 
 impl fleet::FleetPlanner {
     /// Returns the engine on which the load costs least; `None` if waiting for a busy engine is
@@ -28,139 +28,80 @@
     pub(super) fn best_option<'a>(
         &mut self,
         round: &fleet::PlanRound<'a>,
+        engines: &fleet::RoundEngines<'a>,
         need: &fleet::ModelNeed<'_>,
-        used_servers: &collections::HashSet<name::ServerName>,
     ) -> Option<fleet::LoadOption<'a>> {
-        let store_loads = self.store_loads(round);
-        let mut best: Option<fleet::LoadOption<'a>> = None;
-        for record in &round.records {
-            if used_servers.contains(&record.name) || !load_costs::is_usable(record) {
+        if let Some(prepared) = self.prepared_option(round, engines, need) {
+            return Some(prepared);
+        }
+        let may_fetch = need.may_fetch
+            && engines.store_loads_ahead(need.urgency) < self.store_limit()
+            && self.store_window_is_open(round);
+        // The best option at an engine without adapters in use, and at one with them.
+        let mut best: [Option<fleet::LoadOption<'a>>; 2] = [None, None];
+        for engine in &engines.free {
+            let reserved = engine.prepared_for.as_ref();
+            if reserved.is_some_and(|(model, urgency)| {
+                *model != need.model.name && need.urgency < urgency * TAKEOVER_FACTOR
+            }) {
                 continue;
             }
-            let Some(load_option) = self.load_option(round, need, record, store_loads) else {
+            let Some(load_option) = load_option(round, need, engine, may_fetch) else {
                 continue;
             };
+            let best = &mut best[usize::from(engine.hosts_adapters)];
             if best
                 .as_ref()
                 .is_none_or(|best| load_option.cost < best.cost)
             {
-                best = Some(load_option);
+                *best = Some(load_option);
             }
         }
+        let [apart, host] = best;
+        let best = match (apart, host) {
+            (Some(apart), Some(host)) => {
+                let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
+                Some(if apart.load_duration <= comparable {
+                    apart
+                } else {
+                    host
+                })
+            }
+            (None, Some(host)) => {
+                let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
+                let waiting = wait_without_adapters(engines, need, host.from_store);
+                waiting
+                    .is_none_or(|waiting| waiting > comparable)
+                    .then_some(host)
+            }
+            (apart, None) => apart,
+        };
         // Waiting for a busy engine may be faster than loading on a free one.
-        let waiting = self.wait_for_busy_engine(round, need);
+        let waiting = wait_for_busy_engine(engines, need);
         best.filter(|best| waiting.is_none_or(|waiting| best.load_duration <= waiting))
     }
 
-    /// Returns the shortest time in which a busy engine that has the weights nearby could load the
-    /// model.
-    pub(super) fn wait_for_busy_engine(
-        &self,
-        round: &fleet::PlanRound<'_>,
-        need: &fleet::ModelNeed<'_>,
-    ) -> Option<time::Duration> {
-        round
-            .records
-            .iter()
-            .filter(|record| load_costs::is_usable(record))
-            .filter_map(|record| {
-                let (load_duration, from_store) = load_costs::load_time(need.model, record);
-                let order = self.servers.get(&record.name)?.order.as_ref()?;
-                let remaining = order.ends_at.saturating_duration_since(round.now);
-                (!from_store).then_some(remaining + load_duration)
-            })
-            .min()
-    }
-
-    /// Returns how an engine could load the model, with the model to evict if memory is missing.
-    pub(super) fn load_option<'a>(
+    /// Returns the load at the engine where another model was evicted for this one, if any.
+    pub(super) fn prepared_option<'a>(
         &mut self,
-        round: &fleet::PlanRound<'_>,
+        round: &fleet::PlanRound<'a>,
+        engines: &fleet::RoundEngines<'a>,
         need: &fleet::ModelNeed<'_>,
-        record: &'a domain::ServerRecord,
-        store_loads: usize,
     ) -> Option<fleet::LoadOption<'a>> {
-        let now = round.now;
-        let plan = self.plan_of(&record.name, record.started_ms);
-        if !plan.accepts_model_order(now)
-            || plan.evicting_for.is_some()
-            || record.model(&need.model.name).is_some()
-        {
-            return None;
-        }
-        let unconfirmed = plan.unconfirmed_bytes(|model| record.model(model).is_some(), now);
-        let (load_duration, from_store) = load_costs::load_time(need.model, record);
-        if from_store {
-            let allowed = self.store.allows_load(round.engine.store_loads_per_s, now);
-            if !need.may_fetch || store_loads >= self.store_limit() || !allowed {
-                return None;
-            }
-        }
-        let free = round.free_bytes(record).saturating_sub(unconfirmed);
-        let mut cost = load_duration.as_secs_f64();
-        if self
-            .servers
-            .get(&record.name)
-            .is_some_and(|plan| plan.adapters.len() > 0)
-        {
-            // The engine loads no adapters during the model load.
-            cost *= ADAPTER_HOST_FACTOR;
-        }
-        let standing = round.standing(&need.model.name);
-        let copies = u32::try_from(standing.held + 1).unwrap_or(u32::MAX);
-        cost += standing.rate / f64::from(copies) * round.engine_rate(&record.name) * MEETING_COST;
-        let mut victim = None;
-        if free < need.model.weights.0 {
-            let missing = need.model.weights.0 - free;
-            let (model, value) = self.victim(round, record, missing, need.may_evict)?;
-            if need.may_evict == fleet::Eviction::LessValuable
-                && value * EVICTION_MARGIN >= need.value
-            {
-                return None;
-            }
-            cost += value;
-            victim = Some(model);
-        }
-        Some(fleet::LoadOption {
-            record,
-            victim,
-            from_store,
-            load_duration,
-            cost,
-        })
+        let engine = engines.free.iter().find(|engine| {
+            let prepared_for = engine.prepared_for.as_ref();
+            prepared_for.is_some_and(|(model, _)| *model == need.model.name)
+        })?;
+        let may_fetch =
+            engines.store_loads < self.store_limit() && self.store_window_is_open(round);
+        let load_option = load_option(round, need, engine, may_fetch)?;
+        load_option.victim.is_none().then_some(load_option)
     }
 
-    /// Returns the model of an engine with the lowest unload cost among those that are large
-    /// enough.
-    pub(super) fn victim(
-        &self,
-        round: &fleet::PlanRound<'_>,
-        record: &domain::ServerRecord,
-        missing: u64,
-        eviction: fleet::Eviction,
-    ) -> Option<(name::ModelName, f64)> {
-        let plan = self.servers.get(&record.name)?;
-        record
-            .models
-            .iter()
-            .filter(|held| !held.retiring && is_evictable(round, record, &held.name, eviction))
-            .filter(|held| {
-                let held_since = plan.held_since.get(&held.name);
-                held_since.is_none_or(|since| {
-                    round.now.saturating_duration_since(*since) >= MIN_RESIDENCY
-                })
-            })
-            .filter(|held| {
-                let model = round.model(&held.name);
-                model.is_none_or(|model| model.weights.0 >= missing)
-            })
-            .map(|held| {
-                (
-                    held.name.clone(),
-                    load_costs::unload_cost(round, &held.name),
-                )
-            })
-            .min_by(|one, other| one.1.total_cmp(&other.1))
+    /// Returns whether the rate of loads from the weight store allows another one now.
+    fn store_window_is_open(&mut self, round: &fleet::PlanRound<'_>) -> bool {
+        self.store
+            .allows_load(round.engine.store_loads_per_s, round.now)
     }
 
     /// Counts the loads from the store that are or may be in progress. Loads of engines that are no
@@ -199,29 +140,90 @@
     }
 }
 
-/// Returns whether the restriction allows the eviction of a model.
-fn is_evictable(
-    round: &fleet::PlanRound<'_>,
-    record: &domain::ServerRecord,
-    model: &name::ModelName,
-    eviction: fleet::Eviction,
-) -> bool {
-    match eviction {
-        fleet::Eviction::None => false,
-        fleet::Eviction::Idle => is_idle_and_near(round, record, model),
-        fleet::Eviction::LessValuable => true,
+impl round_engines::Victim {
+    /// Returns whether the restriction of the need allows the eviction.
+    fn is_evictable(&self, need: &fleet::ModelNeed<'_>) -> bool {
+        match need.may_evict {
+            fleet::Eviction::None => false,
+            fleet::Eviction::Idle => self.is_idle,
+            fleet::Eviction::LessValuable => true,
+        }
     }
 }
 
-/// Returns whether a model is idle and can be loaded again without the weight store.
-///
-/// Models with adapters never count as idle, since many requests ask for them.
-fn is_idle_and_near(
+/// Returns how an engine could load the model, with the model to evict if memory is missing.
+fn load_option<'a>(
     round: &fleet::PlanRound<'_>,
-    record: &domain::ServerRecord,
-    name: &name::ModelName,
-) -> bool {
-    let model = round.model(name);
-    let has_no_adapters = model.is_none_or(|model| model.adapters.is_empty());
-    record.copies.are_cached(name) && has_no_adapters && round.standing(name).idle
+    need: &fleet::ModelNeed<'_>,
+    engine: &round_engines::FreeEngine<'a>,
+    may_fetch: bool,
+) -> Option<fleet::LoadOption<'a>> {
+    let record = engine.record;
+    if record.model(&need.model.name).is_some() {
+        return None;
+    }
+    let (mut load_duration, from_store) = load_costs::load_time(need.model, record);
+    if from_store && !may_fetch {
+        return None;
+    }
+    let standing = round.standing(&need.model.name);
+    let copies = u32::try_from(standing.held + 1).unwrap_or(u32::MAX);
+    let mut cost =
+        standing.rate / f64::from(copies) * round.engine_rate(&record.name) * MEETING_COST;
+    let mut victim = None;
+    if engine.free_bytes < need.model.weights.0 {
+        let missing = need.model.weights.0 - engine.free_bytes;
+        let evicted = engine
+            .victims
+            .iter()
+            .find(|held| held.bytes >= missing && held.is_evictable(need))?;
+        if need.may_evict == fleet::Eviction::LessValuable
+            && evicted.value * EVICTION_MARGIN >= need.value
+        {
+            return None;
+        }
+        cost += evicted.value;
+        load_duration += evicted.unload_duration;
+        victim = Some(evicted.model.clone());
+    }
+    if need
+        .leaves_by
+        .is_some_and(|leaves_by| round.now + load_duration >= leaves_by)
+    {
+        return None;
+    }
+    cost += load_duration.as_secs_f64();
+    Some(fleet::LoadOption {
+        record,
+        victim,
+        from_store,
+        load_duration,
+        cost,
+    })
+}
+
+/// Returns the shortest time in which a busy engine that has the weights nearby could load the model.
+fn wait_for_busy_engine(
+    engines: &fleet::RoundEngines<'_>,
+    need: &fleet::ModelNeed<'_>,
+) -> Option<time::Duration> {
+    let near = engines.busy.iter().filter_map(|engine| {
+        let (load_duration, from_store) = load_costs::load_time(need.model, engine.record);
+        (!from_store).then_some(engine.remaining + load_duration)
+    });
+    near.min()
+}
+
+/// Returns the shortest time in which a busy engine without adapters in use could load the model.
+fn wait_without_adapters(
+    engines: &fleet::RoundEngines<'_>,
+    need: &fleet::ModelNeed<'_>,
+    may_fetch: bool,
+) -> Option<time::Duration> {
+    let apart = engines.busy.iter().filter(|engine| !engine.hosts_adapters);
+    let waits = apart.filter_map(|engine| {
+        let (load_duration, from_store) = load_costs::load_time(need.model, engine.record);
+        (may_fetch || !from_store).then_some(engine.remaining + load_duration)
+    });
+    waits.min()
 }
--- a/galenahold_placement/src/fleet/load_costs.rs
+++ b/galenahold_placement/src/fleet/load_costs.rs
@@ -5,7 +5,6 @@
 
 use galenahold_domain::declaration;
 use galenahold_domain::fleet as domain;
-use galenahold_domain::name;
 
 use crate::fleet;
 
@@ -16,6 +15,16 @@
 /// requests to end.
 const RUNNING_COST: f64 = 0.4;
 
+/// Expected time of an unload at an engine where the model has no runs.
+const IDLE_UNLOAD: time::Duration = time::Duration::from_millis(60);
+
+/// Time limit of an unload, which waits for runs of the model to end.
+pub(super) const MAX_UNLOAD: time::Duration = time::Duration::from_secs(12);
+
+/// Request rate per second from which a model is popular: further calls are sure to come, whether or not
+/// those that wait now can be served.
+pub(super) const POPULAR_RATE: f64 = 2.0;
+
 /// Returns whether an engine may get orders and requests.
 pub(super) fn is_usable(record: &domain::ServerRecord) -> bool {
     record.is_open() && !record.silent && !record.leaves_soon
@@ -41,9 +50,8 @@
 }
 
 /// Returns the cost of unloading one copy of a model now.
-pub(super) fn unload_cost(round: &fleet::PlanRound<'_>, model: &name::ModelName) -> f64 {
-    let standing = round.standing(model);
-    let copies = copies_of(&standing);
+pub(super) fn unload_cost(standing: &fleet::ModelStanding) -> f64 {
+    let copies = copies_of(standing);
     let value = if standing.held > 1 {
         standing.value * FURTHER_COPY_SHARE / copies
     } else {
@@ -51,3 +59,15 @@
     };
     value + f64::from(standing.running) / copies * RUNNING_COST
 }
+
+/// Returns how long the unload of one copy of a model takes, which waits for its runs to end.
+///
+/// The longest of n runs with exponentially distributed durations takes about 1 + ln n times their mean.
+pub(super) fn unload_time(
+    standing: &fleet::ModelStanding,
+    run_time: time::Duration,
+) -> time::Duration {
+    let runs = f64::from(standing.running) / copies_of(standing);
+    let factor = if runs > 1.0 { 1.0 + runs.ln() } else { runs };
+    (IDLE_UNLOAD + run_time.mul_f64(factor)).min(MAX_UNLOAD)
+}
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -9,6 +9,7 @@
 
 use crate::fleet;
 use crate::fleet::load_costs;
+use crate::fleet::load_urgency;
 
 /// Waiting and running requests per copy of a model above which another copy justifies its memory.
 const REQUESTS_PER_COPY: u32 = 10;
@@ -41,16 +42,24 @@
 /// Value of a waiting request, relative to a rate of one request per second.
 const WAITING_WEIGHT: f64 = 1.0;
 
+/// Bounds of the mean duration of a run as it is inferred from few runs.
+const MIN_RUN_TIME: time::Duration = time::Duration::from_millis(300);
+const MAX_RUN_TIME: time::Duration = time::Duration::from_secs(8);
+
 impl fleet::FleetPlanner {
-    /// Lists the models that need a copy, the most valuable first.
-    pub(super) fn needs<'a>(&self, round: &fleet::PlanRound<'a>) -> Vec<fleet::ModelNeed<'a>> {
+    /// Lists the models that need a copy, the most urgent first.
+    pub(super) fn needs<'a>(
+        &self,
+        round: &fleet::PlanRound<'a>,
+        engines: &fleet::RoundEngines<'a>,
+    ) -> Vec<fleet::ModelNeed<'a>> {
         let mut needs: Vec<_> = round
             .engine
             .models
             .iter()
-            .filter_map(|model| self.need(round, model))
+            .filter_map(|model| self.need(round, engines, model))
             .collect();
-        needs.sort_by(|one, other| other.value.total_cmp(&one.value));
+        needs.sort_by(|one, other| other.urgency.total_cmp(&one.urgency));
         needs
     }
 
@@ -58,19 +67,23 @@
     pub(super) fn need<'a>(
         &self,
         round: &fleet::PlanRound<'a>,
+        engines: &fleet::RoundEngines<'a>,
         model: &'a declaration::DeclaredModel,
     ) -> Option<fleet::ModelNeed<'a>> {
         let demand = self
             .demand
             .get(&(round.service.clone(), model.name.clone()))?;
         let now = round.now;
-        let (held, loading) = self.copies(round, &model.name);
+        let standing = round.standing(&model.name);
+        let (held, loading) = (standing.held, engines.loading(&model.name));
         let copies = held + loading;
         if copies == 0 {
             let requested = demand.waiting(now) > 0 || demand.idle_for(now) < RECENT_REQUEST;
             return Some(fleet::ModelNeed {
                 model,
-                value: round.standing(&model.name).value,
+                value: standing.value,
+                urgency: standing.urgency,
+                leaves_by: standing.leaves_by,
                 may_evict: if requested {
                     fleet::Eviction::LessValuable
                 } else {
@@ -81,12 +94,16 @@
         }
         let load = demand.running(now) + demand.waiting(now);
         let copies = u32::try_from(copies).unwrap_or(u32::MAX);
+        let excess = (standing.rate - f64::from(copies) * RATE_PER_COPY).max(0.0);
         let full = load > copies * REQUESTS_PER_COPY
-            || demand.rate(now) > f64::from(copies) * RATE_PER_COPY
+            || excess > 0.0
             || is_on_busy_engines(round, &model.name, loading);
         (loading < MAX_LOADING_COPIES && full).then(|| fleet::ModelNeed {
             model,
-            value: round.standing(&model.name).value * load_costs::FURTHER_COPY_SHARE,
+            value: (standing.value * load_costs::FURTHER_COPY_SHARE).max(excess),
+            urgency: (standing.urgency * load_costs::FURTHER_COPY_SHARE)
+                .max(load_urgency::expected_calls(excess) / standing.nearest_load.as_secs_f64()),
+            leaves_by: standing.leaves_by,
             may_evict: fleet::Eviction::LessValuable,
             // While the first copy is still loading, the store is reserved for models without a
             // copy.
@@ -102,12 +119,39 @@
         records: Vec<&'a domain::ServerRecord>,
         now: time::Instant,
     ) -> fleet::PlanRound<'a> {
+        let mut nearest_loads = collections::HashMap::<&name::ModelName, time::Duration>::new();
+        let models: collections::HashMap<_, _> = engine
+            .models
+            .iter()
+            .map(|model| (&model.name, model))
+            .collect();
+        for record in records
+            .iter()
+            .copied()
+            .filter(|record| load_costs::is_usable(record))
+        {
+            for model in record.copies.cached() {
+                if let Some(model) = models.get(model) {
+                    let (load_duration, _) = load_costs::load_time(model, record);
+                    let nearest = nearest_loads.entry(&model.name).or_insert(load_duration);
+                    *nearest = load_duration.min(*nearest);
+                }
+            }
+        }
         let mut standings = collections::HashMap::<name::ModelName, fleet::ModelStanding>::new();
+        let (mut running, mut rate) = (0.0, 0.0);
         for model in &engine.models {
             let demand = self.demand.get(&(service.clone(), model.name.clone()));
-            let standing = demand.map_or_else(idle_standing, |demand| standing_of(demand, now));
+            let nearest_load = nearest_loads.get(&model.name).copied();
+            let standing = demand.map_or_else(idle_standing, |demand| {
+                standing_of(demand, nearest_load.unwrap_or(model.store_load), now)
+            });
+            running += f64::from(standing.running);
+            rate += standing.rate;
             standings.insert(model.name.clone(), standing);
         }
+        let run_time = time::Duration::from_secs_f64(running / f64::max(rate, 1.0))
+            .clamp(MIN_RUN_TIME, MAX_RUN_TIME);
         for record in &records {
             let usable = load_costs::is_usable(record);
             for held in &record.models {
@@ -131,36 +175,16 @@
         fleet::PlanRound {
             service,
             engine,
-            models: engine
-                .models
-                .iter()
-                .map(|model| (&model.name, model))
-                .collect(),
+            models,
             weight_bytes: engine.weight_memory.0.saturating_sub(adapters),
-            names: records.iter().map(|record| &record.name).collect(),
             records,
             now,
             standings,
             engine_rates,
             mean_rate,
+            run_time,
         }
     }
-
-    /// Counts the engines that hold a model, and those that are loading it or evicting another
-    /// model for it.
-    pub(super) fn copies(
-        &self,
-        round: &fleet::PlanRound<'_>,
-        model: &name::ModelName,
-    ) -> (usize, usize) {
-        let loading = self
-            .servers
-            .iter()
-            .filter(|(_, plan)| plan.loads(model))
-            .filter(|(name, _)| round.names.contains(name))
-            .count();
-        (round.standing(model).held, loading)
-    }
 }
 
 /// Returns whether the engines that serve the model are much busier than the others, largely because of
@@ -211,13 +235,31 @@
     rates
 }
 
-fn standing_of(demand: &fleet::AggregateDemand, now: time::Instant) -> fleet::ModelStanding {
+fn standing_of(
+    demand: &fleet::AggregateDemand,
+    nearest_load: time::Duration,
+    now: time::Instant,
+) -> fleet::ModelStanding {
     let rate = demand.rate(now);
-    let waiting = demand.waiting(now);
     let running = demand.running(now);
+    let loaded_at = now + nearest_load;
+    let (mut waiting, mut remaining) = (0, 0);
+    let (mut earliest_due, mut leaves_by) = (None::<time::Instant>, None::<time::Instant>);
+    for call in demand.waiting_calls(now) {
+        waiting += 1;
+        remaining += u32::from(call.leaves_at > loaded_at);
+        earliest_due = Some(earliest_due.map_or(call.due_at, |due_at| due_at.min(call.due_at)));
+        leaves_by = leaves_by.max(Some(call.leaves_at));
+    }
     fleet::ModelStanding {
         rate,
-        value: rate + f64::from(waiting) * WAITING_WEIGHT,
+        value: rate + f64::from(remaining) * WAITING_WEIGHT,
+        urgency: load_urgency::load_urgency(demand.waiting_calls(now), rate, nearest_load, now),
+        nearest_load,
+        waiting,
+        earliest_due,
+        leaves_by: leaves_by.filter(|_| rate < load_costs::POPULAR_RATE),
+        demand_age: Some(demand.age(now)),
         running,
         idle: rate < IDLE_RATE && waiting == 0 && running == 0,
         ..fleet::ModelStanding::default()
--- a/galenahold_placement/src/fleet/model_standing.rs
+++ b/galenahold_placement/src/fleet/model_standing.rs
@@ -1,5 +1,7 @@
 //! What one planning round knows about a model.
 
+use std::time;
+
 /// Copies of and demand for one model at the start of a planning round.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ModelStanding {
@@ -14,6 +16,18 @@
     pub(super) engine_rate: f64,
     /// Value of having the model loaded at all.
     pub(super) value: f64,
+    /// Shortest time in which a usable engine could load the model.
+    pub(super) nearest_load: time::Duration,
+    /// Weighted calls that a load of the model would serve per second of its duration.
+    pub(super) urgency: f64,
+    /// Calls that wait for the model.
+    pub(super) waiting: u32,
+    /// When the first waiting call misses its objective.
+    pub(super) earliest_due: Option<time::Instant>,
+    /// When the last waiting call leaves; `None` if no call waits, or more are sure to come.
+    pub(super) leaves_by: Option<time::Instant>,
+    /// Age of the last demand report for the model.
+    pub(super) demand_age: Option<time::Duration>,
     /// Requests for the model that run.
     pub(super) running: u32,
     /// Whether the model is hardly requested.
--- a/galenahold_placement/src/fleet/plan_round.rs
+++ b/galenahold_placement/src/fleet/plan_round.rs
@@ -18,8 +18,6 @@
     pub(super) engine: &'a declaration::DeclaredEngine,
     pub(super) records: Vec<&'a domain::ServerRecord>,
     pub(super) now: time::Instant,
-    /// The names of the engines in `records`.
-    pub(super) names: collections::HashSet<&'a name::ServerName>,
     pub(super) models: collections::HashMap<&'a name::ModelName, &'a declaration::DeclaredModel>,
     /// The memory of one engine for weights, without that for its adapter slots.
     pub(super) weight_bytes: u64,
@@ -28,6 +26,8 @@
     pub(super) engine_rates: collections::HashMap<&'a name::ServerName, f64>,
     /// The mean of `engine_rates`.
     pub(super) mean_rate: f64,
+    /// Mean duration of a run, by the numbers of running requests and of requests per second.
+    pub(super) run_time: time::Duration,
 }
 
 impl<'a> PlanRound<'a> {
--- a/galenahold_placement/src/fleet/server_plan.rs
+++ b/galenahold_placement/src/fleet/server_plan.rs
@@ -86,12 +86,14 @@
         self.unconfirmed.iter().map(|load| load.bytes.0).sum()
     }
 
-    /// Returns whether the engine is loading the model or evicting another one for it.
-    pub(super) fn loads(&self, model: &name::ModelName) -> bool {
-        let ordered = self.order.as_ref().is_some_and(|order| {
-            matches!(&order.action, fleet::OrderAction::LoadModel(loaded) if loaded == model)
+    /// Returns the model that the engine is loading or evicting another one for.
+    pub(super) fn target(&self) -> Option<&name::ModelName> {
+        let order = self.order.as_ref();
+        let loaded = order.and_then(|order| match &order.action {
+            fleet::OrderAction::LoadModel(model) => Some(model),
+            _ => None,
         });
-        ordered || self.evicting_for.as_ref() == Some(model)
+        self.evicting_for.as_ref().or(loaded)
     }
 
     /// Returns whether a model order may be sent now.
--- a/galenahold_placement/src/fleet/store_throughput.rs
+++ b/galenahold_placement/src/fleet/store_throughput.rs
@@ -22,7 +22,7 @@
 const START_SPREAD: time::Duration = time::Duration::from_millis(200);
 
 /// Age from which a group of loads no longer counts; a load is treated as unanswered earlier.
-const GROUP_EXPIRY: time::Duration = time::Duration::from_secs(120);
+const GROUP_EXPIRY: time::Duration = time::Duration::from_mins(2);
 
 /// Learns how many concurrent loads the weight store handles at full speed.
 ///
--- a/galenahold_placement/tests/fleet/fixture.rs
+++ b/galenahold_placement/tests/fleet/fixture.rs
@@ -92,6 +92,7 @@
         arrivals: 1,
         waiting,
         running: 0,
+        waiting_calls: Vec::new(),
     };
     let key = (service(), model_name(model));
     planner.record_demand(&name::InstanceName::from("entry"), key, counts, now);
--- a/galenahold_placement/tests/fleet/main.rs
+++ b/galenahold_placement/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod adapters;
 mod fixture;
+mod load_order;
 mod loads;
 mod order_queues;
 mod store_loads;
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -14,6 +14,9 @@
 /// Maximum number of calls that wait at one instance.
 const MAX_WAITING: usize = 1_024;
 
+/// Maximum number of waiting calls of one model whose remaining times are reported to the leader.
+const MAX_REPORTED_CALLS: usize = 8;
+
 /// Number of entry instances that is assumed until the roster reports it.
 const ASSUMED_FOLLOWERS: u32 = 8;
 
@@ -285,6 +288,33 @@
         taken
     }
 
+    /// Returns the remaining times of the calls that wait for each model: up to 8, the earliest due first.
+    #[must_use]
+    pub fn waiting_calls(
+        &self,
+        now: time::Instant,
+    ) -> collections::HashMap<(name::ServiceName, name::ModelName), Vec<fleet::CallTimes>> {
+        let mut calls = collections::HashMap::<_, Vec<_>>::new();
+        for call in self.queue.iter() {
+            let requirements = &call.requirements;
+            let Some(target) = &requirements.target else {
+                continue;
+            };
+            let closes_at = self.closes_at.unwrap_or(requirements.wait_deadline);
+            let leaves_at = requirements.wait_deadline.min(closes_at);
+            let key = (requirements.service.clone(), target.model.clone());
+            calls.entry(key).or_default().push(fleet::CallTimes {
+                due_in: requirements.due_at.saturating_duration_since(now),
+                leaves_in: leaves_at.saturating_duration_since(now),
+            });
+        }
+        for times in calls.values_mut() {
+            times.sort_unstable();
+            times.truncate(MAX_REPORTED_CALLS);
+        }
+        calls
+    }
+
     /// Returns the adapters that were used since the last call and forgets them.
     pub fn take_used_adapters(&mut self) -> Vec<(name::ServerName, domain::HeldAdapter)> {
         self.used_adapters.drain().collect()
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -7,3 +7,4 @@
 mod fixture;
 mod server_pauses;
 mod startup_wait;
+mod waiting_times;
--- a/galenahold_wire/src/message/mod.rs
+++ b/galenahold_wire/src/message/mod.rs
@@ -32,7 +32,7 @@
 pub use gossip_batch::{AgedAnnouncement, GossipBatch, GossipReceipt};
 pub use hello_request::{HelloReply, HelloRequest};
 pub use instance_profile::InstanceProfile;
-pub use model_demand::{AdapterUse, ModelCount, ModelDemand};
+pub use model_demand::{AdapterUse, ModelCount, ModelDemand, WaitingCall};
 pub use operator_call::OperatorCall;
 pub use operator_reply::{OperatorError, OperatorErrorKind, OperatorReply};
 pub use replica_notice::ReplicaNotice;
--- a/galenahold_wire/src/message/model_demand.rs
+++ b/galenahold_wire/src/message/model_demand.rs
@@ -30,6 +30,18 @@
     pub waiting: u32,
     /// Requests that are running now.
     pub running: u32,
+    /// Up to 8 of the waiting requests, the earliest due first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting_calls: Vec<WaitingCall>,
+}
+
+/// The remaining times of a waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitingCall {
+    /// The time until its objective is missed, in milliseconds; 0 if it has been.
+    pub due_ms: u32,
+    /// The time until its caller leaves or its response could no longer be complete, in milliseconds.
+    pub leaves_ms: u32,
 }
 
 /// The use of an adapter at an engine.
--- a/galenahold_wire/tests/rpc/version_skew.rs
+++ b/galenahold_wire/tests/rpc/version_skew.rs
@@ -59,3 +59,30 @@
     assert!(batch.known.is_empty());
     assert!(batch.events.is_empty());
 }
+
+/// A demand report without the times of the waiting calls, as versions before them send it.
+#[derive(Debug, Serialize)]
+struct OlderCount {
+    service: &'static str,
+    model: &'static str,
+    arrivals: u32,
+    waiting: u32,
+    running: u32,
+}
+
+#[test]
+fn demand_of_an_older_version_has_no_times_of_waiting_calls() {
+    let encoded = encode(&OlderCount {
+        service: "models",
+        model: "m",
+        arrivals: 2,
+        waiting: 1,
+        running: 0,
+    });
+    let mut codec = codec::NamedMessagePack;
+    let count: message::ModelCount = pin::Pin::new(&mut codec)
+        .deserialize(&encoded)
+        .expect("the message can be decoded");
+    assert_eq!(count.waiting, 1);
+    assert!(count.waiting_calls.is_empty());
+}
