--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -224,9 +224,12 @@
         let now = time::Instant::now();
         let mut state = self.lock();
         DemandUpdate {
+            waiting_calls: state.scheduler.waiting_calls(now),
             usages: state.scheduler.take_usages(),
             adapters: state.scheduler.take_used_adapters(),
-            servers: self.lock_uses().take(state.scheduler.uses().into_iter(), now),
+            servers: self
+                .lock_uses()
+                .take(state.scheduler.uses().into_iter(), now),
         }
     }
 
@@ -297,6 +300,9 @@
 pub(super) struct DemandUpdate {
     /// Usage of each model.
     pub(super) usages: Vec<((name::ServiceName, name::ModelName), fleet::ModelUsage)>,
+    /// Remaining times of the calls that wait for each model.
+    pub(super) waiting_calls:
+        collections::HashMap<(name::ServiceName, name::ModelName), Vec<fleet::CallTimes>>,
     /// Adapters that were used, with their servers.
     pub(super) adapters: Vec<(name::ServerName, domain::HeldAdapter)>,
     /// The use of servers; empty if it was just reported.
--- a/galenahold_routing/tests/fleet/main.rs
+++ b/galenahold_routing/tests/fleet/main.rs
@@ -10,3 +10,4 @@
 mod server_pauses;
 mod shared_servers;
 mod startup_wait;
+mod waiting_times;
