Exchange rare models at engines without adapters in use

Change: an engine with adapters in use gets a model order only if no other engine, also one that is busy or has just loaded its models, can load the model within three times the time. An adapter in use on a single engine is loaded on a second one with free slots before adapters that nobody has requested.

--- a/galenahold_placement/src/fleet/adapter_requests.rs
+++ b/galenahold_placement/src/fleet/adapter_requests.rs
@@ -103,22 +103,32 @@
         Some(self.order(record, fleet::OrderAction::UnloadAdapter(victim)))
     }
 
-    /// Returns the adapters that some engine holds or may hold.
-    pub(super) fn known_adapters(&self) -> collections::HashSet<domain::HeldAdapter> {
-        let plans = self.servers.values();
-        plans
-            .flat_map(|plan| plan.adapters.known().cloned())
-            .collect()
+    /// Returns where the adapters are that the engines of the round hold or may hold.
+    pub(super) fn adapter_spreads(
+        &self,
+        round: &fleet::PlanRound<'_>,
+    ) -> collections::HashMap<domain::HeldAdapter, AdapterSpread> {
+        let mut spreads = collections::HashMap::<_, AdapterSpread>::new();
+        let names = round.records.iter().map(|record| &record.name);
+        for plan in names.filter_map(|name| self.servers.get(name)) {
+            for (adapter, in_use) in plan.adapters.uses(round.now) {
+                let spread = spreads.entry(adapter.clone()).or_default();
+                spread.engines += 1;
+                spread.in_use |= in_use;
+            }
+        }
+        spreads
     }
 
-    /// Loads an adapter that no engine holds before it is requested, if the engine has free slots.
+    /// Loads an adapter before it is requested, if the engine has free slots: first one in use that a
+    /// single other engine holds, then one that no engine holds.
     ///
-    /// `known_adapters` are those that some engine holds or may hold; the loaded one is added.
+    /// The loaded adapter is added to `spreads`.
     pub(super) fn preload_adapter(
         &mut self,
         round: &fleet::PlanRound<'_>,
         record: &domain::ServerRecord,
-        known_adapters: &mut collections::HashSet<domain::HeldAdapter>,
+        spreads: &mut collections::HashMap<domain::HeldAdapter, AdapterSpread>,
     ) -> Option<fleet::EngineOrder> {
         let slots = usize::try_from(round.engine.adapter_slots).unwrap_or(usize::MAX);
         let plan = self.servers.get(&record.name)?;
@@ -126,19 +136,44 @@
         {
             return None;
         }
-        let unloaded_adapter = record
-            .models
-            .iter()
-            .filter(|held| !held.retiring)
+        let mut absent = None;
+        let mut single = None;
+        let held = record.models.iter().filter(|held| !held.retiring);
+        for adapter in held
             .filter_map(|held| round.model(&held.name))
             .flat_map(declared_adapters)
-            .find(|adapter| !known_adapters.contains(adapter))?;
-        known_adapters.insert(unloaded_adapter.clone());
-        let ready_in = adapter_load_time(round.model(&unloaded_adapter.model)?);
+        {
+            match spreads.get(&adapter) {
+                None => {
+                    absent.get_or_insert(adapter);
+                }
+                Some(spread) if spread.is_at_risk() && !plan.adapters.knows(&adapter) => {
+                    single = Some(adapter);
+                    break;
+                }
+                Some(_) => {}
+            }
+        }
+        let adapter = single.or(absent)?;
+        spreads.entry(adapter.clone()).or_default().engines += 1;
+        let ready_in = adapter_load_time(round.model(&adapter.model)?);
         let plan = self.plan_of(&record.name, record.started_ms);
-        plan.adapters
-            .reserve(unloaded_adapter.clone(), ready_in, round.now);
-        Some(self.order(record, fleet::OrderAction::LoadAdapter(unloaded_adapter)))
+        plan.adapters.reserve(adapter.clone(), ready_in, round.now);
+        Some(self.order(record, fleet::OrderAction::LoadAdapter(adapter)))
+    }
+}
+
+/// Engines that hold or may hold an adapter.
+#[derive(Debug, Default)]
+pub(super) struct AdapterSpread {
+    engines: usize,
+    in_use: bool,
+}
+
+impl AdapterSpread {
+    /// Returns whether requests for the adapter fail while one engine loads a model or is lost.
+    fn is_at_risk(&self) -> bool {
+        self.in_use && self.engines == 1
     }
 }
 
--- a/galenahold_placement/src/fleet/adapter_table.rs
+++ b/galenahold_placement/src/fleet/adapter_table.rs
@@ -88,6 +88,20 @@
         self.held.len()
     }
 
+    /// Returns whether the adapter is or may be loaded.
+    pub(super) fn knows(&self, adapter: &domain::HeldAdapter) -> bool {
+        self.held.contains_key(adapter)
+    }
+
+    /// Iterates over the adapters that are or may be loaded, with whether requests use them.
+    pub(super) fn uses(
+        &self,
+        now: time::Instant,
+    ) -> impl Iterator<Item = (&domain::HeldAdapter, bool)> {
+        let held = self.held.iter();
+        held.map(move |(adapter, entry)| (adapter, entry.is_in_use(now)))
+    }
+
     /// Returns whether requests use any of the adapters.
     pub(super) fn are_in_use(&self, now: time::Instant) -> bool {
         let mut entries = self.held.values();
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -86,7 +86,7 @@
         for record in &round.records {
             self.reconcile_order(&round, record, &mut step);
         }
-        let mut known_adapters = self.known_adapters();
+        let mut spreads = self.adapter_spreads(&round);
         for record in round
             .records
             .iter()
@@ -94,7 +94,7 @@
         {
             step.orders.extend(self.free_adapter_slot(&round, record));
             step.orders
-                .extend(self.preload_adapter(&round, record, &mut known_adapters));
+                .extend(self.preload_adapter(&round, record, &mut spreads));
         }
         let mut engines = self.round_engines(&round);
         for need in self.needs(&round, &engines) {
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -141,13 +141,14 @@
 }
 
 impl round_engines::Victim {
-    /// Returns whether the restriction of the need allows the eviction.
-    fn is_evictable(&self, need: &fleet::ModelNeed<'_>) -> bool {
-        match need.may_evict {
+    /// Returns whether the model is large enough to be evicted for the need, and worth less.
+    fn makes_way(&self, need: &fleet::ModelNeed<'_>, missing: u64) -> bool {
+        let allowed = match need.may_evict {
             fleet::Eviction::None => false,
             fleet::Eviction::Idle => self.is_idle,
-            fleet::Eviction::LessValuable => true,
-        }
+            fleet::Eviction::LessValuable => self.value * EVICTION_MARGIN < need.value,
+        };
+        allowed && self.bytes >= missing
     }
 }
 
@@ -173,15 +174,9 @@
     let mut victim = None;
     if engine.free_bytes < need.model.weights.0 {
         let missing = need.model.weights.0 - engine.free_bytes;
-        let evicted = engine
-            .victims
-            .iter()
-            .find(|held| held.bytes >= missing && held.is_evictable(need))?;
-        if need.may_evict == fleet::Eviction::LessValuable
-            && evicted.value * EVICTION_MARGIN >= need.value
-        {
-            return None;
-        }
+        let mut victims = engine.victims.iter();
+        let evicted =
+            victims.find(|held| held.evictable_in.is_zero() && held.makes_way(need, missing))?;
         cost += evicted.value;
         load_duration += evicted.unload_duration;
         victim = Some(evicted.model.clone());
@@ -214,16 +209,31 @@
     near.min()
 }
 
-/// Returns the shortest time in which a busy engine without adapters in use could load the model.
+/// Returns the shortest time in which an engine without adapters in use could load the model that is
+/// busy, or whose models have just been loaded.
 fn wait_without_adapters(
     engines: &fleet::RoundEngines<'_>,
     need: &fleet::ModelNeed<'_>,
     may_fetch: bool,
 ) -> Option<time::Duration> {
-    let apart = engines.busy.iter().filter(|engine| !engine.hosts_adapters);
-    let waits = apart.filter_map(|engine| {
-        let (load_duration, from_store) = load_costs::load_time(need.model, engine.record);
-        (may_fetch || !from_store).then_some(engine.remaining + load_duration)
+    let busy = engines
+        .busy
+        .iter()
+        .filter(|engine| !engine.hosts_adapters)
+        .map(|engine| (engine.record, engine.remaining));
+    let fresh = engines
+        .free
+        .iter()
+        .filter(|engine| !engine.hosts_adapters)
+        .filter_map(|engine| {
+            let missing = need.model.weights.0.saturating_sub(engine.free_bytes);
+            let mut victims = engine.victims.iter();
+            let victim = victims.find(|victim| victim.makes_way(need, missing))?;
+            Some((engine.record, victim.evictable_in + victim.unload_duration))
+        });
+    let waits = busy.chain(fresh).filter_map(|(record, remaining)| {
+        let (load_duration, from_store) = load_costs::load_time(need.model, record);
+        (may_fetch || !from_store).then_some(remaining + load_duration)
     });
     waits.min()
 }
--- a/galenahold_placement/src/fleet/round_engines.rs
+++ b/galenahold_placement/src/fleet/round_engines.rs
@@ -34,7 +34,7 @@
     /// The model for which another one was evicted, with its urgency.
     pub(super) prepared_for: Option<(name::ModelName, f64)>,
     pub(super) free_bytes: u64,
-    /// Models that may be evicted, the one with the lowest cost first.
+    /// Models that may be evicted now or soon, the one with the lowest cost first.
     pub(super) victims: Vec<Victim>,
     /// Whether adapters at the engine are in use.
     pub(super) hosts_adapters: bool,
@@ -59,6 +59,8 @@
     pub(super) value: f64,
     /// Expected time until its runs have ended.
     pub(super) unload_duration: time::Duration,
+    /// Time until it has been loaded long enough to be evicted.
+    pub(super) evictable_in: time::Duration,
     /// Whether the model is idle and can be loaded again without the store.
     pub(super) is_idle: bool,
 }
@@ -175,17 +177,17 @@
         .models
         .iter()
         .filter(|held| !held.retiring)
-        .filter(|held| {
-            let held_since = plan.held_since.get(&held.name);
-            held_since
-                .is_none_or(|since| round.now.saturating_duration_since(*since) >= MIN_RESIDENCY)
-        })
         .map(|held| {
             let standing = round.standing(&held.name);
             let model = round.model(&held.name);
             // Models with adapters never count as idle, since many requests ask for them.
             let has_no_adapters = model.is_none_or(|model| model.adapters.is_empty());
+            let since = plan.held_since.get(&held.name);
+            let age = since.map(|since| round.now.saturating_duration_since(*since));
             Victim {
+                evictable_in: age.map_or(time::Duration::ZERO, |age| {
+                    MIN_RESIDENCY.saturating_sub(age)
+                }),
                 model: held.name.clone(),
                 bytes: model.map_or(u64::MAX, |model| model.weights.0),
                 value: load_costs::unload_cost(&standing),
--- a/galenahold_placement/tests/fleet/main.rs
+++ b/galenahold_placement/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the planner for engines of declared services.
 
+mod adapter_hosts;
 mod adapters;
 mod fixture;
 mod load_order;
