Keep popular models on two engines, and see jumps of their rate

Cause: a model whose only engine was lost rejected its callers for 17 s; the mean over 4 s shows a jump from 0 to 20 calls per second after more than a second; a slow engine counted as much as a fast one. Change: the rate is at least the lower bound (two standard deviations) of the rate within the last second. A model with 2 calls per second or more gets a second copy, preferably in another data centre, on a fast engine without another popular model. record_pace sets the pace of an engine, by which its copies count. A copy that would be needed again at once is not evicted for less.

--- a/galenahold_placement/src/fleet/aggregate_demand.rs
+++ b/galenahold_placement/src/fleet/aggregate_demand.rs
@@ -10,6 +10,10 @@
 /// Time constant of the request rate's moving average.
 const RATE_WINDOW: time::Duration = time::Duration::from_secs(4);
 
+/// Window in which a jump of the rate is seen: the average takes four times as long, in which a popular
+/// model rejects most of its calls.
+const JUMP_WINDOW: time::Duration = time::Duration::from_secs(1);
+
 /// Age from which an instance's report no longer counts.
 const REPORT_EXPIRY: time::Duration = time::Duration::from_secs(2);
 
@@ -20,6 +24,8 @@
 #[derive(Debug)]
 pub(super) struct AggregateDemand {
     rate: f64,
+    /// Arrivals of the last reports, as far as they are within the short window.
+    recent: collections::VecDeque<(time::Instant, u32)>,
     rate_updated_at: time::Instant,
     last_request_at: time::Instant,
     reports: collections::HashMap<name::InstanceName, InstanceReport>,
@@ -45,6 +51,7 @@
     pub(super) fn new(now: time::Instant) -> Self {
         Self {
             rate: 0.0,
+            recent: collections::VecDeque::new(),
             rate_updated_at: now,
             last_request_at: now,
             reports: collections::HashMap::new(),
@@ -58,8 +65,16 @@
         counts: fleet::DemandCounts,
         now: time::Instant,
     ) {
-        self.rate = self.rate(now) + f64::from(counts.arrivals) / RATE_WINDOW.as_secs_f64();
+        self.rate = self.mean_rate(now) + f64::from(counts.arrivals) / RATE_WINDOW.as_secs_f64();
         self.rate_updated_at = now;
+        while let Some((received_at, _)) = self.recent.front()
+            && now.saturating_duration_since(*received_at) >= JUMP_WINDOW
+        {
+            self.recent.pop_front();
+        }
+        if counts.arrivals > 0 {
+            self.recent.push_back((now, counts.arrivals));
+        }
         if counts.arrivals > 0 || counts.waiting > 0 {
             self.last_request_at = now;
         }
@@ -78,8 +93,24 @@
             .retain(|_, report| now.saturating_duration_since(report.received_at) < REPORT_EXPIRY);
     }
 
-    /// Returns the average number of recent requests per second.
+    /// Returns the number of recent requests per second: the average, or the rate within the last second
+    /// that is certain if that is higher.
     pub(super) fn rate(&self, now: time::Instant) -> f64 {
+        self.mean_rate(now).max(self.certain_rate(now))
+    }
+
+    /// Returns the lower bound of the request rate within the last second, by two standard deviations of
+    /// a Poisson process. A few calls that meet by chance give no rate.
+    fn certain_rate(&self, now: time::Instant) -> f64 {
+        let recent = self
+            .recent
+            .iter()
+            .filter(|(received_at, _)| now.saturating_duration_since(*received_at) < JUMP_WINDOW);
+        let count: f64 = recent.map(|(_, arrivals)| f64::from(*arrivals)).sum();
+        (count - 2.0 * count.sqrt()).max(0.0) / JUMP_WINDOW.as_secs_f64()
+    }
+
+    fn mean_rate(&self, now: time::Instant) -> f64 {
         let elapsed = now.saturating_duration_since(self.rate_updated_at);
         self.rate * (-elapsed.as_secs_f64() / RATE_WINDOW.as_secs_f64()).exp()
     }
--- a/galenahold_placement/src/fleet/fleet_planner.rs
+++ b/galenahold_placement/src/fleet/fleet_planner.rs
@@ -13,6 +13,10 @@
 /// How much longer than expected it may take to see that an order has ended.
 const ORDER_SLACK: time::Duration = time::Duration::from_secs(4);
 
+/// Bounds of the pace of an engine; the speeds of known fleets differ by a factor of up to 2.7.
+const MIN_PACE: f64 = 0.25;
+const MAX_PACE: f64 = 4.0;
+
 /// Decides which models and adapters the engines of declared services load and unload, for one
 /// leadership.
 ///
@@ -72,6 +76,22 @@
             .apply_notice(held, now);
     }
 
+    /// Records the measured pace of an engine: its time per event relative to the mean engine. A factor
+    /// above 1 is slower. It is valid until the engine restarts.
+    pub fn record_pace(&mut self, server: &name::ServerName, started_ms: u64, factor: f64) {
+        let plan = self.plan_of(server, started_ms);
+        if plan.started_ms == started_ms && factor.is_finite() {
+            plan.pace = factor.clamp(MIN_PACE, MAX_PACE);
+        }
+    }
+
+    /// Returns the pace of an engine, 1 if it is not known.
+    pub(super) fn pace(&self, record: &domain::ServerRecord) -> f64 {
+        let plan = self.servers.get(&record.name);
+        let plan = plan.filter(|plan| plan.started_ms == record.started_ms);
+        plan.map_or(1.0, |plan| plan.pace)
+    }
+
     /// Plans the next orders for the engines of one service.
     pub fn plan<'a>(
         &mut self,
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use galenahold_domain::name;
+
 use crate::fleet;
 use crate::fleet::load_costs;
 use crate::fleet::round_engines;
@@ -13,6 +15,17 @@
 /// prompts meet grows with both rates.
 const MEETING_COST: f64 = 0.1;
 
+/// Cost of placing a popular model at an engine that is twice as slow as the mean, in seconds of load
+/// time: its calls stay there for ten seconds and more, until other models are popular.
+const PACE_COST: f64 = 3.0;
+
+/// Cost of placing a popular model at an engine that serves another one, in seconds of load time.
+const SHARED_ENGINE_COST: f64 = 3.0;
+
+/// Cost of placing a popular model in the only data centre that has it, in seconds of load time; the
+/// model would be lost with the data centre.
+const SAME_CENTRE_COST: f64 = 2.0;
+
 /// Factor by which a load may take longer at an engine without adapters in use than at one with them. An
 /// engine refuses adapter orders while it executes a model order, and each refusal costs a caller its
 /// adapter; the delay of one rare model costs less.
@@ -37,6 +50,8 @@
         let may_fetch = need.may_fetch
             && engines.store_loads_ahead(need.urgency) < self.store_limit()
             && self.store_window_is_open(round);
+        let standing = round.standing(&need.model.name);
+        let only_centre = single_centre(round, need, &standing);
         // The best option at an engine without adapters in use, and at one with them.
         let mut best: [Option<fleet::LoadOption<'a>>; 2] = [None, None];
         for engine in &engines.free {
@@ -46,9 +61,13 @@
             }) {
                 continue;
             }
-            let Some(load_option) = load_option(round, need, engine, may_fetch) else {
+            let Some(mut load_option) = load_option(round.now, need, &standing, engine, may_fetch)
+            else {
                 continue;
             };
+            if only_centre == Some(&engine.record.data_centre) {
+                load_option.cost += SAME_CENTRE_COST;
+            }
             let best = &mut best[usize::from(engine.hosts_adapters)];
             if best
                 .as_ref()
@@ -92,9 +111,10 @@
             let prepared_for = engine.prepared_for.as_ref();
             prepared_for.is_some_and(|(model, _)| *model == need.model.name)
         })?;
+        let standing = round.standing(&need.model.name);
         let may_fetch =
             engines.store_loads < self.store_limit() && self.store_window_is_open(round);
-        let load_option = load_option(round, need, engine, may_fetch)?;
+        let load_option = load_option(round.now, need, &standing, engine, may_fetch)?;
         load_option.victim.is_none().then_some(load_option)
     }
 
@@ -154,8 +174,9 @@
 
 /// Returns how an engine could load the model, with the model to evict if memory is missing.
 fn load_option<'a>(
-    round: &fleet::PlanRound<'_>,
+    now: time::Instant,
     need: &fleet::ModelNeed<'_>,
+    standing: &fleet::ModelStanding,
     engine: &round_engines::FreeEngine<'a>,
     may_fetch: bool,
 ) -> Option<fleet::LoadOption<'a>> {
@@ -167,10 +188,15 @@
     if from_store && !may_fetch {
         return None;
     }
-    let standing = round.standing(&need.model.name);
     let copies = u32::try_from(standing.held + 1).unwrap_or(u32::MAX);
-    let mut cost =
-        standing.rate / f64::from(copies) * round.engine_rate(&record.name) * MEETING_COST;
+    let mut cost = standing.rate / f64::from(copies) * engine.rate * MEETING_COST;
+    // Only models with many calls get further copies.
+    if standing.held > 0 || standing.is_popular() {
+        cost += (engine.pace - 1.0) * PACE_COST;
+        if engine.serves_popular {
+            cost += SHARED_ENGINE_COST;
+        }
+    }
     let mut victim = None;
     if engine.free_bytes < need.model.weights.0 {
         let missing = need.model.weights.0 - engine.free_bytes;
@@ -183,7 +209,7 @@
     }
     if need
         .leaves_by
-        .is_some_and(|leaves_by| round.now + load_duration >= leaves_by)
+        .is_some_and(|leaves_by| now + load_duration >= leaves_by)
     {
         return None;
     }
@@ -197,6 +223,24 @@
     })
 }
 
+/// Returns the data centre of all engines that serve the model, if there is just one.
+fn single_centre<'a>(
+    round: &fleet::PlanRound<'a>,
+    need: &fleet::ModelNeed<'_>,
+    standing: &fleet::ModelStanding,
+) -> Option<&'a name::DataCentreName> {
+    if standing.held == 0 {
+        return None;
+    }
+    let serving = round
+        .records
+        .iter()
+        .filter(|record| load_costs::is_usable(record) && record.serves_model(&need.model.name));
+    let mut centres = serving.map(|record| &record.data_centre);
+    let first = centres.next()?;
+    centres.all(|centre| centre == first).then_some(first)
+}
+
 /// Returns the shortest time in which a busy engine that has the weights nearby could load the model.
 fn wait_for_busy_engine(
     engines: &fleet::RoundEngines<'_>,
--- a/galenahold_placement/src/fleet/load_costs.rs
+++ b/galenahold_placement/src/fleet/load_costs.rs
@@ -11,6 +11,15 @@
 /// Value of a further copy of a model as a share of the value of the first.
 pub(super) const FURTHER_COPY_SHARE: f64 = 0.3;
 
+/// Requests per second per copy of a model, at an engine of mean speed, above which another copy
+/// justifies its memory. An engine processes prompts between the tokens of its runs, and three long prompts in a row cause a pause
+/// that callers notice.
+pub(super) const RATE_PER_COPY: f64 = 4.5;
+
+/// Value of the second copy of a popular model as a share of the value of the first: it carries half of
+/// the requests, and all of them when the first is lost.
+pub(super) const SECOND_COPY_SHARE: f64 = 0.5;
+
 /// Cost of each running request in the unload cost of a model, since the unload waits for running
 /// requests to end.
 const RUNNING_COST: f64 = 0.4;
@@ -52,10 +61,13 @@
 /// Returns the cost of unloading one copy of a model now.
 pub(super) fn unload_cost(standing: &fleet::ModelStanding) -> f64 {
     let copies = copies_of(standing);
-    let value = if standing.held > 1 {
-        standing.value * FURTHER_COPY_SHARE / copies
-    } else {
-        standing.value
+    // A copy that would be needed again at once is worth as much as its load.
+    let rest = standing.capacity * (1.0 - 1.0 / copies);
+    let excess = (standing.rate - rest * RATE_PER_COPY).max(0.0);
+    let value = match standing.held {
+        0 | 1 => standing.value,
+        2 if standing.rate >= POPULAR_RATE => (standing.value * SECOND_COPY_SHARE).max(excess),
+        _ => (standing.value * FURTHER_COPY_SHARE / copies).max(excess),
     };
     value + f64::from(standing.running) / copies * RUNNING_COST
 }
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -14,11 +14,6 @@
 /// Waiting and running requests per copy of a model above which another copy justifies its memory.
 const REQUESTS_PER_COPY: u32 = 10;
 
-/// Requests per second per copy of a model above which another copy justifies its memory. An engine
-/// processes prompts between the tokens of its runs, and three long prompts in a row cause a pause
-/// that callers notice.
-const RATE_PER_COPY: f64 = 4.5;
-
 /// How many times busier than the mean engine one may be before its popular models get further copies.
 const BUSY_FACTOR: f64 = 1.5;
 
@@ -94,14 +89,22 @@
         }
         let load = demand.running(now) + demand.waiting(now);
         let copies = u32::try_from(copies).unwrap_or(u32::MAX);
-        let excess = (standing.rate - f64::from(copies) * RATE_PER_COPY).max(0.0);
+        let capacity = standing.capacity + f64::from(u32::try_from(loading).unwrap_or(u32::MAX));
+        let excess = (standing.rate - capacity * load_costs::RATE_PER_COPY).max(0.0);
+        let lacks_second = copies < 2 && standing.rate >= load_costs::POPULAR_RATE;
+        let share = if lacks_second {
+            load_costs::SECOND_COPY_SHARE
+        } else {
+            load_costs::FURTHER_COPY_SHARE
+        };
         let full = load > copies * REQUESTS_PER_COPY
             || excess > 0.0
+            || lacks_second
             || is_on_busy_engines(round, &model.name, loading);
         (loading < MAX_LOADING_COPIES && full).then(|| fleet::ModelNeed {
             model,
-            value: (standing.value * load_costs::FURTHER_COPY_SHARE).max(excess),
-            urgency: (standing.urgency * load_costs::FURTHER_COPY_SHARE)
+            value: (standing.value * share).max(excess),
+            urgency: (standing.urgency * share)
                 .max(load_urgency::expected_calls(excess) / standing.nearest_load.as_secs_f64()),
             leaves_by: standing.leaves_by,
             may_evict: fleet::Eviction::LessValuable,
@@ -154,12 +157,16 @@
             .clamp(MIN_RUN_TIME, MAX_RUN_TIME);
         for record in &records {
             let usable = load_costs::is_usable(record);
+            let pace = self.pace(record);
             for held in &record.models {
                 let standing = standings
                     .entry(held.name.clone())
                     .or_insert_with(idle_standing);
                 standing.has_copy = true;
-                standing.held += usize::from(usable && !held.retiring);
+                if usable && !held.retiring {
+                    standing.held += 1;
+                    standing.capacity += 1.0 / pace;
+                }
             }
             for model in record.copies.cached() {
                 if let Some(standing) = standings.get_mut(model) {
--- a/galenahold_placement/src/fleet/model_standing.rs
+++ b/galenahold_placement/src/fleet/model_standing.rs
@@ -2,11 +2,15 @@
 
 use std::time;
 
+use crate::fleet::load_costs;
+
 /// Copies of and demand for one model at the start of a planning round.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ModelStanding {
     /// Usable engines that serve the model.
     pub(super) held: usize,
+    /// Number of engines of mean speed that serve as much as those.
+    pub(super) capacity: f64,
     /// Whether any engine holds the model or has its weights nearby.
     pub(super) has_copy: bool,
     /// Requests per second for the model.
@@ -33,3 +37,10 @@
     /// Whether the model is hardly requested.
     pub(super) idle: bool,
 }
+
+impl ModelStanding {
+    /// Returns whether further calls for the model are sure to come.
+    pub(super) fn is_popular(&self) -> bool {
+        self.rate >= load_costs::POPULAR_RATE
+    }
+}
--- a/galenahold_placement/src/fleet/round_engines.rs
+++ b/galenahold_placement/src/fleet/round_engines.rs
@@ -38,6 +38,12 @@
     pub(super) victims: Vec<Victim>,
     /// Whether adapters at the engine are in use.
     pub(super) hosts_adapters: bool,
+    /// Time per event relative to the mean engine.
+    pub(super) pace: f64,
+    /// Expected requests per second at the engine.
+    pub(super) rate: f64,
+    /// Whether the engine serves a popular model.
+    pub(super) serves_popular: bool,
 }
 
 /// An engine that executes a model order.
@@ -96,6 +102,12 @@
                     free_bytes: round.free_bytes(record).saturating_sub(unconfirmed),
                     victims: victims(round, record, plan),
                     hosts_adapters,
+                    pace: plan.pace,
+                    rate: round.engine_rate(&record.name),
+                    serves_popular: record
+                        .models
+                        .iter()
+                        .any(|held| !held.retiring && round.standing(&held.name).is_popular()),
                 });
                 continue;
             }
--- a/galenahold_placement/src/fleet/server_plan.rs
+++ b/galenahold_placement/src/fleet/server_plan.rs
@@ -19,6 +19,8 @@
     /// When model orders may be sent again.
     pub(super) backoff_until: Option<time::Instant>,
     pub(super) adapters: fleet::AdapterTable,
+    /// Time per event relative to the mean engine; above 1 the engine is slower.
+    pub(super) pace: f64,
     /// When each loaded model was first seen.
     pub(super) held_since: std::collections::HashMap<name::ModelName, time::Instant>,
     unconfirmed: Vec<UnconfirmedLoad>,
@@ -41,6 +43,7 @@
             evicting_for: None,
             backoff_until: None,
             adapters: fleet::AdapterTable::default(),
+            pace: 1.0,
             held_since: std::collections::HashMap::new(),
             unconfirmed: Vec::new(),
         }
--- a/galenahold_placement/tests/fleet/main.rs
+++ b/galenahold_placement/tests/fleet/main.rs
@@ -6,4 +6,5 @@
 mod load_order;
 mod loads;
 mod order_queues;
+mod popular_models;
 mod store_loads;
