Log and count the decisions of each planning round

Cause: the log shows which orders were sent, not why that model was chosen. Change: one line per round with decisions, with urgency, value, waiting calls, earliest due time and age of the demand of each; counters by step and source; the store's limit as a gauge.

--- a/galenahold_instance/src/gateway/control/placement_loop.rs
+++ b/galenahold_instance/src/gateway/control/placement_loop.rs
@@ -10,6 +10,7 @@
 
 use crate::gateway;
 use crate::gateway::control;
+use crate::platform;
 use crate::task;
 use crate::timer;
 
@@ -22,6 +23,7 @@
 /// Plans loads and executes the resulting orders while this member leads.
 pub(crate) struct PlacementLoop<Dialect> {
     parts: sync::Arc<control::HandlerParts<Dialect>>,
+    metrics: platform::FleetMetrics,
     tasks: task::TaskGroup,
 }
 
@@ -29,9 +31,14 @@
     /// Creates a loop that executes its orders in `tasks`.
     pub(crate) fn new(
         parts: sync::Arc<control::HandlerParts<Dialect>>,
+        metrics: platform::FleetMetrics,
         tasks: task::TaskGroup,
     ) -> Self {
-        Self { parts, tasks }
+        Self {
+            parts,
+            metrics,
+            tasks,
+        }
     }
 
     /// Starts a task that plans until the task group stops.
@@ -91,12 +98,15 @@
             let changed = leadership.roster.cursor(now) != before;
             if let Some(sample) = &step.store_sample {
                 log_store_sample(sample);
+                let limit = i64::try_from(sample.max_concurrent_loads).unwrap_or(i64::MAX);
+                self.metrics.store_limit.set(limit);
             }
-            Some((leadership.term, step.orders, changed))
+            Some((leadership.term, step.orders, step.decisions, changed))
         });
-        let Some(Some((term, orders, changed))) = planned else {
+        let Some(Some((term, orders, decisions, changed))) = planned else {
             return;
         };
+        self.record_decisions(term, &decisions);
         if changed {
             self.parts.roster_changes.send_replace(());
         }
@@ -107,6 +117,28 @@
         }
     }
 
+    /// Counts and logs the decisions of a round, in one line.
+    fn record_decisions(&self, term: u64, decisions: &[placement::LoadDecision]) {
+        if decisions.is_empty() {
+            return;
+        }
+        for decision in decisions {
+            let evicts = decision.victim.is_some();
+            let labels = platform::LoadLabels {
+                step: if evicts { "eviction" } else { "load" },
+                source: if decision.from_store { "store" } else { "near" },
+            };
+            self.metrics.load_decisions.get_or_create(&labels).inc();
+        }
+        let described: Vec<_> = decisions.iter().map(describe_decision).collect();
+        info!(
+            term = term,
+            count = decisions.len(),
+            loads = described.join("; ").as_str();
+            "loads decided"
+        );
+    }
+
     fn execute_order(&self, term: u64, order: placement::EngineOrder, bytes: amount::ByteCount) {
         let parts = sync::Arc::clone(&self.parts);
         self.tasks.spawn_until_stop(async move {
@@ -128,3 +160,25 @@
         "load from the weight store ended"
     );
 }
+
+/// Returns a decision with its inputs as text: the model, the engine, and what the choice followed from.
+fn describe_decision(decision: &placement::LoadDecision) -> String {
+    let milliseconds = |span: time::Duration| span.as_millis().to_string();
+    let optional = |span: Option<time::Duration>| span.map_or("-".to_owned(), milliseconds);
+    let victim = decision.victim.as_ref();
+    format!(
+        "{} at {} source={} evicts={} urgency={:.2} value={:.2} rate={:.2} waiting={} due_ms={} \
+         demand_age_ms={} expected_ms={}",
+        decision.model,
+        decision.server,
+        if decision.from_store { "store" } else { "near" },
+        victim.map_or("-", |model| model.as_str()),
+        decision.urgency,
+        decision.value,
+        decision.rate,
+        decision.waiting,
+        optional(decision.earliest_due),
+        optional(decision.demand_age),
+        milliseconds(decision.expected),
+    )
+}
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -273,8 +273,12 @@
         .start(&self.timer, &self.groups.system);
         control::LeaderNotifier::new(sync::Arc::clone(&parts))
             .start(&self.timer, &self.groups.system);
-        control::PlacementLoop::new(sync::Arc::clone(&parts), self.groups.system.clone())
-            .start(&self.timer);
+        control::PlacementLoop::new(
+            sync::Arc::clone(&parts),
+            self.metrics.clone(),
+            self.groups.system.clone(),
+        )
+        .start(&self.timer);
         if let Some(address) = self.settings.control {
             let listener = bind(address, "operators and backend servers").await?;
             let api = control::ControlApi::new(
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -49,6 +49,15 @@
     pub(crate) team: String,
 }
 
+/// The labels of decisions to load a model.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct LoadLabels {
+    /// `load`, or `eviction` of another model before it.
+    pub(crate) step: &'static str,
+    /// `store` for weights from the weight store, `near` for those at the engine.
+    pub(crate) source: &'static str,
+}
+
 /// The metrics of one instance.
 #[derive(Debug, Clone)]
 pub(crate) struct FleetMetrics {
@@ -89,6 +98,10 @@
     pub(crate) loads: Counter,
     /// Unload orders sent.
     pub(crate) unloads: Counter,
+    /// Decisions to load a model of a declared service.
+    pub(crate) load_decisions: Family<LoadLabels, Counter>,
+    /// Maximum number of concurrent loads from the weight store, as learned from the last load.
+    pub(crate) store_limit: Gauge,
 }
 
 fn latency_histogram() -> Histogram {
@@ -118,6 +131,8 @@
             undecided: Counter::default(),
             loads: Counter::default(),
             unloads: Counter::default(),
+            load_decisions: Family::default(),
+            store_limit: Gauge::default(),
         };
         let mut registry = registry::Registry::with_prefix("galenahold");
         metrics.register_requests(&mut registry);
@@ -209,5 +224,15 @@
         );
         registry.register("load_orders", "Load orders sent", self.loads.clone());
         registry.register("unload_orders", "Unload orders sent", self.unloads.clone());
+        registry.register(
+            "load_decisions",
+            "Decisions to load a model or to evict another one for it",
+            self.load_decisions.clone(),
+        );
+        registry.register(
+            "store_load_limit",
+            "Maximum number of concurrent loads from the weight store",
+            self.store_limit.clone(),
+        );
     }
 }
--- a/galenahold_instance/src/platform/mod.rs
+++ b/galenahold_instance/src/platform/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use burn_recorder::BurnRecorder;
 pub(crate) use fleet_metrics::{
-    FleetMetrics, RefusalLabels, RequestLabels, ServiceLabels, TeamLabels,
+    FleetMetrics, LoadLabels, RefusalLabels, RequestLabels, ServiceLabels, TeamLabels,
 };
 pub(crate) use platform_api::PlatformApi;
 pub(crate) use readiness_state::ReadinessState;
