--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use galenahold_domain::name;
+
 use crate::fleet;
 use crate::fleet::load_costs;
 use crate::fleet::round_engines;
@@ -13,6 +15,17 @@
 /// prompts meet grows with both rates.
 const MEETING_COST: f64 = 0.1;
 
+/// Cost of placing a popular model at an engine that is twice as slow as the mean, in seconds of load
+/// time: its calls stay there for ten seconds and more, until other models are popular.
+const PACE_COST: f64 = 3.0;
+
+/// Cost of placing a popular model at an engine that serves another one, in seconds of load time.
+const SHARED_ENGINE_COST: f64 = 3.0;
+
+/// Cost of placing a popular model in the only data centre that has it, in seconds of load time; the
+/// model would be lost with the data centre.
+const SAME_CENTRE_COST: f64 = 2.0;
+
 /// Factor by which a load may take longer at an engine without adapters in use than at one with them. An
 /// engine refuses adapter orders while it executes a model order, and each refusal costs a caller its
 /// adapter; the delay of one rare model costs less.
@@ -37,6 +50,8 @@
         let may_fetch = need.may_fetch
             && engines.store_loads_ahead(need.urgency) < self.store_limit()
             && self.store_window_is_open(round);
+        let standing = round.standing(&need.model.name);
+        let only_centre = single_centre(round, need, &standing);
         // The best option at an engine without adapters in use, and at one with them.
         let mut best: [Option<fleet::LoadOption<'a>>; 2] = [None, None];
         for engine in &engines.free {
@@ -46,9 +61,13 @@
             }) {
                 continue;
             }
-            let Some(load_option) = load_option(round, need, engine, may_fetch) else {
+            let Some(mut load_option) = load_option(round.now, need, &standing, engine, may_fetch)
+            else {
                 continue;
             };
+            if only_centre == Some(&engine.record.data_centre) {
+                load_option.cost += SAME_CENTRE_COST;
+            }
             let best = &mut best[usize::from(engine.hosts_adapters)];
             if best
                 .as_ref()
@@ -92,9 +111,10 @@
             let prepared_for = engine.prepared_for.as_ref();
             prepared_for.is_some_and(|(model, _)| *model == need.model.name)
         })?;
+        let standing = round.standing(&need.model.name);
         let may_fetch =
             engines.store_loads < self.store_limit() && self.store_window_is_open(round);
-        let load_option = load_option(round, need, engine, may_fetch)?;
+        let load_option = load_option(round.now, need, &standing, engine, may_fetch)?;
         load_option.victim.is_none().then_some(load_option)
     }
 
@@ -141,20 +161,22 @@
 }
 
 impl round_engines::Victim {
-    /// Returns whether the restriction of the need allows the eviction.
-    fn is_evictable(&self, need: &fleet::ModelNeed<'_>) -> bool {
-        match need.may_evict {
+    /// Returns whether the model is large enough to be evicted for the need, and worth less.
+    fn makes_way(&self, need: &fleet::ModelNeed<'_>, missing: u64) -> bool {
+        let allowed = match need.may_evict {
             fleet::Eviction::None => false,
             fleet::Eviction::Idle => self.is_idle,
-            fleet::Eviction::LessValuable => true,
-        }
+            fleet::Eviction::LessValuable => self.value * EVICTION_MARGIN < need.value,
+        };
+        allowed && self.bytes >= missing
     }
 }
 
 /// Returns how an engine could load the model, with the model to evict if memory is missing.
 fn load_option<'a>(
-    round: &fleet::PlanRound<'_>,
+    now: time::Instant,
     need: &fleet::ModelNeed<'_>,
+    standing: &fleet::ModelStanding,
     engine: &round_engines::FreeEngine<'a>,
     may_fetch: bool,
 ) -> Option<fleet::LoadOption<'a>> {
@@ -166,29 +188,28 @@
     if from_store && !may_fetch {
         return None;
     }
-    let standing = round.standing(&need.model.name);
     let copies = u32::try_from(standing.held + 1).unwrap_or(u32::MAX);
-    let mut cost =
-        standing.rate / f64::from(copies) * round.engine_rate(&record.name) * MEETING_COST;
+    let mut cost = standing.rate / f64::from(copies) * engine.rate * MEETING_COST;
+    // Only models with many calls get further copies.
+    if standing.held > 0 || standing.is_popular() {
+        cost += (engine.pace - 1.0) * PACE_COST;
+        if engine.serves_popular {
+            cost += SHARED_ENGINE_COST;
+        }
+    }
     let mut victim = None;
     if engine.free_bytes < need.model.weights.0 {
         let missing = need.model.weights.0 - engine.free_bytes;
-        let evicted = engine
-            .victims
-            .iter()
-            .find(|held| held.bytes >= missing && held.is_evictable(need))?;
-        if need.may_evict == fleet::Eviction::LessValuable
-            && evicted.value * EVICTION_MARGIN >= need.value
-        {
-            return None;
-        }
+        let mut victims = engine.victims.iter();
+        let evicted =
+            victims.find(|held| held.evictable_in.is_zero() && held.makes_way(need, missing))?;
         cost += evicted.value;
         load_duration += evicted.unload_duration;
         victim = Some(evicted.model.clone());
     }
     if need
         .leaves_by
-        .is_some_and(|leaves_by| round.now + load_duration >= leaves_by)
+        .is_some_and(|leaves_by| now + load_duration >= leaves_by)
     {
         return None;
     }
@@ -202,6 +223,24 @@
     })
 }
 
+/// Returns the data centre of all engines that serve the model, if there is just one.
+fn single_centre<'a>(
+    round: &fleet::PlanRound<'a>,
+    need: &fleet::ModelNeed<'_>,
+    standing: &fleet::ModelStanding,
+) -> Option<&'a name::DataCentreName> {
+    if standing.held == 0 {
+        return None;
+    }
+    let serving = round
+        .records
+        .iter()
+        .filter(|record| load_costs::is_usable(record) && record.serves_model(&need.model.name));
+    let mut centres = serving.map(|record| &record.data_centre);
+    let first = centres.next()?;
+    centres.all(|centre| centre == first).then_some(first)
+}
+
 /// Returns the shortest time in which a busy engine that has the weights nearby could load the model.
 fn wait_for_busy_engine(
     engines: &fleet::RoundEngines<'_>,
@@ -214,16 +253,31 @@
     near.min()
 }
 
-/// Returns the shortest time in which a busy engine without adapters in use could load the model.
+/// Returns the shortest time in which an engine without adapters in use could load the model that is
+/// busy, or whose models have just been loaded.
 fn wait_without_adapters(
     engines: &fleet::RoundEngines<'_>,
     need: &fleet::ModelNeed<'_>,
     may_fetch: bool,
 ) -> Option<time::Duration> {
-    let apart = engines.busy.iter().filter(|engine| !engine.hosts_adapters);
-    let waits = apart.filter_map(|engine| {
-        let (load_duration, from_store) = load_costs::load_time(need.model, engine.record);
-        (may_fetch || !from_store).then_some(engine.remaining + load_duration)
+    let busy = engines
+        .busy
+        .iter()
+        .filter(|engine| !engine.hosts_adapters)
+        .map(|engine| (engine.record, engine.remaining));
+    let fresh = engines
+        .free
+        .iter()
+        .filter(|engine| !engine.hosts_adapters)
+        .filter_map(|engine| {
+            let missing = need.model.weights.0.saturating_sub(engine.free_bytes);
+            let mut victims = engine.victims.iter();
+            let victim = victims.find(|victim| victim.makes_way(need, missing))?;
+            Some((engine.record, victim.evictable_in + victim.unload_duration))
+        });
+    let waits = busy.chain(fresh).filter_map(|(record, remaining)| {
+        let (load_duration, from_store) = load_costs::load_time(need.model, record);
+        (may_fetch || !from_store).then_some(remaining + load_duration)
     });
     waits.min()
 }
