--- a/galenahold_instance/src/entry/attempt_runner.rs
+++ b/galenahold_instance/src/entry/attempt_runner.rs
@@ -113,7 +113,13 @@
         let Some(team) = call.identity().team().filter(|_| tokens.0 > 0) else {
             return Ok(None);
         };
-        let charging = self.limiter.charge(team, tokens, call.deadline());
+        let demand = rate::TokenDemand {
+            team: team.clone(),
+            tokens,
+            rank: 0,
+            is_returning: false,
+        };
+        let charging = self.limiter.charge(demand, call.deadline());
         let charge = run_while_wanted(call, charging).await??;
         Ok(Some(charge))
     }
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -182,11 +182,13 @@
             rate_deadline: wait_deadline.min(now + TOKEN_TIMEOUT),
             control_deadline: wait_deadline.min(now + LEADER_TIMEOUT),
         };
-        let charge = self
-            .parts
-            .limiter
-            .charge(&team.name, tokens, timeout)
-            .await?;
+        let demand = rate::TokenDemand {
+            team: team.name.clone(),
+            tokens,
+            rank: call.rank(),
+            is_returning: false,
+        };
+        let charge = self.parts.limiter.charge(demand, timeout).await?;
         Ok(Some(charge))
     }
 
--- a/galenahold_instance/src/rate/rate_limiter.rs
+++ b/galenahold_instance/src/rate/rate_limiter.rs
@@ -73,20 +73,29 @@
     /// A refusal with verdict `NotRun` if the tokens are not available in time.
     pub(crate) async fn charge(
         &self,
-        team: &name::TeamName,
-        wanted: amount::TokenCount,
+        demand: tokens::TokenDemand,
         timeout: impl Into<tokens::ChargeTimeout>,
     ) -> Result<tokens::TokenCharge, api::RequestRefusal> {
         let timeout = timeout.into();
+        let team = &demand.team;
         let mut replies = self.replies.subscribe();
         let before = replies.borrow_and_update().answered;
+        let ticket = tokens::WaitingTicket::take(self, team);
+        let request = rate::ChargeRequest {
+            team: team.clone(),
+            tokens: demand.tokens,
+            ticket: ticket.id(),
+            rank: demand.rank,
+            is_returning: demand.is_returning,
+            waits_until: timeout.until(true),
+        };
         let mut permit = None;
         loop {
             let now = time::Instant::now();
-            let outcome = self.lock().charge(team, wanted, now);
+            let outcome = self.lock().charge(&request, now);
             let (retry_after, recovering) = match outcome {
                 rate::ChargeOutcome::Charged(receipt) => {
-                    return Ok(tokens::TokenCharge::new(self.clone(), receipt));
+                    return Ok(tokens::TokenCharge::new(self.clone(), demand, receipt));
                 }
                 rate::ChargeOutcome::MissingTokens {
                     retry_after,
@@ -94,7 +103,7 @@
                     ..
                 } => (retry_after, recovering),
                 rate::ChargeOutcome::TooLarge { burst } => {
-                    return Err(refuse_too_large(wanted, burst));
+                    return Err(refuse_too_large(demand.tokens, burst));
                 }
                 rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown_team(team)),
             };
@@ -108,17 +117,11 @@
                 permit.is_none().then(|| refuse_wait_limit(team))
             });
             if let Some(refusal) = refusal {
-                // The demand that this request added is withdrawn, since the request no longer waits.
-                self.lock().withdraw(team, wanted);
                 return Err(refusal);
             }
             self.demand_notify.notify_one();
             // Only a reply that arrives in time can change the outcome.
-            let changed = tokio::time::timeout_at(until.into(), replies.changed()).await;
-            if changed.is_err() {
-                // The next iteration registers the demand again, so it is withdrawn here.
-                self.lock().withdraw(team, wanted);
-            }
+            let _ = tokio::time::timeout_at(until.into(), replies.changed()).await;
         }
     }
 
@@ -134,7 +137,22 @@
 
     /// Checks, as the last step before a send, that charged tokens have not expired.
     pub(super) fn confirm_charge(&self, receipt: &mut rate::ChargeReceipt) -> bool {
-        self.lock().confirm_charge(receipt, time::Instant::now())
+        let valid = self.lock().confirm_charge(receipt, time::Instant::now());
+        // The statement of the spent tokens may be due earlier than before.
+        self.demand_notify.notify_one();
+        valid
+    }
+
+    /// Returns a ticket for a request.
+    pub(super) fn issue_ticket(&self) -> rate::ChargeTicket {
+        self.lock().issue_ticket()
+    }
+
+    /// Withdraws the demand of a request that no longer waits.
+    pub(super) fn withdraw(&self, team: &name::TeamName, ticket: rate::ChargeTicket) {
+        self.lock().withdraw(team, ticket);
+        // Tokens that were granted to the request are returned at once.
+        self.demand_notify.notify_one();
     }
 
     /// Settles a charge with the number of tokens that were actually spent.
--- a/galenahold_instance/src/rate/token_charge.rs
+++ b/galenahold_instance/src/rate/token_charge.rs
@@ -12,15 +12,21 @@
 #[derive(Debug)]
 pub(crate) struct TokenCharge {
     limiter: tokens::RateLimiter,
+    demand: tokens::TokenDemand,
     receipt: Option<rate::ChargeReceipt>,
     sent: bool,
 }
 
 impl TokenCharge {
     /// Creates a charge from the receipt of its tokens.
-    pub(super) fn new(limiter: tokens::RateLimiter, receipt: rate::ChargeReceipt) -> Self {
+    pub(super) fn new(
+        limiter: tokens::RateLimiter,
+        demand: tokens::TokenDemand,
+        receipt: rate::ChargeReceipt,
+    ) -> Self {
         Self {
             limiter,
+            demand,
             receipt: Some(receipt),
             sent: false,
         }
@@ -45,10 +51,10 @@
                 self.sent = true;
                 return Ok(());
             }
-            let team = receipt.team().clone();
-            let wanted = receipt.tokens();
+            let mut demand = self.demand.clone();
+            demand.tokens = receipt.tokens();
             self.settle(amount::TokenCount::ZERO);
-            let mut renewed = self.limiter.charge(&team, wanted, deadline).await?;
+            let mut renewed = self.limiter.charge(demand, deadline).await?;
             self.receipt = renewed.receipt.take();
         }
     }
--- a/galenahold_routing/examples/rate_replay.rs
+++ b/galenahold_routing/examples/rate_replay.rs
@@ -401,7 +401,15 @@
         let now = self.at(self.now);
         let team = team(request.team);
         let pool = &mut self.pools[request.instance];
-        match pool.charge(&team.name, amount::TokenCount(request.charged), now) {
+        let charge = rate::ChargeRequest {
+            team: team.name.clone(),
+            tokens: amount::TokenCount(request.charged),
+            ticket: rate::ChargeTicket(index as u64),
+            rank: 0,
+            is_returning: false,
+            waits_until: self.started + time::Duration::from_secs_f64(request.at + DEADLINE),
+        };
+        match pool.charge(&charge, now) {
             rate::ChargeOutcome::Charged(mut receipt) => {
                 assert!(pool.confirm_charge(&mut receipt, now));
                 self.receipts.insert(index, receipt);
@@ -412,6 +420,7 @@
                 let left = request.at + DEADLINE - self.now;
                 let too_late = retry_after.is_some_and(|after| after.as_secs_f64() > left);
                 if too_late {
+                    pool.withdraw(&charge.team, charge.ticket);
                     self.refuse(index);
                 }
                 too_late
@@ -459,6 +468,9 @@
     fn expire(&mut self, index: usize) {
         if !self.decided[index] {
             self.refuse(index);
+            let request = &self.requests[index];
+            let ticket = rate::ChargeTicket(index as u64);
+            self.pools[request.instance].withdraw(&team(request.team).name, ticket);
             let queue_index = self.queue_index(index);
             self.serve_queue(queue_index);
         }
--- a/galenahold_routing/src/rate/grant_ledger.rs
+++ b/galenahold_routing/src/rate/grant_ledger.rs
@@ -140,9 +140,16 @@
             tokens: amount::TokenCount(withdrawal.tokens),
             expiry_in: self.settings.grant_expiry,
             retry_after: withdrawal.retry_after,
+            waits_ms: withdrawal.waits.into_iter().map(to_millis).collect(),
             scarce: withdrawal.scarce,
             recovering: withdrawal.recovering,
             weight: self.fairness.weight(&request.team, now),
         })
     }
 }
+
+/// Returns a wait in whole milliseconds; only a wait of zero is rounded to zero.
+fn to_millis(wait: Option<time::Duration>) -> Option<u64> {
+    let millis = wait?.as_nanos().div_ceil(1_000_000);
+    u64::try_from(millis).ok()
+}
--- a/galenahold_routing/src/rate/grant_request.rs
+++ b/galenahold_routing/src/rate/grant_request.rs
@@ -16,6 +16,10 @@
     pub missing: amount::TokenCount,
     /// Tokens requested beyond `missing`, for future requests.
     pub prefetch: amount::TokenCount,
+    /// The waiting requests that lack tokens, in the order in which they get them; the first few if there are
+    /// many. Empty in calls of versions that do not state them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting: Vec<rate::WaitingDemand>,
     /// The state of each grant that the holder received and whose final statement is not yet acknowledged.
     pub statements: Vec<rate::GrantStatement>,
     /// Refunds that are not yet acknowledged, by sequence number.
--- a/galenahold_routing/src/rate/mod.rs
+++ b/galenahold_routing/src/rate/mod.rs
@@ -6,6 +6,8 @@
 
 mod charge_outcome;
 mod charge_receipt;
+mod charge_request;
+mod charge_ticket;
 mod fairness_correction;
 mod grant_call;
 mod grant_id;
@@ -16,15 +18,22 @@
 mod holder_account;
 mod ledger_settings;
 mod level_history;
+mod pending_demand;
 mod pool_account;
 mod pool_settings;
+mod rank_demand;
+mod retry_schedule;
 mod team_bucket;
 mod token_grant;
 mod token_pool;
 mod token_refund;
+mod waiting_charge;
+mod waiting_demand;
 
 pub use charge_outcome::ChargeOutcome;
 pub use charge_receipt::ChargeReceipt;
+pub use charge_request::ChargeRequest;
+pub use charge_ticket::ChargeTicket;
 pub use fairness_correction::FairnessCorrection;
 pub use grant_call::GrantCall;
 pub use grant_id::GrantId;
@@ -37,3 +46,4 @@
 pub use token_grant::TokenGrant;
 pub use token_pool::TokenPool;
 pub use token_refund::TokenRefund;
+pub use waiting_demand::WaitingDemand;
--- a/galenahold_routing/src/rate/pool_account.rs
+++ b/galenahold_routing/src/rate/pool_account.rs
@@ -6,6 +6,8 @@
 
 use crate::rate;
 use crate::rate::charge_receipt::ReceiptPart;
+use crate::rate::rank_demand::RankDemand;
+use crate::rate::waiting_charge::WaitingCharge;
 
 /// Decay time of the estimated spending rate.
 const SPEND_AVERAGING_TIME: time::Duration = time::Duration::from_millis(500);
@@ -13,9 +15,24 @@
 /// Minimum time between calls while the last reply granted fewer tokens than requested.
 const PARTIAL_GRANT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
+/// A call is due early once the tokens spent since the last one reach this part of the burst. The bucket of
+/// the team does not refill beyond its burst less the tokens that are granted and not known to be spent; with
+/// a burst of two requests, a late statement keeps it from refilling most of the time.
+const SPENT_PART_OF_BURST: u64 = 8;
+
+/// Pause before such an early call, so that it states the requests that follow each other closely.
+const SPENT_CALL_PAUSE: time::Duration = time::Duration::from_millis(20);
+
 /// Age below which the tokens of a grant are not returned as idle.
 const FRESH_GRANT_AGE: time::Duration = time::Duration::from_millis(200);
 
+/// Maximum number of waiting requests that a call states, so that its size is bounded.
+const MAX_STATED_WAITING: usize = 16;
+
+/// While tokens are scarce, an instance keeps what its more urgent requests are expected to spend in this
+/// time from the less urgent ones.
+const RESERVE_HORIZON: time::Duration = time::Duration::from_millis(300);
+
 /// How long after its expiry a grant is still stated, unless its final statement is acknowledged earlier.
 const STATEMENT_RETENTION: time::Duration = time::Duration::from_secs(10);
 
@@ -29,9 +46,13 @@
     refund_sequence: u64,
     overdrawn_total: u64,
     served_total: u64,
-    /// Tokens of all requests that lacked tokens since the last reply.
-    waiting: u64,
-    first_waiting: u64,
+    /// The requests that lacked tokens when they were charged, in the order in which they get tokens.
+    waiting: Vec<WaitingCharge>,
+    /// The requests that the last call stated as waiting.
+    stated: Vec<rate::ChargeTicket>,
+    demand: RankDemand,
+    /// Tokens spent since the last call.
+    unstated: u64,
     /// Tokens that the last call requested.
     requested: u64,
     reply: LastReply,
@@ -39,7 +60,8 @@
     last_charge: u64,
     spend_updated_at: time::Instant,
     called_at: Option<time::Instant>,
-    pub(super) call_lost: bool,
+    /// Whether the next call is due at once: the last one was lost, or there are tokens to return.
+    pub(super) calls_at_once: bool,
     /// Whether the active intent has the team; statements continue after its removal.
     pub(super) active: bool,
     /// Whether the instance stops and holds no tokens for future requests.
@@ -49,7 +71,6 @@
 /// The last reply of the control leader, without the grant.
 #[derive(Debug, Default)]
 struct LastReply {
-    retry_at: Option<time::Instant>,
     /// Whether the grant was smaller than requested.
     partial: bool,
     scarce: bool,
@@ -90,15 +111,17 @@
             refund_sequence: 0,
             overdrawn_total: 0,
             served_total: 0,
-            waiting: 0,
-            first_waiting: 0,
+            waiting: Vec::new(),
+            stated: Vec::new(),
+            demand: RankDemand::default(),
+            unstated: 0,
             requested: 0,
             reply: LastReply::default(),
             spend_per_s: 0.0,
             last_charge: 0,
             spend_updated_at: now,
             called_at: None,
-            call_lost: false,
+            calls_at_once: false,
             active: true,
             retired: false,
         }
@@ -119,10 +142,14 @@
 
     pub(super) fn charge(
         &mut self,
-        team: &name::TeamName,
-        tokens: u64,
+        request: &rate::ChargeRequest,
         now: time::Instant,
     ) -> rate::ChargeOutcome {
+        let tokens = request.tokens.0;
+        let charge = self.take_waiting(request.ticket).unwrap_or_else(|| {
+            self.demand.record(request.rank, tokens, now);
+            WaitingCharge::new(request)
+        });
         if !self.active {
             return rate::ChargeOutcome::UnknownTeam;
         }
@@ -131,13 +158,12 @@
             let burst = amount::TokenCount(self.burst);
             return rate::ChargeOutcome::TooLarge { burst };
         }
-        let balance = self.balance();
-        if tokens > balance {
-            return self.request_tokens(tokens, balance, now);
+        if self.available_to(&charge, now) < tokens {
+            return self.wait_for_tokens(charge, now);
         }
         self.record_spend(tokens, now);
         rate::ChargeOutcome::Charged(rate::ChargeReceipt {
-            team: team.clone(),
+            team: request.team.clone(),
             parts: self.reserve(tokens),
         })
     }
@@ -198,16 +224,21 @@
         interval: time::Duration,
         now: time::Instant,
     ) -> Option<time::Instant> {
-        if self.call_lost {
+        if self.calls_at_once {
             return Some(now);
         }
         let regular = self.called_at.map_or(now, |at| at + interval);
-        if self.waiting > 0 {
-            let retry_at = self.reply.retry_at.unwrap_or(now).min(regular);
+        let unmet = self.waiting.iter().filter(|charge| !charge.is_granted);
+        if let Some(retry_at) = unmet.map(|charge| charge.retry_at.unwrap_or(now)).min() {
+            let retry_at = retry_at.min(regular);
             let paused = self.called_at.filter(|_| self.reply.partial);
             let pause_ends = paused.map_or(now, |at| at + PARTIAL_GRANT_PAUSE);
             return Some(retry_at.max(pause_ends));
         }
+        if self.unstated * SPENT_PART_OF_BURST >= self.burst.max(1) {
+            let early = self.called_at.map_or(now, |at| at + SPENT_CALL_PAUSE);
+            return Some(early.min(regular));
+        }
         let has_nothing_to_state = self.grants.is_empty() && self.refunds.is_empty();
         (!has_nothing_to_state).then_some(regular)
     }
@@ -222,7 +253,8 @@
     ) -> rate::GrantRequest {
         self.expire(now);
         self.called_at = Some(now);
-        self.call_lost = false;
+        self.calls_at_once = false;
+        self.unstated = 0;
         let target = self.target(settings, now);
         self.return_idle(target, now);
         let balance = self.balance();
@@ -236,13 +268,18 @@
                 grant.closed_in.get_or_insert(number);
             }
         }
-        let missing = self.waiting.saturating_sub(balance);
+        let waiting = self.state_waiting(balance, now);
+        self.stated = waiting.iter().map(|demand| demand.ticket).collect();
+        let waiting_tokens = self.waiting.iter().map(|charge| charge.tokens);
+        let missing = waiting_tokens.sum::<u64>().saturating_sub(balance);
         self.requested = missing + prefetch;
+        let first = waiting.first();
         rate::GrantRequest {
             team: team.clone(),
-            first_missing: amount::TokenCount(self.first_waiting.saturating_sub(balance)),
+            first_missing: first.map_or(amount::TokenCount::ZERO, |demand| demand.missing),
             missing: amount::TokenCount(missing),
             prefetch: amount::TokenCount(prefetch),
+            waiting,
             statements: self.grants.iter().map(state_grant).collect(),
             refunds: self.refunds.clone(),
             overdrawn_total: amount::TokenCount(self.overdrawn_total),
@@ -262,9 +299,7 @@
         self.grants
             .retain(|held| held.closed_in.is_none_or(|closed_in| closed_in > number));
         self.refunds.retain(|refund| refund.sequence > last_refund);
-        self.waiting = 0;
-        self.first_waiting = 0;
-        self.reply.retry_at = grant.retry_after.map(|after| now + after);
+        self.accept_waits(grant, now);
         self.reply.partial = grant.tokens.0 < self.requested;
         self.reply.scarce = grant.scarce;
         self.reply.recovering = grant.recovering;
@@ -286,15 +321,18 @@
 
     /// Records that the control leader does not know the team yet; its requests ask again after `retry_after`.
     pub(super) fn record_unknown_team(&mut self, retry_after: time::Duration, now: time::Instant) {
-        self.waiting = 0;
-        self.first_waiting = 0;
-        self.reply.retry_at = Some(now + retry_after);
+        for charge in &mut self.waiting {
+            charge.retry_at = Some(now + retry_after);
+        }
     }
 
-    /// Removes the tokens of a request that no longer waits and that no call has included yet.
-    pub(super) fn withdraw(&mut self, tokens: u64) {
-        self.waiting = self.waiting.saturating_sub(tokens);
-        self.first_waiting = self.first_waiting.min(self.waiting);
+    /// Removes a request that no longer waits.
+    ///
+    /// Tokens that were granted to it are returned with a call that is due at once, since other instances
+    /// may wait for them.
+    pub(super) fn withdraw(&mut self, ticket: rate::ChargeTicket) {
+        let withdrawn = self.take_waiting(ticket);
+        self.calls_at_once |= withdrawn.is_some_and(|charge| charge.is_granted);
     }
 
     /// Returns the sequence number of the latest refund.
@@ -302,26 +340,96 @@
         self.refund_sequence
     }
 
-    fn request_tokens(
+    fn take_waiting(&mut self, ticket: rate::ChargeTicket) -> Option<WaitingCharge> {
+        let waiting = &self.waiting;
+        let index = waiting.iter().position(|charge| charge.ticket == ticket)?;
+        Some(self.waiting.remove(index))
+    }
+
+    /// Returns the tokens that a request may take: those that no request before it waits for, and while
+    /// tokens are scarce without what more urgent ones are about to spend.
+    fn available_to(&self, charge: &WaitingCharge, now: time::Instant) -> u64 {
+        let before = self.waiting.iter();
+        let before = before.filter(|waiting| waiting.order() < charge.order());
+        let claimed: u64 = before.map(|waiting| waiting.tokens).sum();
+        let reserve = self.reserve_before(charge, now);
+        self.balance().saturating_sub(claimed + reserve)
+    }
+
+    /// Returns the tokens that a request leaves to more urgent ones while tokens are scarce.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is finite and not negative"
+    )]
+    fn reserve_before(&self, charge: &WaitingCharge, now: time::Instant) -> u64 {
+        if charge.is_granted || !self.reply.scarce {
+            return 0;
+        }
+        let rate = self.demand.rate_before(charge.rank, now);
+        (rate * RESERVE_HORIZON.as_secs_f64()) as u64
+    }
+
+    fn wait_for_tokens(
         &mut self,
-        tokens: u64,
-        balance: u64,
+        mut charge: WaitingCharge,
         now: time::Instant,
     ) -> rate::ChargeOutcome {
-        if self.waiting == 0 {
-            self.first_waiting = tokens;
-        }
-        self.waiting += tokens;
-        let missing = amount::TokenCount(self.waiting.saturating_sub(balance));
-        let retry_at = self.reply.retry_at;
-        let retry_after = retry_at.map(|at| at.saturating_duration_since(now));
+        charge.is_granted = false;
+        let retry_after = charge.retry_at.map(|at| at.saturating_duration_since(now));
+        let waiting = &self.waiting;
+        let index = waiting.partition_point(|waiting| waiting.order() < charge.order());
+        self.waiting.insert(index, charge);
+        let tokens = self.waiting.iter().map(|charge| charge.tokens);
+        let missing = tokens.sum::<u64>().saturating_sub(self.balance());
         rate::ChargeOutcome::MissingTokens {
-            missing,
+            missing: amount::TokenCount(missing),
             retry_after,
             recovering: self.reply.recovering,
         }
     }
 
+    /// Returns the waiting requests that the balance does not cover, with what they lack.
+    fn state_waiting(&self, balance: u64, now: time::Instant) -> Vec<rate::WaitingDemand> {
+        let mut left = balance;
+        let demands = self.waiting.iter().filter_map(|charge| {
+            let reserve = self.reserve_before(charge, now);
+            let covered = charge.tokens.min(left.saturating_sub(reserve));
+            left -= covered;
+            let missing = charge.tokens - covered;
+            let waits = charge.waits_until.saturating_duration_since(now);
+            (missing > 0).then(|| rate::WaitingDemand {
+                ticket: charge.ticket,
+                rank: charge.rank,
+                is_returning: charge.is_returning,
+                missing: amount::TokenCount(missing),
+                waits_ms: u64::try_from(waits.as_millis()).unwrap_or(u64::MAX),
+            })
+        });
+        demands.take(MAX_STATED_WAITING).collect()
+    }
+
+    /// Records which of the stated requests were granted tokens, and when the others can expect theirs.
+    fn accept_waits(&mut self, grant: &rate::TokenGrant, now: time::Instant) {
+        let stated = std::mem::take(&mut self.stated);
+        for (index, ticket) in stated.into_iter().enumerate() {
+            let Some(charge) = self
+                .waiting
+                .iter_mut()
+                .find(|charge| charge.ticket == ticket)
+            else {
+                continue;
+            };
+            let wait = grant.waits_ms.get(index).copied().flatten();
+            let wait = wait.map(time::Duration::from_millis);
+            // A version that states no single waits states the one of the first request.
+            let wait = wait.or(grant.retry_after);
+            charge.is_granted = wait.is_some_and(|wait| wait.is_zero());
+            charge.retry_at = wait.map(|wait| now + wait);
+        }
+        self.waiting.sort_by_key(WaitingCharge::order);
+    }
+
     fn expire(&mut self, now: time::Instant) {
         for grant in &mut self.grants {
             if !grant.is_alive(now) {
@@ -367,6 +475,7 @@
         if let Some(grant) = self.grant_mut(id) {
             grant.reserved -= tokens;
             grant.spent += tokens;
+            self.unstated += tokens;
         }
     }
 
@@ -448,7 +557,7 @@
             grant.balance = 0;
         }
         self.retired = true;
-        self.call_lost = true;
+        self.calls_at_once = true;
     }
 
     /// Returns tokens beyond the target balance, from the oldest grants first.
@@ -458,11 +567,12 @@
         } else {
             target * 2
         };
-        let keep = keep.max(self.waiting);
+        let waiting = self.waiting.iter().map(|charge| charge.tokens);
+        let keep = keep.max(waiting.sum());
         let mut excess = self.balance().saturating_sub(keep);
         for grant in &mut self.grants {
-            let fresh = now.saturating_duration_since(grant.received_at) < FRESH_GRANT_AGE;
-            if fresh {
+            let age = now.saturating_duration_since(grant.received_at);
+            if age < FRESH_GRANT_AGE && !self.reply.scarce {
                 continue;
             }
             let returned = grant.balance.min(excess);
--- a/galenahold_routing/src/rate/team_bucket.rs
+++ b/galenahold_routing/src/rate/team_bucket.rs
@@ -3,11 +3,14 @@
 use std::collections;
 use std::time;
 
-use galenahold_domain::{intent, name};
+use galenahold_domain::{amount, intent, name};
 
 use crate::rate;
 use crate::rate::holder_account::{HolderAccount, OpenGrant};
 use crate::rate::level_history::LevelHistory;
+use crate::rate::pending_demand::PendingDemand;
+use crate::rate::rank_demand::RankDemand;
+use crate::rate::retry_schedule::RetrySchedule;
 
 const NANOTOKENS_PER_TOKEN: i128 = 1_000_000_000;
 
@@ -15,6 +18,26 @@
 /// requests more than its rate never fills its bucket.
 const RECOVERY_LIMIT: time::Duration = time::Duration::from_secs(4);
 
+/// Rank of the requests of instances whose version states no ranks: the most urgent one, so that they are
+/// no worse off while the instances are replaced.
+const UNSTATED_RANK: u32 = 0;
+
+/// While the team is beyond its limit, the bucket keeps what the more urgent ranks are expected to ask for in
+/// this time from the less urgent ones: a message from an instance and its reply take a few tens of
+/// milliseconds, and grants arrive in batches.
+const RESERVE_HORIZON: time::Duration = time::Duration::from_millis(200);
+
+/// While the team is beyond its limit, each rank that asks for tokens gets one of this many tokens that more
+/// urgent ranks get.
+const STARVATION_DIVISOR: u64 = 10;
+
+/// Shortest time that a rejected call is told to wait.
+const MIN_RETRY: time::Duration = time::Duration::from_millis(200);
+
+/// Longest time that a rejected call is told to wait. Callers wait for a third of their remaining time at
+/// most, which is 20 s or less.
+const MAX_RETRY: time::Duration = time::Duration::from_secs(7);
+
 /// The bucket of one team: its level, the grants from it and the holders that wait for tokens.
 ///
 /// `level + outstanding <= burst` holds at all times. The level is kept in nanotokens, so a rate of
@@ -34,15 +57,12 @@
     holders: collections::BTreeMap<name::InstanceName, HolderAccount>,
     /// Open grants of earlier incarnations of holders.
     orphans: Vec<OpenGrant>,
-    pending: collections::VecDeque<PendingDemand>,
-}
-
-/// A holder that waits until the level covers its first waiting request.
-#[derive(Debug)]
-struct PendingDemand {
-    instance: name::InstanceName,
-    first_missing: u64,
-    requested_at: time::Instant,
+    pending: Vec<PendingDemand>,
+    next_sequence: u64,
+    demand: RankDemand,
+    /// What each rank may take before more urgent ones while the team is beyond its limit.
+    credits: collections::BTreeMap<u32, u64>,
+    schedule: RetrySchedule,
 }
 
 /// The tokens that a bucket gives to one request, with the state of the bucket.
@@ -50,6 +70,8 @@
 pub(super) struct BucketWithdrawal {
     pub(super) tokens: u64,
     pub(super) retry_after: Option<time::Duration>,
+    /// The wait of each stated request; zero if its tokens are in `tokens`.
+    pub(super) waits: Vec<Option<time::Duration>>,
     pub(super) scarce: bool,
     pub(super) recovering: bool,
 }
@@ -69,7 +91,11 @@
             history: LevelHistory::default(),
             holders: collections::BTreeMap::new(),
             orphans: Vec::new(),
-            pending: collections::VecDeque::new(),
+            pending: Vec::new(),
+            next_sequence: 0,
+            demand: RankDemand::default(),
+            credits: collections::BTreeMap::new(),
+            schedule: RetrySchedule::default(),
         }
     }
 
@@ -150,23 +176,42 @@
         now: time::Instant,
         settings: &rate::LedgerSettings,
     ) -> BucketWithdrawal {
-        self.expire_pending(now, settings);
-        let needed = self.withdraw_needed(instance, request, now);
-        let claimed: u64 = self.pending.iter().map(|demand| demand.first_missing).sum();
-        let left = self.level().saturating_sub(needed).saturating_sub(claimed);
-        let waits = self
-            .pending
-            .iter()
-            .any(|demand| demand.instance == *instance);
-        let prefetch = if waits {
+        self.pending.retain(|demand| now < demand.expires_at);
+        if !self.is_exceeded(now) {
+            self.credits.clear();
+        }
+        let stated = stated_waiting(request, settings);
+        // A holder states all that it waits for, so that a demand it leaves out has been given up.
+        self.pending.retain(|demand| {
+            let is_stated = stated.iter().any(|own| own.ticket == demand.ticket);
+            is_stated || demand.instance != *instance
+        });
+        let mut needed = 0;
+        let mut waits = Vec::with_capacity(stated.len());
+        for own in &stated {
+            let wait = self.decide_demand(instance, own, needed, now, settings);
+            if wait.is_some_and(|wait| wait.is_zero()) {
+                needed += own.missing.0;
+            }
+            waits.push(wait);
+        }
+        if request.waiting.is_empty() && needed > 0 {
+            let left = self.unclaimed(needed);
+            needed += request.missing.0.saturating_sub(needed).min(left);
+        }
+        let is_exceeded = self.is_exceeded(now);
+        let waits_on = waits.iter().any(|wait| *wait != Some(time::Duration::ZERO));
+        let prefetch = if waits_on || is_exceeded {
             0
         } else {
-            request.prefetch.0.min(left)
+            request.prefetch.0.min(self.unclaimed(needed))
         };
+        let mut unmet = waits.iter().flatten().filter(|wait| !wait.is_zero());
         BucketWithdrawal {
             tokens: needed + prefetch,
-            retry_after: waits.then(|| self.predict_wait(instance, now)).flatten(),
-            scarce: !self.pending.is_empty(),
+            retry_after: unmet.next().copied(),
+            waits,
+            scarce: is_exceeded || !self.pending.is_empty(),
             recovering: self.recovers_until.is_some(),
         }
     }
@@ -298,83 +343,177 @@
         self.history.raise(credit);
     }
 
-    fn expire_pending(&mut self, now: time::Instant, settings: &rate::LedgerSettings) {
-        let expiry = settings.pending_expiry;
-        self.pending
-            .retain(|demand| now.duration_since(demand.requested_at) < expiry);
+    /// Returns whether the team's requests exceed its rate and burst.
+    fn is_exceeded(&self, now: time::Instant) -> bool {
+        self.demand.exceeds(self.rate, self.burst, now)
     }
 
-    /// Returns the tokens for a holder's waiting requests once the level covers the first of them.
+    /// Returns the tokens beyond `withdrawn` that no request waits for.
+    fn unclaimed(&self, withdrawn: u64) -> u64 {
+        let claimed: u64 = self.pending.iter().map(|demand| demand.missing).sum();
+        self.level().saturating_sub(withdrawn + claimed)
+    }
+
+    /// Decides about one waiting request while `withdrawn` tokens of the level go to the same holder.
     ///
-    /// Holders are served in the order in which they asked.
-    fn withdraw_needed(
+    /// Returns its wait: zero if it gets its tokens now, absent if it can never get them. A request whose
+    /// wait is longer than it can wait is not kept, since its holder rejects it; the wait then is the time
+    /// after which its caller should come back.
+    fn decide_demand(
         &mut self,
         instance: &name::InstanceName,
-        request: &rate::GrantRequest,
+        own: &rate::WaitingDemand,
+        withdrawn: u64,
         now: time::Instant,
-    ) -> u64 {
-        let first_missing = request.first_missing.0;
-        if first_missing == 0 || first_missing > self.burst {
-            self.pending.retain(|demand| demand.instance != *instance);
-            return 0;
+        settings: &rate::LedgerSettings,
+    ) -> Option<time::Duration> {
+        let known = self.take_pending(instance, own.ticket);
+        if own.missing.0 == 0 || own.missing.0 > self.burst {
+            return None;
         }
-        self.record_pending(instance, first_missing, now);
-        let ahead = self.claimed_ahead(instance);
-        let available = self.level().saturating_sub(ahead);
-        if available < first_missing {
-            return 0;
+        let sequence = known.unwrap_or_else(|| {
+            self.demand.record(own.rank, own.missing.0, now);
+            self.next_sequence += 1;
+            self.next_sequence
+        });
+        let waits = time::Duration::from_millis(own.waits_ms);
+        let demand = PendingDemand {
+            instance: instance.clone(),
+            ticket: own.ticket,
+            rank: own.rank,
+            is_returning: own.is_returning,
+            missing: own.missing.0,
+            sequence,
+            expires_at: now + settings.pending_expiry.min(waits),
+        };
+        let ahead = self.claimed_before(&demand) + withdrawn;
+        let needed = ahead + demand.missing + self.reserve_before(&demand, now);
+        if self.level() >= needed {
+            self.record_turn(&demand, now);
+            return Some(time::Duration::ZERO);
+        }
+        let wait = self.predict_wait(demand.rank, needed, now)?;
+        if wait <= waits || self.recovers_until.is_some() {
+            self.pending.push(demand);
+            return Some(wait);
         }
-        self.pending.retain(|demand| demand.instance != *instance);
-        let claimed: u64 = self.pending.iter().map(|demand| demand.first_missing).sum();
-        let unclaimed = self.level().saturating_sub(claimed);
-        request.missing.0.min(unclaimed).max(first_missing)
+        let earlier = self.schedule.tokens_before(demand.rank, now);
+        let wait = self.predict_wait(demand.rank, needed + earlier, now)?;
+        if wait < MAX_RETRY {
+            let (rank, missing) = (demand.rank, demand.missing);
+            self.schedule.reserve(rank, missing, now + wait);
+        }
+        Some(wait.clamp(MIN_RETRY, MAX_RETRY))
     }
 
-    fn record_pending(
+    fn take_pending(
         &mut self,
         instance: &name::InstanceName,
-        first_missing: u64,
-        now: time::Instant,
-    ) {
-        let known = self
-            .pending
-            .iter_mut()
-            .find(|demand| demand.instance == *instance);
-        if let Some(demand) = known {
-            demand.first_missing = first_missing;
-            demand.requested_at = now;
-            return;
+        ticket: rate::ChargeTicket,
+    ) -> Option<u64> {
+        let pending = &self.pending;
+        let index = pending
+            .iter()
+            .position(|demand| demand.is_of(instance, ticket))?;
+        Some(self.pending.swap_remove(index).sequence)
+    }
+
+    /// Returns the key by which demands are ordered: those whose rank has enough credit go first, then the
+    /// more urgent ranks, then returning callers, then those that asked earlier.
+    fn order(&self, demand: &PendingDemand) -> (bool, u32, bool, u64) {
+        (
+            !self.has_credit(demand),
+            demand.rank,
+            !demand.is_returning,
+            demand.sequence,
+        )
+    }
+
+    fn has_credit(&self, demand: &PendingDemand) -> bool {
+        let credit = self.credits.get(&demand.rank).copied().unwrap_or(0);
+        credit >= demand.missing
+    }
+
+    fn claimed_before(&self, demand: &PendingDemand) -> u64 {
+        let order = self.order(demand);
+        let before = self.pending.iter();
+        let before = before.filter(|pending| self.order(pending) < order);
+        before.map(|pending| pending.missing).sum()
+    }
+
+    /// Returns the tokens that a demand leaves to more urgent ranks while the team is beyond its limit.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the product is finite and not negative"
+    )]
+    fn reserve_before(&self, demand: &PendingDemand, now: time::Instant) -> u64 {
+        if self.has_credit(demand) || !self.is_exceeded(now) {
+            return 0;
         }
-        self.pending.push_back(PendingDemand {
-            instance: instance.clone(),
-            first_missing,
-            requested_at: now,
-        });
+        let rate = self.demand.rate_before(demand.rank, now);
+        let reserve = (rate * RESERVE_HORIZON.as_secs_f64()) as u64;
+        // A demand of the whole burst must still fit.
+        reserve.min((self.burst - demand.missing) / 2)
     }
 
-    fn claimed_ahead(&self, instance: &name::InstanceName) -> u64 {
-        self.pending
-            .iter()
-            .take_while(|demand| demand.instance != *instance)
-            .map(|demand| demand.first_missing)
-            .sum()
+    /// Charges the tokens of a demand to its rank's credit, or credits the less urgent ranks with their share.
+    fn record_turn(&mut self, demand: &PendingDemand, now: time::Instant) {
+        if !self.is_exceeded(now) {
+            return;
+        }
+        if self.has_credit(demand) {
+            let credit = self.credits.entry(demand.rank).or_default();
+            *credit -= demand.missing;
+            return;
+        }
+        for rank in self.demand.ranks_after(demand.rank, now) {
+            let credit = self.credits.entry(rank).or_default();
+            *credit = (*credit + demand.missing / STARVATION_DIVISOR).min(self.burst);
+        }
     }
 
-    fn predict_wait(
-        &self,
-        instance: &name::InstanceName,
-        now: time::Instant,
-    ) -> Option<time::Duration> {
-        let own = self
-            .pending
-            .iter()
-            .find(|demand| demand.instance == *instance)?;
-        let needed =
-            i128::from(self.claimed_ahead(instance) + own.first_missing) * NANOTOKENS_PER_TOKEN;
+    /// Returns the time until the level reaches `needed`, at the part of the rate that more urgent ranks
+    /// leave to a rank.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the rate is finite and not negative"
+    )]
+    fn predict_wait(&self, rank: u32, needed: u64, now: time::Instant) -> Option<time::Duration> {
+        let urgent = if self.is_exceeded(now) {
+            self.demand.rate_before(rank, now) as u64
+        } else {
+            0
+        };
+        let share = self.rate.div_ceil(STARVATION_DIVISOR);
+        let rate = self.rate.saturating_sub(urgent).max(share);
+        let needed = i128::from(needed) * NANOTOKENS_PER_TOKEN;
         let missing = u128::try_from(needed - self.level).unwrap_or(0);
-        let nanos = missing.div_ceil(u128::from(self.rate).max(1));
+        let nanos = missing.div_ceil(u128::from(rate).max(1));
         let refill = time::Duration::from_nanos(u64::try_from(nanos).ok()?);
         let blocked = self.refilled_at.saturating_duration_since(now);
-        (self.rate > 0).then_some(blocked + refill)
+        // A wait of zero would state that the tokens are granted.
+        let wait = (blocked + refill).max(time::Duration::from_millis(1));
+        (rate > 0).then_some(wait)
+    }
+}
+
+/// Returns the waiting requests that a holder states; one for the first of them if its version states only
+/// their sum.
+fn stated_waiting(
+    request: &rate::GrantRequest,
+    settings: &rate::LedgerSettings,
+) -> Vec<rate::WaitingDemand> {
+    if !request.waiting.is_empty() || request.first_missing == amount::TokenCount::ZERO {
+        return request.waiting.clone();
     }
+    let expiry = settings.pending_expiry.as_millis();
+    vec![rate::WaitingDemand {
+        ticket: rate::ChargeTicket(0),
+        rank: UNSTATED_RANK,
+        is_returning: false,
+        missing: request.first_missing,
+        waits_ms: u64::try_from(expiry).unwrap_or(u64::MAX),
+    }]
 }
--- a/galenahold_routing/src/rate/token_grant.rs
+++ b/galenahold_routing/src/rate/token_grant.rs
@@ -21,6 +21,11 @@
     /// The time until the tokens of the first waiting request are expected; absent if they were granted or
     /// can never be granted.
     pub retry_after: Option<time::Duration>,
+    /// For each waiting request of the call, in the same order, the milliseconds until its tokens are expected:
+    /// zero if they are granted, absent if they can never be. Empty in replies of versions that do not state
+    /// them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waits_ms: Vec<Option<u64>>,
     /// Whether other holders wait for the team's tokens, so that idle tokens should be returned.
     pub scarce: bool,
     /// Whether the bucket may hold less than the team is entitled to, since its leader is new.
--- a/galenahold_routing/src/rate/token_pool.rs
+++ b/galenahold_routing/src/rate/token_pool.rs
@@ -33,7 +33,15 @@
 ///     rate::PoolSettings::default(),
 /// );
 /// pool.set_teams(&[team.clone()], now);
-/// let outcome = pool.charge(&team.name, amount::TokenCount(10), now);
+/// let request = rate::ChargeRequest {
+///     team: team.name.clone(),
+///     tokens: amount::TokenCount(10),
+///     ticket: pool.issue_ticket(),
+///     rank: 0,
+///     is_returning: false,
+///     waits_until: now + time::Duration::from_millis(400),
+/// };
+/// let outcome = pool.charge(&request, now);
 /// assert!(matches!(outcome, rate::ChargeOutcome::MissingTokens { .. }));
 /// let call = pool.call(now).expect("a request waits");
 /// assert_eq!(call.teams[0].missing, amount::TokenCount(10));
@@ -45,6 +53,7 @@
     settings: rate::PoolSettings,
     accounts: collections::BTreeMap<name::TeamName, PoolAccount>,
     next_call: u64,
+    next_ticket: u64,
     in_flight: Option<CallInFlight>,
     highest_term: u64,
 }
@@ -76,6 +85,7 @@
             settings,
             accounts: collections::BTreeMap::new(),
             next_call: 1,
+            next_ticket: 1,
             in_flight: None,
             highest_term: 0,
         }
@@ -94,23 +104,32 @@
         }
     }
 
+    /// Returns a ticket for a request.
+    pub fn issue_ticket(&mut self) -> rate::ChargeTicket {
+        let ticket = rate::ChargeTicket(self.next_ticket);
+        self.next_ticket += 1;
+        ticket
+    }
+
     /// Reserves tokens for a request.
+    ///
+    /// A request that lacks tokens waits until it is charged again or withdrawn. Tokens go to waiting
+    /// requests first that the control leader granted them to, then by rank, then to returning callers.
     pub fn charge(
         &mut self,
-        team: &name::TeamName,
-        tokens: amount::TokenCount,
+        request: &rate::ChargeRequest,
         now: time::Instant,
     ) -> rate::ChargeOutcome {
-        match self.accounts.get_mut(team) {
-            Some(account) => account.charge(team, tokens.0, now),
+        match self.accounts.get_mut(&request.team) {
+            Some(account) => account.charge(request, now),
             None => rate::ChargeOutcome::UnknownTeam,
         }
     }
 
-    /// Withdraws the demand of a request that lacked tokens since the last reply and gives up.
-    pub fn withdraw(&mut self, team: &name::TeamName, tokens: amount::TokenCount) {
+    /// Withdraws the demand of a request that gives up.
+    pub fn withdraw(&mut self, team: &name::TeamName, ticket: rate::ChargeTicket) {
         if let Some(account) = self.accounts.get_mut(team) {
-            account.withdraw(tokens.0);
+            account.withdraw(ticket);
         }
     }
 
@@ -257,7 +276,7 @@
         };
         for called in call.teams {
             if let Some(account) = self.accounts.get_mut(&called.team) {
-                account.call_lost = true;
+                account.calls_at_once = true;
             }
         }
     }
--- a/galenahold_routing/tests/rate/fleet_model.rs
+++ b/galenahold_routing/tests/rate/fleet_model.rs
@@ -97,6 +97,23 @@
     )
 }
 
+/// Returns the demand of a request that waits for tokens as long as it takes.
+pub(crate) fn charge(
+    team: &name::TeamName,
+    ticket: u64,
+    tokens: u64,
+    now: time::Instant,
+) -> rate::ChargeRequest {
+    rate::ChargeRequest {
+        team: team.clone(),
+        tokens: amount::TokenCount(tokens),
+        ticket: rate::ChargeTicket(ticket),
+        rank: 0,
+        is_returning: false,
+        waits_until: now + time::Duration::from_secs(5),
+    }
+}
+
 impl FleetModel {
     pub(crate) fn new(holders: usize, team: intent::TeamIntent) -> Self {
         let now = time::Instant::now();
@@ -151,8 +168,10 @@
 
     fn spend(&mut self, holder: usize, tokens: u64, pause_millis: u64) {
         let holder = &mut self.holders[holder];
-        let tokens = amount::TokenCount(tokens);
-        let outcome = holder.pool.charge(&self.team.name, tokens, self.now);
+        // A new request takes the place of one that waited, so that at most one waits at each holder.
+        holder.pool.withdraw(&self.team.name, rate::ChargeTicket(0));
+        let request = charge(&self.team.name, 0, tokens, self.now);
+        let outcome = holder.pool.charge(&request, self.now);
         self.now += time::Duration::from_millis(pause_millis);
         let rate::ChargeOutcome::Charged(mut receipt) = outcome else {
             return;
@@ -166,7 +185,7 @@
         });
         self.passed.push(PassedTokens {
             at: self.now,
-            tokens: tokens.0,
+            tokens,
         });
     }
 
@@ -190,8 +209,9 @@
         let Some(pool) = &mut self.holders[holder].replaced else {
             return;
         };
-        let charged = amount::TokenCount(tokens);
-        let outcome = pool.charge(&self.team.name, charged, self.now);
+        pool.withdraw(&self.team.name, rate::ChargeTicket(0));
+        let request = charge(&self.team.name, 0, tokens, self.now);
+        let outcome = pool.charge(&request, self.now);
         let rate::ChargeOutcome::Charged(mut receipt) = outcome else {
             return;
         };
--- a/galenahold_routing/tests/rate/grant_ledger.rs
+++ b/galenahold_routing/tests/rate/grant_ledger.rs
@@ -24,6 +24,7 @@
             first_missing: missing,
             missing,
             prefetch: amount::TokenCount::ZERO,
+            waiting: Vec::new(),
             statements: Vec::new(),
             refunds: Vec::new(),
             overdrawn_total: amount::TokenCount::ZERO,
@@ -32,6 +33,85 @@
     }
 }
 
+/// Returns a call with one waiting request that can wait for 400 ms.
+fn ranked_call(instance: &str, ticket: u64, rank: u32, missing: u64) -> rate::GrantCall {
+    let mut call = call(instance, ticket, missing);
+    call.teams[0].waiting.push(rate::WaitingDemand {
+        ticket: rate::ChargeTicket(ticket),
+        rank,
+        is_returning: false,
+        missing: amount::TokenCount(missing),
+        waits_ms: 400,
+    });
+    call
+}
+
+/// Returns a ledger with an empty bucket that gets 1,000 tokens per second, and the time.
+fn ledger_with_empty_bucket() -> (rate::GrantLedger, time::Instant) {
+    let started_at = time::Instant::now();
+    let mut ledger = new_ledger(started_at);
+    ledger.set_teams(&[team(1_000, 1_000)], started_at);
+    let now = started_at + 10 * SECOND;
+    let full = ledger.grant(&call("entry-0", 1, 1_000), now);
+    assert_eq!(full.grants[0].tokens, amount::TokenCount(1_000));
+    let mut spent = call("entry-0", 2, 0);
+    spent.teams[0].statements.push(rate::GrantStatement {
+        id: full.grants[0].id,
+        spent: amount::TokenCount(1_000),
+        kept: amount::TokenCount::ZERO,
+    });
+    ledger.grant(&spent, now);
+    (ledger, now)
+}
+
+/// Guards against many rejected calls that come back at the same time, for which there are tokens for one.
+#[test]
+fn each_rejected_call_is_told_a_time_behind_those_told_before() {
+    let (mut ledger, now) = ledger_with_empty_bucket();
+    let waits: Vec<_> = (1..=4)
+        .map(|number| {
+            let call = ranked_call(&format!("entry-{number}"), number, 1, 500);
+            ledger.grant(&call, now).grants[0].waits_ms[0].expect("the tokens will be there")
+        })
+        .collect();
+    assert_eq!(waits, [500, 1_000, 1_500, 2_000]);
+    let urgent = ledger.grant(&ranked_call("entry-9", 9, 0, 500), now);
+    assert_eq!(urgent.grants[0].waits_ms, [Some(500)]);
+}
+
+/// Guards against a refused request that keeps others of its team from tokens, though it no longer waits.
+#[test]
+fn demand_that_cannot_wait_long_enough_claims_no_tokens() {
+    let (mut ledger, now) = ledger_with_empty_bucket();
+    let hopeless = ledger.grant(&ranked_call("entry-1", 1, 0, 900), now);
+    assert_eq!(hopeless.grants[0].tokens, amount::TokenCount::ZERO);
+    let later = now + SECOND / 5;
+    let reply = ledger.grant(&ranked_call("entry-2", 1, 0, 150), later);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount(150));
+}
+
+#[test]
+fn waiting_request_of_an_urgent_rank_is_met_before_an_earlier_one() {
+    let (mut ledger, now) = ledger_with_empty_bucket();
+    assert_eq!(
+        ledger.grant(&ranked_call("entry-1", 1, 2, 300), now).grants[0].waits_ms,
+        [Some(300)]
+    );
+    assert_eq!(
+        ledger.grant(&ranked_call("entry-2", 1, 0, 300), now).grants[0].waits_ms,
+        [Some(300)]
+    );
+    let later = now + SECOND * 3 / 10;
+    let mut repeated = ranked_call("entry-1", 1, 2, 300);
+    repeated.number = 2;
+    let reply = ledger.grant(&repeated, later);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount::ZERO);
+    let mut repeated = ranked_call("entry-2", 1, 0, 300);
+    repeated.number = 2;
+    let reply = ledger.grant(&repeated, later);
+    assert_eq!(reply.grants[0].tokens, amount::TokenCount(300));
+}
+
 #[test]
 fn new_leader_lends_nothing_while_earlier_grants_may_be_spent() {
     let now = time::Instant::now();
--- a/galenahold_routing/tests/rate/main.rs
+++ b/galenahold_routing/tests/rate/main.rs
@@ -3,5 +3,8 @@
 mod fleet_model;
 mod grant_ledger;
 mod overloaded_team;
+mod ranked_overload;
+mod small_teams;
+mod team_replay;
 mod token_pool;
 mod window_bound;
--- a/galenahold_routing/tests/rate/overloaded_team.rs
+++ b/galenahold_routing/tests/rate/overloaded_team.rs
@@ -53,8 +53,17 @@
         let due = |step: u64| step * 4 * RATE / REQUEST / 100;
         for request in due(step)..due(step + 1) {
             let instance_index = usize::try_from(request).expect("the number is small") % INSTANCES;
-            match charge_request(&mut pools[instance_index], &team.name, now) {
-                0 => waiting[instance_index].push_back(now + TOKEN_WAIT),
+            let pool = &mut pools[instance_index];
+            let charge = rate::ChargeRequest {
+                team: team.name.clone(),
+                tokens: amount::TokenCount(REQUEST),
+                ticket: pool.issue_ticket(),
+                rank: 0,
+                is_returning: false,
+                waits_until: now + TOKEN_WAIT,
+            };
+            match charge_request(pool, &charge, now) {
+                0 => waiting[instance_index].push_back(charge),
                 tokens => tokens_spent += tokens,
             }
         }
@@ -64,23 +73,30 @@
             };
             let reply = ledger.grant(&call, now);
             assert!(pool.accept(&reply, now));
-            waiting.retain(|until| {
-                let tokens = charge_request(pool, &team.name, now);
+            waiting.retain(|charge| {
+                let tokens = charge_request(pool, charge, now);
                 tokens_spent += tokens;
-                tokens == 0 && now < *until
+                let waits_on = now < charge.waits_until;
+                if !waits_on {
+                    pool.withdraw(&charge.team, charge.ticket);
+                }
+                tokens == 0 && waits_on
             });
         }
     }
     tokens_spent
 }
 
-fn charge_request(pool: &mut rate::TokenPool, team: &name::TeamName, now: time::Instant) -> u64 {
-    let tokens = amount::TokenCount(REQUEST);
-    let rate::ChargeOutcome::Charged(mut receipt) = pool.charge(team, tokens, now) else {
+fn charge_request(
+    pool: &mut rate::TokenPool,
+    charge: &rate::ChargeRequest,
+    now: time::Instant,
+) -> u64 {
+    let rate::ChargeOutcome::Charged(mut receipt) = pool.charge(charge, now) else {
         return 0;
     };
     assert!(pool.confirm_charge(&mut receipt, now));
-    pool.settle(receipt, tokens, now);
+    pool.settle(receipt, charge.tokens, now);
     REQUEST
 }
 
--- a/galenahold_routing/tests/rate/token_pool.rs
+++ b/galenahold_routing/tests/rate/token_pool.rs
@@ -5,7 +5,7 @@
 use galenahold_domain::{amount, name};
 use galenahold_routing::rate;
 
-use crate::fleet_model::team;
+use crate::fleet_model::{self, team};
 
 const SECOND: time::Duration = time::Duration::from_secs(1);
 
@@ -40,13 +40,18 @@
     }
 
     fn charge(&mut self, tokens: u64) -> Option<rate::ChargeReceipt> {
-        let tokens = amount::TokenCount(tokens);
-        match self.pool.charge(&self.team, tokens, self.now) {
+        match self.charge_outcome(tokens) {
             rate::ChargeOutcome::Charged(receipt) => Some(receipt),
             _ => None,
         }
     }
 
+    /// Charges the request of this size; a repeated charge continues its wait.
+    fn charge_outcome(&mut self, tokens: u64) -> rate::ChargeOutcome {
+        let request = fleet_model::charge(&self.team, tokens, tokens, self.now);
+        self.pool.charge(&request, self.now)
+    }
+
     /// Sends the call that is due to the ledger and accepts its reply.
     fn exchange(&mut self) {
         let call = self.pool.call(self.now).expect("a call is due");
@@ -183,8 +188,7 @@
 #[test]
 fn request_above_the_burst_is_too_large() {
     let mut pair = GrantPair::with_full_bucket();
-    let tokens = amount::TokenCount(1_001);
-    let outcome = pair.pool.charge(&pair.team, tokens, pair.now);
+    let outcome = pair.charge_outcome(1_001);
     assert!(matches!(outcome, rate::ChargeOutcome::TooLarge { .. }));
 }
 
@@ -195,8 +199,7 @@
     assert!(pair.pool.confirm_charge(&mut receipt, pair.now));
     assert!(pair.charge(200).is_none());
     pair.exchange();
-    let tokens = amount::TokenCount(200);
-    let outcome = pair.pool.charge(&pair.team, tokens, pair.now);
+    let outcome = pair.charge_outcome(200);
     let rate::ChargeOutcome::MissingTokens { retry_after, .. } = outcome else {
         panic!("expected missing tokens from an empty bucket, got {outcome:?}");
     };
@@ -208,7 +211,7 @@
     let mut pair = GrantPair::with_full_bucket();
     assert!(pair.charge(300).is_none());
     assert!(pair.charge(200).is_none());
-    pair.pool.withdraw(&pair.team, amount::TokenCount(300));
+    pair.pool.withdraw(&pair.team, rate::ChargeTicket(300));
     let call = pair.pool.call(pair.now).expect("a request waits");
     assert_eq!(call.teams[0].missing, amount::TokenCount(200));
     assert_eq!(call.teams[0].first_missing, amount::TokenCount(200));
@@ -294,10 +297,10 @@
             && let Some(team) =
                 teams.get(usize::try_from(step / 3).expect("the index fits into usize"))
         {
-            let wanted = amount::TokenCount(100);
-            pool.charge(&team.name, wanted, now);
+            let request = fleet_model::charge(&team.name, u64::from(step), 100, now);
+            pool.charge(&request, now);
             calls += u32::from(exchange(&mut pool, &mut ledger, now));
-            let charged = pool.charge(&team.name, wanted, now);
+            let charged = pool.charge(&request, now);
             let rate::ChargeOutcome::Charged(mut receipt) = charged else {
                 panic!("the control leader granted no tokens: {charged:?}");
             };
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -221,6 +221,7 @@
         first_missing: amount::TokenCount(500),
         missing: amount::TokenCount(1_500),
         prefetch: amount::TokenCount(4_000),
+        waiting: Vec::new(),
         statements: Vec::new(),
         refunds: Vec::new(),
         overdrawn_total: amount::TokenCount(0),
--- a/galenahold_wire/tests/rpc/version_skew.rs
+++ b/galenahold_wire/tests/rpc/version_skew.rs
@@ -3,6 +3,7 @@
 use std::pin;
 
 use galenahold_domain::amount;
+use galenahold_routing::rate;
 use galenahold_wire::codec;
 use galenahold_wire::message;
 use serde::{Deserialize, Serialize};
@@ -59,3 +60,36 @@
     assert!(batch.known.is_empty());
     assert!(batch.events.is_empty());
 }
+
+/// A request for tokens as versions without ranks send it.
+#[derive(Debug, Serialize)]
+struct OlderGrantRequest {
+    team: String,
+    first_missing: u64,
+    missing: u64,
+    prefetch: u64,
+    statements: Vec<u8>,
+    refunds: Vec<u8>,
+    overdrawn_total: u64,
+    served_total: u64,
+}
+
+#[test]
+fn request_for_tokens_of_a_version_without_ranks_is_decoded() {
+    let encoded = encode(&OlderGrantRequest {
+        team: "blue".to_owned(),
+        first_missing: 500,
+        missing: 700,
+        prefetch: 0,
+        statements: Vec::new(),
+        refunds: Vec::new(),
+        overdrawn_total: 0,
+        served_total: 0,
+    });
+    let mut codec = codec::NamedMessagePack;
+    let request: rate::GrantRequest = pin::Pin::new(&mut codec)
+        .deserialize(&encoded)
+        .expect("the message can be decoded");
+    assert_eq!(request.first_missing, amount::TokenCount(500));
+    assert!(request.waiting.is_empty());
+}
