Let callers that retry as told go before new ones of their rank

Cause: a caller that came back after the wait that Retry-After stated was refused like a new one.

Change: each instance learns how much time the callers of a route usually have and takes a call with less for a returning one; it goes before new calls of its rank when tokens are granted and spent. RoutedCall::is_returning carries it. The line of a request states the wait for tokens and the stated retry time, and two metrics count requests refused for want of tokens and returning requests.

--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -132,6 +132,13 @@
             .unwrap_or(route.timeout)
             .min(route.timeout);
         let deadline = arrived + call_timeout;
+        let is_returning = metadata
+            .patience
+            .is_some_and(|patience| self.parts.returns.observe(&route.name, patience));
+        if is_returning {
+            log.notes.push("returning");
+            self.parts.metrics.returning.inc();
+        }
         let max_bytes = usize::try_from(index.declaration().limits.body.0).unwrap_or(usize::MAX);
         let reader = api::BodyReader::new(max_bytes, call_timeout)
             .with_buffers(self.parts.body_buffers.clone());
@@ -147,6 +154,7 @@
             route,
             service,
             team,
+            is_returning,
             arrived,
             deadline,
         })
@@ -186,9 +194,14 @@
             team: team.name.clone(),
             tokens,
             rank: call.rank(),
-            is_returning: false,
+            is_returning: call.is_returning,
         };
-        let charge = self.parts.limiter.charge(demand, timeout).await?;
+        let charged = self.parts.limiter.charge(demand, timeout).await;
+        log.token_wait = now.elapsed();
+        let charge = charged.inspect_err(|refusal| {
+            log.retry_after = refusal.retry_after;
+            self.parts.metrics.count_limited(call.route.priority);
+        })?;
         Ok(Some(charge))
     }
 
--- a/galenahold_instance/src/gateway/entry/call_log.rs
+++ b/galenahold_instance/src/gateway/entry/call_log.rs
@@ -17,6 +17,10 @@
     pub(super) model: String,
     /// The tokens charged to the team.
     pub(super) tokens: u64,
+    /// How long the request waited for its team's tokens.
+    pub(super) token_wait: time::Duration,
+    /// The time after which the caller of a request without tokens was told to retry.
+    pub(super) retry_after: Option<time::Duration>,
     /// The server of the last attempt.
     pub(super) server: Option<name::ServerName>,
     /// How many times the request was sent.
@@ -47,6 +51,8 @@
             team = self.team.as_deref().unwrap_or("-"),
             model = self.model.as_str(),
             tokens = self.tokens,
+            token_wait_ms = millis(self.token_wait),
+            retry_after_ms = self.retry_after.map_or(0, millis),
             server = self.server.as_deref().unwrap_or("-"),
             sends = self.sends,
             declaration = self.declaration,
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -31,6 +31,8 @@
     pub(crate) dispatcher: entry::CallDispatcher,
     /// Charges teams' tokens.
     pub(crate) limiter: rate::RateLimiter,
+    /// Recognizes callers that retry after a rejection.
+    pub(crate) returns: entry::ReturnMonitor,
     /// Sends calls to the leader.
     pub(crate) client: peer::ControlClient<control::FleetHandler<Dialect>>,
     /// Sends requests to backend servers.
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -50,6 +50,9 @@
     pub(super) service: name::ServiceName,
     /// The team whose key the caller sent.
     pub(super) team: Option<declaration::DeclaredTeam>,
+    /// Whether the caller seems to retry after a rejection: it has less time left than the route's callers
+    /// usually have.
+    pub(super) is_returning: bool,
     /// When the request arrived.
     pub(super) arrived: time::Instant,
     /// When the answer has to be complete.
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -366,6 +366,7 @@
             gate: entry::StartGate::new(cache.clone(), declarations.clone()),
             dispatcher: dispatcher.clone(),
             limiter: limiter.clone(),
+            returns: entry::ReturnMonitor::default(),
             client: client.clone(),
             backend,
             body_buffers: buffer::BufferBudget::new(BODY_BUFFER_BYTES),
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -49,6 +49,13 @@
     pub(crate) team: String,
 }
 
+/// The labels of metrics per rank.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RankLabels {
+    /// The priority of the route.
+    pub(crate) rank: u32,
+}
+
 /// The metrics of one instance.
 #[derive(Debug, Clone)]
 pub(crate) struct FleetMetrics {
@@ -73,6 +80,10 @@
     pub(crate) departures: Counter,
     /// Requests refused because their prompt crashes backend servers.
     pub(crate) blocked: Counter,
+    /// Requests refused for want of their team's tokens.
+    pub(crate) limited: Family<RankLabels, Counter>,
+    /// Requests whose callers seem to retry after a rejection.
+    pub(crate) returning: Counter,
     /// Requests waiting for a replica.
     pub(crate) waiting: Gauge,
     /// The active configuration revision.
@@ -108,6 +119,8 @@
             resumed: Counter::default(),
             crossed: Counter::default(),
             blocked: Counter::default(),
+            limited: Family::default(),
+            returning: Counter::default(),
             pauses: Counter::default(),
             departures: Counter::default(),
             waiting: Gauge::default(),
@@ -134,6 +147,11 @@
         text
     }
 
+    /// Counts a request that was refused for want of its team's tokens.
+    pub(crate) fn count_limited(&self, rank: u32) {
+        self.limited.get_or_create(&RankLabels { rank }).inc();
+    }
+
     fn register_requests(&self, registry: &mut registry::Registry) {
         registry.register("requests", "Requests that ended", self.requests.clone());
         registry.register("refusals", "Refusals and errors", self.refusals.clone());
@@ -164,6 +182,16 @@
             "Requests refused because their prompt crashes backend servers",
             self.blocked.clone(),
         );
+        registry.register(
+            "limited_requests",
+            "Requests refused for want of their team's tokens",
+            self.limited.clone(),
+        );
+        registry.register(
+            "returning_requests",
+            "Requests whose callers seem to retry after a rejection",
+            self.returning.clone(),
+        );
         registry.register(
             "server_pauses",
             "Answers by which backend servers asked for a pause",
--- a/galenahold_routing/tests/rate/main.rs
+++ b/galenahold_routing/tests/rate/main.rs
@@ -4,6 +4,7 @@
 mod grant_ledger;
 mod overloaded_team;
 mod ranked_overload;
+mod return_detector;
 mod small_teams;
 mod team_replay;
 mod token_pool;
