Decide which stream ends when events for slow callers fill the memory

A pure ledger holds the bytes of each stream and of all, lets a stream read ahead up to its bound, and names the stream whose caller is the furthest behind once the total is reached.

--- a/galenahold_routing/src/lib.rs
+++ b/galenahold_routing/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod load;
 pub mod queue;
 pub mod rate;
+pub mod relay;
 pub mod replica;
 pub mod retry;
