--- a/galenahold_instance/src/gateway/control/fleet_leadership.rs
+++ b/galenahold_instance/src/gateway/control/fleet_leadership.rs
@@ -6,7 +6,6 @@
 use galenahold_domain::name;
 use galenahold_placement::fleet as placement;
 use galenahold_routing::load;
-use log::trace;
 
 /// State that a leader keeps for one term; a new leader rebuilds it from notices and demand
 /// reports.
@@ -34,10 +33,10 @@
         }
     }
 
-    /// Passes the speeds of servers on to those who decide by them.
-    fn share_paces(&self) {
+    /// Passes the speeds of servers on to the planner.
+    fn share_paces(&mut self) {
         for (server, started_ms, factor) in self.loads.paces() {
-            trace!(server:% = server, started_ms = started_ms, factor = factor; "speed of a backend server");
+            self.planner.record_pace(server, started_ms, factor);
         }
     }
 }
--- a/galenahold_placement/src/fleet/model_needs.rs
+++ b/galenahold_placement/src/fleet/model_needs.rs
@@ -17,6 +17,10 @@
 /// How many times busier than the mean engine one may be before its popular models get further copies.
 const BUSY_FACTOR: f64 = 1.5;
 
+/// Weight of a request beyond what the copies of its model carry, relative to one for a model without a
+/// copy: the first is served late, the second not at all.
+const EXCESS_WEIGHT: f64 = 0.5;
+
 /// Requests per second at an engine below which it never counts as busy: prompts seldom meet.
 const MIN_BUSY_RATE: f64 = 1.0;
 
@@ -91,6 +95,7 @@
         let copies = u32::try_from(copies).unwrap_or(u32::MAX);
         let capacity = standing.capacity + f64::from(u32::try_from(loading).unwrap_or(u32::MAX));
         let excess = (standing.rate - capacity * load_costs::RATE_PER_COPY).max(0.0);
+        let excess_value = excess * EXCESS_WEIGHT;
         let lacks_second = copies < 2 && standing.rate >= load_costs::POPULAR_RATE;
         let share = if lacks_second {
             load_costs::SECOND_COPY_SHARE
@@ -103,9 +108,10 @@
             || is_on_busy_engines(round, &model.name, loading);
         (loading < MAX_LOADING_COPIES && full).then(|| fleet::ModelNeed {
             model,
-            value: (standing.value * share).max(excess),
-            urgency: (standing.urgency * share)
-                .max(load_urgency::expected_calls(excess) / standing.nearest_load.as_secs_f64()),
+            value: (standing.value * share).max(excess_value),
+            urgency: (standing.urgency * share).max(
+                load_urgency::expected_calls(excess_value) / standing.nearest_load.as_secs_f64(),
+            ),
             leaves_by: standing.leaves_by,
             may_evict: fleet::Eviction::LessValuable,
             // While the first copy is still loading, the store is reserved for models without a
