--- a/galenahold_wire/src/message/model_demand.rs
+++ b/galenahold_wire/src/message/model_demand.rs
@@ -36,7 +36,11 @@
 }
 
 /// The remaining times of a waiting request.
+///
+/// They are encoded as a pair: with the names of the fields, the reports of a burst would exceed their
+/// share of the control traffic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32)", into = "(u32, u32)")]
 pub struct WaitingCall {
     /// The time until its objective is missed, in milliseconds; 0 if it has been.
     pub due_ms: u32,
@@ -44,6 +48,18 @@
     pub leaves_ms: u32,
 }
 
+impl From<(u32, u32)> for WaitingCall {
+    fn from((due_ms, leaves_ms): (u32, u32)) -> Self {
+        Self { due_ms, leaves_ms }
+    }
+}
+
+impl From<WaitingCall> for (u32, u32) {
+    fn from(call: WaitingCall) -> Self {
+        (call.due_ms, call.leaves_ms)
+    }
+}
+
 /// The use of an adapter at an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AdapterUse {
--- a/galenahold_wire/tests/rpc/version_skew.rs
+++ b/galenahold_wire/tests/rpc/version_skew.rs
@@ -86,3 +86,34 @@
     assert_eq!(count.waiting, 1);
     assert!(count.waiting_calls.is_empty());
 }
+
+/// Guards against reports that exceed the control traffic of an instance in a burst, when every report
+/// lists waiting calls of several models.
+#[test]
+fn waiting_calls_add_at_most_eight_bytes_each() {
+    let encoded = |calls: usize| {
+        let call = message::WaitingCall {
+            due_ms: 6_000,
+            leaves_ms: 18_000,
+        };
+        encode(&message::ModelCount {
+            service: "models".into(),
+            model: "m".into(),
+            arrivals: 2,
+            waiting: 8,
+            running: 0,
+            waiting_calls: vec![call; calls],
+        })
+    };
+    let (without, eight) = (encoded(0), encoded(8));
+    assert!(
+        eight.len() - without.len() <= 8 * 8 + 16,
+        "{}",
+        eight.len() - without.len()
+    );
+    let mut codec = codec::NamedMessagePack;
+    let count: message::ModelCount = pin::Pin::new(&mut codec)
+        .deserialize(&eight)
+        .expect("the message can be decoded");
+    assert_eq!(count.waiting_calls[7].leaves_ms, 18_000);
+}
