--- a/galenahold_consensus/src/driver/log_thread.rs
+++ b/galenahold_consensus/src/driver/log_thread.rs
@@ -373,7 +373,8 @@
         if let Some(since) = since {
             return driver::RoleEvent::Leading { since };
         }
-        let suspended_term = || self.suspension.as_ref().map(|suspension| suspension.term());
+        let suspension = self.suspension.as_ref();
+        let suspended_term = || suspension.map(driver::StorageSuspension::term);
         let term = self.node.as_ref().map(core::RaftNode::term);
         driver::RoleEvent::Following {
             term: term.or_else(suspended_term).unwrap_or_default(),
--- a/galenahold_consensus/src/storage/space_probe.rs
+++ b/galenahold_consensus/src/storage/space_probe.rs
@@ -22,7 +22,7 @@
     let path = folder.join(FILE_NAME);
     let attempt = || {
         let mut file = backend.create(&path)?;
-        file.append(&[0; PROBE_BYTES])?;
+        file.append(&vec![0; PROBE_BYTES])?;
         file.sync()
     };
     let written = attempt();
--- a/galenahold_consensus/tests/driver/full_disk.rs
+++ b/galenahold_consensus/tests/driver/full_disk.rs
@@ -160,7 +160,8 @@
     group.commit("first");
     let name = follower(&group);
     group.network().isolate(name);
-    for number in 0..300 {
+    // No later snapshot of the leader, one every 100 entries, replaces the one whose write fails.
+    for number in 0..250 {
         group.commit(&format!("command {number}"));
     }
     group.disk(name).refuse(Some(refused));
--- a/galenahold_consensus/tests/storage/reopening.rs
+++ b/galenahold_consensus/tests/storage/reopening.rs
@@ -72,6 +72,20 @@
     member.reopen().expect("reopen");
 }
 
+#[test]
+fn nearly_full_disk_keeps_the_folder_closed() {
+    // Opening the folder takes less than 1 KiB, a batch of entries can take much more.
+    let (folder, switch, mut member) = open(storage::StoreSettings::default());
+    member.close();
+    let max_bytes = 8 * 1024;
+    switch.refuse(Some(fault_backend::RefusedWrite::Larger(max_bytes)));
+    let error = member.reopen().expect_err("the disk is nearly full");
+    assert_eq!(error.kind(), storage::StorageErrorKind::Io);
+    assert!(folder.files("space-probe").is_empty());
+    switch.refuse(None);
+    member.reopen().expect("reopen");
+}
+
 #[test]
 fn watermarks_of_a_failed_write_are_not_recovered() {
     let (_folder, switch, mut member) = open(storage::StoreSettings::default());
--- a/galenahold_consensus/tests/support/fault_backend.rs
+++ b/galenahold_consensus/tests/support/fault_backend.rs
@@ -24,6 +24,8 @@
 pub(crate) enum RefusedWrite {
     /// Appends of a record of this kind to the write-ahead log, by its name in the encoding.
     Record(&'static str),
+    /// Appends of more than this number of bytes, as on a disk that is nearly full.
+    Larger(usize),
     /// Creating a file whose name begins so.
     Create(&'static str),
     /// Renaming a file to a name that begins so.
@@ -62,8 +64,13 @@
 
     fn check_record(&self, bytes: &[u8]) -> io::Result<()> {
         self.check_write()?;
-        let refused = matches!(*self.lock_refused(), Some(RefusedWrite::Record(kind))
-            if bytes.windows(kind.len()).any(|part| part == kind.as_bytes()));
+        let refused = match *self.lock_refused() {
+            Some(RefusedWrite::Record(kind)) => bytes
+                .windows(kind.len())
+                .any(|part| part == kind.as_bytes()),
+            Some(RefusedWrite::Larger(max_bytes)) => bytes.len() > max_bytes,
+            _ => false,
+        };
         self.refuse_if(refused)
     }
 
