Bound the traffic of the load view

Cause: rows of four values and a list with each demand report took 0.48 kB/s an instance at 86 instances, and 1.0 kB/s while calls wait.

--- a/galenahold_routing/src/load/fleet_load_table.rs
+++ b/galenahold_routing/src/load/fleet_load_table.rs
@@ -12,31 +12,38 @@
 const USE_EXPIRY: time::Duration = time::Duration::from_secs(2);
 
 /// Minimum time between two sums of the reports.
-const SUM_INTERVAL: time::Duration = time::Duration::from_millis(200);
+const SUM_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// How long a new leader collects reports before it sends loads: each instance has to have reported once.
 const COLLECTING_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Minimum age of a follower's view at which a reply that is sent anyway carries an update. Replies come every
-/// 400 ms while the roster changes and every 700 ms otherwise.
-const RIDE_AGE: time::Duration = time::Duration::from_millis(600);
+/// Minimum time between the sums of two updates that replies carry which are sent anyway. Replies come every
+/// 400 ms while the roster changes and every 700 ms otherwise, and a sum is up to 100 ms older.
+const RIDE_AGE: time::Duration = time::Duration::from_millis(550);
 
 /// Minimum time for which a request is held that only a change of load ends.
 const WAKE_AGE: time::Duration = time::Duration::from_millis(800);
 
-/// The same time, and minimum age of the view, of a follower at which calls wait.
+/// The same times for a follower at which calls wait.
 const URGENT_AGE: time::Duration = time::Duration::from_millis(250);
 
-/// Additional age for each server in the table, which bounds an instance's traffic: an update has at most
-/// one row a server, of about two bytes compressed.
+/// Minimum age for each server in the table, which bounds an instance's traffic: in a busy fleet, one or two
+/// of a server's four values change between two updates, and each takes a byte.
 const AGE_PER_SERVER: time::Duration = time::Duration::from_millis(2);
 
+/// The same for a follower at which calls wait. With less, updates about 90 busy servers take an
+/// instance's traffic beyond 0.5 kB/s.
+const URGENT_AGE_PER_SERVER: time::Duration = time::Duration::from_millis(6);
+
+/// Largest minimum age: an older load would hardly count.
+const MAX_STRETCHED_AGE: time::Duration = time::Duration::from_secs(4);
+
 /// Time between two removals of servers that are gone.
 const CLEANING_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
 /// What the calls of all entry instances use at each start of a server, and the estimated speeds.
 ///
-/// Soft state of one term: the reports of a few seconds rebuild it. It is summed up at most five times a
+/// Soft state of one term: the reports of a few seconds rebuild it. It is summed up at most ten times a
 /// second, whatever the number of followers, and an update copies nothing but the changed rows.
 #[derive(Debug)]
 pub struct FleetLoadTable {
@@ -60,12 +67,18 @@
     server: name::ServerName,
     started_ms: u64,
     uses: collections::HashMap<name::InstanceName, InstanceUse>,
-    running: load::LoadLevel,
-    unread: load::LoadLevel,
-    cache: load::LoadLevel,
-    pace: Option<load::PaceLevel>,
+    running: VersionedValue<load::LoadLevel>,
+    unread: VersionedValue<load::LoadLevel>,
+    cache: VersionedValue<load::LoadLevel>,
+    pace: VersionedValue<Option<load::PaceLevel>>,
     /// The version from which followers know this start of the server; `None` before the next sum.
     listed_version: Option<u64>,
+}
+
+/// A value with the version in which it last changed; zero if it is still what followers assume at first.
+#[derive(Debug, Default)]
+struct VersionedValue<Value> {
+    value: Value,
     changed_version: u64,
 }
 
@@ -178,11 +191,11 @@
         if self.version == 0 || !collecting.is_zero() {
             return collecting.max(SUM_INTERVAL);
         }
-        let is_known = self.view_age(have, now).is_some();
+        let is_known = self.view_age(have).is_some();
         let min_hold = if urgent || !is_known {
-            URGENT_AGE
+            self.stretched(URGENT_AGE, URGENT_AGE_PER_SERVER)
         } else {
-            self.stretched(WAKE_AGE)
+            self.stretched(WAKE_AGE, AGE_PER_SERVER)
         };
         let delay = min_hold.saturating_sub(waited);
         if delay.is_zero() && is_known && self.changed_version <= have.version {
@@ -203,12 +216,12 @@
             return None;
         }
         let min_age = if urgent {
-            URGENT_AGE
+            self.stretched(URGENT_AGE, URGENT_AGE_PER_SERVER)
         } else {
-            self.stretched(RIDE_AGE)
+            self.stretched(RIDE_AGE, AGE_PER_SERVER)
         };
-        let age = self.view_age(have, now);
-        if age.is_some_and(|age| age < min_age) || have == self.cursor() {
+        let age = self.view_age(have);
+        if age.is_some_and(|age| age < min_age) {
             return None;
         }
         let is_full = age.is_none();
@@ -220,7 +233,10 @@
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             is_full,
             servers: Vec::new(),
-            loads: Vec::new(),
+            running: load::LoadColumn::default(),
+            unread: load::LoadColumn::default(),
+            cache: load::LoadColumn::default(),
+            paces: load::LoadColumn::default(),
             models: Vec::new(),
             bases: Vec::new(),
         };
@@ -257,7 +273,6 @@
     }
 
     fn add_servers(&self, update: &mut load::LoadUpdate, since: u64) {
-        let mut next = 0_u16;
         for (number, slot) in (0_u16..).zip(&self.servers) {
             let Some(server) = slot else {
                 continue;
@@ -265,24 +280,24 @@
             let Some(listed_version) = server.listed_version else {
                 continue;
             };
-            let is_new = listed_version > since;
-            if is_new {
+            if listed_version > since {
                 update.servers.push(load::ServerRow {
                     number,
                     server: server.server.clone(),
                     started_ms: server.started_ms,
                 });
             }
-            let is_changed = server.changed_version > since;
-            if is_changed && !(is_new && server.is_initial()) {
-                update.loads.push(load::LoadRow {
-                    skipped: number - next,
-                    running: server.running,
-                    unread: server.unread,
-                    cache: server.cache,
-                    pace: server.pace,
-                });
-                next = number + 1;
+            if let Some(running) = server.running.since(since) {
+                update.running.push(number, running.code());
+            }
+            if let Some(unread) = server.unread.since(since) {
+                update.unread.push(number, unread.code());
+            }
+            if let Some(cache) = server.cache.since(since) {
+                update.cache.push(number, cache.code());
+            }
+            if let Some(pace) = server.pace.since(since).flatten() {
+                update.paces.push(number, pace.code());
             }
         }
     }
@@ -351,10 +366,10 @@
         }
     }
 
-    /// Returns the age of a follower's view; `None` if it is not of this term.
-    fn view_age(&self, have: load::LoadVersion, now: time::Instant) -> Option<time::Duration> {
-        let is_known = have.term == self.term && have.version > 0 && have.version <= self.version;
-        let age_ms = self.version_at(now).saturating_sub(have.version);
+    /// Returns how much older a follower's view is than the last sum; `None` if it is not of this term.
+    fn view_age(&self, have: load::LoadVersion) -> Option<time::Duration> {
+        let is_known = have.term == self.term && have.version > 0;
+        let age_ms = self.version.checked_sub(have.version)?;
         is_known.then_some(time::Duration::from_millis(age_ms))
     }
 
@@ -367,9 +382,9 @@
         COLLECTING_TIME.saturating_sub(now.saturating_duration_since(self.started_at))
     }
 
-    fn stretched(&self, min_age: time::Duration) -> time::Duration {
+    fn stretched(&self, min_age: time::Duration, per_server: time::Duration) -> time::Duration {
         let count = u32::try_from(self.numbers.len()).unwrap_or(u32::MAX);
-        min_age.max(AGE_PER_SERVER.saturating_mul(count))
+        min_age.max(per_server.saturating_mul(count).min(MAX_STRETCHED_AGE))
     }
 }
 
@@ -379,12 +394,11 @@
             server,
             started_ms,
             uses: collections::HashMap::new(),
-            running: load::LoadLevel::default(),
-            unread: load::LoadLevel::default(),
-            cache: load::LoadLevel::default(),
-            pace: None,
+            running: VersionedValue::default(),
+            unread: VersionedValue::default(),
+            cache: VersionedValue::default(),
+            pace: VersionedValue::default(),
             listed_version: None,
-            changed_version: 0,
         }
     }
 
@@ -394,29 +408,41 @@
             .retain(|_, used| now.saturating_duration_since(used.reported_at) < USE_EXPIRY);
         let amounts = self.uses.values().map(|used| used.amounts);
         let sum = amounts.fold(load::UseAmounts::default(), load::UseAmounts::plus);
-        let running = self.running.follow(sum.running);
         let unread_units = load::LoadLevel::token_units(sum.unread_tokens);
-        let unread = self.unread.follow(unread_units);
         let cache_units = load::LoadLevel::token_units(sum.cache_tokens);
-        let cache = self.cache.follow(cache_units);
-        let pace = factor.map(|factor| match self.pace {
+        let pace = factor.map(|factor| match self.pace.value {
             Some(pace) => pace.follow(factor),
             None => load::PaceLevel::nearest(factor),
         });
         let is_new = self.listed_version.is_none();
-        let before = (self.running, self.unread, self.cache, self.pace);
-        if !is_new && (running, unread, cache, pace) == before {
+        self.listed_version.get_or_insert(version);
+        let changes = [
+            self.running
+                .set(self.running.value.follow(sum.running), version),
+            self.unread
+                .set(self.unread.value.follow(unread_units), version),
+            self.cache
+                .set(self.cache.value.follow(cache_units), version),
+            // A factor that became unknown is one of an earlier start, which is listed anew.
+            pace.is_some() && self.pace.set(pace, version),
+        ];
+        is_new || changes.contains(&true)
+    }
+}
+
+impl<Value: Copy + PartialEq> VersionedValue<Value> {
+    /// Sets the value; returns whether it changed.
+    fn set(&mut self, value: Value, version: u64) -> bool {
+        if value == self.value {
             return false;
         }
-        self.listed_version.get_or_insert(version);
-        (self.running, self.unread, self.cache, self.pace) = (running, unread, cache, pace);
+        self.value = value;
         self.changed_version = version;
         true
     }
 
-    /// Returns whether the rounded values are those with which followers list a new server.
-    fn is_initial(&self) -> bool {
-        let zero = load::LoadLevel::default();
-        self.running == zero && self.unread == zero && self.cache == zero && self.pace.is_none()
+    /// Returns the value if it has changed since a version.
+    fn since(&self, version: u64) -> Option<Value> {
+        (self.changed_version > version).then_some(self.value)
     }
 }
--- a/galenahold_routing/src/load/load_level.rs
+++ b/galenahold_routing/src/load/load_level.rs
@@ -1,9 +1,7 @@
 //! Rounding of loads to a few levels.
 
-use serde::{Deserialize, Serialize};
-
 /// A load rounded to one of a few levels, so that small changes need no message.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LoadLevel(u8);
 
 impl LoadLevel {
@@ -59,6 +57,16 @@
         self.load() * Self::TOKEN_UNIT
     }
 
+    /// Returns the code of the level in a column.
+    pub(super) fn code(self) -> u8 {
+        self.0
+    }
+
+    /// Returns the level with this code.
+    pub(super) fn from_code(code: u8) -> Self {
+        Self(code)
+    }
+
     /// Rounds a number of tokens to units.
     pub(super) fn token_units(tokens: u32) -> u32 {
         tokens.saturating_add(Self::TOKEN_UNIT / 2) / Self::TOKEN_UNIT
--- a/galenahold_routing/src/load/load_rows.rs
+++ b/galenahold_routing/src/load/load_rows.rs
@@ -18,24 +18,6 @@
     pub started_ms: u64,
 }
 
-/// A changed load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(from = "(u16, load::LoadLevel, load::LoadLevel, load::LoadLevel, Option<load::PaceLevel>)")]
-#[serde(into = "(u16, load::LoadLevel, load::LoadLevel, load::LoadLevel, Option<load::PaceLevel>)")]
-pub struct LoadRow {
-    /// How many numbers of servers lie between the previous row's server and this one: small numbers
-    /// repeat and compress well.
-    pub skipped: u16,
-    /// Calls in flight.
-    pub running: load::LoadLevel,
-    /// Prompt tokens of calls whose answer has not begun, in units of 256.
-    pub unread: load::LoadLevel,
-    /// Expected tokens in memory, in units of 256.
-    pub cache: load::LoadLevel,
-    /// Time for an event relative to the mean of all servers; `None` if unknown.
-    pub pace: Option<load::PaceLevel>,
-}
-
 /// A model that is new, with the number that stands for it in later rows.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u16, name::ModelName)")]
@@ -74,32 +56,6 @@
     }
 }
 
-type LoadFields = (
-    u16,
-    load::LoadLevel,
-    load::LoadLevel,
-    load::LoadLevel,
-    Option<load::PaceLevel>,
-);
-
-impl From<LoadFields> for LoadRow {
-    fn from((skipped, running, unread, cache, pace): LoadFields) -> Self {
-        Self {
-            skipped,
-            running,
-            unread,
-            cache,
-            pace,
-        }
-    }
-}
-
-impl From<LoadRow> for LoadFields {
-    fn from(row: LoadRow) -> Self {
-        (row.skipped, row.running, row.unread, row.cache, row.pace)
-    }
-}
-
 impl From<(u16, name::ModelName)> for ModelRow {
     fn from((number, model): (u16, name::ModelName)) -> Self {
         Self { number, model }
--- a/galenahold_routing/src/load/load_update.rs
+++ b/galenahold_routing/src/load/load_update.rs
@@ -17,9 +17,18 @@
     /// Servers that are new or have restarted; each starts without load and of unknown speed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub servers: Vec<load::ServerRow>,
-    /// Changed loads, ordered by the numbers of their servers.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub loads: Vec<load::LoadRow>,
+    /// Changed numbers of calls in flight.
+    #[serde(default, skip_serializing_if = "load::LoadColumn::is_empty")]
+    pub running: load::LoadColumn,
+    /// Changed numbers of prompt tokens of calls whose answer has not begun.
+    #[serde(default, skip_serializing_if = "load::LoadColumn::is_empty")]
+    pub unread: load::LoadColumn,
+    /// Changed numbers of expected tokens in memory.
+    #[serde(default, skip_serializing_if = "load::LoadColumn::is_empty")]
+    pub cache: load::LoadColumn,
+    /// Changed times for an event relative to the mean of all servers.
+    #[serde(default, skip_serializing_if = "load::LoadColumn::is_empty")]
+    pub paces: load::LoadColumn,
     /// Models that are new.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub models: Vec<load::ModelRow>,
--- a/galenahold_routing/src/load/load_view.rs
+++ b/galenahold_routing/src/load/load_view.rs
@@ -100,7 +100,7 @@
             };
             set_at(&mut self.servers, row.number, server);
         }
-        self.apply_rows(&update.loads);
+        self.apply_columns(update);
         for row in &update.models {
             let model = ViewModel {
                 model: row.model.clone(),
@@ -140,18 +140,25 @@
         })
     }
 
-    fn apply_rows(&mut self, rows: &[load::LoadRow]) {
-        let mut next = 0;
-        for row in rows {
-            let number = next + usize::from(row.skipped);
-            next = number + 1;
+    fn apply_columns(&mut self, update: &load::LoadUpdate) {
+        self.apply_column(&update.running, |server, code| {
+            server.total.running = load::LoadLevel::from_code(code).load();
+        });
+        self.apply_column(&update.unread, |server, code| {
+            server.total.unread_tokens = load::LoadLevel::from_code(code).tokens();
+        });
+        self.apply_column(&update.cache, |server, code| {
+            server.total.cache_tokens = load::LoadLevel::from_code(code).tokens();
+        });
+        self.apply_column(&update.paces, |server, code| {
+            server.pace = Some(load::PaceLevel::from_code(code));
+        });
+    }
+
+    fn apply_column(&mut self, column: &load::LoadColumn, set: impl Fn(&mut ViewServer, u8)) {
+        for (number, code) in column.iter() {
             if let Some(server) = self.servers.get_mut(number).and_then(Option::as_mut) {
-                server.total = load::UseAmounts {
-                    running: row.running.load(),
-                    unread_tokens: row.unread.tokens(),
-                    cache_tokens: row.cache.tokens(),
-                };
-                server.pace = row.pace;
+                set(server, code);
             }
         }
     }
--- a/galenahold_routing/src/load/mod.rs
+++ b/galenahold_routing/src/load/mod.rs
@@ -10,6 +10,7 @@
 mod call_work;
 mod fleet_load_table;
 mod gap_observer;
+mod load_column;
 mod load_level;
 mod load_rows;
 mod load_update;
@@ -28,8 +29,9 @@
 pub use call_work::CallWork;
 pub use fleet_load_table::FleetLoadTable;
 pub use gap_observer::GapObserver;
+pub use load_column::LoadColumn;
 pub use load_level::LoadLevel;
-pub use load_rows::{BaseRow, LoadRow, ModelRow, ServerRow};
+pub use load_rows::{BaseRow, ModelRow, ServerRow};
 pub use load_update::LoadUpdate;
 pub use load_version::LoadVersion;
 pub use load_view::LoadView;
--- a/galenahold_routing/src/load/pace_level.rs
+++ b/galenahold_routing/src/load/pace_level.rs
@@ -10,6 +10,9 @@
 /// How far a value has to be from its step, in steps, before it moves to another one.
 const STEP_TOLERANCE: f64 = 0.75;
 
+/// Code of the factor 1 in a column, in the middle of the codes from 0 to 30.
+const CODE_OFFSET: i16 = 15;
+
 /// A speed factor or a time per event in microseconds, rounded to steps of ten percent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PaceLevel(i16);
@@ -45,6 +48,17 @@
         STEP_RATIO.powf(f64::from(self.0))
     }
 
+    /// Returns the code of a speed factor in a column; factors beyond about four count as four.
+    pub(super) fn code(self) -> u8 {
+        let step = self.0.clamp(-CODE_OFFSET, CODE_OFFSET);
+        u8::try_from(step + CODE_OFFSET).unwrap_or(0)
+    }
+
+    /// Returns the factor with this code.
+    pub(super) fn from_code(code: u8) -> Self {
+        Self(i16::from(code) - CODE_OFFSET)
+    }
+
     /// Returns the time that a level of microseconds stands for, an hour at most.
     #[must_use]
     pub fn duration(self) -> time::Duration {
--- a/galenahold_routing/src/load/server_use.rs
+++ b/galenahold_routing/src/load/server_use.rs
@@ -15,12 +15,20 @@
     /// Calls in flight.
     pub running: u32,
     /// Prompt tokens of the calls whose answer has not begun.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub unread_tokens: u32,
     /// Expected tokens in the server's memory for the calls in flight.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_zero")]
     pub cache_tokens: u32,
     /// Measurements since the last report.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<load::PaceSample>,
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "the derive passes a reference"
+)]
+fn is_zero(amount: &u32) -> bool {
+    *amount == 0
+}
