Read streams ahead of slow callers and end the slowest when memory is short

Cause: a relay read at most 32 events ahead of its caller, whatever their size, and then left the rest at the backend server, which cuts off a response that stays unread for some seconds. What callers did not read was bounded neither for a stream nor for the instance, and up to megabytes of it lay in the kernel.

Change: the events of a stream wait in a queue of up to 256 KiB, those of all streams of up to 12 MiB; at that bound the stream whose caller is the furthest behind is cut without the end of the answer, and its events are dropped at once. Connections of callers hold at most 64 KiB unsent in the kernel. Three metrics and a log line state what is held and who was ended.

--- a/galenahold_instance/src/api/answer_body.rs
+++ b/galenahold_instance/src/api/answer_body.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::api;
+use crate::buffer;
 
 /// Chunks of a stream that are buffered until the caller's socket accepts them.
 const STREAM_BUFFER_CHUNKS: usize = 32;
@@ -36,6 +37,13 @@
         /// Whether the end of the chunks is the end of the answer.
         complete: sync::Arc<atomic::AtomicBool>,
     },
+    /// Events that are read ahead of the caller.
+    ReadAhead {
+        /// One message for each event in the queue.
+        arrivals: mpsc::UnboundedReceiver<()>,
+        /// The events that the caller's socket has not accepted yet.
+        queue: sync::Arc<buffer::ReadAheadQueue>,
+    },
 }
 
 impl AnswerBody {
@@ -48,7 +56,7 @@
     pub(crate) fn as_whole(&self) -> Option<&bytes::Bytes> {
         match self {
             Self::Whole(bytes) => Some(bytes),
-            Self::Stream { .. } => None,
+            Self::Stream { .. } | Self::ReadAhead { .. } => None,
         }
     }
 
@@ -59,6 +67,14 @@
         let sender = api::StreamSender::new(sender, sync::Arc::clone(&complete));
         (sender, Self::Stream { chunks, complete })
     }
+
+    /// Creates the body of a stream that is read ahead of its caller, and its sending half.
+    pub(crate) fn read_ahead(budget: &buffer::ReadAheadBudget) -> (api::ReadAheadSender, Self) {
+        let queue = budget.open();
+        let (sender, arrivals) = mpsc::unbounded_channel();
+        let sender = api::ReadAheadSender::new(sync::Arc::clone(&queue), sender);
+        (sender, Self::ReadAhead { arrivals, queue })
+    }
 }
 
 impl Body for AnswerBody {
@@ -82,20 +98,26 @@
                     None => (!ended()).then_some(Err(StreamCut)),
                 }
             }),
+            Self::ReadAhead { arrivals, queue } => {
+                arrivals.poll_recv(context).map(|arrival| match arrival {
+                    Some(()) => Some(queue.pop().map(Frame::data).ok_or(StreamCut)),
+                    None => (!queue.is_complete()).then_some(Err(StreamCut)),
+                })
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_empty(),
-            Self::Stream { .. } => false,
+            Self::Stream { .. } | Self::ReadAhead { .. } => false,
         }
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
             Self::Whole(bytes) => http_body::SizeHint::with_exact(bytes.len() as u64),
-            Self::Stream { .. } => http_body::SizeHint::default(),
+            Self::Stream { .. } | Self::ReadAhead { .. } => http_body::SizeHint::default(),
         }
     }
 }
--- a/galenahold_instance/src/api/http_listener.rs
+++ b/galenahold_instance/src/api/http_listener.rs
@@ -20,6 +20,10 @@
 /// The minimum read buffer that the HTTP library allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// The bytes that a connection may hold in the kernel beyond what its network takes. The kernel otherwise takes
+/// some megabytes for each connection, which count toward the instance's memory and hide slow callers.
+const MAX_UNSENT_BYTES: u32 = 64 * 1_024;
+
 /// Accepts connections for an HTTP API and serves them until its task group stops.
 #[derive(Debug)]
 pub(crate) struct HttpListener<Handler> {
@@ -93,7 +97,9 @@
 
     fn configure_socket(&self, stream: &tokio_net::TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
-        socket2::SockRef::from(stream).set_tcp_user_timeout(Some(self.limits.write_timeout))
+        let socket = socket2::SockRef::from(stream);
+        socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
+        socket.set_tcp_user_timeout(Some(self.limits.write_timeout))
     }
 
     fn connection_builder(&self) -> http1::Builder {
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -39,6 +39,8 @@
     pub(crate) backend: backend::BackendClient,
     /// Bounds the memory of callers' bodies.
     pub(crate) body_buffers: buffer::BufferBudget,
+    /// Bounds the memory of events that callers have not read yet.
+    pub(crate) read_ahead: buffer::ReadAheadBudget,
     /// Closes backend servers that leave.
     pub(crate) departures: entry::DepartureReporter,
     /// Detects requests that crash backend servers.
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -20,6 +20,9 @@
 /// Why a stream ends whose deadline passes.
 const DEADLINE: &str = "deadline";
 
+/// Why a stream ends whose caller reads the slowest of all when memory is short.
+const SLOW_READER: &str = "slow_reader";
+
 /// Relays a stream of events to its caller, and resumes it at another server where that is allowed.
 ///
 /// Only complete events are forwarded, so that a stream resumed at another server continues
@@ -49,7 +52,7 @@
 enum RelayPhase {
     /// The server's next bytes.
     Reading,
-    /// Room in the caller's connection.
+    /// Room for an event that the caller has not read.
     Forwarding,
     /// The head of the rest of the stream from another server.
     Resuming,
@@ -96,7 +99,7 @@
 
     /// Starts the relay and returns the response to the caller.
     pub(super) fn start(self) -> Response<api::AnswerBody> {
-        let (sender, body) = api::AnswerBody::stream();
+        let (sender, body) = api::AnswerBody::read_ahead(&self.parts.read_ahead);
         let mut response = Response::new(body);
         let head = self.exchange.head();
         *response.status_mut() = head.status;
@@ -110,13 +113,14 @@
 
     /// Relays the stream to its end, or until its caller leaves or its deadline passes, whatever it
     /// waits for at that time.
-    async fn relay(mut self, sender: api::StreamSender) {
+    async fn relay(mut self, sender: api::ReadAheadSender) {
         self.lease.start_waiting(time::Instant::now());
         let deadline = self.call.deadline;
         let outcome = tokio::select! {
             biased;
             outcome = self.relay_segments(&sender) => outcome,
             () = sender.closed() => Err("caller_left"),
+            () = sender.ended() => Err(SLOW_READER),
             () = tokio::time::sleep_until(deadline.into()) => Err(DEADLINE),
         };
         let outcome = outcome.map_err(|reason| self.explain_end(reason));
@@ -151,7 +155,7 @@
     /// # Errors
     ///
     /// The reason why the stream ends early.
-    async fn relay_segments(&mut self, sender: &api::StreamSender) -> Result<(), &'static str> {
+    async fn relay_segments(&mut self, sender: &api::ReadAheadSender) -> Result<(), &'static str> {
         loop {
             match self.step(sender).await {
                 RelayStep::Continue => {}
@@ -168,7 +172,7 @@
         }
     }
 
-    async fn step(&mut self, sender: &api::StreamSender) -> RelayStep {
+    async fn step(&mut self, sender: &api::ReadAheadSender) -> RelayStep {
         let chunk = tokio::select! {
             chunk = self.exchange.next_chunk() => chunk,
             _ = self.parts.crashes.wait_until_blocked(&self.call.keys), if self.events == 0 => {
@@ -188,7 +192,7 @@
         }
     }
 
-    async fn forward_events(&mut self, sender: &api::StreamSender) -> RelayStep {
+    async fn forward_events(&mut self, sender: &api::ReadAheadSender) -> RelayStep {
         while let Some(event) = self.splitter.next_event() {
             if self.is_resumed && !follows(event.id.as_deref(), self.last_id.as_deref()) {
                 return RelayStep::Cut("rest_starts_over");
@@ -198,8 +202,10 @@
                 self.last_id = event.id;
             }
             self.phase = RelayPhase::Forwarding;
-            if sender.send(event.bytes).await.is_err() {
-                return RelayStep::Ended("caller_left");
+            match sender.send(event.bytes).await {
+                Ok(()) => {}
+                Err(api::SendError::CallerGone) => return RelayStep::Ended("caller_left"),
+                Err(api::SendError::SlowReader) => return RelayStep::Ended(SLOW_READER),
             }
             self.phase = RelayPhase::Reading;
         }
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -12,6 +12,7 @@
 use galenahold_domain::name;
 use galenahold_routing::fleet;
 use galenahold_routing::rate as routing_rate;
+use galenahold_routing::relay;
 use galenahold_wire::codec;
 use galenahold_wire::message;
 use snafu::ResultExt;
@@ -53,6 +54,13 @@
 /// The memory of the bodies of all callers' requests, in bytes.
 const BODY_BUFFER_BYTES: usize = 24 * 1_024 * 1_024;
 
+/// The memory of events that callers have not read yet. A response has up to 150 events of a few hundred
+/// bytes, so that a stream can hold all of it; the smallest instance has 120 MB.
+const READ_AHEAD_LIMITS: relay::ReadAheadLimits = relay::ReadAheadLimits {
+    stream_bytes: 256 * 1_024,
+    total_bytes: 12 * 1_024 * 1_024,
+};
+
 /// Time between the leader's heartbeats.
 const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(100);
 
@@ -370,6 +378,7 @@
             client: client.clone(),
             backend,
             body_buffers: buffer::BufferBudget::new(BODY_BUFFER_BYTES),
+            read_ahead: buffer::ReadAheadBudget::new(READ_AHEAD_LIMITS, self.metrics.clone()),
             crashes,
             departures,
             budget,
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -84,6 +84,12 @@
     pub(crate) limited: Family<RankLabels, Counter>,
     /// Requests whose callers seem to retry after a rejection.
     pub(crate) returning: Counter,
+    /// Bytes of events that callers have not read yet.
+    pub(crate) read_ahead_bytes: Gauge,
+    /// Times that a stream held as many unread events as it may, so that its server had to wait.
+    pub(crate) read_ahead_full: Counter,
+    /// Streams ended because their callers were the slowest readers when memory was short.
+    pub(crate) slow_readers: Counter,
     /// Requests waiting for a replica.
     pub(crate) waiting: Gauge,
     /// The active configuration revision.
@@ -120,6 +126,9 @@
             crossed: Counter::default(),
             blocked: Counter::default(),
             limited: Family::default(),
+            read_ahead_bytes: Gauge::default(),
+            read_ahead_full: Counter::default(),
+            slow_readers: Counter::default(),
             returning: Counter::default(),
             pauses: Counter::default(),
             departures: Counter::default(),
@@ -210,6 +219,21 @@
     }
 
     fn register_state(&self, registry: &mut registry::Registry) {
+        registry.register(
+            "read_ahead_bytes",
+            "Bytes of events that callers have not read yet",
+            self.read_ahead_bytes.clone(),
+        );
+        registry.register(
+            "read_ahead_full",
+            "Times that a stream held as many unread events as it may",
+            self.read_ahead_full.clone(),
+        );
+        registry.register(
+            "slow_readers_ended",
+            "Streams ended because their callers were the slowest readers",
+            self.slow_readers.clone(),
+        );
         registry.register(
             "configuration_revision",
             "The revision in force",
--- a/galenahold_routing/src/relay/read_ahead_ledger.rs
+++ b/galenahold_routing/src/relay/read_ahead_ledger.rs
@@ -62,7 +62,12 @@
     /// Holds an event of a stream until it is released.
     ///
     /// A stream that holds nothing always may hold one event, so that no slow reader stops a fast one.
-    pub fn hold(&mut self, key: StreamKey, bytes: usize, now: time::Instant) -> relay::ReadAheadStep {
+    pub fn hold(
+        &mut self,
+        key: StreamKey,
+        bytes: usize,
+        now: time::Instant,
+    ) -> relay::ReadAheadStep {
         let Some(stream) = self.streams.get(key) else {
             return relay::ReadAheadStep::StreamFull;
         };
@@ -123,7 +128,10 @@
     /// Returns how far a stream's caller is behind: the age of the oldest event that it has not read.
     #[must_use]
     pub fn lag(&self, key: StreamKey, now: time::Instant) -> time::Duration {
-        let oldest = self.streams.get(key).and_then(|stream| stream.events.front());
+        let oldest = self
+            .streams
+            .get(key)
+            .and_then(|stream| stream.events.front());
         oldest.map_or(time::Duration::ZERO, |event| {
             now.saturating_duration_since(event.held_since)
         })
--- a/galenahold_routing/tests/relay/main.rs
+++ b/galenahold_routing/tests/relay/main.rs
@@ -57,7 +57,10 @@
     };
     let (ended, highest) = replay(limits);
     assert_eq!(ended, Vec::<usize>::new());
-    assert!(highest <= 30 * LIMITS.stream_bytes + 70 * EVENT, "{highest} bytes");
+    assert!(
+        highest <= 30 * LIMITS.stream_bytes + 70 * EVENT,
+        "{highest} bytes"
+    );
 }
 
 /// Guards against a fast reader that is stopped by what ended streams still hold.
