Log when a team goes beyond its limit, and replay mixed versions

The leader logs a line with its inputs when a team's requests exceed its rate and burst or no longer do, at most once in 5 s for a team. The replay of the overload also runs with a leader or with half of the instances of a version without ranks: the whole rate is spent. Random interleavings charge three ranks.

--- a/galenahold_instance/src/control/grant_handler.rs
+++ b/galenahold_instance/src/control/grant_handler.rs
@@ -6,6 +6,7 @@
 use galenahold_domain::amount;
 use galenahold_domain::intent;
 use galenahold_routing::rate;
+use log::info;
 
 /// Grants tokens to instances while this instance is the leader.
 #[derive(Debug)]
@@ -52,9 +53,13 @@
         teams: ActiveTeams<'_>,
         call: &rate::GrantCall,
     ) -> rate::GrantReply {
-        let mut ledger = self.lock();
-        self.current_ledger(&mut ledger, term, teams)
-            .grant(call, time::Instant::now())
+        let mut held = self.lock();
+        let ledger = self.current_ledger(&mut held, term, teams);
+        let reply = ledger.grant(call, time::Instant::now());
+        let changes = ledger.take_changes();
+        drop(held);
+        changes.iter().for_each(log_change);
+        reply
     }
 
     /// Returns the ledger of `term`, updated to the active teams.
@@ -85,3 +90,14 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
+
+fn log_change(change: &rate::LimitChange) {
+    info!(
+        team:% = change.team,
+        exceeded = change.is_exceeded,
+        asked_per_s = change.asked_per_s,
+        level = change.level.0,
+        waiting = change.waiting;
+        "requests of a team against its limit"
+    );
+}
--- a/galenahold_routing/src/rate/grant_ledger.rs
+++ b/galenahold_routing/src/rate/grant_ledger.rs
@@ -21,6 +21,7 @@
     next_grant: u64,
     buckets: collections::BTreeMap<name::TeamName, BucketEntry>,
     fairness: rate::FairnessCorrection,
+    changes: Vec<rate::LimitChange>,
 }
 
 /// A team's bucket, which is kept when the team is removed, so that adding the team again creates no tokens.
@@ -41,6 +42,7 @@
             next_grant: 1,
             buckets: collections::BTreeMap::new(),
             fairness: rate::FairnessCorrection::default(),
+            changes: Vec::new(),
         }
     }
 
@@ -76,6 +78,12 @@
         }
     }
 
+    /// Returns which teams went beyond their limit or are within it again, as noticed since the last call; each
+    /// team at most once in 5 s.
+    pub fn take_changes(&mut self) -> Vec<rate::LimitChange> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Returns the tokens that are available in a team's bucket.
     #[must_use]
     pub fn level(&mut self, team: &name::TeamName, now: time::Instant) -> amount::TokenCount {
@@ -125,6 +133,7 @@
         }
         self.fairness.record(&request.team, served, now);
         let withdrawal = bucket.decide(&call.instance, request, now, &self.settings);
+        self.changes.extend(bucket.take_change(&request.team, now));
         let number = self.next_grant;
         self.next_grant += 1;
         if withdrawal.tokens > 0 {
--- a/galenahold_routing/src/rate/rank_demand.rs
+++ b/galenahold_routing/src/rate/rank_demand.rs
@@ -46,8 +46,14 @@
 
     /// Returns whether the requests of the averaging time exceed what a rate and a burst allow in it.
     pub(super) fn exceeds(&self, rate: u64, burst: u64, now: time::Instant) -> bool {
-        let asked: f64 = self.ranks.values().map(|sum| sum.at(now)).sum();
-        asked > to_float(rate) * AVERAGING_TIME.as_secs_f64() + to_float(burst)
+        let span = AVERAGING_TIME.as_secs_f64();
+        self.rate(now) * span > to_float(rate) * span + to_float(burst)
+    }
+
+    /// Returns the tokens per second that all ranks ask for.
+    pub(super) fn rate(&self, now: time::Instant) -> f64 {
+        let sums = self.ranks.values().map(|sum| sum.at(now));
+        sums.sum::<f64>() / AVERAGING_TIME.as_secs_f64()
     }
 
     /// Returns the ranks less urgent than `rank` that asked for at least a token lately.
--- a/galenahold_routing/src/rate/team_bucket.rs
+++ b/galenahold_routing/src/rate/team_bucket.rs
@@ -38,6 +38,9 @@
 /// most, which is 20 s or less.
 const MAX_RETRY: time::Duration = time::Duration::from_secs(7);
 
+/// Shortest time between two reports that the team is beyond its limit or within it.
+const CHANGE_INTERVAL: time::Duration = time::Duration::from_secs(5);
+
 /// The bucket of one team: its level, the grants from it and the holders that wait for tokens.
 ///
 /// `level + outstanding <= burst` holds at all times. The level is kept in nanotokens, so a rate of
@@ -63,6 +66,8 @@
     /// What each rank may take before more urgent ones while the team is beyond its limit.
     credits: collections::BTreeMap<u32, u64>,
     schedule: RetrySchedule,
+    /// Whether the team was last reported beyond its limit, and when.
+    reported: (bool, Option<time::Instant>),
 }
 
 /// The tokens that a bucket gives to one request, with the state of the bucket.
@@ -96,6 +101,7 @@
             demand: RankDemand::default(),
             credits: collections::BTreeMap::new(),
             schedule: RetrySchedule::default(),
+            reported: (false, None),
         }
     }
 
@@ -216,6 +222,33 @@
         }
     }
 
+    /// Returns whether the team has gone beyond its limit or is within it again since the last report.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the rate is finite and not negative"
+    )]
+    pub(super) fn take_change(
+        &mut self,
+        team: &name::TeamName,
+        now: time::Instant,
+    ) -> Option<rate::LimitChange> {
+        let is_exceeded = self.is_exceeded(now);
+        let (was_exceeded, reported_at) = self.reported;
+        let is_recent = reported_at.is_some_and(|at| now < at + CHANGE_INTERVAL);
+        if is_exceeded == was_exceeded || is_recent {
+            return None;
+        }
+        self.reported = (is_exceeded, Some(now));
+        Some(rate::LimitChange {
+            team: team.clone(),
+            is_exceeded,
+            asked_per_s: self.demand.rate(now) as u64,
+            level: amount::TokenCount(self.level()),
+            waiting: self.pending.len(),
+        })
+    }
+
     /// Debits the tokens of a grant.
     pub(super) fn record_grant(
         &mut self,
--- a/galenahold_routing/tests/rate/fleet_model.rs
+++ b/galenahold_routing/tests/rate/fleet_model.rs
@@ -170,7 +170,9 @@
         let holder = &mut self.holders[holder];
         // A new request takes the place of one that waited, so that at most one waits at each holder.
         holder.pool.withdraw(&self.team.name, rate::ChargeTicket(0));
-        let request = charge(&self.team.name, 0, tokens, self.now);
+        let mut request = charge(&self.team.name, 0, tokens, self.now);
+        request.rank = u32::try_from(tokens % 3).expect("the rank is small");
+        request.is_returning = tokens.is_multiple_of(5);
         let outcome = holder.pool.charge(&request, self.now);
         self.now += time::Duration::from_millis(pause_millis);
         let rate::ChargeOutcome::Charged(mut receipt) = outcome else {
--- a/galenahold_routing/tests/rate/ranked_overload.rs
+++ b/galenahold_routing/tests/rate/ranked_overload.rs
@@ -148,3 +148,29 @@
     let served: u32 = lines.iter().map(|line| line.served).sum();
     assert!(served * 100 >= callers * 95, "{lines:?}");
 }
+
+/// Guards against requests that are never stated, or never served, while instances are replaced one by one.
+#[test]
+fn whole_rate_is_spent_while_versions_without_ranks_take_part() {
+    for older in [
+        team_replay::OlderVersions::Leader,
+        team_replay::OlderVersions::EvenInstances,
+    ] {
+        let callers = callers(6.0, 1_000);
+        let mut replay = team_replay::TeamReplay::new(INSTANCES, teams(), callers, 1);
+        replay.older = older;
+        let replay = replay.run();
+        let limit = &teams()[0];
+        assert_within_limit(limit, &replay.passed[0]);
+        let span = time::Duration::from_secs(15);
+        let passed = replay.passed[0].iter();
+        let passed = passed.filter(|(at, _)| *at < span);
+        let passed: u64 = passed.map(|(_, tokens)| tokens).sum();
+        // The usual demand of the first 4 s, and the whole rate and burst of the overload.
+        let expected = 4 * 27_000 + 11 * limit.rate_tokens_per_s.0;
+        assert!(
+            passed * 10 >= expected * 9,
+            "{older:?}: {passed} of {expected}"
+        );
+    }
+}
--- a/galenahold_routing/tests/rate/team_replay.rs
+++ b/galenahold_routing/tests/rate/team_replay.rs
@@ -58,6 +58,14 @@
     reply: Option<(time::Instant, rate::GrantReply)>,
 }
 
+/// Which processes of a replay run a version that does not state single waiting requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum OlderVersions {
+    None,
+    Leader,
+    EvenInstances,
+}
+
 /// The state of a replay.
 pub(crate) struct TeamReplay {
     teams: Vec<intent::TeamIntent>,
@@ -70,6 +78,8 @@
     ledger: rate::GrantLedger,
     began: time::Instant,
     rng: rngs::StdRng,
+    /// Whether an instance's calls, or the leader's replies, lack what versions without ranks don't state.
+    pub(crate) older: OlderVersions,
     /// The number of calls for tokens and the bytes of these calls and their replies.
     pub(crate) messages: u64,
 }
@@ -113,6 +123,7 @@
             ledger,
             began,
             rng: rngs::StdRng::seed_from_u64(seed),
+            older: OlderVersions::None,
             messages: 0,
         }
     }
@@ -209,12 +220,27 @@
 
     fn answer_calls(&mut self, now: time::Instant) {
         let calls = std::mem::take(&mut self.calls);
-        for (at, instance, call) in calls {
+        for (at, instance, mut call) in calls {
             if at > now {
                 self.calls.push((at, instance, call));
                 continue;
             }
-            let reply = self.ledger.grant(&call, now);
+            let is_older = match self.older {
+                OlderVersions::None => false,
+                OlderVersions::Leader => true,
+                OlderVersions::EvenInstances => instance % 2 == 0,
+            };
+            if is_older {
+                for request in &mut call.teams {
+                    request.waiting.clear();
+                }
+            }
+            let mut reply = self.ledger.grant(&call, now);
+            if is_older {
+                for grant in &mut reply.grants {
+                    grant.waits_ms.clear();
+                }
+            }
             self.instances[instance].reply = Some((now + MESSAGE_DELAY, reply));
         }
     }
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -32,6 +32,8 @@
     report("heartbeats", &[10, 100, 1_000, 3_800], heartbeats);
     report("announcements", &[10, 100, 1_000], announcements);
     report("grant-teams", &[5, 50, 500], grant_call);
+    report("grant-waiting", &[1, 4, 16], waiting_grant_call);
+    report("grant-waits", &[1, 4, 16], waiting_grant_reply);
     report("demand-targets", &[5, 50, 500, 1_900], demand_report);
     report("configuration-changes", &[1, 10, 100], changes);
     report(
@@ -235,6 +237,41 @@
     }
 }
 
+/// Returns a call of one team with waiting requests.
+fn waiting_grant_call(requests: usize) -> rate::GrantCall {
+    let mut call = grant_call(1);
+    let waiting = (0..requests).map(|number| rate::WaitingDemand {
+        ticket: rate::ChargeTicket(70_000 + number as u64),
+        rank: 2,
+        is_returning: false,
+        missing: amount::TokenCount(1_460),
+        waits_ms: 388,
+    });
+    call.teams[0].waiting = waiting.collect();
+    call
+}
+
+/// Returns the reply to such a call.
+fn waiting_grant_reply(requests: usize) -> rate::GrantReply {
+    rate::GrantReply {
+        number: 81_234,
+        grants: vec![rate::TokenGrant {
+            team: "team-000".into(),
+            id: rate::GrantId {
+                term: 7,
+                number: 81_234,
+            },
+            tokens: amount::TokenCount(1_460),
+            expiry_in: time::Duration::from_millis(2_500),
+            retry_after: Some(time::Duration::from_millis(2_200)),
+            waits_ms: vec![Some(2_200); requests],
+            scarce: true,
+            recovering: false,
+            weight: 1.0,
+        }],
+    }
+}
+
 fn demand_report(targets: usize) -> demand::DemandReport {
     let demands = (0..targets).map(|number| demand::ArtifactDemand {
         artifact: placement::ReplicaArtifact {
