--- a/galenahold_routing/tests/rate/grant_ledger.rs
+++ b/galenahold_routing/tests/rate/grant_ledger.rs
@@ -112,6 +112,21 @@
     assert_eq!(reply.grants[0].tokens, amount::TokenCount(300));
 }
 
+/// Guards against a caller that waited as it was told and is rejected again for those that just came.
+#[test]
+fn returning_caller_is_met_before_earlier_new_ones_of_its_rank() {
+    let (mut ledger, now) = ledger_with_empty_bucket();
+    ledger.grant(&ranked_call("entry-1", 1, 1, 300), now);
+    let mut returning = ranked_call("entry-2", 1, 1, 300);
+    returning.teams[0].waiting[0].is_returning = true;
+    assert_eq!(
+        ledger.grant(&returning, now).grants[0].waits_ms,
+        [Some(300)]
+    );
+    let urgent = ledger.grant(&ranked_call("entry-3", 1, 0, 50), now);
+    assert_eq!(urgent.grants[0].waits_ms, [Some(50)]);
+}
+
 #[test]
 fn new_leader_lends_nothing_while_earlier_grants_may_be_spent() {
     let now = time::Instant::now();
--- a/galenahold_routing/tests/rate/token_pool.rs
+++ b/galenahold_routing/tests/rate/token_pool.rs
@@ -339,3 +339,36 @@
         amount::TokenCount::ZERO
     );
 }
+
+/// Guards against tokens that go to whichever request is charged first after a reply.
+#[test]
+fn held_tokens_go_to_granted_requests_then_by_rank_then_to_returning_callers() {
+    let mut pair = GrantPair::with_full_bucket();
+    let spent = pair.charge_with_call(1_000);
+    let new = fleet_model::charge(&pair.team, 1, 400, pair.now);
+    let returning = rate::ChargeRequest {
+        ticket: rate::ChargeTicket(2),
+        is_returning: true,
+        ..new.clone()
+    };
+    let late = rate::ChargeRequest {
+        ticket: rate::ChargeTicket(3),
+        rank: 1,
+        ..new.clone()
+    };
+    for request in [&late, &new, &returning] {
+        let outcome = pair.pool.charge(request, pair.now);
+        assert!(matches!(outcome, rate::ChargeOutcome::MissingTokens { .. }));
+    }
+    // The tokens of a request that was not sent are held again, and cover two of the three.
+    pair.pool.settle(spent, amount::TokenCount::ZERO, pair.now);
+    let is_charged = |pair: &mut GrantPair, request: &rate::ChargeRequest| {
+        let outcome = pair.pool.charge(request, pair.now);
+        matches!(outcome, rate::ChargeOutcome::Charged(_))
+    };
+    assert!(!is_charged(&mut pair, &late));
+    assert!(is_charged(&mut pair, &new));
+    assert!(!is_charged(&mut pair, &late));
+    assert!(is_charged(&mut pair, &returning));
+    assert_eq!(pair.pool.balance(&pair.team), amount::TokenCount(200));
+}
