Select servers by predicted times, memory and pauses

Cause: slow servers were not known, prompts and memory were not counted, and calls waited until their response could no longer be complete. Change: ServiceProfile learns the time for an event, for a prompt token and of a call from own streams; with the paces of the view ServerSelection predicts first event and end, keeps expected tokens within nine tenths of the declared cache and unread prompts within the tightest allowed pause, and draws among servers by the room that they have left. Long prompts wait for half of their slack, short ones overtake them. CallRejection refuses at once what cannot be complete in time; the queue is ordered by rank and remaining time; Retry-After comes from the predicted wait. OutputEstimator corrects hints by route. Metrics placements and unplaced_requests, fields of the request log line.

--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -97,6 +97,7 @@
                 }
                 fleet::CallSubmission::Refused(refusal) => {
                     self.demand.notify_one();
+                    self.metrics.count_unplaced(refusal.cause.as_str());
                     return Err(refusal);
                 }
                 fleet::CallSubmission::Waiting(ticket) => {
@@ -115,7 +116,13 @@
         self.metrics.waiting.inc();
         let placed = waiting.wait().await;
         self.metrics.waiting.dec();
-        placed.map(|placement| self.lease(placement, target))
+        match placed {
+            Ok(placement) => Ok(self.lease(placement, target)),
+            Err(refusal) => {
+                self.metrics.count_unplaced(refusal.cause.as_str());
+                Err(refusal)
+            }
+        }
     }
 
     /// Returns whether a call that was placed at this start of the server may still be sent to it.
@@ -141,14 +148,21 @@
         self.lock().scheduler.observe(server, target, report, now);
     }
 
-    /// Records that the answer to a call has begun.
-    pub(super) fn begin_answer(&self, run: fleet::RunKey) {
-        self.change(|scheduler| scheduler.begin_answer(run));
+    /// Records that the first event of the answer to a call has arrived, `waited` after the send.
+    pub(super) fn begin_answer(&self, run: fleet::RunKey, waited: time::Duration) {
+        self.change(|scheduler| scheduler.begin_answer(run, waited));
+    }
+
+    /// Records the mean time for an event of the stream of a call.
+    pub(super) fn record_events(&self, run: fleet::RunKey, event: time::Duration) {
+        let now = time::Instant::now();
+        self.lock().scheduler.record_events(run, event, now);
     }
 
     /// Frees the place of an attempt that has ended.
     pub(super) fn finish(&self, run: fleet::RunKey) {
-        self.change(|scheduler| scheduler.finish(run));
+        let now = time::Instant::now();
+        self.change(|scheduler| scheduler.finish(run, now));
     }
 
     /// Records that a server holds an adapter.
@@ -248,6 +262,7 @@
         placement: fleet::CallPlacement,
         target: Option<fleet::ModelTarget>,
     ) -> entry::PlaceLease {
+        self.metrics.count_placement(placement.basis.fit.as_str());
         entry::PlaceLease::new(self.clone(), placement, target)
     }
 
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -137,6 +137,9 @@
             .with_buffers(self.parts.body_buffers.clone());
         let body = reader.read(body).await?;
         let service = route.service_at(hash_id(&log.id)).clone();
+        let sizes = metadata.sizes;
+        let expected_output =
+            sizes.map_or(0, |sizes| self.parts.outputs.expected(&route.name, sizes));
         let keys = call_keys(&head, &body, &metadata, team.as_ref());
         Ok(entry::RoutedCall {
             head,
@@ -148,6 +151,7 @@
             service,
             team,
             arrived,
+            expected_output,
             deadline,
         })
     }
@@ -314,6 +318,7 @@
             log.waited += began.elapsed();
             let lease = placed.map_err(call_answer::scheduler_refusal)?;
             log.server = Some(lease.server().clone());
+            log.basis = Some(lease.basis());
             let Some(adapter) = lease.missing_adapter() else {
                 return Ok(lease);
             };
--- a/galenahold_instance/src/gateway/entry/call_log.rs
+++ b/galenahold_instance/src/gateway/entry/call_log.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_routing::fleet;
 
 /// The inputs and outcome of a request, logged when it ends.
 #[derive(Debug, Default)]
@@ -19,6 +20,8 @@
     pub(super) tokens: u64,
     /// The server of the last attempt.
     pub(super) server: Option<name::ServerName>,
+    /// What the selection of that server was based on.
+    pub(super) basis: Option<fleet::ChoiceBasis>,
     /// How many times the request was sent.
     pub(super) sends: u32,
     /// The number of the declaration that was applied.
@@ -41,6 +44,7 @@
 
     /// Writes the log line of the ended request.
     pub(super) fn write(&self, status: u16, reason: &str, took: time::Duration) {
+        let basis = self.basis.as_ref();
         log::info!(
             request = self.id.as_str(),
             route = self.route.as_deref().unwrap_or("-"),
@@ -48,6 +52,12 @@
             model = self.model.as_str(),
             tokens = self.tokens,
             server = self.server.as_deref().unwrap_or("-"),
+            fit = basis.map_or("-", |basis| basis.fit.as_str()),
+            server_running = basis.map_or(0, |basis| basis.running),
+            server_unread = basis.map_or(0, |basis| basis.unread_tokens),
+            view_age_ms = known_millis(basis.and_then(|basis| basis.view_age)),
+            predicted_first_ms = known_millis(basis.and_then(|basis| basis.first)),
+            predicted_ms = known_millis(basis.and_then(|basis| basis.total)),
             sends = self.sends,
             declaration = self.declaration,
             confirmed_ms = millis(self.confirmed_ago),
@@ -64,3 +74,10 @@
 fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Returns the milliseconds of a duration, or -1 if it is unknown.
+fn known_millis(duration: Option<time::Duration>) -> i64 {
+    duration.map_or(-1, |duration| {
+        i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
+    })
+}
--- a/galenahold_instance/src/gateway/entry/entry_parts.rs
+++ b/galenahold_instance/src/gateway/entry/entry_parts.rs
@@ -41,6 +41,8 @@
     pub(crate) departures: entry::DepartureReporter,
     /// Detects requests that crash backend servers.
     pub(crate) crashes: crash::CrashMonitor,
+    /// The expected length of answers.
+    pub(crate) outputs: entry::OutputEstimates,
     /// Bounds attempts beyond the first of each call.
     pub(crate) budget: sync::Arc<sync::Mutex<fleet::AttemptBudget>>,
     /// Metrics of this instance.
--- a/galenahold_instance/src/gateway/entry/place_lease.rs
+++ b/galenahold_instance/src/gateway/entry/place_lease.rs
@@ -145,7 +145,18 @@
 
     /// Records that the first event of the answer has arrived.
     pub(super) fn begin_answer(&self) {
-        self.dispatcher.begin_answer(self.placement.run);
+        let waited = self.sent_at.elapsed();
+        self.dispatcher.begin_answer(self.placement.run, waited);
+    }
+
+    /// Records the mean time for an event of the answer.
+    pub(super) fn record_events(&self, event: time::Duration) {
+        self.dispatcher.record_events(self.placement.run, event);
+    }
+
+    /// Returns what the selection of the server was based on.
+    pub(super) fn basis(&self) -> fleet::ChoiceBasis {
+        self.placement.basis
     }
 
     /// Records that the server holds the adapter.
--- a/galenahold_instance/src/gateway/entry/routed_call.rs
+++ b/galenahold_instance/src/gateway/entry/routed_call.rs
@@ -52,6 +52,8 @@
     pub(super) team: Option<declaration::DeclaredTeam>,
     /// When the request arrived.
     pub(super) arrived: time::Instant,
+    /// Expected tokens of the answer.
+    pub(super) expected_output: u64,
     /// When the answer has to be complete.
     pub(super) deadline: time::Instant,
 }
@@ -67,6 +69,7 @@
             suspect_place: None,
             work: self.work(),
             due_at: self.arrived + self.route.objective,
+            deadline: self.deadline,
             wait_deadline: self.wait_deadline(),
             draw: rand::random(),
             tried,
@@ -79,10 +82,7 @@
         let engine = self.index.service(&self.service);
         let engine = engine.and_then(|service| service.engine.as_ref());
         let event_tokens = engine.map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)));
-        let output_tokens = sizes.map_or(0, |sizes| {
-            let expected = sizes.hinted_output.unwrap_or(sizes.max_output);
-            expected.0.min(sizes.max_output.0)
-        });
+        let output_tokens = self.expected_output;
         load::CallWork {
             prompt_tokens: sizes.map_or(0, |sizes| sizes.prompt.0),
             output_events: output_tokens.div_ceil(event_tokens),
--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -17,6 +17,9 @@
 /// Why a stream ends whose connection to the server broke.
 const CONNECTION_BROKEN: &str = "connection_broken";
 
+/// Minimum number of events of one server from which the time for an event is learned.
+const MIN_EVENTS: u32 = 4;
+
 /// Why a stream ends whose deadline passes.
 const DEADLINE: &str = "deadline";
 
@@ -40,8 +43,8 @@
     phase: RelayPhase,
     last_id: Option<String>,
     events: u64,
-    /// Whether the present server has sent an event.
-    has_begun: bool,
+    /// When the first event of the present server arrived, and how many have arrived since.
+    segment: Option<(time::Instant, u32)>,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
 }
@@ -91,7 +94,7 @@
             exchange,
             last_id: None,
             events: 0,
-            has_begun: false,
+            segment: None,
             last_event: None,
             longest_pause: time::Duration::ZERO,
         }
@@ -123,9 +126,11 @@
             () = tokio::time::sleep_until(deadline.into()) => Err(DEADLINE),
         };
         let outcome = outcome.map_err(|reason| self.explain_end(reason));
+        self.record_pace();
         match outcome {
             Ok(()) => {
                 self.log("complete");
+                self.record_output();
                 self.parts.crashes.record_end(&self.call.keys);
                 sender.finish();
                 self.lease.stop_waiting();
@@ -217,8 +222,10 @@
         self.longest_pause = self.longest_pause.max(pause);
         self.last_event = Some(now);
         self.lease.start_waiting(now);
-        if !self.has_begun {
-            self.has_begun = true;
+        if let Some((_, events)) = &mut self.segment {
+            *events += 1;
+        } else {
+            self.segment = Some((now, 0));
             self.lease.begin_answer();
         }
         if self.events == 0 {
@@ -227,6 +234,28 @@
         self.events += 1;
     }
 
+    /// Reports the mean time for an event of the present server.
+    fn record_pace(&mut self) {
+        if let (Some((first, events)), Some(last)) = (self.segment.take(), self.last_event)
+            && events >= MIN_EVENTS
+        {
+            self.lease
+                .record_events(last.saturating_duration_since(first) / events);
+        }
+    }
+
+    /// Learns the length of a complete answer.
+    fn record_output(&self) {
+        let engine = self.call.index.service(&self.call.service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        if let (Some(engine), Some(sizes)) = (engine, self.call.metadata.sizes) {
+            let tokens = self.events.saturating_mul(engine.tokens_per_event.into());
+            self.parts
+                .outputs
+                .record(&self.call.route.name, sizes, tokens);
+        }
+    }
+
     fn record_break(&self) -> crash::BrokenCall {
         let progress = if self.events == 0 {
             crash::AnswerProgress::Head
@@ -264,13 +293,13 @@
             "stream resumed at another server"
         );
         self.parts.metrics.resumed.inc();
+        self.record_pace();
         self.exchange = exchange;
         lease.start_waiting(time::Instant::now());
         self.lease.stop_waiting();
         self.lease = lease;
         self.splitter = entry::EventSplitter::new(self.exchange.buffer_share());
         self.is_resumed = true;
-        self.has_begun = false;
         true
     }
 
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -371,6 +371,7 @@
             body_buffers: buffer::BufferBudget::new(BODY_BUFFER_BYTES),
             crashes,
             departures,
+            outputs: entry::OutputEstimates::default(),
             budget,
             metrics: self.metrics.clone(),
             readiness: self.readiness.clone(),
--- a/galenahold_instance/src/platform/fleet_metrics.rs
+++ b/galenahold_instance/src/platform/fleet_metrics.rs
@@ -35,6 +35,20 @@
     pub(crate) verdict: String,
 }
 
+/// The labels of placements.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct FitLabels {
+    /// How well the selected server suits the request.
+    pub(crate) fit: &'static str,
+}
+
+/// The labels of requests that were not placed.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabels {
+    /// Why no server was found in time.
+    pub(crate) cause: &'static str,
+}
+
 /// The labels of metrics per service.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ServiceLabels {
@@ -73,6 +87,10 @@
     pub(crate) departures: Counter,
     /// Requests refused because their prompt crashes backend servers.
     pub(crate) blocked: Counter,
+    /// Requests that were assigned a server, by how well it suits them.
+    pub(crate) placements: Family<FitLabels, Counter>,
+    /// Requests that were refused since no server can serve them in time.
+    pub(crate) unplaced: Family<CauseLabels, Counter>,
     /// Requests waiting for a replica.
     pub(crate) waiting: Gauge,
     /// The active configuration revision.
@@ -110,6 +128,8 @@
             blocked: Counter::default(),
             pauses: Counter::default(),
             departures: Counter::default(),
+            placements: Family::default(),
+            unplaced: Family::default(),
             waiting: Gauge::default(),
             revision: Gauge::default(),
             age: Gauge::default(),
@@ -134,6 +154,16 @@
         text
     }
 
+    /// Counts a request that was assigned a server.
+    pub(crate) fn count_placement(&self, fit: &'static str) {
+        self.placements.get_or_create(&FitLabels { fit }).inc();
+    }
+
+    /// Counts a request that no server can serve in time.
+    pub(crate) fn count_unplaced(&self, cause: &'static str) {
+        self.unplaced.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     fn register_requests(&self, registry: &mut registry::Registry) {
         registry.register("requests", "Requests that ended", self.requests.clone());
         registry.register("refusals", "Refusals and errors", self.refusals.clone());
@@ -174,6 +204,16 @@
             "Backend servers that announced in an answer that they leave",
             self.departures.clone(),
         );
+        registry.register(
+            "placements",
+            "Requests that were assigned a server, by how well it suits them",
+            self.placements.clone(),
+        );
+        registry.register(
+            "unplaced_requests",
+            "Requests refused since no server can serve them in time",
+            self.unplaced.clone(),
+        );
         registry.register(
             "waiting_requests",
             "Requests that wait for a replica",
--- a/galenahold_routing/src/fleet/call_placement.rs
+++ b/galenahold_routing/src/fleet/call_placement.rs
@@ -21,4 +21,6 @@
     pub address: net::SocketAddr,
     /// Whether the adapter has to be requested before the call is sent.
     pub needs_adapter: bool,
+    /// What the selection of the server was based on.
+    pub basis: fleet::ChoiceBasis,
 }
--- a/galenahold_routing/src/fleet/call_requirements.rs
+++ b/galenahold_routing/src/fleet/call_requirements.rs
@@ -25,6 +25,8 @@
     pub work: load::CallWork,
     /// When the answer should have begun for the call to be on time.
     pub due_at: time::Instant,
+    /// When the answer has to be complete.
+    pub deadline: time::Instant,
     /// When the caller stops waiting for the first byte of an answer.
     pub wait_deadline: time::Instant,
     /// A uniformly distributed random number, which decides among servers that are about as good.
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -28,6 +28,7 @@
     queue: fleet::WaitQueue,
     usages: collections::HashMap<(name::ServiceName, name::ModelName), fleet::ModelUsage>,
     estimate: fleet::LoadEstimate,
+    profiles: collections::HashMap<name::ServiceName, fleet::ServiceProfile>,
     used_adapters: collections::HashSet<(name::ServerName, domain::HeldAdapter)>,
     followers: u32,
     /// The number of views of other instances' calls that were received.
@@ -65,9 +66,17 @@
         self.roster_complete_by = Some(moment);
     }
 
-    /// Applies a declaration, from which load times are estimated.
+    /// Applies a declaration, from which load times are estimated and the limits of engines are taken.
     pub fn declare(&mut self, declaration: &declaration::FleetDeclaration) {
         self.estimate = fleet::LoadEstimate::new(&declaration.services);
+        self.profiles.retain(|name, _| {
+            let mut services = declaration.services.iter();
+            services.any(|service| service.name == *name)
+        });
+        for service in &declaration.services {
+            let profile = self.profiles.entry(service.name.clone()).or_default();
+            profile.declare(service, &declaration.routes);
+        }
     }
 
     /// Sets how many entry instances share the servers.
@@ -90,11 +99,7 @@
     /// A load of another start of a server than the known one is ignored. The view of all servers is as old
     /// as the newest load, since loads that have not changed are not sent again.
     pub fn apply_loads(&mut self, loads: &[load::ServerLoad]) {
-        let instances = if self.followers == 0 {
-            ASSUMED_FOLLOWERS
-        } else {
-            self.followers
-        };
+        let instances = self.instances();
         self.view_number += 1;
         for load in loads {
             self.view_at = self.view_at.max(Some(load.measured_at));
@@ -122,22 +127,32 @@
         requirements: fleet::CallRequirements,
         now: time::Instant,
     ) -> fleet::CallSubmission {
-        let calls_ahead = self.calls_ahead(&requirements);
-        if calls_ahead == 0
-            && let Some(placement) = self.place(&requirements, now)
-        {
-            return fleet::CallSubmission::Placed(placement);
+        let mut calls_ahead = 0;
+        if self.queue.len() > 0 {
+            let latest_start = self
+                .rejection(&requirements, now)
+                .latest_start(&requirements);
+            calls_ahead = self.queue.calls_ahead(&requirements, latest_start);
         }
-        if let Some(refusal) =
-            self.rejection(now)
-                .refusal(&requirements, calls_ahead, self.has_room())
-        {
+        let block = if calls_ahead > 0 {
+            fleet::SelectionBlock::Slots
+        } else {
+            match self.place(&requirements, now) {
+                Ok(placement) => return fleet::CallSubmission::Placed(placement),
+                Err(block) => block,
+            }
+        };
+        let rejection = self.rejection(&requirements, now);
+        let latest_start = rejection.latest_start(&requirements);
+        let expected = rejection.expected_wait(&requirements, block, calls_ahead);
+        let has_room = self.queue.len() < MAX_WAITING;
+        if let Some(refusal) = rejection.refusal(&requirements, latest_start, expected, has_room) {
             return fleet::CallSubmission::Refused(refusal);
         }
         if let Some(usage) = self.usage(&requirements) {
             usage.waiting += 1;
         }
-        fleet::CallSubmission::Waiting(self.queue.push(requirements))
+        fleet::CallSubmission::Waiting(self.queue.push(requirements, latest_start, block))
     }
 
     /// Removes a waiting call whose caller has left.
@@ -150,33 +165,49 @@
     /// Places or refuses the waiting calls that can be decided now.
     pub fn poll(&mut self, now: time::Instant) -> Vec<fleet::PlacedCall> {
         let mut settled = Vec::new();
-        let mut blocked = collections::HashSet::new();
-        let waiting: Vec<_> = self
-            .queue
-            .iter()
-            .map(|call| (call.ticket, call.requirements.clone()))
-            .collect();
-        for (ticket, requirements) in waiting {
-            let key = (requirements.service.clone(), requirements.target.clone());
-            let placement = if blocked.contains(&key) {
-                None
-            } else {
-                self.place(&requirements, now)
+        let mut queue = std::mem::take(&mut self.queue);
+        let mut blocked = collections::HashMap::new();
+        for call in queue.iter_mut() {
+            let requirements = &call.requirements;
+            let key = (&requirements.service, requirements.target.as_ref());
+            let known: Option<&KeyBlock<'_>> = blocked.get(&key);
+            let (block, expected) = match known {
+                Some(known) if known.stops(requirements, now) => (known.block, known.expected),
+                _ => match self.place(requirements, now) {
+                    Ok(placement) => {
+                        settled.push(fleet::PlacedCall {
+                            ticket: call.ticket,
+                            result: Ok(placement),
+                        });
+                        continue;
+                    }
+                    Err(block) => {
+                        let rejection = self.rejection(requirements, now);
+                        (block, rejection.expected_wait(requirements, block, 0))
+                    }
+                },
             };
-            let result = if let Some(placement) = placement {
-                Ok(placement)
-            } else {
-                blocked.insert(key);
-                let Some(refusal) = self
-                    .rejection(now)
-                    .refusal(&requirements, 0, self.has_room())
-                else {
-                    continue;
-                };
-                Err(refusal)
+            call.block = block;
+            let known = KeyBlock {
+                block,
+                expected,
+                work: &requirements.work,
             };
-            self.withdraw(ticket);
-            settled.push(fleet::PlacedCall { ticket, result });
+            blocked.insert(key, known);
+            let rejection = self.rejection(requirements, now);
+            if let Some(refusal) =
+                rejection.refusal(requirements, call.latest_start, expected, true)
+            {
+                settled.push(fleet::PlacedCall {
+                    ticket: call.ticket,
+                    result: Err(refusal),
+                });
+            }
+        }
+        drop(blocked);
+        self.queue = queue;
+        for call in &settled {
+            self.withdraw(call.ticket);
         }
         settled
     }
@@ -187,20 +218,44 @@
         self.queue.len() > 0
     }
 
-    /// Records that the answer to a call has begun, so that its prompt is no longer unread.
-    pub fn begin_answer(&mut self, run: fleet::RunKey) {
-        if let Some((run, read_tokens)) = self.runs.begin_answer(run)
-            && let Some(server) = self.servers.start_mut(&run.server, run.started_ms)
+    /// Records that the first event of the answer to a call has arrived, `waited` after it was sent: its
+    /// prompt is no longer unread.
+    pub fn begin_answer(&mut self, run: fleet::RunKey, waited: time::Duration) {
+        let Some((run, read_tokens)) = self.runs.begin_answer(run) else {
+            return;
+        };
+        let Some(server) = self.servers.start_mut(&run.server, run.started_ms) else {
+            return;
+        };
+        server.own.subtract(fleet::CallUse {
+            unread_tokens: read_tokens,
+            ..fleet::CallUse::default()
+        });
+        if run.found_slot
+            && let Some(model) = &run.model
+            && let Some(profile) = self.profiles.get_mut(&run.service)
         {
-            server.own.subtract(fleet::CallUse {
-                unread_tokens: read_tokens,
-                ..fleet::CallUse::default()
-            });
+            profile.record_first_event(model, waited, run.tokens_ahead, server.pace());
+        }
+    }
+
+    /// Learns the time for an event from the stream of a call.
+    pub fn record_events(&mut self, run: fleet::RunKey, event: time::Duration, now: time::Instant) {
+        let weight = fleet::ViewWeight::at_age(self.view_age(now));
+        let Some(run) = self.runs.get(run) else {
+            return;
+        };
+        let server = self.servers.start_mut(&run.server, run.started_ms);
+        if let (Some(server), Some(model)) = (server, &run.model)
+            && let Some(profile) = self.profiles.get_mut(&run.service)
+        {
+            let used = server.total(weight);
+            profile.record_events(model, event, server.pace(), used, server.record.slots);
         }
     }
 
     /// Gives back all that an attempt uses, as it has ended; has no effect if that was done before.
-    pub fn finish(&mut self, run: fleet::RunKey) {
+    pub fn finish(&mut self, run: fleet::RunKey, now: time::Instant) {
         let Some(run) = self.runs.remove(run) else {
             return;
         };
@@ -208,6 +263,11 @@
             server.own.subtract(run.uses);
             server.claims.free();
         }
+        if run.has_begun
+            && let Some(profile) = self.profiles.get_mut(&run.service)
+        {
+            profile.record_duration(now.saturating_duration_since(run.placed_at));
+        }
         if let Some(model) = run.model
             && let Some(usage) = self.usages.get_mut(&(run.service, model))
         {
@@ -312,78 +372,91 @@
         &mut self,
         requirements: &fleet::CallRequirements,
         now: time::Instant,
-    ) -> Option<fleet::CallPlacement> {
-        let name = self.selection(now).choose(requirements)?;
-        let server = self.servers.get_mut(&name)?;
+    ) -> Result<fleet::CallPlacement, fleet::SelectionBlock> {
+        let choice = self.selection(requirements, now).choose(requirements)?;
+        let fleet::ServerChoice { server, basis } = choice;
+        let known = self
+            .servers
+            .get_mut(&server)
+            .ok_or(fleet::SelectionBlock::Slots)?;
         let uses = expected_use(&requirements.work);
-        server.own.add(uses);
-        server.claims.claim();
+        known.own.add(uses);
+        known.claims.claim();
+        let target = requirements.target.as_ref();
         let run = self.runs.insert(fleet::PlacedRun {
-            server: name.clone(),
-            started_ms: server.record.started_ms,
+            server: server.clone(),
+            started_ms: known.record.started_ms,
             service: requirements.service.clone(),
-            model: requirements
-                .target
-                .as_ref()
-                .map(|target| target.model.clone()),
+            model: target.map(|target| target.model.clone()),
             uses,
+            tokens_ahead: basis.unread_tokens.saturating_add(uses.unread_tokens),
+            found_slot: basis.running < known.record.slots,
+            placed_at: now,
+            has_begun: false,
         });
-        let adapter = requirements
-            .target
-            .as_ref()
-            .and_then(fleet::ModelTarget::held_adapter);
+        let adapter = target.and_then(fleet::ModelTarget::held_adapter);
         let placement = fleet::CallPlacement {
             run,
-            server: name.clone(),
-            started_ms: server.record.started_ms,
-            address: server.record.address,
+            server: server.clone(),
+            started_ms: known.record.started_ms,
+            address: known.record.address,
             needs_adapter: adapter
                 .as_ref()
-                .is_some_and(|adapter| !server.adapters.contains(adapter)),
+                .is_some_and(|adapter| !known.adapters.contains(adapter)),
+            basis,
         };
         if let Some(adapter) = adapter {
-            self.used_adapters.insert((name, adapter));
+            self.used_adapters.insert((server, adapter));
         }
         if let Some(usage) = self.usage(requirements) {
             usage.running += 1;
         }
-        Some(placement)
+        Ok(placement)
     }
 
-    fn selection(&self, now: time::Instant) -> fleet::ServerSelection<'_> {
+    fn selection(
+        &self,
+        requirements: &fleet::CallRequirements,
+        now: time::Instant,
+    ) -> fleet::ServerSelection<'_> {
         fleet::ServerSelection {
             servers: &self.servers,
+            profile: self.profiles.get(&requirements.service),
             data_centre: self.data_centre.as_ref(),
             view_number: self.view_number,
-            weight: self.view_weight(now),
+            view_age: self.view_age(now),
             now,
         }
     }
 
-    fn view_weight(&self, now: time::Instant) -> fleet::ViewWeight {
-        let age = self.view_at.map(|at| now.saturating_duration_since(at));
-        age.map_or(fleet::ViewWeight::NONE, fleet::ViewWeight::at_age)
-    }
-
-    fn rejection(&self, now: time::Instant) -> fleet::CallRejection<'_> {
+    fn rejection(
+        &self,
+        requirements: &fleet::CallRequirements,
+        now: time::Instant,
+    ) -> fleet::CallRejection<'_> {
         fleet::CallRejection {
             servers: &self.servers,
+            profile: self.profiles.get(&requirements.service),
             estimate: &self.estimate,
+            instances: self.instances(),
             closes_at: self.closes_at,
             roster_complete_by: self.roster_complete_by,
+            view_age: self.view_age(now),
             now,
         }
     }
 
-    /// Returns whether another call may wait.
-    fn has_room(&self) -> bool {
-        self.queue.len() < MAX_WAITING
+    /// Returns the age of the newest view of other instances' calls.
+    fn view_age(&self, now: time::Instant) -> Option<time::Duration> {
+        self.view_at.map(|at| now.saturating_duration_since(at))
     }
 
-    fn calls_ahead(&self, requirements: &fleet::CallRequirements) -> usize {
-        let model = requirements.target.as_ref().map(|target| &target.model);
-        self.queue
-            .calls_ahead(&requirements.service, model, requirements.rank)
+    fn instances(&self) -> u32 {
+        if self.followers == 0 {
+            ASSUMED_FOLLOWERS
+        } else {
+            self.followers
+        }
     }
 
     fn usage(&mut self, requirements: &fleet::CallRequirements) -> Option<&mut fleet::ModelUsage> {
@@ -399,6 +472,25 @@
     }
 }
 
+/// Why the last waiting call for a model was not placed.
+struct KeyBlock<'a> {
+    block: fleet::SelectionBlock,
+    expected: fleet::ExpectedWait,
+    work: &'a load::CallWork,
+}
+
+impl KeyBlock<'_> {
+    /// Returns whether a later call for the same model cannot be placed either.
+    fn stops(&self, next: &fleet::CallRequirements, now: time::Instant) -> bool {
+        // A call whose objective leaves no more than half of its slack is tried again, so that shorter ones
+        // that are held before it do not starve it.
+        let is_held = self.block == fleet::SelectionBlock::Prompt;
+        let holds_until = next.due_at.checked_sub(next.work.objective / 2);
+        let may_be_held = holds_until.is_some_and(|until| now < until);
+        self.block.blocks(self.work, &next.work) && (!is_held || may_be_held)
+    }
+}
+
 /// Returns what a call with the given work uses at its server until its answer begins.
 fn expected_use(work: &load::CallWork) -> fleet::CallUse {
     let bounded = |tokens: u64| u32::try_from(tokens).unwrap_or(u32::MAX);
--- a/galenahold_routing/src/fleet/claim_limit.rs
+++ b/galenahold_routing/src/fleet/claim_limit.rs
@@ -82,8 +82,14 @@
         self.freed = 0;
         self.is_full = view.running >= view.limit;
         let room = f64::from(view.limit.saturating_sub(view.running));
-        let share = self.factor.unwrap_or(instances) / instances;
-        self.allowed = room * share * elapsed.min(CHANGE_PERIOD).as_secs_f64();
+        self.allowed = room * self.share(view.instances) * elapsed.min(CHANGE_PERIOD).as_secs_f64();
+    }
+
+    /// Returns the share of the server's slots that the instance may claim.
+    pub(super) fn share(&self, instances: u32) -> f64 {
+        let instances = f64::from(instances.max(1));
+        self.factor
+            .map_or(1.0, |factor| (factor / instances).min(1.0))
     }
 
     /// Returns whether another call may be sent; `chance` is uniform between zero and one for the call and
--- a/galenahold_routing/src/fleet/run_ledger.rs
+++ b/galenahold_routing/src/fleet/run_ledger.rs
@@ -1,5 +1,7 @@
 //! The calls of this instance that are in flight at backend servers.
 
+use std::time;
+
 use galenahold_domain::name;
 
 use crate::fleet;
@@ -25,6 +27,14 @@
     pub(super) model: Option<name::ModelName>,
     /// What the call uses at the server now.
     pub(super) uses: fleet::CallUse,
+    /// Prompt tokens that the server was expected to read before the call's first event.
+    pub(super) tokens_ahead: u32,
+    /// Whether the server had a free slot when the call was placed.
+    pub(super) found_slot: bool,
+    /// When the call was placed.
+    pub(super) placed_at: time::Instant,
+    /// Whether the answer has begun.
+    pub(super) has_begun: bool,
 }
 
 impl RunLedger {
@@ -33,11 +43,16 @@
     }
 
     /// Marks the prompt of a call as read; returns the call and its prompt tokens, or `None` if the call
-    /// has ended or its prompt was read before.
+    /// has ended or its answer had begun before.
     pub(super) fn begin_answer(&mut self, key: fleet::RunKey) -> Option<(&PlacedRun, u32)> {
-        let run = self.runs.get_mut(key)?;
+        let run = self.runs.get_mut(key).filter(|run| !run.has_begun)?;
+        run.has_begun = true;
         let read_tokens = std::mem::take(&mut run.uses.unread_tokens);
-        (read_tokens > 0).then_some((run, read_tokens))
+        Some((run, read_tokens))
+    }
+
+    pub(super) fn get(&self, key: fleet::RunKey) -> Option<&PlacedRun> {
+        self.runs.get(key)
     }
 
     pub(super) fn remove(&mut self, key: fleet::RunKey) -> Option<PlacedRun> {
--- a/galenahold_routing/src/fleet/scheduler_server.rs
+++ b/galenahold_routing/src/fleet/scheduler_server.rs
@@ -53,6 +53,11 @@
     succeeded_at: Option<time::Instant>,
     /// What other instances use at this start of the server, as last heard.
     pub(super) others: Option<load::ServerLoad>,
+    /// Mean of the unread prompt tokens of other instances' calls over recent views. A prompt is read sooner
+    /// than a view arrives, so that a single view says little about the present.
+    others_unread: f64,
+    /// The time for an event relative to other servers, as last heard for this start of the server.
+    pace: Option<f64>,
     /// The share of this instance in the free slots.
     pub(super) claims: fleet::ClaimLimit,
 }
@@ -71,6 +76,8 @@
             latency_s: None,
             succeeded_at: None,
             others: None,
+            others_unread: 0.0,
+            pace: None,
             claims: fleet::ClaimLimit::default(),
         }
     }
@@ -78,7 +85,11 @@
     /// Applies what other instances use at the server, unless that is about another start.
     pub(super) fn apply_load(&mut self, load: &load::ServerLoad, instances: u32) {
         if load.started_ms == self.record.started_ms {
+            let change = f64::from(load.unread_tokens) - self.others_unread;
+            self.others_unread += change * LATEST_WEIGHT;
             self.others = Some(load.clone());
+            let is_usable = |pace: &f64| pace.is_finite() && *pace > 0.0;
+            self.pace = load.pace.filter(is_usable).or(self.pace);
             self.claims.observe(fleet::SlotView {
                 running: self.own.running.saturating_add(load.running),
                 slots: self.record.slots,
@@ -100,15 +111,42 @@
     pub(super) fn total(&self, weight: fleet::ViewWeight) -> fleet::CallUse {
         let mut total = self.own;
         if let Some(others) = &self.others {
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a mean of token counts is one"
+            )]
+            let unread_tokens = self.others_unread as u32;
             total.add(weight.of(fleet::CallUse {
                 running: others.running,
-                unread_tokens: others.unread_tokens,
+                unread_tokens,
                 cache_tokens: others.cache_tokens,
             }));
         }
         total
     }
 
+    /// Returns the time for an event relative to other servers; one if it is unknown.
+    pub(super) fn pace(&self) -> f64 {
+        self.pace.unwrap_or(1.0)
+    }
+
+    /// Returns the time for an event relative to other servers, if it is known.
+    pub(super) fn known_pace(&self) -> Option<f64> {
+        self.pace
+    }
+
+    /// Returns the share of the slots that the given calls take.
+    pub(super) fn used_share(&self, used: fleet::CallUse) -> f64 {
+        f64::from(used.running) / f64::from(self.record.slots.max(1))
+    }
+
+    /// Returns the number of slots whose calls this instance can replace as they end.
+    pub(super) fn own_slots(&self, instances: u32) -> f64 {
+        let even = f64::from(self.record.slots) * self.claims.share(instances);
+        even.max(f64::from(self.own.running))
+    }
+
     /// Returns whether the server takes another call, given what all instances use.
     ///
     /// An instance never exceeds the slots with its own calls, which it knows exactly. `chance` is uniform
@@ -177,8 +215,12 @@
     pub(super) fn busyness(&self, total: fleet::CallUse, min_latency: f64) -> f64 {
         let latency = self.latency_s.unwrap_or(min_latency);
         let slowness = (latency / min_latency.max(f64::EPSILON)).max(1.0);
-        let failure_penalty = 1.0 + self.failure_share * FAILURE_FACTOR;
-        (f64::from(total.running) + 1.0) * slowness * failure_penalty
+        (f64::from(total.running) + 1.0) * slowness * self.failure_penalty()
+    }
+
+    /// Returns the factor by which the server seems busier since it fails calls.
+    pub(super) fn failure_penalty(&self) -> f64 {
+        1.0 + self.failure_share * FAILURE_FACTOR
     }
 
     /// Returns the moving average of the time to the first byte, in seconds.
--- a/galenahold_routing/src/fleet/view_weight.rs
+++ b/galenahold_routing/src/fleet/view_weight.rs
@@ -21,10 +21,11 @@
 pub(super) struct ViewWeight(f64);
 
 impl ViewWeight {
-    /// The weight of a view that is not there.
-    pub(super) const NONE: Self = Self(0.0);
-
-    pub(super) fn at_age(age: time::Duration) -> Self {
+    /// Returns the weight of a view of the given age; zero if there is none.
+    pub(super) fn at_age(age: Option<time::Duration>) -> Self {
+        let Some(age) = age else {
+            return Self(0.0);
+        };
         let fall = |from: time::Duration, to: time::Duration| {
             (age.saturating_sub(from).as_secs_f64() / to.saturating_sub(from).as_secs_f64())
                 .min(1.0)
@@ -32,6 +33,10 @@
         Self(1.0 - 0.5 * fall(FULL_AGE, HALF_AGE) - 0.5 * fall(HALF_AGE, END_AGE))
     }
 
+    pub(super) fn is_zero(self) -> bool {
+        self.0 <= 0.0
+    }
+
     /// Returns what is left of an amount that a view of this weight stated.
     pub(super) fn of(self, uses: fleet::CallUse) -> fleet::CallUse {
         #[expect(
--- a/galenahold_routing/src/fleet/wait_queue.rs
+++ b/galenahold_routing/src/fleet/wait_queue.rs
@@ -1,12 +1,11 @@
 //! The queue of calls that wait for a server.
 
 use std::collections;
-
-use galenahold_domain::name;
+use std::time;
 
 use crate::fleet;
 
-/// The calls that wait at one instance, ordered by rank and then by arrival.
+/// The calls that wait at one instance, ordered by rank and then by their remaining time.
 #[derive(Debug, Default)]
 pub(super) struct WaitQueue {
     calls: collections::BTreeMap<QueuePlace, WaitingCall>,
@@ -14,10 +13,11 @@
     last_number: u64,
 }
 
-/// A position in the queue: by rank, then by arrival number.
+/// A position in the queue: by rank, then by the latest start, then by arrival number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct QueuePlace {
     rank: u32,
+    latest_start: time::Instant,
     number: u64,
 }
 
@@ -28,6 +28,10 @@
     pub(super) ticket: fleet::CallTicket,
     /// The requirements of the call.
     pub(super) requirements: fleet::CallRequirements,
+    /// When the call has to be sent at the latest to be of use to its caller.
+    pub(super) latest_start: time::Instant,
+    /// Why the call could not be sent when it was last tried.
+    pub(super) block: fleet::SelectionBlock,
 }
 
 impl WaitQueue {
@@ -35,11 +39,17 @@
         self.calls.len()
     }
 
-    pub(super) fn push(&mut self, requirements: fleet::CallRequirements) -> fleet::CallTicket {
+    pub(super) fn push(
+        &mut self,
+        requirements: fleet::CallRequirements,
+        latest_start: time::Instant,
+        block: fleet::SelectionBlock,
+    ) -> fleet::CallTicket {
         self.last_number += 1;
         let ticket = fleet::CallTicket(self.last_number);
         let place = QueuePlace {
             rank: requirements.rank,
+            latest_start,
             number: self.last_number,
         };
         self.places.insert(ticket, place);
@@ -48,6 +58,8 @@
             WaitingCall {
                 ticket,
                 requirements,
+                latest_start,
+                block,
             },
         );
         ticket
@@ -58,27 +70,36 @@
         self.calls.remove(&place)
     }
 
-    pub(super) fn iter(&self) -> impl Iterator<Item = &WaitingCall> {
-        self.calls.values()
+    /// Iterates over the waiting calls in the order in which they are placed.
+    pub(super) fn iter_mut(&mut self) -> impl Iterator<Item = &mut WaitingCall> {
+        self.calls.values_mut()
     }
 
     /// Counts the waiting calls for the same model, or the same service without engines, that are placed
-    /// before a new call of `rank`.
+    /// before a new call and that it may not overtake.
     pub(super) fn calls_ahead(
         &self,
-        service: &name::ServiceName,
-        model: Option<&name::ModelName>,
-        rank: u32,
+        next: &fleet::CallRequirements,
+        latest_start: time::Instant,
     ) -> usize {
-        self.calls
-            .values()
-            .filter(|call| call.requirements.rank <= rank && call.requirements.service == *service)
+        let model = next.target.as_ref().map(|target| &target.model);
+        let before = self
+            .calls
+            .range(
+                ..QueuePlace {
+                    rank: next.rank,
+                    latest_start,
+                    number: u64::MAX,
+                },
+            )
+            .map(|(_, call)| call);
+        before
             .filter(|call| {
-                call.requirements
-                    .target
-                    .as_ref()
-                    .map(|target| &target.model)
-                    == model
+                let known = &call.requirements;
+                let target = known.target.as_ref();
+                known.service == next.service
+                    && target.map(|target| &target.model) == model
+                    && call.block.blocks(&known.work, &next.work)
             })
             .count()
     }
