--- a/galenahold_routing/src/fleet/scheduler_server.rs
+++ b/galenahold_routing/src/fleet/scheduler_server.rs
@@ -152,9 +152,14 @@
     /// An instance never exceeds the slots with its own calls, which it knows exactly. `chance` is uniform
     /// between zero and one for the call and the view; it decides whether the call may claim a slot that
     /// other instances may claim at the same time.
-    pub(super) fn has_slot(&self, total: fleet::CallUse, chance: f64) -> bool {
+    pub(super) fn has_slot(
+        &self,
+        total: fleet::CallUse,
+        weight: fleet::ViewWeight,
+        chance: f64,
+    ) -> bool {
         let slots = self.record.slots.max(1);
-        let is_shared = total.running > self.own.running;
+        let is_shared = total.running > self.own.running && !weight.is_stale();
         self.own.running < slots
             && total.running < self.limit()
             && (!is_shared || self.claims.allows(chance))
--- a/galenahold_routing/src/fleet/server_selection.rs
+++ b/galenahold_routing/src/fleet/server_selection.rs
@@ -27,6 +27,10 @@
 /// expensive and takes a millisecond or two each way.
 const DISTANCE_FACTOR: f64 = 1.15;
 
+/// Factor on the predicted time of a call by which it has to be complete before its deadline: other prompts
+/// interrupt it, and servers are slower for moments.
+const TOTAL_MARGIN: f64 = 1.1;
+
 /// Share of the allowed pause that unread prompts may take before a prompt counts as long.
 const SHORT_SHARE: f64 = 0.25;
 
@@ -153,7 +157,7 @@
         let mut candidates = Vec::new();
         for server in self.servers.eligible(requirements, self.now) {
             let used = server.total(weight);
-            if server.is_paused(self.now) || !server.has_slot(used, chance) {
+            if server.is_paused(self.now) || !server.has_slot(used, weight, chance) {
                 continue;
             }
             let forecast = self.profile.and_then(|profile| {
@@ -188,7 +192,7 @@
         let Some(forecast) = &candidate.forecast else {
             return fleet::ServerFit::OnTime;
         };
-        if self.now + forecast.total > requirements.deadline {
+        if self.now + forecast.total.mul_f64(TOTAL_MARGIN) > requirements.deadline {
             return fleet::ServerFit::Incomplete;
         }
         let is_late = self.now + forecast.first > requirements.due_at;
--- a/galenahold_routing/src/fleet/view_weight.rs
+++ b/galenahold_routing/src/fleet/view_weight.rs
@@ -33,6 +33,11 @@
         Self(1.0 - 0.5 * fall(FULL_AGE, HALF_AGE) - 0.5 * fall(HALF_AGE, END_AGE))
     }
 
+    /// Returns whether the view is so old that it is no longer being replaced.
+    pub(super) fn is_stale(self) -> bool {
+        self.0 <= 0.5
+    }
+
     pub(super) fn is_zero(self) -> bool {
         self.0 <= 0.0
     }
--- a/galenahold_routing/tests/fleet/fixture.rs
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -134,3 +134,33 @@
         other => panic!("expected the call to wait, got {other:?}"),
     }
 }
+
+/// Returns a scheduler that has seen streams of model `m` with 50 ms for an event and 0.04 ms for a prompt
+/// token, which occupied a slot for 2 s.
+pub(crate) fn taught(records: &[domain::ServerRecord], now: time::Instant) -> fleet::CallScheduler {
+    let mut scheduler = scheduler(records, now);
+    let began = now.checked_sub(time::Duration::from_secs(2));
+    let began = began.expect("the clock has run for 2 s");
+    for _ in 0..16 {
+        let mut requirements = requirements("m", time::Duration::from_secs(9), began);
+        requirements.work.prompt_tokens = 1_000;
+        let run = placed(scheduler.submit(requirements, began)).run;
+        scheduler.begin_answer(run, time::Duration::from_millis(90));
+        scheduler.record_events(run, time::Duration::from_millis(50), now);
+        scheduler.finish(run, now);
+    }
+    scheduler
+}
+
+/// Returns what others use at the first start of a server.
+pub(crate) fn load(server: &str, running: u32, measured_at: time::Instant) -> load::ServerLoad {
+    load::ServerLoad {
+        server: name::ServerName::from(server),
+        started_ms: 1,
+        running,
+        unread_tokens: 0,
+        cache_tokens: 0,
+        pace: None,
+        measured_at,
+    }
+}
--- a/galenahold_routing/tests/fleet/fleet_model.rs
+++ b/galenahold_routing/tests/fleet/fleet_model.rs
@@ -23,6 +23,10 @@
 pub(crate) struct Draws(u64);
 
 impl Draws {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
     pub(crate) fn next(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut mixed = self.0;
