--- a/galenahold_instance/src/gateway/entry/stream_relay.rs
+++ b/galenahold_instance/src/gateway/entry/stream_relay.rs
@@ -18,6 +18,9 @@
 /// Why a stream ends whose connection to the server broke.
 const CONNECTION_BROKEN: &str = "connection_broken";
 
+/// Minimum number of events of one server from which the time for an event is learned.
+const MIN_EVENTS: u32 = 4;
+
 /// Why a stream ends whose deadline passes.
 const DEADLINE: &str = "deadline";
 
@@ -46,8 +49,8 @@
     events: u64,
     /// When the first event arrived, counted from the request's arrival.
     first_event: Option<time::Duration>,
-    /// Whether the present server has sent an event.
-    has_begun: bool,
+    /// When the first event of the present server arrived, and how many have arrived since.
+    segment: Option<(time::Instant, u32)>,
     last_event: Option<time::Instant>,
     longest_pause: time::Duration,
     /// Measures the speed of the present server.
@@ -102,7 +105,7 @@
             last_id: None,
             events: 0,
             first_event: None,
-            has_begun: false,
+            segment: None,
             last_event: None,
             longest_pause: time::Duration::ZERO,
             gaps: load::GapObserver::default(),
@@ -139,9 +142,11 @@
         let measured = self.gaps.finish();
         self.record_pace(measured);
         let outcome = outcome.map_err(|reason| self.explain_end(reason));
+        self.record_event_time();
         match outcome {
             Ok(()) => {
                 self.log("complete");
+                self.record_output();
                 self.parts.crashes.record_end(&self.call.keys);
                 sender.finish();
                 self.lease.stop_waiting();
@@ -248,8 +253,10 @@
         self.longest_pause = self.longest_pause.max(pause);
         self.last_event = Some(now);
         self.lease.start_waiting(now);
-        if !self.has_begun {
-            self.has_begun = true;
+        if let Some((_, events)) = &mut self.segment {
+            *events += 1;
+        } else {
+            self.segment = Some((now, 0));
             self.lease.begin_answer();
         }
         if self.events == 0 {
@@ -265,6 +272,28 @@
         }
     }
 
+    /// Reports the mean time for an event of the present server.
+    fn record_event_time(&mut self) {
+        if let (Some((first, events)), Some(last)) = (self.segment.take(), self.last_event)
+            && events >= MIN_EVENTS
+        {
+            self.lease
+                .record_events(last.saturating_duration_since(first) / events);
+        }
+    }
+
+    /// Learns the length of a complete answer.
+    fn record_output(&self) {
+        let engine = self.call.index.service(&self.call.service);
+        let engine = engine.and_then(|service| service.engine.as_ref());
+        if let (Some(engine), Some(sizes)) = (engine, self.call.metadata.sizes) {
+            let tokens = self.events.saturating_mul(engine.tokens_per_event.into());
+            self.parts
+                .outputs
+                .record(&self.call.route.name, sizes, tokens);
+        }
+    }
+
     fn record_break(&self) -> crash::BrokenCall {
         let progress = if self.events == 0 {
             crash::AnswerProgress::Head
@@ -302,6 +331,7 @@
             "stream resumed at another server"
         );
         self.parts.metrics.resumed.inc();
+        self.record_event_time();
         self.exchange = exchange;
         lease.start_waiting(time::Instant::now());
         let measured = self.gaps.finish();
@@ -310,7 +340,6 @@
         self.lease = lease;
         self.splitter = entry::EventSplitter::new(self.exchange.buffer_share());
         self.is_resumed = true;
-        self.has_begun = false;
         true
     }
 
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -390,6 +390,7 @@
             read_ahead: buffer::ReadAheadBudget::new(READ_AHEAD_LIMITS, self.metrics.clone()),
             crashes,
             departures,
+            outputs: entry::OutputEstimates::default(),
             budget,
             metrics: self.metrics.clone(),
             readiness: self.readiness.clone(),
--- a/galenahold_routing/tests/fleet/fixture.rs
+++ b/galenahold_routing/tests/fleet/fixture.rs
@@ -55,6 +55,7 @@
         suspect_place: None,
         work: load::CallWork::default(),
         due_at: now,
+        deadline: now + timeout,
         wait_deadline: now + timeout,
         draw: 0,
         tried: Vec::new(),
@@ -94,7 +95,7 @@
     };
     let engine = declaration::DeclaredEngine {
         slots: 2,
-        cache_tokens: amount::TokenCount(1),
+        cache_tokens: amount::TokenCount(78_510),
         weight_memory: amount::ByteCount(1),
         adapter_slots: 1,
         store_loads_per_s: 1.0,
@@ -134,21 +135,32 @@
     }
 }
 
-pub(crate) fn complete_requirements(
-    requirements: &mut fleet::CallRequirements,
-    _: time::Instant,
-    draw: u64,
-) {
-    requirements.draw = draw;
-}
-pub(crate) fn finish(scheduler: &mut fleet::CallScheduler, run: fleet::RunKey, _: time::Instant) {
-    scheduler.finish(run);
+/// Returns a scheduler that has seen streams of model `m` with 50 ms for an event and 0.04 ms for a prompt
+/// token, which occupied a slot for 2 s.
+pub(crate) fn taught(records: &[domain::ServerRecord], now: time::Instant) -> fleet::CallScheduler {
+    let mut scheduler = scheduler(records, now);
+    let began = now.checked_sub(time::Duration::from_secs(2));
+    let began = began.expect("the clock has run for 2 s");
+    for _ in 0..16 {
+        let mut requirements = requirements("m", time::Duration::from_secs(9), began);
+        requirements.work.prompt_tokens = 1_000;
+        let run = placed(scheduler.submit(requirements, began)).run;
+        scheduler.begin_answer(run, time::Duration::from_millis(90));
+        scheduler.record_events(run, time::Duration::from_millis(50), now);
+        scheduler.finish(run, now);
+    }
+    scheduler
 }
-pub(crate) fn begin_answer(
-    scheduler: &mut fleet::CallScheduler,
-    run: fleet::RunKey,
-    _: time::Duration,
-) {
-    scheduler.begin_answer(run);
+
+/// Returns what others use at the first start of a server.
+pub(crate) fn load(server: &str, running: u32, measured_at: time::Instant) -> load::ServerLoad {
+    load::ServerLoad {
+        server: name::ServerName::from(server),
+        started_ms: 1,
+        running,
+        unread_tokens: 0,
+        cache_tokens: 0,
+        pace: None,
+        measured_at,
+    }
 }
-pub(crate) fn record_pace(_: &mut fleet::CallScheduler, _: fleet::RunKey, _: f64) {}
--- a/galenahold_wire/examples/load_view_cost.rs
+++ b/galenahold_wire/examples/load_view_cost.rs
@@ -237,6 +237,7 @@
             arrivals: 1,
             waiting: 0,
             running: used.running,
+            waiting_calls: Vec::new(),
         });
         let mut demand = message::ModelDemand {
             instance: instance_name(0),
