Use each injected fault in both test binaries of the disk

Cause: the fault backend is compiled into two test binaries, and Clippy refuses faults that one of them does not use.

Change: a storage test refuses a new segment, a driver test has a nearly full disk.

--- a/galenahold_consensus/tests/driver/full_disk.rs
+++ b/galenahold_consensus/tests/driver/full_disk.rs
@@ -52,6 +52,13 @@
     assert_follower_resumes(record, "writing", 1);
 }
 
+#[test]
+fn follower_on_a_nearly_full_disk_is_suspended() {
+    let max_bytes = 16;
+    let larger = fault_backend::RefusedWrite::Larger(max_bytes);
+    assert_follower_resumes(larger, "writing", 1);
+}
+
 #[test]
 fn follower_that_cannot_store_watermarks_is_suspended() {
     let record = fault_backend::RefusedWrite::Record("Marks");
--- a/galenahold_consensus/tests/storage/reopening.rs
+++ b/galenahold_consensus/tests/storage/reopening.rs
@@ -54,6 +54,23 @@
     assert_eq!(opened.recovered.entries.len(), 2);
 }
 
+#[test]
+fn segment_that_could_not_be_created_is_created_after_reopening() {
+    let settings = storage::StoreSettings {
+        segment_bytes: SEGMENT_BYTES,
+    };
+    let (_folder, switch, mut member) = open(settings);
+    persist(&mut member, 1).expect("persist");
+    switch.refuse(Some(fault_backend::RefusedWrite::Create("wal-")));
+    persist(&mut member, 2).expect_err("no segment is created");
+    member.close();
+    member.reopen().expect_err("no segment is created");
+    assert_eq!(switch.refusals(), 2);
+    switch.refuse(None);
+    let recovered = member.reopen().expect("reopen");
+    assert_eq!(recovered.entries, [store_folder::entry(1)]);
+}
+
 #[test]
 fn full_disk_keeps_the_folder_closed_and_its_lock_free() {
     let (folder, switch, mut member) = open(storage::StoreSettings::default());
