Check a configuration document before it is sent

Cause: the first error of a refused configuration was all that an operator saw, and parts that can't work (a service with weight 0, a model that no engine can hold, a burst below the charge of one call) were accepted without a word.

Change: `galenahold check-configuration FILE [--in-force FILE] [--step-ms MS]`. `FleetDeclaration::errors` returns all errors with their places and `check` the first of them; `DeclarationReview` adds warnings, `declaration_differences` compares two declarations.

--- a/galenahold/src/command/command_error.rs
+++ b/galenahold/src/command/command_error.rs
@@ -80,6 +80,20 @@
         /// What is wrong, and where.
         problem: Box<galenahold_settings::SettingsProblem>,
     },
+    /// The configuration does not have the form of one.
+    #[snafu(display("{} holds no configuration: {problem}", file.display()))]
+    ConfigurationInvalid {
+        /// The file.
+        file: path::PathBuf,
+        /// What is wrong, and where.
+        problem: String,
+    },
+    /// The fleet would refuse the configuration.
+    #[snafu(display("the fleet would refuse the configuration in {}", file.display()))]
+    ConfigurationRefused {
+        /// The file.
+        file: path::PathBuf,
+    },
     /// A document could not be turned into JSON.
     #[snafu(display("cannot write a document as JSON: {source}"))]
     DocumentUnwritable {
@@ -120,7 +134,9 @@
             | Self::OptionMissing { .. }
             | Self::FileUnreadable { .. }
             | Self::CredentialInvalid { .. }
-            | Self::IntentInvalid { .. } => status::ExitStatus::Invalid,
+            | Self::IntentInvalid { .. }
+            | Self::ConfigurationInvalid { .. }
+            | Self::ConfigurationRefused { .. } => status::ExitStatus::Invalid,
             Self::Serve { .. }
             | Self::Platform { .. }
             | Self::FileUnwritable { .. }
--- a/galenahold/src/command/mod.rs
+++ b/galenahold/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod burn_command;
 mod check_command;
+mod check_configuration_command;
 mod command_error;
 mod completions_command;
 mod confirm_command;
@@ -20,6 +21,7 @@
 
 use burn_command::BurnCommand;
 use check_command::CheckCommand;
+use check_configuration_command::CheckConfigurationCommand;
 use command_error::CommandError;
 use completions_command::CompletionsCommand;
 use confirm_command::ConfirmCommand;
--- a/galenahold/src/command/root_command.rs
+++ b/galenahold/src/command/root_command.rs
@@ -36,6 +36,7 @@
             .subcommand(command::ServeCommand::definition())
             .subcommand(command::PlatformCommand::definition())
             .subcommand(command::CheckCommand::definition())
+            .subcommand(command::CheckConfigurationCommand::definition())
             .subcommand(command::PlanCommand::definition())
             .subcommand(command::ConfirmCommand::definition())
             .subcommand(command::ShowCommand::definition())
@@ -89,6 +90,9 @@
         command::ServeCommand::NAME => command::ServeCommand::from_matches(matches).run(),
         command::PlatformCommand::NAME => command::PlatformCommand::run(),
         command::CheckCommand::NAME => command::CheckCommand::from_matches(matches).run(options),
+        command::CheckConfigurationCommand::NAME => {
+            command::CheckConfigurationCommand::from_matches(matches).run(options)
+        }
         command::PlanCommand::NAME => command::PlanCommand::from_matches(matches).run(options),
         command::ConfirmCommand::NAME => {
             command::ConfirmCommand::from_matches(matches).run(options)
--- a/galenahold/src/document/mod.rs
+++ b/galenahold/src/document/mod.rs
@@ -2,6 +2,7 @@
 
 mod burn_answer;
 mod check_answer;
+mod configuration_answer;
 mod confirm_answer;
 mod confirm_request;
 mod error_answer;
@@ -19,6 +20,9 @@
 
 pub(crate) use burn_answer::BurnAnswer;
 pub(crate) use check_answer::CheckAnswer;
+pub(crate) use configuration_answer::{
+    ConfigurationAnswer, ConfigurationDifference, ConfigurationFinding,
+};
 pub(crate) use confirm_answer::ConfirmAnswer;
 pub(crate) use confirm_request::ConfirmRequest;
 pub(crate) use error_answer::ErrorAnswer;
--- a/galenahold/tests/command_line/help.rs
+++ b/galenahold/tests/command_line/help.rs
@@ -10,6 +10,7 @@
     &[],
     &["serve"],
     &["check"],
+    &["check-configuration"],
     &["plan"],
     &["confirm"],
     &["show"],
--- a/galenahold/tests/command_line/main.rs
+++ b/galenahold/tests/command_line/main.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod command_run;
+mod configurations;
 mod help;
 mod last_lines;
 mod log_lines;
--- a/galenahold_domain/src/declaration/declaration_error.rs
+++ b/galenahold_domain/src/declaration/declaration_error.rs
@@ -6,7 +6,6 @@
 
 /// The reason why a declaration is invalid.
 #[derive(Debug, PartialEq, Eq, Snafu)]
-#[snafu(visibility(pub(super)))]
 pub enum DeclarationError {
     /// A route refers to a service that is not declared.
     #[snafu(display("route \"{route}\": service \"{service}\" is not declared"))]
--- a/galenahold_domain/tests/declaration/main.rs
+++ b/galenahold_domain/tests/declaration/main.rs
@@ -4,3 +4,4 @@
 mod faults;
 mod fixture;
 mod lookups;
+mod reviews;
