--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -556,6 +556,7 @@
             term,
             roster,
             loads: load::FleetLoadTable::new(term, now),
+            paces_logged_at: now,
             planner: placement::FleetPlanner::default(),
             orders_start_at: now + self.order_pause,
         }
