--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -78,19 +78,18 @@
         }
         let [apart, host] = best;
         let best = match (apart, host) {
-            (Some(apart), Some(host)) => {
-                let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
-                Some(if apart.load_duration <= comparable {
+            (Some(apart), Some(host)) => Some(
+                if apart.load_duration <= tolerable_wait(round.now, &standing, &host) {
                     apart
                 } else {
                     host
-                })
-            }
+                },
+            ),
             (None, Some(host)) => {
-                let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
+                let tolerable = tolerable_wait(round.now, &standing, &host);
                 let waiting = wait_without_adapters(engines, need, host.from_store);
                 waiting
-                    .is_none_or(|waiting| waiting > comparable)
+                    .is_none_or(|waiting| waiting > tolerable)
                     .then_some(host)
             }
             (apart, None) => apart,
@@ -223,6 +222,21 @@
     })
 }
 
+/// Returns how long a load may take elsewhere to spare the engine of `host`, which has adapters in use.
+///
+/// A load elsewhere must not cost a waiting call its objective that the engine would meet.
+fn tolerable_wait(
+    now: time::Instant,
+    standing: &fleet::ModelStanding,
+    host: &fleet::LoadOption<'_>,
+) -> time::Duration {
+    let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
+    let slack = standing
+        .earliest_due
+        .map_or(comparable, |due_at| due_at.saturating_duration_since(now));
+    comparable.min(slack).max(host.load_duration)
+}
+
 /// Returns the data centre of all engines that serve the model, if there is just one.
 fn single_centre<'a>(
     round: &fleet::PlanRound<'a>,
