--- a/galenahold_routing/src/rate/team_bucket.rs
+++ b/galenahold_routing/src/rate/team_bucket.rs
@@ -35,7 +35,7 @@
 const MIN_RETRY: time::Duration = time::Duration::from_millis(200);
 
 /// Longest time that a rejected call is told to wait. Callers wait for a third of their remaining time at
-/// most, which is 20 s or less.
+/// most, which is 8.3 s for those with the longest deadlines, and are not sure to come back.
 const MAX_RETRY: time::Duration = time::Duration::from_secs(7);
 
 /// Shortest time between two reports that the team is beyond its limit or within it.
--- a/galenahold_routing/tests/rate/ranked_overload.rs
+++ b/galenahold_routing/tests/rate/ranked_overload.rs
@@ -141,6 +141,17 @@
     }
 }
 
+/// Guards against urgent calls that wait for tokens which less urgent ones have just taken: without a reserve
+/// they wait 109 ms on average, which is a large part of their objective of 400 ms.
+#[test]
+fn urgent_callers_beyond_the_limit_hardly_wait_for_tokens() {
+    let lines = [1, 2, 3].map(|seed| replay_overload(seed)[0]);
+    let callers: u32 = lines.iter().map(|line| line.callers).sum();
+    let waited: time::Duration = lines.iter().map(|line| line.waited).sum();
+    let mean = waited / callers;
+    assert!(mean <= time::Duration::from_millis(75), "{mean:?}");
+}
+
 #[test]
 fn small_team_beside_an_overloaded_one_is_served() {
     let lines = [1, 2, 3].map(|seed| replay_overload(seed)[3]);
--- a/galenahold_routing/tests/rate/token_pool.rs
+++ b/galenahold_routing/tests/rate/token_pool.rs
@@ -52,6 +52,11 @@
         self.pool.charge(&request, self.now)
     }
 
+    fn is_charged(&mut self, request: &rate::ChargeRequest) -> bool {
+        let outcome = self.pool.charge(request, self.now);
+        matches!(outcome, rate::ChargeOutcome::Charged(_))
+    }
+
     /// Sends the call that is due to the ledger and accepts its reply.
     fn exchange(&mut self) {
         let call = self.pool.call(self.now).expect("a call is due");
@@ -342,33 +347,46 @@
 
 /// Guards against tokens that go to whichever request is charged first after a reply.
 #[test]
-fn held_tokens_go_to_granted_requests_then_by_rank_then_to_returning_callers() {
+fn held_tokens_go_by_rank_and_then_to_returning_callers() {
     let mut pair = GrantPair::with_full_bucket();
-    let spent = pair.charge_with_call(1_000);
+    let unsent = pair.charge_with_call(1_000);
     let new = fleet_model::charge(&pair.team, 1, 400, pair.now);
     let returning = rate::ChargeRequest {
         ticket: rate::ChargeTicket(2),
+        tokens: amount::TokenCount(900),
         is_returning: true,
         ..new.clone()
     };
-    let late = rate::ChargeRequest {
-        ticket: rate::ChargeTicket(3),
+    let less_urgent = rate::ChargeRequest {
+        ticket: rate::ChargeTicket(0),
+        tokens: amount::TokenCount(100),
         rank: 1,
         ..new.clone()
     };
-    for request in [&late, &new, &returning] {
-        let outcome = pair.pool.charge(request, pair.now);
-        assert!(matches!(outcome, rate::ChargeOutcome::MissingTokens { .. }));
+    for request in [&less_urgent, &new, &returning] {
+        assert!(!pair.is_charged(request));
     }
-    // The tokens of a request that was not sent are held again, and cover two of the three.
-    pair.pool.settle(spent, amount::TokenCount::ZERO, pair.now);
-    let is_charged = |pair: &mut GrantPair, request: &rate::ChargeRequest| {
-        let outcome = pair.pool.charge(request, pair.now);
-        matches!(outcome, rate::ChargeOutcome::Charged(_))
+    // The tokens of a request that was not sent are held again.
+    pair.pool.settle(unsent, amount::TokenCount::ZERO, pair.now);
+    assert!(!pair.is_charged(&less_urgent));
+    assert!(!pair.is_charged(&new));
+    assert!(pair.is_charged(&returning));
+    assert!(!pair.is_charged(&less_urgent));
+    pair.pool.withdraw(&pair.team, new.ticket);
+    assert!(pair.is_charged(&less_urgent));
+}
+
+/// Guards against tokens that the leader granted to a less urgent rank as its share and that others spend.
+#[test]
+fn granted_request_keeps_its_tokens_from_a_more_urgent_one_that_came_later() {
+    let mut pair = GrantPair::with_full_bucket();
+    let granted = rate::ChargeRequest {
+        rank: 2,
+        ..fleet_model::charge(&pair.team, 1, 400, pair.now)
     };
-    assert!(!is_charged(&mut pair, &late));
-    assert!(is_charged(&mut pair, &new));
-    assert!(!is_charged(&mut pair, &late));
-    assert!(is_charged(&mut pair, &returning));
-    assert_eq!(pair.pool.balance(&pair.team), amount::TokenCount(200));
+    assert!(!pair.is_charged(&granted));
+    pair.exchange();
+    let urgent = fleet_model::charge(&pair.team, 2, 400, pair.now);
+    assert!(!pair.is_charged(&urgent));
+    assert!(pair.is_charged(&granted));
 }
--- a/galenahold_routing/tests/relay/main.rs
+++ b/galenahold_routing/tests/relay/main.rs
@@ -12,7 +12,7 @@
 const EVENT: usize = 500;
 
 /// Replays 100 streams of 50 events a second, of which the first 30 callers read a tenth of their events and
-/// the others all; returns the streams that were ended, in order.
+/// the others all, three events behind; returns the streams that were ended, in order.
 fn replay(limits: relay::ReadAheadLimits) -> (Vec<usize>, usize) {
     let mut ledger = relay::ReadAheadLedger::new(limits);
     let keys: Vec<_> = (0..100).map(|_| ledger.open()).collect();
@@ -32,7 +32,12 @@
                 }
             }
             highest = highest.max(ledger.held_bytes());
-            if number >= 30 || step % 10 == 0 {
+            let reads = if number < 30 {
+                step % 10 == 0
+            } else {
+                ledger.stream_bytes(*key) > 3 * EVENT
+            };
+            if reads {
                 ledger.release(*key);
             }
         }
@@ -58,7 +63,7 @@
     let (ended, highest) = replay(limits);
     assert_eq!(ended, Vec::<usize>::new());
     assert!(
-        highest <= 30 * LIMITS.stream_bytes + 70 * EVENT,
+        highest <= 30 * LIMITS.stream_bytes + 70 * 4 * EVENT,
         "{highest} bytes"
     );
 }
