--- a/galenahold_instance/src/gateway/control/fleet_leadership.rs
+++ b/galenahold_instance/src/gateway/control/fleet_leadership.rs
@@ -6,9 +6,6 @@
 use galenahold_domain::name;
 use galenahold_placement::fleet as placement;
 use galenahold_routing::load;
-        }
-    }
-
 use log::info;
 
 /// Minimum time between two log lines about the speeds of servers.
