Spread calls by the speeds of servers once the view is lost

Cause: speeds stay known when the view is lost, and without the loads of others all instances sent their calls to the fastest engines. Change: once the view is stale calls are drawn in proportion to the calls per second that a server can run. Without any view nothing changes.

--- a/galenahold_routing/src/fleet/server_selection.rs
+++ b/galenahold_routing/src/fleet/server_selection.rs
@@ -295,7 +295,7 @@
         let bound = best.score * AFFINITY_FACTOR + slack;
         let preferred = preferred.filter(|candidate| candidate.score <= bound);
         let sent = self.sent_since_view(candidates);
-        if !has_view || sent < MIN_SENT {
+        if sent < MIN_SENT {
             return preferred.or(Some(best));
         }
         let chosen = draw_by_room(requirements, sent, best, preferred, candidates);
@@ -304,7 +304,19 @@
 
     /// Predicts how many calls other instances have sent to the servers since the view: about as many as
     /// ended in that time.
+    ///
+    /// Once the view is stale that is as many as the servers run, so that calls are spread by the speeds of
+    /// servers, which stay known. Without any view there is nothing to predict from.
     fn sent_since_view(&self, candidates: &[ServerCandidate<'_>]) -> f64 {
+        let Some(age) = self.view_age else {
+            return 0.0;
+        };
+        if fleet::ViewWeight::at_age(self.view_age).is_stale() {
+            let slots = candidates
+                .iter()
+                .map(|candidate| candidate.server.record.slots);
+            return slots.map(f64::from).sum();
+        }
         let duration_s = self
             .profile
             .and_then(fleet::ServiceProfile::mean_duration_s);
@@ -312,8 +324,7 @@
             let own = candidate.server.own.running;
             f64::from(candidate.used.running.saturating_sub(own))
         });
-        let age_s = self.view_age.unwrap_or_default().as_secs_f64();
-        others.sum::<f64>() * age_s / duration_s.unwrap_or(1.0).max(MIN_DURATION_S)
+        others.sum::<f64>() * age.as_secs_f64() / duration_s.unwrap_or(1.0).max(MIN_DURATION_S)
     }
 
     fn choice(&self, candidate: &ServerCandidate<'_>) -> ServerChoice {
--- a/galenahold_routing/tests/fleet/server_choice.rs
+++ b/galenahold_routing/tests/fleet/server_choice.rs
@@ -65,9 +65,9 @@
 fn long_answer_goes_to_a_busier_server_that_completes_it() {
     let now = time::Instant::now();
     let mut scheduler = fixture::taught(&records(&["s1", "s2"]), now);
-    let mut fast = paced("s2", 0.8, now);
-    fast.running = 8;
-    scheduler.apply_loads(&[paced("s1", 2.0, now), fast]);
+    let mut fast = paced("s2", 1.0, now);
+    fast.running = 15;
+    scheduler.apply_loads(&[paced("s1", 1.6, now), fast]);
     let placement = fixture::placed(scheduler.submit(call(1_000, 120, now), now));
     assert_eq!(&*placement.server, "s2");
     assert_eq!(placement.basis.fit, fleet::ServerFit::OnTime);
--- a/galenahold_routing/tests/fleet/shared_servers.rs
+++ b/galenahold_routing/tests/fleet/shared_servers.rs
@@ -95,7 +95,7 @@
 
 /// Returns the sends that engines turned away and the share of calls of each kind that were on time, over
 /// three seeds.
-fn replay(model: fn(u64) -> fleet_model::FleetModel) -> (u32, Vec<f64>) {
+fn replay(model: impl Fn(u64) -> fleet_model::FleetModel) -> (u32, Vec<f64>) {
     let outcomes = [1, 2, 3].map(|seed| model(seed).replay());
     println!("{outcomes:?}");
     let away = outcomes.iter().map(|outcome| outcome.turned_away).sum();
@@ -122,7 +122,7 @@
 fn long_answers_are_complete_in_time_on_uneven_engines() {
     let (_, shares) = replay(uneven);
     assert!(shares[0] >= 0.95, "{shares:?}");
-    assert!(shares[1] >= 0.85, "{shares:?}");
+    assert!(shares[1] >= 0.95, "{shares:?}");
 }
 
 /// Without the view of prompts, 36 % of the short prompts and 48 % of the long ones were on time.
@@ -132,3 +132,36 @@
     assert!(shares[0] >= 0.75, "{shares:?}");
     assert!(shares[1] >= 0.80, "{shares:?}");
 }
+
+/// The view is lost shortly before the counted calls arrive. All instances sent their calls to the fastest
+/// engines then, which turned 1,408 of them away.
+#[test]
+fn speeds_of_engines_are_used_by_all_instances_after_the_view_is_lost() {
+    let (away, shares) = replay(|seed| fleet_model::FleetModel {
+        view_lost_ms: 20_000,
+        ..uneven(seed)
+    });
+    assert_eq!(away, 0);
+    assert!(shares[0] >= 0.95, "{shares:?}");
+    assert!(shares[1] >= 0.90, "{shares:?}");
+}
+
+/// Calls on equal and lightly loaded engines, or on a single one, are as much on time as without a view.
+#[test]
+fn light_load_on_equal_engines_is_served_without_any_late_call() {
+    for count in [1, 4] {
+        let light = |has_view| fleet_model::FleetModel {
+            has_view,
+            ..fleet(
+                engines(&[1.0; 4][..count], 41.0),
+                vec![fleet_model::CallMix { per_s: 4, ..mix() }],
+                1,
+            )
+        };
+        for model in [light(true), light(false)] {
+            let outcome = model.replay();
+            let mix = &outcome.mixes[0];
+            assert_eq!((mix.on_time, mix.refused), (mix.calls, 0), "{outcome:?}");
+        }
+    }
+}
