Bound the unread prompts of own calls only

Cause: the bound counted the mean of other instances' unread prompts, which says nothing about the moment in which a prompt is read; the servers that kept it were few and got the calls of all instances. Change: only own prompts count in the bound. The mean of others' prompts stays part of the predicted first event.

--- a/galenahold_routing/src/fleet/server_selection.rs
+++ b/galenahold_routing/src/fleet/server_selection.rs
@@ -196,7 +196,7 @@
             return fleet::ServerFit::Incomplete;
         }
         let is_late = self.now + forecast.first > requirements.due_at;
-        let is_crowded = !self.keeps_pauses(requirements, candidate.used, forecast);
+        let is_crowded = !self.keeps_pauses(requirements, candidate, forecast);
         match (is_late, is_crowded) {
             (false, false) => fleet::ServerFit::OnTime,
             (false, true) => fleet::ServerFit::Crowded,
@@ -209,25 +209,27 @@
     ///
     /// Workload: short prompts with a tight objective beside prompts of up to 4,700 tokens, which a server
     /// reads between two events of its streams. A quarter of the allowed pause is kept for short prompts.
+    /// Only own prompts count: those of others are read sooner than a view of them arrives. Their mean is
+    /// part of the predicted first event.
     fn keeps_pauses(
         &self,
         requirements: &fleet::CallRequirements,
-        used: fleet::CallUse,
+        candidate: &ServerCandidate<'_>,
         forecast: &fleet::CallForecast,
     ) -> bool {
         let declared = self.profile.and_then(fleet::ServiceProfile::tightest_gap);
         let Some(gap) = declared.or(requirements.work.event_gap) else {
             return true;
         };
-        if used.running == 0 {
+        if candidate.used.running == 0 {
             return true;
         }
         let gap_s = gap.as_secs_f64();
         let pause_s = (gap_s - forecast.event_s).max(gap_s * MIN_PAUSE_SHARE);
         let prompt_tokens = u32::try_from(requirements.work.prompt_tokens).unwrap_or(u32::MAX);
         let own_s = f64::from(prompt_tokens) * forecast.token_s;
-        let unread_s = f64::from(used.unread_tokens) * forecast.token_s;
-        let is_long = own_s > pause_s * SHORT_SHARE && used.unread_tokens > 0;
+        let unread_s = f64::from(candidate.server.own.unread_tokens) * forecast.token_s;
+        let is_long = own_s > pause_s * SHORT_SHARE && unread_s > 0.0;
         let limit_s = if is_long {
             pause_s * LONG_SHARE
         } else {
--- a/galenahold_routing/tests/fleet/shared_servers.rs
+++ b/galenahold_routing/tests/fleet/shared_servers.rs
@@ -165,3 +165,14 @@
         }
     }
 }
+
+/// A single instance knows all unread prompts exactly; without their bound 16 short and 2 long prompts made a
+/// stream pause too long.
+#[test]
+fn single_instance_lets_no_prompt_make_a_stream_pause_too_long() {
+    let (_, shares) = replay(|seed| fleet_model::FleetModel {
+        instances: 1,
+        ..prompts(seed)
+    });
+    assert!(shares.iter().all(|share| *share >= 1.0), "{shares:?}");
+}
