--- a/galenahold_routing/src/fleet/server_selection.rs
+++ b/galenahold_routing/src/fleet/server_selection.rs
@@ -196,7 +196,7 @@
             return fleet::ServerFit::Incomplete;
         }
         let is_late = self.now + forecast.first > requirements.due_at;
-        let is_crowded = !self.keeps_pauses(requirements, candidate.used, forecast);
+        let is_crowded = !self.keeps_pauses(requirements, candidate, forecast);
         match (is_late, is_crowded) {
             (false, false) => fleet::ServerFit::OnTime,
             (false, true) => fleet::ServerFit::Crowded,
@@ -209,25 +209,27 @@
     ///
     /// Workload: short prompts with a tight objective beside prompts of up to 4,700 tokens, which a server
     /// reads between two events of its streams. A quarter of the allowed pause is kept for short prompts.
+    /// Only own prompts count: those of others are read sooner than a view of them arrives. Their mean is
+    /// part of the predicted first event.
     fn keeps_pauses(
         &self,
         requirements: &fleet::CallRequirements,
-        used: fleet::CallUse,
+        candidate: &ServerCandidate<'_>,
         forecast: &fleet::CallForecast,
     ) -> bool {
         let declared = self.profile.and_then(fleet::ServiceProfile::tightest_gap);
         let Some(gap) = declared.or(requirements.work.event_gap) else {
             return true;
         };
-        if used.running == 0 {
+        if candidate.used.running == 0 {
             return true;
         }
         let gap_s = gap.as_secs_f64();
         let pause_s = (gap_s - forecast.event_s).max(gap_s * MIN_PAUSE_SHARE);
         let prompt_tokens = u32::try_from(requirements.work.prompt_tokens).unwrap_or(u32::MAX);
         let own_s = f64::from(prompt_tokens) * forecast.token_s;
-        let unread_s = f64::from(used.unread_tokens) * forecast.token_s;
-        let is_long = own_s > pause_s * SHORT_SHARE && used.unread_tokens > 0;
+        let unread_s = f64::from(candidate.server.own.unread_tokens) * forecast.token_s;
+        let is_long = own_s > pause_s * SHORT_SHARE && unread_s > 0.0;
         let limit_s = if is_long {
             pause_s * LONG_SHARE
         } else {
@@ -295,7 +297,7 @@
         let bound = best.score * AFFINITY_FACTOR + slack;
         let preferred = preferred.filter(|candidate| candidate.score <= bound);
         let sent = self.sent_since_view(candidates);
-        if !has_view || sent < MIN_SENT {
+        if sent < MIN_SENT {
             return preferred.or(Some(best));
         }
         let chosen = draw_by_room(requirements, sent, best, preferred, candidates);
@@ -304,7 +306,19 @@
 
     /// Predicts how many calls other instances have sent to the servers since the view: about as many as
     /// ended in that time.
+    ///
+    /// Once the view is stale that is as many as the servers run, so that calls are spread by the speeds of
+    /// servers, which stay known. Without any view there is nothing to predict from.
     fn sent_since_view(&self, candidates: &[ServerCandidate<'_>]) -> f64 {
+        let Some(age) = self.view_age else {
+            return 0.0;
+        };
+        if fleet::ViewWeight::at_age(self.view_age).is_stale() {
+            let slots = candidates
+                .iter()
+                .map(|candidate| candidate.server.record.slots);
+            return slots.map(f64::from).sum();
+        }
         let duration_s = self
             .profile
             .and_then(fleet::ServiceProfile::mean_duration_s);
@@ -312,8 +326,7 @@
             let own = candidate.server.own.running;
             f64::from(candidate.used.running.saturating_sub(own))
         });
-        let age_s = self.view_age.unwrap_or_default().as_secs_f64();
-        others.sum::<f64>() * age_s / duration_s.unwrap_or(1.0).max(MIN_DURATION_S)
+        others.sum::<f64>() * age.as_secs_f64() / duration_s.unwrap_or(1.0).max(MIN_DURATION_S)
     }
 
     fn choice(&self, candidate: &ServerCandidate<'_>) -> ServerChoice {
