Use engines with adapters for exchanges that meet objectives only there

A load elsewhere, or the wait for it, may not cost a waiting call its objective if the engine with adapters would meet it.

--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -231,10 +231,11 @@
     host: &fleet::LoadOption<'_>,
 ) -> time::Duration {
     let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
-    let slack = standing
-        .earliest_due
-        .map_or(comparable, |due_at| due_at.saturating_duration_since(now));
-    comparable.min(slack).max(host.load_duration)
+    let due_at = standing.earliest_due;
+    let slack = due_at.map(|due_at| due_at.saturating_duration_since(now));
+    slack
+        .filter(|slack| *slack >= host.load_duration)
+        .map_or(comparable, |slack| slack.min(comparable))
 }
 
 /// Returns the data centre of all engines that serve the model, if there is just one.
