Count a request that asks repeatedly for tokens once

Cause: while a new leader's bucket recovers, a waiting request outlasts the wait that it states, so its demand lapsed before it was repeated and counted again each time; the team seemed to be beyond its limit.

Change: demands of a recovering bucket lapse after the pending expiry alone, and those of older versions are always kept. The new test fails without it.

--- a/galenahold_routing/src/rate/team_bucket.rs
+++ b/galenahold_routing/src/rate/team_bucket.rs
@@ -186,7 +186,7 @@
         if !self.is_exceeded(now) {
             self.credits.clear();
         }
-        let stated = stated_waiting(request, settings);
+        let stated = stated_waiting(request);
         // A holder states all that it waits for, so that a demand it leaves out has been given up.
         self.pending.retain(|demand| {
             let is_stated = stated.iter().any(|own| own.ticket == demand.ticket);
@@ -409,7 +409,14 @@
             self.next_sequence += 1;
             self.next_sequence
         });
+        let is_recovering = self.recovers_until.is_some();
         let waits = time::Duration::from_millis(own.waits_ms);
+        // While the bucket recovers, holders keep their requests longer than they state.
+        let repeats_within = if is_recovering {
+            settings.pending_expiry
+        } else {
+            settings.pending_expiry.min(waits)
+        };
         let demand = PendingDemand {
             instance: instance.clone(),
             ticket: own.ticket,
@@ -417,7 +424,7 @@
             is_returning: own.is_returning,
             missing: own.missing.0,
             sequence,
-            expires_at: now + settings.pending_expiry.min(waits),
+            expires_at: now + repeats_within,
         };
         let ahead = self.claimed_before(&demand) + withdrawn;
         let needed = ahead + demand.missing + self.reserve_before(&demand, now);
@@ -426,7 +433,7 @@
             return Some(time::Duration::ZERO);
         }
         let wait = self.predict_wait(demand.rank, needed, now)?;
-        if wait <= waits || self.recovers_until.is_some() {
+        if wait <= waits || is_recovering {
             self.pending.push(demand);
             return Some(wait);
         }
@@ -534,19 +541,15 @@
 
 /// Returns the waiting requests that a holder states; one for the first of them if its version states only
 /// their sum.
-fn stated_waiting(
-    request: &rate::GrantRequest,
-    settings: &rate::LedgerSettings,
-) -> Vec<rate::WaitingDemand> {
+fn stated_waiting(request: &rate::GrantRequest) -> Vec<rate::WaitingDemand> {
     if !request.waiting.is_empty() || request.first_missing == amount::TokenCount::ZERO {
         return request.waiting.clone();
     }
-    let expiry = settings.pending_expiry.as_millis();
     vec![rate::WaitingDemand {
         ticket: rate::ChargeTicket(0),
         rank: UNSTATED_RANK,
         is_returning: false,
         missing: request.first_missing,
-        waits_ms: u64::try_from(expiry).unwrap_or(u64::MAX),
+        waits_ms: u64::MAX,
     }]
 }
--- a/galenahold_routing/tests/rate/grant_ledger.rs
+++ b/galenahold_routing/tests/rate/grant_ledger.rs
@@ -127,6 +127,23 @@
     assert_eq!(urgent.grants[0].waits_ms, [Some(50)]);
 }
 
+/// Guards against a team that counts as beyond its limit since its requests ask again and again while a new
+/// leader's bucket recovers.
+#[test]
+fn request_that_asks_repeatedly_counts_once() {
+    let now = time::Instant::now();
+    let settings = rate::LedgerSettings::default().with_immediate_refill();
+    let mut ledger = rate::GrantLedger::new(2, settings, now);
+    ledger.set_teams(&[team(1_000, 1_000)], now);
+    for number in 1..=10_u32 {
+        let mut call = ranked_call("entry-1", 7, 0, 990);
+        call.number = u64::from(number);
+        call.teams[0].waiting[0].waits_ms = 0;
+        ledger.grant(&call, now + SECOND / 20 * number);
+    }
+    assert_eq!(ledger.take_changes(), []);
+}
+
 #[test]
 fn new_leader_lends_nothing_while_earlier_grants_may_be_spent() {
     let now = time::Instant::now();
