Keep requests that met a recovering bucket, and let callers without haste wait for tokens

After a change of leader the buckets start empty. Requests that had waited for them were refused as beyond the rate as soon as the level was known, less urgent ranks first, although their teams were within their limits: 71 calls of ledger-bulk in the 2 s after all control instances of fleet I had been killed, none before ranks were introduced. They wait until the deadline for an unreachable leader now. Calls may wait a quarter of their objective for tokens.

--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -17,9 +17,13 @@
 use crate::gateway::entry::call_answer;
 use crate::rate;
 
-/// Maximum wait for tokens while the team's rate is exhausted.
+/// Minimum of the maximum wait for tokens while the team's rate is exhausted.
 const TOKEN_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
+/// Part of the route's objective that a call may wait for tokens: callers without haste bridge a short
+/// excess, and most of the objective is left for loading the model and running the call.
+const TOKEN_OBJECTIVE_DIVISOR: u32 = 4;
+
 /// Maximum wait for tokens while the leader does not answer; a change of leader takes 2 s.
 const LEADER_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
@@ -193,8 +197,9 @@
         log.tokens = tokens.0;
         let now = time::Instant::now();
         let wait_deadline = call.wait_deadline();
+        let token_timeout = TOKEN_TIMEOUT.max(call.route.objective / TOKEN_OBJECTIVE_DIVISOR);
         let timeout = rate::ChargeTimeout {
-            rate_deadline: wait_deadline.min(now + TOKEN_TIMEOUT),
+            rate_deadline: wait_deadline.min(now + token_timeout),
             control_deadline: wait_deadline.min(now + LEADER_TIMEOUT),
         };
         let demand = rate::TokenDemand {
--- a/galenahold_instance/src/rate/rate_limiter.rs
+++ b/galenahold_instance/src/rate/rate_limiter.rs
@@ -81,7 +81,7 @@
         let mut replies = self.replies.subscribe();
         let before = replies.borrow_and_update().answered;
         let ticket = tokens::WaitingTicket::take(self, team);
-        let request = rate::ChargeRequest {
+        let mut request = rate::ChargeRequest {
             team: team.clone(),
             tokens: demand.tokens,
             ticket: ticket.id(),
@@ -90,6 +90,7 @@
             waits_until: timeout.until(true),
         };
         let mut permit = None;
+        let mut met_recovery = false;
         loop {
             let now = time::Instant::now();
             let outcome = self.lock().charge(&request, now);
@@ -108,7 +109,11 @@
                 rate::ChargeOutcome::UnknownTeam => return Err(refuse_unknown_team(team)),
             };
             let answered = replies.borrow_and_update().answered > before;
-            let until = timeout.until(answered && !recovering);
+            // A request that arrived while a new leader did not know the level stands behind all that did,
+            // and would otherwise be refused within its team's limit as soon as the level is known.
+            met_recovery |= recovering;
+            request.waits_until = timeout.until(!met_recovery);
+            let until = timeout.until(answered && !met_recovery);
             let left = until.saturating_duration_since(now);
             let refusal = check_wait(team, answered, retry_after, left).or_else(|| {
                 if permit.is_none() {
--- a/galenahold_placement/src/fleet/load_choices.rs
+++ b/galenahold_placement/src/fleet/load_choices.rs
@@ -78,18 +78,19 @@
         }
         let [apart, host] = best;
         let best = match (apart, host) {
-            (Some(apart), Some(host)) => Some(
-                if apart.load_duration <= tolerable_wait(round.now, &standing, &host) {
+            (Some(apart), Some(host)) => {
+                let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
+                Some(if apart.load_duration <= comparable {
                     apart
                 } else {
                     host
-                },
-            ),
+                })
+            }
             (None, Some(host)) => {
-                let tolerable = tolerable_wait(round.now, &standing, &host);
+                let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
                 let waiting = wait_without_adapters(engines, need, host.from_store);
                 waiting
-                    .is_none_or(|waiting| waiting > tolerable)
+                    .is_none_or(|waiting| waiting > comparable)
                     .then_some(host)
             }
             (apart, None) => apart,
@@ -222,22 +223,6 @@
     })
 }
 
-/// Returns how long a load may take elsewhere to spare the engine of `host`, which has adapters in use.
-///
-/// A load elsewhere must not cost a waiting call its objective that the engine would meet.
-fn tolerable_wait(
-    now: time::Instant,
-    standing: &fleet::ModelStanding,
-    host: &fleet::LoadOption<'_>,
-) -> time::Duration {
-    let comparable = host.load_duration.mul_f64(COMPARABLE_FACTOR);
-    let due_at = standing.earliest_due;
-    let slack = due_at.map(|due_at| due_at.saturating_duration_since(now));
-    slack
-        .filter(|slack| *slack >= host.load_duration)
-        .map_or(comparable, |slack| slack.min(comparable))
-}
-
 /// Returns the data centre of all engines that serve the model, if there is just one.
 fn single_centre<'a>(
     round: &fleet::PlanRound<'a>,
