--- a/galenahold_routing/src/load/pace_estimator.rs
+++ b/galenahold_routing/src/load/pace_estimator.rs
@@ -12,7 +12,7 @@
 const SLOT: time::Duration = time::Duration::from_millis(400);
 
 /// Number of measurements of a server or model that count. With 15 % of them slow by chance, more than half
-/// are slow about once in 2,000 windows.
+/// are slow in about one of 800 windows.
 const WINDOW: usize = 13;
 
 /// Number of measurements from which a server's factor counts as known. With five, the factors of a fleet were
