Use the shared speeds of models where an instance has no own samples

An instance sees a model a few times a minute, so that most of its forecasts had no speed of the model.

--- a/galenahold_instance/src/gateway/entry/call_dispatcher.rs
+++ b/galenahold_instance/src/gateway/entry/call_dispatcher.rs
@@ -219,8 +219,11 @@
     }
 
     /// Applies what other instances use at servers.
-    pub(super) fn apply_loads(&self, loads: &[load::ServerLoad]) {
-        self.change(|scheduler| scheduler.apply_loads(loads));
+    pub(super) fn apply_loads(&self, loads: &[load::ServerLoad], paces: &[load::ModelPace]) {
+        self.change(|scheduler| {
+            scheduler.apply_model_paces(paces);
+            scheduler.apply_loads(loads);
+        });
     }
 
     /// Records the time per event of a model's answer at a start of a server.
--- a/galenahold_instance/src/gateway/entry/load_follower.rs
+++ b/galenahold_instance/src/gateway/entry/load_follower.rs
@@ -67,8 +67,9 @@
             );
         }
         let loads: Vec<_> = state.view.loads().collect();
+        let paces: Vec<_> = state.view.model_paces().collect();
         drop(state);
-        self.dispatcher.apply_loads(&loads);
+        self.dispatcher.apply_loads(&loads, &paces);
     }
 
     /// Records a list of own uses that the leader confirmed.
--- a/galenahold_routing/src/fleet/call_scheduler.rs
+++ b/galenahold_routing/src/fleet/call_scheduler.rs
@@ -112,6 +112,13 @@
         }
     }
 
+    /// Applies the speeds of models over all instances, for models without own samples.
+    pub fn apply_model_paces(&mut self, paces: &[load::ModelPace]) {
+        for profile in self.profiles.values_mut() {
+            profile.set_shared_times(paces);
+        }
+    }
+
     /// Places, queues or refuses a new call.
     pub fn submit(
         &mut self,
--- a/galenahold_routing/src/fleet/service_profile.rs
+++ b/galenahold_routing/src/fleet/service_profile.rs
@@ -35,6 +35,8 @@
     tightest_gap: Option<time::Duration>,
     /// Time for an event of each model at a server of mean speed, in seconds.
     event_times: collections::HashMap<name::ModelName, fleet::QuantileEstimate>,
+    /// The same as the leader estimated it from the streams of all instances.
+    shared_event_times: collections::HashMap<name::ModelName, time::Duration>,
     /// The same over all models.
     service_event_time: fleet::QuantileEstimate,
     service_samples: u32,
@@ -50,6 +52,7 @@
             token_limit: None,
             tightest_gap: None,
             event_times: collections::HashMap::new(),
+            shared_event_times: collections::HashMap::new(),
             service_event_time: fleet::QuantileEstimate::MEDIAN,
             service_samples: 0,
             // Prompts of other calls that are not seen here prolong many samples.
@@ -177,6 +180,12 @@
         }
     }
 
+    /// Replaces the speeds of models that the leader estimated.
+    pub(super) fn set_shared_times(&mut self, paces: &[load::ModelPace]) {
+        let times = paces.iter().map(|pace| (pace.model.clone(), pace.event));
+        self.shared_event_times = times.collect();
+    }
+
     /// Learns how long calls occupy a slot.
     pub(super) fn record_duration(&mut self, duration: time::Duration) {
         let duration_s = duration.as_secs_f64();
@@ -186,7 +195,9 @@
 
     fn event_time(&self, model: &name::ModelName) -> Option<f64> {
         let own = self.event_times.get(model).and_then(|time| time.value());
-        own.or_else(|| {
+        let shared = self.shared_event_times.get(model);
+        let known = own.or_else(|| Some(shared?.as_secs_f64()));
+        known.or_else(|| {
             let is_known = self.service_samples >= MIN_SERVICE_SAMPLES;
             self.service_event_time.value().filter(|_| is_known)
         })
