Test the order of reported waiting calls with calls in neither order

Cause: the test submitted its calls latest first, so that a mere reversal of the list passed. Result: a reversal, no sorting and no limit of eight each fail the test now.

--- a/galenahold_routing/tests/fleet/waiting_times.rs
+++ b/galenahold_routing/tests/fleet/waiting_times.rs
@@ -21,7 +21,8 @@
 fn waiting_calls_are_listed_with_their_remaining_times_the_earliest_due_first() {
     let now = time::Instant::now();
     let mut scheduler = fixture::scheduler(&[fixture::record("s1", &["other"])], now);
-    for due_s in (1..=12).rev() {
+    // The numbers 1 to 12, in neither order.
+    for due_s in (1..=12).map(|number| number * 5 % 13) {
         let mut requirements = fixture::requirements("m", SECOND * 20, now);
         requirements.due_at = now + SECOND * due_s;
         fixture::waiting(&scheduler.submit(requirements, now));
