Allow repeats in the replicated log's tests only after an unknown outcome

Cause: the test harness proposes a command again if the outcome of its proposal is unknown, as when a busy leader lost its lease between the commit and the reply, and the tests then expected each command exactly once. The harness now records such commands, and only one that was committed once after an unknown outcome may be applied repeatedly; all other repeats and every loss still fail.

--- a/galenahold_consensus/tests/driver/local_group.rs
+++ b/galenahold_consensus/tests/driver/local_group.rs
@@ -1,5 +1,6 @@
 //! Test harness: a replicated log with all members in one process.
 
+use std::cell;
 use std::collections;
 use std::fs;
 use std::path;
@@ -25,6 +26,8 @@
     members: collections::BTreeMap<String, driver::ReplicatedLog<text_machine::TextMachine>>,
     switches: collections::BTreeMap<String, fault_backend::FaultSwitch>,
     voters: Vec<member::MemberEndpoint>,
+    /// How often each command was committed, and whether a proposal of it had an unknown outcome.
+    commits: cell::RefCell<collections::HashMap<String, (usize, bool)>>,
 }
 
 impl LocalGroup {
@@ -41,6 +44,7 @@
                 .iter()
                 .map(|name| member::MemberEndpoint::new(name, name))
                 .collect(),
+            commits: cell::RefCell::default(),
         };
         for name in names {
             group.start(name);
@@ -117,15 +121,29 @@
         polling::until("a command is committed", || {
             let (_, handle) = self.leader();
             let result = handle.propose(command.as_bytes().to_vec(), TIMEOUT);
+            let mut commits = self.commits.borrow_mut();
+            let (count, is_unknown) = commits.entry(command.to_owned()).or_default();
+            *count += usize::from(result.is_ok());
+            *is_unknown |= matches!(result, Err(driver::ProposeError::OutcomeUnknown));
             result.ok().map(|committed| committed.position)
         })
     }
 
+    /// Removes the repeats of commands that were committed once, after a proposal whose outcome was unknown:
+    /// a busy leader may lose its lease between a commit and its reply. No other command may be repeated.
+    fn without_repeats(&self, mut lines: Vec<String>) -> Vec<String> {
+        let commits = self.commits.borrow();
+        let may_repeat = |line: &str| matches!(commits.get(line), Some((1, true)));
+        lines.dedup_by(|next, line| next == line && may_repeat(line));
+        lines
+    }
+
     pub(crate) fn await_lines(&self, name: &str, count: usize) -> Vec<String> {
         let handle = self.handle(name);
         polling::until("all lines are applied", || {
             let lines = handle.read_local(TIMEOUT, |machine| machine.lines.clone());
-            lines.ok().filter(|lines| lines.len() >= count)
+            let lines = self.without_repeats(lines.ok()?);
+            (lines.len() >= count).then_some(lines)
         })
     }
 
