--- a/galenahold_routing/src/rate/team_bucket.rs
+++ b/galenahold_routing/src/rate/team_bucket.rs
@@ -29,7 +29,7 @@
 
 /// While the team is beyond its limit, each rank that asks for tokens gets one of this many tokens that more
 /// urgent ranks get.
-const STARVATION_DIVISOR: u64 = 5;
+const STARVATION_DIVISOR: u64 = 10;
 
 /// Shortest time that a rejected call is told to wait.
 const MIN_RETRY: time::Duration = time::Duration::from_millis(200);
