--- a/galenahold_placement/src/fleet/load_urgency.rs
+++ b/galenahold_placement/src/fleet/load_urgency.rs
@@ -13,7 +13,7 @@
 const LATE_WEIGHT: f64 = 0.25;
 
 /// Number of load times of slack after which the weight of a call has fallen to 1/e. Schedulers use one
-/// to three by the length of the queue; at the rates of fleets I and T two loads are ahead of one.
+/// to three by the length of the queue; two suits a queue of about two loads.
 const SLACK_LOADS: f64 = 2.0;
 
 /// Time for which calls are expected to go on arriving at the recent rate.
