--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -A dead_code -o target/review-2/case review/standins-2/main.rs
+rustc --edition 2021 -O -A dead_code -o target/review-2/case review/standins-2/platform/main.rs
