Review case 8: end all processes, within a bound, and honour Retry-After

The program left its processes behind, as a thread still held them when it exited. The client waits as Retry-After says.

--- a/review/standins-2/platform/fleet.rs
+++ b/review/standins-2/platform/fleet.rs
@@ -170,14 +170,14 @@
     pub internal: u16,
 }
 
-/// The processes of one deployment; all are ended when it is dropped.
+/// The processes of one deployment; [`Fleet::end_all`] ends them.
 pub struct Fleet {
     pub folder: PathBuf,
     pub ports: Ports,
     pub net: u8,
     pub core: Vec<Ipv4Addr>,
     pub fronts: Vec<Ipv4Addr>,
-    running: HashMap<Ipv4Addr, Child>,
+    running: Mutex<HashMap<Ipv4Addr, Child>>,
     pub record: Record,
 }
 
@@ -204,7 +204,7 @@
             net,
             core: (1..=core).map(address).collect(),
             fronts: (21..21 + fronts).map(address).collect(),
-            running: HashMap::new(),
+            running: Mutex::default(),
             record: record.clone(),
         }
     }
@@ -218,7 +218,7 @@
     }
 
     /// Starts a process as the deploy file does: `target/release/galenahold platform`.
-    pub fn start(&mut self, ip: Ipv4Addr, control: bool, first: bool, seeds: &[Ipv4Addr]) {
+    pub fn start(&self, ip: Ipv4Addr, control: bool, first: bool, seeds: &[Ipv4Addr]) {
         let Ports { front, ready, control: control_port, internal } = self.ports;
         let host = ip.octets()[3];
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}:{control_port}\"")).collect();
@@ -259,16 +259,17 @@
         match child {
             Ok(child) => {
                 self.record.add(&format!("start {role} {ip}, process {}", child.id()));
-                self.running.insert(ip, child);
+                self.running.lock().unwrap().insert(ip, child);
             }
             Err(error) => {
                 self.record.say(&format!("cannot start target/release/galenahold: {error}"));
+                self.end_all();
                 std::process::exit(2);
             }
         }
     }
 
-    pub fn start_all(&mut self) {
+    pub fn start_all(&self) {
         let seeds: Vec<Ipv4Addr> = self.core.iter().copied().take(3).collect();
         for ip in self.core.clone() {
             self.start(ip, true, true, &seeds);
@@ -278,25 +279,29 @@
         }
     }
 
-    pub fn signal(&self, ip: Ipv4Addr, signal: &str) {
-        if let Some(child) = self.running.get(&ip) {
-            self.record.add(&format!("signal {signal} to {ip}"));
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-        }
-    }
-
-    pub fn kill(&mut self, ip: Ipv4Addr) {
-        if let Some(mut child) = self.running.remove(&ip) {
-            self.record.add(&format!("kill {ip}"));
+    /// Ends all processes that were started, and removes the temporary folder.
+    ///
+    /// Threads that send heartbeats share the fleet, so that its drop can come too late.
+    pub fn end_all(&self) {
+        let ended: Vec<Child> = self.running.lock().unwrap().drain().map(|(_, child)| child).collect();
+        let count = ended.len();
+        for mut child in ended {
             let _ = child.kill();
             let _ = child.wait();
         }
+        let _ = fs::remove_dir_all(&self.folder);
+        self.record.add(&format!("{count} processes ended"));
     }
 
-    /// Returns the exit status of a process that has ended.
-    pub fn ended(&mut self, ip: Ipv4Addr) -> Option<String> {
-        let child = self.running.get_mut(&ip)?;
-        child.try_wait().ok().flatten().map(|status| status.to_string())
+    /// Ends everything and the case itself, as one that could not run, once `limit` is over.
+    pub fn bound(self: &Arc<Self>, limit: Duration) {
+        let fleet = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(limit);
+            fleet.record.say("out of time");
+            fleet.end_all();
+            std::process::exit(2);
+        });
     }
 
     /// Calls a control address; follows two redirects.
@@ -356,16 +361,6 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for (_, mut child) in self.running.drain() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = fs::remove_dir_all(&self.folder);
-    }
-}
-
 /// A request as a replica got it.
 #[derive(Clone)]
 pub struct Arrived {
--- a/review/standins-2/platform/refused.rs
+++ b/review/standins-2/platform/refused.rs
@@ -18,8 +18,18 @@
 
 const ORDER_PERIOD: Duration = Duration::from_millis(83);
 
+/// A run takes about 75 s.
+const TIME_LIMIT: Duration = Duration::from_secs(112);
+
 pub fn run(record: &Record, trouble: bool) -> i32 {
-    let mut fleet = Fleet::plan(5, 6, record);
+    let fleet = Arc::new(Fleet::plan(5, 6, record));
+    fleet.bound(TIME_LIMIT);
+    let outcome = play(&fleet, record, trouble);
+    fleet.end_all();
+    outcome
+}
+
+fn play(fleet: &Arc<Fleet>, record: &Record, trouble: bool) -> i32 {
     fleet.start_all();
     if !fleet.declare(&fleet::document(7), Duration::from_secs(20)) || !fleet.wait_ready(Duration::from_secs(20)) {
         record.say("the deployment did not start");
@@ -28,7 +38,6 @@
     // The runs that replicas began, by attempt: the replica and the status that it gave.
     let runs: Arc<Mutex<HashMap<String, Vec<(String, u16)>>>> = Arc::default();
     let draw = Arc::new(Mutex::new(Draw::new(11)));
-    let fleet = Arc::new(fleet);
     let mut replicas = Vec::new();
     for number in 1..=REPLICAS {
         let (runs, draw, record) = (Arc::clone(&runs), Arc::clone(&draw), record.clone());
@@ -44,10 +53,10 @@
             fleet::answer(arrived, stream, line, "", "a bench")
         };
         let id = format!("i-mainc-{number}");
-        replicas.push(Replica::start(&fleet, 50 + number, &id, "mainc", Arc::new(work)));
+        replicas.push(Replica::start(fleet, 50 + number, &id, "mainc", Arc::new(work)));
     }
     for replica in &replicas {
-        let (replica, fleet) = (Arc::clone(replica), Arc::clone(&fleet));
+        let (replica, fleet) = (Arc::clone(replica), Arc::clone(fleet));
         thread::spawn(move || {
             while replica.is_beating() {
                 replica.beat(&fleet, "ready");
@@ -88,7 +97,10 @@
             if !matches!(answer.status, 408 | 421 | 429 | 503) {
                 break;
             }
-            fleet::pause(20);
+            // Clients honour `Retry-After`, up to one third of the time that they have.
+            let stated = answer.headers.get("retry-after").and_then(|text| text.parse::<f64>().ok());
+            let wait = stated.map_or(20.0, |seconds| (seconds * 1_000.0).clamp(20.0, 500.0));
+            fleet::pause(wait as u64);
         }
         placed_twice += usize::from(ran > 1);
     }
