Answer a server's unconfirmed refusal with 502

Cause: a complete answer of a server was returned whatever its status says; only refusals of the instance's own were checked against the verdict. Ruled out: a second send by the instance, a second copy of an earlier refusal, a wrong verdict.

Such an answer now counts as a failure of the attempt: calls that may repeat go to another server, otherwise the caller gets 502 without the server's signature. The own interface states its verdict in x-verdict and needs no change.

--- a/galenahold_instance/src/gateway/entry/attempt_end.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_end.rs
@@ -3,6 +3,7 @@
 use http::response;
 
 use crate::backend;
+use crate::gateway::entry::call_answer;
 
 /// The outcome of an attempt at a backend server.
 #[derive(Debug)]
@@ -31,8 +32,14 @@
 }
 
 impl CompleteAnswer {
-    /// Returns whether the server reports that it failed.
+    /// Returns whether the server reports that it failed, or refuses a request that may have run.
     pub(super) fn is_failure(&self) -> bool {
-        self.head.status.is_server_error()
+        self.head.status.is_server_error() || self.claims_not_run()
+    }
+
+    /// Returns whether callers take the status as a guarantee that the request did not run, which
+    /// this server did not give: its refusals end as [`AttemptEnd::NotRun`].
+    pub(super) fn claims_not_run(&self) -> bool {
+        call_answer::guarantees_not_run(self.head.status)
     }
 }
--- a/galenahold_instance/src/gateway/entry/call_answer.rs
+++ b/galenahold_instance/src/gateway/entry/call_answer.rs
@@ -8,10 +8,21 @@
 
 use crate::api;
 
+/// Returns whether callers take the status as a guarantee that the request has not run and never
+/// will.
+pub(super) fn guarantees_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Converts a refusal to an HTTP response.
 ///
-/// The statuses 429, 503, 408 and 421 guarantee that the request has not run and never will; any
-/// other failure that may have run is 502 or 504.
+/// A failure of a request that may have run is 502 or 504, which guarantee nothing.
 pub(super) fn refusal_answer(refusal: &api::RequestRefusal) -> Response<api::AnswerBody> {
     let mut answer = api::json_answer(status_of(refusal), refusal.document());
     if let Some(wait) = refusal.retry_after {
--- a/galenahold_instance/src/gateway/entry/call_handler.rs
+++ b/galenahold_instance/src/gateway/entry/call_handler.rs
@@ -33,6 +33,9 @@
 /// Retry delay for a request refused because this instance cannot confirm its configuration.
 const STALE_RETRY_DELAY: time::Duration = time::Duration::from_millis(800);
 
+/// The message for a request that its server refused without a confirmation that it did not run.
+const UNCONFIRMED_REFUSAL: &str = "unconfirmed_refusal";
+
 /// The message for a request that has no answer at the end of a planned stop.
 const STOPPED: &str = "the instance stopped before the request was answered";
 
@@ -260,12 +263,11 @@
                 }
                 entry::AttemptEnd::Complete(answer) => {
                     plan.record_possible_run();
-                    if !answer.is_failure() || !plan.may_repeat() {
-                        return Ok(self.complete_answer(answer));
-                    }
-                    permit = self.parts.spend_retry(&call.service);
+                    permit = (answer.is_failure() && plan.may_repeat())
+                        .then(|| self.parts.spend_retry(&call.service))
+                        .flatten();
                     if permit.is_none() {
-                        return Ok(self.complete_answer(answer));
+                        return self.complete_answer(answer, log);
                     }
                     log.notes.push("failed_at_server");
                 }
@@ -390,11 +392,24 @@
         }
     }
 
-    fn complete_answer(&self, answer: entry::CompleteAnswer) -> Response<api::AnswerBody> {
+    /// Returns a server's answer as it is.
+    ///
+    /// # Errors
+    ///
+    /// The status would guarantee the caller that the request did not run, although it may have.
+    fn complete_answer(
+        &self,
+        answer: entry::CompleteAnswer,
+        log: &mut entry::CallLog,
+    ) -> Result<Response<api::AnswerBody>, api::RequestRefusal> {
+        if answer.claims_not_run() {
+            log.notes.push(UNCONFIRMED_REFUSAL);
+            return Err(call_answer::lost_answer_refusal(UNCONFIRMED_REFUSAL));
+        }
         let mut response = Response::new(api::AnswerBody::whole(answer.body));
         *response.status_mut() = answer.head.status;
         *response.headers_mut() = self.parts.dialect.answer_headers(&answer.head.headers);
-        response
+        Ok(response)
     }
 }
 
