Treat an answer with a status outside 200 to 599 as a failure

Operators of other systems saw a status of 000 reach the caller. Here 000 does not (the HTTP library cannot read the head), but 101 does, with the server's signature, and by the code 600 to 999 as well.

Cause: the client for backend servers took each status that the library could read for that of an answer. Now only a final status of the protocol is one; any other ends the attempt as one that may have run, at both interfaces.

The test path/odd_statuses failed before: the caller got 101 Switching Protocols. It passes now.

--- a/galenahold_instance/src/backend/attempt_error.rs
+++ b/galenahold_instance/src/backend/attempt_error.rs
@@ -33,6 +33,9 @@
     /// The answer did not arrive before the deadline.
     #[snafu(display("the answer did not arrive in time"))]
     Timeout,
+    /// The answer's status is not that of a final answer.
+    #[snafu(display("the answer's status is not that of a final answer"))]
+    InvalidStatus,
     /// The answer carries the id of another request.
     #[snafu(display("the answer carries the id of another request"))]
     WrongRequestId,
--- a/galenahold_instance/src/backend/backend_client.rs
+++ b/galenahold_instance/src/backend/backend_client.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt;
@@ -126,6 +126,11 @@
                 ));
             }
         };
+        if !is_final(answer.status()) {
+            return Err(backend::AttemptError::may_have_run(
+                backend::AttemptErrorKind::InvalidStatus,
+            ));
+        }
         let (head, body) = answer.into_parts();
         Ok(backend::BackendExchange {
             head,
@@ -178,6 +183,11 @@
     }
 }
 
+/// Returns whether a status is that of a final answer (RFC 9110, section 15).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sets socket options that send small requests immediately and detect an unresponsive peer.
 fn configure_socket(stream: &net::TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/galenahold_instance/src/gateway/entry/attempt_sender.rs
+++ b/galenahold_instance/src/gateway/entry/attempt_sender.rs
@@ -227,6 +227,9 @@
     let (report, note) = match error.kind {
         backend::AttemptErrorKind::Timeout => (fleet::AttemptReport::Slow, "no_answer_in_time"),
         backend::AttemptErrorKind::Unsent => (fleet::AttemptReport::Abandoned, "stale_connection"),
+        backend::AttemptErrorKind::InvalidStatus => {
+            (fleet::AttemptReport::Broken, "invalid_status")
+        }
         _ => (fleet::AttemptReport::Broken, "connection_broken"),
     };
     if error.verdict == RequestVerdict::NotRun {
