Log declarations that a member leaves to the leader

A declaration that is acknowledged late could have reached no member, have been redirected, or have lost its acknowledgement; the log told only the last.

--- a/galenahold_instance/src/gateway/control/control_api.rs
+++ b/galenahold_instance/src/gateway/control/control_api.rs
@@ -85,10 +85,12 @@
                 return error_answer(StatusCode::BAD_REQUEST, &reason);
             }
         };
+        let number = declaration.number;
         if !self.parts.member.is_leader() {
+            let leader = self.parts.member.leader();
+            info!(number = number, leader = leader.as_deref().unwrap_or("-"); "declaration is left to the leader");
             return self.redirect_to_leader(path);
         }
-        let number = declaration.number;
         match self.commit(number, &content).await {
             Ok(outcome) => {
                 info!(number = number, outcome:? = outcome; "declaration acknowledged");
