Test that disks that fill up in turn do not stop the group

The tests hold the property for the log itself: they pass on the present code, all disks in turn and each leader's, three times each.

--- a/galenahold_consensus/tests/driver/full_disk.rs
+++ b/galenahold_consensus/tests/driver/full_disk.rs
@@ -10,6 +10,11 @@
 
 const NAMES: [&str; 3] = ["a", "b", "c"];
 
+const FIVE_NAMES: [&str; 5] = ["a", "b", "c", "d", "e"];
+
+/// How often the disk of each of the five members fills up.
+const ROUNDS: usize = 3;
+
 #[test]
 fn leader_whose_disk_fills_resumes_as_follower_without_losing_or_repeating_commands() {
     let group = local_group::LocalGroup::bootstrap(&NAMES);
@@ -207,6 +212,54 @@
     assert_eq!(group.await_lines("d", 1), ["one"]);
 }
 
+/// Guards against members that cannot catch up or vote any more after their disks were full in turn.
+#[test]
+fn group_goes_on_while_the_disks_of_all_members_fill_up_in_turn() {
+    let group = local_group::LocalGroup::bootstrap(&FIVE_NAMES);
+    group.commit("first");
+    for round in 0..ROUNDS {
+        for name in FIVE_NAMES {
+            commit_on_full_disk(&group, name, round);
+        }
+    }
+    assert_all_resume(&group);
+}
+
+/// Guards against a group that has no leader any more after each leader's disk was full.
+#[test]
+fn group_goes_on_while_the_disk_of_each_leader_fills_up() {
+    let group = local_group::LocalGroup::bootstrap(&FIVE_NAMES);
+    group.commit("first");
+    for round in 0..ROUNDS * FIVE_NAMES.len() {
+        let (leader, _) = group.leader();
+        commit_on_full_disk(&group, &leader, round);
+    }
+    assert_all_resume(&group);
+}
+
+/// Commits more than a snapshot's worth of commands in two rounds while a disk is full.
+fn commit_on_full_disk(group: &local_group::LocalGroup, name: &str, round: usize) {
+    let disk = group.disk(name);
+    disk.fill_disk();
+    for number in 0..12 {
+        group.commit(&format!(
+            "command {number} with the disk of {name} full for the {round}. time"
+        ));
+    }
+    disk.free_disk();
+}
+
+/// Expects that all members take part again and that the group commits.
+fn assert_all_resume(group: &local_group::LocalGroup) {
+    group.commit("after the last disk has room");
+    for name in FIVE_NAMES {
+        await_resumed(&group.handle(name));
+        assert_eq!(group.handle(name).status().failure, None);
+    }
+    group.commit("last");
+    assert_agreement_of(group, &FIVE_NAMES);
+}
+
 /// Refuses a kind of write at a follower until that suspends it, and expects that it catches up.
 fn assert_follower_resumes(refused: fault_backend::RefusedWrite, action: &str, commands: u32) {
     let group = local_group::LocalGroup::bootstrap(&NAMES);
@@ -241,12 +294,16 @@
 
 /// Expects that all members have applied the same commands, each as often as the leader.
 fn assert_agreement(group: &local_group::LocalGroup) {
+    assert_agreement_of(group, &NAMES);
+}
+
+fn assert_agreement_of(group: &local_group::LocalGroup, names: &[&str]) {
     let expected = polling::until("the leader answers a read", || {
         let (_, leader) = group.leader();
         let lines = leader.read(local_group::TIMEOUT, |machine| machine.lines.clone());
         lines.ok()
     });
-    for name in NAMES {
+    for name in names {
         group.await_same_lines(name, &expected);
     }
 }
