Bind a leader's echoes to its term

A leader that was cut off and leads again took answers to heartbeats of its earlier term for answers to its present ones: they carry the present term, and their round is higher. It had no lease until its rounds passed that number, counted the answers as contact, and never stepped down.

The stamp now names the term, and an answer with a stamp of another term changes nothing but the term. A leader without a new echo from a quorum for two election timeouts steps down, whatever else it hears.

model/scenarios (2 tests) and two tests of all short sequences, which now know cuts with messages that arrive late and twice and ask for a lease, failed before.

--- a/galenahold_consensus/src/core/leader_state.rs
+++ b/galenahold_consensus/src/core/leader_state.rs
@@ -10,6 +10,8 @@
 /// State that a member holds only while it is the leader.
 #[derive(Debug, Clone)]
 pub(super) struct LeaderState {
+    pub(super) term: log::Term,
+    pub(super) began_at: core::MonotonicTime,
     /// Voters whose data folders were known to be lost when the leader's campaign began.
     pub(super) lost: collections::BTreeSet<member::MemberId>,
     pub(super) progress: collections::BTreeMap<member::MemberId, core::MemberProgress>,
@@ -31,11 +33,22 @@
     /// Returns the stamp for messages of the current heartbeat round.
     pub(super) fn probe_stamp(&self, now: core::MonotonicTime) -> message::ProbeStamp {
         message::ProbeStamp {
+            term: self.term,
             sequence: self.sequence,
             sent_at: now,
         }
     }
 
+    /// Returns whether a stamp is of this term. A member can answer a message of an earlier term in
+    /// the current one.
+    ///
+    /// Echoes without a term are told by the time: all stamps of this process that are older than
+    /// its leadership are of earlier terms.
+    pub(super) fn is_current(&self, probe: message::ProbeStamp) -> bool {
+        let is_term = probe.term == self.term || probe.term == log::Term::ZERO;
+        is_term && probe.sent_at >= self.began_at && probe.sequence <= self.sequence
+    }
+
     /// Returns the highest value that a quorum of the voters has reached, counting the leader's
     /// own.
     pub(super) fn quorum_value<V: Copy + Ord>(
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -10,6 +10,10 @@
 use crate::message;
 
 impl core::RaftNode {
+    /// Election timeouts after which a leader without a new echo from a quorum steps down. Its lease
+    /// ends within the first; the second allows for answers that are late but still arrive.
+    const ECHO_TIMEOUTS: u32 = 2;
+
     /// Appends a command to the log, if this member is the leader.
     ///
     /// # Errors
@@ -172,6 +176,8 @@
     ) {
         let term_start_index = self.log.last().index.next();
         self.role = core::RoleState::Leader(Box::new(core::LeaderState {
+            term: self.hard_state.term,
+            began_at: now,
             lost,
             progress: collections::BTreeMap::new(),
             term_start_index,
@@ -188,7 +194,9 @@
     }
 
     pub(super) fn tick_leader(&mut self, now: core::MonotonicTime) {
-        let lost_quorum = self.time_since_quorum_contact(now) >= self.settings.election_timeout;
+        let timeout = self.settings.election_timeout;
+        let lost_quorum = self.time_since_quorum_contact(now) >= timeout
+            || self.time_since_quorum_echo(now) >= timeout * Self::ECHO_TIMEOUTS;
         if lost_quorum || self.expire_transfer(now) {
             self.step_down(now);
             return;
@@ -207,7 +215,7 @@
     }
 
     /// Records the contact with the sender of a response; returns false if the response must be
-    /// dropped.
+    /// dropped, as all responses to messages of other terms are.
     ///
     /// A response of a newer term makes this member a follower.
     pub(super) fn accept_response(
@@ -226,6 +234,9 @@
         let Some(state) = self.leader_state_mut() else {
             return false;
         };
+        if !state.is_current(probe) {
+            return false;
+        }
         let Some(progress) = state.progress.get_mut(&sender.id) else {
             return false;
         };
@@ -395,6 +406,18 @@
         last_contact.map_or(time::Duration::ZERO, |last_contact| now.since(last_contact))
     }
 
+    /// Returns how long ago the latest message was sent that a quorum of the voters has answered,
+    /// at most the time since the start of the term.
+    fn time_since_quorum_echo(&self, now: core::MonotonicTime) -> time::Duration {
+        let Some(began_at) = self.leader_state().map(|state| state.began_at) else {
+            return time::Duration::ZERO;
+        };
+        let sent_at = self.quorum_value(now, |progress| {
+            Some(progress.last_echo.map_or(began_at, |probe| probe.sent_at))
+        });
+        sent_at.map_or(time::Duration::ZERO, |sent_at| now.since(sent_at))
+    }
+
     /// Ends a leadership transfer that has reached its deadline; returns whether the leader must
     /// step down.
     ///
--- a/galenahold_consensus/tests/message/versions.rs
+++ b/galenahold_consensus/tests/message/versions.rs
@@ -36,6 +36,7 @@
 #[test]
 fn unknown_fields_of_a_later_version_are_ignored() {
     let probe = message::ProbeStamp {
+        term: log::Term::new(3),
         sequence: 3,
         sent_at: core::MonotonicTime::from_nanos(5),
     };
--- a/galenahold_consensus/tests/model/core_event.rs
+++ b/galenahold_consensus/tests/model/core_event.rs
@@ -19,6 +19,9 @@
     Kill { machine: usize },
     /// A machine does not run for a while.
     Freeze { machine: usize },
+    /// A machine is cut off from all others for a while. What is sent to or from it meanwhile arrives
+    /// twice, long after the cut has healed.
+    CutOff { machine: usize },
     /// A command is proposed and acknowledged, if there is a leader that can commit it.
     Acknowledge,
 }
--- a/galenahold_consensus/tests/model/core_group.rs
+++ b/galenahold_consensus/tests/model/core_group.rs
@@ -20,6 +20,10 @@
 const LEAVE_MILLIS: u64 = 2_000;
 const DOWN_MILLIS: u64 = 200;
 const FREEZE_MILLIS: u64 = 1_200;
+/// How long a machine is cut off.
+pub(crate) const CUT_MILLIS: u64 = 1_200;
+/// How long after the end of a cut the messages arrive that were sent during it.
+const HELD_MILLIS: [u64; 2] = [800, 1_400];
 const RECOVERY_MILLIS: u64 = 4_000;
 
 /// A message on its way between two machines.
@@ -50,6 +54,7 @@
     End,
     Start,
     Thaw,
+    Heal,
 }
 
 /// The machines, the messages between them, and what was acknowledged.
@@ -59,6 +64,10 @@
     now_millis: u64,
     machines: Vec<core_machine::CoreMachine>,
     in_flight: Vec<CoreMessage>,
+    /// Messages that a cut holds up, with the time of their arrival.
+    held: Vec<(u64, CoreMessage)>,
+    /// Machines that are cut off, with the end of the cut.
+    cut: collections::BTreeMap<usize, u64>,
     appointments: Vec<Appointment>,
     frozen: collections::BTreeSet<usize>,
     /// Machines that never return.
@@ -92,6 +101,8 @@
             now_millis: 0,
             machines,
             in_flight: Vec::new(),
+            held: Vec::new(),
+            cut: collections::BTreeMap::new(),
             appointments: Vec::new(),
             frozen: collections::BTreeSet::new(),
             gone: collections::BTreeSet::new(),
@@ -115,13 +126,17 @@
     pub(crate) fn leader(&self) -> Option<usize> {
         (0..self.machines.len())
             .rev()
-            .find(|number| self.machines[*number].is_leader() && !self.frozen.contains(number))
+            .find(|number| self.machines[*number].is_leader() && self.is_reachable(*number))
     }
 
     /// Returns whether the machine runs and nothing was planned for it.
     pub(crate) fn is_sound(&self, machine: usize) -> bool {
         let state = &self.machines[machine];
-        state.runs && !state.leaving && !self.frozen.contains(&machine)
+        state.runs && !state.leaving && self.is_reachable(machine)
+    }
+
+    fn is_reachable(&self, machine: usize) -> bool {
+        !self.frozen.contains(&machine) && !self.cut.contains_key(&machine)
     }
 
     /// Returns the number of machines that count as lost.
@@ -189,12 +204,16 @@
                 self.frozen.insert(machine);
                 self.appoint(machine, FREEZE_MILLIS, AppointmentKind::Thaw);
             }
+            CoreEvent::CutOff { machine } => {
+                self.cut.insert(machine, self.now_millis + CUT_MILLIS);
+                self.appoint(machine, CUT_MILLIS, AppointmentKind::Heal);
+            }
             CoreEvent::Acknowledge => self.acknowledge(),
         }
     }
 
     /// Waits until all machines that return have done so; returns whether the group then has a
-    /// leader that holds all that was acknowledged and commits a command.
+    /// leader that holds all that was acknowledged, has a lease and commits a command.
     pub(crate) fn recovers(&mut self) -> bool {
         self.run(RECOVERY_MILLIS);
         let before = self.highest_committed();
@@ -202,7 +221,11 @@
         let Some(leader) = self.leader() else {
             return false;
         };
+        let now = self.now();
+        let node = self.machines[leader].node.as_ref();
+        let lease_until = node.and_then(|node| node.lease_until(now));
         self.highest_committed() > before
+            && lease_until.is_some_and(|until| until > now)
             && self.committed.iter().all(|(_, entry)| {
                 let node = self.machines[leader].node.as_ref();
                 node.is_some_and(|node| node.log().matches(entry.position))
@@ -306,6 +329,10 @@
                     self.frozen.remove(&held.machine);
                     self.lost_until[held.machine] = now_millis + CATCH_UP_MILLIS;
                 }
+                AppointmentKind::Heal => {
+                    self.cut.remove(&held.machine);
+                    self.lost_until[held.machine] = now_millis + CATCH_UP_MILLIS;
+                }
             }
         }
     }
@@ -319,8 +346,9 @@
         while self.now_millis < end {
             self.now_millis += TICK_MILLIS;
             self.keep_appointments();
-            for message in std::mem::take(&mut self.in_flight) {
-                self.deliver(message);
+            let late = self.take_late();
+            for message in late.into_iter().chain(std::mem::take(&mut self.in_flight)) {
+                self.deliver_or_hold(message);
             }
             for number in 0..self.machines.len() {
                 if self.machines[number].runs && !self.frozen.contains(&number) {
@@ -375,6 +403,41 @@
         }
     }
 
+    /// Removes and returns the held messages that arrive now.
+    fn take_late(&mut self) -> Vec<CoreMessage> {
+        let now_millis = self.now_millis;
+        let (late, held) = std::mem::take(&mut self.held)
+            .into_iter()
+            .partition(|(at_millis, _)| *at_millis <= now_millis);
+        self.held = held;
+        let late: Vec<(u64, CoreMessage)> = late;
+        late.into_iter().map(|(_, message)| message).collect()
+    }
+
+    fn deliver_or_hold(&mut self, message: CoreMessage) {
+        let ends = self.ends_of(&message);
+        let healed_at = ends.iter().flatten().filter_map(|end| self.cut.get(end));
+        match healed_at.max().copied() {
+            Some(healed_at) => {
+                let copies = HELD_MILLIS.map(|millis| (healed_at + millis, message.clone()));
+                self.held.extend(copies);
+            }
+            None => self.deliver(message),
+        }
+    }
+
+    /// Returns the sender, if it is known, and the receiver.
+    fn ends_of(&self, message: &CoreMessage) -> [Option<usize>; 2] {
+        match message {
+            CoreMessage::Raft(outgoing) => [
+                self.number_of(&outgoing.message.from_endpoint),
+                self.number_of(&outgoing.to),
+            ],
+            CoreMessage::Greeting { to, joiner } => [self.number_of(&joiner.endpoint), Some(*to)],
+            CoreMessage::Welcome { to, .. } => [None, Some(*to)],
+        }
+    }
+
     fn deliver(&mut self, message: CoreMessage) {
         let now = self.now();
         match message {
--- a/galenahold_consensus/tests/model/replacements.rs
+++ b/galenahold_consensus/tests/model/replacements.rs
@@ -73,6 +73,7 @@
                     CoreEvent::Restart { machine },
                     CoreEvent::Kill { machine },
                     CoreEvent::Freeze { machine },
+                    CoreEvent::CutOff { machine },
                 ];
                 let followed = events
                     .iter()
@@ -129,6 +130,22 @@
     assert!(checked > 100);
 }
 
+/// A leader that was cut off after a long term and leads again got answers to messages of the earlier term, and stayed
+/// without a lease for as long as it had led before.
+#[test]
+fn machines_that_do_not_count_as_lost_elect_a_leader_after_the_leader_was_cut_off() {
+    let mut run = CoreRun::new(2);
+    run.apply(CoreEvent::Wait { millis: 8_000 });
+    let machine = run.group.leader().expect("the group has a leader");
+    run.apply(CoreEvent::CutOff { machine });
+    run.apply(CoreEvent::Wait {
+        millis: core_group::CUT_MILLIS + 100,
+    });
+    let checked = run.check_all(depth() - 1);
+    println!("{checked} sequences");
+    assert!(checked > 30);
+}
+
 /// The same in the group of five machines, in which two may be lost.
 #[test]
 fn machines_that_do_not_count_as_lost_elect_a_leader_in_a_group_of_five() {
--- a/galenahold_consensus/tests/model/scenarios.rs
+++ b/galenahold_consensus/tests/model/scenarios.rs
@@ -81,6 +81,65 @@
     }
 }
 
+/// The network holds up heartbeats of a leader that loses its leadership and is elected again. The members answer them in
+/// the new term, in which the leader must not take the answers for answers to its present heartbeats: their round is
+/// higher than those of the new term, so that the leader would stay without a lease for as long as it had led before.
+#[test]
+fn leader_that_leads_again_ignores_answers_to_its_earlier_term() {
+    let mut group = model_group::ModelGroup::new();
+    step_until(&mut group, |group| leader(group, None).is_some());
+    group.step(&ModelStep::Run { rounds: 200 });
+    let old = leader(&group, None).expect("leader");
+    group.take_in_flight();
+    group.step(&ModelStep::Advance { millis: 60 });
+    let late = group.take_in_flight();
+    assert!(late.len() >= 2, "heartbeats to both followers");
+
+    group.step(&ModelStep::Isolate { member: old });
+    step_until(&mut group, |group| leader(group, Some(old)).is_some());
+    group.step(&ModelStep::Heal);
+    group.step(&ModelStep::Run { rounds: 40 });
+    group.step(&ModelStep::Transfer {
+        member: 0,
+        target: old,
+    });
+    step_until(&mut group, |group| leader(group, None) == Some(old));
+    group.step(&ModelStep::Run { rounds: 10 });
+    for heartbeat in late {
+        group.deliver(heartbeat);
+    }
+    group.step(&ModelStep::Run { rounds: 40 });
+    let member = &group.members[old];
+    let node = member.node.as_ref().expect("live member");
+    let now = member.clock(group.real_nanos);
+    let lease_until = node.lease_until(now).expect("the member leads");
+    assert!(lease_until > now, "the leader renews its lease");
+}
+
+/// A leader whose messages no longer arrive hears copies of earlier answers. It must step down although it is in
+/// contact with a quorum, as no other member could lead otherwise.
+#[test]
+fn leader_that_hears_only_earlier_answers_steps_down() {
+    let mut group = model_group::ModelGroup::new();
+    step_until(&mut group, |group| leader(group, None).is_some());
+    group.step(&ModelStep::Run { rounds: 20 });
+    let old = leader(&group, None).expect("leader");
+    group.take_in_flight();
+    group.step(&ModelStep::Advance { millis: 60 });
+    group.step(&ModelStep::DeliverAll { rounds: 1 });
+    let answers = group.take_in_flight();
+    assert!(answers.len() >= 2, "both followers answer the heartbeat");
+    let bound = 3 * member_state::ELECTION_TIMEOUT.as_millis() / 10;
+    for _ in 0..bound {
+        group.step(&ModelStep::Advance { millis: 10 });
+        group.take_in_flight();
+        for answer in &answers {
+            group.deliver(answer.clone());
+        }
+    }
+    assert_ne!(leader(&group, None), Some(old));
+}
+
 /// A voter restarts after granting its vote and receives the vote request of another candidate of the
 /// same term. If the vote were not durable, the voter would vote twice and elect two leaders.
 #[test]
