Let a learner take the place of a silent voter

Each leader measures the silence of the others anew and removes a voter after 6 s of it, while a successor became a voter at once: dead voters added up as leaders changed, until no quorum was left.

A learner now takes the place of a voter that is silent for 2 s in one joint change, and a complete group adds no voter beside one that is silent for half a second or has not answered the present leader.

--- a/galenahold_consensus/src/driver/member_report.rs
+++ b/galenahold_consensus/src/driver/member_report.rs
@@ -16,6 +16,8 @@
     pub lag_entries: Option<u64>,
     /// Time since the last message from the member; `None` if this member does not lead.
     pub silence: Option<time::Duration>,
+    /// Whether the member has answered this leader; false if this member does not lead.
+    pub heard: bool,
     /// Whether the member has announced that it stops and has not returned since; false if this member
     /// does not lead.
     pub leaving: bool,
--- a/galenahold_consensus/src/driver/membership_planner.rs
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -5,26 +5,34 @@
 use crate::driver;
 use crate::member;
 
+/// A voter that is silent for this part of the time after which it can be replaced may be lost.
+const DOUBT_DIVISOR: u32 = 4;
+
 /// Plans membership changes that add joiners and remove failed members, one change at a time.
 ///
 /// A member that lost its data folder and returns under its old name is removed under its old
 /// identity before it is added again, so that it never votes twice. A silent voter is removed only
-/// if enough other voters remain, since a partitioned machine may come back.
+/// if enough other voters remain, since a partitioned machine may come back. A learner takes the
+/// place of a silent voter instead of being added beside it: otherwise voters that ended for good
+/// add up as leaders change, each of which measures the silence anew.
 #[derive(Debug, Clone)]
 pub struct MembershipPlanner {
     target_voters: usize,
     silence: time::Duration,
+    succession: time::Duration,
 }
 
 impl MembershipPlanner {
     /// Creates a planner for a group of at least `target_voters` voters.
     ///
-    /// A member counts as failed after the leader has received nothing from it for `silence`.
+    /// A member counts as failed after the leader has received nothing from it for `silence`, and a
+    /// voter can be replaced by a learner after `succession`.
     #[must_use]
-    pub fn new(target_voters: usize, silence: time::Duration) -> Self {
+    pub fn new(target_voters: usize, silence: time::Duration, succession: time::Duration) -> Self {
         Self {
             target_voters,
             silence,
+            succession,
         }
     }
 
@@ -107,9 +115,25 @@
         Some(member::MembershipChange::Remove(report.member.profile.id))
     }
 
+    /// Plans the promotion of a learner, in the place of a silent voter if there is one.
+    ///
+    /// While it is not clear whether a voter of a complete group returns, none is added.
     fn caught_up_learner(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
-        let report = self.promotable_learner(status)?;
-        Some(member::MembershipChange::Promote(report.member.profile.id))
+        let promoted = self.promotable_learner(status)?.member.profile.id;
+        if voters(status).count() < self.target_voters {
+            return Some(member::MembershipChange::Promote(promoted));
+        }
+        let most_silent = voters_by_silence(status).next()?;
+        let silence = most_silent.silence.unwrap_or_default();
+        if silence >= self.succession {
+            let removed = most_silent.member.profile.id;
+            return Some(member::MembershipChange::Replace { removed, promoted });
+        }
+        let own_id = status.profile.id;
+        let is_unheard =
+            voters(status).any(|report| !report.heard && report.member.profile.id != own_id);
+        let is_doubtful = is_unheard || silence >= self.succession / DOUBT_DIVISOR;
+        (!is_doubtful).then_some(member::MembershipChange::Promote(promoted))
     }
 
     /// Returns a learner that has caught up, unless it is a demoted voter.
--- a/galenahold_consensus/src/driver/status_report.rs
+++ b/galenahold_consensus/src/driver/status_report.rs
@@ -60,6 +60,7 @@
         matched,
         lag_entries: matched.map(lag),
         silence: progress.map(|progress| now.since(progress.last_contact)),
+        heard: progress.is_some_and(|progress| progress.last_echo.is_some()),
         leaving: progress.is_some_and(|progress| {
             let announced_at = progress.leaving_since;
             announced_at.is_some_and(|at| progress.last_contact.since(at) < RETURN_TIME)
--- a/galenahold_consensus/src/driver/storage_suspension.rs
+++ b/galenahold_consensus/src/driver/storage_suspension.rs
@@ -45,6 +45,7 @@
             report.matched = None;
             report.lag_entries = None;
             report.silence = None;
+            report.heard = false;
             report.leaving = false;
         }
         Self {
--- a/galenahold_consensus/tests/membership/main.rs
+++ b/galenahold_consensus/tests/membership/main.rs
@@ -5,6 +5,7 @@
 use galenahold_consensus::{core, driver, log, member};
 
 const SILENCE: time::Duration = time::Duration::from_secs(5);
+const SUCCESSION: time::Duration = time::Duration::from_secs(2);
 
 fn profile(id: u128, name: &str) -> member::MemberProfile {
     member::MemberProfile {
@@ -26,6 +27,7 @@
         matched: Some(log::LogIndex::new(10)),
         lag_entries: Some(0),
         silence: Some(silence),
+        heard: true,
         leaving: false,
     }
 }
@@ -57,7 +59,7 @@
 }
 
 fn next(status: &driver::LogStatus) -> Option<member::MembershipChange> {
-    driver::MembershipPlanner::new(5, SILENCE).next_change(status)
+    driver::MembershipPlanner::new(5, SILENCE, SUCCESSION).next_change(status)
 }
 
 fn remove(id: u128) -> member::MembershipChange {
@@ -168,3 +170,35 @@
     status.members.push(newer);
     assert_eq!(next(&status), Some(promote(11)));
 }
+
+/// Guards against voters that ended for good and add up beside their successors while leaders change.
+#[test]
+fn learner_takes_the_place_of_a_silent_voter() {
+    let mut status = status(5);
+    let learner = report(9, member::VotingStatus::Learner, time::Duration::ZERO);
+    status.members.push(learner);
+    assert_eq!(next(&status), Some(promote(9)));
+    status.members[2].silence = Some(SUCCESSION / 2);
+    assert_eq!(next(&status), None, "member 3 may be lost");
+    status.members[2].silence = Some(time::Duration::ZERO);
+    status.members[2].heard = false;
+    assert_eq!(next(&status), None, "a new leader has not heard member 3");
+    status.members[2].silence = Some(SUCCESSION);
+    assert_eq!(
+        next(&status),
+        Some(member::MembershipChange::Replace {
+            removed: member::MemberId::new(3),
+            promoted: member::MemberId::new(9),
+        })
+    );
+}
+
+/// Guards against a group that lacks voters and waits for a silent one.
+#[test]
+fn learner_is_added_to_an_incomplete_group_beside_a_silent_voter() {
+    let mut status = status(4);
+    status.members[2].silence = Some(SUCCESSION / 2);
+    let learner = report(9, member::VotingStatus::Learner, time::Duration::ZERO);
+    status.members.push(learner);
+    assert_eq!(next(&status), Some(promote(9)));
+}
--- a/galenahold_consensus/tests/model/core_group.rs
+++ b/galenahold_consensus/tests/model/core_group.rs
@@ -17,6 +17,8 @@
 pub(crate) const CATCH_UP_MILLIS: u64 = 1_000;
 /// Longer than the time to catch up, as in the product.
 const SILENCE: time::Duration = time::Duration::from_millis(1_500);
+/// Shorter than the time to catch up, as in the product.
+const SUCCESSION: time::Duration = time::Duration::from_millis(500);
 const LEAVE_MILLIS: u64 = 2_000;
 const DOWN_MILLIS: u64 = 200;
 const FREEZE_MILLIS: u64 = 1_200;
@@ -153,7 +155,8 @@
         let first = 2 * self.tolerated + 1;
         let successors = all.skip(first);
         let ready = successors
-            .filter(|machine| !self.gone.contains(machine) && !counts(machine))
+            // A successor that is removed later needs one of its own.
+            .filter(|machine| self.gone.contains(machine) || !counts(machine))
             .count();
         down + self.gone.len().saturating_sub(ready)
     }
@@ -387,7 +390,7 @@
         if !self.machines[number].is_leader() {
             return;
         }
-        let planner = driver::MembershipPlanner::new(2 * self.tolerated + 1, SILENCE);
+        let planner = driver::MembershipPlanner::new(2 * self.tolerated + 1, SILENCE, SUCCESSION);
         let status = self.machines[number].status(now);
         let change = status.and_then(|status| planner.next_change(&status));
         if let (Some(change), Some(node)) = (change, self.machines[number].node.as_mut()) {
--- a/galenahold_consensus/tests/model/replacements.rs
+++ b/galenahold_consensus/tests/model/replacements.rs
@@ -40,6 +40,22 @@
         self.group.apply(event);
     }
 
+    /// Ends machines without notice, starts as many successors shortly after, and waits.
+    fn replace(&mut self, machines: &[usize], pause_millis: u64) {
+        for machine in machines {
+            self.apply(CoreEvent::Vanish { machine: *machine });
+        }
+        self.apply(CoreEvent::Wait { millis: 200 });
+        for _ in machines {
+            self.apply(CoreEvent::StartSuccessor);
+        }
+        self.apply(CoreEvent::Wait {
+            millis: pause_millis,
+        });
+        self.apply(CoreEvent::Acknowledge);
+        assert_eq!(self.group.lost(), 0, "the successors have caught up");
+    }
+
     /// Returns the run after the events, or `None` if more machines count as lost, or ended without
     /// notice at about the same time, than the group tolerates.
     fn after(&self, events: &[CoreEvent]) -> Option<Self> {
@@ -174,6 +190,59 @@
     }
 }
 
+/// Leaders end without notice, and their successors start and have the time to catch up. The machines that had ended
+/// stayed voters, since each new leader measured their silence anew, until no quorum was left.
+#[test]
+fn leaders_that_end_one_after_another_leave_a_quorum() {
+    for tolerated in [1, 2] {
+        for pause_millis in [1_500, 2_000, 2_600] {
+            let mut run = CoreRun::new(tolerated);
+            for _ in 0..8 {
+                let machine = run.group.leader().expect("the group has a leader");
+                run.replace(&[machine], pause_millis);
+            }
+            assert!(run.group.recovers(), "{}", run.group.describe());
+        }
+    }
+}
+
+/// Pairs of leaders end shortly after each other. The second successor was added beside the dead voters, as the new leader
+/// had not missed them yet.
+#[test]
+fn pairs_of_leaders_that_end_one_after_another_leave_a_quorum() {
+    for first_millis in [400, 700, 1_000] {
+        let mut run = CoreRun::new(2);
+        for _ in 0..6 {
+            let first = run.group.leader().expect("the group has a leader");
+            run.apply(CoreEvent::Vanish { machine: first });
+            run.apply(CoreEvent::Wait { millis: 200 });
+            run.apply(CoreEvent::StartSuccessor);
+            run.apply(CoreEvent::Wait {
+                millis: first_millis,
+            });
+            let second = run.group.leader().expect("the group has a leader");
+            run.replace(&[second], 1_150);
+        }
+        assert!(run.group.recovers(), "{}", run.group.describe());
+    }
+}
+
+/// Two of five machines, one of them the leader, end at once, and two more once their successors have caught up.
+#[test]
+fn two_machines_that_end_at_once_are_replaced_before_two_more_end() {
+    for pause_millis in [1_500, 2_000, 2_600] {
+        let mut run = CoreRun::new(2);
+        for _ in 0..4 {
+            let leader = run.group.leader().expect("the group has a leader");
+            let other = (0..run.group.machine_count())
+                .find(|machine| *machine != leader && run.group.is_sound(*machine));
+            let other = other.expect("more than one machine runs");
+            run.replace(&[leader, other], pause_millis);
+        }
+        assert!(run.group.recovers(), "{}", run.group.describe());
+    }
+}
+
 /// A machine is replaced, and two others lose their disks right after an acknowledgement.
 #[test]
 fn two_disks_are_lost_after_any_of_five_machines_was_replaced() {
--- a/galenahold_instance/src/gateway/control/membership_reconciler.rs
+++ b/galenahold_instance/src/gateway/control/membership_reconciler.rs
@@ -17,6 +17,10 @@
 /// How long a member may be silent before it counts as lost.
 const MEMBER_TIMEOUT: time::Duration = time::Duration::from_secs(6);
 
+/// How long a voter may be silent before a learner takes its place. A process that is restarted is
+/// back within a second, and a successor is to count within four.
+const SUCCESSION_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
 /// Maximum time for one membership change.
 const CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
@@ -48,7 +52,11 @@
     pub(crate) fn new(member: sync::Arc<group::ControlGroup>, tolerated_losses: usize) -> Self {
         Self {
             member,
-            planner: driver::MembershipPlanner::new(voter_target(tolerated_losses), MEMBER_TIMEOUT),
+            planner: driver::MembershipPlanner::new(
+                voter_target(tolerated_losses),
+                MEMBER_TIMEOUT,
+                SUCCESSION_TIMEOUT,
+            ),
         }
     }
 
