Test echoes of members of earlier versions

Members of earlier versions echo stamps without a term, which the leader tells apart by their sending time.

--- a/galenahold_consensus/src/core/leader_state.rs
+++ b/galenahold_consensus/src/core/leader_state.rs
@@ -11,6 +11,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct LeaderState {
     pub(super) term: log::Term,
+    /// When the member was elected.
     pub(super) began_at: core::MonotonicTime,
     /// Voters whose data folders were known to be lost when the leader's campaign began.
     pub(super) lost: collections::BTreeSet<member::MemberId>,
@@ -39,11 +40,11 @@
         }
     }
 
-    /// Returns whether a stamp is of this term. A member can answer a message of an earlier term in
-    /// the current one.
+    /// Returns whether a stamp was made in this term; a member can answer a message of an earlier
+    /// term in the current one.
     ///
-    /// Echoes without a term are told by the time: all stamps of this process that are older than
-    /// its leadership are of earlier terms.
+    /// Members of earlier versions echo no term. Their stamps of earlier terms were made before this
+    /// leadership began.
     pub(super) fn is_current(&self, probe: message::ProbeStamp) -> bool {
         let is_term = probe.term == self.term || probe.term == log::Term::ZERO;
         is_term && probe.sent_at >= self.began_at && probe.sequence <= self.sequence
--- a/galenahold_consensus/tests/message/versions.rs
+++ b/galenahold_consensus/tests/message/versions.rs
@@ -48,13 +48,46 @@
     assert_eq!(again.expect("a message just encoded is decodable"), decoded);
 }
 
+/// A stamp of an earlier version, which does not name the leader's term.
+#[derive(Debug, Serialize)]
+struct EarlierStamp {
+    sequence: u64,
+    sent_at: core::MonotonicTime,
+}
+
+#[derive(Debug, Serialize)]
+enum EarlierBody {
+    HeartbeatResponse { probe: EarlierStamp },
+}
+
+#[test]
+fn stamp_of_an_earlier_version_has_no_term() {
+    let sent_at = core::MonotonicTime::from_nanos(5);
+    let earlier = later_message(EarlierBody::HeartbeatResponse {
+        probe: EarlierStamp {
+            sequence: 3,
+            sent_at,
+        },
+    });
+    let decoded = message::ConsensusMessage::decode(&earlier).expect("the body is known");
+    let probe = message::ProbeStamp {
+        term: log::Term::ZERO,
+        sequence: 3,
+        sent_at,
+    };
+    assert_eq!(
+        decoded.body,
+        message::MessageBody::HeartbeatResponse { probe }
+    );
+}
+
 #[test]
 fn unknown_body_of_a_later_version_fails_to_decode() {
     let later = later_message(LaterBody::Gossip { load: 9 });
     message::ConsensusMessage::decode(&later).expect_err("the body is unknown");
 }
 
-fn later_message(body: LaterBody) -> Vec<u8> {
+fn later_message<B: Serialize>(body: B) -> Vec<u8> {
     let message = LaterMessage {
         version: 2,
         cluster: Some(member::ClusterId::new(1)),
--- a/galenahold_consensus/tests/model/model_group.rs
+++ b/galenahold_consensus/tests/model/model_group.rs
@@ -5,6 +5,7 @@
 use galenahold_consensus::core;
 use galenahold_consensus::log;
 use galenahold_consensus::member;
+use galenahold_consensus::message;
 
 use crate::member_state;
 use crate::model_step;
@@ -24,6 +25,8 @@
     in_flight: Vec<core::OutgoingMessage>,
     sides: u32,
     inbound_blocked: Option<usize>,
+    /// Whether members echo stamps without a term, as earlier versions do.
+    pub(crate) echoes_no_terms: bool,
     reads: collections::BTreeMap<core::ReadTicket, log::LogIndex>,
     commands: u64,
 }
@@ -40,6 +43,7 @@
             in_flight: Vec::new(),
             sides: 0,
             inbound_blocked: None,
+            echoes_no_terms: false,
             reads: collections::BTreeMap::new(),
             commands: 0,
         };
@@ -181,7 +185,12 @@
         others
     }
 
-    pub(crate) fn deliver(&mut self, outgoing: core::OutgoingMessage) {
+    pub(crate) fn deliver(&mut self, mut outgoing: core::OutgoingMessage) {
+        if self.echoes_no_terms
+            && let Some(probe) = echo_mut(&mut outgoing.message.body)
+        {
+            probe.term = log::Term::ZERO;
+        }
         let to = number_of(outgoing.message.to);
         let from = number_of(Some(outgoing.message.from));
         let (Some(to), Some(from)) = (to, from) else {
@@ -329,6 +338,16 @@
     }
 }
 
+/// Returns the stamp that a response echoes.
+fn echo_mut(body: &mut message::MessageBody) -> Option<&mut message::ProbeStamp> {
+    match body {
+        message::MessageBody::AppendResponse(response) => Some(&mut response.probe),
+        message::MessageBody::HeartbeatResponse { probe }
+        | message::MessageBody::SnapshotProgress { probe, .. } => Some(probe),
+        _ => None,
+    }
+}
+
 fn number_of(id: Option<member::MemberId>) -> Option<usize> {
     (0..MEMBERS).find(|number| Some(member_state::MemberState::profile(*number).id) == id)
 }
--- a/galenahold_consensus/tests/model/scenarios.rs
+++ b/galenahold_consensus/tests/model/scenarios.rs
@@ -86,7 +86,18 @@
 /// higher than those of the new term, so that the leader would stay without a lease for as long as it had led before.
 #[test]
 fn leader_that_leads_again_ignores_answers_to_its_earlier_term() {
+    assert_leader_that_leads_again_has_a_lease(model_group::ModelGroup::new());
+}
+
+/// The same while the other members are of an earlier version, whose answers do not name the leader's term.
+#[test]
+fn leader_that_leads_again_ignores_late_answers_of_earlier_versions() {
     let mut group = model_group::ModelGroup::new();
+    group.echoes_no_terms = true;
+    assert_leader_that_leads_again_has_a_lease(group);
+}
+
+fn assert_leader_that_leads_again_has_a_lease(mut group: model_group::ModelGroup) {
     step_until(&mut group, |group| leader(group, None).is_some());
     group.step(&ModelStep::Run { rounds: 200 });
     let old = leader(&group, None).expect("leader");
