Measure the silence of members across changes of leader

What callers saw: leading core machines that were lost each 2.6 s, six times, never more than two at once, left the control group without a leader for good while all machines ran; every call got 503.

Cause: each leader measured the silence of the others from its own election. A leader that lived for less than the 2 s after which a learner takes a voter's place replaced nobody, so that dead voters added up.

Ruled out: successors that join late (each was a learner within 0.3 s).

Change: an append request lists the members that have not answered for two heartbeat intervals. A new leader goes on measuring from there, and from the last message of the leader before it. It gives a voter up only after half a second of its own term without an answer. Time-outs are unchanged. Leaders of earlier versions list nobody; their followers measure as before.

Evidence: machines_that_end_in_turn_leave_a_quorum_at_any_interval failed before, and fails if the append requests list nobody.

--- a/galenahold_consensus/src/core/election.rs
+++ b/galenahold_consensus/src/core/election.rs
@@ -36,6 +36,8 @@
         let was_leader = matches!(self.role, core::RoleState::Leader(_));
         if was_leader {
             self.refuse_reads();
+            let silences = self.silences(now);
+            self.record_silences(self.own_id(), &silences, now);
             self.election_deadline = now + self.jitter.randomize(self.settings.election_timeout);
         }
         if term > self.hard_state.term {
--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -189,6 +189,10 @@
             earlier_lease_until: now,
         }));
         self.leader = Some(self.own_id());
+        let members = self.membership.in_force(self.commit);
+        let members = members.flat_map(member::MembershipList::iter);
+        self.contacts
+            .begin_term(members.map(|member| member.profile.id), now);
         self.track_members(now);
         self.append_entry(log::EntryPayload::Blank);
     }
@@ -241,6 +245,7 @@
             return false;
         };
         progress.record_contact(probe, now);
+        self.contacts.record(sender.id, now);
         self.complete_reads();
         true
     }
--- a/galenahold_consensus/src/core/mod.rs
+++ b/galenahold_consensus/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod campaign_state;
 mod change_refusal;
+mod contact_table;
 mod election;
 mod incoming_snapshot;
 mod jitter_source;
@@ -46,6 +47,7 @@
 pub use watermark_table::WatermarkTable;
 
 use campaign_state::CampaignState;
+use contact_table::ContactTable;
 use incoming_snapshot::IncomingSnapshot;
 use jitter_source::JitterSource;
 use leader_state::LeaderState;
--- a/galenahold_consensus/src/core/monotonic_time.rs
+++ b/galenahold_consensus/src/core/monotonic_time.rs
@@ -38,6 +38,15 @@
     }
 }
 
+impl ops::Sub<time::Duration> for MonotonicTime {
+    type Output = Self;
+
+    fn sub(self, duration: time::Duration) -> Self {
+        let nanos = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(nanos))
+    }
+}
+
 impl ops::Add<time::Duration> for MonotonicTime {
     type Output = Self;
 
--- a/galenahold_consensus/src/core/raft_node.rs
+++ b/galenahold_consensus/src/core/raft_node.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 use std::mem;
+use std::time;
 
 use crate::core;
 use crate::log;
@@ -22,6 +23,7 @@
     pub(super) leader: Option<member::MemberId>,
     /// When a leader last made contact; votes are refused for an election timeout from then on.
     pub(super) last_leader_contact: core::MonotonicTime,
+    pub(super) contacts: core::ContactTable,
     pub(super) election_deadline: core::MonotonicTime,
     pub(super) jitter: core::JitterSource,
     pub(super) commit: log::LogIndex,
@@ -70,6 +72,7 @@
             role: core::RoleState::Follower,
             leader: None,
             last_leader_contact: now,
+            contacts: core::ContactTable::default(),
             incoming: None,
             endpoints: collections::BTreeMap::new(),
             lost: collections::BTreeSet::new(),
@@ -276,6 +279,19 @@
         self.leader_state()?.progress.get(&id)
     }
 
+    /// Returns how long a member has been silent, to this leader and to those before it, or `None`
+    /// if this member is not the leader.
+    #[must_use]
+    pub fn silence(
+        &self,
+        id: member::MemberId,
+        now: core::MonotonicTime,
+    ) -> Option<time::Duration> {
+        let last_answer = self.progress(id)?.last_contact;
+        let last_contact = self.contacts.last_contact(id);
+        Some(now.since(last_contact.unwrap_or(last_answer)))
+    }
+
     fn progress_mut(&mut self, id: member::MemberId) -> Option<&mut core::MemberProgress> {
         self.leader_state_mut()?.progress.get_mut(&id)
     }
@@ -295,6 +311,7 @@
             }
             message::MessageBody::AppendRequest(request) => {
                 if self.accept_leader(sender, request.probe, now) {
+                    self.record_silences(sender.id, &request.silences, now);
                     self.receive_append(sender, &request);
                 }
             }
--- a/galenahold_consensus/src/core/replication.rs
+++ b/galenahold_consensus/src/core/replication.rs
@@ -10,6 +10,9 @@
 /// Interval at which a leader sends all members' watermarks to the members.
 const WATERMARK_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Number of heartbeat intervals without an answer after which a leader reports a member as silent.
+const SILENT_HEARTBEATS: u32 = 2;
+
 impl core::RaftNode {
     /// Sends each member as many entries as its append window allows.
     pub(super) fn replicate_to_members(&mut self, now: core::MonotonicTime) {
@@ -211,6 +214,7 @@
             commit: self.commit,
             probe,
             marks,
+            silences: self.silences(now),
         });
         self.send_immediate(id, body);
     }
@@ -227,6 +231,30 @@
         self.watermarks.iter().copied().collect()
     }
 
+    /// Returns the members that have not answered for a while.
+    pub(super) fn silences(&self, now: core::MonotonicTime) -> Vec<message::MemberSilence> {
+        let shortest = self.settings.heartbeat_interval * SILENT_HEARTBEATS;
+        let members = self.leader_state().into_iter();
+        let members = members.flat_map(|state| state.progress.keys().copied());
+        members
+            .filter_map(|member| {
+                let duration = self.silence(member, now)?;
+                (duration > shortest).then_some(message::MemberSilence { member, duration })
+            })
+            .collect()
+    }
+
+    pub(super) fn record_silences(
+        &mut self,
+        leader: member::MemberId,
+        silences: &[message::MemberSilence],
+        now: core::MonotonicTime,
+    ) {
+        let members = self.membership.current().iter();
+        let members = members.map(|member| member.profile.id);
+        self.contacts.record_report(leader, members, silences, now);
+    }
+
     /// Records the leader's durable index as its watermark: a leader never truncates its log within
     /// its term.
     fn record_leader_watermark(&mut self, leader: &core::MessageSender, commit: log::LogIndex) {
--- a/galenahold_consensus/src/driver/member_report.rs
+++ b/galenahold_consensus/src/driver/member_report.rs
@@ -14,8 +14,11 @@
     pub matched: Option<log::LogIndex>,
     /// Number of entries by which the member lags; `None` if this member does not lead.
     pub lag_entries: Option<u64>,
-    /// Time since the last message from the member; `None` if this member does not lead.
+    /// Time since the member was last in contact with this leader or one before it; `None` if this
+    /// member does not lead.
     pub silence: Option<time::Duration>,
+    /// Time for which the member has not answered this leader; `None` if this member does not lead.
+    pub unanswered: Option<time::Duration>,
     /// Whether the member has answered this leader; false if this member does not lead.
     pub heard: bool,
     /// Whether the member has announced that it stops and has not returned since; false if this member
--- a/galenahold_consensus/src/driver/membership_planner.rs
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -125,14 +125,14 @@
         }
         let most_silent = voters_by_silence(status).next()?;
         let silence = most_silent.silence.unwrap_or_default();
-        if silence >= self.succession {
+        if self.is_silent_for(most_silent, self.succession) {
             let removed = most_silent.member.profile.id;
             return Some(member::MembershipChange::Replace { removed, promoted });
         }
         let own_id = status.profile.id;
         let is_unheard =
             voters(status).any(|report| !report.heard && report.member.profile.id != own_id);
-        let is_doubtful = is_unheard || silence >= self.succession / DOUBT_DIVISOR;
+        let is_doubtful = is_unheard || silence >= self.doubt();
         (!is_doubtful).then_some(member::MembershipChange::Promote(promoted))
     }
 
@@ -170,9 +170,19 @@
     }
 
     fn is_silent(&self, report: &driver::MemberReport) -> bool {
-        report
-            .silence
-            .is_some_and(|silence| silence >= self.silence)
+        self.is_silent_for(report, self.silence)
+    }
+
+    /// Returns whether the member has been silent for the duration, and has had the time to answer
+    /// this leader.
+    fn is_silent_for(&self, report: &driver::MemberReport, duration: time::Duration) -> bool {
+        let unanswered = report.unanswered.unwrap_or_default();
+        let silence = report.silence.unwrap_or_default();
+        silence >= duration && unanswered >= self.doubt()
+    }
+
+    fn doubt(&self) -> time::Duration {
+        self.succession / DOUBT_DIVISOR
     }
 }
 
--- a/galenahold_consensus/src/driver/status_report.rs
+++ b/galenahold_consensus/src/driver/status_report.rs
@@ -59,7 +59,8 @@
         member: member.clone(),
         matched,
         lag_entries: matched.map(lag),
-        silence: progress.map(|progress| now.since(progress.last_contact)),
+        silence: node.silence(member.profile.id, now),
+        unanswered: progress.map(|progress| now.since(progress.last_contact)),
         heard: progress.is_some_and(|progress| progress.last_echo.is_some()),
         leaving: progress.is_some_and(|progress| {
             let announced_at = progress.leaving_since;
--- a/galenahold_consensus/src/message/append_request.rs
+++ b/galenahold_consensus/src/message/append_request.rs
@@ -19,4 +19,7 @@
     /// Watermarks of all members; empty in most requests.
     #[serde(default)]
     pub marks: Vec<message::MemberWatermark>,
+    /// Members that the leader has not heard for a while; leaders of earlier versions list none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub silences: Vec<message::MemberSilence>,
 }
--- a/galenahold_consensus/tests/membership/main.rs
+++ b/galenahold_consensus/tests/membership/main.rs
@@ -27,6 +27,7 @@
         matched: Some(log::LogIndex::new(10)),
         lag_entries: Some(0),
         silence: Some(silence),
+        unanswered: Some(SILENCE),
         heard: true,
         leaving: false,
     }
@@ -193,6 +194,32 @@
     );
 }
 
+/// Guards against a new leader that replaces a voter before the voter has had the time to answer it.
+#[test]
+fn voter_that_was_silent_before_the_term_is_replaced_unless_it_answers() {
+    let mut status = status(5);
+    let learner = report(9, member::VotingStatus::Learner, time::Duration::ZERO);
+    status.members.push(learner);
+    status.members[2].silence = Some(2 * SILENCE);
+    status.members[2].unanswered = Some(time::Duration::ZERO);
+    status.members[2].heard = false;
+    assert_eq!(
+        next(&status),
+        None,
+        "member 3 has not had the time to answer"
+    );
+    status.members[2].unanswered = Some(SUCCESSION / 4);
+    assert_eq!(next(&status), Some(remove(3)));
+    status.members[2].silence = Some(SUCCESSION);
+    assert_eq!(
+        next(&status),
+        Some(member::MembershipChange::Replace {
+            removed: member::MemberId::new(3),
+            promoted: member::MemberId::new(9),
+        })
+    );
+}
+
 /// Guards against a group that lacks voters and waits for a silent one.
 #[test]
 fn learner_is_added_to_an_incomplete_group_beside_a_silent_voter() {
--- a/galenahold_consensus/tests/message/versions.rs
+++ b/galenahold_consensus/tests/message/versions.rs
@@ -55,9 +55,19 @@
     sent_at: core::MonotonicTime,
 }
 
+/// An append request of an earlier version, which reports no silent members.
+#[derive(Debug, Serialize)]
+struct EarlierAppend {
+    previous: log::LogPosition,
+    entries: Vec<log::LogEntry>,
+    commit: log::LogIndex,
+    probe: message::ProbeStamp,
+}
+
 #[derive(Debug, Serialize)]
 enum EarlierBody {
     HeartbeatResponse { probe: EarlierStamp },
+    AppendRequest(EarlierAppend),
 }
 
 #[test]
@@ -81,6 +91,27 @@
     );
 }
 
+#[test]
+fn append_request_of_an_earlier_version_reports_no_silent_members() {
+    let probe = message::ProbeStamp::default();
+    let earlier = later_message(EarlierBody::AppendRequest(EarlierAppend {
+        previous: log::LogPosition::default(),
+        entries: Vec::new(),
+        commit: log::LogIndex::new(4),
+        probe,
+    }));
+    let decoded = message::ConsensusMessage::decode(&earlier).expect("the body is known");
+    let request = message::AppendRequest {
+        previous: log::LogPosition::default(),
+        entries: Vec::new(),
+        commit: log::LogIndex::new(4),
+        probe,
+        marks: Vec::new(),
+        silences: Vec::new(),
+    };
+    assert_eq!(decoded.body, message::MessageBody::AppendRequest(request));
+}
+
 #[test]
 fn unknown_body_of_a_later_version_fails_to_decode() {
     let later = later_message(LaterBody::Gossip { load: 9 });
--- a/galenahold_consensus/tests/model/core_group.rs
+++ b/galenahold_consensus/tests/model/core_group.rs
@@ -1,7 +1,6 @@
 //! Simulated core whose machines are stopped, replaced, frozen and emptied.
 
 use std::collections;
-use std::time;
 
 use galenahold_consensus::core;
 use galenahold_consensus::driver;
@@ -10,15 +9,10 @@
 
 use crate::core_event::CoreEvent;
 use crate::core_machine;
+use crate::core_timings;
 
 const NANOS_PER_MILLI: u64 = 1_000_000;
 const TICK_MILLIS: u64 = 15;
-/// Time after its start or return until a machine does not count as lost any more.
-pub(crate) const CATCH_UP_MILLIS: u64 = 1_000;
-/// Longer than the time to catch up, as in the product.
-const SILENCE: time::Duration = time::Duration::from_millis(1_500);
-/// Shorter than the time to catch up, as in the product.
-const SUCCESSION: time::Duration = time::Duration::from_millis(500);
 const LEAVE_MILLIS: u64 = 2_000;
 const DOWN_MILLIS: u64 = 200;
 const FREEZE_MILLIS: u64 = 1_200;
@@ -63,6 +57,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct CoreGroup {
     tolerated: usize,
+    timings: core_timings::CoreTimings,
     now_millis: u64,
     machines: Vec<core_machine::CoreMachine>,
     in_flight: Vec<CoreMessage>,
@@ -88,10 +83,16 @@
 
 impl CoreGroup {
     /// Starts a core of `2 * tolerated + 1` machines and waits for its leader.
-    pub(crate) fn new(tolerated: usize) -> Self {
+    pub(crate) fn new(tolerated: usize, timings: core_timings::CoreTimings) -> Self {
         let count = 2 * tolerated + 1;
         let mut machines: Vec<_> = (0..count)
-            .map(|address| core_machine::CoreMachine::new(address, address as u128 + 1))
+            .map(|address| {
+                core_machine::CoreMachine::new(
+                    address,
+                    address as u128 + 1,
+                    timings.election_timeout,
+                )
+            })
             .collect();
         let profiles = machines.iter().map(core_machine::CoreMachine::profile);
         let genesis = member::MembershipList::of_voters(profiles.collect());
@@ -100,6 +101,7 @@
         }
         let mut group = Self {
             tolerated,
+            timings,
             now_millis: 0,
             machines,
             in_flight: Vec::new(),
@@ -116,7 +118,7 @@
             committed: collections::BTreeMap::new(),
             leaders: collections::BTreeMap::new(),
         };
-        group.run(2 * CATCH_UP_MILLIS);
+        group.run(2 * timings.catch_up_millis);
         group
     }
 
@@ -166,7 +168,8 @@
     ///
     /// Nothing tells them from machines on the other side of a split.
     pub(crate) fn unproven(&self) -> usize {
-        let given_up_millis = 2 * u64::try_from(SILENCE.as_millis()).unwrap_or(u64::MAX);
+        let given_up_millis =
+            2 * u64::try_from(self.timings.silence.as_millis()).unwrap_or(u64::MAX);
         let recent = |at: &&u64| self.now_millis < **at + given_up_millis;
         self.vanished_at.iter().filter(recent).count()
     }
@@ -190,9 +193,7 @@
             }
             CoreEvent::LoseDisk { machine } => {
                 self.machines[machine].stop();
-                self.ids += 1;
-                self.machines[machine] =
-                    core_machine::CoreMachine::new(self.machines[machine].address, self.ids);
+                self.replace_disk(machine);
                 self.restart_after(machine, DOWN_MILLIS);
             }
             CoreEvent::Restart { machine } => {
@@ -267,11 +268,21 @@
 
     fn start_successor(&mut self) {
         let address = self.machines.len();
-        self.ids += 1;
-        let mut machine = core_machine::CoreMachine::new(address, self.ids);
+        let mut machine = self.empty_machine(address);
         machine.start(self.now());
         self.machines.push(machine);
-        self.lost_until.push(self.now_millis + CATCH_UP_MILLIS);
+        self.lost_until
+            .push(self.now_millis + self.timings.catch_up_millis);
+    }
+
+    fn replace_disk(&mut self, machine: usize) {
+        let address = self.machines[machine].address;
+        self.machines[machine] = self.empty_machine(address);
+    }
+
+    fn empty_machine(&mut self, address: usize) -> core_machine::CoreMachine {
+        self.ids += 1;
+        core_machine::CoreMachine::new(address, self.ids, self.timings.election_timeout)
     }
 
     /// Sends SIGTERM: the process announces its end and waits for its removal.
@@ -290,9 +301,7 @@
         self.machines[machine].stop();
         self.machines[machine].leaving = false;
         if removed {
-            self.ids += 1;
-            let address = self.machines[machine].address;
-            self.machines[machine] = core_machine::CoreMachine::new(address, self.ids);
+            self.replace_disk(machine);
         }
         self.appointments
             .retain(|held| held.machine != machine || held.kind != AppointmentKind::End);
@@ -302,7 +311,7 @@
     }
 
     fn restart_after(&mut self, machine: usize, millis: u64) {
-        self.lost_until[machine] = self.now_millis + millis + CATCH_UP_MILLIS;
+        self.lost_until[machine] = self.now_millis + millis + self.timings.catch_up_millis;
         self.appoint(machine, millis, AppointmentKind::Start);
     }
 
@@ -330,11 +339,11 @@
                 }
                 AppointmentKind::Thaw => {
                     self.frozen.remove(&held.machine);
-                    self.lost_until[held.machine] = now_millis + CATCH_UP_MILLIS;
+                    self.lost_until[held.machine] = now_millis + self.timings.catch_up_millis;
                 }
                 AppointmentKind::Heal => {
                     self.cut.remove(&held.machine);
-                    self.lost_until[held.machine] = now_millis + CATCH_UP_MILLIS;
+                    self.lost_until[held.machine] = now_millis + self.timings.catch_up_millis;
                 }
             }
         }
@@ -371,11 +380,11 @@
             None if is_announcement => self.greet_all(number),
             None => {}
         }
-        if is_announcement {
+        if is_announcement && leaving {
+            self.machines[number].announce_leaving(now);
+        }
+        if self.now_millis.is_multiple_of(self.timings.check_millis) {
             self.reconcile(number, now);
-            if leaving {
-                self.machines[number].announce_leaving(now);
-            }
         }
         self.process_outputs(number, now);
         let voters = 2 * self.tolerated + 1;
@@ -390,7 +399,9 @@
         if !self.machines[number].is_leader() {
             return;
         }
-        let planner = driver::MembershipPlanner::new(2 * self.tolerated + 1, SILENCE, SUCCESSION);
+        let timings = self.timings;
+        let voters = 2 * self.tolerated + 1;
+        let planner = driver::MembershipPlanner::new(voters, timings.silence, timings.succession);
         let status = self.machines[number].status(now);
         let change = status.and_then(|status| planner.next_change(&status));
         if let (Some(change), Some(node)) = (change, self.machines[number].node.as_mut()) {
--- a/galenahold_consensus/tests/model/core_machine.rs
+++ b/galenahold_consensus/tests/model/core_machine.rs
@@ -1,12 +1,12 @@
 //! Simulated machine of the core, whose process and disk come and go.
 
+use std::time;
+
 use galenahold_consensus::bootstrap;
 use galenahold_consensus::core;
 use galenahold_consensus::driver;
 use galenahold_consensus::member;
 
-use crate::member_state;
-
 /// A machine: its address, its disk and its process.
 #[derive(Debug, Clone)]
 pub(crate) struct CoreMachine {
@@ -22,12 +22,13 @@
     pub(crate) joiners: bootstrap::JoinerTable,
     /// Whether the process has got SIGTERM.
     pub(crate) leaving: bool,
+    election_timeout: time::Duration,
     /// How often the process has told another leader that it stops.
     pub(crate) announcements: u32,
 }
 
 impl CoreMachine {
-    pub(crate) fn new(address: usize, id: u128) -> Self {
+    pub(crate) fn new(address: usize, id: u128, election_timeout: time::Duration) -> Self {
         Self {
             address,
             id: member::MemberId::new(id),
@@ -38,6 +39,7 @@
             node: None,
             joiners: bootstrap::JoinerTable::default(),
             leaving: false,
+            election_timeout,
             announcements: 0,
         }
     }
@@ -63,7 +65,7 @@
         let Some(genesis) = &self.genesis else {
             return;
         };
-        let timeout = member_state::ELECTION_TIMEOUT;
+        let timeout = self.election_timeout;
         let incarnation = (self.address as u64) << 32 | self.boot;
         let settings = core::NodeSettings {
             cluster: member::ClusterId::new(1),
--- a/galenahold_consensus/tests/model/main.rs
+++ b/galenahold_consensus/tests/model/main.rs
@@ -4,6 +4,7 @@
 mod core_event;
 mod core_group;
 mod core_machine;
+mod core_timings;
 mod member_state;
 mod model_group;
 mod model_step;
--- a/galenahold_consensus/tests/model/replacements.rs
+++ b/galenahold_consensus/tests/model/replacements.rs
@@ -5,10 +5,18 @@
 
 use crate::core_event::CoreEvent;
 use crate::core_group;
+use crate::core_timings;
 
 /// Time between two events that is shorter than the silence after which a member is given up.
 const PAUSE_MILLIS: u64 = 600;
 
+/// The machines that are lost in turn.
+#[derive(Debug, Clone, Copy)]
+enum Victims {
+    Leaders,
+    FollowersBetween,
+}
+
 /// A sequence of events and the group after it.
 #[derive(Debug, Clone)]
 struct CoreRun {
@@ -18,8 +26,12 @@
 
 impl CoreRun {
     fn new(tolerated: usize) -> Self {
+        Self::with_timings(tolerated, core_timings::CoreTimings::SHORT)
+    }
+
+    fn with_timings(tolerated: usize, timings: core_timings::CoreTimings) -> Self {
         Self {
-            group: core_group::CoreGroup::new(tolerated),
+            group: core_group::CoreGroup::new(tolerated, timings),
             events: Vec::new(),
         }
     }
@@ -30,7 +42,7 @@
             self.apply(CoreEvent::StartSuccessor);
         }
         self.apply(CoreEvent::Wait {
-            millis: core_group::CATCH_UP_MILLIS + 100,
+            millis: core_timings::CoreTimings::SHORT.catch_up_millis + 100,
         });
         self
     }
@@ -56,6 +68,48 @@
         assert_eq!(self.group.lost(), 0, "the successors have caught up");
     }
 
+    /// Returns the leader, after waiting for one if there is none.
+    fn await_leader(&mut self) -> usize {
+        for _ in 0..200 {
+            if let Some(leader) = self.group.leader() {
+                return leader;
+            }
+            self.apply(CoreEvent::Wait { millis: 20 });
+        }
+        panic!(
+            "no leader after {:?}:{}",
+            self.events,
+            self.group.describe()
+        );
+    }
+
+    /// Ends the leader, or each other time a follower, without notice before each pause, and starts a successor in it.
+    fn lose_in_turn(
+        &mut self,
+        pauses_millis: &[u64],
+        successor_after_millis: u64,
+        victims: Victims,
+    ) {
+        for (number, pause_millis) in pauses_millis.iter().enumerate() {
+            let leader = self.await_leader();
+            let machine = match victims {
+                Victims::FollowersBetween if number.is_multiple_of(2) => (0..leader)
+                    .chain(leader + 1..self.group.machine_count())
+                    .find(|machine| self.group.is_sound(*machine))
+                    .expect("more than one machine runs"),
+                _ => leader,
+            };
+            self.apply(CoreEvent::Vanish { machine });
+            self.apply(CoreEvent::Wait {
+                millis: successor_after_millis,
+            });
+            self.apply(CoreEvent::StartSuccessor);
+            self.apply(CoreEvent::Wait {
+                millis: pause_millis - successor_after_millis,
+            });
+        }
+    }
+
     /// Returns the run after the events, or `None` if more machines count as lost, or ended without
     /// notice at about the same time, than the group tolerates.
     fn after(&self, events: &[CoreEvent]) -> Option<Self> {
@@ -227,6 +281,28 @@
     }
 }
 
+/// Machines end in turn, and the successor of each has caught up before the second one after it ends. Each new leader
+/// measured the silence of the others anew, and its life could be too short to replace a voter.
+#[test]
+fn machines_that_end_in_turn_leave_a_quorum_at_any_interval() {
+    let timings = core_timings::CoreTimings::PRODUCT;
+    for successor_after in [300, 600, 1_005] {
+        let lost_millis = timings.catch_up_millis + successor_after + 60;
+        for first in (1_200..=lost_millis - 1_200).step_by(60) {
+            let pauses = [first, lost_millis - first].repeat(4);
+            for victims in [Victims::Leaders, Victims::FollowersBetween] {
+                let mut run = CoreRun::with_timings(2, timings);
+                run.lose_in_turn(&pauses, successor_after, victims);
+                assert!(
+                    run.group.recovers(),
+                    "{victims:?}, pauses {pauses:?}, successors after {successor_after} ms:{}",
+                    run.group.describe()
+                );
+            }
+        }
+    }
+}
+
 /// Two of five machines, one of them the leader, end at once, and two more once their successors have caught up.
 #[test]
 fn two_machines_that_end_at_once_are_replaced_before_two_more_end() {
