Test the core as real processes with cuts between its machines

Links between machines could not be cut with real processes, since an instance is named by the address at which it listens.

Change: the settings may name another address to listen on for other instances, so that a proxy of the testkit stands at the known one.

--- a/galenahold_instance/src/gateway/gateway_settings.rs
+++ b/galenahold_instance/src/gateway/gateway_settings.rs
@@ -24,6 +24,9 @@
     pub control: Option<net::SocketAddr>,
     /// The port for other instances, the same at all instances.
     pub peer_port: u16,
+    /// The address to listen on for other instances, if they reach it by another one, such as that of
+    /// a proxy.
+    pub peer_listener: Option<net::SocketAddr>,
     /// The port for metrics.
     pub metrics_port: u16,
     /// Control addresses of instances that may know the control group.
@@ -71,6 +74,11 @@
         net::SocketAddr::new(self.address, self.peer_port)
     }
 
+    /// Returns the address to listen on for other instances.
+    pub(crate) fn peer_listener(&self) -> net::SocketAddr {
+        self.peer_listener.unwrap_or_else(|| self.peer_address())
+    }
+
     /// Returns the names of the instances that may know the control group.
     pub(crate) fn seed_names(&self) -> Vec<name::InstanceName> {
         let addresses = self
--- a/galenahold_instance/src/gateway/gateway_wiring.rs
+++ b/galenahold_instance/src/gateway/gateway_wiring.rs
@@ -266,7 +266,7 @@
         handler: &control::FleetHandler<Dialect>,
         client: &peer::ControlClient<control::FleetHandler<Dialect>>,
     ) -> Result<(), gateway::GatewayError> {
-        let listener = bind(self.settings.peer_address(), "other instances").await?;
+        let listener = bind(self.settings.peer_listener(), "other instances").await?;
         let service = control::GatewayService {
             cluster: CLUSTER_NAME,
             handler: handler.clone(),
--- a/galenahold_testkit/src/proxy/direction_state.rs
+++ b/galenahold_testkit/src/proxy/direction_state.rs
@@ -13,6 +13,15 @@
     pub(crate) fault: LinkFault,
     /// Bytes that had passed when it was set.
     pub(crate) base_bytes: u64,
+    /// The connections up to this number are held.
+    pub(crate) held_connections: u64,
+}
+
+impl ActiveFault {
+    /// Returns whether bytes of a connection may pass.
+    pub(crate) fn is_open(&self, connection: u64) -> bool {
+        !self.fault.cut && connection > self.held_connections
+    }
 }
 
 /// The present fault and the count of one direction of a link.
@@ -35,7 +44,16 @@
     /// Sets the fault from now on.
     pub(crate) fn set(&self, fault: LinkFault) {
         let base_bytes = self.passed_bytes();
-        self.fault.send_replace(ActiveFault { fault, base_bytes });
+        self.fault.send_modify(|active| {
+            active.fault = fault;
+            active.base_bytes = base_bytes;
+        });
+    }
+
+    /// Holds the bytes of all connections up to a number, and of no others.
+    pub(crate) fn hold(&self, connections: u64) {
+        self.fault
+            .send_modify(|active| active.held_connections = connections);
     }
 
     /// Follows the fault.
@@ -54,10 +72,10 @@
         self.passed_bytes.load(atomic::Ordering::Relaxed)
     }
 
-    /// Waits until the direction is not cut.
-    pub(crate) async fn wait_open(&self) {
+    /// Waits until bytes of a connection may pass.
+    pub(crate) async fn wait_open(&self, connection: u64) {
         let mut changes = self.fault.subscribe();
         // The sender lives as long as this state.
-        let _ = changes.wait_for(|active| !active.fault.cut).await;
+        let _ = changes.wait_for(|active| active.is_open(connection)).await;
     }
 }
--- a/galenahold_testkit/src/proxy/fault_link.rs
+++ b/galenahold_testkit/src/proxy/fault_link.rs
@@ -75,10 +75,10 @@
     /// Opens a link on tasks of `scope`.
     pub(crate) fn open(
         scope: &host::TaskScope,
+        address: net::SocketAddr,
         target: net::SocketAddr,
     ) -> Result<Self, TestkitError> {
-        let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let (listener, address) = http::HttpServer::bind(any_port)?.into_listener(scope)?;
+        let (listener, address) = http::HttpServer::bind(address)?.into_listener(scope)?;
         let state = sync::Arc::new(LinkState {
             to_server: sync::Arc::default(),
             to_client: sync::Arc::default(),
@@ -114,9 +114,27 @@
         self.state.to_client.set(fault);
     }
 
+    /// Holds all bytes of the connections that are open now, whatever the fault of the link is, and
+    /// passes those of later connections.
+    ///
+    /// This is how a cut ends in a network: connections that the cut has silenced wait for their next
+    /// retransmission, while new ones work.
+    pub fn hold_connections(&self) {
+        let last = self.connections();
+        self.state.to_server.hold(last);
+        self.state.to_client.hold(last);
+    }
+
+    /// Passes the bytes that [`Self::hold_connections`] holds.
+    pub fn release_connections(&self) {
+        self.state.to_server.hold(0);
+        self.state.to_client.hold(0);
+    }
+
     /// Passes all bytes again and listens again.
     pub fn heal(&self) {
         self.set_both(LinkFault::pass());
+        self.release_connections();
         self.refuse(false);
     }
 
@@ -192,10 +210,10 @@
 
 /// Passes one connection on, and ends it with a reset when either side or a fault does.
 async fn run_connection(mut client: TcpStream, state: sync::Arc<LinkState>) {
-    state.connections.fetch_add(1, atomic::Ordering::Relaxed);
+    let number = state.connections.fetch_add(1, atomic::Ordering::Relaxed) + 1;
     let mut resets = state.resets.subscribe();
     let ended = tokio::select! {
-        ended = pass_both(&mut client, &state) => ended,
+        ended = pass_both(&mut client, &state, number) => ended,
         _ = resets.changed() => Err(std::io::ErrorKind::ConnectionReset.into()),
     };
     if ended.is_err() {
@@ -204,8 +222,8 @@
 }
 
 /// Passes both directions until both have ended.
-async fn pass_both(client: &mut TcpStream, state: &LinkState) -> std::io::Result<()> {
-    state.to_server.wait_open().await;
+async fn pass_both(client: &mut TcpStream, state: &LinkState, number: u64) -> std::io::Result<()> {
+    state.to_server.wait_open(number).await;
     let mut server = TcpStream::connect(state.target).await?;
     client.set_nodelay(true)?;
     server.set_nodelay(true)?;
@@ -213,8 +231,8 @@
     reset_on_close(&server);
     let (client_reader, client_writer) = client.split();
     let (server_reader, server_writer) = server.split();
-    let to_server = LinkPump::new(sync::Arc::clone(&state.to_server), server_writer);
-    let to_client = LinkPump::new(sync::Arc::clone(&state.to_client), client_writer);
+    let to_server = LinkPump::new(sync::Arc::clone(&state.to_server), number, server_writer);
+    let to_client = LinkPump::new(sync::Arc::clone(&state.to_client), number, client_writer);
     tokio::try_join!(to_server.run(client_reader), to_client.run(server_reader))?;
     Ok(())
 }
--- a/galenahold_testkit/src/proxy/fault_proxy.rs
+++ b/galenahold_testkit/src/proxy/fault_proxy.rs
@@ -32,6 +32,20 @@
     ///
     /// Fails when no address can be had.
     pub fn link(&self, target: net::SocketAddr) -> Result<FaultLink, TestkitError> {
-        FaultLink::open(self.host.scope(), target)
+        let any_port = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        self.link_at(any_port, target)
+    }
+
+    /// Opens a link to `target` at an address.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be had.
+    pub fn link_at(
+        &self,
+        address: net::SocketAddr,
+        target: net::SocketAddr,
+    ) -> Result<FaultLink, TestkitError> {
+        FaultLink::open(self.host.scope(), address, target)
     }
 }
--- a/galenahold_testkit/src/proxy/link_pump.rs
+++ b/galenahold_testkit/src/proxy/link_pump.rs
@@ -27,17 +27,24 @@
 pub(crate) struct LinkPump<'a> {
     state: sync::Arc<DirectionState>,
     faults: watch::Receiver<ActiveFault>,
+    /// The number of the connection.
+    connection: u64,
     writer: tcp::WriteHalf<'a>,
     due: time::Instant,
 }
 
 impl<'a> LinkPump<'a> {
     /// Makes the pump into `writer`.
-    pub(crate) fn new(state: sync::Arc<DirectionState>, writer: tcp::WriteHalf<'a>) -> Self {
+    pub(crate) fn new(
+        state: sync::Arc<DirectionState>,
+        connection: u64,
+        writer: tcp::WriteHalf<'a>,
+    ) -> Self {
         let faults = state.subscribe();
         Self {
             state,
             faults,
+            connection,
             writer,
             due: time::Instant::now(),
         }
@@ -54,7 +61,7 @@
             while let Some(piece) = pieces.recv().await {
                 self.pass_piece(piece).await?;
             }
-            self.state.wait_open().await;
+            self.state.wait_open(self.connection).await;
             self.writer.shutdown().await
         };
         tokio::try_join!(read_pieces(reader, sender), write_all)?;
@@ -95,7 +102,7 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             let allowed = before_reset.min(left(active.fault.stall_after));
-            if allowed > 0 && !active.fault.cut {
+            if allowed > 0 && active.is_open(self.connection) {
                 return Ok(allowed);
             }
             if self.faults.changed().await.is_err() {
