Bind what instances know of the leader to its term

Cause: three of one class. In search of the leader, an instance asked one member at a time, the lost leader among them. A hint from a member that had not noticed the new leader yet led back to the lost one. A call whose time was nearly over when the new leader became known timed out, ended the connection that all calls share and made the instance avoid the leader for ten seconds.

Ruled out: a new leader that serves late; others follow within 0.3 s.

Change: hints carry the term of the member that gives them, and one of an earlier term does not replace a reachable leader. A leader is avoided only until it leads a later term. A timeout within less than 300 ms proves nothing. Two members are asked at once, and the lost leader is tried again between them. The decisions are in galenahold_routing::leader. A failed watch is logged.

The tests of the decisions have no counterpart before, as the decisions were not separate.

--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -2,9 +2,11 @@
 
 use std::time;
 
+use futures::future;
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
-use log::{debug, info, warn};
+use log::{info, warn};
 use rand::RngExt;
 
 use crate::configuration;
@@ -18,6 +20,9 @@
 /// The maximum pause after a failed watch call.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// Number of failed watch calls in a row that are logged.
+const LOGGED_FAILURES: usize = 8;
+
 /// The instances from which the configuration is watched.
 #[derive(Debug, Clone)]
 pub(crate) enum WatchSources {
@@ -37,7 +42,11 @@
     sources: WatchSources,
     sink: Sink,
     hold: time::Duration,
-    rotation: usize,
+    search: leader::LeaderSearch,
+    /// Position of the relay that is asked.
+    relay: usize,
+    /// Number of failed watch calls since the last answer.
+    failures: usize,
     /// The version of the last received list of control members.
     members_mark: u64,
 }
@@ -71,7 +80,9 @@
             sources,
             sink,
             hold,
-            rotation: rand::rng().random_range(0..64),
+            search: leader::LeaderSearch::new(rand::rng().random_range(0..64)),
+            relay: rand::rng().random_range(0..64),
+            failures: 0,
             members_mark: 0,
         }
     }
@@ -81,7 +92,7 @@
         group.spawn_until_stop(async move {
             loop {
                 if !self.watch_once().await {
-                    self.rotation += 1;
+                    self.relay += 1;
                     let pause = MAX_PAUSE.mul_f64(rand::rng().random_range(0.1..1.0));
                     tokio::time::sleep(pause).await;
                 }
@@ -107,61 +118,107 @@
             members_mark: self.members_mark,
             hold_ms: u64::try_from(self.hold.as_millis()).unwrap_or(u64::MAX),
         };
+        let target = self.next_target();
         let sent_at = timer::BootInstant::now();
         let interruptible = !request.in_hurry;
         let outcome = tokio::select! {
-            reply = self.call_source(request) => reply.map_or(WatchOutcome::Failed, WatchOutcome::Answered),
+            reply = self.call_target(target.as_ref(), request) => reply.map_or(WatchOutcome::Failed, WatchOutcome::Answered),
             () = self.sink.wait_until_urgent(), if interruptible => WatchOutcome::Interrupted,
         };
         match outcome {
-            WatchOutcome::Answered(reply) => self.handle_reply(reply, sent_at),
-            WatchOutcome::Failed => false,
+            WatchOutcome::Answered(reply) => {
+                self.failures = 0;
+                let is_served = matches!(reply, message::WatchReply::Current { .. });
+                self.search.record_result(is_served);
+                if let Some(leader::SearchTarget::Leader(leader)) = &target
+                    && is_served
+                {
+                    self.client.record_reached(leader);
+                }
+                self.handle_reply(reply, sent_at)
+            }
+            WatchOutcome::Failed => {
+                self.failures += 1;
+                self.search.record_result(false);
+                false
+            }
             WatchOutcome::Interrupted => true,
         }
     }
 
-    async fn call_source(&self, request: message::WatchRequest) -> Option<message::WatchReply> {
+    /// Returns whom to ask next; `None` if this instance leads.
+    fn next_target(&mut self) -> Option<leader::SearchTarget> {
+        if let WatchSources::Relays(relays) = &self.sources {
+            let own = &self.network.directory().own().name;
+            let relays: Vec<_> = relays.iter().filter(|name| *name != own).collect();
+            let relay = relays.get(self.relay % relays.len().max(1));
+            let relay = relay.map(|name| (*name).clone());
+            return Some(leader::SearchTarget::Members(relay.into_iter().collect()));
+        }
+        if self.handler.is_leader() {
+            return None;
+        }
+        Some(self.client.next_target(&mut self.search))
+    }
+
+    async fn call_target(
+        &self,
+        target: Option<&leader::SearchTarget>,
+        request: message::WatchRequest,
+    ) -> Option<message::WatchReply> {
         let limit = self.hold + WATCH_MARGIN;
-        if matches!(self.sources, WatchSources::Leader) && self.handler.is_leader() {
-            let watching = self.handler.watch(request);
-            return tokio::time::timeout(limit, watching).await.ok();
+        match target {
+            None => {
+                let watching = self.handler.watch(request);
+                tokio::time::timeout(limit, watching).await.ok()
+            }
+            Some(leader::SearchTarget::Leader(leader)) => {
+                tokio::select! {
+                    reply = self.watch_source(leader, request, limit) => reply,
+                    // Another leader became known, so the old one may not reply for a long time.
+                    () = self.client.leader_changed(leader) => None,
+                }
+            }
+            Some(leader::SearchTarget::Members(names)) => {
+                let calls = names.iter().map(|name| {
+                    let watching = self.watch_source(name, request.clone(), limit);
+                    Box::pin(async move { watching.await.ok_or(()) })
+                });
+                let calls: Vec<_> = calls.collect();
+                if calls.is_empty() {
+                    return None;
+                }
+                let (reply, _) = future::select_ok(calls).await.ok()?;
+                Some(reply)
+            }
         }
-        let source = self.source()?;
-        let asks_leader = self.client.leader().as_ref() == Some(&source);
+    }
+
+    async fn watch_source(
+        &self,
+        source: &name::InstanceName,
+        request: message::WatchRequest,
+        limit: time::Duration,
+    ) -> Option<message::WatchReply> {
         let watching = self
             .network
-            .call(&source, limit, |client, context| async move {
+            .call(source, limit, |client, context| async move {
                 client.watch(context, request).await
             });
-        let watched = tokio::select! {
-            watched = watching => watched,
-            // Another leader became known, so the old one may not reply for a long time. A member that is
-            // asked in place of the leader replies for as long as it is reachable.
-            () = self.client.leader_changed(&source), if asks_leader => return None,
-        };
-        watched
-            .inspect_err(|error| {
-                debug!(source:% = source, error:% = error; "watch failed");
-                self.client.avoid_leader(&source);
-            })
-            .ok()
-    }
-
-    fn source(&self) -> Option<name::InstanceName> {
-        let own = &self.network.directory().own().name;
-        match &self.sources {
-            WatchSources::Leader => {
-                let leader = self.client.leader().filter(|leader| leader != own);
-                leader.or_else(|| pick_other(&self.client.members(), own, self.rotation))
+        let watched = watching.await.inspect_err(|error| {
+            if self.failures < LOGGED_FAILURES {
+                info!(source:% = source, error:% = error; "watch failed");
             }
-            WatchSources::Relays(relays) => pick_other(relays, own, self.rotation),
-        }
+            self.client.record_failure(source, limit, *error);
+        });
+        watched.ok()
     }
 
     fn handle_reply(&mut self, reply: message::WatchReply, sent_at: timer::BootInstant) -> bool {
         match reply {
-            message::WatchReply::Unavailable { leader } => {
-                self.client.set_leader(leader);
+            message::WatchReply::Unavailable { leader, term } => {
+                let hint = leader::LeaderHint { name: leader, term };
+                self.client.set_leader(hint);
                 false
             }
             message::WatchReply::Current {
@@ -177,8 +234,12 @@
                 members,
                 members_mark,
                 leader,
+                term,
             } => {
-                self.client.learn_leader(leader);
+                if leader.is_some() {
+                    let hint = leader::LeaderHint { name: leader, term };
+                    self.client.set_leader(hint);
+                }
                 if !members.is_empty() {
                     self.members_mark = members_mark;
                     self.client
@@ -229,15 +290,3 @@
         .before(time::Duration::from_millis(age_ms))
         .min(timer::BootInstant::now())
 }
-
-fn pick_other(
-    names: &[name::InstanceName],
-    own: &name::InstanceName,
-    rotation: usize,
-) -> Option<name::InstanceName> {
-    let others: Vec<_> = names.iter().filter(|name| *name != own).collect();
-    if others.is_empty() {
-        return None;
-    }
-    Some(others[rotation % others.len()].clone())
-}
--- a/galenahold_instance/src/configuration/watch_server.rs
+++ b/galenahold_instance/src/configuration/watch_server.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use galenahold_domain::crash;
-use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 
 use crate::configuration;
@@ -29,7 +29,7 @@
     pub(crate) async fn watch(
         &self,
         request: message::WatchRequest,
-        leader: impl Fn() -> Option<name::InstanceName>,
+        leader: impl Fn() -> leader::LeaderHint,
     ) -> message::WatchReply {
         let started = time::Instant::now();
         let hold = time::Duration::from_millis(request.hold_ms);
@@ -62,12 +62,12 @@
         &self,
         request: &message::WatchRequest,
         started: time::Instant,
-        leader: Option<name::InstanceName>,
+        hint: leader::LeaderHint,
     ) -> message::WatchReply {
         // The age is read first: the data read after it is at least as new as the age states.
         let held = started.elapsed();
         let Some(age) = self.cache.age().filter(|_| self.cache.is_fresh()) else {
-            return message::WatchReply::Unavailable { leader };
+            return message::WatchReply::unavailable(hint);
         };
         let delta = self.cache.delta_since(request.have);
         let drains = self.cache.drains();
@@ -87,7 +87,8 @@
             followers: 0,
             members: Vec::new(),
             members_mark: 0,
-            leader,
+            leader: hint.name,
+            term: hint.term,
         }
     }
 }
--- a/galenahold_instance/src/control/control_group.rs
+++ b/galenahold_instance/src/control/control_group.rs
@@ -7,6 +7,7 @@
 use galenahold_consensus::message as raft_message;
 use galenahold_domain::control;
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 use tokio::sync::oneshot;
 
@@ -96,6 +97,16 @@
         Some(name::InstanceName::from(leader.endpoint.name.as_str()))
     }
 
+    /// Returns what this member tells others of the leader.
+    pub(crate) fn leader_hint(&self) -> leader::LeaderHint {
+        let status = self.handle.status();
+        let leader = status.leader.as_ref();
+        leader::LeaderHint {
+            name: leader.map(|leader| name::InstanceName::from(leader.endpoint.name.as_str())),
+            term: status.term.get(),
+        }
+    }
+
     /// Delivers a message from another member to the log.
     pub(crate) fn deliver(&self, encoded: &[u8]) {
         match raft_message::ConsensusMessage::decode(encoded) {
@@ -125,9 +136,9 @@
     pub(crate) async fn propose(&self, command: &control::ControlCommand) -> message::ControlReply {
         match self.command(command).await {
             Ok(outcome) => message::ControlReply::Outcome(outcome),
-            Err(group::CommandError::NotCommitted) => message::ControlReply::NotLeader {
-                leader: self.leader(),
-            },
+            Err(group::CommandError::NotCommitted) => {
+                message::ControlReply::not_leader(self.leader_hint())
+            }
             Err(group::CommandError::Unknown) => message::ControlReply::OutcomeUnknown,
         }
     }
--- a/galenahold_instance/src/control/control_handler.rs
+++ b/galenahold_instance/src/control/control_handler.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::control;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 use tokio::sync::mpsc;
 
@@ -70,9 +71,12 @@
         true
     }
 
-    /// Returns the leader known to this instance from its own log.
-    pub(crate) fn leader(&self) -> Option<galenahold_domain::name::InstanceName> {
-        self.parts.as_ref()?.member.leader()
+    /// Returns what this instance's own log tells of the leader.
+    pub(crate) fn leader_hint(&self) -> leader::LeaderHint {
+        let parts = self.parts.as_ref();
+        parts.map_or_else(leader::LeaderHint::default, |parts| {
+            parts.member.leader_hint()
+        })
     }
 }
 
@@ -85,12 +89,10 @@
 
     async fn answer(&self, call: message::ControlCall) -> message::ControlReply {
         let Some(parts) = &self.parts else {
-            return message::ControlReply::NotLeader { leader: None };
+            return message::ControlReply::not_leader(leader::LeaderHint::default());
         };
         let Some(term) = parts.member.leading_term() else {
-            return message::ControlReply::NotLeader {
-                leader: parts.member.leader(),
-            };
+            return message::ControlReply::not_leader(parts.member.leader_hint());
         };
         match call {
             message::ControlCall::Grant(call) => parts.grant(term, &call),
@@ -114,7 +116,7 @@
 
     async fn watch(&self, request: message::WatchRequest) -> message::WatchReply {
         let Some(parts) = &self.parts else {
-            return message::WatchReply::Unavailable { leader: None };
+            return message::WatchReply::unavailable(leader::LeaderHint::default());
         };
         parts.watch(&request).await
     }
@@ -130,9 +132,7 @@
         let reply = self.grants.grant(term, active_teams(&view), call);
         // Tokens granted after the end of the lease could be granted again by the next leader.
         if self.member.leading_term() != Some(term) {
-            return message::ControlReply::NotLeader {
-                leader: self.member.leader(),
-            };
+            return message::ControlReply::not_leader(self.member.leader_hint());
         }
         message::ControlReply::Grant(reply)
     }
@@ -193,6 +193,7 @@
         // The state is read before the lease is checked. A lease that is valid after the read was valid
         // throughout it, so no other leader had committed anything newer by then.
         let held = started.elapsed();
+        let hint = self.member.leader_hint();
         let reply = self
             .member
             .state()
@@ -208,14 +209,13 @@
                 followers: 0,
                 members: Vec::new(),
                 members_mark: 0,
-                leader: self.member.leader(),
+                leader: hint.name.clone(),
+                term: hint.term,
             });
         if self.member.is_leader() {
             return reply;
         }
-        message::WatchReply::Unavailable {
-            leader: self.member.leader(),
-        }
+        message::WatchReply::unavailable(hint)
     }
 }
 
--- a/galenahold_instance/src/gateway/control/fleet_handler.rs
+++ b/galenahold_instance/src/gateway/control/fleet_handler.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 
 use crate::control as group;
@@ -65,9 +66,12 @@
         let _ = tokio::time::timeout(hold, moved).await;
     }
 
-    /// Returns the current leader according to this member's own log.
-    pub(crate) fn leader(&self) -> Option<name::InstanceName> {
-        self.parts.as_ref()?.member.leader()
+    /// Returns what this member's own log tells of the leader.
+    pub(crate) fn leader_hint(&self) -> leader::LeaderHint {
+        let parts = self.parts.as_ref();
+        parts.map_or_else(leader::LeaderHint::default, |parts| {
+            parts.member.leader_hint()
+        })
     }
 }
 
@@ -79,12 +83,10 @@
 
     async fn answer(&self, call: message::ControlCall) -> message::ControlReply {
         let Some(parts) = &self.parts else {
-            return message::ControlReply::NotLeader { leader: None };
+            return message::ControlReply::not_leader(leader::LeaderHint::default());
         };
         let Some(term) = parts.member.leading_term() else {
-            return message::ControlReply::NotLeader {
-                leader: parts.member.leader(),
-            };
+            return message::ControlReply::not_leader(parts.member.leader_hint());
         };
         match call {
             message::ControlCall::Grant(call) => parts.grant(term, &call),
@@ -108,7 +110,7 @@
     async fn watch(&self, request: message::WatchRequest) -> message::WatchReply {
         match &self.parts {
             Some(parts) => parts.watch(&request).await,
-            None => message::WatchReply::Unavailable { leader: None },
+            None => message::WatchReply::unavailable(leader::LeaderHint::default()),
         }
     }
 }
--- a/galenahold_instance/src/gateway/control/gateway_service.rs
+++ b/galenahold_instance/src/gateway/control/gateway_service.rs
@@ -93,9 +93,7 @@
         if self.handler.is_leader() && request.leader_known.is_none() {
             return self.handler.watch(request).await;
         }
-        message::WatchReply::Unavailable {
-            leader: self.handler.leader(),
-        }
+        message::WatchReply::unavailable(self.handler.leader_hint())
     }
 
     async fn call(
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -231,9 +231,7 @@
         // Tokens granted after the leader's lease has expired could be granted again by the next
         // leader.
         if self.member.leading_term() != Some(term) {
-            return message::ControlReply::NotLeader {
-                leader: self.member.leader(),
-            };
+            return message::ControlReply::not_leader(self.member.leader_hint());
         }
         message::ControlReply::Grant(reply)
     }
@@ -351,6 +349,7 @@
         let loads = self.load_update(request, now);
         let mut members = self.members();
         let members_mark = hash_members(&members);
+        let hint = self.member.leader_hint();
         // Members of the control group always need the list of members to detect their removal;
         // others need it only when it has changed.
         if request.roster.is_some() && request.members_mark == members_mark {
@@ -371,14 +370,13 @@
                 followers,
                 members,
                 members_mark,
-                leader: self.member.leader(),
+                leader: hint.name.clone(),
+                term: hint.term,
             });
         if self.member.is_leader() {
             return reply;
         }
-        message::WatchReply::Unavailable {
-            leader: self.member.leader(),
-        }
+        message::WatchReply::unavailable(hint)
     }
 
     fn members(&self) -> Vec<message::ControlMember> {
--- a/galenahold_instance/src/gateway/entry/leader_monitor.rs
+++ b/galenahold_instance/src/gateway/entry/leader_monitor.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 use log::info;
 use rand::RngExt;
@@ -77,14 +78,26 @@
                 |client, context| async move { client.watch(context, request).await },
             )
             .await;
-        let Ok(message::WatchReply::Unavailable { leader: reported }) = waited else {
+        let Ok(message::WatchReply::Unavailable {
+            leader: Some(reported),
+            term,
+        }) = waited
+        else {
             return false;
         };
-        if let Some(reported) = reported.filter(|reported| *reported != leader) {
-            info!(before:% = leader, leader:% = reported, told_by:% = member; "detected a new leader");
-            self.client.set_leader(Some(reported));
+        if reported == leader {
+            return true;
         }
-        true
+        let hint = leader::LeaderHint {
+            name: Some(reported.clone()),
+            term,
+        };
+        // A member that has not noticed the new leader yet answers at once.
+        let is_new = self.client.set_leader(hint);
+        if is_new {
+            info!(before:% = leader, leader:% = reported, term, told_by:% = member; "detected a new leader");
+        }
+        is_new
     }
 
     fn random_other_member(&self, leader: &name::InstanceName) -> Option<name::InstanceName> {
--- a/galenahold_instance/src/instance/instance_service.rs
+++ b/galenahold_instance/src/instance/instance_service.rs
@@ -93,7 +93,9 @@
         if self.handler.is_leader() {
             return self.handler.watch(request).await;
         }
-        self.watch.watch(request, || self.handler.leader()).await
+        self.watch
+            .watch(request, || self.handler.leader_hint())
+            .await
     }
 
     async fn call(
--- a/galenahold_instance/src/peer/control_client.rs
+++ b/galenahold_instance/src/peer/control_client.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 use rand::RngExt;
 use tokio::sync::watch;
@@ -13,9 +14,6 @@
 /// The timeout of one attempt of a call.
 const ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// How long calls avoid a leader that could not be reached.
-const UNREACHABLE_TTL: time::Duration = time::Duration::from_secs(10);
-
 /// The timeout of a call that is relayed for another instance.
 const RELAY_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
@@ -28,24 +26,10 @@
     network: peer::PeerNetwork,
     handler: Handler,
     members: sync::Arc<sync::Mutex<Vec<name::InstanceName>>>,
-    leader: sync::Arc<sync::Mutex<LeaderView>>,
+    leader: sync::Arc<sync::Mutex<leader::LeaderView>>,
     leader_changes: sync::Arc<watch::Sender<()>>,
 }
 
-/// The known leader, and whether it is reachable.
-#[derive(Debug, Default)]
-struct LeaderView {
-    name: Option<name::InstanceName>,
-    unreachable: Option<UnreachableLeader>,
-}
-
-/// A leader that this instance could not reach, although others may.
-#[derive(Debug)]
-struct UnreachableLeader {
-    name: name::InstanceName,
-    until: time::Instant,
-}
-
 /// The result of one attempt of a call.
 enum AttemptResult {
     Answered(message::ControlReply),
@@ -74,6 +58,13 @@
         self.lock_members().clone()
     }
 
+    /// Returns whom to ask next in search of the leader.
+    pub(crate) fn next_target(&self, search: &mut leader::LeaderSearch) -> leader::SearchTarget {
+        let own = &self.network.directory().own().name;
+        let members = self.members();
+        search.next_target(own, &self.lock(), &members, time::Instant::now())
+    }
+
     /// Replaces the known members.
     pub(crate) fn learn_members(&self, members: impl Iterator<Item = name::InstanceName>) {
         *self.lock_members() = members.collect();
@@ -81,37 +72,27 @@
 
     /// Returns the known leader, unless it is avoided as unreachable.
     pub(crate) fn leader(&self) -> Option<name::InstanceName> {
-        let view = self.lock();
-        let name = view.name.clone()?;
-        let unreachable = view.unreachable.as_ref();
-        let avoided = unreachable
-            .is_some_and(|other| other.name == name && other.until > time::Instant::now());
-        (!avoided).then_some(name)
-    }
-
-    /// Sets the leader, unless `leader` is `None`.
-    pub(crate) fn learn_leader(&self, leader: Option<name::InstanceName>) {
-        if leader.is_some() {
-            self.set_leader(leader);
-        }
+        self.lock().reachable(time::Instant::now()).cloned()
     }
 
-    /// Sets the leader reported by an instance that is not the leader; `None` if it knows no leader.
-    pub(crate) fn set_leader(&self, leader: Option<name::InstanceName>) {
+    /// Sets the leader that another instance reports; returns false if it reports an earlier term than
+    /// is known.
+    pub(crate) fn set_leader(&self, hint: leader::LeaderHint) -> bool {
         let mut view = self.lock();
-        let changed = leader.is_some() && view.name != leader;
-        view.name = leader;
+        let changed = hint.name.is_some() && view.known() != hint.name.as_ref();
+        let accepted = view.accept(hint, time::Instant::now());
         drop(view);
-        if changed {
+        if accepted && changed {
             self.leader_changes.send_replace(());
         }
+        accepted
     }
 
     /// Waits until an instance other than `target` is known as the leader.
     pub(crate) async fn leader_changed(&self, target: &name::InstanceName) {
         let mut leader_changes = self.leader_changes.subscribe();
         loop {
-            if self.lock().name.as_ref().is_some_and(|name| name != target) {
+            if self.lock().known().is_some_and(|name| name != target) {
                 return;
             }
             if leader_changes.changed().await.is_err() {
@@ -121,17 +102,26 @@
         }
     }
 
-    /// Avoids a leader that could not be reached, for a limited time.
-    pub(crate) fn avoid_leader(&self, target: &name::InstanceName) {
-        let mut view = self.lock();
-        if view.name.as_ref() == Some(target) {
-            view.unreachable = Some(UnreachableLeader {
-                name: target.clone(),
-                until: time::Instant::now() + UNREACHABLE_TTL,
-            });
+    /// Avoids an instance for a limited time if it is the leader: it did not answer within the limit of
+    /// a call, or could not be reached at all.
+    pub(crate) fn record_failure(
+        &self,
+        target: &name::InstanceName,
+        limit: time::Duration,
+        error: peer::CallError,
+    ) {
+        let now = time::Instant::now();
+        match error {
+            peer::CallError::NotExecuted => self.lock().record_unreachable(target, now),
+            peer::CallError::Unknown => self.lock().record_timeout(target, limit, now),
         }
     }
 
+    /// Avoids a leader no longer, as it has answered.
+    pub(crate) fn record_reached(&self, target: &name::InstanceName) {
+        self.lock().record_reached(target);
+    }
+
     /// Relays a call for an instance that cannot reach the leader.
     pub(crate) async fn relay_call(&self, call: message::ControlCall) -> message::ControlReply {
         if self.handler.is_leader() {
@@ -139,7 +129,7 @@
         }
         let own = &self.network.directory().own().name;
         let Some(leader) = self.leader().filter(|leader| leader != own) else {
-            return message::ControlReply::NotLeader { leader: None };
+            return message::ControlReply::not_leader(leader::LeaderHint::default());
         };
         let called = self
             .network
@@ -148,9 +138,11 @@
             })
             .await;
         called.unwrap_or_else(|error| {
-            self.avoid_leader(&leader);
+            self.record_failure(&leader, RELAY_TIMEOUT, error);
             match error {
-                peer::CallError::NotExecuted => message::ControlReply::NotLeader { leader: None },
+                peer::CallError::NotExecuted => {
+                    message::ControlReply::not_leader(leader::LeaderHint::default())
+                }
                 peer::CallError::Unknown => message::ControlReply::OutcomeUnknown,
             }
         })
@@ -205,7 +197,7 @@
                     client.call(context, call).await
                 });
             return tokio::select! {
-                called = calling => self.handle_result(&leader, called),
+                called = calling => self.handle_result(&leader, called, limit),
                 () = self.leader_changed(&leader) => AttemptResult::Unknown,
             };
         }
@@ -218,18 +210,19 @@
                 client.forward(context, call).await
             })
             .await;
-        self.handle_result(&member, called)
+        self.handle_result(&member, called, limit)
     }
 
     fn handle_result(
         &self,
         target: &name::InstanceName,
         called: Result<message::ControlReply, peer::CallError>,
+        limit: time::Duration,
     ) -> AttemptResult {
         match called {
             Ok(reply) => self.classify_reply(reply),
             Err(error) => {
-                self.avoid_leader(target);
+                self.record_failure(target, limit, error);
                 match error {
                     peer::CallError::NotExecuted => AttemptResult::NotExecuted,
                     peer::CallError::Unknown => AttemptResult::Unknown,
@@ -240,8 +233,9 @@
 
     fn classify_reply(&self, reply: message::ControlReply) -> AttemptResult {
         match reply {
-            message::ControlReply::NotLeader { leader } => {
-                self.set_leader(leader);
+            message::ControlReply::NotLeader { leader, term } => {
+                let hint = leader::LeaderHint { name: leader, term };
+                self.set_leader(hint);
                 AttemptResult::NotExecuted
             }
             message::ControlReply::OutcomeUnknown => AttemptResult::Unknown,
@@ -252,7 +246,7 @@
     /// Returns the next member in rotation that is neither this instance nor the known leader, which is avoided.
     fn next_member(&self, rotation: &mut usize) -> Option<name::InstanceName> {
         let own = &self.network.directory().own().name;
-        let known = self.lock().name.clone();
+        let known = self.lock().known().cloned();
         let members = self.members();
         let others: Vec<_> = members
             .iter()
@@ -270,7 +264,7 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, LeaderView> {
+    fn lock(&self) -> sync::MutexGuard<'_, leader::LeaderView> {
         self.leader
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
--- a/galenahold_instance/src/peer/peer_network.rs
+++ b/galenahold_instance/src/peer/peer_network.rs
@@ -6,6 +6,7 @@
 use std::time;
 
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 use galenahold_wire::rpc;
 use tarpc::client;
@@ -47,6 +48,9 @@
 
     /// Calls another instance within `limit`.
     ///
+    /// All calls to an instance share a connection. One without an answer ends it, unless the call had
+    /// hardly any time to be answered.
+    ///
     /// # Errors
     ///
     /// [`peer::CallError::NotExecuted`] if no byte was sent, otherwise [`peer::CallError::Unknown`].
@@ -65,11 +69,12 @@
         let calling = method(client, peer::PeerLink::context(limit));
         let called = tokio::time::timeout(limit, calling).await;
         if let Ok(Ok(reply)) = called {
-            Ok(reply)
-        } else {
+            return Ok(reply);
+        }
+        if called.is_ok() || limit >= leader::MIN_PROOF_TIME {
             link.reset().await;
-            Err(peer::CallError::Unknown)
         }
+        Err(peer::CallError::Unknown)
     }
 
     fn link(&self, name: &name::InstanceName) -> Option<peer::PeerLink> {
--- a/galenahold_routing/src/lib.rs
+++ b/galenahold_routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod breaker;
 pub mod crash;
 pub mod fleet;
+pub mod leader;
 pub mod load;
 pub mod queue;
 pub mod rate;
--- /dev/null
+++ b/galenahold_routing/tests/leader/main.rs
@@ -0,0 +1,4 @@
+//! Tests of how an instance finds the leader.
+
+mod searches;
+mod views;
--- a/galenahold_wire/examples/load_view_cost.rs
+++ b/galenahold_wire/examples/load_view_cost.rs
@@ -442,6 +442,7 @@
         members: Vec::new(),
         members_mark: 0x3b37_3d0c_7277_251a,
         leader: Some("10.2.0.3:7500".into()),
+        term: 3,
     }
 }
 
--- a/galenahold_wire/examples/message_cost.rs
+++ b/galenahold_wire/examples/message_cost.rs
@@ -368,5 +368,6 @@
         members: Vec::new(),
         members_mark: 0,
         leader: Some("control-1".into()),
+        term: 3,
     }
 }
--- a/galenahold_wire/src/message/control_reply.rs
+++ b/galenahold_wire/src/message/control_reply.rs
@@ -2,6 +2,7 @@
 
 use galenahold_domain::control;
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_routing::rate;
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +26,9 @@
     NotLeader {
         /// The leader, if the answering instance knows it.
         leader: Option<name::InstanceName>,
+        /// The term of the answering instance; zero if it does not state it.
+        #[serde(default)]
+        term: u64,
     },
     /// The call is not permitted over this RPC, or cannot be carried out now; nothing was done.
     Refused {
@@ -34,3 +38,14 @@
     /// The command was proposed, but its outcome is unknown.
     OutcomeUnknown,
 }
+
+impl ControlReply {
+    /// Creates the reply of an instance that does not lead.
+    #[must_use]
+    pub fn not_leader(hint: leader::LeaderHint) -> Self {
+        Self::NotLeader {
+            leader: hint.name,
+            term: hint.term,
+        }
+    }
+}
--- a/galenahold_wire/src/message/watch_reply.rs
+++ b/galenahold_wire/src/message/watch_reply.rs
@@ -4,6 +4,7 @@
 use galenahold_domain::crash;
 use galenahold_domain::fleet;
 use galenahold_domain::name;
+use galenahold_routing::leader;
 use galenahold_routing::load;
 use serde::{Deserialize, Serialize};
 
@@ -46,10 +47,27 @@
         members_mark: u64,
         /// The leader's name, for calls to the leader.
         leader: Option<name::InstanceName>,
+        /// The term of the answering instance; zero if it does not state it.
+        #[serde(default)]
+        term: u64,
     },
     /// The answering instance has no confirmed configuration.
     Unavailable {
         /// The leader, if the answering instance knows it.
         leader: Option<name::InstanceName>,
+        /// The term of the answering instance; zero if it does not state it.
+        #[serde(default)]
+        term: u64,
     },
 }
+
+impl WatchReply {
+    /// Creates the reply of an instance that has no confirmed configuration.
+    #[must_use]
+    pub fn unavailable(hint: leader::LeaderHint) -> Self {
+        Self::Unavailable {
+            leader: hint.name,
+            term: hint.term,
+        }
+    }
+}
--- a/galenahold_wire/tests/rpc/version_skew.rs
+++ b/galenahold_wire/tests/rpc/version_skew.rs
@@ -105,6 +105,7 @@
         members: Vec::new(),
         members_mark: 0,
         leader: Some("control-1".into()),
+        term: 3,
     }
 }
 
@@ -149,10 +150,10 @@
         update: message::ConfigurationUpdate::Nothing,
         leader: None,
     }));
-    let message::WatchReply::Current { loads, .. } = reply else {
+    let message::WatchReply::Current { loads, term, .. } = reply else {
         panic!("the reply has another kind");
     };
-    assert_eq!(loads, None);
+    assert_eq!((loads, term), (None, 0));
     let demand = message::ModelDemand {
         instance: "entry-1".into(),
         span_ms: 700,
