Demote a silent voter that a complete group does not need

What callers saw: nothing yet. Three of six voters are left, and the group has no leader any more.

Cause: a surplus voter was removed after six seconds of silence, since a removed member has to empty its data folder and join again.

Change: after two seconds of silence it becomes a learner, counts in no quorum and keeps its folder; after six it is removed as before. A learner that is silent for half a second is not promoted, so that the change is not undone at once. The window is two seconds now; it is not closed.

Evidence: two_machines_end_after_one_that_already_had_a_successor and silent_voter_beyond_the_target_is_demoted_before_it_is_removed failed before.

--- a/galenahold_consensus/src/driver/membership_planner.rs
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -43,6 +43,7 @@
             .or_else(|| self.leaving_member(status))
             .or_else(|| self.silent_learner(status))
             .or_else(|| self.silent_voter(status))
+            .or_else(|| self.surplus_voter(status))
             .or_else(|| self.caught_up_learner(status))
             .or_else(|| self.superseded_voter(status))
             .or_else(|| Self::unknown_joiner(status))
@@ -115,6 +116,20 @@
         Some(member::MembershipChange::Remove(report.member.profile.id))
     }
 
+    /// Plans the demotion of a silent voter that a complete group does not need.
+    ///
+    /// As a learner, it counts in no quorum and keeps its data folder; it is promoted if it returns.
+    fn surplus_voter(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        if voters(status).count() <= self.target_voters {
+            return None;
+        }
+        let most_silent = voters_by_silence(status).next()?;
+        let is_silent = self.is_silent_for(most_silent, self.succession);
+        is_silent.then_some(member::MembershipChange::Demote(
+            most_silent.member.profile.id,
+        ))
+    }
+
     /// Plans the promotion of a learner, in the place of a silent voter if there is one.
     ///
     /// While it is not clear whether a voter of a complete group returns, none is added.
@@ -124,7 +139,6 @@
             return Some(member::MembershipChange::Promote(promoted));
         }
         let most_silent = voters_by_silence(status).next()?;
-        let silence = most_silent.silence.unwrap_or_default();
         if self.is_silent_for(most_silent, self.succession) {
             let removed = most_silent.member.profile.id;
             return Some(member::MembershipChange::Replace { removed, promoted });
@@ -132,11 +146,12 @@
         let own_id = status.profile.id;
         let is_unheard =
             voters(status).any(|report| !report.heard && report.member.profile.id != own_id);
-        let is_doubtful = is_unheard || silence >= self.doubt();
+        let is_doubtful = is_unheard || self.is_doubtful(most_silent);
         (!is_doubtful).then_some(member::MembershipChange::Promote(promoted))
     }
 
-    /// Returns a learner that has caught up, unless it is a demoted voter.
+    /// Returns a learner that has caught up and may not be lost, unless it is a demoted voter of a full
+    /// group.
     fn promotable_learner<'a>(
         &self,
         status: &'a driver::LogStatus,
@@ -150,7 +165,7 @@
         let learners = status.members.iter().enumerate().filter(|(_, report)| {
             report.member.standing == member::VotingStatus::Learner
                 && !report.leaving
-                && !self.is_silent(report)
+                && !self.is_doubtful(report)
                 && is_caught_up(report)
         });
         let mut learners =
@@ -181,6 +196,11 @@
         silence >= duration && unanswered >= self.doubt()
     }
 
+    /// Returns whether the member may be lost.
+    fn is_doubtful(&self, report: &driver::MemberReport) -> bool {
+        report.silence.unwrap_or_default() >= self.doubt()
+    }
+
     fn doubt(&self) -> time::Duration {
         self.succession / DOUBT_DIVISOR
     }
--- a/galenahold_consensus/tests/membership/main.rs
+++ b/galenahold_consensus/tests/membership/main.rs
@@ -135,6 +135,26 @@
     assert_eq!(next(&status), Some(remove(6)));
 }
 
+/// Guards against voters that ended beside their successor, and with two more left no quorum within six seconds.
+#[test]
+fn silent_voter_beyond_the_target_is_demoted_before_it_is_removed() {
+    let mut status = status(6);
+    status.members[2].silence = Some(SUCCESSION / 2);
+    assert_eq!(next(&status), None);
+    status.members[2].silence = Some(SUCCESSION);
+    let demoted = member::MemberId::new(3);
+    assert_eq!(
+        next(&status),
+        Some(member::MembershipChange::Demote(demoted))
+    );
+    status.members[2].member.standing = member::VotingStatus::Learner;
+    assert_eq!(next(&status), None);
+    status.members[2].silence = Some(SILENCE);
+    assert_eq!(next(&status), Some(remove(3)));
+    status.members[2].silence = Some(time::Duration::ZERO);
+    assert_eq!(next(&status), Some(promote(3)), "it has returned");
+}
+
 /// Guards against a member that has stopped for good and still counts in a quorum beside its successor.
 #[test]
 fn leaving_voter_is_removed_only_if_enough_other_voters_remain() {
--- a/galenahold_consensus/tests/model/replacements.rs
+++ b/galenahold_consensus/tests/model/replacements.rs
@@ -319,6 +319,26 @@
     }
 }
 
+/// A machine whose successor has caught up ends without notice, and some seconds later two more do. The first stayed a
+/// voter for six seconds, so that three of six were left.
+#[test]
+fn two_machines_end_after_one_that_already_had_a_successor() {
+    let timings = core_timings::CoreTimings::PRODUCT;
+    for removed in 0..5 {
+        let mut run = CoreRun::with_timings(2, timings);
+        run.apply(CoreEvent::StartSuccessor);
+        run.apply(CoreEvent::Wait {
+            millis: timings.catch_up_millis,
+        });
+        run.apply(CoreEvent::Vanish { machine: removed });
+        run.apply(CoreEvent::Wait { millis: 4_000 });
+        for machine in (0..5).filter(|machine| *machine != removed).take(2) {
+            run.apply(CoreEvent::Vanish { machine });
+        }
+        assert!(run.group.recovers(), "{}", run.group.describe());
+    }
+}
+
 /// A machine is replaced, and two others lose their disks right after an acknowledgement.
 #[test]
 fn two_disks_are_lost_after_any_of_five_machines_was_replaced() {
