--- a/galenahold_instance/src/gateway/entry/leader_monitor.rs
+++ b/galenahold_instance/src/gateway/entry/leader_monitor.rs
@@ -49,7 +49,7 @@
         });
     }
 
-    /// Waits at one member; returns whether it answered.
+    /// Waits at one member; returns whether to wait at the next one without a pause.
     async fn wait_once(&self) -> bool {
         let Some(leader) = self.client.leader() else {
             return false;
