Log the silences by which members of the control group are changed

The line about a change names only identities, so that a frozen voter and a lost one could not be told apart by the log of the leader, and a removed member said nothing until its process ended. Change: the leader logs each member with its silence, the member logs that it is missing in the leader's list. No decision changes.

--- a/galenahold_instance/src/gateway/control/membership_reconciler.rs
+++ b/galenahold_instance/src/gateway/control/membership_reconciler.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use galenahold_consensus::driver;
+use galenahold_consensus::member;
 use log::{info, warn};
 use tokio::sync::oneshot;
 
@@ -79,6 +80,8 @@
             return;
         };
         let described = format!("{change:?}");
+        let voters = describe_silences(&status, member::VotingStatus::Voter);
+        let learners = describe_silences(&status, member::VotingStatus::Learner);
         let (sender, receiver) = oneshot::channel();
         self.member.handle().change_with(change, move |result| {
             // The receiver is dropped if the change timed out.
@@ -86,7 +89,13 @@
         });
         match tokio::time::timeout(CHANGE_TIMEOUT, receiver).await {
             Ok(Ok(Ok(position))) => {
-                info!(change = described.as_str(), index = position.index.get(); "members of the control group changed");
+                info!(
+                    change = described.as_str(),
+                    index = position.index.get(),
+                    voters_silent_ms = voters.as_str(),
+                    learners_silent_ms = learners.as_str();
+                    "members of the control group changed"
+                );
             }
             Ok(Ok(Err(error))) => {
                 warn!(change = described.as_str(), error:% = error; "cannot change the members of the control group");
@@ -97,3 +106,17 @@
         }
     }
 }
+
+/// Lists the members of a standing before a change, each with its silence in milliseconds (`-` for the leader itself).
+fn describe_silences(status: &driver::LogStatus, standing: member::VotingStatus) -> String {
+    let members = status.members.iter();
+    let members = members.filter(|report| report.member.standing == standing);
+    let described = members.map(|report| {
+        let silence = report
+            .silence
+            .map(|silence| silence.as_millis().to_string());
+        let name = &report.member.profile.endpoint.name;
+        format!("{name}={}", silence.as_deref().unwrap_or("-"))
+    });
+    described.collect::<Vec<_>>().join(",")
+}
--- a/galenahold_instance/src/gateway/control/removal_monitor.rs
+++ b/galenahold_instance/src/gateway/control/removal_monitor.rs
@@ -5,6 +5,7 @@
 
 use galenahold_domain::fleet;
 use galenahold_wire::message;
+use log::warn;
 
 use crate::configuration;
 use crate::control as group;
@@ -55,6 +56,9 @@
         let own = status.profile.id.to_string();
         let missing = status.cluster.is_some() && members.iter().all(|member| member.folder != own);
         let mut since = self.lock();
+        if missing != since.is_some() {
+            warn!(missing = missing; "this member's place in the leader's list of members has changed");
+        }
         if missing {
             since.get_or_insert_with(time::Instant::now);
         } else {
