Test outages beside losses, after which two more machines are lost

The model tried freezes and cuts only in groups of three, or as a single event in a group of five, so that no outage that ends came before a loss and two more losses. Change: the model tries all pairs of outages (frozen, cut off, gone; the leader or another machine; three pauses), waits until no machine counts as lost, and then lets any two machines end. No gone machine may be a voter then, and no machine that runs may have been removed.

--- a/galenahold_consensus/tests/model/core_event.rs
+++ b/galenahold_consensus/tests/model/core_event.rs
@@ -18,10 +18,10 @@
     /// A machine is killed and returns with its disk.
     Kill { machine: usize },
     /// A machine does not run for a while.
-    Freeze { machine: usize },
+    Freeze { machine: usize, millis: u64 },
     /// A machine is cut off from all others for a while. What is sent to or from it meanwhile arrives
     /// twice, long after the cut has healed.
-    CutOff { machine: usize },
+    CutOff { machine: usize, millis: u64 },
     /// A command is proposed and acknowledged, if there is a leader that can commit it.
     Acknowledge,
 }
--- a/galenahold_consensus/tests/model/core_group.rs
+++ b/galenahold_consensus/tests/model/core_group.rs
@@ -15,9 +15,6 @@
 const TICK_MILLIS: u64 = 15;
 const LEAVE_MILLIS: u64 = 2_000;
 const DOWN_MILLIS: u64 = 200;
-const FREEZE_MILLIS: u64 = 1_200;
-/// How long a machine is cut off.
-pub(crate) const CUT_MILLIS: u64 = 1_200;
 /// How long after the end of a cut the messages arrive that were sent during it.
 const HELD_MILLIS: [u64; 2] = [800, 1_400];
 const RECOVERY_MILLIS: u64 = 4_000;
@@ -174,6 +171,26 @@
         self.vanished_at.iter().filter(recent).count()
     }
 
+    /// Returns the machines that never return and are voters according to the leader.
+    pub(crate) fn gone_voters(&self) -> Vec<usize> {
+        let node = self.leader().map(|leader| &self.machines[leader].node);
+        let Some(node) = node.and_then(Option::as_ref) else {
+            return Vec::new();
+        };
+        let is_voter = |machine: &usize| node.membership().is_voter(self.machines[*machine].id);
+        self.gone.iter().copied().filter(is_voter).collect()
+    }
+
+    /// Returns the machines that run although the group has removed them.
+    pub(crate) fn removed_machines(&self) -> Vec<usize> {
+        let now = self.now();
+        let is_removed = |machine: &usize| {
+            let status = self.machines[*machine].status(now);
+            status.is_some_and(|status| status.removed)
+        };
+        (0..self.machines.len()).filter(is_removed).collect()
+    }
+
     pub(crate) fn tolerated(&self) -> usize {
         self.tolerated
     }
@@ -204,13 +221,13 @@
                 self.machines[machine].stop();
                 self.restart_after(machine, DOWN_MILLIS);
             }
-            CoreEvent::Freeze { machine } => {
+            CoreEvent::Freeze { machine, millis } => {
                 self.frozen.insert(machine);
-                self.appoint(machine, FREEZE_MILLIS, AppointmentKind::Thaw);
+                self.appoint(machine, millis, AppointmentKind::Thaw);
             }
-            CoreEvent::CutOff { machine } => {
-                self.cut.insert(machine, self.now_millis + CUT_MILLIS);
-                self.appoint(machine, CUT_MILLIS, AppointmentKind::Heal);
+            CoreEvent::CutOff { machine, millis } => {
+                self.cut.insert(machine, self.now_millis + millis);
+                self.appoint(machine, millis, AppointmentKind::Heal);
             }
             CoreEvent::Acknowledge => self.acknowledge(),
         }
