Demote a silent voter instead of removing it

Cause: a learner took the place of the voter that was silent for longest, which was removed. If that one was only frozen, the lost one stayed a voter beside a machine that ran: it found itself removed after 3.4 s, ended by itself, and came back empty. Class: a silence taken for an end by a step that can't be taken back. Ruled out: a lost acknowledgement (no leader for 9.9 s) and split votes (two of five voters ran). Change: the silent voter becomes a learner in the same joint change (Exchange), keeps its folder and takes the place of a voter that is still silent with its first answer. No voter is removed for its silence; a learner is after ten minutes, or if more than a full group of them is silent. Entry instances don't search for the leader at silent learners, and a member that stops doesn't wait for one. Time-outs of voters are as before.

--- a/galenahold_consensus/src/core/leadership.rs
+++ b/galenahold_consensus/src/core/leadership.rs
@@ -77,6 +77,7 @@
             return Err(core::ChangeRefusal::Underway);
         }
         if let member::MembershipChange::Promote(id)
+        | member::MembershipChange::Exchange { promoted: id, .. }
         | member::MembershipChange::Replace { promoted: id, .. } = change
         {
             self.check_caught_up(*id)?;
--- a/galenahold_consensus/src/core/raft_node.rs
+++ b/galenahold_consensus/src/core/raft_node.rs
@@ -279,17 +279,21 @@
         self.leader_state()?.progress.get(&id)
     }
 
-    /// Returns how long a member has been silent, to this leader and to those before it, or `None`
-    /// if this member is not the leader.
+    /// Returns how long a member has been silent to this leader and those before it, or according to the
+    /// last report of the leader that this member follows; `None` if this member leads and the ID is its own,
+    /// or if no leader has reported on the member.
     #[must_use]
     pub fn silence(
         &self,
         id: member::MemberId,
         now: core::MonotonicTime,
     ) -> Option<time::Duration> {
-        let last_answer = self.progress(id)?.last_contact;
-        let last_contact = self.contacts.last_contact(id);
-        Some(now.since(last_contact.unwrap_or(last_answer)))
+        let last_answer = match &self.role {
+            core::RoleState::Leader(state) => Some(state.progress.get(&id)?.last_contact),
+            _ => None,
+        };
+        let last_contact = self.contacts.last_contact(id).or(last_answer);
+        last_contact.map(|last_contact| now.since(last_contact))
     }
 
     fn progress_mut(&mut self, id: member::MemberId) -> Option<&mut core::MemberProgress> {
--- a/galenahold_consensus/src/driver/log_status.rs
+++ b/galenahold_consensus/src/driver/log_status.rs
@@ -57,7 +57,8 @@
     #[must_use]
     pub fn is_needed(&self, voters: usize) -> bool {
         let is_member = |report: &driver::MemberReport| report.member.profile.id == self.profile.id;
-        self.members.iter().any(is_member) && self.members.len() <= voters
+        let present = self.members.iter().filter(|report| !report.is_absent());
+        self.members.iter().any(is_member) && present.count() <= voters
     }
 
     /// Summarizes the state of a Raft node; what only its driver knows is left empty.
--- a/galenahold_consensus/src/driver/membership_planner.rs
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -1,5 +1,6 @@
 //! Automatic membership changes.
 
+use std::cmp;
 use std::time;
 
 use crate::driver;
@@ -8,31 +9,38 @@
 /// A voter that is silent for this part of the time after which it can be replaced may be lost.
 const DOUBT_DIVISOR: u32 = 4;
 
-/// Plans membership changes that add joiners and remove failed members, one change at a time.
+/// Plans membership changes that add joiners and give up failed members, one change at a time.
+///
+/// Silence does not tell a member that is lost from one that is frozen or cut off. A silent voter therefore only becomes
+/// a learner, which keeps its data folder and is promoted again once it answers. A member is removed if its data folder
+/// is known to be lost, if it announces that it stops while it has a successor, or as a silent learner, which no quorum
+/// needs, after a retention time.
 ///
 /// A member that lost its data folder and returns under its old name is removed under its old
-/// identity before it is added again, so that it never votes twice. A silent voter is removed only
-/// if enough other voters remain, since a partitioned machine may come back. A learner takes the
-/// place of a silent voter instead of being added beside it: otherwise voters that ended for good
-/// add up as leaders change, each of which measures the silence anew.
+/// identity before it is added again, so that it never votes twice. A learner takes the place of a silent voter instead
+/// of being added beside it: otherwise voters that ended for good add up as leaders change.
 #[derive(Debug, Clone)]
 pub struct MembershipPlanner {
     target_voters: usize,
-    silence: time::Duration,
     succession: time::Duration,
+    retention: time::Duration,
 }
 
 impl MembershipPlanner {
     /// Creates a planner for a group of at least `target_voters` voters.
     ///
-    /// A member counts as failed after the leader has received nothing from it for `silence`, and a
-    /// voter can be replaced by a learner after `succession`.
+    /// A voter can be replaced by a learner after the leader has received nothing from it for `succession`. A learner is
+    /// removed after a silence of `retention`, or before if more than `target_voters` learners are silent.
     #[must_use]
-    pub fn new(target_voters: usize, silence: time::Duration, succession: time::Duration) -> Self {
+    pub fn new(
+        target_voters: usize,
+        succession: time::Duration,
+        retention: time::Duration,
+    ) -> Self {
         Self {
             target_voters,
-            silence,
             succession,
+            retention,
         }
     }
 
@@ -41,12 +49,11 @@
     pub fn next_change(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
         Self::replaced_member(status)
             .or_else(|| self.leaving_member(status))
-            .or_else(|| self.silent_learner(status))
-            .or_else(|| self.silent_voter(status))
             .or_else(|| self.surplus_voter(status))
             .or_else(|| self.caught_up_learner(status))
             .or_else(|| self.superseded_voter(status))
             .or_else(|| Self::unknown_joiner(status))
+            .or_else(|| self.expired_learner(status))
     }
 
     /// Plans the removal of a member whose name a joiner with another identity now has.
@@ -95,25 +102,17 @@
         Some(member::MembershipChange::Demote(report.member.profile.id))
     }
 
-    fn silent_learner(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
-        let report = status
-            .members
-            .iter()
-            .filter(|report| report.member.standing == member::VotingStatus::Learner)
-            .find(|report| self.is_silent(report))?;
-        Some(member::MembershipChange::Remove(report.member.profile.id))
-    }
-
-    fn silent_voter(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
-        let voters = voters(status).count();
-        let has_live_learner = status.members.iter().any(|report| {
-            report.member.standing == member::VotingStatus::Learner && !self.is_silent(report)
+    /// Plans the removal of the learner that has been silent for longest, if it is unlikely to return or too many are
+    /// silent.
+    fn expired_learner(&self, status: &driver::LogStatus) -> Option<member::MembershipChange> {
+        let silent = status.members.iter().filter(|report| {
+            report.member.standing == member::VotingStatus::Learner
+                && self.is_silent_for(report, self.succession)
         });
-        if voters <= self.target_voters && !(voters == self.target_voters && has_live_learner) {
-            return None;
-        }
-        let report = voters_by_silence(status).find(|report| self.is_silent(report))?;
-        Some(member::MembershipChange::Remove(report.member.profile.id))
+        let count = silent.clone().count();
+        let report = silent.max_by_key(|report| report.silence)?;
+        let has_expired = count > self.target_voters || self.is_silent_for(report, self.retention);
+        has_expired.then_some(member::MembershipChange::Remove(report.member.profile.id))
     }
 
     /// Plans the demotion of a silent voter that a complete group does not need.
@@ -123,7 +122,7 @@
         if voters(status).count() <= self.target_voters {
             return None;
         }
-        let most_silent = voters_by_silence(status).next()?;
+        let most_silent = most_silent_voter(status)?;
         let is_silent = self.is_silent_for(most_silent, self.succession);
         is_silent.then_some(member::MembershipChange::Demote(
             most_silent.member.profile.id,
@@ -138,10 +137,10 @@
         if voters(status).count() < self.target_voters {
             return Some(member::MembershipChange::Promote(promoted));
         }
-        let most_silent = voters_by_silence(status).next()?;
+        let most_silent = most_silent_voter(status)?;
         if self.is_silent_for(most_silent, self.succession) {
-            let removed = most_silent.member.profile.id;
-            return Some(member::MembershipChange::Replace { removed, promoted });
+            let demoted = most_silent.member.profile.id;
+            return Some(member::MembershipChange::Exchange { demoted, promoted });
         }
         let own_id = status.profile.id;
         let is_unheard =
@@ -184,10 +183,6 @@
         Some(member::MembershipChange::AddLearner(joiner.clone()))
     }
 
-    fn is_silent(&self, report: &driver::MemberReport) -> bool {
-        self.is_silent_for(report, self.silence)
-    }
-
     /// Returns whether the member has been silent for the duration, and has had the time to answer
     /// this leader.
     fn is_silent_for(&self, report: &driver::MemberReport, duration: time::Duration) -> bool {
@@ -213,10 +208,8 @@
         .filter(|report| report.member.standing == member::VotingStatus::Voter)
 }
 
-fn voters_by_silence(status: &driver::LogStatus) -> impl Iterator<Item = &driver::MemberReport> {
-    let mut reports: Vec<_> = voters(status).collect();
-    reports.sort_by_key(|report| std::cmp::Reverse(report.silence));
-    reports.into_iter()
+fn most_silent_voter(status: &driver::LogStatus) -> Option<&driver::MemberReport> {
+    voters(status).min_by_key(|report| cmp::Reverse(report.silence))
 }
 
 fn is_caught_up(report: &driver::MemberReport) -> bool {
--- a/galenahold_consensus/src/member/membership_change.rs
+++ b/galenahold_consensus/src/member/membership_change.rs
@@ -11,6 +11,13 @@
     Promote(member::MemberId),
     /// Makes a voter a learner.
     Demote(member::MemberId),
+    /// Makes a learner that has caught up a voter in place of another one, which becomes a learner.
+    Exchange {
+        /// The voter that becomes a learner.
+        demoted: member::MemberId,
+        /// The learner that becomes a voter.
+        promoted: member::MemberId,
+    },
     /// Makes a learner that has caught up a voter in place of another one, which is removed.
     Replace {
         /// The voter that is removed.
--- a/galenahold_consensus/src/member/membership_list.rs
+++ b/galenahold_consensus/src/member/membership_list.rs
@@ -88,6 +88,9 @@
             member::MembershipChange::AddLearner(profile) => list.add_learner(profile),
             member::MembershipChange::Promote(id) => list.promote(*id),
             member::MembershipChange::Demote(id) => list.demote(*id),
+            member::MembershipChange::Exchange { demoted, promoted } => {
+                list.promote(*promoted) && list.demote(*demoted)
+            }
             member::MembershipChange::Replace { removed, promoted } => {
                 list.promote(*promoted) && list.remove(*removed)
             }
--- a/galenahold_instance/src/configuration/configuration_watcher.rs
+++ b/galenahold_instance/src/configuration/configuration_watcher.rs
@@ -242,8 +242,9 @@
                 }
                 if !members.is_empty() {
                     self.members_mark = members_mark;
+                    let present = members.iter().filter(|member| !member.absent);
                     self.client
-                        .learn_members(members.iter().map(|member| member.name.clone()));
+                        .learn_members(present.map(|member| member.name.clone()));
                     self.sink.take_members(&members);
                 }
                 self.sink.take(roster.map(|update| *update), followers);
--- a/galenahold_instance/src/gateway/control/handler_parts.rs
+++ b/galenahold_instance/src/gateway/control/handler_parts.rs
@@ -381,11 +381,15 @@
 
     fn members(&self) -> Vec<message::ControlMember> {
         let status = self.member.handle().status();
-        let members = status.members.iter().map(|report| &report.member.profile);
+        let members = status.members.iter();
         members
-            .map(|profile| message::ControlMember {
-                name: name::InstanceName::from(profile.endpoint.name.as_str()),
-                folder: profile.id.to_string(),
+            .map(|report| {
+                let profile = &report.member.profile;
+                message::ControlMember {
+                    name: name::InstanceName::from(profile.endpoint.name.as_str()),
+                    folder: profile.id.to_string(),
+                    absent: report.is_absent(),
+                }
             })
             .collect()
     }
--- a/galenahold_instance/src/gateway/control/membership_reconciler.rs
+++ b/galenahold_instance/src/gateway/control/membership_reconciler.rs
@@ -15,13 +15,13 @@
 /// How often the membership is checked.
 const CHECK_PERIOD: time::Duration = time::Duration::from_millis(200);
 
-/// How long a member may be silent before it counts as lost.
-const MEMBER_TIMEOUT: time::Duration = time::Duration::from_secs(6);
-
 /// How long a voter may be silent before a learner takes its place. A process that is restarted is
 /// back within a second, and a successor is to count within four.
 const SUCCESSION_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
+/// How long a learner may be silent before it is removed; after that it can only return with an empty data folder.
+const LEARNER_RETENTION: time::Duration = time::Duration::from_mins(10);
+
 /// Maximum time for one membership change.
 const CHANGE_TIMEOUT: time::Duration = time::Duration::from_secs(4);
 
@@ -55,8 +55,8 @@
             member,
             planner: driver::MembershipPlanner::new(
                 voter_target(tolerated_losses),
-                MEMBER_TIMEOUT,
                 SUCCESSION_TIMEOUT,
+                LEARNER_RETENTION,
             ),
         }
     }
--- a/galenahold_wire/src/message/control_member.rs
+++ b/galenahold_wire/src/message/control_member.rs
@@ -10,4 +10,8 @@
     pub name: name::InstanceName,
     /// The identity of the instance's data folder.
     pub folder: String,
+    /// Whether the leader has not heard the instance of late and the group does not depend on it: calls are better sent
+    /// to other members.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub absent: bool,
 }
