Count a member's absence only while the leader confirms it

A member that once got a list of members without itself, and then heard nothing for 3 s, took the silence for its removal, and cleared its data folder. Change: the time counts from the first list without the member to the last reply of the leader by which that list is still valid. The decision is a type of its own in galenahold_routing.

--- a/galenahold_instance/src/gateway/control/removal_monitor.rs
+++ b/galenahold_instance/src/gateway/control/removal_monitor.rs
@@ -4,14 +4,15 @@
 use std::time;
 
 use galenahold_domain::fleet;
+use galenahold_routing::leader;
 use galenahold_wire::message;
 use log::warn;
 
 use crate::configuration;
 use crate::control as group;
 
-/// How long this member has to be missing from the leader's list of members before it counts as
-/// removed.
+/// How long the leader has to confirm that this member is not in its list of members before the
+/// member counts as removed.
 const REMOVAL_TIMEOUT: time::Duration = time::Duration::from_secs(3);
 
 /// Detects that this member was removed from the control group while it was partitioned or down.
@@ -20,25 +21,24 @@
 #[derive(Clone)]
 pub(crate) struct RemovalMonitor {
     member: sync::Arc<group::ControlGroup>,
-    missing_since: sync::Arc<sync::Mutex<Option<time::Instant>>>,
+    absence: sync::Arc<sync::Mutex<leader::ListAbsence>>,
 }
 
 impl RemovalMonitor {
     pub(crate) fn new(member: sync::Arc<group::ControlGroup>) -> Self {
         Self {
             member,
-            missing_since: sync::Arc::default(),
+            absence: sync::Arc::default(),
         }
     }
 
     /// Returns whether this member was removed from the control group.
     pub(crate) fn is_removed(&self) -> bool {
-        self.lock()
-            .is_some_and(|since| since.elapsed() >= REMOVAL_TIMEOUT)
+        self.lock().confirmed_for() >= REMOVAL_TIMEOUT
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, Option<time::Instant>> {
-        self.missing_since
+    fn lock(&self) -> sync::MutexGuard<'_, leader::ListAbsence> {
+        self.absence
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
@@ -49,20 +49,17 @@
         None
     }
 
-    fn take(&self, _update: Option<fleet::RosterUpdate>, _followers: u32) {}
+    fn take(&self, _update: Option<fleet::RosterUpdate>, _followers: u32) {
+        self.lock().record_confirmation(time::Instant::now());
+    }
 
     fn take_members(&self, members: &[message::ControlMember]) {
         let status = self.member.handle().status();
         let own = status.profile.id.to_string();
-        let missing = status.cluster.is_some() && members.iter().all(|member| member.folder != own);
-        let mut since = self.lock();
-        if missing != since.is_some() {
-            warn!(missing = missing; "this member's place in the leader's list of members has changed");
-        }
-        if missing {
-            since.get_or_insert_with(time::Instant::now);
-        } else {
-            *since = None;
+        let is_listed =
+            status.cluster.is_none() || members.iter().any(|member| member.folder == own);
+        if self.lock().record_list(is_listed, time::Instant::now()) {
+            warn!(missing = !is_listed; "this member's place in the leader's list of members has changed");
         }
     }
 }
--- a/galenahold_routing/tests/leader/main.rs
+++ b/galenahold_routing/tests/leader/main.rs
@@ -1,4 +1,5 @@
 //! Tests of how an instance finds the leader.
 
+mod absences;
 mod searches;
 mod views;
