Pause between outages of the model until another machine may be lost

Cause: with three outages in a row (OUTAGE_DEPTH=3) no sequence was left, as all pauses were shorter than the time after which a machine counts again. Change: an outage comes a pause after fewer machines count as lost than the group tolerates, and its machine is chosen then.

--- a/galenahold_consensus/tests/model/returns.rs
+++ b/galenahold_consensus/tests/model/returns.rs
@@ -16,6 +16,9 @@
 /// longer than that after which a member counts as failed.
 const OUTAGES_MILLIS: [u64; 2] = [1_200, 2_400];
 
+/// Time between two looks at the number of machines that count as lost.
+const POLL_MILLIS: u64 = 60;
+
 /// The longest time until no machine counts as lost.
 const SETTLE_MILLIS: u64 = 20_000;
 
@@ -38,12 +41,17 @@
         leader.into_iter().chain(follower).collect()
     }
 
+    /// Returns the run after another machine may be lost, and a pause.
+    fn after_pause(&self, millis: u64) -> Self {
+        let mut run = self.clone();
+        run.wait_until_lost_at_most(run.group.tolerated() - 1);
+        run.apply(CoreEvent::Wait { millis });
+        run
+    }
+
     /// Returns the run after one more outage, or `None` if more machines count as lost than the group tolerates.
-    fn after_outage(&self, pause_millis: u64, machine: usize, outage: Outage) -> Option<Self> {
+    fn after_outage(&self, machine: usize, outage: Outage) -> Option<Self> {
         let mut run = self.clone();
-        run.apply(CoreEvent::Wait {
-            millis: pause_millis,
-        });
         run.apply(match outage {
             Outage::Freeze { millis } => CoreEvent::Freeze { machine, millis },
             Outage::CutOff { millis } => CoreEvent::CutOff { machine, millis },
@@ -74,28 +82,34 @@
         } else {
             &PAUSES_MILLIS[..]
         };
-        for pause_millis in pauses.iter().copied() {
-            for machine in self.victims() {
-                let after = |outage: &Outage| self.after_outage(pause_millis, machine, *outage);
+        for start in pauses.iter().map(|millis| self.after_pause(*millis)) {
+            for machine in start.victims() {
+                let after = |outage: &Outage| start.after_outage(machine, *outage);
                 runs.extend(outages.iter().filter_map(after));
             }
         }
         runs
     }
 
-    /// Waits until no machine counts as lost, and checks that the group depends on no machine that is gone and has removed
-    /// none that runs.
-    fn settle(&mut self) {
+    fn wait_until_lost_at_most(&mut self, lost: usize) {
         let mut waited_millis = 0;
-        while self.group.lost() > 0 {
+        while self.group.lost() > lost {
             assert!(
                 waited_millis < SETTLE_MILLIS,
                 "{}",
                 self.report("machines still count as lost")
             );
-            self.apply(CoreEvent::Wait { millis: 60 });
-            waited_millis += 60;
+            self.apply(CoreEvent::Wait {
+                millis: POLL_MILLIS,
+            });
+            waited_millis += POLL_MILLIS;
         }
+    }
+
+    /// Waits until no machine counts as lost, and checks that the group depends on no machine that is gone and has removed
+    /// none that runs.
+    fn settle(&mut self) {
+        self.wait_until_lost_at_most(0);
         self.apply(CoreEvent::Acknowledge);
         let gone = self.group.gone_voters();
         assert!(
@@ -182,15 +196,12 @@
     ];
     for outage in outages {
         let start = start
-            .after_outage(0, frozen, outage)
+            .after_outage(frozen, outage)
             .expect("one machine is lost");
         for pause_millis in (0..2_400).step_by(300) {
-            let mut start = start.clone();
-            start.apply(CoreEvent::Wait {
-                millis: pause_millis,
-            });
+            let start = start.after_pause(pause_millis);
             for machine in start.victims() {
-                let run = start.after_outage(0, machine, Outage::Vanish);
+                let run = start.after_outage(machine, Outage::Vanish);
                 let mut run = run.expect("two machines are lost");
                 run.settle();
                 run.check_losses();
