Describe when members are removed and when they are waited for

Cause: read as a newcomer, the planner's page and is_needed left open which learners count as successors. Result: no behaviour changes.

--- a/galenahold_consensus/src/driver/log_status.rs
+++ b/galenahold_consensus/src/driver/log_status.rs
@@ -53,7 +53,8 @@
     /// Returns whether the group of `voters` voters may depend on this member after its end: it has
     /// no successor.
     ///
-    /// A member whose removal is not complete has a successor, but the group still depends on it.
+    /// A member whose removal is not complete has a successor, but the group still depends on it. An
+    /// absent learner is no successor.
     #[must_use]
     pub fn is_needed(&self, voters: usize) -> bool {
         let is_member = |report: &driver::MemberReport| report.member.profile.id == self.profile.id;
--- a/galenahold_consensus/src/driver/membership_planner.rs
+++ b/galenahold_consensus/src/driver/membership_planner.rs
@@ -12,9 +12,9 @@
 /// Plans membership changes that add joiners and give up failed members, one change at a time.
 ///
 /// Silence does not tell a member that is lost from one that is frozen or cut off. A silent voter therefore only becomes
-/// a learner, which keeps its data folder and is promoted again once it answers. A member is removed if its data folder
-/// is known to be lost, if it announces that it stops while it has a successor, or as a silent learner, which no quorum
-/// needs, after a retention time.
+/// a learner, which keeps its data folder and is promoted again once it answers. A member is removed only if its data
+/// folder is known to be lost, if it announces that it stops while it has a successor, or if it is a learner that has
+/// been silent for a retention time.
 ///
 /// A member that lost its data folder and returns under its old name is removed under its old
 /// identity before it is added again, so that it never votes twice. A learner takes the place of a silent voter instead
--- a/galenahold_routing/src/leader/mod.rs
+++ b/galenahold_routing/src/leader/mod.rs
@@ -1,4 +1,4 @@
-//! How an instance finds the leader of the control group, and what it learns from it of its own membership.
+//! How an instance finds the leader of the control group, and detects its own removal from it.
 
 mod leader_hint;
 mod leader_search;
