Correct what the model says of its pauses and outages

Cause: two comments named the time after which a member counted as failed, which is no more. Change: comments only. Result: no test changes.

--- a/galenahold_consensus/tests/model/core_run.rs
+++ b/galenahold_consensus/tests/model/core_run.rs
@@ -4,7 +4,8 @@
 use crate::core_group;
 use crate::core_timings;
 
-/// Time between two events that is shorter than the silence after which a member is given up.
+/// Time between two events: longer than the silence after which a learner takes a voter's place, and shorter than the time
+/// that a machine has to catch up.
 const PAUSE_MILLIS: u64 = 600;
 
 /// How long a machine is frozen or cut off; longer than the silence after which a learner takes its place.
--- a/galenahold_consensus/tests/model/returns.rs
+++ b/galenahold_consensus/tests/model/returns.rs
@@ -12,8 +12,7 @@
 /// Times between two outages: shorter than the silence after which a learner takes a voter's place, and longer.
 const PAUSES_MILLIS: [u64; 3] = [0, 240, 780];
 
-/// How long machines are frozen or cut off: longer than the silence after which a learner takes a voter's place, and
-/// longer than that after which a member counts as failed.
+/// How long machines are frozen or cut off: longer than the silence after which a learner takes a voter's place.
 const OUTAGES_MILLIS: [u64; 2] = [1_200, 2_400];
 
 /// Time between two looks at the number of machines that count as lost.
